--- /dev/null
+++ b/briarrill/batch/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.batch: owns jobs, hands items out and keeps segments."""
--- /dev/null
+++ b/briarrill/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.ctl: the operators' command line."""
--- /dev/null
+++ b/briarrill/ctl/main.py
@@ -0,0 +1,45 @@
+"""briarrill.ctl.main: the command line of ``briarrill-ctl``.
+
+Usage:
+  briarrill-ctl [--settings=FILE] apply CONFIG [--base=VERSION]
+  briarrill-ctl [--settings=FILE] get
+  briarrill-ctl [--settings=FILE] status [--json]
+  briarrill-ctl [--settings=FILE] drain HOST ROLE
+  briarrill-ctl validate CONFIG
+  briarrill-ctl hash-key
+  briarrill-ctl --help
+  briarrill-ctl --version
+
+Options:
+  --settings=FILE  Settings of this command [default: ctl.toml].
+  --base=VERSION   Version that the change is based on; the newest by default.
+  --json           Print JSON.
+
+Exit codes: 0 done, 1 failed; the message names the result code.
+"""
+
+import sys
+from typing import Any
+
+import trio
+from docopt import docopt
+
+from .. import __version__
+from ..errors import BriarrillError
+from .commands import COMMANDS
+
+__all__ = ('main',)
+
+EXIT_FAILED = 1
+
+
+def main() -> int:
+    """Run one command and return its exit code."""
+    arguments: dict[str, Any] = docopt(__doc__, version=__version__)
+    command = next(name for name in COMMANDS if arguments[name])
+    try:
+        trio.run(COMMANDS[command], arguments)
+    except BriarrillError as exc:
+        sys.stderr.write(f'{exc.code.name} ({exc.code:d}): {exc}\n')
+        return EXIT_FAILED
+    return 0
--- /dev/null
+++ b/briarrill/entry/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.entry: the callers' HTTP interface."""
--- /dev/null
+++ b/briarrill/entry/context.py
@@ -0,0 +1,53 @@
+"""briarrill.entry.context: what the routes of an entry share."""
+
+import attrs
+from quart import request
+
+from ..control import Control
+from ..state.contracts import Configuration, Contract
+from ..state.segment_copies import SegmentCopies
+from ..state.settings import EntrySettings
+from .auth import authenticate
+from .dispatch import Dispatcher
+from .limits import Limits
+
+__all__ = ('Caller', 'EntryContext', 'read_body')
+
+
+@attrs.frozen
+class Caller:
+    """An authenticated caller."""
+
+    name: str
+    contract: Contract
+
+
+@attrs.frozen
+class EntryContext:
+    """The parts of one entry process."""
+
+    cfg: EntrySettings
+    control: Control
+    dispatcher: Dispatcher
+    limits: Limits
+    copies: SegmentCopies
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.control.holder.current
+
+    def caller(self) -> Caller:
+        """Return the caller of the present request.
+
+        :raises UnauthenticatedError: the key is missing or unknown.
+        """
+        header = request.headers.get('Authorization', '')
+        name, contract = authenticate(self.configuration, header)
+        return Caller(name, contract)
+
+
+async def read_body() -> bytes:
+    """Return the whole body of the present request."""
+    body: bytes = await request.get_data(as_text=False)
+    return body
--- /dev/null
+++ b/briarrill/entry/links.py
@@ -0,0 +1,293 @@
+"""briarrill.entry.links: connections of an entry to sidecars."""
+
+import time
+
+import attrs
+import trio
+from eliot import log_message
+
+from ..coordination.deadlines import PeerClock
+from ..errors import (
+    MalformedMessageError,
+    NoUpstreamError,
+    PeerUnreachableError,
+    SlowReaderError,
+    UpstreamLostError,
+)
+from ..metrics import MALFORMED_MESSAGES, STALE_MESSAGES
+from ..protocol.codec import decode, encode
+from ..protocol.messages import (
+    CancelCall,
+    Chunk,
+    Finish,
+    Heartbeat,
+    Hello,
+    LoadReport,
+    Message,
+    Submit,
+    Welcome,
+)
+from ..state.settings import InstanceSettings
+from ..transport.instance_list import Instance
+from ..transport.zmq_socket import ZmqSocket, open_dealer
+
+__all__ = ('OnlineCall', 'OnlineRequest', 'UpstreamLink')
+
+# chunks that wait for a slow caller before its answer is given up
+CHUNK_BUFFER = 1024
+
+HELLO_INTERVAL_S = 0.1
+
+# silence after which a peer counts as lost
+PEER_TIMEOUT_S = 1.5
+
+CallKey = tuple[str, int]
+
+
+@attrs.frozen
+class OnlineRequest:
+    """A caller's request, before an upstream is chosen.
+
+    :param target: name of the model or service.
+    :param prefix_key: equal for requests that share a prompt prefix.
+    :param deadline_s: by the monotonic clock.
+    """
+
+    request_id: str
+    contract: str
+    target: str
+    method: str
+    path: str
+    body: bytes
+    idempotent: bool
+    deadline_s: float
+    content_type: str = 'application/json'
+    prefix_key: str = ''
+    trace: str = ''
+
+
+class OnlineCall:
+    """One attempt at one upstream; yields its chunks in order.
+
+    :param link: the connection that carries it.
+    :param key: request identifier and attempt.
+    """
+
+    def __init__(self, link: 'UpstreamLink', key: CallKey) -> None:
+        """Start without events."""
+        self.finish: Finish | None = None
+        self._link = link
+        self._key = key
+        self._sender, self._events = trio.open_memory_channel[Chunk | Finish](
+            CHUNK_BUFFER
+        )
+        self._received = 0
+        self._is_overrun = False
+
+    async def next_chunk(self) -> bytes | None:
+        """Return the next chunk, or nothing once :attr:`finish` is set.
+
+        :raises UpstreamLostError: the peer was lost.
+        :raises SlowReaderError: chunks were not read in time.
+        """
+        if self._is_overrun:
+            raise SlowReaderError('the answer was read too slowly')
+        try:
+            event = await self._events.receive()
+        except trio.EndOfChannel as exc:
+            raise UpstreamLostError('the upstream was lost') from exc
+        if isinstance(event, Chunk):
+            return event.body
+        self._check_complete(event)
+        self.finish = event
+        return None
+
+    def deliver(self, event: Chunk | Finish) -> None:
+        """Take an event from the link."""
+        if isinstance(event, Chunk):
+            if event.seq != self._received:
+                self.lose()
+                return
+            self._received += 1
+        try:
+            self._sender.send_nowait(event)
+        except trio.WouldBlock:
+            self._is_overrun = True
+            self.cancel()
+
+    def lose(self) -> None:
+        """End the call: the peer is gone."""
+        self._sender.close()
+
+    def cancel(self) -> None:
+        """Stop the request at the upstream unless it has ended."""
+        self._link.end_call(self._key, is_cancelled=self.finish is None)
+
+    def _check_complete(self, finish: Finish) -> None:
+        if finish.chunks != self._received:
+            raise UpstreamLostError('parts of the answer were lost')
+
+
+class UpstreamLink:
+    """The session with one sidecar.
+
+    :param instance: where the sidecar runs.
+    :param port: its online port.
+    :param own: the instance of this entry.
+    """
+
+    def __init__(
+        self, instance: Instance, port: int, own: InstanceSettings
+    ) -> None:
+        """Start disconnected."""
+        self.instance = instance
+        self._port = port
+        self.models: tuple[str, ...] = ()
+        self.service = ''
+        self._own = own
+        self._socket: ZmqSocket | None = None
+        self._session = ''
+        self._draining = False
+        self._clock = PeerClock()
+        self._report = LoadReport()
+        self._calls: dict[CallKey, OnlineCall] = {}
+
+    @property
+    def name(self) -> str:
+        """Return the upstream's name."""
+        return self.instance.name
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new requests may be sent."""
+        return bool(self._session) and not self._draining
+
+    @property
+    def load(self) -> float:
+        """Return own requests in flight plus what the sidecar reported."""
+        report = self._report
+        running = max(len(self._calls), report.online_running)
+        return (running + report.online_queued) / max(report.slots, 1)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the calls that have not ended."""
+        return len(self._calls)
+
+    def serves(self, target: str) -> bool:
+        """Whether the upstream serves a model or service."""
+        return target in self.models or target == self.service
+
+    def submit(self, req: OnlineRequest, attempt: int) -> OnlineCall:
+        """Send an attempt.
+
+        :raises NoUpstreamError: there is no session; nothing was sent.
+        :raises PeerUnreachableError: nothing was sent.
+        """
+        if self._socket is None or not self._session:
+            raise NoUpstreamError('no session with the upstream')
+        key = (req.request_id, attempt)
+        call = OnlineCall(self, key)
+        self._socket.send(encode(self._submit_message(req, attempt)))
+        self._calls[key] = call
+        return call
+
+    def end_call(self, key: CallKey, *, is_cancelled: bool) -> None:
+        """Forget a call and stop it at the upstream if it still runs."""
+        if self._calls.pop(key, None) is None or not is_cancelled:
+            return
+        self._send(CancelCall(request_id=key[0], attempt=key[1]))
+
+    async def run(self) -> None:
+        """Keep the session until cancelled."""
+        with open_dealer(self.instance.host, self._port) as socket:
+            self._socket = socket
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_session)
+                while True:
+                    self._receive(await socket.receive())
+
+    def _submit_message(self, req: OnlineRequest, attempt: int) -> Submit:
+        return Submit(
+            session=self._session,
+            request_id=req.request_id,
+            attempt=attempt,
+            contract=req.contract,
+            method=req.method,
+            path=req.path,
+            body=req.body,
+            idempotent=req.idempotent,
+            peer_clock_s=self._clock.reading_s,
+            peer_clock_age_s=self._clock.age_s,
+            time_left_s=req.deadline_s - time.monotonic(),
+            content_type=req.content_type,
+            trace=req.trace,
+        )
+
+    async def _watch_session(self) -> None:
+        """Say hello until welcomed; end the session on silence."""
+        hello = Hello(
+            process=self._own.name, failure_domain=self._own.failure_domain
+        )
+        while True:
+            if not self._session:
+                self._send(hello)
+            elif self._clock.age_s > PEER_TIMEOUT_S:
+                self._end_session()
+            await trio.sleep(HELLO_INTERVAL_S)
+
+    def _end_session(self) -> None:
+        log_message('upstream:lost', upstream=self.name)
+        self._session = ''
+        calls, self._calls = self._calls, {}
+        for call in calls.values():
+            call.lose()
+
+    def _receive(self, frames: list[bytes]) -> None:
+        try:
+            message = decode(frames)
+        except MalformedMessageError:
+            MALFORMED_MESSAGES.inc()
+            return
+        if isinstance(message, (Chunk, Finish)):
+            self._deliver(message)
+        elif isinstance(message, Welcome):
+            self._welcome(message)
+        elif isinstance(message, Heartbeat):
+            self._take_heartbeat(message)
+
+    def _deliver(self, event: Chunk | Finish) -> None:
+        call = self._calls.get((event.request_id, event.attempt))
+        if call is None:
+            STALE_MESSAGES.inc()
+            return
+        call.deliver(event)
+
+    def _welcome(self, welcome: Welcome) -> None:
+        if self._session and self._session != welcome.session:
+            self._end_session()
+        if not self._session:
+            log_message('upstream:found', upstream=self.name)
+        self._session = welcome.session
+        self._take_state(welcome)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.session != self._session:
+            STALE_MESSAGES.inc()
+            return
+        self._report = heartbeat.load
+        self._take_state(heartbeat)
+
+    def _take_state(self, message: Welcome | Heartbeat) -> None:
+        self.models = message.models
+        self.service = message.service
+        self._draining = message.draining
+        self._clock.update(message.clock_s)
+
+    def _send(self, message: Message) -> None:
+        if self._socket is None:
+            return
+        try:
+            self._socket.send(encode(message))
+        except PeerUnreachableError:
+            return
--- /dev/null
+++ b/briarrill/errors.py
@@ -0,0 +1,349 @@
+"""briarrill.errors: the exception tree, one class for each result code."""
+
+from .result_codes import Ran, ResultCode
+
+__all__ = (
+    'ERRORS_BY_CODE',
+    'BadRequestError',
+    'BatchItemsLimitError',
+    'BriarrillError',
+    'CallerError',
+    'CancelledError',
+    'CapacityError',
+    'ConfigurationError',
+    'ConflictError',
+    'DeadlineExceededError',
+    'DeadlineUnreachableError',
+    'DrainingError',
+    'DuplicateError',
+    'ExecutionError',
+    'FleetError',
+    'ForbiddenError',
+    'InFlightLimitError',
+    'InternalError',
+    'InvalidLinesError',
+    'LeaseLostError',
+    'LimitError',
+    'MalformedMessageError',
+    'NoUpstreamError',
+    'NotFoundError',
+    'NotReadyError',
+    'OutcomeUnknownError',
+    'OverloadedError',
+    'PeerUnreachableError',
+    'PlatformUnavailableError',
+    'RequestRateError',
+    'SegmentLostError',
+    'SettingsError',
+    'SlowReaderError',
+    'SpreadIncompleteError',
+    'StoreFullError',
+    'TokenRateError',
+    'TooLargeError',
+    'UnauthenticatedError',
+    'UpstreamFailedError',
+    'UpstreamLostError',
+    'VersionConflictError',
+    'WriteUnknownError',
+)
+
+
+class BriarrillError(Exception):
+    """Base of all errors that reach a caller or an operator.
+
+    :param message: what went wrong, for people.
+    :param ran: whether the request was executed, default by class.
+    :param retry_after_s: seconds until a retry can succeed, default none.
+    """
+
+    code = ResultCode.INTERNAL
+    http_status = 500
+    ran = Ran.UNKNOWN
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        ran: Ran | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Keep the message and the outcome."""
+        super().__init__(message)
+        self.message = message
+        self.retry_after_s = retry_after_s
+        if ran is not None:
+            self.ran = ran
+
+
+class InternalError(BriarrillError):
+    """A defect of briarrill itself."""
+
+
+class CallerError(BriarrillError):
+    """The request is wrong; repeating it unchanged fails again."""
+
+    http_status = 400
+    ran = Ran.NO
+
+
+class BadRequestError(CallerError):
+    """The request is malformed."""
+
+    code = ResultCode.BAD_REQUEST
+
+
+class InvalidLinesError(CallerError):
+    """A batch input file holds invalid lines."""
+
+    code = ResultCode.INVALID_LINES
+
+
+class UnauthenticatedError(CallerError):
+    """The API key is missing or unknown."""
+
+    code = ResultCode.UNAUTHENTICATED
+    http_status = 401
+
+
+class ForbiddenError(CallerError):
+    """The contract does not include the model or service."""
+
+    code = ResultCode.FORBIDDEN
+    http_status = 403
+
+
+class NotFoundError(CallerError):
+    """No such resource under this contract."""
+
+    code = ResultCode.NOT_FOUND
+    http_status = 404
+
+
+class ConflictError(CallerError):
+    """The resource is in a state that excludes the request."""
+
+    code = ResultCode.CONFLICT
+    http_status = 409
+
+
+class TooLargeError(CallerError):
+    """The body is larger than the bound."""
+
+    code = ResultCode.TOO_LARGE
+    http_status = 413
+
+
+class LimitError(BriarrillError):
+    """A limit of the contract is reached."""
+
+    http_status = 429
+    ran = Ran.NO
+
+
+class RequestRateError(LimitError):
+    """Requests a second are over the contract's limit."""
+
+    code = ResultCode.REQUEST_RATE
+
+
+class TokenRateError(LimitError):
+    """Tokens a second are over the contract's limit."""
+
+    code = ResultCode.TOKEN_RATE
+
+
+class InFlightLimitError(LimitError):
+    """Requests in flight are at the contract's limit."""
+
+    code = ResultCode.IN_FLIGHT
+
+
+class BatchItemsLimitError(LimitError):
+    """The batch job holds more items than the contract allows."""
+
+    code = ResultCode.BATCH_ITEMS
+
+
+class CapacityError(BriarrillError):
+    """The fleet cannot take the request now."""
+
+    http_status = 503
+    ran = Ran.NO
+
+
+class OverloadedError(CapacityError):
+    """All queues that could take the request are full."""
+
+    code = ResultCode.OVERLOADED
+
+
+class DrainingError(CapacityError):
+    """The process is stopping and takes no new work."""
+
+    code = ResultCode.DRAINING
+
+
+class NoUpstreamError(CapacityError):
+    """No upstream serves the model or service now."""
+
+    code = ResultCode.NO_UPSTREAM
+
+
+class DeadlineUnreachableError(CapacityError):
+    """The request cannot finish before its deadline."""
+
+    code = ResultCode.DEADLINE_UNREACHABLE
+
+
+class StoreFullError(CapacityError):
+    """The data folders have no room for the job."""
+
+    code = ResultCode.STORE_FULL
+    http_status = 507
+
+
+class NotReadyError(CapacityError):
+    """The process has no configuration yet."""
+
+    code = ResultCode.NOT_READY
+
+
+class ExecutionError(BriarrillError):
+    """The request was sent to an upstream and did not finish well."""
+
+    http_status = 502
+
+
+class UpstreamFailedError(ExecutionError):
+    """The upstream answered with an error."""
+
+    code = ResultCode.UPSTREAM_FAILED
+    ran = Ran.YES
+
+
+class UpstreamLostError(ExecutionError):
+    """The upstream or its sidecar was lost with the request in flight."""
+
+    code = ResultCode.UPSTREAM_LOST
+
+
+class DeadlineExceededError(ExecutionError):
+    """The deadline passed while the request was in flight."""
+
+    code = ResultCode.DEADLINE_EXCEEDED
+    http_status = 504
+
+
+class OutcomeUnknownError(ExecutionError):
+    """A non-idempotent request was sent and its outcome is unknown."""
+
+    code = ResultCode.OUTCOME_UNKNOWN
+
+
+class CancelledError(ExecutionError):
+    """The request was cancelled by its caller."""
+
+    code = ResultCode.CANCELLED
+    http_status = 499
+
+
+class SlowReaderError(ExecutionError):
+    """The caller read its answer too slowly."""
+
+    code = ResultCode.SLOW_READER
+    ran = Ran.YES
+
+
+class DuplicateError(ExecutionError):
+    """A request with this identifier was received before."""
+
+    code = ResultCode.DUPLICATE
+    http_status = 409
+
+
+class FleetError(BriarrillError):
+    """The platform or another process of the fleet failed."""
+
+    http_status = 503
+
+
+class PlatformUnavailableError(FleetError):
+    """The key-value service did not take the call; nothing was written."""
+
+    code = ResultCode.PLATFORM_UNAVAILABLE
+    ran = Ran.NO
+
+
+class WriteUnknownError(FleetError):
+    """The reply to a write was lost and could not be resolved."""
+
+    code = ResultCode.WRITE_UNKNOWN
+
+
+class VersionConflictError(FleetError):
+    """Another writer changed the record first."""
+
+    code = ResultCode.VERSION_CONFLICT
+    http_status = 409
+    ran = Ran.NO
+
+
+class SpreadIncompleteError(FleetError):
+    """The record was accepted but handed to no peer."""
+
+    code = ResultCode.SPREAD_INCOMPLETE
+    ran = Ran.YES
+
+
+class PeerUnreachableError(FleetError):
+    """A message could not be sent to the peer."""
+
+    code = ResultCode.PEER_UNREACHABLE
+    ran = Ran.NO
+
+
+class SegmentLostError(FleetError):
+    """No copy of a segment could be read."""
+
+    code = ResultCode.SEGMENT_LOST
+
+
+class LeaseLostError(FleetError):
+    """The lease of this process has lapsed."""
+
+    code = ResultCode.LEASE_LOST
+    ran = Ran.NO
+
+
+class SettingsError(BriarrillError):
+    """A settings file is invalid."""
+
+    code = ResultCode.INVALID_SETTINGS
+    ran = Ran.NO
+
+
+class ConfigurationError(CallerError):
+    """A configuration or contract is invalid."""
+
+    code = ResultCode.INVALID_CONFIGURATION
+
+
+class MalformedMessageError(BriarrillError):
+    """A message between processes could not be decoded."""
+
+    code = ResultCode.MALFORMED_MESSAGE
+    ran = Ran.NO
+
+
+def _leaf_classes(root: type[BriarrillError]) -> list[type[BriarrillError]]:
+    found = []
+    for child in root.__subclasses__():
+        if 'code' in vars(child):
+            found.append(child)
+        found.extend(_leaf_classes(child))
+    return found
+
+
+#: Result code to exception class; codes without a class of their own map to
+#: :class:`InternalError` by the lookup's default.
+ERRORS_BY_CODE = {leaf.code: leaf for leaf in _leaf_classes(BriarrillError)}
--- /dev/null
+++ b/briarrill/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.protocol: messages between processes and the callers' API."""
--- /dev/null
+++ b/briarrill/protocol/callers_api.py
@@ -0,0 +1,121 @@
+"""briarrill.protocol.callers_api: shapes of the callers' JSON API."""
+
+from typing import Any
+
+import attrs
+import msgspec
+
+from ..errors import BadRequestError, BriarrillError, InvalidLinesError
+
+__all__ = (
+    'CompletionHead',
+    'InputLine',
+    'check_input_line',
+    'error_body',
+    'parse_completion',
+    'parse_input_line',
+    'result_line',
+)
+
+# endpoints that batch items may name
+BATCH_ENDPOINTS = ('/v1/chat/completions',)
+
+
+@attrs.frozen
+class CompletionHead:
+    """The fields of a completion request that briarrill reads."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    user: str = ''
+
+
+@attrs.frozen
+class InputLine:
+    """One line of a batch input file."""
+
+    custom_id: str
+    method: str
+    url: str
+    body: msgspec.Raw
+
+    @property
+    def model(self) -> str:
+        """Return the model that the line's body names."""
+        return parse_completion(bytes(self.body)).model
+
+
+_HEAD_DECODER = msgspec.json.Decoder(CompletionHead)
+_LINE_DECODER = msgspec.json.Decoder(InputLine)
+
+
+def parse_completion(body: bytes) -> CompletionHead:
+    """Read the head of a completion request.
+
+    :raises BadRequestError: not JSON, or a field of the wrong type.
+    """
+    try:
+        return _HEAD_DECODER.decode(body)
+    except msgspec.MsgspecError as exc:
+        raise BadRequestError(f'request body: {exc}') from exc
+
+
+def parse_input_line(line: bytes) -> InputLine:
+    """Read one line of a batch input file.
+
+    :raises InvalidLinesError: not JSON, or a field missing or wrong.
+    """
+    try:
+        return _LINE_DECODER.decode(line)
+    except msgspec.MsgspecError as exc:
+        raise InvalidLinesError(str(exc)) from exc
+
+
+def check_input_line(line: bytes) -> InputLine:
+    """Read one line and check what briarrill can run.
+
+    :raises InvalidLinesError: says what is wrong with the line.
+    """
+    parsed = parse_input_line(line)
+    if not parsed.custom_id:
+        raise InvalidLinesError('custom_id: must not be empty')
+    if parsed.method != 'POST':
+        raise InvalidLinesError('method: must be POST')
+    if parsed.url not in BATCH_ENDPOINTS:
+        allowed = ', '.join(BATCH_ENDPOINTS)
+        raise InvalidLinesError(f'url: must be one of {allowed}')
+    try:
+        parse_completion(bytes(parsed.body))
+    except BadRequestError as exc:
+        raise InvalidLinesError(f'body: {exc.message}') from exc
+    return parsed
+
+
+def error_body(exc: BriarrillError) -> dict[str, Any]:
+    """Return the JSON body of an error."""
+    return {
+        'error': {
+            'message': exc.message,
+            'type': type(exc).__name__,
+            'code': int(exc.code),
+            'ran': exc.ran.value,
+        }
+    }
+
+
+def result_line(
+    custom_id: str, http_status: int, body: bytes, error: str, code: int
+) -> bytes:
+    """Return one line of a batch result file.
+
+    :param body: JSON response body, empty for an item that failed.
+    """
+    response = None
+    failure = None
+    if body:
+        response = {'status_code': http_status, 'body': msgspec.Raw(body)}
+    else:
+        failure = {'code': code, 'message': error}
+    line = {'custom_id': custom_id, 'response': response, 'error': failure}
+    return msgspec.json.encode(line) + b'\n'
--- /dev/null
+++ b/briarrill/protocol/codec.py
@@ -0,0 +1,70 @@
+"""briarrill.protocol.codec: messages to frames and back.
+
+A message is two frames: the name of its class and its MessagePack body.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ..errors import (
+    ERRORS_BY_CODE,
+    BriarrillError,
+    InternalError,
+    MalformedMessageError,
+)
+from .messages import Failure, Finish, Message
+
+__all__ = ('decode', 'encode', 'error_from', 'failure_from')
+
+_TYPES_BY_NAME = {
+    cls.__name__.encode(): cls for cls in Message.__subclasses__()
+}
+_DECODERS = {
+    name: msgspec.msgpack.Decoder(cls) for name, cls in _TYPES_BY_NAME.items()
+}
+_ENCODER = msgspec.msgpack.Encoder()
+
+FRAMES_OF_MESSAGE = 2
+
+
+def encode(message: Message) -> list[bytes]:
+    """Return the frames of a message."""
+    return [type(message).__name__.encode(), _ENCODER.encode(message)]
+
+
+def decode(frames: Sequence[bytes]) -> Message:
+    """Return the message of the frames.
+
+    :raises MalformedMessageError: unknown type, wrong field or frame count.
+    """
+    if len(frames) != FRAMES_OF_MESSAGE:
+        raise MalformedMessageError(f'{len(frames)} frames')
+    decoder = _DECODERS.get(frames[0])
+    if decoder is None:
+        raise MalformedMessageError(f'unknown type {frames[0][:40]!r}')
+    try:
+        decoded: Message = decoder.decode(frames[1])
+    except msgspec.MsgspecError as exc:
+        raise MalformedMessageError(str(exc)) from exc
+    return decoded
+
+
+def failure_from(exc: BriarrillError) -> Failure:
+    """Return the message that carries an error to the peer."""
+    return Failure(
+        code=exc.code,
+        ran=exc.ran,
+        message=exc.message,
+        retry_after_s=exc.retry_after_s,
+    )
+
+
+def error_from(failure: Failure | Finish) -> BriarrillError:
+    """Return the error that a peer reported."""
+    cls = ERRORS_BY_CODE.get(failure.code, InternalError)
+    return cls(
+        failure.message,
+        ran=failure.ran,
+        retry_after_s=failure.retry_after_s,
+    )
--- /dev/null
+++ b/briarrill/runtime.py
@@ -0,0 +1,112 @@
+"""briarrill.runtime: what every process does at start and stop."""
+
+import contextlib
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+
+import attrs
+import httpx
+import trio
+from eliot import (
+    FileDestination,
+    add_destinations,
+    add_global_fields,
+    log_message,
+    remove_destination,
+)
+from quart_trio import QuartTrio
+
+from .ops_app import make_ops_app
+from .state.settings import HttpSettings, LogSettings, PlatformSettings
+from .transport.etcd import EtcdService
+from .transport.http_server import serve_app
+from .transport.instance_list import InstanceList
+from .transport.key_value import KeyValueService
+
+__all__ = (
+    'Platform',
+    'Readiness',
+    'open_log',
+    'open_platform',
+    'serve_ops',
+    'wait_for_stop_signal',
+)
+
+
+@attrs.frozen
+class Platform:
+    """Clients of the platform's services."""
+
+    key_value: KeyValueService
+    instance_list: InstanceList
+
+
+class Readiness:
+    """Whether the process takes work, and its planned stop."""
+
+    def __init__(self) -> None:
+        """Start neither ready nor draining."""
+        self.has_started = False
+        self.drain = trio.Event()
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the planned stop has begun."""
+        return self.drain.is_set()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send requests."""
+        return self.has_started and not self.is_draining
+
+    def begin_drain(self) -> None:
+        """Begin the planned stop."""
+        if not self.is_draining:
+            log_message('drain:begun')
+        self.drain.set()
+
+
+@contextlib.contextmanager
+def open_log(cfg: LogSettings, process: str) -> Iterator[None]:
+    """Write eliot messages to the log file until exit."""
+    with open(cfg.path, 'ab') as stream:
+        destination = FileDestination(file=stream)
+        add_destinations(destination)
+        add_global_fields(process=process)
+        log_message('process:started')
+        try:
+            yield
+        finally:
+            log_message('process:stopped')
+            remove_destination(destination)
+
+
+@contextlib.asynccontextmanager
+async def open_platform(cfg: PlatformSettings) -> AsyncIterator[Platform]:
+    """Open clients of the platform's services and close them on exit."""
+    async with (
+        httpx.AsyncClient(base_url=cfg.key_value_url) as key_value,
+        httpx.AsyncClient(base_url=cfg.instance_list_url) as instance_list,
+    ):
+        yield Platform(
+            key_value=EtcdService(key_value),
+            instance_list=InstanceList(instance_list),
+        )
+
+
+async def wait_for_stop_signal() -> None:
+    """Return on the first SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+async def serve_ops(
+    cfg: HttpSettings,
+    default_host: str,
+    readiness: Readiness,
+    shutdown: Callable[[], Awaitable[None]] = trio.sleep_forever,
+) -> None:
+    """Serve metrics and health until ``shutdown`` returns."""
+    app: QuartTrio = make_ops_app(readiness)
+    await serve_app(app, cfg.host or default_host, cfg.port, shutdown)
--- /dev/null
+++ b/briarrill/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.sidecar: the process beside each upstream."""
--- /dev/null
+++ b/briarrill/sidecar/service.py
@@ -0,0 +1,142 @@
+"""briarrill.sidecar.service: assembles and runs one sidecar process."""
+
+import contextlib
+
+import attrs
+import httpx
+import trio
+
+from ..control import Control
+from ..coordination.admission import Admission
+from ..protocol.rpc import open_rpc_pool
+from ..runtime import (
+    Readiness,
+    open_platform,
+    serve_ops,
+    wait_for_stop_signal,
+)
+from ..state.settings import SidecarSettings, UpstreamKind
+from ..transport.instance_list import Instance, Role
+from ..transport.zmq_socket import open_router
+from .batch import BatchPuller, BatchRunner
+from .online import Identity, OnlineServer
+from .upstreams import UPSTREAMS, Upstream
+
+__all__ = ('run_sidecar',)
+
+MODEL_POLL_S = 1.0
+DRAIN_POLL_S = 0.05
+
+# time for peers to hear of the drain before the process ends
+DRAIN_NOTICE_S = 1.0
+
+
+async def run_sidecar(cfg: SidecarSettings) -> None:
+    """Run until a stop signal and the drain that follows it."""
+    async with (
+        open_platform(cfg.platform) as platform,
+        open_rpc_pool() as caller,
+        httpx.AsyncClient(base_url=cfg.upstream.url, timeout=None) as client,
+    ):
+        upstream = UPSTREAMS[cfg.upstream.kind](client)
+        control = Control(
+            instance=cfg.instance,
+            role=Role.UPSTREAM,
+            ports=cfg.ports,
+            platform=platform,
+            readiness=Readiness(),
+            caller=caller,
+        )
+        with open_router(cfg.instance.host, cfg.ports.sidecar_online) as sock:
+            server = OnlineServer(
+                sock,
+                _identity(cfg),
+                upstream,
+                Admission(cfg.upstream.slots, cfg.upstream.queue),
+                control.readiness,
+            )
+            await _Sidecar(cfg, control, upstream, server).run()
+
+
+def _identity(cfg: SidecarSettings) -> Identity:
+    is_service = cfg.upstream.kind is UpstreamKind.SERVICE
+    return Identity(
+        process=cfg.instance.name,
+        service=cfg.upstream.pool if is_service else '',
+    )
+
+
+@attrs.define
+class _Sidecar:
+    """The tasks of one sidecar."""
+
+    cfg: SidecarSettings
+    control: Control
+    upstream: Upstream
+    server: OnlineServer
+    pullers: dict[str, BatchPuller] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Run until drained."""
+        cfg = self.cfg
+        self.control.load = self.server.load
+        async with trio.open_nursery() as nursery:
+            await self.control.start(nursery, cfg.platform.instance_poll_s)
+            nursery.start_soon(
+                serve_ops,
+                cfg.metrics,
+                cfg.instance.host,
+                self.control.readiness,
+            )
+            nursery.start_soon(self.server.run)
+            nursery.start_soon(self._follow_models)
+            nursery.start_soon(self._follow_batch_processes)
+            nursery.start_soon(self._begin_drain_on_signal)
+            await self.control.wait_configured()
+            self.control.readiness.has_started = True
+            await self._wait_drained()
+            nursery.cancel_scope.cancel()
+
+    async def _begin_drain_on_signal(self) -> None:
+        await wait_for_stop_signal()
+        self.control.readiness.begin_drain()
+
+    async def _wait_drained(self) -> None:
+        await self.control.readiness.drain.wait()
+        self.server.announce()
+        await trio.sleep(DRAIN_NOTICE_S)
+        while self._work_left():
+            await trio.sleep(DRAIN_POLL_S)
+
+    def _work_left(self) -> int:
+        held = sum(puller.held for puller in self.pullers.values())
+        return self.server.in_flight + held
+
+    async def _follow_models(self) -> None:
+        while True:
+            with contextlib.suppress(httpx.HTTPError):
+                models = await self.upstream.fetch_models()
+                self.server.models = models
+                for puller in self.pullers.values():
+                    puller.models = models
+            await trio.sleep(MODEL_POLL_S)
+
+    async def _follow_batch_processes(self) -> None:
+        """Keep one puller for each listed batch process."""
+        runner = BatchRunner(self.upstream, self.server.admission)
+        async with trio.open_nursery() as nursery:
+            while True:
+                for instance in self.control.membership.live(Role.BATCH):
+                    if instance.name not in self.pullers:
+                        nursery.start_soon(self._pull_from, instance, runner)
+                await self.control.membership.wait_changed()
+
+    async def _pull_from(
+        self, instance: Instance, runner: BatchRunner
+    ) -> None:
+        puller = BatchPuller(
+            _identity(self.cfg), runner, self.control.readiness
+        )
+        puller.models = self.server.models
+        self.pullers[instance.name] = puller
+        await puller.run(instance.host, self.cfg.ports.batch_items)
--- /dev/null
+++ b/briarrill/sidecar/upstreams/__init__.py
@@ -0,0 +1,11 @@
+"""briarrill.sidecar.upstreams: kinds of upstream, looked up by name."""
+
+from .base import Answer, Call, Upstream
+from .engine import EngineUpstream
+from .service import ServiceUpstream
+
+__all__ = ('UPSTREAMS', 'Answer', 'Call', 'Upstream')
+
+UPSTREAMS: dict[str, type[Upstream]] = {
+    cls.kind: cls for cls in (EngineUpstream, ServiceUpstream)
+}
--- /dev/null
+++ b/briarrill/sidecar/upstreams/base.py
@@ -0,0 +1,73 @@
+"""briarrill.sidecar.upstreams.base: the contract of an upstream."""
+
+import abc
+import contextlib
+from collections.abc import AsyncIterator
+
+import attrs
+import httpx
+
+__all__ = ('Answer', 'Call', 'Upstream')
+
+
+@attrs.frozen
+class Call:
+    """A request as the upstream gets it."""
+
+    method: str
+    path: str
+    body: bytes
+    content_type: str = 'application/json'
+
+
+@attrs.define
+class Answer:
+    """An upstream's answer.
+
+    :param chunks: parts of the body as they arrive.
+    :param tokens: tokens generated so far.
+    """
+
+    http_status: int
+    content_type: str
+    chunks: AsyncIterator[bytes]
+    tokens: int = 0
+
+
+class Upstream(abc.ABC):
+    """What a sidecar stands beside.
+
+    :param client: HTTP client whose base URL is the upstream's.
+    """
+
+    kind = ''
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        """Keep the client; the caller closes it."""
+        self.client = client
+
+    @abc.abstractmethod
+    async def fetch_models(self) -> tuple[str, ...]:
+        """Return the models that the upstream serves now."""
+
+    @abc.abstractmethod
+    def split(self, reply: httpx.Response) -> AsyncIterator[bytes]:
+        """Split an answer's body into chunks that may be relayed alone."""
+
+    @contextlib.asynccontextmanager
+    async def open_call(self, call: Call) -> AsyncIterator[Answer]:
+        """Send a request; leaving the context stops it.
+
+        :raises httpx.HTTPError: the upstream failed.
+        """
+        async with self.client.stream(
+            call.method,
+            call.path,
+            content=call.body,
+            headers={'content-type': call.content_type},
+        ) as reply:
+            yield Answer(
+                http_status=reply.status_code,
+                content_type=reply.headers.get('content-type', ''),
+                chunks=self.split(reply),
+            )
--- /dev/null
+++ b/briarrill/state/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.state: settings, contracts, segments and job records."""
--- /dev/null
+++ b/briarrill/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.timeline: one time line of the logs of all processes."""
--- /dev/null
+++ b/briarrill/transport/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.transport: sockets, HTTP servers and platform clients."""
--- /dev/null
+++ b/briarrill/transport/zmq_socket.py
@@ -0,0 +1,107 @@
+"""briarrill.transport.zmq_socket: ZeroMQ sockets under trio.
+
+ZeroMQ's descriptor is edge-triggered: any call on the socket, a send
+included, may consume the edge that a waiting receiver needs. So each send
+reads the socket's event flags afterwards and wakes the receiver.
+"""
+
+import contextlib
+from collections.abc import Iterator, Sequence
+
+import trio
+import zmq
+
+from ..errors import PeerUnreachableError
+
+__all__ = ('ZmqSocket', 'open_dealer', 'open_router')
+
+# messages that a socket queues for one peer before sends are refused
+SEND_QUEUE_MESSAGES = 2000
+
+
+class ZmqSocket:
+    """A ZeroMQ socket with one receiving task and non-blocking sends.
+
+    :param zsock: the connected or bound ZeroMQ socket.
+    """
+
+    def __init__(self, zsock: zmq.Socket[bytes]) -> None:
+        """Wrap the socket; :func:`open_dealer` closes what it opens."""
+        self._zsock = zsock
+        self._fd: int = zsock.FD
+        self._receive_scope: trio.CancelScope | None = None
+
+    async def receive(self) -> list[bytes]:
+        """Wait for the next message and return its frames.
+
+        Only one task may receive at a time.
+        """
+        await trio.lowlevel.checkpoint()
+        while True:
+            try:
+                return self._zsock.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                await self._wait_readable()
+
+    def send(self, frames: Sequence[bytes]) -> None:
+        """Queue a message or refuse it at once.
+
+        :raises PeerUnreachableError: the peer is not connected or its queue
+            is full; the message was not sent.
+        """
+        try:
+            self._zsock.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError as exc:
+            raise PeerUnreachableError(f'not sent: {exc}') from exc
+        finally:
+            self._wake_receiver()
+
+    async def _wait_readable(self) -> None:
+        with trio.CancelScope() as scope:
+            self._receive_scope = scope
+            await trio.lowlevel.wait_readable(self._fd)
+        self._receive_scope = None
+
+    def _wake_receiver(self) -> None:
+        scope = self._receive_scope
+        if scope is None:
+            return
+        if self._zsock.get(zmq.EVENTS) & zmq.POLLIN:
+            scope.cancel()
+
+
+@contextlib.contextmanager
+def open_dealer(host: str, port: int) -> Iterator[ZmqSocket]:
+    """Connect to a router and close the connection on exit.
+
+    Messages are refused while the peer is down instead of being kept for
+    its successor, so nothing stale is delivered after a restart.
+    """
+    zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.DEALER)
+    zsock.setsockopt(zmq.IMMEDIATE, 1)
+    _set_common_options(zsock)
+    try:
+        zsock.connect(f'tcp://{host}:{port}')
+        yield ZmqSocket(zsock)
+    finally:
+        zsock.close()
+
+
+@contextlib.contextmanager
+def open_router(host: str, port: int) -> Iterator[ZmqSocket]:
+    """Bind a router and close it on exit."""
+    zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.ROUTER)
+    zsock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+    _set_common_options(zsock)
+    try:
+        zsock.bind(f'tcp://{host}:{port}')
+        yield ZmqSocket(zsock)
+    finally:
+        zsock.close()
+
+
+def _set_common_options(zsock: zmq.Socket[bytes]) -> None:
+    zsock.setsockopt(zmq.LINGER, 0)
+    zsock.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    zsock.setsockopt(zmq.RECONNECT_IVL, 50)
+    zsock.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,215 @@
+"""standins.engine: a model engine with the chat completions API.
+
+Generates deterministic words, so an answer that was cancelled and resumed
+can be compared with one that was not. All streams share one token rate:
+above a knee, each further stream slows all of them.
+"""
+
+import collections
+import json
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+import trio
+import xxhash
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from .faults import add_fault_switches
+
+__all__ = ('make_engine',)
+
+WORDS = [
+    'parent',
+    'handover',
+    'school',
+    'holiday',
+    'weekend',
+    'morning',
+    'evening',
+    'Friday',
+    'Monday',
+    'phase',
+    'offset',
+    'green',
+    'detector',
+    'corridor',
+    'junction',
+    'cycle',
+    'split',
+    'plan',
+]
+
+DEFAULT_MAX_TOKENS = 32
+
+# streams that run without slowing each other
+KNEE_STREAMS = 8
+
+PREFILL_S_PER_WORD = 0.00005
+CACHE_BLOCK_WORDS = 16
+CACHE_BLOCKS = 4096
+
+IMPOSSIBLE_MARK = 'IMPOSSIBLE'
+
+
+@attrs.define
+class _Engine:
+    models: tuple[str, ...]
+    token_s: float
+    seed: int
+    running: int = 0
+    calls: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    blocks: collections.OrderedDict[int, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+    def step_s(self) -> float:
+        """Return the time to the next token of one stream."""
+        return self.token_s * max(1.0, self.running / KNEE_STREAMS)
+
+    def word(self, prompt: str, position: int) -> str:
+        """Return the token at a position of the answer."""
+        digest = xxhash.xxh3_64_intdigest(
+            f'{self.seed} {position} {prompt}'.encode()
+        )
+        return f'{WORDS[digest % len(WORDS)]} '
+
+    def cache_prefix(self, prompt: str) -> float:
+        """Cache the prompt; return the part that was not cached."""
+        words = prompt.split()
+        missed = 0
+        for end in range(CACHE_BLOCK_WORDS, len(words) + 1, CACHE_BLOCK_WORDS):
+            block = xxhash.xxh3_64_intdigest(' '.join(words[:end]).encode())
+            missed += block not in self.blocks
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        while len(self.blocks) > CACHE_BLOCKS:
+            self.blocks.popitem(last=False)
+        return missed * CACHE_BLOCK_WORDS
+
+
+@attrs.frozen
+class _Prompt:
+    text: str
+    position: int
+    tokens: int
+
+
+def _read_prompt(body: dict[str, Any]) -> _Prompt:
+    messages = body['messages']
+    position = 0
+    if body.get('continue_final_message'):
+        position = len(messages[-1]['content'].split())
+        messages = messages[:-1]
+    return _Prompt(
+        text='\n'.join(message['content'] for message in messages),
+        position=position,
+        tokens=int(body.get('max_tokens') or DEFAULT_MAX_TOKENS),
+    )
+
+
+async def _generate(engine: _Engine, prompt: _Prompt) -> AsyncIterator[str]:
+    engine.running += 1
+    try:
+        missed = engine.cache_prefix(prompt.text)
+        await trio.sleep(missed * PREFILL_S_PER_WORD)
+        for offset in range(prompt.tokens):
+            await trio.sleep(engine.step_s())
+            yield engine.word(prompt.text, prompt.position + offset)
+    finally:
+        engine.running -= 1
+
+
+def _event(body: dict[str, Any], **fields: Any) -> bytes:
+    event = {
+        'id': 'chatcmpl-standin',
+        'object': 'chat.completion.chunk',
+        'created': int(time.time()),
+        'model': body['model'],
+        **fields,
+    }
+    return b'data: ' + json.dumps(event).encode() + b'\n\n'
+
+
+def _choice(delta: dict[str, str], reason: str | None) -> list[Any]:
+    return [{'index': 0, 'delta': delta, 'finish_reason': reason}]
+
+
+def _usage(prompt: _Prompt, tokens: int) -> dict[str, int]:
+    words = len(prompt.text.split())
+    return {
+        'prompt_tokens': words,
+        'completion_tokens': tokens,
+        'total_tokens': words + tokens,
+    }
+
+
+async def _stream(
+    engine: _Engine, body: dict[str, Any]
+) -> AsyncIterator[bytes]:
+    prompt = _read_prompt(body)
+    yield _event(
+        body, choices=_choice({'role': 'assistant', 'content': ''}, None)
+    )
+    tokens = 0
+    async for word in _generate(engine, prompt):
+        tokens += 1
+        yield _event(body, choices=_choice({'content': word}, None))
+    yield _event(body, choices=_choice({}, 'stop'))
+    if body.get('stream_options', {}).get('include_usage'):
+        yield _event(body, choices=[], usage=_usage(prompt, tokens))
+    yield b'data: [DONE]\n\n'
+
+
+async def _whole(engine: _Engine, body: dict[str, Any]) -> dict[str, Any]:
+    prompt = _read_prompt(body)
+    words = [word async for word in _generate(engine, prompt)]
+    message = {'role': 'assistant', 'content': ''.join(words)}
+    return {
+        'id': 'chatcmpl-standin',
+        'object': 'chat.completion',
+        'created': int(time.time()),
+        'model': body['model'],
+        'choices': [{'index': 0, 'message': message, 'finish_reason': 'stop'}],
+        'usage': _usage(prompt, len(words)),
+    }
+
+
+def make_engine(
+    *, models: tuple[str, ...], token_s: float, seed: int
+) -> QuartTrio:
+    """Return the application.
+
+    :param token_s: seconds between two tokens of one stream.
+    """
+    app = QuartTrio('engine')
+    add_fault_switches(app)
+    engine = _Engine(models, token_s, seed)
+
+    @app.get('/v1/models')
+    async def show_models() -> dict[str, Any]:
+        rows = [{'id': name, 'object': 'model'} for name in engine.models]
+        return {'object': 'list', 'data': rows}
+
+    @app.get('/counts')
+    async def show_counts() -> dict[str, Any]:
+        return {'running': engine.running, 'calls': engine.calls}
+
+    @app.post('/v1/chat/completions')
+    async def complete() -> Response | dict[str, Any]:
+        body = json.loads(await request.get_data())
+        if body['model'] not in engine.models:
+            return Response('unknown model\n', status=404)
+        prompt = _read_prompt(body).text
+        engine.calls[prompt[:80]] += 1
+        if IMPOSSIBLE_MARK in prompt:
+            return Response('the item cannot be completed\n', status=500)
+        if body.get('stream'):
+            return Response(
+                _stream(engine, body), content_type='text/event-stream'
+            )
+        return await _whole(engine, body)
+
+    return app
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,363 @@
+"""standins.fleet: starts a small fleet of processes on this machine.
+
+Every instance has its own loopback address, as each has its own IP address
+in a deployment, so all of them use the same ports.
+"""
+
+import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import httpx
+import msgspec
+
+__all__ = ('Fleet', 'FleetPlan', 'open_fleet')
+
+KEY_VALUE_PORT = 2379
+INSTANCE_LIST_PORT = 8500
+WEIGHT_STORE_PORT = 9000
+UPSTREAM_PORT = 9100
+HTTP_PORT = 8080
+METRICS_PORT = 9102
+BATCH_METRICS_PORT = 9103
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+REGION = 'lutruwita'
+
+
+@attrs.frozen
+class FleetPlan:
+    """What a fleet consists of.
+
+    :param network: first three numbers of the loopback addresses.
+    :param http_host: address of the first entry, default its instance's.
+    """
+
+    network: str = '127.10.0'
+    domains: tuple[str, ...] = ('hobart-a', 'launceston-b')
+    entries: int = 2
+    engines: int = 2
+    services: int = 1
+    slots: int = 4
+    token_ms: float = 5.0
+    copies: int = 2
+    http_host: str = ''
+    lease_ttl_s: int = 3
+    list_lag_s: float = 0.0
+
+
+@attrs.define
+class Member:
+    """One process of the fleet."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+
+    def kill(self) -> None:
+        """Kill the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """Stop the process without ending it."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Continue a frozen process."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def stop(self) -> int:
+        """Stop the process gracefully and return its exit code."""
+        self.process.terminate()
+        return self.process.wait(STOP_TIMEOUT_S)
+
+
+class Fleet:
+    """A running fleet; :func:`open_fleet` starts and stops it.
+
+    :param folder: settings, logs and data folders are kept here.
+    """
+
+    def __init__(self, plan: FleetPlan, folder: pathlib.Path) -> None:
+        """Start nothing yet."""
+        self.plan = plan
+        self.folder = folder
+        self.members: dict[str, Member] = {}
+
+    @property
+    def logs(self) -> list[str]:
+        """Return the paths of all logs."""
+        return sorted(str(path) for path in self.folder.glob('*.log'))
+
+    @property
+    def platform_host(self) -> str:
+        """Return the address of the platform's services."""
+        return f'{self.plan.network}.1'
+
+    @property
+    def key_value_url(self) -> str:
+        """Return the base URL of the key-value service."""
+        return f'http://{self.platform_host}:{KEY_VALUE_PORT}'
+
+    @property
+    def instance_list_url(self) -> str:
+        """Return the base URL of the instance list."""
+        return f'http://{self.platform_host}:{INSTANCE_LIST_PORT}'
+
+    def entry_url(self, number: int) -> str:
+        """Return the base URL of an entry, counted from 0."""
+        host = self._entry_http_host(number)
+        return f'http://{host}:{HTTP_PORT}'
+
+    def upstream_url(self, number: int) -> str:
+        """Return the base URL of an upstream, counted from 0."""
+        return f'http://{self._upstream_host(number)}:{UPSTREAM_PORT}'
+
+    @property
+    def ctl_settings(self) -> str:
+        """Return the path of the operator's settings."""
+        return str(self.folder / 'ctl.toml')
+
+    def start_platform(self) -> None:
+        """Start the platform's services and the upstreams."""
+        host = self.platform_host
+        lag = f'--lag={self.plan.list_lag_s}'
+        self._start_standin('key-value', host, KEY_VALUE_PORT)
+        self._start_standin('instance-list', host, INSTANCE_LIST_PORT, lag)
+        self._start_standin('weight-store', host, WEIGHT_STORE_PORT)
+        for number in range(self.plan.engines + self.plan.services):
+            self.start_upstream(number)
+        _wait_answering(f'{self.key_value_url}/counts')
+        _wait_answering(f'{self.instance_list_url}/instances')
+        for number in range(self.plan.engines + self.plan.services):
+            _wait_answering(f'{self.upstream_url(number)}/counts')
+
+    def start_upstream(self, number: int) -> Member:
+        """Start an engine or plain service."""
+        kind = 'engine' if number < self.plan.engines else 'plain-service'
+        options = []
+        if kind == 'engine':
+            options.append(f'--token-ms={self.plan.token_ms}')
+        return self._start_standin(
+            kind,
+            self._upstream_host(number),
+            UPSTREAM_PORT,
+            *options,
+            name=f'upstream-{number}',
+        )
+
+    def start_daemons(self) -> None:
+        """List the instances and start briarrill's processes."""
+        self._write_settings('ctl', {'platform': self._platform()})
+        for number in range(self.plan.entries):
+            self.list_instance(self._entry_instance(number))
+        for number in range(self.plan.engines + self.plan.services):
+            self.list_instance(self._upstream_instance(number))
+        for number in range(self.plan.entries):
+            self.start_entry(number)
+            self.start_batch(number)
+        for number in range(self.plan.engines + self.plan.services):
+            self.start_sidecar(number)
+
+    def list_instance(self, instance: dict[str, Any]) -> None:
+        """Put an instance on the list."""
+        name = instance['name']
+        url = f'{self.instance_list_url}/instances/{name}'
+        httpx.put(url, json=instance).raise_for_status()
+
+    def start_entry(self, number: int) -> Member:
+        """Start an entry."""
+        settings = self._settings(self._entry_instance(number), 'entry')
+        settings['http'] = {
+            'port': HTTP_PORT,
+            'host': self._entry_http_host(number),
+        }
+        settings['copies'] = self.plan.copies
+        return self._start_daemon(f'entry-{number}', 'entry', settings)
+
+    def start_batch(self, number: int) -> Member:
+        """Start the batch process beside an entry."""
+        settings = self._settings(self._entry_instance(number), 'batch')
+        settings['metrics'] = {'port': BATCH_METRICS_PORT}
+        settings['lease_ttl_s'] = self.plan.lease_ttl_s
+        settings['store'] = {
+            'folder': str(self.folder / f'data-{number}'),
+            'copies': self.plan.copies,
+        }
+        return self._start_daemon(f'batch-{number}', 'batch', settings)
+
+    def start_sidecar(self, number: int) -> Member:
+        """Start the sidecar of an upstream."""
+        settings = self._settings(self._upstream_instance(number), 'sidecar')
+        settings['metrics'] = {'port': METRICS_PORT}
+        is_engine = number < self.plan.engines
+        settings['upstream'] = {
+            'kind': 'engine' if is_engine else 'service',
+            'url': self.upstream_url(number),
+            'pool': self._pool(number),
+            'slots': self.plan.slots,
+        }
+        return self._start_daemon(f'sidecar-{number}', 'sidecar', settings)
+
+    def wait_ready(self) -> None:
+        """Wait until all processes of briarrill are ready."""
+        for number in range(self.plan.entries):
+            _wait_answering(f'{self.entry_url(number)}/readyz')
+            host = self._entry_host(number)
+            _wait_answering(f'http://{host}:{BATCH_METRICS_PORT}/readyz')
+        for number in range(self.plan.engines + self.plan.services):
+            host = self._upstream_host(number)
+            _wait_answering(f'http://{host}:{METRICS_PORT}/readyz')
+
+    def run_ctl(self, *words: str) -> str:
+        """Run an operator's command and return what it printed."""
+        return subprocess.run(
+            [
+                *_binary('ctl'),
+                f'--settings={self.ctl_settings}',
+                *words,
+            ],
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+
+    def stop(self) -> dict[str, int]:
+        """Stop briarrill's processes, then the rest; return exit codes."""
+        codes = {}
+        for member in self.members.values():
+            member.thaw()
+            if member.process.poll() is None:
+                member.process.terminate()
+        for name, member in self.members.items():
+            codes[name] = member.process.wait(STOP_TIMEOUT_S)
+        return codes
+
+    def set_faults(self, base_url: str, **faults: Any) -> None:
+        """Set the fault switches of a stand-in; the others go off."""
+        httpx.put(f'{base_url}/faults', json=faults).raise_for_status()
+
+    def _pool(self, number: int) -> str:
+        return 'drafting' if number < self.plan.engines else 'approvals'
+
+    def _entry_host(self, number: int) -> str:
+        return f'{self.plan.network}.{10 + number}'
+
+    def _entry_http_host(self, number: int) -> str:
+        if number == 0 and self.plan.http_host:
+            return self.plan.http_host
+        return self._entry_host(number)
+
+    def _upstream_host(self, number: int) -> str:
+        return f'{self.plan.network}.{100 + number}'
+
+    def _domain(self, number: int) -> str:
+        return self.plan.domains[number % len(self.plan.domains)]
+
+    def _entry_instance(self, number: int) -> dict[str, Any]:
+        return {
+            'name': f'entry-{number}',
+            'host': self._entry_host(number),
+            'failure_domain': self._domain(number),
+            'region': REGION,
+            'roles': ['entry', 'batch'],
+        }
+
+    def _upstream_instance(self, number: int) -> dict[str, Any]:
+        return {
+            'name': f'upstream-{number}',
+            'host': self._upstream_host(number),
+            'failure_domain': self._domain(number),
+            'region': REGION,
+            'roles': ['upstream'],
+            'pool': self._pool(number),
+        }
+
+    def _platform(self) -> dict[str, Any]:
+        return {
+            'key_value_url': self.key_value_url,
+            'instance_list_url': self.instance_list_url,
+            'instance_poll_s': 0.25,
+        }
+
+    def _settings(
+        self, instance: dict[str, Any], role: str
+    ) -> dict[str, Any]:
+        named = ('name', 'host', 'failure_domain', 'region')
+        log = self.folder / f'{instance["name"]}.{role}.log'
+        return {
+            'instance': {key: instance[key] for key in named},
+            'platform': self._platform(),
+            'log': {'path': str(log)},
+        }
+
+    def _write_settings(
+        self, name: str, settings: dict[str, Any]
+    ) -> pathlib.Path:
+        path = self.folder / f'{name}.toml'
+        path.write_bytes(msgspec.toml.encode(settings))
+        return path
+
+    def _start_daemon(
+        self, name: str, binary: str, settings: dict[str, Any]
+    ) -> Member:
+        path = self._write_settings(name, settings)
+        return self._start(name, [*_binary(binary), str(path)])
+
+    def _start_standin(
+        self, kind: str, host: str, port: int, *options: str, name: str = ''
+    ) -> Member:
+        command = [sys.executable, '-m', 'standins', kind, host, str(port)]
+        return self._start(name or kind, [*command, *options])
+
+    def _start(self, name: str, command: list[str]) -> Member:
+        with open(self.folder / f'{name}.stderr', 'ab') as stream:
+            process = subprocess.Popen(command, stderr=stream)
+        member = Member(name, process)
+        self.members[name] = member
+        return member
+
+
+def _binary(name: str) -> list[str]:
+    module = f'briarrill.{name}.main'
+    call = f'import sys; from {module} import main; sys.exit(main())'
+    return [sys.executable, '-c', call]
+
+
+def _wait_answering(url: str) -> None:
+    """Wait until a URL answers with success."""
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline:
+        with contextlib.suppress(httpx.HTTPError):
+            if httpx.get(url, timeout=1.0).is_success:
+                return
+        time.sleep(POLL_S)
+    raise TimeoutError(f'no answer from {url}')
+
+
+@contextlib.contextmanager
+def open_fleet(
+    plan: FleetPlan, folder: pathlib.Path, configuration: str
+) -> Iterator[Fleet]:
+    """Start a fleet, put a configuration in force and stop all on exit.
+
+    :param configuration: path of the operators' TOML file.
+    """
+    fleet = Fleet(plan, folder)
+    try:
+        fleet.start_platform()
+        fleet.start_daemons()
+        fleet.run_ctl('apply', configuration)
+        fleet.wait_ready()
+        yield fleet
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/standins/weight_store.py
@@ -0,0 +1,31 @@
+"""standins.weight_store: a rate-limited store of model weights."""
+
+import time
+from typing import Any
+
+import trio
+from quart_trio import QuartTrio
+
+from .faults import add_fault_switches
+
+__all__ = ('make_weight_store',)
+
+
+def make_weight_store(rate: float) -> QuartTrio:
+    """Return the application.
+
+    :param rate: downloads a second; more wait their turn.
+    """
+    app = QuartTrio('weight-store')
+    add_fault_switches(app)
+    next_free = [time.monotonic()]
+
+    @app.get('/weights/<name>')
+    async def download(name: str) -> dict[str, Any]:
+        now = time.monotonic()
+        starts_at = max(now, next_free[0])
+        next_free[0] = starts_at + 1 / rate
+        await trio.sleep(starts_at - now + 1 / rate)
+        return {'name': name, 'waited_s': starts_at - now}
+
+    return app
