Check formatting, lint, types and tests in one command

Splits the messages between processes by family.

A fleet now kills a process that does not stop in time and refuses to start beside another.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Targets for users and developers; CONTRIBUTING.md describes them.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo fleet test lint format lock
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m standins.demo
+
+fleet: $(READY)
+	$(BIN)/python -m standins.demo fleet
+
+test: $(READY)
+	$(BIN)/python -m pytest
+
+lint: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 briarrill standins tests bench
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lock: $(READY)
+	$(BIN)/pip install --quiet -r requirements.in
+	(echo "# made by 'make lock' from requirements.in"; \
+	  $(BIN)/pip freeze --all --exclude-editable | grep -v '^pip==') > requirements.lock
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""bench: one command for each figure."""
--- a/briarrill/control.py
+++ b/briarrill/control.py
@@ -106,7 +106,7 @@
         return control_peers((own,), self.ports)[0]
 
     async def _follow_configuration(self) -> None:
-        """Exchange versions with peers; ask the service while none is known."""
+        """Exchange versions with peers; read the service while without."""
         own = self._own_address()
         while True:
             if not self.holder.version:
--- a/briarrill/coordination/admission.py
+++ b/briarrill/coordination/admission.py
@@ -178,7 +178,8 @@
         """Cancel the youngest batch streams, one for each waiting request."""
         leaving = sum(slot.preempted for slot in self._batch)
         running = [slot for slot in self._batch if not slot.preempted]
-        for slot in running[::-1][: self._queued - leaving]:
+        youngest_first = reversed(running)
+        for slot in itertools.islice(youngest_first, self._queued - leaving):
             slot.preempted = True
             slot.scope.cancel()
             PREEMPTED.inc()
--- a/briarrill/coordination/configuration.py
+++ b/briarrill/coordination/configuration.py
@@ -4,7 +4,9 @@
 the highest version that it hears of and never goes back.
 """
 
+import contextlib
 import random
+import uuid
 
 import attrs
 import msgspec
@@ -178,7 +180,7 @@
         ConfigRecord(
             version=newest + 1,
             parent=newest,
-            writer=f'{random.getrandbits(64):016x}',
+            writer=uuid.uuid4().hex,
             author=author,
             created_at=created_at,
             body=encode_configuration(cfg),
@@ -202,9 +204,7 @@
     chosen = random.sample(peers, min(EXCHANGE_FANOUT, len(peers)))
     for peer in chosen:
         digest = ConfigDigest(process=process, version=holder.version)
-        try:
+        with contextlib.suppress(BriarrillError):
             reply = await caller.call(peer.host, peer.port, digest)
             if isinstance(reply, ConfigPush):
                 holder.take(reply.body)
-        except BriarrillError:
-            continue
--- a/briarrill/coordination/membership.py
+++ b/briarrill/coordination/membership.py
@@ -4,6 +4,8 @@
 decided by those who talk to it.
 """
 
+import contextlib
+
 import trio
 from eliot import log_message
 
@@ -67,8 +69,6 @@
     async def follow(self, source: InstanceList, poll_s: float) -> None:
         """Poll the instance list until cancelled; keep the last on outage."""
         while True:
-            try:
+            with contextlib.suppress(PlatformUnavailableError):
                 self.update(await source.fetch())
-            except PlatformUnavailableError:
-                pass
             await trio.sleep(poll_s)
--- a/briarrill/ctl/commands.py
+++ b/briarrill/ctl/commands.py
@@ -1,5 +1,6 @@
 """briarrill.ctl.commands: what each command does."""
 
+import contextlib
 import getpass
 import sys
 import time
@@ -52,7 +53,7 @@
 
 async def apply(arguments: Arguments) -> None:
     """Accept a configuration file as the next version."""
-    settings = load_settings(arguments['--settings'], CtlSettings)
+    settings = _settings(arguments)
     cfg = load_configuration(arguments['CONFIG'])
     async with (
         open_platform(settings.platform) as platform,
@@ -73,7 +74,7 @@
 
 async def get(arguments: Arguments) -> None:
     """Print the newest configuration."""
-    settings = load_settings(arguments['--settings'], CtlSettings)
+    settings = _settings(arguments)
     async with open_platform(settings.platform) as platform:
         raw, _ = await read_head(platform.key_value)
     if not raw:
@@ -87,7 +88,7 @@
 
 async def status(arguments: Arguments) -> None:
     """Show the processes of the fleet."""
-    settings = load_settings(arguments['--settings'], CtlSettings)
+    settings = _settings(arguments)
     async with (
         open_platform(settings.platform) as platform,
         open_rpc_pool() as caller,
@@ -107,7 +108,7 @@
 
 async def drain(arguments: Arguments) -> None:
     """Ask one process to stop gracefully."""
-    settings = load_settings(arguments['--settings'], CtlSettings)
+    settings = _settings(arguments)
     instance = Instance(
         name='',
         host=arguments['HOST'],
@@ -121,6 +122,10 @@
     _say('draining')
 
 
+def _settings(arguments: Arguments) -> CtlSettings:
+    return load_settings(arguments['--settings'], CtlSettings)
+
+
 async def _base_version(arguments: Arguments, platform: Platform) -> int:
     if arguments['--base']:
         return int(arguments['--base'])
@@ -145,11 +150,9 @@
         if instance.failure_domain in reached:
             continue
         peer = control_peers((instance,), settings.ports)[0]
-        try:
+        with contextlib.suppress(BriarrillError):
             await caller.call(peer.host, peer.port, push)
-        except BriarrillError:
-            continue
-        reached.add(instance.failure_domain)
+            reached.add(instance.failure_domain)
         if len(reached) == SPREAD_DOMAINS:
             return
     if not reached:
--- a/briarrill/entry/batch_routes.py
+++ b/briarrill/entry/batch_routes.py
@@ -15,16 +15,18 @@
 from ..protocol.callers_api import BATCH_ENDPOINTS
 from ..state.job_records import FileRecord, JobRecord, SegmentRef
 from .batch_views import batch_view, file_view, output_job_id
-from .context import Caller, EntryContext
+from .context import Caller, EntryContext, read_body
 from .intake import FileIntake
 from .jobs import JobDirectory
-from .context import read_body
 from .uploads import Upload, read_upload
 
 __all__ = ('add_batch_routes',)
 
 JSON_LINES = 'application/jsonl'
 
+# jobs in one page of a listing
+DEFAULT_PAGE = 20
+
 WINDOW_SECONDS = {'1h': 3600, '24h': 86400}
 
 
@@ -83,7 +85,7 @@
         found = await jobs.list_jobs(
             caller.name,
             after=request.args.get('after', ''),
-            limit=request.args.get('limit', 20, type=int),
+            limit=request.args.get('limit', DEFAULT_PAGE, type=int),
         )
         return {
             'object': 'list',
--- a/briarrill/entry/context.py
+++ b/briarrill/entry/context.py
@@ -1,5 +1,7 @@
 """briarrill.entry.context: what the routes of an entry share."""
 
+from typing import cast
+
 import attrs
 from quart import request
 
@@ -49,5 +51,4 @@
 
 async def read_body() -> bytes:
     """Return the whole body of the present request."""
-    body: bytes = await request.get_data(as_text=False)
-    return body
+    return cast(bytes, await request.get_data(as_text=False))
--- a/briarrill/entry/intake.py
+++ b/briarrill/entry/intake.py
@@ -78,7 +78,7 @@
             if len(self._wrong) < MAX_REPORTED_LINES:
                 self._wrong.append(f'line {self._line_number}: {exc.message}')
             return
-        lines.append(line + b'\n')
+        lines.append(b'%b\n' % line)
 
     def _check_unique(self, custom_id: str) -> None:
         digest = xxhash.xxh3_64_intdigest(custom_id.encode())
--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -25,8 +25,6 @@
 
 EVENT_STREAM = 'text/event-stream'
 
-EVENT_END = b'\n\n'
-
 SERVICES_PATH = '/services/'
 
 # a caller marks a call that must run at most once with the value 'false'
@@ -163,4 +161,4 @@
             while (chunk := await answer.next_chunk()) is not None:
                 yield chunk
         except BriarrillError as exc:
-            yield b'data: ' + msgspec.json.encode(error_body(exc)) + EVENT_END
+            yield b'data: %b\n\n' % msgspec.json.encode(error_body(exc))
--- a/briarrill/entry/uploads.py
+++ b/briarrill/entry/uploads.py
@@ -38,20 +38,23 @@
     """
     part: Field | File | None = None
     async for event in _events():
-        if isinstance(event, File):
-            upload.filename = event.filename
+        if isinstance(event, (Field, File)):
             part = event
-        elif isinstance(event, Field):
-            part = event
-        elif isinstance(event, Data) and isinstance(part, File):
+        if not isinstance(event, Data):
+            continue
+        if isinstance(part, File):
+            upload.filename = part.filename
             yield event.data
-        elif isinstance(event, Data) and part is not None:
-            _add_to_field(upload, part.name, event.data)
+        else:
+            _add_to_field(upload, part, event.data)
     if not upload.filename:
         raise BadRequestError('the form holds no file')
 
 
-def _add_to_field(upload: Upload, name: str, body: bytes) -> None:
+def _add_to_field(upload: Upload, part: Field | None, body: bytes) -> None:
+    if part is None:
+        return
+    name = part.name
     text = upload.fields.get(name, '') + body.decode(errors='replace')
     if len(text) > FIELD_LIMIT_BYTES:
         raise BadRequestError(f'form field {name} is too long')
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -71,8 +71,7 @@
         super().__init__(message)
         self.message = message
         self.retry_after_s = retry_after_s
-        if ran is not None:
-            self.ran = ran
+        self.ran = ran or type(self).ran
 
 
 class InternalError(BriarrillError):
@@ -338,7 +337,7 @@
 def _leaf_classes(root: type[BriarrillError]) -> list[type[BriarrillError]]:
     found = []
     for child in root.__subclasses__():
-        if 'code' in vars(child):
+        if 'code' in child.__dict__:
             found.append(child)
         found.extend(_leaf_classes(child))
     return found
--- a/briarrill/ops_app.py
+++ b/briarrill/ops_app.py
@@ -8,6 +8,8 @@
 
 __all__ = ('ReadyState', 'add_ops_routes', 'make_ops_app')
 
+HTTP_UNAVAILABLE = 503
+
 
 class ReadyState(Protocol):
     """Tells whether the process takes work."""
@@ -39,4 +41,6 @@
     async def ready() -> Response:
         if readiness.is_ready:
             return Response('ready\n', content_type='text/plain')
-        return Response('not ready\n', status=503, content_type='text/plain')
+        return Response(
+            'not ready\n', status=HTTP_UNAVAILABLE, content_type='text/plain'
+        )
--- a/briarrill/protocol/callers_api.py
+++ b/briarrill/protocol/callers_api.py
@@ -118,4 +118,4 @@
     else:
         failure = {'code': code, 'message': error}
     line = {'custom_id': custom_id, 'response': response, 'error': failure}
-    return msgspec.json.encode(line) + b'\n'
+    return b'%b\n' % msgspec.json.encode(line)
--- a/briarrill/protocol/codec.py
+++ b/briarrill/protocol/codec.py
@@ -42,7 +42,7 @@
         raise MalformedMessageError(f'{len(frames)} frames')
     decoder = _DECODERS.get(frames[0])
     if decoder is None:
-        raise MalformedMessageError(f'unknown type {frames[0][:40]!r}')
+        raise MalformedMessageError(f'unknown type {frames[0]!r}')
     try:
         decoded: Message = decoder.decode(frames[1])
     except msgspec.MsgspecError as exc:
--- /dev/null
+++ b/briarrill/protocol/messages/__init__.py
@@ -0,0 +1,50 @@
+"""briarrill.protocol.messages: typed messages between processes.
+
+Times are in seconds. Clocks of two processes differ, so a deadline travels
+as the time left plus the receiver's own clock as the sender last saw it.
+"""
+
+from .base import Failure, Message, Ok
+from .batch import (
+    Assign,
+    BatchItem,
+    CancelJob,
+    ItemOutcome,
+    JobNotice,
+    Pull,
+    Revoke,
+)
+from .control import ConfigDigest, ConfigPush, Drain, Status, StatusRequest
+from .online import CancelCall, Chunk, Finish, Submit
+from .session import PROTOCOL_VERSION, Heartbeat, Hello, LoadReport, Welcome
+from .store import GetSegment, PutSegment, Segment
+
+__all__ = (
+    'Assign',
+    'BatchItem',
+    'CancelCall',
+    'CancelJob',
+    'Chunk',
+    'ConfigDigest',
+    'ConfigPush',
+    'Drain',
+    'Failure',
+    'Finish',
+    'GetSegment',
+    'Heartbeat',
+    'Hello',
+    'ItemOutcome',
+    'JobNotice',
+    'LoadReport',
+    'Message',
+    'Ok',
+    'PROTOCOL_VERSION',
+    'Pull',
+    'PutSegment',
+    'Revoke',
+    'Segment',
+    'Status',
+    'StatusRequest',
+    'Submit',
+    'Welcome',
+)
--- /dev/null
+++ b/briarrill/protocol/messages/online.py
@@ -0,0 +1,72 @@
+"""briarrill.protocol.messages.online: online requests and their answers."""
+
+import attrs
+
+from ...result_codes import Ran, ResultCode
+from .base import Message
+
+__all__ = ('CancelCall', 'Chunk', 'Finish', 'Submit')
+
+
+@attrs.frozen
+class Submit(Message):
+    """One attempt of an online request.
+
+    :param path: path of the call at the upstream, with its query.
+    :param peer_clock_s: receiver's clock as last seen by the sender.
+    :param peer_clock_age_s: seconds since the sender saw that clock.
+    :param time_left_s: seconds until the deadline.
+    :param trace: eliot task identifier that the receiver continues.
+    """
+
+    session: str
+    request_id: str
+    attempt: int
+    contract: str
+    method: str
+    path: str
+    body: bytes
+    idempotent: bool
+    peer_clock_s: float
+    peer_clock_age_s: float
+    time_left_s: float
+    content_type: str = 'application/json'
+    trace: str = ''
+
+
+@attrs.frozen
+class Chunk(Message):
+    """A part of an answer, numbered from 0."""
+
+    request_id: str
+    attempt: int
+    seq: int
+    body: bytes
+
+
+@attrs.frozen
+class Finish(Message):
+    """Ends an answer or refuses the request.
+
+    :param chunks: number of chunks that were sent.
+    :param tokens: tokens that the upstream generated.
+    """
+
+    request_id: str
+    attempt: int
+    chunks: int = 0
+    code: ResultCode = ResultCode.OK
+    ran: Ran = Ran.YES
+    message: str = ''
+    retry_after_s: float | None = None
+    http_status: int = 200
+    content_type: str = 'application/json'
+    tokens: int = 0
+
+
+@attrs.frozen
+class CancelCall(Message):
+    """Stops an online request whose caller went away."""
+
+    request_id: str
+    attempt: int
--- a/briarrill/runtime.py
+++ b/briarrill/runtime.py
@@ -97,8 +97,7 @@
 async def wait_for_stop_signal() -> None:
     """Return on the first SIGTERM or SIGINT."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+        await anext(aiter(signals))
 
 
 async def serve_ops(
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -6,7 +6,6 @@
 import attrs
 import httpx
 import trio
-from eliot import Action, start_action
 
 from ..coordination.admission import Admission
 from ..errors import MalformedMessageError, PeerUnreachableError
@@ -22,6 +21,7 @@
 )
 from ..result_codes import Ran, ResultCode
 from ..runtime import Readiness
+from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket, open_dealer
 from .online import Identity
 from .partial_answer import PartialAnswer
@@ -49,11 +49,8 @@
 
     async def run_item(self, batch_item: BatchItem) -> ItemOutcome:
         """Run one item to its outcome."""
-        task_id = batch_item.trace.encode()
-        with (
-            Action.continue_task(task_id=task_id)
-            if task_id
-            else start_action(action_type='sidecar:untraced')
+        with continue_trace(
+            batch_item.trace, 'sidecar:item', index=batch_item.index
         ):
             outcome = await self._run_guarded(batch_item)
         BATCH_ITEMS.labels(outcome.code.name).inc()
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -6,7 +6,6 @@
 import attrs
 import httpx
 import trio
-from eliot import Action, start_action
 
 from ..coordination.admission import Admission
 from ..coordination.deadlines import time_left_at_receiver
@@ -42,6 +41,7 @@
 )
 from ..result_codes import Ran
 from ..runtime import Readiness
+from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket
 from .recent_ids import RecentIds
 from .upstreams import Call, Upstream
@@ -198,11 +198,8 @@
         return True
 
     async def _answer(self, peer: bytes, submit: Submit) -> None:
-        task_id = submit.trace.encode()
-        with (
-            Action.continue_task(task_id=task_id)
-            if task_id
-            else start_action(action_type='sidecar:untraced')
+        with continue_trace(
+            submit.trace, 'sidecar:request', request_id=submit.request_id
         ):
             finish = await self._finish_of(peer, submit)
         if finish is not None:
--- a/briarrill/state/segment_copies.py
+++ b/briarrill/state/segment_copies.py
@@ -47,22 +47,17 @@
         places: list[Place] = []
         last_error: BriarrillError | None = None
         for instance in self._candidates(name):
-            if any(_same_domain(place, instance) for place in places):
+            if _holds_domain(places, instance):
                 continue
             try:
                 await self._put_copy(instance, name, body)
             except BriarrillError as exc:
                 last_error = exc
-                continue
-            places.append(_place(instance))
+            else:
+                places.append(_place(instance))
             if len(places) == self.copies:
                 return SegmentRef(name, lines, len(body), tuple(places))
-        if isinstance(last_error, StoreFullError):
-            raise last_error
-        raise PlatformUnavailableError(
-            f'{len(places)} of {self.copies} copies could be stored',
-            retry_after_s=RETRY_AFTER_S,
-        )
+        raise _too_few_copies(len(places), self.copies, last_error)
 
     async def get(self, ref: SegmentRef) -> bytes:
         """Read a segment from any copy and verify it.
@@ -105,5 +100,18 @@
     return Place(instance.name, instance.host, instance.failure_domain)
 
 
-def _same_domain(place: Place, instance: Instance) -> bool:
-    return place.failure_domain == instance.failure_domain
+def _holds_domain(places: list[Place], instance: Instance) -> bool:
+    return instance.failure_domain in {
+        place.failure_domain for place in places
+    }
+
+
+def _too_few_copies(
+    stored: int, wanted: int, last_error: BriarrillError | None
+) -> BriarrillError:
+    if isinstance(last_error, StoreFullError):
+        return last_error
+    return PlatformUnavailableError(
+        f'{stored} of {wanted} copies could be stored',
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/briarrill/state/structuring.py
+++ b/briarrill/state/structuring.py
@@ -3,8 +3,7 @@
 import enum
 from typing import Any, TypeVar
 
-import cattrs
-from cattrs import transform_error
+from cattrs import Converter, transform_error
 from cattrs.errors import BaseValidationError
 
 from ..errors import SettingsError
@@ -18,9 +17,9 @@
 
 def _structure_exactly(raw: Any, cls: type[Any]) -> Any:
     """Take a TOML scalar only in its own type; whole numbers are floats."""
-    if cls is float and type(raw) is int:
+    if cls is float and raw.__class__ is int:
         return float(raw)
-    if type(raw) is not cls:
+    if raw.__class__ is not cls:
         raise TypeError(f'must be {cls.__name__}, not {raw!r}')
     return raw
 
@@ -32,8 +31,8 @@
     return cls(raw)
 
 
-def _make_converter() -> cattrs.Converter:
-    converter = cattrs.Converter(forbid_extra_keys=True)
+def _make_converter() -> Converter:
+    converter = Converter(forbid_extra_keys=True)
     converter.register_structure_hook_func(
         lambda cls: cls in _SCALARS, _structure_exactly
     )
--- a/briarrill/timeline/reader.py
+++ b/briarrill/timeline/reader.py
@@ -62,7 +62,7 @@
 
 def _parse(line: str) -> Event | None:
     try:
-        fields: dict[str, Any] = json.loads(line)
+        fields: dict[str, Any] = dict(json.loads(line))
         return Event(
             timestamp=float(fields['timestamp']),
             process=str(fields.get('process', '?')),
@@ -71,14 +71,15 @@
             level=tuple(fields['task_level']),
             fields=_shown(fields),
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (LookupError, TypeError, ValueError):
         return None
 
 
 def _name(fields: dict[str, Any]) -> str:
-    if 'action_type' in fields:
-        return f'{fields["action_type"]} {fields["action_status"]}'
-    return str(fields['message_type'])
+    action_type = fields.get('action_type')
+    if action_type is None:
+        return str(fields['message_type'])
+    return f'{action_type} {fields["action_status"]}'
 
 
 def _shown(fields: dict[str, Any]) -> tuple[tuple[str, str], ...]:
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -92,25 +92,7 @@
             'value': _b64(body),
             'lease': lease_id,
         }
-        lost_reply = None
-        for _ in range(WRITE_ATTEMPTS):
-            try:
-                reply = await self._txn(
-                    key, mod_revision, {'request_put': put}
-                )
-            except httpx.ConnectError as exc:
-                if lost_reply is None:
-                    raise _unavailable(exc) from exc
-            except httpx.HTTPError as exc:
-                lost_reply = exc
-            else:
-                if reply.get('succeeded'):
-                    return int(reply['header']['revision'])
-                return await self._resolve_conflict(key, body, lost_reply)
-        raise WriteUnknownError(
-            f'reply to the write of {key} was lost: {lost_reply!r}',
-            retry_after_s=OUTAGE_RETRY_AFTER_S,
-        )
+        return await self._write_once(key, body, mod_revision, put)
 
     async def delete(self, key: str, *, mod_revision: int) -> bool:
         """Delete the key if its revision is unchanged."""
@@ -179,6 +161,27 @@
             '/v3/kv/txn', {'compare': [compare], 'success': [success]}
         )
 
+    async def _write_once(
+        self, key: str, body: bytes, mod_revision: int, put: dict[str, Any]
+    ) -> int | None:
+        """Repeat a write whose reply was lost until its effect is known."""
+        lost_reply: Exception | None = None
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                reply = await self._txn(
+                    key, mod_revision, {'request_put': put}
+                )
+            except httpx.HTTPError as exc:
+                lost_reply = lost_reply or _unless_never_sent(exc)
+                continue
+            if reply.get('succeeded'):
+                return int(reply['header']['revision'])
+            return await self._resolve_conflict(key, body, lost_reply)
+        raise WriteUnknownError(
+            f'reply to the write of {key} was lost: {lost_reply!r}',
+            retry_after_s=OUTAGE_RETRY_AFTER_S,
+        )
+
     async def _resolve_conflict(
         self, key: str, body: bytes, lost_reply: Exception | None
     ) -> int | None:
@@ -216,6 +219,16 @@
         return decoded
 
 
+def _unless_never_sent(exc: httpx.HTTPError) -> httpx.HTTPError:
+    """Return the error of a write that may have taken effect.
+
+    :raises PlatformUnavailableError: the write was certainly not sent.
+    """
+    if isinstance(exc, (httpx.ConnectError, httpx.ConnectTimeout)):
+        raise _unavailable(exc) from exc
+    return exc
+
+
 def _unavailable(exc: Exception) -> PlatformUnavailableError:
     return PlatformUnavailableError(
         f'key-value service: {exc!r}', retry_after_s=OUTAGE_RETRY_AFTER_S
--- a/briarrill/transport/zmq_socket.py
+++ b/briarrill/transport/zmq_socket.py
@@ -18,6 +18,10 @@
 # messages that a socket queues for one peer before sends are refused
 SEND_QUEUE_MESSAGES = 2000
 
+# first and longest wait between attempts to connect
+RECONNECT_MS = 50
+MAX_RECONNECT_MS = 1000
+
 
 class ZmqSocket:
     """A ZeroMQ socket with one receiving task and non-blocking sends.
@@ -66,7 +70,7 @@
         scope = self._receive_scope
         if scope is None:
             return
-        if self._zsock.get(zmq.EVENTS) & zmq.POLLIN:
+        if int(self._zsock.get(zmq.EVENTS)) & zmq.POLLIN:
             scope.cancel()
 
 
@@ -103,5 +107,5 @@
 def _set_common_options(zsock: zmq.Socket[bytes]) -> None:
     zsock.setsockopt(zmq.LINGER, 0)
     zsock.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-    zsock.setsockopt(zmq.RECONNECT_IVL, 50)
-    zsock.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+    zsock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    zsock.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -48,8 +48,7 @@
 
 async def _stop_signal() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+        await anext(aiter(signals))
 
 
 async def _serve(app: QuartTrio, host: str, port: int) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -130,7 +130,7 @@
         'model': body['model'],
         **fields,
     }
-    return b'data: ' + json.dumps(event).encode() + b'\n\n'
+    return f'data: {json.dumps(event)}\n\n'.encode()
 
 
 def _choice(delta: dict[str, str], reason: str | None) -> list[Any]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -127,6 +127,14 @@
         """Return the path of the operator's settings."""
         return str(self.folder / 'ctl.toml')
 
+    def start(self, configuration: str) -> None:
+        """Start all processes and wait until they are ready."""
+        self.start_platform()
+        self.start_daemons()
+        self.run_ctl('apply', configuration)
+        self.wait_ready()
+        self._check_running()
+
     def start_platform(self) -> None:
         """Start the platform's services and the upstreams."""
         host = self.platform_host
@@ -231,21 +239,33 @@
             text=True,
         ).stdout
 
-    def stop(self) -> dict[str, int]:
-        """Stop briarrill's processes, then the rest; return exit codes."""
-        codes = {}
-        for member in self.members.values():
-            member.thaw()
-            if member.process.poll() is None:
-                member.process.terminate()
+    def stop(self) -> None:
+        """Stop briarrill's processes, then the platform's."""
+        daemons: list[Member] = []
+        others: list[Member] = []
         for name, member in self.members.items():
-            codes[name] = member.process.wait(STOP_TIMEOUT_S)
-        return codes
+            is_daemon = name.startswith(('entry', 'batch', 'sidecar'))
+            (daemons if is_daemon else others).append(member)
+        _stop_all(daemons)
+        _stop_all(others)
+
+    def exit_codes(self) -> dict[str, int]:
+        """Return the exit code of each stopped process."""
+        return {
+            name: member.process.wait(STOP_TIMEOUT_S)
+            for name, member in self.members.items()
+        }
 
     def set_faults(self, base_url: str, **faults: Any) -> None:
         """Set the fault switches of a stand-in; the others go off."""
         httpx.put(f'{base_url}/faults', json=faults).raise_for_status()
 
+    def _check_running(self) -> None:
+        """Raise when a process ended, such as on a port in use."""
+        for name, member in self.members.items():
+            if member.process.poll() is not None:
+                raise RuntimeError(f'{name} did not start')
+
     def _pool(self, number: int) -> str:
         return 'drafting' if number < self.plan.engines else 'approvals'
 
@@ -289,9 +309,7 @@
             'instance_poll_s': 0.25,
         }
 
-    def _settings(
-        self, instance: dict[str, Any], role: str
-    ) -> dict[str, Any]:
+    def _settings(self, instance: dict[str, Any], role: str) -> dict[str, Any]:
         named = ('name', 'host', 'failure_domain', 'region')
         log = self.folder / f'{instance["name"]}.{role}.log'
         return {
@@ -333,6 +351,18 @@
     return [sys.executable, '-c', call]
 
 
+def _stop_all(members: list[Member]) -> None:
+    """Stop processes; one that does not stop in time is killed."""
+    for member in members:
+        member.thaw()
+        member.process.terminate()
+    for member in members:
+        try:
+            member.process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            member.kill()
+
+
 def _wait_answering(url: str) -> None:
     """Wait until a URL answers with success."""
     deadline = time.monotonic() + START_TIMEOUT_S
@@ -354,10 +384,7 @@
     """
     fleet = Fleet(plan, folder)
     try:
-        fleet.start_platform()
-        fleet.start_daemons()
-        fleet.run_ctl('apply', configuration)
-        fleet.wait_ready()
+        fleet.start(configuration)
         yield fleet
     finally:
         fleet.stop()
--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -69,7 +69,7 @@
     def range(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer a range request."""
         start = _decode(body['key'])
-        end = _decode(body.get('range_end', '')) or start + b'\0'
+        end = _decode(body.get('range_end', '')) or b'%b\0' % start
         keys = sorted(key for key in self._entries if start <= key < end)
         limit = int(body.get('limit', 0)) or len(keys)
         kvs = [self._view(key) for key in keys[:limit]]
@@ -188,7 +188,7 @@
 
 
 def _line(message: dict[str, Any]) -> bytes:
-    return json.dumps({'result': message}).encode() + b'\n'
+    return f'{json.dumps({"result": message})}\n'.encode()
 
 
 def make_key_value() -> QuartTrio:
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -30,7 +30,7 @@
         '/<path:path>', methods=['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
     )
     async def call(path: str) -> dict[str, Any]:
-        body = await request.get_data(as_text=True)
+        body = str(await request.get_data(as_text=True))
         counts[body or path] += 1
         await trio.sleep(float(request.args.get('sleep', 0)))
         return {'path': path, 'received': body, 'calls': counts[body or path]}
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,77 @@
+"""A caller's requests through a fleet of separate processes."""
+
+import json
+import pathlib
+import time
+
+import openai
+import pytest
+
+from standins.fleet import FleetPlan, open_fleet
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+MESSAGES = [{'role': 'user', 'content': 'Draft the handover clause.'}]
+API_KEY = 'demo-key'
+
+
+@pytest.fixture
+def fleet(network, tmp_path):
+    plan = FleetPlan(network=network)
+    with open_fleet(
+        plan, tmp_path, str(EXAMPLES / 'configuration.toml')
+    ) as running:
+        yield running
+    codes = running.exit_codes()
+    assert set(codes.values()) == {0}, codes
+
+
+def _wait_completed(client, job_id):
+    for _ in range(200):
+        job = client.batches.retrieve(job_id)
+        if job.status == 'completed':
+            return job
+        time.sleep(0.1)
+    raise AssertionError('the job did not complete')
+
+
+def test_unmodified_client_library_uses_the_fleet(fleet):
+    client = openai.OpenAI(
+        base_url=f'{fleet.entry_url(0)}/v1', api_key=API_KEY, max_retries=5
+    )
+    assert [model.id for model in client.models.list()] == ['clause-drafter']
+
+    whole = client.chat.completions.create(
+        model='clause-drafter', messages=MESSAGES, max_tokens=5
+    )
+    stream = client.chat.completions.create(
+        model='clause-drafter', messages=MESSAGES, max_tokens=5, stream=True
+    )
+    pieces = [event.choices[0].delta.content or '' for event in stream]
+    assert ''.join(pieces) == whole.choices[0].message.content
+    assert len(whole.choices[0].message.content.split()) == 5
+
+    uploaded = client.files.create(
+        file=(EXAMPLES / 'holiday-sections.jsonl').open('rb'), purpose='batch'
+    )
+    created = client.batches.create(
+        input_file_id=uploaded.id,
+        endpoint='/v1/chat/completions',
+        completion_window='24h',
+    )
+    job = _wait_completed(client, created.id)
+    assert (job.request_counts.completed, job.request_counts.failed) == (38, 2)
+
+    inputs = (EXAMPLES / 'holiday-sections.jsonl').read_text().splitlines()
+    results = client.files.content(job.output_file_id).text.splitlines()
+    assert _custom_ids(results) == _custom_ids(inputs)
+
+    again = client.batches.create(
+        input_file_id=uploaded.id,
+        endpoint='/v1/chat/completions',
+        completion_window='24h',
+    )
+    assert again.id == job.id
+
+
+def _custom_ids(lines):
+    return sorted(json.loads(line)['custom_id'] for line in lines)
--- /dev/null
+++ b/tests/transport/test_zmq_socket.py
@@ -0,0 +1,72 @@
+"""ZeroMQ sockets under trio."""
+
+import pytest
+import trio
+
+from briarrill.errors import PeerUnreachableError
+from briarrill.transport.zmq_socket import open_dealer, open_router
+
+PORT = 7190
+MESSAGES = 500
+
+
+async def _send_when_connected(dealer, frames):
+    while True:
+        try:
+            return dealer.send(frames)
+        except PeerUnreachableError:
+            await trio.sleep(0.01)
+
+
+async def test_receiver_is_not_stalled_by_sends(network):
+    """A send may consume the edge that a waiting receiver needs."""
+    host = f'{network}.1'
+    received = []
+
+    async def echo(router):
+        while True:
+            router.send(await router.receive())
+
+    async def receive(dealer):
+        while len(received) < MESSAGES:
+            received.append(await dealer.receive())
+
+    with open_router(host, PORT) as router, open_dealer(host, PORT) as dealer:
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(echo, router)
+                async with trio.open_nursery() as receiving:
+                    receiving.start_soon(receive, dealer)
+                    for number in range(MESSAGES):
+                        await _send_when_connected(
+                            dealer, [str(number).encode()]
+                        )
+                        await trio.lowlevel.checkpoint()
+                nursery.cancel_scope.cancel()
+    assert [int(frames[0]) for frames in received] == list(range(MESSAGES))
+
+
+async def test_send_is_refused_while_the_peer_is_down(network):
+    with (
+        open_dealer(f'{network}.1', PORT) as dealer,
+        pytest.raises(PeerUnreachableError),
+    ):
+        dealer.send([b'lost'])
+
+
+async def test_successor_of_a_peer_gets_nothing_sent_before(network):
+    host = f'{network}.1'
+    with open_dealer(host, PORT) as dealer:
+        with open_router(host, PORT) as first:
+            await _send_when_connected(dealer, [b'one'])
+            assert (await first.receive())[1] == b'one'
+        with trio.fail_after(10):
+            while True:
+                try:
+                    dealer.send([b'while down'])
+                except PeerUnreachableError:
+                    break
+                await trio.sleep(0.01)
+        with open_router(host, PORT) as second, trio.fail_after(10):
+            await _send_when_connected(dealer, [b'two'])
+            assert (await second.receive())[1] == b'two'
