--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 READY := $(VENV)/.ready
 
 .PHONY: demo fleet test lint format lock
+.PHONY: bench-overhead bench-online bench-batch bench-control
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +22,9 @@
 test: $(READY)
 	$(BIN)/python -m pytest
 
+bench-overhead bench-online bench-batch bench-control: bench-%: $(READY)
+	$(BIN)/python -m bench.$*
+
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
