Admit in fair order, refuse early and prove it by a state machine

A state machine over Admission (arrivals, ends, cancellations, preemptions, batch waiters, changes of the held back slots) found two faults in the first version: a batch item that was granted a slot but had not started could not be preempted, so an online request waited for its whole run; and a new request after waiters had left their preempted slots failed with ValueError. A granted slot is now the preemptable object itself.

New: an estimate from recent service times and the place in the fair order refuses a request whose deadline cannot be met (ran no, Retry-After); a flood of one contract no longer fills the queue for the others; slots held back from batch can change while it runs.

--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,357 @@
+"""Admission under arrivals, ends, cancellations and preemptions."""
+
+import queue
+
+import pytest
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+from trio.testing import wait_all_tasks_blocked
+
+from briarrill.coordination.admission import Admission, reserved_slots
+from briarrill.coordination.fair_queue import FairQueue
+from briarrill.errors import DeadlineUnreachableError, OverloadedError
+from briarrill.result_codes import Ran
+
+CONTRACTS = ('kinship', 'balkan', 'portal')
+
+
+class _GuestLoop:
+    """Runs trio between the steps of a synchronous test."""
+
+    def __init__(self):
+        self._steps = queue.SimpleQueue()
+        self._ready = False
+        self._done = False
+        self._idle = False
+        self.nursery = None
+        self.outcome = None
+        trio.lowlevel.start_guest_run(
+            self._main,
+            run_sync_soon_threadsafe=self._steps.put,
+            done_callback=self._finish,
+        )
+        self._pump(lambda: self._ready)
+
+    def settle(self, act):
+        """Run ``act`` in the loop, then all tasks until they block."""
+        self._idle = False
+        self._token.run_sync_soon(self._start, act)
+        self._pump(lambda: self._idle or self._done)
+
+    def close(self):
+        self._token.run_sync_soon(self.nursery.cancel_scope.cancel)
+        self._pump(lambda: self._done)
+        self.outcome.unwrap()
+
+    async def _main(self):
+        self._token = trio.lowlevel.current_trio_token()
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self._ready = True
+            await trio.sleep_forever()
+
+    def _start(self, act):
+        act()
+        self.nursery.start_soon(self._wait_idle)
+
+    async def _wait_idle(self):
+        await wait_all_tasks_blocked()
+        self._idle = True
+
+    def _finish(self, outcome):
+        self.outcome = outcome
+        self._done = True
+
+    def _pump(self, is_reached):
+        while not is_reached():
+            self._steps.get(timeout=10)()
+
+
+class _Work:
+    """One request or batch item and where it stands."""
+
+    def __init__(self, contract=''):
+        self.contract = contract
+        self.scope = trio.CancelScope()
+        self.end = trio.Event()
+        self.state = 'new'
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Arrivals, ends and cancellations in any order."""
+
+    @initialize(
+        slots=st.integers(1, 4), limit=st.integers(1, 5), data=st.data()
+    )
+    def start(self, slots, limit, data):
+        reserved = data.draw(st.integers(0, slots))
+        self.admission = Admission(slots, limit, reserved)
+        self.limit = limit
+        self.online, self.batch = [], []
+        self.slow_to_leave = False
+        self.loop = _GuestLoop()
+
+    def teardown(self):
+        if not hasattr(self, 'loop'):
+            return
+        self.loop.close()
+        admission = self.admission
+        assert admission.free == admission.slots
+        assert not admission.online_queued
+
+    @rule(contracts=st.lists(st.sampled_from(CONTRACTS), max_size=4))
+    def online_burst(self, contracts):
+        self.loop.settle(
+            lambda: [self._start_online(name) for name in contracts]
+        )
+
+    @rule(count=st.integers(1, 3))
+    def batch_arrives(self, count):
+        self.loop.settle(lambda: [self._start_batch() for _ in range(count)])
+
+    @rule(contract=st.sampled_from(CONTRACTS))
+    def batch_and_online_arrive_together(self, contract):
+        """The batch item is granted its slot but has not run yet."""
+
+        def act():
+            self._start_batch()
+            self._start_online(contract)
+
+        self.loop.settle(act)
+
+    @rule(data=st.data(), cancel=st.booleans())
+    def some_end(self, data, cancel):
+        works = self.online + self.batch
+        if not works:
+            return
+        picked = data.draw(
+            st.lists(st.sampled_from(works), max_size=3, unique=True)
+        )
+
+        def act():
+            for work in picked:
+                if cancel:
+                    work.scope.cancel()
+                else:
+                    work.end.set()
+
+        self.loop.settle(act)
+
+    @rule(reserved=st.integers(0, 4))
+    def reserve(self, reserved):
+        self.loop.settle(lambda: self.admission.reserve(reserved))
+
+    @rule(is_slow=st.booleans())
+    def batch_leaves_slowly(self, is_slow):
+        self.slow_to_leave = is_slow
+
+    @invariant()
+    def counters_match_the_tasks(self):
+        if not hasattr(self, 'loop'):
+            return
+        admission = self.admission
+        held = self._count(self.batch, 'running') + self._count(
+            self.batch, 'leaving'
+        )
+        assert admission.online_running == self._count(self.online, 'running')
+        assert admission.online_queued == self._count(self.online, 'new')
+        assert admission.batch_running == held
+        assert admission.online_running + held <= admission.slots
+        assert 0 <= admission.online_queued <= self.limit
+
+    @invariant()
+    def online_waits_for_no_slot_that_batch_could_give(self):
+        if not hasattr(self, 'loop'):
+            return
+        admission = self.admission
+        if not admission.online_queued:
+            return
+        assert admission.free == 0
+        # each slot that a waiting request may take is on its way
+        running = self._count(self.batch, 'running')
+        leaving = self._count(self.batch, 'leaving')
+        assert not running or leaving >= admission.online_queued
+
+    @invariant()
+    def no_batch_item_waits_beside_a_slot_it_may_have(self):
+        if not hasattr(self, 'loop'):
+            return
+        admission = self.admission
+        if self._count(self.batch, 'waiting') and admission.free > 0:
+            assert admission.batch_running >= admission.batch_capacity
+
+    async def _run_online(self, work):
+        with work.scope:
+            try:
+                async with self.admission.online_slot(work.contract):
+                    work.state = 'running'
+                    await work.end.wait()
+            except OverloadedError:
+                work.state = 'refused'
+                return
+        work.state = 'ended'
+
+    async def _run_batch(self, work):
+        with work.scope:
+            while not work.end.is_set():
+                work.state = 'waiting'
+                async with self.admission.batch_slot() as slot:
+                    work.state = 'running'
+                    with slot.scope:
+                        await work.end.wait()
+                    if self.slow_to_leave and not work.end.is_set():
+                        work.state = 'leaving'
+                        await work.end.wait()
+        work.state = 'ended'
+
+    def _start_online(self, contract):
+        work = _Work(contract)
+        self.online.append(work)
+        self.loop.nursery.start_soon(self._run_online, work)
+        return work
+
+    def _start_batch(self):
+        work = _Work()
+        self.batch.append(work)
+        self.loop.nursery.start_soon(self._run_batch, work)
+
+    def _count(self, works, state):
+        return sum(work.state == state for work in works)
+
+
+TestAdmissionMachine = AdmissionMachine.TestCase
+TestAdmissionMachine.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
+
+
+async def _hold(admission, contract, log, end, time_left_s=60.0):
+    try:
+        async with admission.online_slot(contract, time_left_s):
+            log.append(contract)
+            await end.wait()
+    except (OverloadedError, DeadlineUnreachableError) as exc:
+        assert exc.ran is Ran.NO
+        log.append(exc)
+
+
+async def test_contracts_are_admitted_in_turn(nursery):
+    admission = Admission(slots=1, queue=10)
+    first, second, log = trio.Event(), trio.Event(), []
+    nursery.start_soon(_hold, admission, 'first', log, first)
+    await wait_all_tasks_blocked()
+    second.set()
+    for contract in ('flood', 'flood', 'flood', 'quiet'):
+        nursery.start_soon(_hold, admission, contract, log, second)
+        await wait_all_tasks_blocked()
+    first.set()
+    await wait_all_tasks_blocked()
+    assert log == ['first', 'flood', 'quiet', 'flood', 'flood']
+
+
+async def test_flood_of_one_contract_leaves_room_for_another(nursery):
+    admission = Admission(slots=1, queue=3)
+    end, log = trio.Event(), []
+    for contract in ('flood', 'flood', 'flood', 'flood', 'quiet'):
+        nursery.start_soon(_hold, admission, contract, log, end)
+        await wait_all_tasks_blocked()
+    end.set()
+    await wait_all_tasks_blocked()
+    assert [type(entry) for entry in log[:2]] == [str, OverloadedError]
+    assert log[2:] == ['flood', 'quiet', 'flood'] or log[2:] == [
+        'flood',
+        'flood',
+        'quiet',
+    ]
+
+
+async def test_new_request_after_waiters_left_their_preempted_slots(nursery):
+    """More items may be leaving than requests wait."""
+    admission = Admission(slots=2, queue=4)
+    leave, end, log = trio.Event(), trio.Event(), []
+
+    async def hold_batch():
+        async with admission.batch_slot():
+            await leave.wait()
+
+    nursery.start_soon(hold_batch)
+    nursery.start_soon(hold_batch)
+    await wait_all_tasks_blocked()
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as waiting:
+            waiting.start_soon(_hold, admission, 'one', log, end)
+            waiting.start_soon(_hold, admission, 'two', log, end)
+            await wait_all_tasks_blocked()
+            scope.cancel()
+    nursery.start_soon(_hold, admission, 'three', log, end)
+    await wait_all_tasks_blocked()
+    leave.set()
+    await wait_all_tasks_blocked()
+    assert log == ['three']
+    end.set()
+
+
+@pytest.mark.parametrize(
+    ('time_left_s', 'is_refused'), [(100.0, False), (35.0, True)]
+)
+async def test_unreachable_deadline_is_refused_at_once(
+    nursery, monkeypatch, time_left_s, is_refused
+):
+    clock = [0.0]
+    monkeypatch.setattr(
+        'briarrill.coordination.admission.time.monotonic', lambda: clock[0]
+    )
+    admission = Admission(slots=1, queue=10)
+    async with admission.online_slot('seen'):
+        clock[0] += 20
+    end, log = trio.Event(), []
+    nursery.start_soon(_hold, admission, 'running', log, end)
+    await wait_all_tasks_blocked()
+    nursery.start_soon(_hold, admission, 'late', log, end, time_left_s)
+    await wait_all_tasks_blocked()
+    refused = [entry for entry in log if entry != 'running']
+    assert bool(refused) is is_refused
+    if refused:
+        assert refused[0].retry_after_s == 20
+    end.set()
+
+
+async def test_request_that_waited_too_long_is_not_run(nursery, monkeypatch):
+    clock = [0.0]
+    monkeypatch.setattr(
+        'briarrill.coordination.admission.time.monotonic', lambda: clock[0]
+    )
+    admission = Admission(slots=1, queue=10)
+    async with admission.online_slot('seen'):
+        clock[0] += 20
+    end, log = trio.Event(), []
+    nursery.start_soon(_hold, admission, 'running', log, end)
+    await wait_all_tasks_blocked()
+    nursery.start_soon(_hold, admission, 'waiting', log, end, 50.0)
+    await wait_all_tasks_blocked()
+    clock[0] += 45
+    end.set()
+    await wait_all_tasks_blocked()
+    assert isinstance(log[-1], DeadlineUnreachableError)
+    assert admission.free == 1
+
+
+def test_online_weight_holds_slots_back_from_batch():
+    assert [reserved_slots(8, weight) for weight in (0, 0.5, 1)] == [0, 2, 4]
+    assert reserved_slots(1, 1.0) == 0
+
+
+def test_wait_counts_only_what_is_served_before():
+    waiting = FairQueue()
+    for contract in ('flood', 'flood', 'flood', 'quiet'):
+        waiting.push(contract, contract)
+    assert waiting.ahead_of('new') == 2
+    assert waiting.ahead_of('quiet') == 3
+    assert waiting.ahead_of('flood') == 4
