Answer each request once and whole when entries and upstreams fail

Now: a call is registered before its task runs; chunks wait for a peer that does not read (back-pressure to the engine) and after a second its session ends; an error of its own (507 PEER_BUSY) tells a full queue from a lost peer; recent identifiers are refused when full, never forgotten early. online_weight of the configuration in force sets the slots held back from batch. A sidecar without a configuration can be stopped, and leaves its last messages time to go out. Small edit in transport/zmq_socket.py for the new error.

--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -30,6 +30,7 @@
     'NotReadyError',
     'OutcomeUnknownError',
     'OverloadedError',
+    'PeerBusyError',
     'PeerUnreachableError',
     'PlatformUnavailableError',
     'RequestRateError',
@@ -301,6 +302,12 @@
     ran = Ran.NO
 
 
+class PeerBusyError(PeerUnreachableError):
+    """The peer's queue is full; the message was not sent."""
+
+    code = ResultCode.PEER_BUSY
+
+
 class SegmentLostError(FleetError):
     """No copy of a segment could be read."""
 
--- a/briarrill/result_codes.py
+++ b/briarrill/result_codes.py
@@ -61,6 +61,7 @@
     PEER_UNREACHABLE = 504
     SEGMENT_LOST = 505
     LEASE_LOST = 506
+    PEER_BUSY = 507
 
     # settings, configuration and messages between processes
     INVALID_SETTINGS = 600
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -1,76 +1,53 @@
 """briarrill.sidecar.online: answers the entries' online requests."""
 
-import time
-import uuid
-
-import attrs
 import httpx
 import trio
+from eliot import log_message
 
 from ..coordination.admission import Admission
-from ..coordination.deadlines import time_left_at_receiver
 from ..errors import (
     BriarrillError,
     DeadlineExceededError,
     DeadlineUnreachableError,
     DrainingError,
     DuplicateError,
+    InternalError,
     MalformedMessageError,
     NotReadyError,
     PeerUnreachableError,
+    SlowReaderError,
     UpstreamFailedError,
 )
 from ..metrics import (
     CANCELLED,
     DUPLICATES,
     MALFORMED_MESSAGES,
-    REFUSED,
     STALE_MESSAGES,
 )
-from ..protocol.codec import decode, encode
+from ..protocol.codec import decode
 from ..protocol.messages import (
     CancelCall,
-    Chunk,
     Finish,
-    Heartbeat,
     Hello,
     LoadReport,
     Message,
     Submit,
-    Welcome,
 )
 from ..result_codes import Ran
 from ..runtime import Readiness
 from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket
+from .entry_sessions import EntrySessions, Identity, SidecarState
+from .online_call import CallKey, OnlineCall
 from .recent_ids import RecentIds
-from .upstreams import Call, Upstream
+from .upstreams import Answer, Call, Upstream
 
 __all__ = ('Identity', 'OnlineServer')
 
 HEARTBEAT_INTERVAL_S = 0.25
 
-CallKey = tuple[bytes, str, int]
-
-
-@attrs.frozen
-class Identity:
-    """Who the sidecar is and what it stands beside."""
-
-    process: str
-    service: str = ''
-
-
-@attrs.define
-class _Progress:
-    """How far a request came."""
-
-    ran: Ran = Ran.NO
-    chunks: int = 0
-    tokens: int = 0
-    http_status: int = 200
-    content_type: str = ''
-    is_cancelled: bool = False
+# wait that a refusal names when a request may go elsewhere at once
+RETRY_AFTER_S = 1.0
 
 
 class OnlineServer:
@@ -93,12 +70,11 @@
         """Start without sessions."""
         self.models: tuple[str, ...] = ()
         self._socket = socket
-        self._identity = identity
+        self._sessions = EntrySessions(socket, identity)
         self._upstream = upstream
         self.admission = admission
         self._readiness = readiness
-        self._sessions: dict[bytes, str] = {}
-        self._calls: dict[CallKey, trio.CancelScope] = {}
+        self._calls: dict[CallKey, OnlineCall] = {}
         self._recent = RecentIds()
 
     @property
@@ -130,196 +106,159 @@
 
     def announce(self) -> None:
         """Send a heartbeat to all sessions now."""
-        for peer in list(self._sessions):
-            self._send_heartbeat(peer)
+        for peer in self._sessions.announce(self._state()):
+            self._end_session(peer)
+
+    def _state(self) -> SidecarState:
+        return SidecarState(
+            load=self.load(),
+            models=self.models,
+            draining=self._readiness.is_draining,
+        )
 
     def _dispatch(
         self, nursery: trio.Nursery, peer: bytes, message: Message
     ) -> None:
         if isinstance(message, Submit):
-            nursery.start_soon(self._answer, peer, message)
+            self._start_call(nursery, OnlineCall(peer, message))
         elif isinstance(message, Hello):
-            self._welcome(peer)
+            self._sessions.welcome(peer, self._state())
         elif isinstance(message, CancelCall):
             self._cancel(peer, message)
         else:
             MALFORMED_MESSAGES.inc()
 
-    def _welcome(self, peer: bytes) -> None:
-        session = self._sessions.setdefault(peer, uuid.uuid4().hex)
-        self._send(
-            peer,
-            Welcome(
-                session=session,
-                process=self._identity.process,
-                clock_s=time.monotonic(),
-                models=self.models,
-                service=self._identity.service,
-                draining=self._readiness.is_draining,
-            ),
-        )
+    def _start_call(self, nursery: trio.Nursery, call: OnlineCall) -> None:
+        """Register a call before its task runs, so a cancel finds it."""
+        if call.key in self._calls:
+            DUPLICATES.inc()
+            return
+        self._calls[call.key] = call
+        nursery.start_soon(self._answer, call)
 
     def _cancel(self, peer: bytes, cancel: CancelCall) -> None:
-        scope = self._calls.get((peer, cancel.request_id, cancel.attempt))
-        if scope is None:
+        call = self._calls.get((peer, cancel.request_id, cancel.attempt))
+        if call is None:
             STALE_MESSAGES.inc()
             return
         CANCELLED.inc()
-        scope.cancel()
+        call.scope.cancel()
 
     async def _send_heartbeats(self) -> None:
         while True:
             self.announce()
             await trio.sleep(HEARTBEAT_INTERVAL_S)
 
-    def _send_heartbeat(self, peer: bytes) -> None:
-        heartbeat = Heartbeat(
-            session=self._sessions[peer],
-            clock_s=time.monotonic(),
-            load=self.load(),
-            models=self.models,
-            service=self._identity.service,
-            draining=self._readiness.is_draining,
-        )
-        if not self._send(peer, heartbeat):
-            self._end_session(peer)
-
     def _end_session(self, peer: bytes) -> None:
-        self._sessions.pop(peer)
-        for key, scope in self._calls.items():
-            if key[0] == peer:
-                scope.cancel()
-
-    def _send(self, peer: bytes, message: Message) -> bool:
+        """Stop the calls of an entry that is gone or does not read."""
+        self._sessions.end(peer)
+        for call in self._calls.values():
+            if call.peer == peer:
+                call.scope.cancel()
+
+    async def _answer(self, call: OnlineCall) -> None:
+        submit = call.submit
         try:
-            self._socket.send([peer, *encode(message)])
-        except PeerUnreachableError:
-            return False
-        return True
-
-    async def _answer(self, peer: bytes, submit: Submit) -> None:
-        with continue_trace(
-            submit.trace, 'sidecar:request', request_id=submit.request_id
-        ):
-            finish = await self._finish_of(peer, submit)
-        if finish is not None:
-            self._send(peer, finish)
+            with (
+                continue_trace(
+                    submit.trace,
+                    'sidecar:request',
+                    request_id=submit.request_id,
+                ),
+                call.scope,
+            ):
+                await self._send_answer(call)
+        finally:
+            self._calls.pop(call.key)
+
+    async def _send_answer(self, call: OnlineCall) -> None:
+        """Send the answer; an entry that cannot take it has lost it all."""
+        try:
+            await self._sessions.send(call.peer, await self._finish_of(call))
+        except (PeerUnreachableError, SlowReaderError):
+            self._end_session(call.peer)
 
-    async def _finish_of(self, peer: bytes, submit: Submit) -> Finish | None:
-        progress = _Progress()
+    async def _finish_of(self, call: OnlineCall) -> Finish:
         try:
-            self._check(peer, submit)
-            await self._run_scoped(peer, submit, progress)
+            await self._run(call)
+        except (PeerUnreachableError, SlowReaderError):
+            raise
         except BriarrillError as exc:
-            if exc.ran is Ran.NO:
-                REFUSED.labels(exc.code.name).inc()
-            return _finish_with_error(submit, progress, exc)
-        if progress.is_cancelled:
-            return None
-        return Finish(
-            request_id=submit.request_id,
-            attempt=submit.attempt,
-            chunks=progress.chunks,
-            http_status=progress.http_status,
-            content_type=progress.content_type,
-            tokens=progress.tokens,
-        )
+            return call.finish_with(exc)
+        except Exception as exc:
+            # a defect met by one request must not end the others
+            log_message('request:failed', error=repr(exc))
+            return call.finish_with(InternalError(repr(exc), ran=call.ran))
+        return call.finish()
+
+    async def _run(self, call: OnlineCall) -> None:
+        self._check(call)
+        try:
+            with trio.fail_after(call.time_left_s):
+                await self._run_admitted(call)
+        except trio.TooSlowError as exc:
+            raise DeadlineExceededError(
+                'the deadline passed', ran=call.ran
+            ) from exc
 
-    def _check(self, peer: bytes, submit: Submit) -> None:
-        if submit.session != self._sessions.get(peer):
+    def _check(self, call: OnlineCall) -> None:
+        submit = call.submit
+        if not self._sessions.has(call.peer, submit.session):
             STALE_MESSAGES.inc()
             raise NotReadyError('unknown session')
         if self._readiness.is_draining:
-            raise DrainingError('the upstream is leaving')
-        if _time_left_s(submit) <= 0:
+            raise DrainingError(
+                'the upstream is leaving', retry_after_s=RETRY_AFTER_S
+            )
+        if call.time_left_s <= 0:
             raise DeadlineUnreachableError('the deadline may have passed')
-        if submit.idempotent:
-            return
-        if not self._recent.add(submit.request_id, submit.time_left_s):
-            DUPLICATES.inc()
-            raise DuplicateError('received before', ran=Ran.UNKNOWN)
+        if not submit.idempotent:
+            self._remember(submit, f'{submit.request_id}/{submit.attempt}')
 
-    async def _run_scoped(
-        self, peer: bytes, submit: Submit, progress: _Progress
-    ) -> None:
-        key = (peer, submit.request_id, submit.attempt)
-        with trio.CancelScope() as scope:
-            self._calls[key] = scope
-            try:
-                await self._run_until_deadline(peer, submit, progress)
-            finally:
-                self._calls.pop(key)
-        progress.is_cancelled = scope.cancelled_caught
+    async def _run_admitted(self, call: OnlineCall) -> None:
+        submit = call.submit
+        async with self.admission.online_slot(
+            submit.contract, call.time_left_s
+        ):
+            if not submit.idempotent:
+                self._remember(submit, submit.request_id)
+            await self._relay(call)
 
-    async def _run_until_deadline(
-        self, peer: bytes, submit: Submit, progress: _Progress
-    ) -> None:
-        try:
-            with trio.fail_after(_time_left_s(submit)):
-                async with self.admission.online_slot(submit.contract):
-                    await self._relay(peer, submit, progress)
-        except trio.TooSlowError as exc:
-            raise DeadlineExceededError(
-                'the deadline passed', ran=progress.ran
-            ) from exc
+    def _remember(self, submit: Submit, identifier: str) -> None:
+        """Refuse what was received before, or has run, as another attempt."""
+        if not self._recent.add(identifier, submit.time_left_s):
+            DUPLICATES.inc()
+            raise DuplicateError('received before', ran=Ran.UNKNOWN)
 
-    async def _relay(
-        self, peer: bytes, submit: Submit, progress: _Progress
-    ) -> None:
-        call = Call(
-            method=submit.method,
-            path=submit.path,
-            body=submit.body,
-            content_type=submit.content_type,
-        )
+    async def _relay(self, call: OnlineCall) -> None:
+        submit = call.submit
+        call.ran = Ran.UNKNOWN
         try:
-            progress.ran = Ran.UNKNOWN
-            async with self._upstream.open_call(call) as answer:
-                progress.ran = Ran.YES
-                progress.http_status = answer.http_status
-                progress.content_type = answer.content_type
-                async for body in answer.chunks:
-                    self._send_chunk(peer, submit, progress, body)
-                progress.tokens = answer.tokens
+            async with self._upstream.open_call(
+                Call(
+                    method=submit.method,
+                    path=submit.path,
+                    body=submit.body,
+                    content_type=submit.content_type,
+                )
+            ) as answer:
+                await self._relay_answer(call, answer)
         except httpx.ConnectError as exc:
+            call.ran = Ran.NO
             raise UpstreamFailedError(
-                'the upstream refused the connection', ran=Ran.NO
+                'the upstream refused the connection',
+                ran=call.ran,
+                retry_after_s=RETRY_AFTER_S,
             ) from exc
         except httpx.HTTPError as exc:
             raise UpstreamFailedError(
-                f'the upstream failed: {exc!r}', ran=progress.ran
+                f'the upstream failed: {exc!r}', ran=call.ran
             ) from exc
 
-    def _send_chunk(
-        self, peer: bytes, submit: Submit, progress: _Progress, body: bytes
-    ) -> None:
-        chunk = Chunk(
-            request_id=submit.request_id,
-            attempt=submit.attempt,
-            seq=progress.chunks,
-            body=body,
-        )
-        progress.chunks += 1
-        if not self._send(peer, chunk):
-            raise PeerUnreachableError('the entry is gone', ran=Ran.YES)
-
-
-def _time_left_s(submit: Submit) -> float:
-    return time_left_at_receiver(
-        submit.time_left_s, submit.peer_clock_s, submit.peer_clock_age_s
-    )
-
-
-def _finish_with_error(
-    submit: Submit, progress: _Progress, exc: BriarrillError
-) -> Finish:
-    return Finish(
-        request_id=submit.request_id,
-        attempt=submit.attempt,
-        chunks=progress.chunks,
-        code=exc.code,
-        ran=exc.ran,
-        message=exc.message,
-        retry_after_s=exc.retry_after_s,
-        http_status=exc.http_status,
-    )
+    async def _relay_answer(self, call: OnlineCall, answer: Answer) -> None:
+        call.ran = Ran.YES
+        call.http_status = answer.http_status
+        call.content_type = answer.content_type
+        async for body in answer.chunks:
+            await self._sessions.send(call.peer, call.next_chunk(body))
+        call.tokens = answer.tokens
--- a/briarrill/sidecar/service.py
+++ b/briarrill/sidecar/service.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..control import Control
-from ..coordination.admission import Admission
+from ..coordination.admission import Admission, reserved_slots
 from ..protocol.rpc import open_rpc_pool
 from ..runtime import (
     Readiness,
@@ -30,13 +30,21 @@
 # time for peers to hear of the drain before the process ends
 DRAIN_NOTICE_S = 1.0
 
+# time for the last messages to leave the process
+DRAIN_FLUSH_S = 0.2
+
+# admission bounds the calls to the upstream, not the client
+UNBOUNDED = httpx.Limits(max_connections=None)
+
 
 async def run_sidecar(cfg: SidecarSettings) -> None:
     """Run until a stop signal and the drain that follows it."""
     async with (
         open_platform(cfg.platform) as platform,
         open_rpc_pool() as caller,
-        httpx.AsyncClient(base_url=cfg.upstream.url, timeout=None) as client,
+        httpx.AsyncClient(
+            base_url=cfg.upstream.url, timeout=None, limits=UNBOUNDED
+        ) as client,
     ):
         upstream = UPSTREAMS[cfg.upstream.kind](client)
         control = Control(
@@ -92,8 +100,7 @@
             nursery.start_soon(self._follow_models)
             nursery.start_soon(self._follow_batch_processes)
             nursery.start_soon(self._begin_drain_on_signal)
-            await self.control.wait_configured()
-            self.control.readiness.has_started = True
+            nursery.start_soon(self._follow_policy)
             await self._wait_drained()
             nursery.cancel_scope.cancel()
 
@@ -107,11 +114,23 @@
         await trio.sleep(DRAIN_NOTICE_S)
         while self._work_left():
             await trio.sleep(DRAIN_POLL_S)
+        await trio.sleep(DRAIN_FLUSH_S)
 
     def _work_left(self) -> int:
         held = sum(puller.held for puller in self.pullers.values())
         return self.server.in_flight + held
 
+    async def _follow_policy(self) -> None:
+        """Hold back slots from batch as each version says."""
+        admission = self.server.admission
+        holder = self.control.holder
+        await self.control.wait_configured()
+        self.control.readiness.has_started = True
+        while True:
+            weight = holder.current.policy.online_weight
+            admission.reserve(reserved_slots(admission.slots, weight))
+            await holder.wait_changed()
+
     async def _follow_models(self) -> None:
         while True:
             with contextlib.suppress(httpx.HTTPError):
--- a/briarrill/sidecar/upstreams/base.py
+++ b/briarrill/sidecar/upstreams/base.py
@@ -7,6 +7,8 @@
 import attrs
 import httpx
 
+from ...errors import BadRequestError
+
 __all__ = ('Answer', 'Call', 'Upstream')
 
 
@@ -58,16 +60,26 @@
     async def open_call(self, call: Call) -> AsyncIterator[Answer]:
         """Send a request; leaving the context stops it.
 
+        :raises BadRequestError: the request cannot be sent over HTTP.
         :raises httpx.HTTPError: the upstream failed.
         """
-        async with self.client.stream(
-            call.method,
-            call.path,
-            content=call.body,
-            headers={'content-type': call.content_type},
-        ) as reply:
+        reply = await self.client.send(self._build(call), stream=True)
+        try:
             yield Answer(
                 http_status=reply.status_code,
                 content_type=reply.headers.get('content-type', ''),
                 chunks=self.split(reply),
             )
+        finally:
+            await reply.aclose()
+
+    def _build(self, call: Call) -> httpx.Request:
+        try:
+            return self.client.build_request(
+                call.method,
+                call.path,
+                content=call.body,
+                headers={'content-type': call.content_type},
+            )
+        except (httpx.InvalidURL, UnicodeError) as exc:
+            raise BadRequestError(f'not a valid request: {exc}') from exc
--- a/briarrill/transport/zmq_socket.py
+++ b/briarrill/transport/zmq_socket.py
@@ -11,7 +11,7 @@
 import trio
 import zmq
 
-from ..errors import PeerUnreachableError
+from ..errors import PeerBusyError, PeerUnreachableError
 
 __all__ = ('ZmqSocket', 'open_dealer', 'open_router')
 
@@ -50,11 +50,15 @@
     def send(self, frames: Sequence[bytes]) -> None:
         """Queue a message or refuse it at once.
 
-        :raises PeerUnreachableError: the peer is not connected or its queue
-            is full; the message was not sent.
+        :raises PeerBusyError: the peer's queue is full, or no peer is
+            connected to a dealer; the message was not sent.
+        :raises PeerUnreachableError: a router does not know the peer; the
+            message was not sent.
         """
         try:
             self._zsock.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.Again as exc:
+            raise PeerBusyError('not sent: the queue is full') from exc
         except zmq.ZMQError as exc:
             raise PeerUnreachableError(f'not sent: {exc}') from exc
         finally:
