Show the time line as a page with a lane for each process

The time line merged logs by raw clocks and had text only. It now estimates clock offsets from message pairs, keeps whole tasks when it filters, reads rotated, compressed, cut and foreign lines, and writes one self-contained HTML page.

--- a/briarrill/timeline/main.py
+++ b/briarrill/timeline/main.py
@@ -1,30 +1,69 @@
 """briarrill.timeline.main: the command line of ``briarrill-timeline``.
 
 Usage:
-  briarrill-timeline [--match=TEXT] LOG...
+  briarrill-timeline [--match=TEXT] [--html=FILE] [--raw-clocks] LOG...
   briarrill-timeline --help
   briarrill-timeline --version
 
+Merges the logs of all processes into one time line.
+
 Options:
-  --match=TEXT  Print only events that hold this text.
+  --match=TEXT  Show only requests, jobs, versions or instances that hold
+                this text, each with all its events.
+  --html=FILE   Write one page with a lane for each process.
+  --raw-clocks  Do not correct the clocks of the processes.
 """
 
+import pathlib
 import sys
 from typing import Any
 
 from docopt import docopt
 
 from .. import __version__
-from .reader import read_events
+from .actions import collect_actions
+from .html import render_page
+from .offsets import apply_offsets, estimate_offsets
+from .reader import Event, read_events
+from .selection import select_events
+from .text import format_event
 
 __all__ = ('main',)
 
+EXIT_FAILED = 1
+
 
 def main() -> int:
-    """Print the time line and return the exit code."""
+    """Show the time line and return the exit code."""
     arguments: dict[str, Any] = docopt(__doc__, version=__version__)
-    for event in read_events(arguments['LOG']):
-        line = event.as_text()
-        if (arguments['--match'] or '') in line:
-            sys.stdout.write(f'{line}\n')
+    try:
+        report = read_events(arguments['LOG'])
+    except OSError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_FAILED
+    events = report.events
+    if not arguments['--raw-clocks']:
+        offsets = estimate_offsets(collect_actions(events))
+        _report_offsets(offsets)
+        events = apply_offsets(events, offsets)
+    events = select_events(events, arguments['--match'] or '')
+    if report.skipped:
+        sys.stderr.write(f'{report.skipped} lines were no log events\n')
+    _show(events, arguments['--html'])
     return 0
+
+
+def _report_offsets(offsets: dict[str, float]) -> None:
+    for process, offset in sorted(offsets.items()):
+        if offset:
+            sys.stderr.write(
+                f'clock of {process} corrected by {offset:+.6f} s\n'
+            )
+
+
+def _show(events: list[Event], html: str | None) -> None:
+    if html is None:
+        sys.stdout.writelines(f'{format_event(event)}\n' for event in events)
+        return
+    pathlib.Path(html).write_text(render_page(events), encoding='utf-8')
+    sys.stdout.write(f'{html}: {len(events)} events\n')
--- a/briarrill/timeline/reader.py
+++ b/briarrill/timeline/reader.py
@@ -1,13 +1,15 @@
-"""briarrill.timeline.reader: reads and merges eliot logs."""
+"""briarrill.timeline.reader: reads eliot logs of any process."""
 
-import datetime
+import gzip
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
 
-__all__ = ('Event', 'read_events')
+__all__ = ('Event', 'LogReport', 'read_events')
+
+GZIP_SUFFIX = '.gz'
 
 _OWN_FIELDS = frozenset(
     (
@@ -26,65 +28,77 @@
 class Event:
     """One event of one process.
 
-    :param timestamp: seconds since 1970 by the process's own clock.
-    :param name: type of the message, with the status of an action.
+    :param timestamp: seconds since 1970, by the process's own clock until
+        the offsets are applied.
+    :param name: type of the message or action.
+    :param status: ``started``, ``succeeded`` or ``failed`` for an action,
+        empty for a message.
+    :param task: identifier that all events of one request or job share.
+    :param level: place in the task's tree.
     """
 
     timestamp: float
     process: str
     name: str
+    status: str
     task: str
     level: tuple[int, ...]
     fields: tuple[tuple[str, str], ...] = ()
 
-    def as_text(self) -> str:
-        """Return the event as one line."""
-        moment = datetime.datetime.fromtimestamp(
-            self.timestamp, tz=datetime.UTC
-        )
-        clock = moment.strftime('%H:%M:%S.%f')[:-3]
-        shown = ' '.join(f'{key}={text}' for key, text in self.fields)
-        return f'{clock} {self.process:28} {self.name:28} {shown}'.rstrip()
+    @property
+    def action(self) -> tuple[int, ...]:
+        """Return the place of the action that the event belongs to."""
+        return self.level[:-1]
 
 
-def read_events(paths: Iterable[str]) -> list[Event]:
-    """Return the events of all logs in order of time.
+@attrs.define
+class LogReport:
+    """What was read.
 
-    Lines that are no eliot messages are skipped.
+    :param skipped: lines that are no eliot messages, such as cut ones.
     """
-    events: list[Event] = []
+
+    events: list[Event] = attrs.field(factory=list)
+    skipped: int = 0
+
+
+def read_events(paths: Iterable[str]) -> LogReport:
+    """Read all logs; rotated logs may be compressed."""
+    report = LogReport()
     for path in paths:
-        with open(path, encoding='utf-8', errors='replace') as stream:
-            found = map(_parse, stream)
-            events.extend(event for event in found if event is not None)
-    return sorted(events)
+        for line in _read_lines(path):
+            _add_line(report, line)
+    report.events.sort()
+    return report
 
 
-def _parse(line: str) -> Event | None:
+def _read_lines(path: str) -> Iterator[bytes]:
+    open_log = gzip.open if path.endswith(GZIP_SUFFIX) else open
+    with open_log(path, 'rb') as stream:
+        yield from stream
+
+
+def _add_line(report: LogReport, line: bytes) -> None:
     try:
-        fields: dict[str, Any] = dict(json.loads(line))
-        return Event(
-            timestamp=float(fields['timestamp']),
-            process=str(fields.get('process', '?')),
-            name=_name(fields),
-            task=str(fields['task_uuid']),
-            level=tuple(fields['task_level']),
-            fields=_shown(fields),
-        )
+        report.events.append(_parse(dict(json.loads(line))))
     except (LookupError, TypeError, ValueError):
-        return None
+        report.skipped += bool(line.strip())
 
 
-def _name(fields: dict[str, Any]) -> str:
+def _parse(fields: dict[str, Any]) -> Event:
     action_type = fields.get('action_type')
-    if action_type is None:
-        return str(fields['message_type'])
-    return f'{action_type} {fields["action_status"]}'
+    return Event(
+        timestamp=float(fields['timestamp']),
+        process=str(fields.get('process', '?')),
+        name=str(action_type or fields['message_type']),
+        status=str(fields.get('action_status', '')),
+        task=str(fields['task_uuid']),
+        level=tuple(int(step) for step in fields['task_level']),
+        fields=tuple(_shown(fields)),
+    )
 
 
-def _shown(fields: dict[str, Any]) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (key, str(text))
-        for key, text in sorted(fields.items())
-        if key not in _OWN_FIELDS
-    )
+def _shown(fields: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    for key in sorted(fields):
+        if key not in _OWN_FIELDS:
+            yield key, str(fields[key])
--- /dev/null
+++ b/tests/timeline/test_timeline.py
@@ -0,0 +1,121 @@
+"""The time line of several logs."""
+
+import gzip
+import json
+
+import pytest
+
+from briarrill.timeline.actions import collect_actions
+from briarrill.timeline.html import render_page
+from briarrill.timeline.offsets import apply_offsets, estimate_offsets
+from briarrill.timeline.reader import read_events
+from briarrill.timeline.selection import select_events
+
+ORIGIN = 1_700_000_000.0
+
+
+def _line(process, at, level, status='', name='request', **fields):
+    kind = 'action_type' if status else 'message_type'
+    message = {
+        'timestamp': ORIGIN + at,
+        'process': process,
+        'task_uuid': fields.pop('task', 'task-1'),
+        'task_level': level,
+        kind: name,
+        **fields,
+    }
+    if status:
+        message['action_status'] = status
+    return json.dumps(message)
+
+
+def _exchange(task, at, skew):
+    """Return the logs of an entry and a sidecar whose clock is off."""
+    entry = [
+        _line('entry', at, [1], 'started', task=task),
+        _line('entry', at + 0.01, [3], 'succeeded', task=task),
+    ]
+    sidecar = [
+        _line('sidecar', at + 0.001 + skew, [2, 1], 'started', task=task),
+        _line('sidecar', at + 0.009 + skew, [2, 2], 'succeeded', task=task),
+    ]
+    return entry, sidecar
+
+
+@pytest.fixture
+def write_log(tmp_path):
+    def write(name, lines):
+        path = tmp_path / name
+        path.write_text('\n'.join(lines))
+        return str(path)
+
+    return write
+
+
+@pytest.mark.parametrize('skew', [-3.0, -0.02, 0.0, 0.02, 3.0])
+def test_clocks_are_corrected_until_causes_come_first(write_log, skew):
+    entry, sidecar = _exchange('task-1', 0.0, skew)
+    report = read_events([write_log('a', entry), write_log('b', sidecar)])
+    offsets = estimate_offsets(collect_actions(report.events))
+    events = apply_offsets(report.events, offsets)
+    order = [(event.process, event.status) for event in events]
+    assert order == [
+        ('entry', 'started'),
+        ('sidecar', 'started'),
+        ('sidecar', 'succeeded'),
+        ('entry', 'succeeded'),
+    ]
+    assert offsets['sidecar'] - offsets['entry'] == pytest.approx(
+        -skew, abs=0.0011
+    )
+
+
+def test_action_of_a_killed_process_has_no_end(write_log):
+    entry, sidecar = _exchange('task-1', 0.0, 0.0)
+    report = read_events([write_log('a', entry), write_log('b', sidecar[:1])])
+    actions = collect_actions(report.events)
+    assert actions['task-1', ()].ended is not None
+    assert actions['task-1', (2,)].ended is None
+
+
+def test_cut_and_foreign_lines_are_counted_and_skipped(write_log):
+    entry, _ = _exchange('task-1', 0.0, 0.0)
+    lines = [entry[0], 'Traceback (most recent call last):', '[1, 2]', '7']
+    report = read_events([write_log('a', [*lines, entry[1][:40]])])
+    assert len(report.events) == 1
+    assert report.skipped == 4
+
+
+def test_compressed_rotated_log_is_read(tmp_path):
+    path = tmp_path / 'entry.log.1.gz'
+    path.write_bytes(gzip.compress(_line('entry', 0, [1]).encode()))
+    assert len(read_events([str(path)]).events) == 1
+
+
+def test_selection_keeps_the_whole_task(write_log):
+    first, answered = _exchange('task-1', 0.0, 0.0)
+    other, _ = _exchange('task-2', 1.0, 0.0)
+    named = _line('sidecar', 0.002, [2, 3], name='found', index='item-7')
+    lines = [*first, *answered, *other, named]
+    events = read_events([write_log('a', lines)]).events
+    chosen = select_events(events, 'item-7')
+    assert {event.task for event in chosen} == {'task-1'}
+    assert len(chosen) == 5
+
+
+def test_page_holds_every_lane_and_loads_nothing(write_log):
+    entry, sidecar = _exchange('task-1', 0.0, 0.0)
+    unsafe = _line('entry', 0.5, [1], name='</script>', task='task-3')
+    path = write_log('a', [*entry, *sidecar, unsafe])
+    page = render_page(read_events([path]).events)
+    embedded = page.split('const timeline = ')[1].split(';\nconst')[0]
+    fields = json.loads(embedded)
+    assert fields['lanes'] == ['entry', 'sidecar']
+    assert [span['status'] for span in fields['spans']] == [
+        'succeeded',
+        'succeeded',
+    ]
+    assert [point['name'] for point in fields['points']] == ['</script>']
+    assert page.count('</script>') == 1
+    assert 'src=' not in page
+    assert 'href=' not in page
