Give each attempt a trace of its own and keep it open to the answer's end

Cause: all items of a job carried one eliot task identifier, so their actions had the same place in the tree and only one of 40 was shown; and the entry's action ended with the first chunk, before the sidecar's, which made the time line correct a right clock by -0.078 s. Ruled out: real clock differences, since all processes ran on one machine.

--- a/briarrill/batch/job_runner.py
+++ b/briarrill/batch/job_runner.py
@@ -6,7 +6,7 @@
 
 import attrs
 import trio
-from eliot import log_message, start_action
+from eliot import Action, log_message, start_action
 
 from ..errors import BriarrillError, SegmentLostError, VersionConflictError
 from ..metrics import BATCH_COMMITS, DUPLICATES
@@ -82,7 +82,7 @@
         self._wake_feed = trio.Event()
         self._wake_commit = trio.Event()
         self._cancelled = trio.Event()
-        self._trace = ''
+        self._action: Action | None = None
 
     @property
     def job(self) -> str:
@@ -113,7 +113,7 @@
         with start_action(
             action_type='job:run', job=record.job_id, epoch=record.epoch
         ) as action:
-            self._trace = action.serialize_task_id().decode()
+            self._action = action
             self._handout.add_source(self)
             try:
                 await self._run_to_end()
@@ -138,7 +138,11 @@
         self._record(outcome)
 
     def _repeat(self, batch_item: BatchItem) -> None:
-        again = attrs.evolve(batch_item, attempt=batch_item.attempt + 1)
+        again = attrs.evolve(
+            batch_item,
+            attempt=batch_item.attempt + 1,
+            trace=self._new_trace(),
+        )
         self._held[again.index] = again
         self._pending.append(again)
         self._handout.fill()
@@ -219,12 +223,18 @@
             model=line.model,
             url=line.url,
             body=bytes(line.body),
-            trace=self._trace,
+            trace=self._new_trace(),
         )
         self._custom_ids[index] = line.custom_id
         self._held[index] = batch_item
         self._pending.append(batch_item)
 
+    def _new_trace(self) -> str:
+        """Return a task identifier; each attempt needs one of its own."""
+        if self._action is None:
+            return ''
+        return str(self._action.serialize_task_id().decode())
+
     async def _commit_when_due(self) -> None:
         with trio.move_on_after(COMMIT_INTERVAL_S):
             await self._wake_commit.wait()
--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -8,12 +8,12 @@
 import attrs
 import msgspec
 import xxhash
-from eliot import start_action
 from quart import Response, request
 from quart_trio import QuartTrio
 
 from ..errors import BriarrillError, ForbiddenError
 from ..protocol.callers_api import error_body, parse_completion
+from ..tracing import open_action
 from .context import Caller, EntryContext, read_body
 from .dispatch import OpenAnswer
 from .links import OnlineRequest
@@ -80,14 +80,16 @@
     with contextlib.ExitStack() as stack:
         stack.enter_context(ctx.limits.request(caller.name, caller.contract))
         req = _online_request(ctx, caller, target, path, body)
-        with start_action(
-            action_type='entry:request',
-            request_id=req.request_id,
-            contract=caller.name,
-            target=target,
-        ) as action:
-            trace = action.serialize_task_id().decode()
-            answer = await ctx.dispatcher.open(attrs.evolve(req, trace=trace))
+        action = stack.enter_context(
+            open_action(
+                'entry:request',
+                request_id=req.request_id,
+                contract=caller.name,
+                target=target,
+            )
+        )
+        trace = action.serialize_task_id().decode()
+        answer = await ctx.dispatcher.open(attrs.evolve(req, trace=trace))
         stack.callback(answer.close)
         if _is_stream(body):
             return _stream_response(answer, stack.pop_all())
@@ -156,9 +158,9 @@
     answer: OpenAnswer, held: contextlib.ExitStack
 ) -> AsyncIterator[bytes]:
     """Relay chunks; an answer that ends early ends with an error event."""
-    with held:
-        try:
+    try:
+        with held:
             while (chunk := await answer.next_chunk()) is not None:
                 yield chunk
-        except BriarrillError as exc:
-            yield b'data: %b\n\n' % msgspec.json.encode(error_body(exc))
+    except BriarrillError as exc:
+        yield b'data: %b\n\n' % msgspec.json.encode(error_body(exc))
--- a/briarrill/tracing.py
+++ b/briarrill/tracing.py
@@ -1,10 +1,28 @@
 """briarrill.tracing: actions that continue over process boundaries."""
 
+import contextlib
+from collections.abc import Iterator
 from typing import Any
 
 from eliot import Action, start_action
 
-__all__ = ('continue_trace',)
+__all__ = ('continue_trace', 'open_action')
+
+
+@contextlib.contextmanager
+def open_action(action_type: str, **fields: Any) -> Iterator[Action]:
+    """Log an action that may end in another task than it began in.
+
+    An action that hands work to another process must stay open until the
+    answer has arrived: the time line corrects clocks by that order.
+    """
+    action = start_action(action_type=action_type, **fields)
+    try:
+        yield action
+    except BaseException as exc:
+        action.finish(exc)
+        raise
+    action.finish()
 
 
 def continue_trace(trace: str, action_type: str, **fields: Any) -> Action:
