Encrypt the connections between processes when the settings hold keys

All processes of a fleet share one CURVE key pair from their settings; one without it can neither connect nor be connected to. Without keys nothing changes.

--- a/briarrill/daemon.py
+++ b/briarrill/daemon.py
@@ -11,6 +11,7 @@
 from .errors import BriarrillError
 from .runtime import open_log
 from .state.settings import InstanceSettings, LogSettings, load_settings
+from .transport.curve import CurveKeys, use_curve_keys
 
 __all__ = ('EXIT_FAILED', 'run_daemon')
 
@@ -26,6 +27,10 @@
     def log(self) -> LogSettings:
         """Return the log."""
 
+    @property
+    def curve(self) -> CurveKeys | None:
+        """Return the fleet's keys."""
+
 
 _Settings = TypeVar('_Settings', bound=_DaemonSettings)
 
@@ -44,7 +49,10 @@
     arguments = docopt(usage, version=__version__)
     try:
         cfg = load_settings(arguments['SETTINGS'], cls)
-        with open_log(cfg.log, f'{cfg.instance.name}{suffix}'):
+        with (
+            open_log(cfg.log, f'{cfg.instance.name}{suffix}'),
+            use_curve_keys(cfg.curve),
+        ):
             trio.run(run, cfg)
     except (BriarrillError, OSError) as exc:
         sys.stderr.write(f'{exc}\n')
--- a/briarrill/state/settings.py
+++ b/briarrill/state/settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..errors import SettingsError
+from ..transport.curve import CurveKeys
 from .structuring import structure
 
 __all__ = (
@@ -130,6 +131,7 @@
     log: LogSettings
     http: HttpSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
     copies: int = 2
     request_timeout_s: float = 60.0
     max_body_bytes: int = 4_000_000
@@ -146,6 +148,7 @@
     metrics: HttpSettings
     store: StoreSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
     lease_ttl_s: int = 5
 
 
@@ -159,6 +162,7 @@
     metrics: HttpSettings
     upstream: UpstreamSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
 
 
 @attrs.frozen
@@ -167,6 +171,7 @@
 
     platform: PlatformSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
 
 
 def load_settings(path: str, cls: type[_Settings]) -> _Settings:
--- a/briarrill/transport/zmq_socket.py
+++ b/briarrill/transport/zmq_socket.py
@@ -12,6 +12,7 @@
 import zmq
 
 from ..errors import PeerUnreachableError
+from .curve import secure_socket
 
 __all__ = ('ZmqSocket', 'open_dealer', 'open_router')
 
@@ -84,6 +85,7 @@
     zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.DEALER)
     zsock.setsockopt(zmq.IMMEDIATE, 1)
     _set_common_options(zsock)
+    secure_socket(zsock, is_server=False)
     try:
         zsock.connect(f'tcp://{host}:{port}')
         yield ZmqSocket(zsock)
@@ -97,6 +99,7 @@
     zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.ROUTER)
     zsock.setsockopt(zmq.ROUTER_MANDATORY, 1)
     _set_common_options(zsock)
+    secure_socket(zsock, is_server=True)
     try:
         zsock.bind(f'tcp://{host}:{port}')
         yield ZmqSocket(zsock)
