Tell the truth about requests whose upstream was lost

Calls move to a module of their own; the socket tells whether it would take a message (smallest edit in the transport).

--- a/briarrill/coordination/retries.py
+++ b/briarrill/coordination/retries.py
@@ -7,8 +7,8 @@
 # retries allowed for each request, on average
 RETRY_RATIO = 0.1
 
-# retries that may come at once
-MAX_BURST = 10.0
+# retries that may come at once: the calls that a lost upstream held
+MAX_BURST = 100.0
 
 
 @attrs.define
@@ -16,7 +16,7 @@
     """One budget of retries for each contract.
 
     :param ratio: retries for each request, default 0.1.
-    :param burst: retries that may come at once, default 10.
+    :param burst: retries that may come at once, default 100.
     """
 
     ratio: float = RETRY_RATIO
--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -9,17 +9,20 @@
 from ..coordination.routing import RoutingPolicy
 from ..errors import (
     BriarrillError,
+    CapacityError,
     DeadlineExceededError,
     InternalError,
     NoUpstreamError,
     OutcomeUnknownError,
+    UpstreamFailedError,
     UpstreamLostError,
 )
 from ..metrics import RETRIED
 from ..protocol.codec import error_from
 from ..protocol.messages import Finish
 from ..result_codes import Ran, ResultCode
-from .links import OnlineCall, OnlineRequest, UpstreamLink
+from .calls import OnlineCall, OnlineRequest
+from .links import UpstreamLink
 from .upstreams import UpstreamSet
 
 __all__ = ('Dispatcher', 'OpenAnswer')
@@ -86,18 +89,28 @@
         :raises BriarrillError: the final refusal or failure.
         """
         self._budgets.record_request(req.contract)
-        tried: set[str] = set()
-        attempt = 0
+        attempts = _Attempts()
         while True:
-            link = self._choose(req, tried)
-            tried.add(link.name)
             try:
-                return await _attempt(link, req, attempt)
+                return await self._attempt(req, attempts)
             except BriarrillError as exc:
-                self._check_retry(req, exc, attempt)
-            attempt += 1
+                attempts.record(exc)
+                self._check_retry(req, exc, attempts)
             RETRIED.inc()
 
+    async def _attempt(
+        self, req: OnlineRequest, attempts: '_Attempts'
+    ) -> OpenAnswer:
+        link = self._choose(req, attempts.tried)
+        attempts.tried.add(link.name)
+        call = link.submit(req, attempts.count)
+        try:
+            first = await _next_chunk(call, req.deadline_s)
+        except BaseException:
+            call.cancel()
+            raise
+        return OpenAnswer(call, first, req.deadline_s)
+
     def _choose(self, req: OnlineRequest, tried: set[str]) -> UpstreamLink:
         serving = self._upstreams.serving(req.target)
         untried = [link for link in serving if link.name not in tried]
@@ -105,41 +118,60 @@
         if not candidates:
             raise NoUpstreamError(
                 f'no upstream serves {req.target} now',
-                ran=Ran.NO,
                 retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
             )
         chosen = self._policy.choose(candidates, req.prefix_key)
         return next(link for link in candidates if link is chosen)
 
     def _check_retry(
-        self, req: OnlineRequest, exc: BriarrillError, attempt: int
+        self, req: OnlineRequest, exc: BriarrillError, attempts: '_Attempts'
     ) -> None:
         """Raise the final error unless another attempt is allowed."""
-        if exc.ran is Ran.UNKNOWN and not req.idempotent:
+        if attempts.ran is Ran.UNKNOWN and not req.idempotent:
             raise OutcomeUnknownError(exc.message) from exc
-        is_last = attempt + 1 >= MAX_ATTEMPTS
-        if is_last or not _is_retryable(exc):
+        is_last = attempts.count >= MAX_ATTEMPTS
+        if is_last or not _is_retryable(req, exc):
             raise exc
         if not self._budgets.take_retry(req.contract):
             raise exc
 
 
-def _is_retryable(exc: BriarrillError) -> bool:
-    if exc.code is ResultCode.DEADLINE_EXCEEDED:
-        return False
-    return exc.ran is Ran.NO or isinstance(exc, UpstreamLostError)
+@attrs.define
+class _Attempts:
+    """What is known after the attempts so far."""
 
+    tried: set[str] = attrs.field(factory=set)
+    count: int = 0
+    ran: Ran = Ran.NO
 
-async def _attempt(
-    link: UpstreamLink, req: OnlineRequest, attempt: int
-) -> OpenAnswer:
-    call = link.submit(req, attempt)
-    try:
-        first = await _next_chunk(call, req.deadline_s)
-    except BaseException:
-        call.cancel()
-        raise
-    return OpenAnswer(call, first, req.deadline_s)
+    def record(self, exc: BriarrillError) -> None:
+        """Count a failed attempt and let its error speak for all of them.
+
+        A refusal that says ``no`` says so of the last attempt only.
+        """
+        self.count += 1
+        if _CERTAINTY.index(exc.ran) > _CERTAINTY.index(self.ran):
+            self.ran = exc.ran
+        exc.ran = self.ran
+
+
+# the later one holds for a request when its attempts differ
+_CERTAINTY = (Ran.NO, Ran.UNKNOWN, Ran.YES)
+
+_FINAL_CODES = frozenset(
+    {ResultCode.DEADLINE_EXCEEDED, ResultCode.NO_UPSTREAM}
+)
+
+
+def _is_retryable(req: OnlineRequest, exc: BriarrillError) -> bool:
+    if exc.code in _FINAL_CODES or time.monotonic() >= req.deadline_s:
+        return False
+    if exc.ran is Ran.NO:
+        return True
+    # a refusal that follows a lost attempt speaks for both of them
+    return req.idempotent and isinstance(
+        exc, UpstreamLostError | UpstreamFailedError | CapacityError
+    )
 
 
 async def _next_chunk(call: OnlineCall, deadline_s: float) -> bytes | None:
@@ -147,7 +179,9 @@
         with trio.fail_after(max(0, deadline_s - time.monotonic())):
             chunk = await call.next_chunk()
     except trio.TooSlowError as exc:
-        raise DeadlineExceededError('the deadline passed') from exc
+        raise DeadlineExceededError(
+            'the deadline passed', ran=call.ran
+        ) from exc
     if call.finish is not None and call.finish.code is not ResultCode.OK:
         raise error_from(call.finish)
     return chunk
--- a/briarrill/entry/links.py
+++ b/briarrill/entry/links.py
@@ -2,7 +2,6 @@
 
 import time
 
-import attrs
 import trio
 from eliot import log_message
 
@@ -11,8 +10,6 @@
     MalformedMessageError,
     NoUpstreamError,
     PeerUnreachableError,
-    SlowReaderError,
-    UpstreamLostError,
 )
 from ..metrics import MALFORMED_MESSAGES, STALE_MESSAGES
 from ..protocol.codec import decode, encode
@@ -30,103 +27,15 @@
 from ..state.settings import InstanceSettings
 from ..transport.instance_list import Instance
 from ..transport.zmq_socket import ZmqSocket, open_dealer
+from .calls import CallKey, OnlineCall, OnlineRequest
 
-__all__ = ('OnlineCall', 'OnlineRequest', 'UpstreamLink')
-
-# chunks that wait for a slow caller before its answer is given up
-CHUNK_BUFFER = 1024
+__all__ = ('OnlineRequest', 'UpstreamLink')
 
 HELLO_INTERVAL_S = 0.1
 
 # silence after which a peer counts as lost
 PEER_TIMEOUT_S = 1.5
 
-CallKey = tuple[str, int]
-
-
-@attrs.frozen
-class OnlineRequest:
-    """A caller's request, before an upstream is chosen.
-
-    :param target: name of the model or service.
-    :param prefix_key: equal for requests that share a prompt prefix.
-    :param deadline_s: by the monotonic clock.
-    """
-
-    request_id: str
-    contract: str
-    target: str
-    method: str
-    path: str
-    body: bytes
-    idempotent: bool
-    deadline_s: float
-    content_type: str = 'application/json'
-    prefix_key: str = ''
-    trace: str = ''
-
-
-class OnlineCall:
-    """One attempt at one upstream; yields its chunks in order.
-
-    :param link: the connection that carries it.
-    :param key: request identifier and attempt.
-    """
-
-    def __init__(self, link: 'UpstreamLink', key: CallKey) -> None:
-        """Start without events."""
-        self.finish: Finish | None = None
-        self._link = link
-        self._key = key
-        self._sender, self._events = trio.open_memory_channel[Chunk | Finish](
-            CHUNK_BUFFER
-        )
-        self._received = 0
-        self._is_overrun = False
-
-    async def next_chunk(self) -> bytes | None:
-        """Return the next chunk, or nothing once :attr:`finish` is set.
-
-        :raises UpstreamLostError: the peer was lost.
-        :raises SlowReaderError: chunks were not read in time.
-        """
-        if self._is_overrun:
-            raise SlowReaderError('the answer was read too slowly')
-        try:
-            event = await self._events.receive()
-        except trio.EndOfChannel as exc:
-            raise UpstreamLostError('the upstream was lost') from exc
-        if isinstance(event, Chunk):
-            return event.body
-        self._check_complete(event)
-        self.finish = event
-        return None
-
-    def deliver(self, event: Chunk | Finish) -> None:
-        """Take an event from the link."""
-        if isinstance(event, Chunk):
-            if event.seq != self._received:
-                self.lose()
-                return
-            self._received += 1
-        try:
-            self._sender.send_nowait(event)
-        except trio.WouldBlock:
-            self._is_overrun = True
-            self.cancel()
-
-    def lose(self) -> None:
-        """End the call: the peer is gone."""
-        self._sender.close()
-
-    def cancel(self) -> None:
-        """Stop the request at the upstream unless it has ended."""
-        self._link.end_call(self._key, is_cancelled=self.finish is None)
-
-    def _check_complete(self, finish: Finish) -> None:
-        if finish.chunks != self._received:
-            raise UpstreamLostError('parts of the answer were lost')
-
 
 class UpstreamLink:
     """The session with one sidecar.
@@ -187,16 +96,16 @@
         if self._socket is None or not self._session:
             raise NoUpstreamError('no session with the upstream')
         key = (req.request_id, attempt)
-        call = OnlineCall(self, key)
+        call = OnlineCall(key, self.end_call)
         self._socket.send(encode(self._submit_message(req, attempt)))
         self._calls[key] = call
         return call
 
-    def end_call(self, key: CallKey, *, is_cancelled: bool) -> None:
+    def end_call(self, key: CallKey, is_cancelled: bool) -> None:
         """Forget a call and stop it at the upstream if it still runs."""
         if self._calls.pop(key, None) is None or not is_cancelled:
             return
-        self._send(CancelCall(request_id=key[0], attempt=key[1]))
+        self._cancel_at_peer(key)
 
     async def run(self) -> None:
         """Keep the session until cancelled."""
@@ -232,16 +141,28 @@
         while True:
             if not self._session:
                 self._send(hello)
-            elif self._clock.age_s > PEER_TIMEOUT_S:
+            elif not self._is_connected():
                 self._end_session()
+            paused_at = time.monotonic()
             await trio.sleep(HELLO_INTERVAL_S)
+            if time.monotonic() - paused_at > PEER_TIMEOUT_S:
+                # this process stood still; read what has arrived first
+                await trio.sleep(HELLO_INTERVAL_S)
+
+    def _is_connected(self) -> bool:
+        """Whether the connection stands and the peer was heard lately."""
+        if self._socket is None or not self._socket.is_writable:
+            return False
+        return self._clock.age_s <= PEER_TIMEOUT_S
 
     def _end_session(self) -> None:
         log_message('upstream:lost', upstream=self.name)
         self._session = ''
         calls, self._calls = self._calls, {}
-        for call in calls.values():
+        for key, call in calls.items():
             call.lose()
+            # a peer that only stood still must not go on with them
+            self._cancel_at_peer(key)
 
     def _receive(self, frames: list[bytes]) -> None:
         try:
@@ -284,6 +205,9 @@
         self._draining = message.draining
         self._clock.update(message.clock_s)
 
+    def _cancel_at_peer(self, key: CallKey) -> None:
+        self._send(CancelCall(request_id=key[0], attempt=key[1]))
+
     def _send(self, message: Message) -> None:
         if self._socket is None:
             return
--- a/briarrill/transport/zmq_socket.py
+++ b/briarrill/transport/zmq_socket.py
@@ -35,6 +35,13 @@
         self._fd: int = zsock.FD
         self._receive_scope: trio.CancelScope | None = None
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether a message would be taken now: the peer is connected."""
+        events = int(self._zsock.get(zmq.EVENTS))
+        self._wake_receiver()
+        return bool(events & zmq.POLLOUT)
+
     async def receive(self) -> list[bytes]:
         """Wait for the next message and return its frames.
 
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,183 @@
+"""A sidecar whose answers a test writes, and an entry's dispatcher."""
+
+import contextlib
+import random
+import time
+import types
+
+import attrs
+import pytest
+import trio
+
+from briarrill.coordination.membership import Membership
+from briarrill.coordination.retries import RetryBudgets
+from briarrill.coordination.routing import TwoChoicesPolicy
+from briarrill.entry.calls import OnlineRequest
+from briarrill.entry.dispatch import Dispatcher
+from briarrill.entry.upstreams import UpstreamSet
+from briarrill.protocol.codec import decode, encode
+from briarrill.protocol.messages import (
+    CancelCall,
+    Chunk,
+    Finish,
+    Heartbeat,
+    Hello,
+    LoadReport,
+    Submit,
+    Welcome,
+)
+from briarrill.state.settings import InstanceSettings, PortSettings
+from briarrill.transport.instance_list import Instance, Role
+from briarrill.transport.zmq_socket import open_router
+
+PORTS = PortSettings()
+SEED = 11
+
+
+class FakeSidecar:
+    """Speaks the sessions' messages; the test answers each submit."""
+
+    def __init__(self, host):
+        self.host = host
+        self.name = f'upstream-{host}'
+        self.submits = []
+        self.cancels = []
+        self.is_silent = False
+        self.load = LoadReport(slots=4)
+        self._changed = trio.Event()
+        self._peers = {}
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        with open_router(self.host, PORTS.sidecar_online) as socket:
+            self._socket = socket
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._beat)
+                task_status.started()
+                while True:
+                    peer, *frames = await self._socket.receive()
+                    self._take(peer, decode(frames))
+
+    async def next_submit(self, count=1):
+        while len(self.submits) < count:
+            await self._changed.wait()
+        return self.submits[count - 1]
+
+    async def next_cancel(self):
+        while not self.cancels:
+            await self._changed.wait()
+        return self.cancels[0]
+
+    def chunk(self, submit, seq, body=b'data: x\n\n'):
+        self.send(submit, Chunk(submit.request_id, submit.attempt, seq, body))
+
+    def finish(self, submit, **fields):
+        self.send(submit, Finish(submit.request_id, submit.attempt, **fields))
+
+    def send(self, submit, message):
+        peer = next(
+            peer
+            for peer, session in self._peers.items()
+            if session == submit.session
+        )
+        self._socket.send([peer, *encode(message)])
+
+    async def _beat(self):
+        while True:
+            for peer, session in self._peers.items():
+                if not self.is_silent:
+                    beat = Heartbeat(
+                        session=session,
+                        clock_s=time.monotonic(),
+                        load=self.load,
+                        models=('m',),
+                    )
+                    self._socket.send([peer, *encode(beat)])
+            await trio.sleep(0.1)
+
+    def _take(self, peer, message):
+        if isinstance(message, Hello) and not self.is_silent:
+            session = self._peers.setdefault(peer, f'session-{peer.hex()}')
+            welcome = Welcome(
+                session, self.name, time.monotonic(), models=('m',)
+            )
+            self._socket.send([peer, *encode(welcome)])
+        elif isinstance(message, Submit):
+            self.submits.append(message)
+        elif isinstance(message, CancelCall):
+            self.cancels.append(message)
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _instance(sidecar):
+    return Instance(
+        name=sidecar.name,
+        host=sidecar.host,
+        failure_domain='hobart-a',
+        region='lutruwita',
+        roles=(Role.UPSTREAM,),
+        pool='drafting',
+    )
+
+
+@contextlib.asynccontextmanager
+async def _open_entry(sidecars, instances=None, budgets=None):
+    membership = Membership(
+        tuple(instances or (_instance(sidecar) for sidecar in sidecars))
+    )
+    own = InstanceSettings('entry-1', '127.0.0.1', 'hobart-a', 'lutruwita')
+    upstreams = UpstreamSet(membership, own, PORTS)
+    dispatcher = Dispatcher(
+        upstreams,
+        TwoChoicesPolicy(random.Random(SEED)),
+        budgets or RetryBudgets(),
+    )
+    stops = {}
+    async with trio.open_nursery() as nursery:
+        for sidecar in sidecars:
+            stops[sidecar.name] = await nursery.start(_run_until, sidecar)
+        nursery.start_soon(upstreams.run)
+        with trio.fail_after(10):
+            while len(upstreams.serving('m')) < len(sidecars):
+                await trio.sleep(0.01)
+            yield types.SimpleNamespace(
+                dispatcher=dispatcher, upstreams=upstreams, stops=stops
+            )
+        nursery.cancel_scope.cancel()
+
+
+async def _run_until(sidecar, task_status=trio.TASK_STATUS_IGNORED):
+    """Run a sidecar until the scope that this starts with is cancelled."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(sidecar.run)
+        task_status.started(nursery.cancel_scope)
+
+
+@pytest.fixture
+def open_entry():
+    return _open_entry
+
+
+@pytest.fixture
+def sidecars(network):
+    return [FakeSidecar(f'{network}.{number}') for number in (1, 2, 3)]
+
+
+@pytest.fixture
+def make_request():
+    def make(request_id='r1', **fields):
+        return attrs.evolve(
+            OnlineRequest(
+                request_id=request_id,
+                contract='c',
+                target='m',
+                method='POST',
+                path='/v1/chat/completions',
+                body=b'{}',
+                idempotent=True,
+                deadline_s=time.monotonic() + 20,
+            ),
+            **fields,
+        )
+
+    return make
