--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -159,7 +159,7 @@
 _CERTAINTY = (Ran.NO, Ran.UNKNOWN, Ran.YES)
 
 _FINAL_CODES = frozenset(
-    {ResultCode.DEADLINE_EXCEEDED, ResultCode.NO_UPSTREAM}
+    (ResultCode.DEADLINE_EXCEEDED, ResultCode.NO_UPSTREAM)
 )
 
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -15,6 +15,7 @@
 from briarrill.entry.calls import OnlineRequest
 from briarrill.entry.dispatch import Dispatcher
 from briarrill.entry.upstreams import UpstreamSet
+from briarrill.errors import PeerUnreachableError
 from briarrill.protocol.codec import decode, encode
 from briarrill.protocol.messages import (
     CancelCall,
@@ -91,7 +92,8 @@
                         load=self.load,
                         models=('m',),
                     )
-                    self._socket.send([peer, *encode(beat)])
+                    with contextlib.suppress(PeerUnreachableError):
+                        self._socket.send([peer, *encode(beat)])
             await trio.sleep(0.1)
 
     def _take(self, peer, message):
@@ -141,7 +143,10 @@
             while len(upstreams.serving('m')) < len(sidecars):
                 await trio.sleep(0.01)
             yield types.SimpleNamespace(
-                dispatcher=dispatcher, upstreams=upstreams, stops=stops
+                dispatcher=dispatcher,
+                membership=membership,
+                upstreams=upstreams,
+                stops=stops,
             )
         nursery.cancel_scope.cancel()
 
--- /dev/null
+++ b/tests/entry/test_upstreams.py
@@ -0,0 +1,109 @@
+"""The subset of upstreams that an entry keeps links to."""
+
+import random
+
+import attrs
+import pytest
+import trio
+
+from briarrill.coordination.membership import Membership
+from briarrill.coordination.rendezvous import spread
+from briarrill.entry import upstreams as upstreams_module
+from briarrill.entry.upstreams import SUBSET_SIZE, UpstreamSet
+from briarrill.state.settings import InstanceSettings, PortSettings
+from briarrill.transport.instance_list import Instance, InstanceState, Role
+
+RUNNERS = 600
+DOMAINS = 8
+
+
+def _runner(number):
+    return Instance(
+        name=f'runner-{number}',
+        host='127.0.0.1',
+        failure_domain=f'domain-{number % DOMAINS}',
+        region='lutruwita',
+        roles=(Role.UPSTREAM,),
+        pool='drafting',
+    )
+
+
+def _subset(runners, entry='entry-1'):
+    domains = {}
+    for runner in runners:
+        domains.setdefault(runner.failure_domain, []).append(runner.name)
+    return set(spread(entry, domains, SUBSET_SIZE))
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_an_instance_that_leaves_changes_its_own_slot_only(seed):
+    rng = random.Random(seed)
+    runners = [_runner(number) for number in range(RUNNERS)]
+    for entry in ('entry-1', 'entry-2'):
+        before = _subset(runners, entry)
+        for leaving in rng.sample(runners, 40):
+            left = [runner for runner in runners if runner is not leaving]
+            after = _subset(left, entry)
+            assert before - after <= {leaving.name}
+            assert len(after - before) <= 1
+
+
+def test_a_domain_that_empties_moves_its_own_slots_only():
+    runners = [_runner(number) for number in range(RUNNERS)]
+    gone = {runner.name for runner in runners[::DOMAINS]}
+    before = _subset(runners)
+    after = _subset([run for run in runners if run.name not in gone])
+    assert before - after == before & gone
+    assert len(after) == SUBSET_SIZE
+
+
+def test_subset_spreads_over_domains_and_entries_over_runners():
+    runners = [_runner(number) for number in range(RUNNERS)]
+    used = set()
+    for number in range(350):
+        subset = _subset(runners, f'entry-{number}')
+        domains = [int(name.split('-')[1]) % DOMAINS for name in subset]
+        counts = [domains.count(domain) for domain in range(DOMAINS)]
+        assert max(counts) - min(counts) <= 1
+        used |= subset
+    assert len(used) == RUNNERS
+
+
+def test_subset_is_computed_on_change_of_membership_only(monkeypatch):
+    calls = []
+
+    def counted_spread(*args):
+        calls.append(args)
+        return spread(*args)
+
+    monkeypatch.setattr(upstreams_module, 'spread', counted_spread)
+    runners = tuple(_runner(number) for number in range(RUNNERS))
+    membership = Membership(runners)
+    own = InstanceSettings('entry-1', '127.0.0.1', 'domain-0', 'lutruwita')
+    upstreams = UpstreamSet(membership, own, PortSettings())
+    for _ in range(100):
+        upstreams.serving('m')
+    assert len(calls) == 1
+    membership.update(runners[1:])
+    upstreams.serving('m')
+    upstreams.serving('m')
+    assert len(calls) == 2
+
+
+async def test_link_of_an_upstream_outside_the_subset_is_closed(
+    open_entry, sidecars
+):
+    """Links would add up as the fleet changes, and heartbeats with them."""
+    async with open_entry(sidecars[:1]) as entry:
+        link = entry.upstreams.serving('m')[0]
+        entry.membership.update(
+            (attrs.evolve(link.instance, state=InstanceState.LEAVING),)
+        )
+        assert not entry.upstreams.serving('m')
+        entry.membership.update((link.instance,))
+        assert entry.upstreams.serving('m') == [link]
+        entry.membership.update(
+            (attrs.evolve(link.instance, state=InstanceState.LEAVING),)
+        )
+        while entry.upstreams.links:
+            await trio.sleep(0.05)
