--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,246 @@
+"""bench.overhead: what briarrill adds to a call of its engine.
+
+Usage:
+  overhead [--seed=N] [--rate=N] [--requests=N] [--pairs=N]
+  overhead client URL SECONDS
+
+Direct calls and calls through one entry and one sidecar take turns in one
+run; both use the same client. Then closed-loop clients load one entry. The
+figures hold for the run only. ``client`` is one such loading process.
+
+Options:
+  --seed=N        Seed of the arrivals [default: 1].
+  --rate=N        Requests a second at the entry [default: 20].
+  --requests=N    Requests of each part [default: 200].
+  --pairs=N       Pairs of a direct and a routed part [default: 3].
+"""
+
+import os
+import pathlib
+import random
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import attrs
+import httpx
+import trio
+from docopt import docopt
+
+from standins.fleet import Fleet, FleetPlan, open_fleet
+
+NETWORK = '127.119.0'
+MODEL = 'clause-drafter'
+API_KEY = 'demo-key'
+PATH = '/v1/chat/completions'
+TOKENS = 16
+TARGET_FIRST_MS = 3.0
+TARGET_TOKEN_MS = 0.5
+WARM_UP_REQUESTS = 20
+LOAD_PROCESSES = 3
+LOAD_STREAMS = 8
+LOAD_SECONDS = 6
+MS = 1000.0
+
+CONFIGURATION = """
+[models.clause-drafter]
+pool = 'drafting'
+
+[contracts.bench]
+api_key_sha256 = [
+  'c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c',
+]
+models = ['clause-drafter']
+services = []
+requests_per_second = 100000.0
+tokens_per_second = 100000000.0
+requests_in_flight = 10000
+batch_items_per_job = 10
+batch_items_in_flight = 10
+batch_share = 1.0
+result_retention_days = 1
+
+[policy]
+online_weight = 1.0
+"""
+
+
+@attrs.frozen
+class Timing:
+    """Times of one streamed answer."""
+
+    first_ms: float
+    token_ms: float
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+def _client(url: str) -> httpx.AsyncClient:
+    return httpx.AsyncClient(
+        base_url=url,
+        headers={'Authorization': f'Bearer {API_KEY}'},
+        timeout=30.0,
+        limits=httpx.Limits(max_keepalive_connections=100),
+        trust_env=False,
+    )
+
+
+def _body(number: int, tokens: int) -> dict[str, Any]:
+    prompt = f'Draft the handover clause, case {number}.'
+    return {
+        'model': MODEL,
+        'messages': [{'role': 'user', 'content': prompt}],
+        'max_tokens': tokens,
+        'stream': True,
+    }
+
+
+async def _time_call(
+    client: httpx.AsyncClient, number: int, found: list[Timing]
+) -> None:
+    arrivals: list[float] = []
+    started = time.perf_counter()
+    body = _body(number, TOKENS)
+    async with client.stream('POST', PATH, json=body) as reply:
+        reply.raise_for_status()
+        async for line in reply.aiter_lines():
+            if '"content": ""' not in line and '"content":' in line:
+                arrivals.append(time.perf_counter())
+    spread = arrivals[-1] - arrivals[0]
+    first_ms = (arrivals[0] - started) * MS
+    found.append(Timing(first_ms, spread * MS / (TOKENS - 1)))
+
+
+async def _run_part(
+    url: str, rate: float, requests: int, rng: random.Random
+) -> list[Timing]:
+    """Send requests at random times and return their timings."""
+    found: list[Timing] = []
+    async with _client(url) as client, trio.open_nursery() as nursery:
+        for number in range(WARM_UP_REQUESTS + requests):
+            nursery.start_soon(_time_call, client, number, found)
+            await trio.sleep(rng.expovariate(rate))
+    return found[WARM_UP_REQUESTS:]
+
+
+def _median(timings: list[Timing], name: str) -> float:
+    return statistics.median(getattr(timing, name) for timing in timings)
+
+
+def _p95(timings: list[Timing], name: str) -> float:
+    values = [getattr(timing, name) for timing in timings]
+    return statistics.quantiles(values, n=20)[-1]
+
+
+def _measure_added(fleet: Fleet, arguments: dict[str, Any]) -> None:
+    rate, requests = float(arguments['--rate']), int(arguments['--requests'])
+    direct: list[Timing] = []
+    routed: list[Timing] = []
+    for pair in range(int(arguments['--pairs'])):
+        seed = int(arguments['--seed']) + pair
+        for url, found in (
+            (fleet.upstream_url(0), direct),
+            (fleet.entry_url(0), routed),
+        ):
+            rng = random.Random(seed)
+            part = trio.run(_run_part, url, rate, requests, rng)
+            found.extend(part)
+            _say(
+                f'  {"direct" if found is direct else "routed"} {pair}: '
+                f'first {_median(part, "first_ms"):.2f} ms, '
+                f'token {_median(part, "token_ms"):.3f} ms'
+            )
+    _report('first token', 'first_ms', TARGET_FIRST_MS, direct, routed)
+    _report('per token', 'token_ms', TARGET_TOKEN_MS, direct, routed)
+
+
+def _report(
+    title: str,
+    name: str,
+    target: float,
+    direct: list[Timing],
+    routed: list[Timing],
+) -> None:
+    before, after = _median(direct, name), _median(routed, name)
+    added_p95 = _p95(routed, name) - _p95(direct, name)
+    _say(
+        f'added {title}: {after - before:.3f} ms at the median '
+        f'(target at most {target} ms), {added_p95:.3f} ms at p95; '
+        f'direct {before:.3f} ms, routed {after:.3f} ms, '
+        f'{len(routed)} requests each'
+    )
+
+
+async def _load_worker(
+    client: httpx.AsyncClient, deadline: float, done: list[float]
+) -> None:
+    while time.monotonic() < deadline:
+        reply = await client.post(PATH, json=_body(len(done), 1))
+        reply.raise_for_status()
+        done.append(time.monotonic())
+
+
+async def _load(url: str, seconds: float) -> int:
+    done: list[float] = []
+    deadline = time.monotonic() + seconds
+    async with _client(url) as client, trio.open_nursery() as nursery:
+        for _ in range(LOAD_STREAMS):
+            nursery.start_soon(_load_worker, client, deadline, done)
+    return len(done)
+
+
+def _cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')')[-1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
+
+def _measure_ceiling(fleet: Fleet) -> None:
+    pid = fleet.members['entry-0'].process.pid
+    command = [sys.executable, '-m', 'bench.overhead', 'client']
+    command += [fleet.entry_url(0), str(LOAD_SECONDS)]
+    cpu, started = _cpu_s(pid), time.monotonic()
+    clients = [
+        subprocess.Popen(command, stdout=subprocess.PIPE)
+        for _ in range(LOAD_PROCESSES)
+    ]
+    counts = [int(client.communicate()[0]) for client in clients]
+    took, cpu = time.monotonic() - started, _cpu_s(pid) - cpu
+    _say(
+        f'highest rate of one entry: {sum(counts) / LOAD_SECONDS:.0f} '
+        f'requests/s of one token, streamed; entry at {cpu / took:.0%} of a '
+        f'core, {cpu * MS / sum(counts):.2f} ms of processor time a request'
+    )
+
+
+def main() -> int:
+    """Run the bench or one of its clients."""
+    arguments: dict[str, Any] = docopt(__doc__)
+    if arguments['client']:
+        seconds = float(arguments['SECONDS'])
+        _say(str(trio.run(_load, arguments['URL'], seconds)))
+        return 0
+    _say(f'seed {arguments["--seed"]}, {arguments["--rate"]} requests/s')
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        configuration = folder / 'configuration.toml'
+        configuration.write_text(CONFIGURATION)
+        one = FleetPlan(
+            network=NETWORK, entries=1, engines=1, services=0, slots=32
+        )
+        with open_fleet(one, folder, str(configuration)) as fleet:
+            _measure_added(fleet, arguments)
+        three = attrs.evolve(one, engines=3, network='127.119.1', token_ms=1)
+        with open_fleet(three, folder, str(configuration)) as fleet:
+            _measure_ceiling(fleet)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
