Tell an upstream's load in the welcome

Cause: until the first heartbeat a link knew no slots and counted 4 times as loaded as a link that had one. Ruled out: the choice itself, a session lost in between (the log shows none).

--- a/briarrill/entry/links.py
+++ b/briarrill/entry/links.py
@@ -196,10 +196,10 @@
         if heartbeat.session != self._session:
             STALE_MESSAGES.inc()
             return
-        self._report = heartbeat.load
         self._take_state(heartbeat)
 
     def _take_state(self, message: Welcome | Heartbeat) -> None:
+        self._report = message.load
         self.models = message.models
         self.service = message.service
         self._draining = message.draining
--- a/briarrill/protocol/messages/session.py
+++ b/briarrill/protocol/messages/session.py
@@ -38,6 +38,7 @@
     session: str
     process: str
     clock_s: float
+    load: LoadReport
     models: tuple[str, ...] = ()
     service: str = ''
     draining: bool = False
--- a/briarrill/sidecar/entry_sessions.py
+++ b/briarrill/sidecar/entry_sessions.py
@@ -64,6 +64,7 @@
             session=session,
             process=self._identity.process,
             clock_s=time.monotonic(),
+            load=state.load,
             models=state.models,
             service=self._identity.service,
             draining=state.draining,
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -100,7 +100,11 @@
         if isinstance(message, Hello) and not self.is_silent:
             session = self._peers.setdefault(peer, f'session-{peer.hex()}')
             welcome = Welcome(
-                session, self.name, time.monotonic(), models=('m',)
+                session=session,
+                process=self.name,
+                clock_s=time.monotonic(),
+                load=self.load,
+                models=('m',),
             )
             self._socket.send([peer, *encode(welcome)])
         elif isinstance(message, Submit):
