Bound each request of a caller and say how it was refused

Cause: a streamed answer was cut without a word after 60 s (the framework's response timeout), an upload was held in memory up to max_file_bytes, a reader that stopped held its limits for ever, JSON bodies were bounded by max_file_bytes, and a request before the first configuration or during a drain was routed as any other. Idle and half-open connections had no bound but the framework's 5 s, too short for a balancer's kept-alive ones. The drain cut requests longer than 30 s; it now waits for request_timeout_s.

Now: max_body_bytes for JSON, max_file_bytes told by the length before the body is read, uploads read at the pace at which segments are stored, 16 KB of headers (431), max_requests at once (503), body_timeout_s (408), idle_timeout_s for a whole head, send_timeout_s for a peer that takes no bytes (the socket's user timeout, since the server shields its sends from cancellation). What a streamed answer holds belongs to its request, because a generator that was never started runs no clean-up. Result codes 131 and 132 are new.

Service paths go on as the caller encoded them, and whether a call is idempotent is told from the decoded, normalized path: /%73ubmit counted as idempotent before and could be repeated. Idempotency-Key names non-idempotent calls within their contract; the same call again goes to the sidecar that remembers it, and is refused while it is in flight.

Malformed messages: a time that is no finite number and a damaged trace identifier ended the sidecar; both are refused or replaced now.

The engine stand-in takes /v1/completions.

--- /dev/null
+++ b/briarrill/entry/app.py
@@ -0,0 +1,103 @@
+"""briarrill.entry.app: the callers' HTTP application."""
+
+import math
+
+import msgspec
+import trio
+from quart import Response
+from quart_trio import QuartTrio
+from werkzeug.exceptions import (
+    HTTPException,
+    RequestEntityTooLarge,
+    RequestTimeout,
+)
+
+from ..errors import (
+    BadRequestError,
+    BodyTimeoutError,
+    BriarrillError,
+    InternalError,
+    NotFoundError,
+    TooLargeError,
+)
+from ..metrics import REFUSED
+from ..ops_app import add_ops_routes
+from ..protocol.callers_api import error_body
+from ..result_codes import Ran
+from ..transport.http_connection import BoundedRequest, PacedConnection
+from .batch_routes import add_batch_routes
+from .context import EntryContext
+from .entrance import add_entrance_checks
+from .jobs import JobDirectory
+from .online_routes import add_online_routes
+from .uploads import UPLOAD_PATH
+
+__all__ = ('make_app',)
+
+HTTP_NOT_FOUND = 404
+
+
+class _EntryRequest(BoundedRequest):
+    """A caller's request; only uploads are streamed."""
+
+    streamed_paths = frozenset((UPLOAD_PATH,))
+
+
+class _EntryApp(QuartTrio):
+    """The application with bounded requests."""
+
+    asgi_http_class = PacedConnection
+    request_class = _EntryRequest
+
+
+def make_app(ctx: EntryContext, nursery: trio.Nursery) -> QuartTrio:
+    """Return the application.
+
+    :param nursery: runs what goes on after an answer.
+    """
+    app = _EntryApp('briarrill')
+    app.config['MAX_CONTENT_LENGTH'] = ctx.cfg.max_body_bytes
+    app.config['BODY_TIMEOUT'] = ctx.cfg.body_timeout_s
+    # the deadline of each request bounds its answer
+    app.config['RESPONSE_TIMEOUT'] = None
+    add_ops_routes(app, ctx.control.readiness)
+    add_entrance_checks(app, ctx)
+    add_online_routes(app, ctx)
+    add_batch_routes(app, ctx, JobDirectory(ctx.control, nursery))
+
+    @app.errorhandler(BriarrillError)
+    async def refuse(exc: BriarrillError) -> Response:
+        return _error_response(exc)
+
+    @app.errorhandler(HTTPException)
+    async def refuse_http(exc: HTTPException) -> Response:
+        return _error_response(_from_http_exception(exc))
+
+    return app
+
+
+def _from_http_exception(exc: HTTPException) -> BriarrillError:
+    message = exc.description or exc.name
+    if isinstance(exc, RequestEntityTooLarge):
+        return TooLargeError('the body is larger than max_body_bytes')
+    if isinstance(exc, RequestTimeout):
+        return BodyTimeoutError('the body did not arrive in time')
+    if exc.code == HTTP_NOT_FOUND:
+        return NotFoundError(message)
+    if exc.code and exc.code < InternalError.http_status:
+        return BadRequestError(message)
+    return InternalError(message)
+
+
+def _error_response(exc: BriarrillError) -> Response:
+    if exc.ran is Ran.NO:
+        REFUSED.labels(exc.code.name).inc()
+    headers = {}
+    if exc.retry_after_s is not None:
+        headers['Retry-After'] = str(math.ceil(exc.retry_after_s))
+    return Response(
+        msgspec.json.encode(error_body(exc)),
+        status=exc.http_status,
+        content_type='application/json',
+        headers=headers,
+    )
--- a/briarrill/entry/batch_routes.py
+++ b/briarrill/entry/batch_routes.py
@@ -18,7 +18,7 @@
 from .context import Caller, EntryContext, read_body
 from .intake import FileIntake
 from .jobs import JobDirectory
-from .uploads import Upload, read_upload
+from .uploads import UPLOAD_PATH, Upload, read_upload
 
 __all__ = ('add_batch_routes',)
 
@@ -45,10 +45,10 @@
 ) -> None:
     """Add the routes of files and batch jobs."""
 
-    @app.post('/v1/files')
+    @app.post(UPLOAD_PATH)
     async def upload_file() -> dict[str, Any]:
         caller = ctx.caller()
-        upload = Upload()
+        upload = Upload(ctx.cfg.max_file_bytes, ctx.cfg.body_timeout_s)
         intake = FileIntake(ctx.copies, caller.name, ctx.cfg.max_file_bytes)
         record = await intake.store(read_upload(upload))
         record = attrs.evolve(
--- a/briarrill/entry/context.py
+++ b/briarrill/entry/context.py
@@ -11,6 +11,7 @@
 from ..state.settings import EntrySettings
 from .auth import authenticate
 from .dispatch import Dispatcher
+from .in_flight import RequestsInFlight
 from .limits import Limits
 
 __all__ = ('Caller', 'EntryContext', 'read_body')
@@ -33,6 +34,7 @@
     dispatcher: Dispatcher
     limits: Limits
     copies: SegmentCopies
+    in_flight: RequestsInFlight = attrs.field(factory=RequestsInFlight)
 
     @property
     def configuration(self) -> Configuration:
--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -1,9 +1,11 @@
 """briarrill.entry.online_routes: completions and plain services."""
 
 import contextlib
+import posixpath
 import time
 import uuid
 from collections.abc import AsyncIterator
+from urllib.parse import unquote
 
 import attrs
 import msgspec
@@ -11,9 +13,10 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from ..errors import BriarrillError, ForbiddenError
+from ..errors import BadRequestError, BriarrillError, ForbiddenError
 from ..protocol.callers_api import error_body, parse_completion
 from ..tracing import open_action
+from ..transport.http_connection import request_resources
 from .context import Caller, EntryContext, read_body
 from .dispatch import OpenAnswer
 from .links import OnlineRequest
@@ -30,6 +33,10 @@
 # a caller marks a call that must run at most once with the value 'false'
 IDEMPOTENT_HEADER = 'Idempotent'
 
+# names a call, so that it is recognised when it is sent again
+IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
+MAX_KEY_CHARACTERS = 255
+
 
 def add_online_routes(app: QuartTrio, ctx: EntryContext) -> None:
     """Add the models, completions and services routes."""
@@ -57,12 +64,18 @@
         '/services/<name>/<path:path>',
         methods=['GET', 'POST', 'PUT', 'PATCH', 'DELETE'],
     )
-    async def service(name: str, path: str) -> Response:
+    async def service(name: str, **_path: str) -> Response:
         caller = ctx.caller()
         if name not in caller.contract.services:
             raise ForbiddenError(f'service {name!r} is not in the contract')
         body = await read_body()
-        return await _answer(ctx, caller, name, f'/{path}', body)
+        return await _answer(ctx, caller, name, _path_at_service(name), body)
+
+
+def _path_at_service(name: str) -> str:
+    """Return the rest of the path as the caller encoded it."""
+    raw: bytes = request.scope['raw_path']
+    return raw.decode('ascii').removeprefix(f'{SERVICES_PATH}{name}')
 
 
 def _model(name: str) -> dict[str, object]:
@@ -80,6 +93,7 @@
     with contextlib.ExitStack() as stack:
         stack.enter_context(ctx.limits.request(caller.name, caller.contract))
         req = _online_request(ctx, caller, target, path, body)
+        stack.enter_context(ctx.in_flight.hold(req.request_id))
         action = stack.enter_context(
             open_action(
                 'entry:request',
@@ -92,7 +106,10 @@
         answer = await ctx.dispatcher.open(attrs.evolve(req, trace=trace))
         stack.callback(answer.close)
         if _is_stream(body):
-            return _stream_response(answer, stack.pop_all())
+            held = stack.pop_all()
+            # the answer may be given up before its first chunk is taken
+            request_resources(request).push(held)
+            return _stream_response(answer, held)
         return await _whole_response(answer)
 
 
@@ -100,32 +117,61 @@
     ctx: EntryContext, caller: Caller, target: str, path: str, body: bytes
 ) -> OnlineRequest:
     query = request.query_string.decode()
+    is_idempotent = _is_idempotent(ctx, target, path)
+    named = '' if is_idempotent else _named_id(caller)
     return OnlineRequest(
-        request_id=uuid.uuid4().hex,
+        request_id=named or uuid.uuid4().hex,
         contract=caller.name,
         target=target,
         method=request.method,
         path=f'{path}?{query}' if query else path,
         body=body,
-        idempotent=_is_idempotent(ctx, target, path),
+        idempotent=is_idempotent,
         deadline_s=time.monotonic() + ctx.cfg.request_timeout_s,
         content_type=request.content_type or 'application/json',
-        prefix_key=xxhash.xxh3_64_hexdigest(body[:PREFIX_BYTES]),
+        # a call that is sent again goes to the sidecar that remembers it
+        prefix_key=named or xxhash.xxh3_64_hexdigest(body[:PREFIX_BYTES]),
     )
 
 
+def _named_id(caller: Caller) -> str:
+    """Return the identifier that the caller gave, apart by contract.
+
+    :raises BadRequestError: the name is too long.
+    """
+    key = request.headers.get(IDEMPOTENCY_KEY_HEADER, '')
+    if not key:
+        return ''
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise BadRequestError(
+            f'{IDEMPOTENCY_KEY_HEADER}: at most {MAX_KEY_CHARACTERS} '
+            'characters'
+        )
+    return xxhash.xxh3_128_hexdigest(f'{caller.name}\0{key}'.encode())
+
+
 def _is_idempotent(ctx: EntryContext, target: str, path: str) -> bool:
     """Completions may be repeated; calls that a service lists may not."""
-    if request.headers.get(IDEMPOTENT_HEADER) == 'false':
+    marked = request.headers.get(IDEMPOTENT_HEADER, 'true').lower()
+    if marked not in {'true', 'false'}:
+        raise BadRequestError(f'{IDEMPOTENT_HEADER}: must be true or false')
+    if marked == 'false':
         return False
     service = ctx.configuration.services.get(target)
     if service is None:
         return True
+    meant = _meant_path(path)
     return not any(
-        path.startswith(prefix) for prefix in service.non_idempotent
+        meant.startswith(prefix) for prefix in service.non_idempotent
     )
 
 
+def _meant_path(path: str) -> str:
+    """Return the path that a service may take an encoded one for."""
+    decoded = posixpath.normpath(unquote(path))
+    return f'/{decoded.lstrip("/")}'
+
+
 def _is_stream(body: bytes) -> bool:
     if request.path.startswith(SERVICES_PATH):
         return False
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -1,50 +1,33 @@
 """briarrill.entry.service: assembles and runs one entry process."""
 
-import math
 import random
 
 import attrs
-import msgspec
 import trio
-from quart import Response
-from quart_trio import QuartTrio
-from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
 from ..control import Control
 from ..coordination.retries import RetryBudgets
 from ..coordination.routing import AffinityPolicy
-from ..errors import (
-    BadRequestError,
-    BriarrillError,
-    InternalError,
-    NotFoundError,
-    TooLargeError,
-)
-from ..metrics import REFUSED
-from ..ops_app import add_ops_routes
-from ..protocol.callers_api import error_body
 from ..protocol.rpc import open_rpc_pool
-from ..result_codes import Ran
 from ..runtime import Readiness, open_platform, wait_for_stop_signal
 from ..state.segment_copies import SegmentCopies
 from ..state.settings import EntrySettings
-from ..transport.http_server import serve_app
+from ..transport.http_server import HttpBounds, serve_app
 from ..transport.instance_list import Role
-from .batch_routes import add_batch_routes
+from .app import make_app
 from .context import EntryContext
 from .dispatch import Dispatcher
-from .jobs import JobDirectory
 from .limits import Limits
-from .online_routes import add_online_routes
 from .upstreams import UpstreamSet
 
 __all__ = ('run_entry',)
 
-HTTP_NOT_FOUND = 404
-
 # time for the balancer to see that the entry is not ready
 DRAIN_NOTICE_S = 1.0
 
+# time beyond the longest request for its answer to be sent
+DRAIN_MARGIN_S = 5.0
+
 
 async def run_entry(cfg: EntrySettings) -> None:
     """Run until a stop signal and the drain that follows it."""
@@ -62,7 +45,7 @@
             caller=caller,
         )
         upstreams = UpstreamSet(control.membership, cfg.instance, cfg.ports)
-        app = _make_app(_make_context(cfg, control, upstreams), nursery)
+        app = make_app(_make_context(cfg, control, upstreams), nursery)
         await control.start(nursery, cfg.platform.instance_poll_s)
         nursery.start_soon(upstreams.run)
         nursery.start_soon(_begin_drain_on_signal, control)
@@ -72,6 +55,11 @@
             cfg.http.host or cfg.instance.host,
             cfg.http.port,
             _DrainTrigger(control.readiness).wait,
+            HttpBounds(
+                idle_s=cfg.http.idle_timeout_s,
+                send_s=cfg.http.send_timeout_s,
+                graceful_s=cfg.request_timeout_s + DRAIN_MARGIN_S,
+            ),
         )
         nursery.cancel_scope.cancel()
 
@@ -114,46 +102,3 @@
             copies=cfg.copies,
         ),
     )
-
-
-def _make_app(ctx: EntryContext, nursery: trio.Nursery) -> QuartTrio:
-    app = QuartTrio('briarrill')
-    app.config['MAX_CONTENT_LENGTH'] = ctx.cfg.max_file_bytes
-    add_ops_routes(app, ctx.control.readiness)
-    add_online_routes(app, ctx)
-    add_batch_routes(app, ctx, JobDirectory(ctx.control, nursery))
-
-    @app.errorhandler(BriarrillError)
-    async def refuse(exc: BriarrillError) -> Response:
-        return _error_response(exc)
-
-    @app.errorhandler(HTTPException)
-    async def refuse_http(exc: HTTPException) -> Response:
-        return _error_response(_from_http_exception(exc))
-
-    return app
-
-
-def _from_http_exception(exc: HTTPException) -> BriarrillError:
-    message = exc.description or exc.name
-    if isinstance(exc, RequestEntityTooLarge):
-        return TooLargeError(message)
-    if exc.code == HTTP_NOT_FOUND:
-        return NotFoundError(message)
-    if exc.code and exc.code < InternalError.http_status:
-        return BadRequestError(message)
-    return InternalError(message)
-
-
-def _error_response(exc: BriarrillError) -> Response:
-    if exc.ran is Ran.NO:
-        REFUSED.labels(exc.code.name).inc()
-    headers = {}
-    if exc.retry_after_s is not None:
-        headers['Retry-After'] = str(math.ceil(exc.retry_after_s))
-    return Response(
-        msgspec.json.encode(error_body(exc)),
-        status=exc.http_status,
-        content_type='application/json',
-        headers=headers,
-    )
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -6,6 +6,7 @@
     'ERRORS_BY_CODE',
     'BadRequestError',
     'BatchItemsLimitError',
+    'BodyTimeoutError',
     'BriarrillError',
     'CallerError',
     'CancelledError',
@@ -19,6 +20,7 @@
     'ExecutionError',
     'FleetError',
     'ForbiddenError',
+    'HeadersTooLargeError',
     'InFlightLimitError',
     'InternalError',
     'InvalidLinesError',
@@ -132,6 +134,20 @@
     http_status = 413
 
 
+class HeadersTooLargeError(CallerError):
+    """The headers are larger than the bound."""
+
+    code = ResultCode.HEADERS_TOO_LARGE
+    http_status = 431
+
+
+class BodyTimeoutError(CallerError):
+    """The body did not arrive in time."""
+
+    code = ResultCode.BODY_TIMEOUT
+    http_status = 408
+
+
 class LimitError(BriarrillError):
     """A limit of the contract is reached."""
 
--- a/briarrill/protocol/codec.py
+++ b/briarrill/protocol/codec.py
@@ -3,8 +3,10 @@
 A message is two frames: the name of its class and its MessagePack body.
 """
 
+import math
 from collections.abc import Sequence
 
+import attrs
 import msgspec
 
 from ..errors import (
@@ -23,6 +25,15 @@
 _DECODERS = {
     name: msgspec.msgpack.Decoder(cls) for name, cls in _TYPES_BY_NAME.items()
 }
+# numbers that must be finite, since they become times
+_FLOATS_BY_TYPE = {
+    cls: tuple(
+        field.name
+        for field in attrs.fields(cls)
+        if field.type in {float, 'float'}
+    )
+    for cls in Message.__subclasses__()
+}
 _ENCODER = msgspec.msgpack.Encoder()
 
 FRAMES_OF_MESSAGE = 2
@@ -47,6 +58,9 @@
         decoded: Message = decoder.decode(frames[1])
     except msgspec.MsgspecError as exc:
         raise MalformedMessageError(str(exc)) from exc
+    for name in _FLOATS_BY_TYPE[type(decoded)]:
+        if not math.isfinite(getattr(decoded, name)):
+            raise MalformedMessageError(f'{name} must be finite')
     return decoded
 
 
--- a/briarrill/result_codes.py
+++ b/briarrill/result_codes.py
@@ -29,6 +29,8 @@
     NOT_FOUND = 120
     CONFLICT = 121
     TOO_LARGE = 130
+    HEADERS_TOO_LARGE = 131
+    BODY_TIMEOUT = 132
 
     # a limit of the contract
     REQUEST_RATE = 200
--- a/briarrill/runtime.py
+++ b/briarrill/runtime.py
@@ -19,7 +19,7 @@
 from .ops_app import make_ops_app
 from .state.settings import HttpSettings, LogSettings, PlatformSettings
 from .transport.etcd import EtcdService
-from .transport.http_server import serve_app
+from .transport.http_server import HttpBounds, serve_app
 from .transport.instance_list import InstanceList
 from .transport.key_value import KeyValueService
 
@@ -108,4 +108,5 @@
 ) -> None:
     """Serve metrics and health until ``shutdown`` returns."""
     app: QuartTrio = make_ops_app(readiness)
-    await serve_app(app, cfg.host or default_host, cfg.port, shutdown)
+    bounds = HttpBounds(cfg.idle_timeout_s, cfg.send_timeout_s)
+    await serve_app(app, cfg.host or default_host, cfg.port, shutdown, bounds)
--- a/briarrill/state/settings.py
+++ b/briarrill/state/settings.py
@@ -82,10 +82,14 @@
     """A listening HTTP server.
 
     :param host: IP address to listen on, default the instance's.
+    :param idle_timeout_s: wait for a whole request head.
+    :param send_timeout_s: wait for a peer that takes no bytes.
     """
 
     port: int
     host: str = ''
+    idle_timeout_s: float = 75.0
+    send_timeout_s: float = 30.0
 
 
 @attrs.frozen
@@ -123,6 +127,9 @@
     """Settings of ``briarrill-entry``.
 
     :param copies: instances that keep each segment of an input file.
+    :param max_requests: callers' requests served at the same time.
+    :param body_timeout_s: wait for a JSON body, or for the next part of an
+        uploaded file.
     """
 
     instance: InstanceSettings
@@ -132,6 +139,8 @@
     ports: PortSettings = PortSettings()
     copies: int = 2
     request_timeout_s: float = 60.0
+    body_timeout_s: float = 30.0
+    max_requests: int = 1000
     max_body_bytes: int = 4_000_000
     max_file_bytes: int = 1_000_000_000
 
--- a/briarrill/tracing.py
+++ b/briarrill/tracing.py
@@ -26,12 +26,14 @@
 
 
 def continue_trace(trace: str, action_type: str, **fields: Any) -> Action:
-    """Return an action below the peer's one, or a new one without a trace.
+    """Return an action below the peer's one, or a new one.
 
-    :param trace: eliot task identifier from the message, may be empty.
+    :param trace: eliot task identifier from the message; one that is empty or
+        damaged begins a new trace.
     """
-    if not trace:
+    try:
+        return Action.continue_task(
+            task_id=trace.encode(), action_type=action_type, **fields
+        )
+    except ValueError:
         return start_action(action_type=action_type, **fields)
-    return Action.continue_task(
-        task_id=trace.encode(), action_type=action_type, **fields
-    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -98,6 +98,9 @@
 
 
 def _read_prompt(body: dict[str, Any]) -> _Prompt:
+    if 'prompt' in body:
+        tokens = int(body.get('max_tokens') or DEFAULT_MAX_TOKENS)
+        return _Prompt(text=body['prompt'], position=0, tokens=tokens)
     messages = body['messages']
     position = 0
     if body.get('continue_final_message'):
@@ -177,6 +180,34 @@
     }
 
 
+def _text_completion(
+    body: dict[str, Any], text: str, reason: str | None
+) -> dict[str, Any]:
+    return {
+        'id': 'cmpl-standin',
+        'object': 'text_completion',
+        'created': int(time.time()),
+        'model': body['model'],
+        'choices': [{'index': 0, 'text': text, 'finish_reason': reason}],
+    }
+
+
+async def _stream_text(
+    engine: _Engine, body: dict[str, Any]
+) -> AsyncIterator[bytes]:
+    async for word in _generate(engine, _read_prompt(body)):
+        event = _text_completion(body, word, None)
+        yield f'data: {json.dumps(event)}\n\n'.encode()
+    yield b'data: [DONE]\n\n'
+
+
+async def _whole_text(engine: _Engine, body: dict[str, Any]) -> dict[str, Any]:
+    prompt = _read_prompt(body)
+    words = [word async for word in _generate(engine, prompt)]
+    answer = _text_completion(body, ''.join(words), 'stop')
+    return {**answer, 'usage': _usage(prompt, len(words))}
+
+
 def make_engine(
     *, models: tuple[str, ...], token_s: float, seed: int
 ) -> QuartTrio:
@@ -198,6 +229,7 @@
         return {'running': engine.running, 'calls': engine.calls}
 
     @app.post('/v1/chat/completions')
+    @app.post('/v1/completions')
     async def complete() -> Response | dict[str, Any]:
         body = json.loads(await request.get_data())
         if body['model'] not in engine.models:
@@ -206,10 +238,10 @@
         engine.calls[prompt[:80]] += 1
         if IMPOSSIBLE_MARK in prompt:
             return Response('the item cannot be completed\n', status=500)
+        is_text = 'prompt' in body
         if body.get('stream'):
-            return Response(
-                _stream(engine, body), content_type='text/event-stream'
-            )
-        return await _whole(engine, body)
+            events = (_stream_text if is_text else _stream)(engine, body)
+            return Response(events, content_type='text/event-stream')
+        return await (_whole_text if is_text else _whole)(engine, body)
 
     return app
--- /dev/null
+++ b/tests/test_malformed_messages.py
@@ -0,0 +1,233 @@
+"""Malformed messages on each ZeroMQ socket are dropped and counted."""
+
+import contextlib
+import random
+
+import attrs
+import msgspec
+import pytest
+import trio
+
+from briarrill.batch.handout import Handout
+from briarrill.coordination.admission import Admission
+from briarrill.entry.links import UpstreamLink
+from briarrill.errors import PeerUnreachableError
+from briarrill.metrics import MALFORMED_MESSAGES
+from briarrill.protocol.codec import decode, encode
+from briarrill.protocol.messages import (
+    Assign,
+    Chunk,
+    Heartbeat,
+    Hello,
+    LoadReport,
+    Ok,
+    Pull,
+    StatusRequest,
+    Submit,
+    Welcome,
+)
+from briarrill.protocol.rpc import RpcClient, serve_rpc
+from briarrill.runtime import Readiness
+from briarrill.sidecar.batch import BatchPuller
+from briarrill.sidecar.online import Identity, OnlineServer
+from briarrill.state.settings import InstanceSettings
+from briarrill.tracing import continue_trace
+from briarrill.transport.instance_list import Instance, Role
+from briarrill.transport.zmq_socket import open_dealer, open_router
+
+PORT = 7191
+SEED = 5
+OWN = InstanceSettings('own', '127.0.0.1', 'a', 'r')
+PULL = Pull(session='s', process='p', wanted=1, models=('drafter',))
+
+SUBMIT = Submit(
+    session='s',
+    request_id='r',
+    attempt=0,
+    contract='c',
+    method='POST',
+    path='/',
+    body=b'',
+    idempotent=True,
+    peer_clock_s=0.0,
+    peer_clock_age_s=0.0,
+    time_left_s=5.0,
+)
+
+
+def _garbage():
+    """Return frames that no socket may take for a message."""
+    rng = random.Random(SEED)
+    fixed = [
+        [b''],
+        [b'', b''],
+        [b'Submit'],
+        [b'Submit', b''],
+        [b'Submit', b'\xc1'],
+        [b'Submit', msgspec.msgpack.encode({})],
+        [b'Submit', encode(SUBMIT)[1][:-1]],
+        [*encode(SUBMIT), b'more'],
+        [b'Message', b'\x80'],
+        [b'x' * 100_000, b'y' * 100_000],
+        encode(attrs.evolve(SUBMIT, time_left_s=float('nan'))),
+        encode(attrs.evolve(SUBMIT, peer_clock_s=float('inf'))),
+        encode(Welcome(session='s', process='p', clock_s=float('nan'))),
+    ]
+    names = [b'Submit', b'Pull', b'Welcome', b'Chunk', b'ItemOutcome']
+    return fixed + [[rng.choice(names), rng.randbytes(40)] for _ in range(200)]
+
+
+def _malformed():
+    return MALFORMED_MESSAGES._value.get()
+
+
+@pytest.fixture
+def address(network):
+    return f'{network}.1', PORT
+
+
+async def _send(socket, frames):
+    with trio.fail_after(10):
+        while True:
+            try:
+                return socket.send(frames)
+            except PeerUnreachableError:
+                await trio.sleep(0.01)
+
+
+async def _receive(socket, cls, skip=0):
+    """Return the next message of a class."""
+    with trio.fail_after(10):
+        while True:
+            frames = await socket.receive()
+            with contextlib.suppress(Exception):
+                message = decode(frames[skip:])
+                if isinstance(message, cls):
+                    return message
+
+
+async def _send_garbage(socket, *envelope):
+    before = _malformed()
+    for frames in _garbage():
+        await _send(socket, [*envelope, *frames])
+    return before
+
+
+async def _wait_counted(before):
+    with trio.fail_after(10):
+        while _malformed() < before + len(_garbage()):
+            await trio.sleep(0.01)
+
+
+def test_damaged_trace_begins_a_new_one():
+    with continue_trace('no trace', 'sidecar:request') as action:
+        assert action.task_uuid
+
+
+async def test_online_socket_of_the_sidecar(address):
+    with open_router(*address) as router, open_dealer(*address) as peer:
+        server = OnlineServer(
+            router, Identity('p'), None, Admission(2, 2), Readiness()
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run)
+            before = await _send_garbage(peer)
+            await _wait_counted(before)
+            hello = Hello(process='e', failure_domain='a')
+            await _send(peer, encode(hello))
+            assert await _receive(peer, Welcome)
+            nursery.cancel_scope.cancel()
+
+
+async def test_batch_socket_of_the_batch_process(address):
+    with open_router(*address) as router, open_dealer(*address) as peer:
+        handout = Handout(router)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(handout.run)
+            before = await _send_garbage(peer)
+            await _wait_counted(before)
+            await _send(peer, encode(PULL))
+            with trio.fail_after(10):
+                while not handout._pullers:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+
+async def test_batch_socket_of_the_sidecar(address):
+    with open_router(*address) as router:
+        puller = BatchPuller(Identity('p'), _Runner(), Readiness())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(puller.run, *address)
+            peer = (await router.receive())[0]
+            before = await _send_garbage(router, peer)
+            await _send(router, [peer, *encode(Assign(batch_items=()))])
+            await _wait_counted(before)
+            assert await _receive(router, Pull, skip=1)
+            nursery.cancel_scope.cancel()
+
+
+class _Runner:
+    admission = Admission(2, 2)
+
+
+async def test_online_socket_of_the_entry(address):
+    with open_router(*address) as router:
+        instance = Instance('u', address[0], 'a', 'r', (Role.UPSTREAM,))
+        link = UpstreamLink(instance, PORT, OWN)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run)
+            peer = (await router.receive())[0]
+            before = await _send_garbage(router, peer)
+            await _wait_counted(before)
+            welcome = Welcome(session='s', process='p', clock_s=1.0)
+            stray = Chunk(request_id='r', attempt=0, seq=-1, body=b'')
+            beat = Heartbeat(session='s', clock_s=2.0, load=LoadReport())
+            for message in (welcome, stray, beat):
+                await _send(router, [peer, *encode(message)])
+            with trio.fail_after(10):
+                while not link.is_usable:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+
+async def test_control_and_store_sockets(address):
+    async def answer(_request):
+        return Ok()
+
+    with open_dealer(*address) as peer:
+        async with trio.open_nursery() as nursery:
+            handlers = {StatusRequest: answer}
+            await nursery.start(serve_rpc, *address, handlers)
+            before = await _send_garbage(peer, b'1')
+            await _wait_counted(before)
+            await _send(peer, [b'2', *encode(StatusRequest())])
+            assert await _receive(peer, Ok, skip=1)
+            nursery.cancel_scope.cancel()
+
+
+async def test_replies_to_a_client(address):
+    with open_router(*address) as router, open_dealer(*address) as dealer:
+        client = RpcClient(dealer)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(client.run)
+            for number, garbage in enumerate(_garbage()[:5], start=1):
+                nursery.start_soon(_call_in_vain, client)
+                peer = (await router.receive())[0]
+                before = _malformed()
+                await _send(router, [peer, str(number).encode(), *garbage])
+                with trio.fail_after(10):
+                    while _malformed() == before:
+                        await trio.sleep(0.01)
+            nursery.start_soon(_call_ok, client, nursery.cancel_scope)
+            peer, call_id, *_ = await router.receive()
+            await _send(router, [peer, call_id, *encode(Ok())])
+
+
+async def _call_ok(client, scope):
+    assert await client.call(StatusRequest(), 10) == Ok()
+    scope.cancel()
+
+
+async def _call_in_vain(client):
+    with pytest.raises(PeerUnreachableError):
+        await client.call(StatusRequest(), 0.2)
