--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -1,189 +1,195 @@
-"""An entry's HTTP application on a real socket, with fakes behind it."""
+"""A sidecar whose answers a test writes, and an entry's dispatcher."""
 
 import contextlib
+import functools
+import random
+import time
 import types
 
 import attrs
-import httpx
 import pytest
 import trio
 
-from briarrill.entry.app import make_app
-from briarrill.entry.context import EntryContext
-from briarrill.entry.limits import Limits
-from briarrill.errors import BriarrillError
-from briarrill.protocol.messages import Finish
-from briarrill.runtime import Readiness
-from briarrill.state.contracts import (
-    Configuration,
-    Contract,
-    Model,
-    Service,
-    hash_api_key,
+from briarrill.coordination.membership import Membership
+from briarrill.coordination.retries import RetryBudgets
+from briarrill.coordination.routing import TwoChoicesPolicy
+from briarrill.entry.calls import OnlineRequest
+from briarrill.entry.dispatch import Dispatcher
+from briarrill.entry.upstreams import UpstreamSet
+from briarrill.errors import PeerUnreachableError
+from briarrill.protocol.codec import decode, encode
+from briarrill.protocol.messages import (
+    CancelCall,
+    Chunk,
+    Finish,
+    Heartbeat,
+    Hello,
+    LoadReport,
+    Submit,
+    Welcome,
 )
-from briarrill.state.settings import (
-    EntrySettings,
-    HttpSettings,
-    InstanceSettings,
-    LogSettings,
-    PlatformSettings,
-)
-from briarrill.transport.http_server import DEFAULT_BOUNDS, serve_app
-from briarrill.transport.key_value import KeyValue
-
-PORT = 8081
+from briarrill.state.settings import InstanceSettings, PortSettings
+from briarrill.transport.instance_list import Instance, Role
+from briarrill.transport.zmq_socket import open_router
+from tests.entry import serving
+
+PORTS = PortSettings()
+SEED = 11
+
+
+class FakeSidecar:
+    """Speaks the sessions' messages; the test answers each submit."""
+
+    def __init__(self, host):
+        self.host = host
+        self.name = f'upstream-{host}'
+        self.submits = []
+        self.cancels = []
+        self.is_silent = False
+        self.load = LoadReport(slots=4)
+        self._changed = trio.Event()
+        self._peers = {}
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        with open_router(self.host, PORTS.sidecar_online) as socket:
+            self._socket = socket
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._beat)
+                task_status.started()
+                while True:
+                    peer, *frames = await self._socket.receive()
+                    self._take(peer, decode(frames))
+
+    async def next_submit(self, count=1):
+        while len(self.submits) < count:
+            await self._changed.wait()
+        return self.submits[count - 1]
+
+    async def next_cancel(self):
+        while not self.cancels:
+            await self._changed.wait()
+        return self.cancels[0]
+
+    def chunk(self, submit, seq, body=b'data: x\n\n'):
+        self.send(submit, Chunk(submit.request_id, submit.attempt, seq, body))
+
+    def finish(self, submit, **fields):
+        self.send(submit, Finish(submit.request_id, submit.attempt, **fields))
+
+    def send(self, submit, message):
+        peer = next(
+            peer
+            for peer, session in self._peers.items()
+            if session == submit.session
+        )
+        self._socket.send([peer, *encode(message)])
+
+    async def _beat(self):
+        while True:
+            for peer, session in self._peers.items():
+                if not self.is_silent:
+                    beat = Heartbeat(
+                        session=session,
+                        clock_s=time.monotonic(),
+                        load=self.load,
+                        models=('m',),
+                    )
+                    with contextlib.suppress(PeerUnreachableError):
+                        self._socket.send([peer, *encode(beat)])
+            await trio.sleep(0.1)
+
+    def _take(self, peer, message):
+        if isinstance(message, Hello) and not self.is_silent:
+            session = self._peers.setdefault(peer, f'session-{peer.hex()}')
+            welcome = Welcome(
+                session, self.name, time.monotonic(), models=('m',)
+            )
+            self._socket.send([peer, *encode(welcome)])
+        elif isinstance(message, Submit):
+            self.submits.append(message)
+        elif isinstance(message, CancelCall):
+            self.cancels.append(message)
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _instance(sidecar):
+    return Instance(
+        name=sidecar.name,
+        host=sidecar.host,
+        failure_domain='hobart-a',
+        region='lutruwita',
+        roles=(Role.UPSTREAM,),
+        pool='drafting',
+    )
 
 
-def _contract(api_key):
-    return Contract(
-        api_key_sha256=(hash_api_key(api_key),),
-        models=('drafter',),
-        services=('approvals',),
-        requests_per_second=1e6,
-        requests_in_flight=1_000,
+@contextlib.asynccontextmanager
+async def _open_entry(sidecars, instances=None, budgets=None):
+    membership = Membership(
+        tuple(instances or (_instance(sidecar) for sidecar in sidecars))
     )
+    own = InstanceSettings('entry-1', '127.0.0.1', 'hobart-a', 'lutruwita')
+    upstreams = UpstreamSet(membership, own, PORTS)
+    dispatcher = Dispatcher(
+        upstreams,
+        TwoChoicesPolicy(random.Random(SEED)),
+        budgets or RetryBudgets(),
+    )
+    stops = {}
+    async with trio.open_nursery() as nursery:
+        for sidecar in sidecars:
+            stops[sidecar.name] = await nursery.start(_run_until, sidecar)
+        nursery.start_soon(upstreams.run)
+        with trio.fail_after(10):
+            while len(upstreams.serving('m')) < len(sidecars):
+                await trio.sleep(0.01)
+            yield types.SimpleNamespace(
+                dispatcher=dispatcher,
+                membership=membership,
+                upstreams=upstreams,
+                stops=stops,
+            )
+        nursery.cancel_scope.cancel()
+
+
+async def _run_until(sidecar, task_status=trio.TASK_STATUS_IGNORED):
+    """Run a sidecar until the scope that this starts with is cancelled."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(sidecar.run)
+        task_status.started(nursery.cancel_scope)
 
 
-CONFIGURATION = Configuration(
-    contracts={'kinship': _contract('key-1'), 'signals': _contract('key-2')},
-    models={'drafter': Model('drafting'), 'other': Model('drafting')},
-    services={'approvals': Service('portal', non_idempotent=('/submit',))},
-)
+@pytest.fixture
+def open_entry():
+    return _open_entry
 
 
-class FakeAnswer:
-    """Yields chunks, then the end or an error."""
+@pytest.fixture
+def sidecars(network):
+    return [FakeSidecar(f'{network}.{number}') for number in (1, 2, 3)]
 
-    def __init__(self, chunks=(), error=None):
-        """Start open."""
-        self.chunks = iter(chunks)
-        self.error = error
-        self.closed = False
-        self.finish = Finish(
-            request_id='r', attempt=0, chunks=0, content_type='text/plain'
-        )
 
-    async def next_chunk(self):
-        """Return a chunk, or nothing at the end."""
-        await trio.lowlevel.checkpoint()
-        chunk = next(self.chunks, None)
-        if chunk is None and self.error is not None:
-            raise self.error
-        return chunk
-
-    def close(self):
-        """Remember that it was released."""
-        self.closed = True
-
-
-class FakeDispatcher:
-    """Answers every request with :attr:`answer`."""
-
-    def __init__(self):
-        """Start with an empty answer and no requests."""
-        self.requests = []
-        self.answers = []
-        self.make = FakeAnswer
-
-    async def open(self, req):
-        """Record the request."""
-        self.requests.append(req)
-        made = self.make()
-        if isinstance(made, BriarrillError):
-            raise made
-        self.answers.append(made)
-        return made
-
-
-class FakeKeyValue:
-    """Records in memory."""
-
-    def __init__(self):
-        """Start empty."""
-        self.records = {}
-
-    async def read(self, key):
-        """Return a record or nothing."""
-        body = self.records.get(key)
-        return body and KeyValue(key=key, body=body, mod_revision=1)
-
-    async def compare_and_swap(self, key, body, *, mod_revision):
-        """Write a record that is not there."""
-        if key in self.records:
-            return None
-        self.records[key] = body
-        return 1
-
-
-@attrs.define
-class Entry:
-    """A served application and its fakes."""
-
-    host: str
-    dispatcher: FakeDispatcher
-    readiness: Readiness
-    key_value: FakeKeyValue
-    limits: Limits
-
-    def client(self, api_key='key-1', **options):
-        """Return an HTTP client with an API key."""
-        return httpx.AsyncClient(
-            base_url=f'http://{self.host}:{PORT}',
-            headers={'Authorization': f'Bearer {api_key}'},
-            trust_env=False,
-            **options,
+@pytest.fixture
+def make_request():
+    def make(request_id='r1', **fields):
+        return attrs.evolve(
+            OnlineRequest(
+                request_id=request_id,
+                contract='c',
+                target='m',
+                method='POST',
+                path='/v1/chat/completions',
+                body=b'{}',
+                idempotent=True,
+                deadline_s=time.monotonic() + 20,
+            ),
+            **fields,
         )
 
-    async def connect(self):
-        """Return a bare connection."""
-        return await trio.open_tcp_stream(self.host, PORT)
-
-
-def settings(**options):
-    """Return an entry's settings."""
-    return EntrySettings(
-        instance=InstanceSettings('entry-0', '127.0.0.1', 'a', 'r'),
-        platform=PlatformSettings('http://127.0.0.1', 'http://127.0.0.1'),
-        log=LogSettings('/dev/null'),
-        http=HttpSettings(PORT),
-        **options,
-    )
+    return make
 
 
 @pytest.fixture
 def serve_entry(network):
-    """Return what opens an entry with the settings given."""
-
-    @contextlib.asynccontextmanager
-    async def serve(bounds=DEFAULT_BOUNDS, copies=None, **options):
-        key_value, readiness = FakeKeyValue(), Readiness()
-        readiness.has_started = True
-        control = types.SimpleNamespace(
-            holder=types.SimpleNamespace(current=CONFIGURATION),
-            readiness=readiness,
-            platform=types.SimpleNamespace(key_value=key_value),
-            membership=types.SimpleNamespace(live=lambda role: ()),
-        )
-        ctx = EntryContext(
-            cfg=settings(**options),
-            control=control,
-            dispatcher=FakeDispatcher(),
-            limits=Limits(lambda: 1),
-            copies=copies,
-        )
-        host = f'{network}.1'
-        with trio.fail_after(30):
-            async with trio.open_nursery() as nursery:
-                app = make_app(ctx, nursery)
-                nursery.start_soon(
-                    serve_app, app, host, PORT, trio.sleep_forever, bounds
-                )
-                entry = Entry(
-                    host, ctx.dispatcher, readiness, key_value, ctx.limits
-                )
-                async with entry.client() as client:
-                    await client.get('/healthz')
-                yield entry
-                nursery.cancel_scope.cancel()
-
-    return serve
+    return functools.partial(serving.serve_entry, network)
--- a/tests/entry/test_bounds.py
+++ b/tests/entry/test_bounds.py
@@ -13,7 +13,7 @@
 from briarrill.state.job_records import FileRecord, encode_record
 from briarrill.state.keys import file_key
 from briarrill.transport.http_server import HttpBounds
-from tests.entry.conftest import FakeAnswer
+from tests.entry.serving import FakeAnswer
 
 CHAT = '/v1/chat/completions'
 BODY = {'model': 'drafter', 'messages': [], 'stream': True}
--- a/tests/entry/test_idempotency.py
+++ b/tests/entry/test_idempotency.py
@@ -4,7 +4,7 @@
 import trio
 
 from briarrill.result_codes import ResultCode
-from tests.entry.conftest import FakeAnswer
+from tests.entry.serving import FakeAnswer
 
 SUBMIT = '/services/approvals/submit'
 
