--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -1,6 +1,7 @@
 """A sidecar whose answers a test writes, and an entry's dispatcher."""
 
 import contextlib
+import functools
 import random
 import time
 import types
@@ -30,6 +31,7 @@
 from briarrill.state.settings import InstanceSettings, PortSettings
 from briarrill.transport.instance_list import Instance, Role
 from briarrill.transport.zmq_socket import open_router
+from tests.entry import serving
 
 PORTS = PortSettings()
 SEED = 11
@@ -190,3 +192,8 @@
         )
 
     return make
+
+
+@pytest.fixture
+def serve_entry(network):
+    return functools.partial(serving.serve_entry, network)
