--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -40,6 +40,8 @@
 OWN = InstanceSettings('own', '127.0.0.1', 'a', 'r')
 PULL = Pull(session='s', process='p', wanted=1, models=('drafter',))
 
+WELCOME = Welcome(session='s', process='p', clock_s=1.0, load=LoadReport())
+
 SUBMIT = Submit(
     session='s',
     request_id='r',
@@ -71,7 +73,7 @@
         [b'x' * 100_000, b'y' * 100_000],
         encode(attrs.evolve(SUBMIT, time_left_s=float('nan'))),
         encode(attrs.evolve(SUBMIT, peer_clock_s=float('inf'))),
-        encode(Welcome(session='s', process='p', clock_s=float('nan'))),
+        encode(attrs.evolve(WELCOME, clock_s=float('nan'))),
     ]
     names = [b'Submit', b'Pull', b'Welcome', b'Chunk', b'ItemOutcome']
     return fixed + [[rng.choice(names), rng.randbytes(40)] for _ in range(200)]
@@ -179,10 +181,9 @@
             peer = (await router.receive())[0]
             before = await _send_garbage(router, peer)
             await _wait_counted(before)
-            welcome = Welcome(session='s', process='p', clock_s=1.0)
             stray = Chunk(request_id='r', attempt=0, seq=-1, body=b'')
             beat = Heartbeat(session='s', clock_s=2.0, load=LoadReport())
-            for message in (welcome, stray, beat):
+            for message in (WELCOME, stray, beat):
                 await _send(router, [peer, *encode(message)])
             with trio.fail_after(10):
                 while not link.is_usable:
