--- /dev/null
+++ b/bench/traces/__main__.py
@@ -0,0 +1,40 @@
+"""bench.traces: write the traces anew (``python -m bench.traces``)."""
+
+from .arrivals import bursty_trace, steady_trace
+
+SEED = 20240611
+
+
+def main() -> None:
+    """Write all traces with the outcomes that they are measured against."""
+    bursty_trace(
+        'online-bursts',
+        SEED,
+        per_second=20,
+        seconds=20,
+        burst_size=30,
+        burst_every_s=4,
+        outcomes={
+            'harm_p99_first_token': 1.10,
+            'batch_kept': 0.90,
+            'yield_ms': 50,
+        },
+    ).write()
+    steady_trace(
+        'online-capacity',
+        SEED + 1,
+        per_second=36,
+        seconds=20,
+        outcomes={},
+    ).write()
+    steady_trace(
+        'online-overload',
+        SEED + 2,
+        per_second=72,
+        seconds=20,
+        outcomes={'goodput_of_capacity': 0.95},
+    ).write()
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,7 +19,7 @@
 
 from .faults import add_fault_switches
 
-__all__ = ('make_engine',)
+__all__ = ('EngineModel', 'make_engine', 'stream_answer')
 
 WORDS = [
     'parent',
@@ -47,7 +47,6 @@
 # streams that run without slowing each other
 KNEE_STREAMS = 8
 
-PREFILL_S_PER_WORD = 0.00005
 CACHE_BLOCK_WORDS = 16
 CACHE_BLOCKS = 4096
 
@@ -55,10 +54,17 @@
 
 
 @attrs.define
-class _Engine:
+class EngineModel:
+    """The token rate and the prefix cache of an engine.
+
+    :param token_s: seconds between two tokens of one stream.
+    :param prefill_s_per_word: seconds for each prompt word not cached.
+    """
+
     models: tuple[str, ...]
     token_s: float
     seed: int
+    prefill_s_per_word: float = 0.00005
     running: int = 0
     calls: collections.Counter[str] = attrs.field(factory=collections.Counter)
     blocks: collections.OrderedDict[int, None] = attrs.field(
@@ -110,11 +116,11 @@
     )
 
 
-async def _generate(engine: _Engine, prompt: _Prompt) -> AsyncIterator[str]:
+async def _generate(engine: EngineModel, prompt: _Prompt) -> AsyncIterator[str]:
     engine.running += 1
     try:
         missed = engine.cache_prefix(prompt.text)
-        await trio.sleep(missed * PREFILL_S_PER_WORD)
+        await trio.sleep(missed * engine.prefill_s_per_word)
         for offset in range(prompt.tokens):
             await trio.sleep(engine.step_s())
             yield engine.word(prompt.text, prompt.position + offset)
@@ -146,9 +152,10 @@
     }
 
 
-async def _stream(
-    engine: _Engine, body: dict[str, Any]
+async def stream_answer(
+    engine: EngineModel, body: dict[str, Any]
 ) -> AsyncIterator[bytes]:
+    """Generate an answer as server-sent events, one a token."""
     prompt = _read_prompt(body)
     yield _event(
         body, choices=_choice({'role': 'assistant', 'content': ''}, None)
@@ -163,7 +170,7 @@
     yield b'data: [DONE]\n\n'
 
 
-async def _whole(engine: _Engine, body: dict[str, Any]) -> dict[str, Any]:
+async def _whole(engine: EngineModel, body: dict[str, Any]) -> dict[str, Any]:
     prompt = _read_prompt(body)
     words = [word async for word in _generate(engine, prompt)]
     message = {'role': 'assistant', 'content': ''.join(words)}
@@ -186,7 +193,7 @@
     """
     app = QuartTrio('engine')
     add_fault_switches(app)
-    engine = _Engine(models, token_s, seed)
+    engine = EngineModel(models, token_s, seed)
 
     @app.get('/v1/models')
     async def show_models() -> dict[str, Any]:
@@ -208,7 +215,7 @@
             return Response('the item cannot be completed\n', status=500)
         if body.get('stream'):
             return Response(
-                _stream(engine, body), content_type='text/event-stream'
+                stream_answer(engine, body), content_type='text/event-stream'
             )
         return await _whole(engine, body)
 
