Lend the limits of contracts from one holder

Each entry had a static share of a contract's limits: three entries refused two thirds of what a contract may send to one of them (the test of the whole limit at one entry would admit 7 of 20), and tokens a second were not applied at all.

Rendezvous hashing names the holder of a contract among the live entries. It keeps one bucket of requests and one of tokens and lends from them, so what all borrowers admit is within what one bucket gives; requests in flight are lent by number and reported when they end. What is lent lapses after 2 s by the borrower's clock from before it asked. A successor starts with empty buckets. An entry that reaches neither the holder nor the next keeps to the static split. Weighed: lending rates (a moved rate brings a second burst with it, and the sum can't be bounded while one reply is lost).

Tokens are counted by the sidecar from the answer's events or its usage, and charged when the answer ends; an overdrawn contract pays back first.

A hypothesis state machine runs borrowers and holders that die, restart and see the list at different times: admitted requests stay within one bucket for each life of a holder that lent, requests in flight within one limit.

Edits outside this area: the control part takes handlers of one binary, the routes ask the limits with await and charge the tokens.

--- a/briarrill/control.py
+++ b/briarrill/control.py
@@ -27,7 +27,7 @@
     Status,
     StatusRequest,
 )
-from .protocol.rpc import RpcCaller, serve_rpc
+from .protocol.rpc import HandlerTable, RpcCaller, serve_rpc
 from .runtime import Platform, Readiness
 from .state.settings import InstanceSettings, PortSettings
 from .transport.instance_list import Instance, Role
@@ -63,6 +63,7 @@
 
     :param role: which of the instance's processes this is.
     :param load: returns the load to report, default none.
+    :param extra_handlers: answers to messages of this binary only.
     """
 
     instance: InstanceSettings
@@ -74,15 +75,17 @@
     holder: ConfigHolder = attrs.field(factory=ConfigHolder)
     membership: Membership = attrs.field(factory=Membership)
     load: Callable[[], LoadReport] = _no_load
+    extra_handlers: HandlerTable = attrs.field(factory=dict)
 
     async def start(self, nursery: trio.Nursery, poll_s: float) -> None:
         """Listen and follow the platform; return when listening."""
         own = self._own_address()
-        handlers = {
+        handlers: HandlerTable = {
             ConfigPush: self.holder.answer_push,
             ConfigDigest: self.holder.answer_digest,
             StatusRequest: self._answer_status,
             Drain: self._answer_drain,
+            **self.extra_handlers,
         }
         await nursery.start(serve_rpc, own.host, own.port, handlers)
         nursery.start_soon(
--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -47,6 +47,13 @@
             raise InternalError('the answer has not ended')
         return self.call.finish
 
+    @property
+    def tokens(self) -> int:
+        """Return the generated tokens; of a cut answer, its chunks."""
+        if self.call.finish is None:
+            return self.call.received
+        return self.call.finish.tokens
+
     async def next_chunk(self) -> bytes | None:
         """Return the next chunk, or nothing at the end.
 
--- a/briarrill/entry/links.py
+++ b/briarrill/entry/links.py
@@ -58,7 +58,7 @@
         self._session = ''
         self._draining = False
         self._clock = PeerClock()
-        self._report = LoadReport()
+        self.report = LoadReport()
         self._calls: dict[CallKey, OnlineCall] = {}
 
     @property
@@ -74,7 +74,7 @@
     @property
     def load(self) -> float:
         """Return own requests in flight plus what the sidecar reported."""
-        report = self._report
+        report = self.report
         running = max(len(self._calls), report.online_running)
         return (running + report.online_queued) / max(report.slots, 1)
 
@@ -196,7 +196,7 @@
         if heartbeat.session != self._session:
             STALE_MESSAGES.inc()
             return
-        self._report = heartbeat.load
+        self.report = heartbeat.load
         self._take_state(heartbeat)
 
     def _take_state(self, message: Welcome | Heartbeat) -> None:
--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -78,7 +78,8 @@
     this function has returned.
     """
     with contextlib.ExitStack() as stack:
-        stack.enter_context(ctx.limits.request(caller.name, caller.contract))
+        admitted = await ctx.limits.request(caller.name, caller.contract)
+        held = stack.enter_context(admitted)
         req = _online_request(ctx, caller, target, path, body)
         action = stack.enter_context(
             open_action(
@@ -91,6 +92,7 @@
         trace = action.serialize_task_id().decode()
         answer = await ctx.dispatcher.open(attrs.evolve(req, trace=trace))
         stack.callback(answer.close)
+        stack.callback(lambda: held.charge(answer.tokens))
         if _is_stream(body):
             return _stream_response(answer, stack.pop_all())
         return await _whole_response(answer)
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -34,6 +34,7 @@
 from .context import EntryContext
 from .dispatch import Dispatcher
 from .jobs import JobDirectory
+from .lender import FleetLender
 from .limits import Limits
 from .online_routes import add_online_routes
 from .upstreams import UpstreamSet
@@ -62,9 +63,11 @@
             caller=caller,
         )
         upstreams = UpstreamSet(control.membership, cfg.instance, cfg.ports)
-        app = _make_app(_make_context(cfg, control, upstreams), nursery)
+        ctx = _make_context(cfg, control, upstreams)
+        app = _make_app(ctx, nursery)
         await control.start(nursery, cfg.platform.instance_poll_s)
         nursery.start_soon(upstreams.run)
+        nursery.start_soon(ctx.limits.run)
         nursery.start_soon(_begin_drain_on_signal, control)
         nursery.start_soon(_mark_ready, control)
         await serve_app(
@@ -106,7 +109,7 @@
         dispatcher=Dispatcher(
             upstreams, AffinityPolicy(random.Random()), RetryBudgets()
         ),
-        limits=Limits(lambda: len(control.membership.live(Role.ENTRY))),
+        limits=Limits(cfg.instance.name, FleetLender(control)),
         copies=SegmentCopies(
             caller=control.caller,
             membership=control.membership,
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -4,6 +4,7 @@
 
 __all__ = (
     'ADMITTED',
+    'ALLOWANCE_CALLS',
     'BATCH_COMMITS',
     'BATCH_ITEMS',
     'CANCELLED',
@@ -18,6 +19,11 @@
     'STALE_MESSAGES',
 )
 
+ALLOWANCE_CALLS = Counter(
+    'briarrill_allowance_calls',
+    'Calls to the holders of contracts, by outcome.',
+    ('outcome',),
+)
 ADMITTED = Counter(
     'briarrill_admitted', 'Requests admitted to run.', ('queue',)
 )
--- a/briarrill/protocol/messages/__init__.py
+++ b/briarrill/protocol/messages/__init__.py
@@ -4,6 +4,7 @@
 as the time left plus the receiver's own clock as the sender last saw it.
 """
 
+from .allowances import Allowance, Borrow
 from .base import Failure, Message, Ok
 from .batch import (
     Assign,
@@ -20,8 +21,10 @@
 from .store import GetSegment, PutSegment, Segment
 
 __all__ = (
+    'Allowance',
     'Assign',
     'BatchItem',
+    'Borrow',
     'CancelCall',
     'CancelJob',
     'Chunk',
--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -1,10 +1,13 @@
 """briarrill.sidecar.upstreams.engine: a model engine over HTTP."""
 
-from collections.abc import AsyncIterator
+import contextlib
+from collections.abc import AsyncIterator, Iterator
 
+import attrs
 import httpx
+import msgspec
 
-from .base import Upstream
+from .base import Answer, Call, Upstream
 
 __all__ = ('EVENT_END', 'EngineUpstream')
 
@@ -12,6 +15,30 @@
 
 EVENT_STREAM = 'text/event-stream'
 
+_EVENT_PREFIX = b'data: '
+
+
+@attrs.frozen
+class _Usage:
+    completion_tokens: int = 0
+
+
+@attrs.frozen
+class _Choice:
+    delta: dict[str, object] = attrs.field(factory=dict)
+    text: str = ''
+
+
+@attrs.frozen
+class _Event:
+    """The fields of an event, or of a whole answer, that hold tokens."""
+
+    choices: tuple[_Choice, ...] = ()
+    usage: _Usage | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Event)
+
 
 class EngineUpstream(Upstream):
     """A model engine with the chat completions API."""
@@ -24,6 +51,13 @@
         reply.raise_for_status()
         return tuple(model['id'] for model in reply.json()['data'])
 
+    @contextlib.asynccontextmanager
+    async def open_call(self, call: Call) -> AsyncIterator[Answer]:
+        """Send a request and count the tokens of its answer."""
+        async with super().open_call(call) as answer:
+            answer.chunks = _counted(answer, answer.chunks)
+            yield answer
+
     async def split(self, reply: httpx.Response) -> AsyncIterator[bytes]:
         """Relay whole server-sent events, or a whole JSON body.
 
@@ -40,3 +74,30 @@
                 yield whole + separator
         if pending:
             raise httpx.RemoteProtocolError('the event stream was cut')
+
+
+async def _counted(
+    answer: Answer, chunks: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    async for chunk in chunks:
+        for event in _events(chunk):
+            if event.usage is None:
+                answer.tokens += _pieces(event)
+            else:
+                answer.tokens = event.usage.completion_tokens
+        yield chunk
+
+
+def _events(chunk: bytes) -> Iterator[_Event]:
+    """Return the events of a chunk; what is none counts no tokens."""
+    for line in chunk.splitlines():
+        with contextlib.suppress(msgspec.MsgspecError):
+            yield _DECODER.decode(line.removeprefix(_EVENT_PREFIX))
+
+
+def _pieces(event: _Event) -> int:
+    """Return the pieces of text; an engine sends one for each token."""
+    return sum(
+        bool(choice.delta.get('content') or choice.text)
+        for choice in event.choices
+    )
--- /dev/null
+++ b/tests/coordination/test_allowances.py
@@ -0,0 +1,229 @@
+"""Allowances lent by one or more holders, under any order of events."""
+
+import math
+
+import attrs
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from briarrill.coordination.allowances import (
+    BURST_S,
+    AllowanceLedger,
+    HolderOrder,
+)
+from briarrill.protocol.messages import Borrow
+from briarrill.state.contracts import Contract
+
+ENTRIES = ('entry-1', 'entry-2', 'entry-3')
+CONTRACT = Contract(
+    api_key_sha256=(), requests_per_second=10, requests_in_flight=12
+)
+
+
+@attrs.define
+class _Clock:
+    now: float = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@attrs.define
+class _Borrower:
+    requests: float = 0
+    lapses_at: float = 0
+    permits: int = 0
+    in_use: int = 0
+    asked_at: float = 0
+
+
+@attrs.define(eq=False)
+class _Holder:
+    """One life of a process as a holder."""
+
+    ledger: AllowanceLedger
+    order: HolderOrder
+    lent_at: float = math.inf
+
+
+class Allowances(RuleBasedStateMachine):
+    """Borrowers ask the first holder in their view that answers.
+
+    Processes die, come back and see the list at different times, so two may
+    believe that they hold.  What is admitted stays within one bucket and one
+    limit in flight for each life of a holder that has lent.
+    """
+
+    def __init__(self):
+        """Start with a fleet that has run for a while."""
+        super().__init__()
+        self.clock = _Clock()
+        self.borrowers = {name: _Borrower() for name in ENTRIES}
+        self.holders = {name: self._new_holder(name) for name in ENTRIES}
+        self.lives = list(self.holders.values())
+        self.alive = set(ENTRIES)
+        self.admitted = 0
+        self.clock.now += 100
+
+    @rule(
+        name=strategies.sampled_from(ENTRIES),
+        wanted=strategies.integers(0, 30),
+        is_reply_lost=strategies.booleans(),
+    )
+    def borrow(self, name, wanted, is_reply_lost):
+        if name not in self.alive:
+            return
+        borrower = self.borrowers[name]
+        order = self.holders[name].order.holders('c', len(ENTRIES))
+        alive = [one for one in order if one in self.alive]
+        lender = alive[0] if alive else name
+        holder = self.holders[lender]
+        allowance = holder.ledger.lend(
+            _borrow(name, wanted, borrower.in_use + wanted, borrower.in_use),
+            CONTRACT,
+            holder.order.held_since('c'),
+        )
+        holder.lent_at = min(holder.lent_at, self.clock.now)
+        borrower.asked_at = self.clock.now
+        if not is_reply_lost:
+            borrower.requests += allowance.requests
+            borrower.permits = allowance.in_flight
+            borrower.lapses_at = self.clock.now + allowance.duration_s
+
+    @rule(
+        name=strategies.sampled_from(ENTRIES), count=strategies.integers(1, 9)
+    )
+    def admit(self, name, count):
+        borrower = self.borrowers[name]
+        if borrower.lapses_at <= self.clock.now:
+            borrower.requests = 0
+        free = borrower.permits - borrower.in_use
+        admitted = max(0, min(count, int(borrower.requests), free))
+        borrower.requests -= admitted
+        borrower.in_use += admitted
+        self.admitted += admitted
+
+    @rule(name=strategies.sampled_from(ENTRIES))
+    def finish(self, name):
+        borrower = self.borrowers[name]
+        borrower.in_use = max(0, borrower.in_use - 3)
+
+    @rule(seconds=strategies.sampled_from([0.05, 0.5, 1.5, 7.0]))
+    def wait(self, seconds):
+        self.clock.now += seconds
+        for name, borrower in self.borrowers.items():
+            if borrower.in_use and self.clock.now - borrower.asked_at > 8:
+                self.borrow(name, 0, is_reply_lost=False)
+
+    @rule(name=strategies.sampled_from(ENTRIES))
+    def lose(self, name):
+        """A process dies with its requests."""
+        self.alive.discard(name)
+        self.borrowers[name] = _Borrower()
+
+    @rule(name=strategies.sampled_from(ENTRIES))
+    def restart(self, name):
+        if name not in self.alive:
+            self.alive.add(name)
+            self.holders[name] = self._new_holder(name)
+            self.lives.append(self.holders[name])
+
+    @rule(name=strategies.sampled_from(ENTRIES))
+    def see_list(self, name):
+        """Take the list; the others may still have another."""
+        self.holders[name].order.update(tuple(sorted(self.alive)))
+
+    @invariant()
+    def admitted_is_within_one_bucket_for_each_life(self):
+        rate = CONTRACT.requests_per_second
+        bound = sum(
+            rate * (self.clock.now - holder.lent_at + BURST_S)
+            for holder in self._lenders()
+        )
+        assert self.admitted <= bound
+
+    @invariant()
+    def in_flight_is_within_one_limit_for_each_life(self):
+        in_use = sum(one.in_use for one in self.borrowers.values())
+        bound = CONTRACT.requests_in_flight * len(self._lenders())
+        assert in_use <= bound
+
+    def _lenders(self):
+        return [one for one in self.lives if one.lent_at < math.inf]
+
+    def _new_holder(self, name):
+        order = HolderOrder(name, self.clock)
+        order.update(ENTRIES)
+        return _Holder(AllowanceLedger(self.clock), order)
+
+
+def _borrow(process, requests=0, in_flight=0, in_use=0, contract='c'):
+    return Borrow(process, contract, requests, 0, in_flight, in_use)
+
+
+TestAllowances = Allowances.TestCase
+TestAllowances.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+def test_one_holder_never_lends_more_than_one_bucket():
+    clock = _Clock()
+    ledger = AllowanceLedger(clock)
+    lent = 0
+    for step in range(1000):
+        clock.now += 0.01
+        borrow = _borrow(f'entry-{step % 7}', requests=5)
+        lent += ledger.lend(borrow, CONTRACT, 0).requests
+    assert lent <= 10 * 10 + 10
+
+
+def test_successor_starts_with_an_empty_bucket():
+    """Its predecessor may just have lent all that had gathered."""
+    clock = _Clock()
+    first, successor = AllowanceLedger(clock), AllowanceLedger(clock)
+    lent = first.lend(_borrow('a', 50), CONTRACT, 0).requests
+    lent += successor.lend(_borrow('a', 50), CONTRACT, clock.now).requests
+    assert lent == 10 + 1
+    clock.now += 1
+    lent += successor.lend(_borrow('a', 50), CONTRACT, clock.now).requests
+    assert lent <= 10 + 1 + 10
+
+
+def test_successor_counts_what_borrowers_have_in_flight():
+    ledger = AllowanceLedger(_Clock())
+    for process, in_use in (('a', 5), ('b', 5)):
+        borrow = _borrow(process, in_flight=in_use, in_use=in_use)
+        assert ledger.lend(borrow, CONTRACT, 0).in_flight == in_use
+    assert ledger.lend(_borrow('c', in_flight=9), CONTRACT, 0).in_flight == 2
+
+
+def test_contract_over_its_limit_takes_nothing_of_another():
+    clock = _Clock()
+    ledger = AllowanceLedger(clock)
+    for _ in range(100):
+        ledger.lend(_borrow('a', 100, contract='greedy'), CONTRACT, 0)
+    assert ledger.lend(_borrow('a', 10), CONTRACT, 0).requests == 10
+
+
+def test_contracts_without_traffic_are_forgotten():
+    clock = _Clock()
+    ledger = AllowanceLedger(clock)
+    for number in range(100):
+        ledger.lend(_borrow('a', 1, contract=f'c{number}'), CONTRACT, 0)
+    clock.now += 3600
+    ledger.forget_idle()
+    assert not len(ledger)
+
+
+def test_entry_that_stays_first_keeps_its_full_bucket():
+    """A change elsewhere in the fleet is no change of the holder."""
+    clock = _Clock()
+    names = tuple(f'entry-{number}' for number in range(20))
+    holder = HolderOrder('x', clock)
+    holder.update(names)
+    first = holder.holders('c', 1)[0]
+    order = HolderOrder(first, clock)
+    order.update(names)
+    clock.now += 5
+    last = holder.holders('c', len(names))[-1]
+    order.update(tuple(name for name in names if name != last))
+    assert clock.now - order.held_since('c') >= BURST_S
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -140,7 +140,7 @@
             stops[sidecar.name] = await nursery.start(_run_until, sidecar)
         nursery.start_soon(upstreams.run)
         with trio.fail_after(10):
-            while len(upstreams.serving('m')) < len(sidecars):
+            while not _all_report(upstreams.serving('m'), sidecars):
                 await trio.sleep(0.01)
             yield types.SimpleNamespace(
                 dispatcher=dispatcher,
@@ -151,6 +151,12 @@
         nursery.cancel_scope.cancel()
 
 
+def _all_report(links, sidecars):
+    """Whether all are found and their slots are known."""
+    known = [link for link in links if link.report.slots]
+    return len(known) == len(sidecars)
+
+
 async def _run_until(sidecar, task_status=trio.TASK_STATUS_IGNORED):
     """Run a sidecar until the scope that this starts with is cancelled."""
     async with trio.open_nursery() as nursery:
