Leave out upstreams that fail or are slow, and let them return slowly

Three failures in a row, or first chunks four times slower than the median of its pool, leave it out for 5 s, doubling to 60 s; it then returns over 10 s. At least half of a pool stays. Refusals are no failures. Each entry judges by its own requests, so a link cut for one entry ejects for nobody else.

--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -1,10 +1,14 @@
 """briarrill.entry.dispatch: sends a request to upstreams, with retries."""
 
+import contextlib
+import random
 import time
+from collections.abc import Iterator
 
 import attrs
 import trio
 
+from ..coordination.ejection import Ejector
 from ..coordination.retries import RetryBudgets
 from ..coordination.routing import RoutingPolicy
 from ..errors import (
@@ -77,6 +81,7 @@
     :param upstreams: links to choose from.
     :param policy: makes the choice.
     :param budgets: bound retries for each contract.
+    :param rng: lets upstreams return slowly after they have failed.
     """
 
     def __init__(
@@ -84,11 +89,14 @@
         upstreams: UpstreamSet,
         policy: RoutingPolicy,
         budgets: RetryBudgets,
+        rng: random.Random,
     ) -> None:
         """Keep the parts."""
+        self._ejectors: dict[str, Ejector] = {}
         self._upstreams = upstreams
         self._policy = policy
         self._budgets = budgets
+        self._rng = rng
 
     async def open(self, req: OnlineRequest) -> OpenAnswer:
         """Return an answer that has begun.
@@ -111,17 +119,34 @@
         link = self._choose(req, attempts.tried)
         attempts.tried.add(link.name)
         call = link.submit(req, attempts.count)
+        began = time.monotonic()
         try:
-            first = await _next_chunk(call, req.deadline_s)
+            with self._judged(req.target, link.name):
+                first = await _next_chunk(call, req.deadline_s)
         except BaseException:
             call.cancel()
             raise
+        self._ejector(req.target).record_first_chunk(
+            link.name, time.monotonic() - began
+        )
         return OpenAnswer(call, first, req.deadline_s)
 
+    @contextlib.contextmanager
+    def _judged(self, target: str, upstream: str) -> Iterator[None]:
+        """Count a failure of the upstream, but not its refusals."""
+        try:
+            yield
+        except (UpstreamLostError, UpstreamFailedError, DeadlineExceededError):
+            self._ejector(target).record_failure(upstream)
+            raise
+
+    def _ejector(self, target: str) -> Ejector:
+        return self._ejectors.setdefault(target, Ejector(self._rng))
+
     def _choose(self, req: OnlineRequest, tried: set[str]) -> UpstreamLink:
         serving = self._upstreams.serving(req.target)
         untried = [link for link in serving if link.name not in tried]
-        candidates = untried or serving
+        candidates = self._ejector(req.target).admitted(untried or serving)
         if not candidates:
             raise NoUpstreamError(
                 f'no upstream serves {req.target} now',
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -103,11 +103,12 @@
 def _make_context(
     cfg: EntrySettings, control: Control, upstreams: UpstreamSet
 ) -> EntryContext:
+    rng = random.Random()
     return EntryContext(
         cfg=cfg,
         control=control,
         dispatcher=Dispatcher(
-            upstreams, AffinityPolicy(random.Random()), RetryBudgets()
+            upstreams, AffinityPolicy(rng), RetryBudgets(), rng
         ),
         limits=Limits(cfg.instance.name, FleetLender(control)),
         copies=SegmentCopies(
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -10,6 +10,7 @@
     'CANCELLED',
     'CONFIG_VERSION',
     'DUPLICATES',
+    'EJECTED',
     'KEY_VALUE_CALLS',
     'MALFORMED_MESSAGES',
     'PREEMPTED',
@@ -55,6 +56,9 @@
 BATCH_COMMITS = Counter(
     'briarrill_batch_commits', 'Result segments committed.', ('outcome',)
 )
+EJECTED = Counter(
+    'briarrill_ejected', 'Upstreams left out, by reason.', ('reason',)
+)
 KEY_VALUE_CALLS = Counter(
     'briarrill_key_value_calls', 'Calls to the key-value service.', ('call',)
 )
--- /dev/null
+++ b/tests/coordination/test_ejection.py
@@ -0,0 +1,123 @@
+"""Ejection of upstreams that fail or are slow."""
+
+import random
+
+import attrs
+import pytest
+
+from briarrill.coordination.ejection import (
+    EJECTION_S,
+    FAILURES_TO_EJECT,
+    MAX_EJECTION_S,
+    MIN_SAMPLES,
+    RETURN_S,
+    Ejector,
+)
+
+SEED = 3
+
+
+@attrs.frozen
+class _Upstream:
+    name: str
+    load: float = 0
+
+
+POOL = [_Upstream(f'u{number}') for number in range(6)]
+
+
+@attrs.define
+class _Clock:
+    now: float = 100
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return _Clock()
+
+
+@pytest.fixture
+def ejector(clock):
+    return Ejector(random.Random(SEED), clock)
+
+
+def _fail(ejector, name, times=FAILURES_TO_EJECT):
+    for _ in range(times):
+        ejector.record_failure(name)
+
+
+def _part(ejector, name, rounds=400):
+    """Return the part of the requests for which an upstream is offered."""
+    offered = [
+        name in {one.name for one in ejector.admitted(POOL)}
+        for _ in range(rounds)
+    ]
+    return sum(offered) / rounds
+
+
+def test_failures_in_a_row_eject(ejector):
+    _fail(ejector, 'u0', FAILURES_TO_EJECT - 1)
+    ejector.record_first_chunk('u0', 0.1)
+    _fail(ejector, 'u0', FAILURES_TO_EJECT - 1)
+    assert _part(ejector, 'u0') == 1
+    _fail(ejector, 'u0', 1)
+    assert _part(ejector, 'u0') == 0
+
+
+def test_slow_upstream_is_ejected_by_its_own_pool(ejector):
+    for _ in range(MIN_SAMPLES + 1):
+        for one in POOL:
+            ejector.record_first_chunk(
+                one.name, 2.0 if one.name == 'u0' else 0.2
+            )
+    assert _part(ejector, 'u0') == 0
+    assert _part(ejector, 'u1') == 1
+
+
+def test_slow_pool_is_not_ejected(ejector):
+    for _ in range(MIN_SAMPLES):
+        for number, one in enumerate(POOL):
+            ejector.record_first_chunk(one.name, 2.0 + 0.5 * number)
+    assert len(ejector.admitted(POOL)) == len(POOL)
+
+
+@pytest.mark.parametrize('size', range(1, 7))
+def test_half_of_a_pool_always_stays(ejector, clock, size):
+    pool = POOL[:size]
+    for one in pool:
+        _fail(ejector, one.name)
+        clock.now += 0.1
+    admitted = ejector.admitted(pool)
+    assert len(admitted) >= size / 2
+    # the one whose time out ends first comes back first
+    assert admitted[0].name == 'u0'
+
+
+def test_upstream_returns_slowly(ejector, clock):
+    _fail(ejector, 'u0')
+    clock.now += EJECTION_S - 0.1
+    assert _part(ejector, 'u0') == 0
+    clock.now += 0.1 + RETURN_S / 4
+    assert _part(ejector, 'u0') == pytest.approx(0.25, abs=0.08)
+    clock.now += RETURN_S / 2
+    assert _part(ejector, 'u0') == pytest.approx(0.75, abs=0.08)
+    clock.now += RETURN_S / 4
+    assert _part(ejector, 'u0') == 1
+
+
+def test_failure_on_return_ejects_for_twice_as_long(ejector, clock):
+    _fail(ejector, 'u0')
+    clock.now += EJECTION_S + 1
+    ejector.record_failure('u0')
+    clock.now += EJECTION_S + 1
+    assert _part(ejector, 'u0') == 0
+    clock.now += EJECTION_S + RETURN_S
+    assert _part(ejector, 'u0') == 1
+    for _ in range(20):
+        ejector.record_failure('u0')
+        clock.now += MAX_EJECTION_S
+    clock.now += RETURN_S
+    assert _part(ejector, 'u0') == 1
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -129,10 +129,9 @@
     )
     own = InstanceSettings('entry-1', '127.0.0.1', 'hobart-a', 'lutruwita')
     upstreams = UpstreamSet(membership, own, PORTS)
+    rng = random.Random(SEED)
     dispatcher = Dispatcher(
-        upstreams,
-        TwoChoicesPolicy(random.Random(SEED)),
-        budgets or RetryBudgets(),
+        upstreams, TwoChoicesPolicy(rng), budgets or RetryBudgets(), rng
     )
     stops = {}
     async with trio.open_nursery() as nursery:
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -257,6 +257,33 @@
     return found[0]
 
 
+async def test_failing_upstream_gets_no_more_requests(
+    open_entry, sidecars, make_request
+):
+    """An upstream that fails at once looks idle and would attract all."""
+    failing, sound = sidecars[:2]
+    both = open_entry([failing, sound])
+    async with both as entry, trio.open_nursery() as nursery:
+        nursery.start_soon(_answer_all, failing, _FAILED)
+        nursery.start_soon(_answer_all, sound, {})
+        for number in range(60):
+            answer = await entry.dispatcher.open(make_request(f'{number}'))
+            answer.close()
+        nursery.cancel_scope.cancel()
+    assert len(sound.submits) == 60
+    assert len(failing.submits) == 3
+
+
+_FAILED = {'code': ResultCode.UPSTREAM_FAILED, 'ran': Ran.NO}
+
+
+async def _answer_all(sidecar, fields):
+    count = 0
+    while True:
+        count += 1
+        sidecar.finish(await sidecar.next_submit(count), **fields)
+
+
 async def test_retries_stop_at_the_budget(open_entry, sidecars, make_request):
     budgets = RetryBudgets(ratio=0, burst=1)
     refusal = {'code': ResultCode.DRAINING, 'ran': Ran.NO}
