--- a/briarrill/batch/handout.py
+++ b/briarrill/batch/handout.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Iterable
-from typing import Protocol
 
 import attrs
 import trio
@@ -20,8 +19,9 @@
     Revoke,
 )
 from ..transport.zmq_socket import ZmqSocket
+from .item_sources import ItemSource, ItemSources
 
-__all__ = ('Handout', 'ItemSource')
+__all__ = ('Handout',)
 
 # silence after which a sidecar's items are handed out again
 PULLER_TIMEOUT_S = 3.0
@@ -31,23 +31,6 @@
 ItemKey = tuple[str, int]
 
 
-class ItemSource(Protocol):
-    """A job as the hand-out sees it."""
-
-    @property
-    def job(self) -> str:
-        """Return the job's key."""
-
-    def next_item(self, models: tuple[str, ...]) -> BatchItem | None:
-        """Return an item for one of the models, or nothing."""
-
-    def take_back(self, batch_item: BatchItem) -> None:
-        """Take back an item that was lost with its sidecar."""
-
-    def take_outcome(self, outcome: ItemOutcome) -> None:
-        """Take an item's outcome."""
-
-
 @attrs.define
 class _Puller:
     """A sidecar's session."""
@@ -59,7 +42,14 @@
 
     @property
     def room(self) -> int:
-        return self.pull.wanted - len(self.outstanding)
+        """Items that it takes; it may hold some that it was dropped with."""
+        held = max(len(self.outstanding), self.pull.held)
+        return self.pull.wanted - held
+
+    def remove_job(self, job: str) -> list[BatchItem]:
+        """Remove and return the outstanding items of a job."""
+        keys = [key for key in self.outstanding if key[0] == job]
+        return [self.outstanding.pop(key) for key in keys]
 
 
 class Handout:
@@ -68,27 +58,42 @@
     :param socket: bound router.
     """
 
-    def __init__(self, socket: ZmqSocket) -> None:
-        """Start without jobs."""
+    def __init__(self, socket: ZmqSocket, sources: ItemSources) -> None:
+        """Start without sidecars."""
         self._socket = socket
-        self._sources: dict[str, ItemSource] = {}
+        self._sources = sources
         self._pullers: dict[str, _Puller] = {}
+        self._by_peer: dict[bytes, _Puller] = {}
 
-    @property
-    def outstanding(self) -> int:
-        """Return the items that sidecars hold."""
-        return sum(len(row.outstanding) for row in self._pullers.values())
+    def count_outstanding(self, job: str) -> int:
+        """Return the items of a job that sidecars hold."""
+        return sum(
+            key[0] == job
+            for puller in self._pullers.values()
+            for key in puller.outstanding
+        )
 
     def add_source(self, source: ItemSource) -> None:
         """Begin to hand out a job's items."""
-        self._sources[source.job] = source
+        self._sources.add(source)
         self.fill()
 
-    def remove_source(self, job: str) -> None:
-        """Stop handing out a job and stop its running items."""
-        self._sources.pop(job, None)
-        for puller in self._pullers.values():
-            self._revoke(puller, job)
+    def remove_source(self, source: ItemSource, epoch: int | None) -> None:
+        """Stop handing out a job and stop its running items.
+
+        :param epoch: last epoch of this owner; none when the job is
+            cancelled, so sidecars stop its items of all owners.
+        """
+        if self._sources.find(source.job) is source:
+            self._sources.remove(source.job)
+        self.revoke(source.job, epoch)
+
+    def revoke(self, job: str, epoch: int | None) -> None:
+        """Tell all sidecars to stop a job's items."""
+        for puller in list(self._pullers.values()):
+            for batch_item in puller.remove_job(job):
+                self._sources.leave(batch_item)
+            self._send(puller, Revoke(job=job, epoch=epoch))
 
     async def run(self) -> None:
         """Receive messages until cancelled."""
@@ -119,30 +124,37 @@
     def _take_pull(self, peer: bytes, pull: Pull) -> None:
         puller = self._pullers.get(pull.process)
         if puller is not None and puller.peer != peer:
-            self._drop(pull.process, 'new session')
+            self._drop(puller, 'new session')
             puller = None
         if puller is None:
             puller = _Puller(peer, pull, time.monotonic())
             self._pullers[pull.process] = puller
+            self._by_peer[peer] = puller
         puller.pull = pull
         puller.seen_at = time.monotonic()
         self._fill(puller)
 
     def _take_outcome(self, peer: bytes, outcome: ItemOutcome) -> None:
-        key = (outcome.job, outcome.index)
-        for puller in self._pullers.values():
-            if puller.peer == peer:
-                puller.outstanding.pop(key, None)
-        source = self._sources.get(outcome.job)
+        sidecar = ''
+        puller = self._by_peer.get(peer)
+        if puller is not None:
+            sidecar = puller.pull.process
+            key = (outcome.job, outcome.index)
+            batch_item = puller.outstanding.pop(key, None)
+            if batch_item is not None:
+                self._sources.leave(batch_item)
+        source = self._sources.find(outcome.job)
         if source is None:
             DUPLICATES.inc()
             return
-        source.take_outcome(outcome)
+        source.take_outcome(outcome, sidecar)
 
     def _fill(self, puller: _Puller) -> None:
         chosen = []
         while puller.room > 0:
-            batch_item = self._next_item(puller.pull.models)
+            batch_item = self._sources.next_item(
+                puller.pull.models, puller.pull.process
+            )
             if batch_item is None:
                 break
             puller.outstanding[batch_item.job, batch_item.index] = batch_item
@@ -150,51 +162,35 @@
         if chosen:
             self._send_assign(puller, chosen)
 
-    def _next_item(self, models: tuple[str, ...]) -> BatchItem | None:
-        """Take turns between the jobs."""
-        for job in list(self._sources):
-            source = self._sources.pop(job)
-            self._sources[job] = source
-            batch_item = source.next_item(models)
-            if batch_item is not None:
-                return batch_item
-        return None
-
     def _send_assign(
         self, puller: _Puller, chosen: Iterable[BatchItem]
     ) -> None:
-        try:
-            self._send(puller, Assign(batch_items=tuple(chosen)))
-        except PeerUnreachableError:
-            self._drop(puller.pull.process, 'unreachable')
+        self._send(puller, Assign(batch_items=tuple(chosen)))
 
-    def _revoke(self, puller: _Puller, job: str) -> None:
-        keys = [key for key in puller.outstanding if key[0] == job]
-        for key in keys:
-            puller.outstanding.pop(key)
-        if not keys:
-            return
+    def _send(self, puller: _Puller, message: Message) -> None:
         try:
-            self._send(puller, Revoke(job=job))
+            self._socket.send([puller.peer, *encode(message)])
         except PeerUnreachableError:
-            self._drop(puller.pull.process, 'unreachable')
-
-    def _send(self, puller: _Puller, message: Message) -> None:
-        self._socket.send([puller.peer, *encode(message)])
+            self._drop(puller, 'unreachable')
 
     async def _drop_silent(self) -> None:
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             oldest = time.monotonic() - PULLER_TIMEOUT_S
-            for process, puller in list(self._pullers.items()):
+            for puller in list(self._pullers.values()):
                 if puller.seen_at < oldest:
-                    self._drop(process, 'silent')
+                    self._drop(puller, 'silent')
 
-    def _drop(self, process: str, reason: str) -> None:
+    def _drop(self, puller: _Puller, reason: str) -> None:
         """Forget a sidecar and take its items back."""
-        puller = self._pullers.pop(process)
-        log_message('puller:dropped', puller=process, reason=reason)
+        sidecar = puller.pull.process
+        if self._pullers.get(sidecar) is puller:
+            self._pullers.pop(sidecar)
+        self._by_peer.pop(puller.peer, None)
+        log_message('puller:dropped', puller=sidecar, reason=reason)
         for batch_item in puller.outstanding.values():
-            source = self._sources.get(batch_item.job)
+            self._sources.leave(batch_item)
+            source = self._sources.find(batch_item.job)
             if source is not None:
                 source.take_back(batch_item)
+        puller.outstanding.clear()
--- a/briarrill/batch/index_set.py
+++ b/briarrill/batch/index_set.py
@@ -1,19 +1,15 @@
 """briarrill.batch.index_set: which items of a job are done."""
 
+import zlib
 from collections.abc import Iterable
+from typing import Self
 
-__all__ = ('IndexSet', 'ranges_of')
+from ..errors import InternalError
 
+__all__ = ('IndexSet',)
 
-def ranges_of(indexes: Iterable[int]) -> tuple[tuple[int, int], ...]:
-    """Return the first and last index of each run."""
-    ranges: list[tuple[int, int]] = []
-    for index in sorted(indexes):
-        if ranges and ranges[-1][1] + 1 == index:
-            ranges[-1] = (ranges[-1][0], index)
-        else:
-            ranges.append((index, index))
-    return tuple(ranges)
+# the fastest; most maps are one long run
+_COMPRESSION_LEVEL = 1
 
 
 class IndexSet:
@@ -27,6 +23,17 @@
         self._members = bytearray(size)
         self._count = 0
 
+    @classmethod
+    def unpack(cls, packed: bytes, size: int) -> Self:
+        """Return the set of a packed form; nothing packed is empty.
+
+        :raises InternalError: damaged, or of another size.
+        """
+        found = cls(size)
+        if packed:
+            found.add_members(_decompress(packed, size))
+        return found
+
     def __contains__(self, index: int) -> bool:
         """Return whether the index is in the set."""
         return bool(self._members[index])
@@ -40,18 +47,36 @@
         """Whether all indexes below the bound are in the set."""
         return self._count == len(self._members)
 
+    def pack(self) -> bytes:
+        """Return the compressed form."""
+        return zlib.compress(self._members, _COMPRESSION_LEVEL)
+
     def add(self, index: int) -> None:
         """Add an index."""
         if not self._members[index]:
             self._members[index] = 1
             self._count += 1
 
-    def add_ranges(self, ranges: Iterable[tuple[int, int]]) -> None:
-        """Add runs of indexes, their last ones included."""
-        for first, last in ranges:
-            for index in range(first, last + 1):
-                self.add(index)
+    def add_all(self, indexes: Iterable[int]) -> None:
+        """Add several indexes."""
+        for index in indexes:
+            self.add(index)
+
+    def add_members(self, members: bytes) -> None:
+        """Replace the set by one byte for each index."""
+        self._members = bytearray(members)
+        self._count = sum(self._members)
 
     def covers(self, first: int, after: int) -> bool:
         """Return whether all indexes from first up to after are in."""
         return 0 not in self._members[first:after]
+
+
+def _decompress(packed: bytes, size: int) -> bytes:
+    try:
+        members = zlib.decompress(packed)
+    except zlib.error as exc:
+        raise InternalError(f'damaged map of finished items: {exc}') from exc
+    if len(members) != size:
+        raise InternalError('map of finished items has another size')
+    return members
--- a/briarrill/batch/job_runner.py
+++ b/briarrill/batch/job_runner.py
@@ -1,59 +1,62 @@
 """briarrill.batch.job_runner: runs one owned job to its end."""
 
 import collections
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+import enum
 
 import attrs
 import trio
 from eliot import log_message, start_action
 
 from ..errors import BriarrillError, SegmentLostError, VersionConflictError
-from ..metrics import BATCH_COMMITS, DUPLICATES
+from ..metrics import DUPLICATES
 from ..protocol.callers_api import InputLine, parse_input_line, result_line
 from ..protocol.messages import BatchItem, ItemOutcome
-from ..result_codes import ResultCode
-from ..state.job_records import JobState, ResultSegment, SegmentRef
+from ..result_codes import Ran, ResultCode
+from ..state.job_records import JobState, SegmentRef
 from ..state.segment_copies import SegmentCopies
-from ..state.segments import SEGMENT_BYTES
 from .handout import Handout
-from .index_set import IndexSet, ranges_of
+from .index_set import IndexSet
+from .item_queue import ItemQueue
+from .item_sources import ItemSource
 from .job_store import JobStore, OwnedJob
+from .ownership import Ownership
+from .result_writer import ResultWriter
 
 __all__ = ('JobRunner',)
 
-_Written = TypeVar('_Written')
-
-# attempts before an item ends with an error line
+# attempts that fail before an item ends with an error line
 MAX_ITEM_ATTEMPTS = 3
 
-# longest time that a result waits for its commit
-COMMIT_INTERVAL_S = 5.0
+# sidecars lost with an item before it ends with an error line
+MAX_ITEM_LOSSES = 10
 
 PLATFORM_RETRY_S = 1.0
 
+# time between checks whether a stopping job's items have come back
+STOP_POLL_S = 0.05
+
 # items read ahead of the hand-out
 READ_AHEAD_ITEMS = 5000
 
 
-@attrs.define
-class _ResultBuffer:
-    """Results that wait for their commit."""
+class _Stop(enum.Enum):
+    """Why the hand-out of a job ends before all items are done."""
 
-    lines: list[bytes] = attrs.field(factory=list)
-    indexes: list[int] = attrs.field(factory=list)
-    size: int = 0
-    failed: int = 0
+    CANCEL = enum.auto()
+    RELEASE = enum.auto()
 
-    def add(self, index: int, line: bytes, *, is_error: bool) -> None:
-        self.lines.append(line)
-        self.indexes.append(index)
-        self.size += len(line)
-        self.failed += is_error
 
+@attrs.define
+class _HeldItem:
+    """An item that was read and has no result."""
 
-class JobRunner:
-    """Hands out a job's items and commits their results.
+    batch_item: BatchItem
+    custom_id: str
+    losses: int = 0
+
+
+class JobRunner(ItemSource):
+    """Hands out a job's items and collects their results.
 
     :param job: the job, owned by this process.
     :param store: commits under the job's epoch.
@@ -68,44 +71,62 @@
         handout: Handout,
     ) -> None:
         """Start from what the record says is done."""
+        self.job = job.key
+        self.contract = job.record.contract
+        self.due_at = job.record.due_at
+        self.writer = ResultWriter(job, store, copies)
         self._owned = job
+        self._ownership = Ownership(job, store)
         self._store = store
         self._copies = copies
         self._handout = handout
-        self._done = IndexSet(job.record.total)
-        for segment in job.record.results:
-            self._done.add_ranges(segment.ranges)
-        self._held: dict[int, BatchItem] = {}
-        self._pending: collections.deque[BatchItem] = collections.deque()
-        self._custom_ids: dict[int, str] = {}
-        self._buffer = _ResultBuffer()
+        self._done = IndexSet.unpack(job.record.done_map, job.record.total)
+        self._held: dict[int, _HeldItem] = {}
+        self._queue = ItemQueue()
         self._wake_feed = trio.Event()
-        self._wake_commit = trio.Event()
-        self._cancelled = trio.Event()
+        self._stop_reason: _Stop | None = None
+        self._ended = trio.Event()
         self._trace = ''
 
-    @property
-    def job(self) -> str:
-        """Return the job's key."""
-        return self._owned.key
-
-    def next_item(self, models: tuple[str, ...]) -> BatchItem | None:
-        """Return the next item if a sidecar serves its model."""
-        if not self._pending or self._cancelled.is_set():
+    def next_item(
+        self, models: tuple[str, ...], sidecar: str
+    ) -> BatchItem | None:
+        """Return the next item that the sidecar can run."""
+        if self._ended.is_set() or self.writer.is_backed_up:
             return None
-        if self._pending[0].model not in models:
+        if not self._ownership.may_act:
             return None
-        if len(self._pending) < READ_AHEAD_ITEMS:
+        while True:
+            batch_item = self._queue.pop(models, sidecar)
+            if batch_item is None or batch_item.index not in self._done:
+                break
+        if len(self._queue) < READ_AHEAD_ITEMS:
             self._wake_feed.set()
-        return self._pending.popleft()
+        if batch_item is None:
+            return None
+        # the claim may have been renewed since the item was read
+        return attrs.evolve(batch_item, epoch=self._owned.record.epoch)
 
     def take_back(self, batch_item: BatchItem) -> None:
         """Hand an item out again that was lost with its sidecar."""
-        self._repeat(batch_item)
+        held = self._held.get(batch_item.index)
+        if held is None or held.batch_item.attempt != batch_item.attempt:
+            return
+        held.losses += 1
+        if held.losses >= MAX_ITEM_LOSSES:
+            self._record(batch_item.index, _lost_outcome(batch_item))
+            return
+        self._queue.add_first(batch_item)
+        self._handout.fill()
 
     def cancel(self) -> None:
-        """Stop the hand-out: the record says so."""
-        self._cancelled.set()
+        """Stop the job: its record says so."""
+        self._stop(_Stop.CANCEL)
+
+    def release(self) -> None:
+        """Hand the job over: finish what runs, then give it up."""
+        if self._stop_reason is None:
+            self._stop(_Stop.RELEASE)
 
     async def run(self) -> None:
         """Run until the job is finished or another process owns it."""
@@ -117,97 +138,145 @@
             self._handout.add_source(self)
             try:
                 await self._run_to_end()
-            except VersionConflictError as exc:
-                log_message('job:ownership-lost', reason=exc.message)
+            except* VersionConflictError as group:
+                log_message('job:ownership-lost', reason=repr(group))
             finally:
-                self._handout.remove_source(self.job)
+                self._handout.remove_source(self, self._owned.record.epoch)
 
-    def take_outcome(self, outcome: ItemOutcome) -> None:
+    def take_outcome(self, outcome: ItemOutcome, sidecar: str) -> None:
         """Record an outcome, or repeat the item if it may succeed later."""
-        is_stale = outcome.epoch != self._owned.record.epoch
-        if is_stale or outcome.index in self._done:
-            DUPLICATES.inc()
-            return
         held = self._held.get(outcome.index)
-        if held is None:
+        if held is None or outcome.epoch > self._owned.record.epoch:
             DUPLICATES.inc()
             return
-        if _is_retryable(outcome) and held.attempt + 1 < MAX_ITEM_ATTEMPTS:
-            self._repeat(held)
+        if outcome.code is ResultCode.CANCELLED:
+            self._ownership.check_record()
+            self._queue.add_retry(held.batch_item, sidecar)
             return
-        self._record(outcome)
+        attempt = held.batch_item.attempt
+        if _is_retryable(outcome):
+            if outcome.attempt != attempt:
+                DUPLICATES.inc()
+                return
+            if attempt + 1 < MAX_ITEM_ATTEMPTS:
+                self._repeat(held, sidecar)
+                return
+        self._record(outcome.index, outcome)
 
-    def _repeat(self, batch_item: BatchItem) -> None:
-        again = attrs.evolve(batch_item, attempt=batch_item.attempt + 1)
-        self._held[again.index] = again
-        self._pending.append(again)
-        self._handout.fill()
-
-    def _record(self, outcome: ItemOutcome) -> None:
-        self._done.add(outcome.index)
-        self._held.pop(outcome.index)
+    @property
+    def _is_cancelled(self) -> bool:
+        return self._stop_reason is _Stop.CANCEL
+
+    def _stop(self, reason: _Stop) -> None:
+        self._stop_reason = reason
+        self._ended.set()
+        self._wake_feed.set()
+
+    def _repeat(self, held: _HeldItem, sidecar: str) -> None:
+        attempt = held.batch_item.attempt + 1
+        held.batch_item = attrs.evolve(held.batch_item, attempt=attempt)
+        self._queue.add_retry(held.batch_item, sidecar)
+
+    def _record(self, index: int, outcome: ItemOutcome) -> None:
+        held = self._held.pop(index)
+        self._done.add(index)
         line = result_line(
-            self._custom_ids.pop(outcome.index),
+            held.custom_id,
             outcome.http_status,
             outcome.body,
             outcome.message,
             int(outcome.code),
         )
         is_error = outcome.code is not ResultCode.OK
-        self._buffer.add(outcome.index, line, is_error=is_error)
-        if self._buffer.size >= SEGMENT_BYTES or self._done.is_full:
-            self._wake_commit.set()
+        self.writer.add(index, line, is_error=is_error)
+        if self._done.is_full:
+            self._ended.set()
 
     async def _run_to_end(self) -> None:
         if self._owned.record.state is JobState.CANCELLING:
             self.cancel()
+        if self._done.is_full:
+            self._ended.set()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._feed)
-            nursery.start_soon(self._watch_cancel, nursery.cancel_scope)
-            while not self._done.is_full:
-                await self._commit_when_due()
-            nursery.cancel_scope.cancel()
-        await self._commit()
-        state = JobState.COMPLETED
-        if not self._done.is_full:
+            nursery.start_soon(self.writer.run)
+            async with trio.open_nursery() as feeding:
+                feeding.start_soon(self._feed)
+                feeding.start_soon(self._follow_record)
+                await self._ended.wait()
+                feeding.cancel_scope.cancel()
+            await self._stop_items()
+            self.writer.close()
+        await self.writer.flush()
+        await self._leave()
+
+    async def _follow_record(self) -> None:
+        await self._ownership.wait_cancelled()
+        self.cancel()
+
+    async def _stop_items(self) -> None:
+        """Stop running items of a cancelled job, await those of a released."""
+        while self._handout.count_outstanding(self.job):
+            if self._is_cancelled:
+                self._handout.remove_source(self, None)
+            await trio.sleep(STOP_POLL_S)
+
+    async def _leave(self) -> None:
+        """Write the final state, or the release; repeat through outages."""
+        while True:
+            try:
+                return await self._write_end()
+            except VersionConflictError:
+                raise
+            except BriarrillError as exc:
+                log_message('job:write-failed', reason=exc.message)
+            await trio.sleep(PLATFORM_RETRY_S)
+
+    async def _write_end(self) -> None:
+        if self._done.is_full:
+            state = JobState.COMPLETED
+        elif self._is_cancelled:
             state = JobState.CANCELLED
-        await self._until_written(
-            lambda: self._store.finish(self._owned, state)
-        )
+        else:
+            await self._store.release(self._owned)
+            log_message('job:released')
+            return
+        await self._store.finish(self._owned, state)
         log_message('job:finished', state=state.value)
 
-    async def _watch_cancel(self, scope: trio.CancelScope) -> None:
-        await self._cancelled.wait()
-        self._handout.remove_source(self.job)
-        scope.cancel()
-
     async def _feed(self) -> None:
-        """Read input segments ahead of the hand-out."""
+        """Read input segments ahead of the hand-out.
+
+        One that cannot be read now is tried again after the others.
+        """
+        waiting: collections.deque[tuple[SegmentRef, int]] = (
+            collections.deque()
+        )
         first = 0
-        for ref in self._owned.record.input_file.segments:
-            after = first + ref.lines
-            if not self._done.covers(first, after):
-                await self._feed_segment(ref, first)
-            first = after
-
-    async def _feed_segment(self, ref: SegmentRef, first: int) -> None:
-        while len(self._pending) >= READ_AHEAD_ITEMS:
+        for ref in self._owned.input_file.segments:
+            if not self._done.covers(first, first + ref.lines):
+                waiting.append((ref, first))
+            first += ref.lines
+        while waiting:
+            ref, first = waiting.popleft()
+            if not await self._feed_segment(ref, first):
+                waiting.append((ref, first))
+                await trio.sleep(PLATFORM_RETRY_S)
+
+    async def _feed_segment(self, ref: SegmentRef, first: int) -> bool:
+        while len(self._queue) >= READ_AHEAD_ITEMS:
             self._wake_feed = trio.Event()
             await self._wake_feed.wait()
-        body = await self._read_segment(ref)
-        for offset, line in enumerate(body.splitlines()):
+        try:
+            body = await self._copies.get(ref)
+        except SegmentLostError as exc:
+            log_message('segment:unreadable', reason=exc.message)
+            return False
+        for offset, line in enumerate(body.split(b'\n')[:-1]):
             index = first + offset
             if index not in self._done:
                 self._add_item(index, parse_input_line(line))
         self._handout.fill()
-
-    async def _read_segment(self, ref: SegmentRef) -> bytes:
-        while True:
-            try:
-                return await self._copies.get(ref)
-            except SegmentLostError as exc:
-                log_message('segment:unreadable', reason=exc.message)
-                await trio.sleep(PLATFORM_RETRY_S)
+        return True
 
     def _add_item(self, index: int, line: InputLine) -> None:
         record = self._owned.record
@@ -221,50 +290,20 @@
             body=bytes(line.body),
             trace=self._trace,
         )
-        self._custom_ids[index] = line.custom_id
-        self._held[index] = batch_item
-        self._pending.append(batch_item)
-
-    async def _commit_when_due(self) -> None:
-        with trio.move_on_after(COMMIT_INTERVAL_S):
-            await self._wake_commit.wait()
-        self._wake_commit = trio.Event()
-        await self._commit()
-
-    async def _commit(self) -> None:
-        """Store buffered results, then name them in the record."""
-        buffer, self._buffer = self._buffer, _ResultBuffer()
-        if not buffer.lines:
-            return
-        body = b''.join(buffer.lines)
-        ref = await self._until_written(
-            lambda: self._copies.put(body, len(buffer.lines))
-        )
-        segment = ResultSegment(
-            ref=ref,
-            ranges=ranges_of(buffer.indexes),
-            failed=buffer.failed,
-        )
-        await self._until_written(
-            lambda: self._store.commit(self._owned, segment)
-        )
-        BATCH_COMMITS.labels('ok').inc()
-        log_message('job:committed', items=len(buffer.lines))
-
-    async def _until_written(
-        self, write: Callable[[], Awaitable[_Written]]
-    ) -> _Written:
-        """Repeat a write through outages; stop when ownership is lost."""
-        while True:
-            try:
-                return await write()
-            except VersionConflictError:
-                raise
-            except BriarrillError as exc:
-                BATCH_COMMITS.labels('retried').inc()
-                log_message('job:write-failed', reason=exc.message)
-            await trio.sleep(PLATFORM_RETRY_S)
+        self._held[index] = _HeldItem(batch_item, line.custom_id)
+        self._queue.add(batch_item)
 
 
 def _is_retryable(outcome: ItemOutcome) -> bool:
     return outcome.code not in {ResultCode.OK, ResultCode.BAD_REQUEST}
+
+
+def _lost_outcome(batch_item: BatchItem) -> ItemOutcome:
+    return ItemOutcome(
+        job=batch_item.job,
+        index=batch_item.index,
+        epoch=batch_item.epoch,
+        code=ResultCode.UPSTREAM_LOST,
+        ran=Ran.UNKNOWN,
+        message=f'{MAX_ITEM_LOSSES} sidecars were lost with the item',
+    )
--- a/briarrill/batch/job_store.py
+++ b/briarrill/batch/job_store.py
@@ -2,20 +2,22 @@
 
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from ..coordination.leases import Lease
-from ..errors import VersionConflictError
+from ..errors import InternalError, VersionConflictError
 from ..state.job_records import (
+    FileRecord,
     JobRecord,
     JobState,
     ResultSegment,
+    decode_file_record,
     decode_job_record,
     encode_record,
 )
-from ..state.keys import JOBS, LEASES
+from ..state.keys import LEASES, file_key, open_job_key
 from ..transport.key_value import KeyValueService
 
 __all__ = ('JobStore', 'OwnedJob')
@@ -25,18 +27,24 @@
 
 @attrs.define
 class OwnedJob:
-    """A job as its owner last wrote or read it."""
+    """A job as its owner last wrote or read it.
+
+    :param lease_id: lease under which the job was claimed.
+    """
 
     key: str
     record: JobRecord
     mod_revision: int
+    lease_id: int
+    input_file: FileRecord
 
 
 @attrs.frozen
 class JobStore:
     """Reads, claims and commits jobs for one batch process.
 
-    :param process: name of the owner.
+    :param process: name of the owner; unique to each start of the process,
+        so that jobs of an earlier one are not taken for its own.
     :param host: address at which entries reach the owner.
     """
 
@@ -45,17 +53,9 @@
     process: str
     host: str
 
-    async def find_unowned(self) -> list[str]:
-        """Return keys of unfinished jobs whose owner has no lease."""
-        alive = {
-            entry.key.removeprefix(LEASES)
-            for entry in await self.service.read_prefix(LEASES)
-        }
-        return [
-            entry.key
-            for entry in await self.service.read_prefix(JOBS)
-            if _waits_for_owner(decode_job_record(entry.body), alive)
-        ]
+    def holds(self, job: OwnedJob) -> bool:
+        """Return whether the lease of the claim is still valid."""
+        return self.lease.is_valid and self.lease.lease_id == job.lease_id
 
     async def claim(self, key: str) -> OwnedJob | None:
         """Become the owner under a new epoch, unless another was faster."""
@@ -66,33 +66,69 @@
         if record.state.is_final or not await self._is_orphan(record):
             return None
         self.lease.check()
-        claimed = attrs.evolve(
-            record,
-            owner=self.process,
-            owner_host=self.host,
-            epoch=record.epoch + 1,
-            writer=uuid.uuid4().hex,
+        job = OwnedJob(
+            key=key,
+            record=record,
+            mod_revision=found.mod_revision,
+            lease_id=self.lease.lease_id,
+            input_file=await self._read_file(record),
         )
-        revision = await self._write(key, claimed, found.mod_revision)
-        if revision is None:
-            return None
-        return OwnedJob(key, claimed, revision)
+        return job if await self._write(job, self._claimed(record)) else None
+
+    async def renew_claim(self, job: OwnedJob) -> None:
+        """Claim a job anew whose lease lapsed and was granted again.
+
+        Another process may be claiming it, so only a write decides.
+
+        :raises VersionConflictError: another process owns the job now.
+        """
+        lease_id = self.lease.lease_id
+        self.lease.check()
+        await self.refresh(job)
+        if not await self._write(job, self._claimed(job.record)):
+            raise VersionConflictError('the job was claimed by another')
+        job.lease_id = lease_id
+
+    async def release(self, job: OwnedJob) -> None:
+        """Give the job up so that another process claims it at once."""
+        await self._update(
+            job, lambda record: attrs.evolve(record, owner='', owner_host='')
+        )
+
+    async def commit(
+        self, job: OwnedJob, segments: Iterable[ResultSegment], done: bytes
+    ) -> None:
+        """Add result segments to the job's record.
 
-    async def commit(self, job: OwnedJob, segment: ResultSegment) -> None:
-        """Add a result segment to the job's record.
+        The reply to an earlier try may have been lost after it took effect,
+        so a segment that the record names is not added again.
 
+        :param done: packed map of the finished items.
         :raises VersionConflictError: another process owns the job now.
         """
-        await self._update(job, lambda record: _with_segment(record, segment))
+        added = tuple(segments)
+        await self._update(
+            job, lambda record: _with_segments(record, added, done)
+        )
 
     async def finish(self, job: OwnedJob, state: JobState) -> None:
-        """Write the job's final state."""
+        """Write the job's final state and take it off the index."""
         await self._update(
             job,
             lambda record: attrs.evolve(
                 record, state=state, finished_at=int(time.time())
             ),
         )
+        await self.close(job.key)
+
+    async def close(self, key: str) -> None:
+        """Take a finished job off the index of open jobs."""
+        index_key = open_job_key(key)
+        found = await self.service.read(index_key)
+        if found is not None:
+            await self.service.delete(
+                index_key, mod_revision=found.mod_revision
+            )
 
     async def refresh(self, job: OwnedJob) -> None:
         """Read the record anew.
@@ -103,7 +139,8 @@
         if found is None:
             raise VersionConflictError('the job was deleted')
         record = decode_job_record(found.body)
-        if record.epoch != job.record.epoch:
+        is_own = record.owner == self.process
+        if not is_own or record.epoch < job.record.epoch:
             raise VersionConflictError('the job has another owner')
         job.record = record
         job.mod_revision = found.mod_revision
@@ -113,31 +150,48 @@
     ) -> None:
         for _ in range(COMMIT_ATTEMPTS):
             self.lease.check()
-            changed = attrs.evolve(change(job.record), writer=uuid.uuid4().hex)
-            revision = await self._write(job.key, changed, job.mod_revision)
-            if revision is not None:
-                job.record = changed
-                job.mod_revision = revision
+            if await self._write(job, change(job.record)):
                 return
             await self.refresh(job)
         raise VersionConflictError('the job changed too often')
 
+    def _claimed(self, record: JobRecord) -> JobRecord:
+        return attrs.evolve(
+            record,
+            owner=self.process,
+            owner_host=self.host,
+            epoch=record.epoch + 1,
+        )
+
     async def _is_orphan(self, record: JobRecord) -> bool:
         if record.owner in {'', self.process}:
             return True
         return await self.service.read(f'{LEASES}{record.owner}') is None
 
-    async def _write(
-        self, key: str, record: JobRecord, mod_revision: int
-    ) -> int | None:
-        return await self.service.compare_and_swap(
-            key, encode_record(record), mod_revision=mod_revision
-        )
-
-
-def _waits_for_owner(record: JobRecord, alive: set[str]) -> bool:
-    return not record.state.is_final and record.owner not in alive
-
+    async def _read_file(self, record: JobRecord) -> FileRecord:
+        key = file_key(record.contract, record.input_file_id)
+        found = await self.service.read(key)
+        if found is None:
+            raise InternalError(f'the input file of {record.job_id} is gone')
+        return decode_file_record(found.body)
 
-def _with_segment(record: JobRecord, segment: ResultSegment) -> JobRecord:
-    return attrs.evolve(record, results=(*record.results, segment))
+    async def _write(self, job: OwnedJob, record: JobRecord) -> bool:
+        marked = attrs.evolve(record, writer=uuid.uuid4().hex)
+        revision = await self.service.compare_and_swap(
+            job.key, encode_record(marked), mod_revision=job.mod_revision
+        )
+        if revision is None:
+            return False
+        job.record = marked
+        job.mod_revision = revision
+        return True
+
+
+def _with_segments(
+    record: JobRecord, segments: tuple[ResultSegment, ...], done: bytes
+) -> JobRecord:
+    named = {segment.ref.name for segment in record.results}
+    added = [row for row in segments if row.ref.name not in named]
+    return attrs.evolve(
+        record, results=(*record.results, *added), done_map=done
+    )
--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -1,13 +1,14 @@
 """briarrill.batch.service: assembles and runs one batch process."""
 
-import contextlib
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
+from eliot import log_message
 
 from ..control import Control
 from ..coordination.leases import Lease, hold_lease
-from ..errors import BriarrillError
+from ..errors import BriarrillError, DrainingError
 from ..protocol.messages import (
     CancelJob,
     GetSegment,
@@ -29,25 +30,27 @@
     serve_ops,
     wait_for_stop_signal,
 )
+from ..state.contracts import Contract
 from ..state.segment_copies import SegmentCopies
 from ..state.segments import SegmentFolder
 from ..state.settings import BatchSettings
 from ..transport.instance_list import Role
 from ..transport.zmq_socket import open_router
 from .handout import Handout
+from .item_sources import ItemSources
+from .job_finder import JobFinder, new_process_name
 from .job_runner import JobRunner
 from .job_store import JobStore, OwnedJob
 from .store_server import StoreServer
 
-__all__ = ('run_batch',)
+__all__ = ('BatchProcess', 'run_batch')
 
-# seconds between searches for jobs without an owner
-SEARCH_INTERVAL_S = 1.0
+_REMOVED_CONTRACT = Contract(api_key_sha256=())
 
 
 async def run_batch(cfg: BatchSettings) -> None:
     """Run until a stop signal and the drain that follows it."""
-    process = f'{cfg.instance.name}.batch'
+    process = new_process_name(cfg.instance.name)
     async with (
         open_platform(cfg.platform) as platform,
         open_rpc_pool() as caller,
@@ -55,14 +58,30 @@
     ):
         with open_router(cfg.instance.host, cfg.ports.batch_items) as socket:
             control = _make_control(cfg, platform, caller)
-            batch = _Batch(
+            store = _make_job_store(cfg, platform, lease, process)
+            sources = ItemSources(_ContractFinder(control).find)
+            batch = BatchProcess(
                 cfg=cfg,
                 control=control,
-                jobs=_make_job_store(cfg, platform, lease, process),
+                store=store,
                 copies=_make_copies(cfg, control),
-                handout=Handout(socket),
+                handout=Handout(socket, sources),
+                finder=JobFinder(
+                    store, control.membership, caller, cfg.ports.batch_store
+                ),
             )
-            await batch.run()
+            await batch.run(wait_for_stop_signal)
+
+
+@attrs.frozen
+class _ContractFinder:
+    """Looks contracts up; one that was removed has the default limits."""
+
+    control: Control
+
+    def find(self, name: str) -> Contract:
+        contracts = self.control.holder.current.contracts
+        return contracts.get(name, _REMOVED_CONTRACT)
 
 
 def _make_control(
@@ -99,19 +118,22 @@
 
 
 @attrs.define
-class _Batch:
+class BatchProcess:
     """The tasks of one batch process."""
 
     cfg: BatchSettings
     control: Control
-    jobs: JobStore
+    store: JobStore
     copies: SegmentCopies
     handout: Handout
+    finder: JobFinder
     runners: dict[str, JobRunner] = attrs.field(factory=dict)
-    search: trio.Event = attrs.field(factory=trio.Event)
 
-    async def run(self) -> None:
-        """Run until drained."""
+    async def run(self, wait_stop: Callable[[], Awaitable[None]]) -> None:
+        """Run until stopped and drained.
+
+        :param wait_stop: returns when the planned stop begins.
+        """
         cfg = self.cfg
         async with trio.open_nursery() as nursery:
             await nursery.start(
@@ -128,56 +150,75 @@
                 self.control.readiness,
             )
             nursery.start_soon(self.handout.run)
-            nursery.start_soon(self._begin_drain_on_signal)
+            nursery.start_soon(self._begin_drain, wait_stop)
             await self.control.wait_configured()
             self.control.readiness.has_started = True
-            nursery.start_soon(self._find_jobs, nursery)
-            await self.control.readiness.drain.wait()
+            await self._run_jobs()
             nursery.cancel_scope.cancel()
 
     def _store_handlers(self) -> HandlerTable:
         folder = SegmentFolder(self.cfg.store.folder, self.cfg.store.max_bytes)
-        store = StoreServer(folder)
+        server = StoreServer(folder)
         return {
-            PutSegment: store.answer_put,
-            GetSegment: store.answer_get,
+            PutSegment: server.answer_put,
+            GetSegment: server.answer_get,
             JobNotice: self._answer_notice,
             CancelJob: self._answer_cancel,
         }
 
-    async def _begin_drain_on_signal(self) -> None:
-        await wait_for_stop_signal()
+    async def _begin_drain(
+        self, wait_stop: Callable[[], Awaitable[None]]
+    ) -> None:
+        await wait_stop()
         self.control.readiness.begin_drain()
 
-    async def _answer_notice(self, _notice: JobNotice) -> Message:
-        self.search.set()
+    async def _answer_notice(self, notice: JobNotice) -> Message:
+        if self.control.readiness.is_draining:
+            raise DrainingError('the batch process is stopping')
+        self.finder.offer(notice.job)
         return Ok()
 
     async def _answer_cancel(self, cancel: CancelJob) -> Message:
+        """Stop the job's items at all sidecars, whoever owns the job."""
         runner = self.runners.get(cancel.job)
         if runner is not None:
             runner.cancel()
+        self.handout.revoke(cancel.job, epoch=None)
         return Ok()
 
-    async def _find_jobs(self, nursery: trio.Nursery) -> None:
+    async def _run_jobs(self) -> None:
+        """Run jobs until the drain, then hand them over."""
+        async with trio.open_nursery() as nursery:
+            async with trio.open_nursery() as finding:
+                finding.start_soon(self.finder.run)
+                finding.start_soon(self._claim_offers, nursery)
+                await self.control.readiness.drain.wait()
+                finding.cancel_scope.cancel()
+            for runner in list(self.runners.values()):
+                runner.release()
+            released = list(self.runners)
+        await self.finder.announce(released)
+
+    async def _claim_offers(self, nursery: trio.Nursery) -> None:
         while True:
-            with contextlib.suppress(BriarrillError):
-                for key in await self.jobs.find_unowned():
-                    await self._claim(key, nursery)
-            with trio.move_on_after(SEARCH_INTERVAL_S):
-                await self.search.wait()
-            self.search = trio.Event()
-
-    async def _claim(self, key: str, nursery: trio.Nursery) -> None:
-        if key in self.runners:
-            return
-        job = await self.jobs.claim(key)
-        if job is not None:
-            nursery.start_soon(self._run_job, job)
+            key = await self.finder.next_offer()
+            if key in self.runners:
+                continue
+            try:
+                job = await self.store.claim(key)
+            except BriarrillError as exc:
+                # the claim may have taken effect, so it is tried again
+                log_message('job:claim-failed', reason=exc.message)
+                self.finder.offer_later(key)
+                continue
+            if job is not None:
+                nursery.start_soon(self._run_job, job)
 
     async def _run_job(self, job: OwnedJob) -> None:
-        runner = JobRunner(job, self.jobs, self.copies, self.handout)
+        runner = JobRunner(job, self.store, self.copies, self.handout)
         self.runners[job.key] = runner
+        if self.control.readiness.is_draining:
+            runner.release()
         try:
             await runner.run()
         finally:
--- a/briarrill/entry/batch_routes.py
+++ b/briarrill/entry/batch_routes.py
@@ -44,18 +44,19 @@
     app: QuartTrio, ctx: EntryContext, jobs: JobDirectory
 ) -> None:
     """Add the routes of files and batch jobs."""
+    _add_file_routes(app, ctx, jobs)
+    _add_job_routes(app, ctx, jobs)
 
+
+def _add_file_routes(
+    app: QuartTrio, ctx: EntryContext, jobs: JobDirectory
+) -> None:
     @app.post('/v1/files')
     async def upload_file() -> dict[str, Any]:
         caller = ctx.caller()
-        upload = Upload()
-        intake = FileIntake(ctx.copies, caller.name, ctx.cfg.max_file_bytes)
-        record = await intake.store(read_upload(upload))
-        record = attrs.evolve(
-            record,
-            filename=upload.filename,
-            purpose=upload.fields.get('purpose', 'batch'),
-        )
+        # an upload that cannot be recorded is refused before it is read
+        await jobs.check_available()
+        record = await _take_upload(ctx, caller)
         return file_view(await jobs.create_file(record))
 
     @app.get('/v1/files/<file_id>')
@@ -71,6 +72,10 @@
             _read_segments(ctx, record.segments), content_type=JSON_LINES
         )
 
+
+def _add_job_routes(
+    app: QuartTrio, ctx: EntryContext, jobs: JobDirectory
+) -> None:
     @app.post('/v1/batches')
     async def create_batch() -> dict[str, Any]:
         caller = ctx.caller()
@@ -104,6 +109,17 @@
         return batch_view(await jobs.cancel(caller.name, job_id))
 
 
+async def _take_upload(ctx: EntryContext, caller: Caller) -> FileRecord:
+    upload = Upload()
+    intake = FileIntake(ctx.copies, caller.name, ctx.cfg.max_file_bytes)
+    record = await intake.store(read_upload(upload))
+    return attrs.evolve(
+        record,
+        filename=upload.filename,
+        purpose=upload.fields.get('purpose', 'batch'),
+    )
+
+
 def _parse_create(body: bytes) -> CreateBatch:
     try:
         create = msgspec.json.decode(body, type=CreateBatch)
@@ -134,7 +150,8 @@
     return JobRecord(
         job_id=f'batch-{digest}',
         contract=caller.name,
-        input_file=record,
+        input_file_id=record.file_id,
+        total=record.lines,
         endpoint=create.endpoint,
         created_at=now,
         due_at=now + WINDOW_SECONDS[create.completion_window],
--- a/briarrill/entry/batch_views.py
+++ b/briarrill/entry/batch_views.py
@@ -41,7 +41,7 @@
         'id': job.job_id,
         'object': 'batch',
         'endpoint': job.endpoint,
-        'input_file_id': job.input_file.file_id,
+        'input_file_id': job.input_file_id,
         'completion_window': '24h',
         'status': job.state.value,
         'output_file_id': output_file_id(job.job_id) if job.results else None,
--- a/briarrill/entry/jobs.py
+++ b/briarrill/entry/jobs.py
@@ -8,7 +8,14 @@
 
 from ..control import Control
 from ..coordination.rendezvous import rank
-from ..errors import BriarrillError, NotFoundError, VersionConflictError
+from ..errors import (
+    BriarrillError,
+    ConflictError,
+    NotFoundError,
+    PlatformUnavailableError,
+    VersionConflictError,
+    WriteUnknownError,
+)
 from ..protocol.messages import CancelJob, JobNotice, Message
 from ..state.job_records import (
     FileRecord,
@@ -18,7 +25,7 @@
     decode_job_record,
     encode_record,
 )
-from ..state.keys import JOBS, file_key, job_key
+from ..state.keys import FILES, JOBS, file_key, job_key, open_job_key
 from ..transport.instance_list import Role
 from ..transport.key_value import KeyValue
 
@@ -26,6 +33,11 @@
 
 CANCEL_ATTEMPTS = 10
 
+NOTICE_TIMEOUT_S = 0.4
+
+# batch processes that are told of a new job, one after the other
+OFFERS = 3
+
 
 @attrs.frozen
 class JobDirectory:
@@ -37,6 +49,13 @@
     control: Control
     nursery: trio.Nursery
 
+    async def check_available(self) -> None:
+        """Ask the key-value service for a sign of life.
+
+        :raises PlatformUnavailableError: new work cannot be recorded now.
+        """
+        await self.control.platform.key_value.read(FILES)
+
     async def create_file(self, record: FileRecord) -> FileRecord:
         """Store a file's record; the same file again is the same record."""
         key = file_key(record.contract, record.file_id)
@@ -58,15 +77,24 @@
         return decode_file_record(found.body)
 
     async def create(self, job: JobRecord) -> JobRecord:
-        """Accept a job; the same job again is the accepted one."""
+        """Accept a job; the same job again is the accepted one.
+
+        The index entry is written first: a job without one would not be
+        found, while an entry without a job is dropped later.
+
+        :raises ConflictError: the job's name stands for another input file.
+        :raises WriteUnknownError: the job may be accepted; sending it again
+            is safe.
+        """
         key = job_key(job.contract, job.job_id)
-        body = encode_record(job)
         service = self.control.platform.key_value
+        await self._write_index(key, job)
+        body = encode_record(job)
         if await service.compare_and_swap(key, body, mod_revision=0):
             log_message('job:accepted', job=job.job_id, items=job.total)
-            self._notify(job, JobNotice(job=key))
+            self.nursery.start_soon(self._find_owner, job)
             return job
-        return await self.find(job.contract, job.job_id)
+        return await self._find_same(job)
 
     async def find(self, contract: str, job_id: str) -> JobRecord:
         """Return a job's record.
@@ -100,10 +128,30 @@
                 job, state=JobState.CANCELLING, writer=uuid.uuid4().hex
             )
             if await self._replace(found, job):
-                self._notify(job, CancelJob(job=found.key))
+                self.nursery.start_soon(self._stop_streams, job)
                 return job
         raise VersionConflictError('the job changed while it was cancelled')
 
+    async def _write_index(self, key: str, job: JobRecord) -> None:
+        try:
+            await self.control.platform.key_value.compare_and_swap(
+                open_job_key(key), str(job.created_at).encode(), mod_revision=0
+            )
+        except WriteUnknownError as exc:
+            # without the record, the entry alone runs nothing
+            raise PlatformUnavailableError(
+                exc.message, retry_after_s=exc.retry_after_s
+            ) from exc
+
+    async def _find_same(self, job: JobRecord) -> JobRecord:
+        found = await self.find(job.contract, job.job_id)
+        if found.input_file_id != job.input_file_id:
+            raise ConflictError(
+                f'{job.job_id} was created with input file '
+                f'{found.input_file_id}'
+            )
+        return found
+
     async def _replace(self, found: KeyValue, job: JobRecord) -> bool:
         written = await self.control.platform.key_value.compare_and_swap(
             found.key, encode_record(job), mod_revision=found.mod_revision
@@ -117,20 +165,43 @@
             raise NotFoundError(f'no batch job {job_id}')
         return found
 
-    def _notify(self, job: JobRecord, message: Message) -> None:
+    async def _find_owner(self, job: JobRecord) -> None:
+        """Offer a new job; it is found without this, but later."""
+        key = job_key(job.contract, job.job_id)
+        for host in self._batch_hosts(job)[:OFFERS]:
+            if await self._notify(host, JobNotice(job=key)):
+                return
+
+    async def _stop_streams(self, job: JobRecord) -> None:
+        """Have the job's items stopped, by its owner and one other.
+
+        Every sidecar pulls from every batch process, so any of them can
+        stop the job's items when the owner is lost or does not answer.
+        """
+        message = CancelJob(job=job_key(job.contract, job.job_id))
+        async with trio.open_nursery() as nursery:
+            if job.owner_host:
+                nursery.start_soon(self._notify, job.owner_host, message)
+            for host in self._batch_hosts(job):
+                is_owner = host == job.owner_host
+                if not is_owner and await self._notify(host, message):
+                    return
+
+    def _batch_hosts(self, job: JobRecord) -> list[str]:
+        """Return the batch processes, the job's likely owner first."""
         hosts = {
             instance.name: instance.host
             for instance in self.control.membership.live(Role.BATCH)
         }
-        ranked = [hosts[name] for name in rank(job.job_id, hosts)]
-        host = job.owner_host or next(iter(ranked), '')
-        if host:
-            self.nursery.start_soon(self._send_notice, host, message)
+        return [hosts[name] for name in rank(job.contract, hosts)]
 
-    async def _send_notice(self, host: str, message: Message) -> None:
-        """Tell a batch process; it finds the record by itself otherwise."""
+    async def _notify(self, host: str, message: Message) -> bool:
         port = self.control.ports.batch_store
         try:
-            await self.control.caller.call(host, port, message)
+            await self.control.caller.call(
+                host, port, message, NOTICE_TIMEOUT_S
+            )
         except BriarrillError as exc:
             log_message('job:notice-lost', reason=exc.message)
+            return False
+        return True
--- a/briarrill/protocol/messages/batch.py
+++ b/briarrill/protocol/messages/batch.py
@@ -41,6 +41,7 @@
 
     :param wanted: items that the sidecar is willing to hold from this
         process, those already assigned included.
+    :param held: items of this process that the sidecar holds.
     """
 
     session: str
@@ -48,6 +49,7 @@
     wanted: int
     models: tuple[str, ...]
     service: str = ''
+    held: int = 0
 
 
 @attrs.frozen
@@ -59,9 +61,14 @@
 
 @attrs.frozen
 class Revoke(Message):
-    """Stops the items of a cancelled job."""
+    """Stops items of a job.
+
+    :param epoch: stops the items of this epoch and older ones; none stops
+        all of them, because the job is cancelled.
+    """
 
     job: str
+    epoch: int | None = None
 
 
 @attrs.frozen
@@ -77,6 +84,7 @@
     epoch: int
     code: ResultCode
     ran: Ran
+    attempt: int = 0
     http_status: int = 200
     body: bytes = b''
     message: str = ''
@@ -91,6 +99,6 @@
 
 @attrs.frozen
 class CancelJob(Message):
-    """Tells a batch process that a job's record says cancelled."""
+    """Tells a batch process, the owner or another, that a job is cancelled."""
 
     job: str
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -1,5 +1,6 @@
 """briarrill.sidecar.batch: pulls batch items and runs them."""
 
+import collections
 import uuid
 from typing import Any
 
@@ -23,6 +24,7 @@
 from ..runtime import Readiness
 from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket, open_dealer
+from .held_items import HeldItem, HeldItems
 from .online import Identity
 from .partial_answer import PartialAnswer
 from .upstreams import Call, Upstream
@@ -31,6 +33,12 @@
 
 PULL_INTERVAL_S = 0.25
 
+# between pulls from a process that hands out nothing
+IDLE_PULL_INTERVAL_S = 1.0
+
+# outcomes kept for a process that does not answer
+MAX_UNSENT_OUTCOMES = 1000
+
 # items held beyond the running ones, so a slot is refilled without a
 # round trip
 LOOKAHEAD_ITEMS = 2
@@ -67,6 +75,13 @@
                 ran=Ran.UNKNOWN,
                 message=repr(exc),
             )
+        except (KeyError, TypeError, ValueError) as exc:
+            return _outcome(
+                batch_item,
+                code=ResultCode.UPSTREAM_FAILED,
+                ran=Ran.UNKNOWN,
+                message=f'the answer cannot be read: {exc!r}',
+            )
 
     async def _run_with_resumes(
         self, batch_item: BatchItem, partial: PartialAnswer
@@ -114,6 +129,7 @@
         job=batch_item.job,
         index=batch_item.index,
         epoch=batch_item.epoch,
+        attempt=batch_item.attempt,
         code=code,
         ran=ran,
         **fields,
@@ -121,33 +137,44 @@
 
 
 class BatchPuller:
-    """Pulls items from one batch process.
+    """Pulls items from one batch process and returns their outcomes.
 
-    :param identity: name of the sidecar.
-    :param runner: runs the items.
+    :param owner: name of the batch process's instance.
+    :param held: items held from all batch processes.
     """
 
     def __init__(
-        self, identity: Identity, runner: BatchRunner, readiness: Readiness
+        self,
+        identity: Identity,
+        runner: BatchRunner,
+        readiness: Readiness,
+        owner: str,
+        held: HeldItems,
     ) -> None:
         """Start without items."""
         self.models: tuple[str, ...] = ()
+        self.owner = owner
         self._identity = identity
         self._runner = runner
         self._readiness = readiness
         self._session = uuid.uuid4().hex
-        self._held: dict[tuple[str, int], trio.CancelScope] = {}
+        self._table = held
+        self._unsent: collections.deque[ItemOutcome] = collections.deque(
+            maxlen=MAX_UNSENT_OUTCOMES
+        )
+        self._socket: ZmqSocket | None = None
 
     @property
     def held(self) -> int:
-        """Return the items that have no outcome yet."""
-        return len(self._held)
+        """Return the items of this owner that have no outcome yet."""
+        return self._table.count(self.owner)
 
     async def run(self, host: str, port: int) -> None:
         """Pull from the process at this address until cancelled."""
         with open_dealer(host, port) as socket:
+            self._socket = socket
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_pulls, socket)
+                nursery.start_soon(self._send_pulls)
                 while True:
                     frames = await socket.receive()
                     try:
@@ -155,64 +182,106 @@
                     except MalformedMessageError:
                         MALFORMED_MESSAGES.inc()
                         continue
-                    self._dispatch(nursery, socket, message)
+                    self._dispatch(nursery, message)
 
-    def _dispatch(
-        self, nursery: trio.Nursery, socket: ZmqSocket, message: Message
-    ) -> None:
+    def _dispatch(self, nursery: trio.Nursery, message: Message) -> None:
         if isinstance(message, Assign):
             for batch_item in message.batch_items:
-                nursery.start_soon(self._run_item, socket, batch_item)
+                self._take_item(nursery, batch_item)
+            # ask for the rest of the room, now that there is work
+            self._send_pull()
         elif isinstance(message, Revoke):
-            self._revoke(message.job)
+            self._table.revoke(message.job, message.epoch)
         else:
             MALFORMED_MESSAGES.inc()
 
-    def _revoke(self, job: str) -> None:
-        for key, scope in self._held.items():
-            if key[0] == job:
-                scope.cancel()
-
-    async def _run_item(
-        self, socket: ZmqSocket, batch_item: BatchItem
-    ) -> None:
-        key = (batch_item.job, batch_item.index)
-        if key in self._held:
+    def _take_item(self, nursery: trio.Nursery, batch_item: BatchItem) -> None:
+        if self._table.is_stopped(batch_item):
+            self._deliver(_stopped_outcome(batch_item))
+            return
+        self._table.note_epoch(batch_item)
+        held = HeldItem(batch_item, self.owner, self._deliver)
+        if self._table.adopt(held):
             DUPLICATES.inc()
             return
+        self._table.add(held)
+        nursery.start_soon(self._run_item, held)
+
+    async def _run_item(self, held: HeldItem) -> None:
         outcome = None
-        with trio.CancelScope() as scope:
-            self._held[key] = scope
-            try:
-                outcome = await self._runner.run_item(batch_item)
-            finally:
-                self._held.pop(key)
+        with held.scope:
+            outcome = await self._runner.run_item(held.batch_item)
+        self._table.remove(held)
         if outcome is None:
-            return
-        self._send(socket, outcome)
-        self._send_pull(socket)
+            outcome = _stopped_outcome(held.batch_item)
+        # the item may have got another owner while it ran
+        held.deliver(
+            attrs.evolve(
+                outcome,
+                epoch=held.batch_item.epoch,
+                attempt=held.batch_item.attempt,
+            )
+        )
+        self._send_pull()
+
+    def _deliver(self, outcome: ItemOutcome) -> None:
+        """Send an outcome, or keep it until the process answers again."""
+        self._unsent.append(outcome)
+        self._send_unsent()
 
-    async def _send_pulls(self, socket: ZmqSocket) -> None:
+    def _send_unsent(self) -> None:
+        while self._unsent and self._send(self._unsent[0]):
+            self._unsent.popleft()
+
+    async def _send_pulls(self) -> None:
         while True:
-            self._send_pull(socket)
-            await trio.sleep(PULL_INTERVAL_S)
+            self._send_unsent()
+            self._send_pull()
+            is_idle = not self.held
+            await trio.sleep(
+                IDLE_PULL_INTERVAL_S if is_idle else PULL_INTERVAL_S
+            )
 
-    def _send_pull(self, socket: ZmqSocket) -> None:
-        admission = self._runner.admission
-        wanted = admission.batch_capacity + LOOKAHEAD_ITEMS
-        if self._readiness.is_draining or not self.models:
-            wanted = 0
-        pull = Pull(
-            session=self._session,
-            process=self._identity.process,
-            wanted=wanted,
-            models=self.models,
-            service=self._identity.service,
+    def _send_pull(self) -> None:
+        self._send(
+            Pull(
+                session=self._session,
+                process=self._identity.process,
+                wanted=self._wanted(),
+                models=self.models,
+                service=self._identity.service,
+                held=self.held,
+            )
         )
-        self._send(socket, pull)
 
-    def _send(self, socket: ZmqSocket, message: Message) -> None:
+    def _wanted(self) -> int:
+        """Return the items to hold from this process.
+
+        All processes together fill the room; one that hands out nothing is
+        asked for a single item, so that many of them do not overfill it.
+        """
+        if self._readiness.is_draining or not self.models:
+            return 0
+        capacity = self._runner.admission.batch_capacity + LOOKAHEAD_ITEMS
+        room = max(0, capacity - len(self._table))
+        if not self.held:
+            return min(room, 1)
+        return self.held + room
+
+    def _send(self, message: Message) -> bool:
+        if self._socket is None:
+            return False
         try:
-            socket.send(encode(message))
+            self._socket.send(encode(message))
         except PeerUnreachableError:
-            return
+            return False
+        return True
+
+
+def _stopped_outcome(batch_item: BatchItem) -> ItemOutcome:
+    return _outcome(
+        batch_item,
+        code=ResultCode.CANCELLED,
+        ran=Ran.NO,
+        message='the job is cancelled or has another owner',
+    )
--- a/briarrill/sidecar/service.py
+++ b/briarrill/sidecar/service.py
@@ -19,6 +19,7 @@
 from ..transport.instance_list import Instance, Role
 from ..transport.zmq_socket import open_router
 from .batch import BatchPuller, BatchRunner
+from .held_items import HeldItems
 from .online import Identity, OnlineServer
 from .upstreams import UPSTREAMS, Upstream
 
@@ -75,6 +76,7 @@
     upstream: Upstream
     server: OnlineServer
     pullers: dict[str, BatchPuller] = attrs.field(factory=dict)
+    held: HeldItems = attrs.field(factory=HeldItems)
 
     async def run(self) -> None:
         """Run until drained."""
@@ -109,8 +111,7 @@
             await trio.sleep(DRAIN_POLL_S)
 
     def _work_left(self) -> int:
-        held = sum(puller.held for puller in self.pullers.values())
-        return self.server.in_flight + held
+        return self.server.in_flight + len(self.held)
 
     async def _follow_models(self) -> None:
         while True:
@@ -135,7 +136,11 @@
         self, instance: Instance, runner: BatchRunner
     ) -> None:
         puller = BatchPuller(
-            _identity(self.cfg), runner, self.control.readiness
+            _identity(self.cfg),
+            runner,
+            self.control.readiness,
+            instance.name,
+            self.held,
         )
         puller.models = self.server.models
         self.pullers[instance.name] = puller
--- a/briarrill/state/job_records.py
+++ b/briarrill/state/job_records.py
@@ -1,10 +1,13 @@
 """briarrill.state.job_records: records of files and batch jobs.
 
 A job's record is its commit point: a result counts when the record names
-the segment that holds it.
+the segment that holds it. It is rewritten with each commit, so it names its
+input file instead of holding it, keeps one map of finished items and is
+stored compressed.
 """
 
 import enum
+import zlib
 from typing import TypeVar
 
 import attrs
@@ -26,6 +29,9 @@
 
 _Record = TypeVar('_Record')
 
+# the fastest; records are rewritten often
+_COMPRESSION_LEVEL = 1
+
 
 class JobState(enum.StrEnum):
     """Life of a batch job."""
@@ -87,12 +93,10 @@
 class ResultSegment:
     """A committed result segment.
 
-    :param ranges: first and last index of each run of items in it.
     :param failed: items in it that finished with an error line.
     """
 
     ref: SegmentRef
-    ranges: tuple[tuple[int, int], ...]
     failed: int = 0
 
 
@@ -100,14 +104,17 @@
 class JobRecord:
     """A batch job.
 
+    :param total: items in the input file.
     :param writer: mark of the last writer, to recognise its own write.
     :param epoch: grows with each change of owner.
     :param due_at: deadline, seconds since 1970.
+    :param done_map: items with a committed result, packed.
     """
 
     job_id: str
     contract: str
-    input_file: FileRecord
+    input_file_id: str
+    total: int
     endpoint: str
     created_at: int
     due_at: int
@@ -117,14 +124,10 @@
     owner_host: str = ''
     epoch: int = 0
     results: tuple[ResultSegment, ...] = ()
+    done_map: bytes = b''
     finished_at: int = 0
     metadata: dict[str, str] = attrs.field(factory=dict)
 
-    @property
-    def total(self) -> int:
-        """Return the number of items."""
-        return self.input_file.lines
-
     @property
     def done(self) -> int:
         """Return the number of items with a committed result."""
@@ -138,7 +141,7 @@
 
 def encode_record(record: FileRecord | JobRecord) -> bytes:
     """Return the stored form of a record."""
-    return msgspec.json.encode(record)
+    return zlib.compress(msgspec.json.encode(record), _COMPRESSION_LEVEL)
 
 
 def decode_job_record(body: bytes) -> JobRecord:
@@ -153,6 +156,6 @@
 
 def _decode(body: bytes, cls: type[_Record]) -> _Record:
     try:
-        return msgspec.json.decode(body, type=cls)
-    except msgspec.MsgspecError as exc:
+        return msgspec.json.decode(zlib.decompress(body), type=cls)
+    except (zlib.error, msgspec.MsgspecError) as exc:
         raise InternalError(f'damaged record: {exc}') from exc
--- a/briarrill/state/keys.py
+++ b/briarrill/state/keys.py
@@ -6,10 +6,12 @@
     'FILES',
     'JOBS',
     'LEASES',
+    'OPEN_JOBS',
     'config_version_key',
     'file_key',
     'job_key',
     'lease_key',
+    'open_job_key',
 )
 
 ROOT = 'briarrill/'
@@ -18,6 +20,7 @@
 FILES = f'{ROOT}files/'
 JOBS = f'{ROOT}jobs/'
 LEASES = f'{ROOT}leases/'
+OPEN_JOBS = f'{ROOT}open-jobs/'
 
 
 def config_version_key(version: int) -> str:
@@ -38,3 +41,11 @@
 def lease_key(process: str) -> str:
     """Return the key that lives as long as a process's lease."""
     return f'{LEASES}{process}'
+
+
+def open_job_key(key: str) -> str:
+    """Return the index key that exists while a job is unfinished.
+
+    :param key: key of the job's record.
+    """
+    return f'{OPEN_JOBS}{key.removeprefix(JOBS)}'
--- /dev/null
+++ b/tests/batch/fakes.py
@@ -0,0 +1,165 @@
+"""Fakes of the platform and of upstreams."""
+
+import contextlib
+import json
+import time
+
+import attrs
+import trio
+import xxhash
+
+from briarrill.errors import PlatformUnavailableError, WriteUnknownError
+from briarrill.sidecar.upstreams import Answer, Upstream
+from briarrill.transport.key_value import KeyValue, KeyValueService
+
+MODEL = 'clause-drafter'
+RETRY_AFTER_S = 5.0
+
+
+@attrs.define
+class FakeStore:
+    """The key-value service's state and its faults."""
+
+    is_down: bool = False
+    lose_replies: int = 0
+    revision: int = 0
+    writes: int = 0
+    bytes_written: int = 0
+    reads: int = 0
+    entries: dict = attrs.field(factory=dict)
+    leases: dict = attrs.field(factory=dict)
+
+    def expire(self):
+        now = time.monotonic()
+        for lease_id, (expires_at, _) in list(self.leases.items()):
+            if expires_at < now:
+                self.end_lease(lease_id)
+
+    def end_lease(self, lease_id):
+        self.leases.pop(lease_id, None)
+        for key, (_, lease) in list(self.entries.items()):
+            if lease == lease_id:
+                self.entries.pop(key)
+
+    def put(self, key, body, lease_id):
+        self.revision += 1
+        self.writes += 1
+        self.bytes_written += len(body)
+        found = KeyValue(key, body, self.revision)
+        self.entries[key] = (found, lease_id)
+
+
+class FakeClient(KeyValueService):
+    """One process's client of the service."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+
+    async def read(self, key):
+        await self._begin()
+        self.store.reads += 1
+        return self._find(key)
+
+    async def read_prefix(self, prefix, *, after='', limit=0):
+        await self._begin()
+        self.store.reads += 1
+        keys = [key for key in self.store.entries if key.startswith(prefix)]
+        chosen = sorted(key for key in keys if key > after)
+        return [self._find(key) for key in chosen[: limit or None]]
+
+    async def compare_and_swap(self, key, body, *, mod_revision, lease_id=0):
+        await self._begin()
+        if self._revision(key) != mod_revision:
+            return None
+        self.store.put(key, body, lease_id)
+        revision = self.store.revision
+        if self.store.lose_replies:
+            self.store.lose_replies -= 1
+            raise WriteUnknownError('reply lost', retry_after_s=RETRY_AFTER_S)
+        return revision
+
+    async def delete(self, key, *, mod_revision):
+        await self._begin()
+        if self._revision(key) != mod_revision:
+            return False
+        self.store.entries.pop(key)
+        return True
+
+    async def grant_lease(self, ttl_s):
+        await self._begin()
+        self.store.revision += 1
+        lease_id = self.store.revision
+        self.store.leases[lease_id] = (time.monotonic() + ttl_s, ttl_s)
+        return lease_id
+
+    async def keep_lease_alive(self, lease_id):
+        await self._begin()
+        if lease_id not in self.store.leases:
+            return 0
+        _, ttl_s = self.store.leases[lease_id]
+        self.store.leases[lease_id] = (time.monotonic() + ttl_s, ttl_s)
+        return ttl_s
+
+    async def revoke_lease(self, lease_id):
+        await self._begin()
+        self.store.end_lease(lease_id)
+
+    def watch(self, prefix):
+        raise NotImplementedError
+
+    def _find(self, key):
+        found = self.store.entries.get(key)
+        return found[0] if found else None
+
+    def _revision(self, key):
+        found = self._find(key)
+        return found.mod_revision if found else 0
+
+    async def _begin(self):
+        await trio.lowlevel.checkpoint()
+        if self.is_cut or self.store.is_down:
+            raise PlatformUnavailableError('down', retry_after_s=RETRY_AFTER_S)
+        self.store.expire()
+
+
+def answer_of(prompt):
+    """Return the words that every fake upstream answers to a prompt."""
+    digest = xxhash.xxh3_128_hexdigest(prompt.encode())
+    return [f'{digest[start : start + 8]} ' for start in (0, 8, 16)]
+
+
+class FakeUpstream(Upstream):
+    """Streams answers; counts the runs of each prompt."""
+
+    def __init__(self, world):
+        super().__init__(None)
+        self.world = world
+
+    async def fetch_models(self):
+        return (MODEL,)
+
+    def split(self, reply):
+        raise NotImplementedError
+
+    @contextlib.asynccontextmanager
+    async def open_call(self, call):
+        body = json.loads(call.body)
+        prompt = body['messages'][0]['content']
+        done = 0
+        if body.get('continue_final_message'):
+            done = len(body['messages'][-1]['content'].split())
+        self.world.runs.append(prompt)
+        self.world.running += 1
+        try:
+            status = 500 if prompt in self.world.impossible else 200
+            yield Answer(status, '', self._words(prompt, done))
+        finally:
+            self.world.running -= 1
+
+    async def _words(self, prompt, done):
+        for word in answer_of(prompt)[done:]:
+            await trio.sleep(self.world.token_s)
+            choice = {'index': 0, 'delta': {'content': word}}
+            event = json.dumps({'id': 'x', 'choices': [choice]})
+            yield f'data: {event}\n\n'.encode()
--- /dev/null
+++ b/tests/batch/world.py
@@ -0,0 +1,344 @@
+"""A batch fleet in one process: real sockets and disks, fake platform.
+
+Batch processes and sidecars run as trio tasks. A killed one is cut off from
+the platform and from its sockets first, so its clean-up has no effect.
+"""
+
+import contextlib
+import json
+import time
+
+import attrs
+import trio
+
+from briarrill.batch.handout import Handout
+from briarrill.batch.item_sources import ItemSources
+from briarrill.batch.job_finder import JobFinder, new_process_name
+from briarrill.batch.job_store import JobStore
+from briarrill.batch.service import BatchProcess, _ContractFinder
+from briarrill.control import Control
+from briarrill.coordination.admission import Admission
+from briarrill.coordination.configuration import accept_version
+from briarrill.coordination.leases import Lease
+from briarrill.coordination.membership import Membership
+from briarrill.entry.intake import FileIntake
+from briarrill.entry.jobs import JobDirectory
+from briarrill.errors import PeerUnreachableError, PlatformUnavailableError
+from briarrill.protocol.rpc import open_rpc_pool
+from briarrill.runtime import Platform, Readiness
+from briarrill.sidecar.batch import BatchPuller, BatchRunner
+from briarrill.sidecar.held_items import HeldItems
+from briarrill.sidecar.online import Identity
+from briarrill.state.contracts import Configuration, Contract, Model
+from briarrill.state.job_records import JobRecord
+from briarrill.state.segment_copies import SegmentCopies
+from briarrill.state.settings import (
+    BatchSettings,
+    HttpSettings,
+    InstanceSettings,
+    LogSettings,
+    PlatformSettings,
+    PortSettings,
+    StoreSettings,
+)
+from briarrill.transport.instance_list import Instance, Role
+from briarrill.transport.zmq_socket import open_router
+from tests.batch.fakes import (
+    MODEL,
+    FakeClient,
+    FakeStore,
+    FakeUpstream,
+    answer_of,
+)
+
+CONTRACT = 'kinship'
+PORTS = PortSettings()
+FAR_FUTURE = 10**10
+
+
+@attrs.define
+class Member:
+    """A task that stands for a process."""
+
+    number: int
+    nursery: trio.Nursery
+    client: FakeClient | None = None
+    batch: BatchProcess | None = None
+    lease: Lease | None = None
+    stop: trio.Event = attrs.field(factory=trio.Event)
+    ended: trio.Event = attrs.field(factory=trio.Event)
+
+    def kill(self):
+        """End it as kill -9 does: nothing of its clean-up takes effect."""
+        if self.client is not None:
+            self.client.is_cut = True
+            self.batch.handout._socket.send = _refuse_send
+        self.nursery.cancel_scope.cancel()
+
+
+def _refuse_send(_frames):
+    raise PeerUnreachableError('killed')
+
+
+class World:
+    """Batch processes, sidecars and an entry's job directory."""
+
+    def __init__(self, network, folder, *, copies=2, batches=2, slots=4):
+        self.network = network
+        self.folder = folder
+        self.copies = copies
+        self.slots = slots
+        self.store = FakeStore()
+        self.token_s = 0.002
+        self.lease_ttl_s = 1
+        self.impossible = set()
+        self.runs = []
+        self.running = 0
+        self.prompts = {}
+        self.members = {}
+        self.contract = Contract(api_key_sha256=(), models=(MODEL,))
+        self.instances = tuple(
+            Instance(
+                name=f'entry-{number}',
+                host=f'{network}.{10 + number}',
+                failure_domain=f'domain-{number % 3}',
+                region='lutruwita',
+                roles=(Role.BATCH,),
+            )
+            for number in range(batches)
+        )
+
+    async def fetch(self):
+        """Return the instance list."""
+        return self.instances
+
+    async def start(self, nursery, caller, *, sidecars=2):
+        self.nursery = nursery
+        self.caller = caller
+        self.client = FakeClient(self.store)
+        self.control = self._control(self.instances[0], self.client)
+        self.directory = JobDirectory(self.control, nursery)
+        self.segments = SegmentCopies(
+            caller=caller,
+            membership=self.control.membership,
+            port=PORTS.batch_store,
+            copies=self.copies,
+        )
+        cfg = Configuration(
+            contracts={CONTRACT: self.contract}, models={MODEL: Model('p')}
+        )
+        await accept_version(self.client, cfg, 0, author='x', created_at=1)
+        for number, _ in enumerate(self.instances):
+            await self.start_batch(number)
+        for number in range(sidecars):
+            await self.start_sidecar(number)
+
+    async def start_batch(self, number):
+        """Start a batch process on an instance's data folder."""
+        return await self.nursery.start(self._run_batch, number)
+
+    async def start_sidecar(self, number):
+        """Start a sidecar with an upstream."""
+        return await self.nursery.start(self._run_sidecar, number)
+
+    async def upload(self, count, mark=''):
+        """Store an input file and return its record."""
+        lines = []
+        for number in range(count):
+            custom_id = f'{mark}id-{number}'
+            self.prompts[custom_id] = f'{mark}prompt {number}'
+            message = {'role': 'user', 'content': self.prompts[custom_id]}
+            body = {'model': MODEL, 'messages': [message]}
+            line = {
+                'custom_id': custom_id,
+                'method': 'POST',
+                'url': '/v1/chat/completions',
+                'body': body,
+            }
+            lines.append(json.dumps(line))
+        return await self.upload_text('\n'.join(lines).encode())
+
+    async def upload_text(self, body):
+        async def parts():
+            yield body
+
+        intake = FileIntake(self.segments, CONTRACT, 10**9)
+        record = await intake.store(parts())
+        return await self.directory.create_file(record)
+
+    def job_record(self, file_record, name='job-1', due_at=FAR_FUTURE):
+        return JobRecord(
+            job_id=name,
+            contract=CONTRACT,
+            input_file_id=file_record.file_id,
+            total=file_record.lines,
+            endpoint='/v1/chat/completions',
+            created_at=int(time.time()),
+            due_at=due_at,
+            writer=f'entry {time.monotonic()}',
+        )
+
+    async def create(self, count, mark='', name='job-1'):
+        record = await self.upload(count, mark)
+        return await self.directory.create(self.job_record(record, name))
+
+    async def find(self, name='job-1'):
+        with trio.fail_after(5):
+            while True:
+                try:
+                    return await self.directory.find(CONTRACT, name)
+                except PlatformUnavailableError:
+                    await trio.sleep(0.02)
+
+    async def wait_final(self, name='job-1', limit_s=30):
+        with trio.fail_after(limit_s):
+            while True:
+                job = await self.find(name)
+                if job.state.is_final:
+                    return job
+                await trio.sleep(0.02)
+
+    async def wait_runs(self, count):
+        """Wait until so many items have begun to run."""
+        with trio.fail_after(20):
+            while len(self.runs) < count:
+                await trio.sleep(0.002)
+
+    async def results(self, job):
+        """Return custom_id and result of each line of the result file."""
+        rows = []
+        for segment in job.results:
+            body = await self.segments.get(segment.ref)
+            rows.extend(json.loads(line) for line in body.splitlines())
+        return [(row['custom_id'], row) for row in rows]
+
+    async def check_whole(self, job, mark=''):
+        """Check that each input has one result, which is its own."""
+        rows = await self.results(job)
+        wanted = [key for key in self.prompts if key.startswith(f'{mark}id-')]
+        assert sorted(key for key, _ in rows) == sorted(wanted)
+        for custom_id, row in rows:
+            self.check_answer(self.prompts[custom_id], row)
+        assert (job.done, job.total) == (len(wanted), len(wanted))
+
+    def owner_of(self, job):
+        """Return the batch process that owns a job."""
+        for member in self.members.values():
+            if member.batch and member.batch.store.process == job.owner:
+                return member
+        raise AssertionError(f'no owner {job.owner!r}')
+
+    async def wait_owner(self, name='job-1'):
+        with trio.fail_after(10):
+            while True:
+                job = await self.find(name)
+                if job.owner:
+                    return self.owner_of(job)
+                await trio.sleep(0.01)
+
+    def check_answer(self, prompt, row):
+        if prompt in self.impossible:
+            assert row['error'] is not None
+            return
+        message = row['response']['body']['choices'][0]['message']
+        assert message['content'] == ''.join(answer_of(prompt))
+
+    def _control(self, instance, client):
+        return Control(
+            instance=InstanceSettings(
+                instance.name,
+                instance.host,
+                instance.failure_domain,
+                instance.region,
+            ),
+            role=Role.BATCH,
+            ports=PORTS,
+            platform=Platform(client, self),
+            readiness=Readiness(),
+            caller=self.caller,
+            membership=Membership(self.instances),
+        )
+
+    async def _run_batch(self, number, task_status=None):
+        instance = self.instances[number]
+        client = FakeClient(self.store)
+        control = self._control(instance, client)
+        cfg = BatchSettings(
+            instance=control.instance,
+            platform=PlatformSettings('', '', 0.2),
+            log=LogSettings(''),
+            metrics=HttpSettings(9103),
+            store=StoreSettings(
+                str(self.folder / f'data-{number}'), self.copies
+            ),
+        )
+        process = new_process_name(instance.name)
+        lease = Lease(client, process, self.lease_ttl_s)
+        store = JobStore(client, lease, process, instance.host)
+        with open_router(instance.host, PORTS.batch_items) as socket:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(lease.run)
+                batch = BatchProcess(
+                    cfg=cfg,
+                    control=control,
+                    store=store,
+                    copies=SegmentCopies(
+                        caller=self.caller,
+                        membership=control.membership,
+                        port=PORTS.batch_store,
+                        copies=self.copies,
+                    ),
+                    handout=Handout(
+                        socket, ItemSources(_ContractFinder(control).find)
+                    ),
+                    finder=JobFinder(
+                        store,
+                        control.membership,
+                        self.caller,
+                        PORTS.batch_store,
+                    ),
+                )
+                member = Member(number, nursery, client, batch, lease)
+                self.members[f'batch-{number}'] = member
+                task_status.started(member)
+                await batch.run(member.stop.wait)
+                nursery.cancel_scope.cancel()
+        if not client.is_cut:
+            with contextlib.suppress(PlatformUnavailableError):
+                await client.revoke_lease(lease.lease_id)
+        member.ended.set()
+
+    async def _run_sidecar(self, number, task_status=None):
+        runner = BatchRunner(FakeUpstream(self), Admission(self.slots, 0))
+        held = HeldItems()
+        async with trio.open_nursery() as nursery:
+            for instance in self.instances:
+                puller = BatchPuller(
+                    Identity(process=f'upstream-{number}'),
+                    runner,
+                    Readiness(),
+                    instance.name,
+                    held,
+                )
+                puller.models = (MODEL,)
+                nursery.start_soon(
+                    puller.run, instance.host, PORTS.batch_items
+                )
+            member = Member(number, nursery)
+            self.members[f'sidecar-{number}'] = member
+            task_status.started(member)
+
+
+@contextlib.asynccontextmanager
+async def open_world(network, folder, *, sidecars=2, setup=None, **options):
+    """Run a world until exit.
+
+    :param setup: changes the world before it starts.
+    """
+    world = World(network, folder, **options)
+    if setup is not None:
+        setup(world)
+    async with open_rpc_pool() as caller, trio.open_nursery() as nursery:
+        await world.start(nursery, caller, sidecars=sidecars)
+        yield world
+        nursery.cancel_scope.cancel()
