--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import json
+import socket
 import time
 
 import attrs
@@ -80,6 +81,27 @@
     raise PeerUnreachableError('killed')
 
 
+async def _wait_ports_free(host):
+    """Wait for sockets of an earlier member; ZeroMQ closes them later."""
+    with trio.fail_after(5):
+        for port in (
+            PORTS.batch_items,
+            PORTS.batch_store,
+            PORTS.batch_control,
+        ):
+            while not _is_free(host, port):
+                await trio.sleep(0.01)
+
+
+def _is_free(host, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return True
+    return False
+
+
 class World:
     """Batch processes, sidecars and an entry's job directory."""
 
@@ -261,6 +283,7 @@
 
     async def _run_batch(self, number, task_status=None):
         instance = self.instances[number]
+        await _wait_ports_free(instance.host)
         client = FakeClient(self.store)
         control = self._control(instance, client)
         cfg = BatchSettings(
@@ -275,7 +298,7 @@
         process = new_process_name(instance.name)
         lease = Lease(client, process, self.lease_ttl_s)
         store = JobStore(client, lease, process, instance.host)
-        with open_router(instance.host, PORTS.batch_items) as socket:
+        with open_router(instance.host, PORTS.batch_items) as router:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(lease.run)
                 batch = BatchProcess(
@@ -289,7 +312,7 @@
                         copies=self.copies,
                     ),
                     handout=Handout(
-                        socket, ItemSources(_ContractFinder(control).find)
+                        router, ItemSources(_ContractFinder(control).find)
                     ),
                     finder=JobFinder(
                         store,
