--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -9,6 +9,7 @@
 import trio
 
 from briarrill.batch.handout import Handout
+from briarrill.batch.item_sources import ItemSources
 from briarrill.coordination.admission import Admission
 from briarrill.entry.links import UpstreamLink
 from briarrill.errors import PeerUnreachableError
@@ -29,7 +30,9 @@
 from briarrill.protocol.rpc import RpcClient, serve_rpc
 from briarrill.runtime import Readiness
 from briarrill.sidecar.batch import BatchPuller
+from briarrill.sidecar.held_items import HeldItems
 from briarrill.sidecar.online import Identity, OnlineServer
+from briarrill.state.contracts import Contract
 from briarrill.state.settings import InstanceSettings
 from briarrill.tracing import continue_trace
 from briarrill.transport.instance_list import Instance, Role
@@ -143,7 +146,7 @@
 
 async def test_batch_socket_of_the_batch_process(address):
     with open_router(*address) as router, open_dealer(*address) as peer:
-        handout = Handout(router)
+        handout = Handout(router, ItemSources(lambda _name: Contract(())))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(handout.run)
             before = await _send_garbage(peer)
@@ -157,7 +160,9 @@
 
 async def test_batch_socket_of_the_sidecar(address):
     with open_router(*address) as router:
-        puller = BatchPuller(Identity('p'), _Runner(), Readiness())
+        puller = BatchPuller(
+            Identity('p'), _Runner(), Readiness(), 'owner', HeldItems()
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(puller.run, *address)
             peer = (await router.receive())[0]
