--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -7,6 +7,7 @@
 import trio
 
 from briarrill.control import Control
+from briarrill.coordination.allowances import AllowanceLedger
 from briarrill.coordination.membership import Membership
 from briarrill.coordination.rendezvous import rank
 from briarrill.entry.lender import FleetLender
