Accept a version in one transaction; spread it over bounded neighbours

Cause: head and history were two writes, so a loss between them left a version out of the history; a lost reply was reported as a conflict once another operator had built on the version; a plain 503 became 'unknown', and a delete whose reply was lost 'did not run'. Exchange with two random peers of the whole fleet opened a connection to each in time, and nobody watched the service.

Now one transaction writes both and is repeated until its effect is known by the record's mark. A refusal that the service gives before it takes a write says that nothing ran; a timeout stays unknown. A process that was frozen exchanges before its version can be used. A connection that is idle for a minute is closed.

--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -1,6 +1,7 @@
 """briarrill.batch.service: assembles and runs one batch process."""
 
 import contextlib
+import pathlib
 
 import attrs
 import trio
@@ -29,6 +30,7 @@
     serve_ops,
     wait_for_stop_signal,
 )
+from ..state.config_file import ConfigFile
 from ..state.segment_copies import SegmentCopies
 from ..state.segments import SegmentFolder
 from ..state.settings import BatchSettings
@@ -75,6 +77,7 @@
         platform=platform,
         readiness=Readiness(),
         caller=caller,
+        config_file=ConfigFile(pathlib.Path(cfg.store.folder)),
     )
 
 
--- a/briarrill/coordination/configuration.py
+++ b/briarrill/coordination/configuration.py
@@ -4,47 +4,23 @@
 the highest version that it hears of and never goes back.
 """
 
-import contextlib
-import random
-import uuid
+import math
+import time
 
 import attrs
 import msgspec
 import trio
 from eliot import log_message
 
-from ..errors import (
-    BriarrillError,
-    ConfigurationError,
-    NotReadyError,
-    VersionConflictError,
-)
+from ..errors import ConfigurationError, NotReadyError
 from ..metrics import CONFIG_VERSION
 from ..protocol.messages import ConfigDigest, ConfigPush, Message, Ok
-from ..protocol.rpc import RpcCaller
-from ..state.contracts import (
-    Configuration,
-    decode_configuration,
-    encode_configuration,
-)
-from ..state.keys import CONFIG_HEAD, config_version_key
-from ..transport.key_value import KeyValueService
-
-__all__ = (
-    'ConfigHolder',
-    'ConfigRecord',
-    'Peer',
-    'accept_version',
-    'decode_config_record',
-    'exchange_with_peers',
-    'read_head',
-)
-
-# seconds between exchanges of version digests
-EXCHANGE_INTERVAL_S = 1.0
-
-# peers asked in one exchange
-EXCHANGE_FANOUT = 2
+from ..state.contracts import Configuration, decode_configuration
+
+__all__ = ('ConfigHolder', 'ConfigRecord', 'Peer', 'decode_config_record')
+
+# a process that did not run for this long may have missed versions
+FREEZE_S = 3.0
 
 
 @attrs.frozen
@@ -92,6 +68,7 @@
         self._raw = b''
         self._current = Configuration()
         self._changed = trio.Event()
+        self._current_at = math.inf
 
     @property
     def version(self) -> int:
@@ -102,12 +79,33 @@
     def current(self) -> Configuration:
         """Return the configuration in force.
 
-        :raises NotReadyError: none was received yet.
+        :raises NotReadyError: none was received yet, or the process was
+            frozen and has not caught up.
         """
         if not self._version:
             raise NotReadyError('no configuration yet', retry_after_s=1)
+        if self.was_frozen:
+            raise NotReadyError('catching up after a freeze', retry_after_s=1)
         return self._current
 
+    @property
+    def raw(self) -> bytes:
+        """Return the stored form of the version in force."""
+        return self._raw
+
+    @property
+    def was_frozen(self) -> bool:
+        """Whether the process may have missed versions while frozen."""
+        return time.monotonic() - self._current_at > FREEZE_S
+
+    def mark_current(self) -> None:
+        """Note that the process runs and has missed no version.
+
+        To be called more often than once in ``FREEZE_S``; from the first
+        call on, a process that was frozen refuses to use its version.
+        """
+        self._current_at = time.monotonic()
+
     def push_message(self) -> ConfigPush:
         """Return the message that hands the version to a peer."""
         return ConfigPush(version=self._version, body=self._raw)
@@ -134,77 +132,18 @@
         """Wait for the next version."""
         await self._changed.wait()
 
+    async def wait_above(self, version: int) -> None:
+        """Wait for a version above this one."""
+        while self._version <= version:
+            await self._changed.wait()
+
     async def answer_push(self, push: ConfigPush) -> Message:
         """Take a pushed version; answer a peer's ``ConfigPush``."""
         self.take(push.body)
         return Ok()
 
     async def answer_digest(self, digest: ConfigDigest) -> Message:
-        """Answer a peer's digest with the newer version, if it is here."""
+        """Answer a peer's digest with the version or digest held here."""
         if digest.version < self._version:
             return self.push_message()
-        return Ok()
-
-
-async def read_head(service: KeyValueService) -> tuple[bytes, int]:
-    """Return the newest stored record and its revision.
-
-    The record is empty and the revision 0 when there is none.
-    """
-    head = await service.read(CONFIG_HEAD)
-    if head is None:
-        return b'', 0
-    return head.body, head.mod_revision
-
-
-async def accept_version(
-    service: KeyValueService,
-    cfg: Configuration,
-    base_version: int,
-    *,
-    author: str,
-    created_at: int,
-) -> bytes:
-    """Write the version after ``base_version``; return its stored form.
-
-    :raises VersionConflictError: the newest version is another one.
-    :raises WriteUnknownError: the reply was lost and not resolved.
-    """
-    raw, revision = await read_head(service)
-    newest = decode_config_record(raw).version if raw else 0
-    if newest != base_version:
-        raise VersionConflictError(
-            f'based on version {base_version}, the newest is {newest}'
-        )
-    record = msgspec.json.encode(
-        ConfigRecord(
-            version=newest + 1,
-            parent=newest,
-            writer=uuid.uuid4().hex,
-            author=author,
-            created_at=created_at,
-            body=encode_configuration(cfg),
-        )
-    )
-    written = await service.compare_and_swap(
-        CONFIG_HEAD, record, mod_revision=revision
-    )
-    if written is None:
-        raise VersionConflictError(f'version {newest + 1} was written first')
-    await service.compare_and_swap(
-        config_version_key(newest + 1), record, mod_revision=0
-    )
-    return record
-
-
-async def exchange_with_peers(
-    holder: ConfigHolder, process: str, caller: RpcCaller, peers: list[Peer]
-) -> None:
-    """Exchange version digests with some peers once."""
-    chosen = random.sample(peers, min(EXCHANGE_FANOUT, len(peers)))
-    for peer in chosen:
-        digest = ConfigDigest(process=process, version=holder.version)
-        with contextlib.suppress(BriarrillError):
-            reply = await caller.call(peer.host, peer.port, digest)
-            if isinstance(reply, ConfigPush):
-                holder.take(reply.body)
+        return ConfigDigest(process='', version=self._version)
--- a/briarrill/ctl/commands.py
+++ b/briarrill/ctl/commands.py
@@ -10,12 +10,8 @@
 import trio
 
 from ..control import control_peers
-from ..coordination.configuration import (
-    Peer,
-    accept_version,
-    decode_config_record,
-    read_head,
-)
+from ..coordination.acceptance import accept_version, read_head
+from ..coordination.configuration import Peer, decode_config_record
 from ..errors import BriarrillError, SpreadIncompleteError
 from ..protocol.messages import ConfigPush, Drain, Status, StatusRequest
 from ..protocol.rpc import RpcPool, open_rpc_pool
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -7,6 +7,7 @@
     'BATCH_COMMITS',
     'BATCH_ITEMS',
     'CANCELLED',
+    'CONFIG_EXCHANGES',
     'CONFIG_VERSION',
     'DUPLICATES',
     'KEY_VALUE_CALLS',
@@ -55,3 +56,8 @@
 CONFIG_VERSION = Gauge(
     'briarrill_config_version', 'Configuration version in force.'
 )
+CONFIG_EXCHANGES = Counter(
+    'briarrill_config_exchanges',
+    'Exchanges of configuration versions with neighbours.',
+    ('outcome',),
+)
--- a/briarrill/protocol/rpc.py
+++ b/briarrill/protocol/rpc.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
+import attrs
 import trio
 
 from ..errors import (
@@ -32,6 +33,9 @@
 # wait between attempts to send while the connection is being made
 CONNECT_POLL_S = 0.02
 
+# a connection that carried no call for this long is closed
+IDLE_S = 60.0
+
 # requests that one server answers at the same time
 MAX_CONCURRENT_REQUESTS = 256
 
@@ -110,7 +114,7 @@
 
 
 class RpcPool(RpcCaller):
-    """Connections to peers, opened on first use.
+    """Connections to peers, opened on first use and closed when idle.
 
     :param nursery: runs one receiving task for each peer.
     """
@@ -118,7 +122,11 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         """Start without connections."""
         self._nursery = nursery
-        self._clients: dict[tuple[str, int], RpcClient] = {}
+        self._connections: dict[tuple[str, int], _Connection] = {}
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
 
     async def call(
         self,
@@ -128,22 +136,60 @@
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> Message:
         """Send a request to a peer by address and return the reply."""
-        client = self._clients.get((host, port))
-        if client is None:
-            client = await self._nursery.start(self._run_peer, host, port)
-        return await client.call(request, timeout_s)
+        conn = self._connections.get((host, port))
+        if conn is None:
+            conn = _Connection(host, port)
+            self._connections[host, port] = conn
+            self._nursery.start_soon(self._run, conn)
+        conn.calls += 1
+        try:
+            client = await conn.wait_client()
+            return await client.call(request, timeout_s)
+        finally:
+            conn.calls -= 1
+            conn.used_at = trio.current_time()
 
-    async def _run_peer(
-        self,
-        host: str,
-        port: int,
-        task_status: trio.TaskStatus[RpcClient] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        with open_dealer(host, port) as socket:
-            client = RpcClient(socket)
-            self._clients[host, port] = client
-            task_status.started(client)
-            await client.run()
+    async def _run(self, conn: '_Connection') -> None:
+        """Receive on a connection until it is idle."""
+        try:
+            with open_dealer(conn.host, conn.port) as socket:
+                conn.client = RpcClient(socket)
+                conn.opened.set()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(conn.client.run)
+                    await conn.wait_idle()
+                    # no checkpoint since the connection was seen idle
+                    self._connections.pop((conn.host, conn.port))
+                    nursery.cancel_scope.cancel()
+        finally:
+            conn.opened.set()
+
+
+@attrs.define(eq=False)
+class _Connection:
+    """The connection to one peer, once it is open."""
+
+    host: str
+    port: int
+    client: RpcClient | None = None
+    opened: trio.Event = attrs.field(factory=trio.Event)
+    calls: int = 0
+    used_at: float = attrs.field(factory=trio.current_time)
+
+    async def wait_client(self) -> RpcClient:
+        """Wait until the connection is open."""
+        await self.opened.wait()
+        if self.client is None:
+            raise PeerUnreachableError('the connection was not opened')
+        return self.client
+
+    async def wait_idle(self) -> None:
+        """Wait until no call was made for a while."""
+        while self.calls or self._idle_left_s() > 0:
+            await trio.sleep(max(IDLE_S / 10, self._idle_left_s()))
+
+    def _idle_left_s(self) -> float:
+        return self.used_at + IDLE_S - trio.current_time()
 
 
 @contextlib.asynccontextmanager
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -2,13 +2,14 @@
 
 import base64
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
 import httpx
 
 from ..errors import PlatformUnavailableError, WriteUnknownError
-from .key_value import KeyValue, KeyValueService, WatchEvent
+from ..metrics import KEY_VALUE_CALLS
+from .key_value import KeyChange, KeyValue, KeyValueService, WatchEvent
 
 __all__ = ('EtcdService', 'prefix_end')
 
@@ -18,6 +19,15 @@
 # effect once, and a delayed first one can't overtake it
 WRITE_ATTEMPTS = 3
 
+# errors of the service that it gives before it takes a write; after others,
+# such as a timeout or a change of its leader, the write may take effect
+REFUSALS = (
+    'etcdserver: no leader',
+    'etcdserver: too many requests',
+    'transport: Error while dialing',
+)
+NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
 # what a caller should wait before it asks again
 OUTAGE_RETRY_AFTER_S = 5.0
 
@@ -78,30 +88,20 @@
             }
         )
 
-    async def compare_and_swap(
-        self,
-        key: str,
-        body: bytes,
-        *,
-        mod_revision: int,
-        lease_id: int = 0,
-    ) -> int | None:
-        """Write the key if its revision is unchanged."""
-        put = {
-            'key': _b64(key.encode()),
-            'value': _b64(body),
-            'lease': lease_id,
-        }
-        return await self._write_once(key, body, mod_revision, put)
-
-    async def delete(self, key: str, *, mod_revision: int) -> bool:
-        """Delete the key if its revision is unchanged."""
-        erase = {'request_delete_range': {'key': _b64(key.encode())}}
-        try:
-            reply = await self._txn(key, mod_revision, erase)
-        except httpx.HTTPError as exc:
-            raise _unavailable(exc) from exc
-        return bool(reply.get('succeeded'))
+    async def transact(self, changes: Sequence[KeyChange]) -> int | None:
+        """Make all changes, or none if a revision is another one."""
+        txn = _txn(changes)
+        lost: Exception | None = None
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                reply = await self._post_unguarded('/v3/kv/txn', txn)
+            except (httpx.HTTPError, ValueError) as exc:
+                lost = _lost_reply(exc, lost)
+                continue
+            if reply.get('succeeded'):
+                return int(reply['header']['revision'])
+            return await self._resolve_conflict(changes[0], lost)
+        raise _write_unknown(changes[0], lost)
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Create a lease and return its identifier."""
@@ -118,7 +118,7 @@
         await self._post('/v3/lease/revoke', {'ID': lease_id})
 
     async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
-        """Follow changes under a prefix from now on."""
+        """Yield the keys under a prefix, then each change."""
         create = {
             'create_request': {
                 'key': _b64(prefix.encode()),
@@ -126,10 +126,11 @@
             }
         }
         try:
+            KEY_VALUE_CALLS.labels('watch').inc()
             async for line in self._stream_lines('/v3/watch', create):
-                for fields in json.loads(line)['result'].get('events', ()):
-                    yield _watch_event(fields)
-        except httpx.HTTPError as exc:
+                for event in await self._events(json.loads(line), prefix):
+                    yield event
+        except (httpx.HTTPError, ValueError) as exc:
             raise _unavailable(exc) from exc
         raise PlatformUnavailableError('the watch ended')
 
@@ -148,69 +149,46 @@
         reply = await self._post('/v3/kv/range', body)
         return [_key_value(fields) for fields in reply.get('kvs', ())]
 
-    async def _txn(
-        self, key: str, mod_revision: int, success: dict[str, Any]
-    ) -> dict[str, Any]:
-        compare = {
-            'key': _b64(key.encode()),
-            'target': 'MOD',
-            'result': 'EQUAL',
-            'mod_revision': mod_revision,
-        }
-        return await self._post_unguarded(
-            '/v3/kv/txn', {'compare': [compare], 'success': [success]}
-        )
+    async def _events(
+        self, message: dict[str, Any], prefix: str
+    ) -> list[WatchEvent]:
+        """Return the events of a message of a watch.
 
-    async def _write_once(
-        self, key: str, body: bytes, mod_revision: int, put: dict[str, Any]
-    ) -> int | None:
-        """Repeat a write whose reply was lost until its effect is known."""
-        lost_reply: Exception | None = None
-        for _ in range(WRITE_ATTEMPTS):
-            try:
-                reply = await self._txn(
-                    key, mod_revision, {'request_put': put}
-                )
-            except httpx.HTTPError as exc:
-                lost_reply = lost_reply or _unless_never_sent(exc)
-                continue
-            if reply.get('succeeded'):
-                return int(reply['header']['revision'])
-            return await self._resolve_conflict(key, body, lost_reply)
-        raise WriteUnknownError(
-            f'reply to the write of {key} was lost: {lost_reply!r}',
-            retry_after_s=OUTAGE_RETRY_AFTER_S,
-        )
+        The first message says that the watch runs; the keys are read after
+        it, so that no change falls between the two.
+        """
+        reply = message['result']
+        if not reply.get('created'):
+            return [_watch_event(fields) for fields in reply.get('events', ())]
+        return [
+            WatchEvent(found.key, found.body, found.mod_revision)
+            for found in await self.read_prefix(prefix)
+        ]
 
     async def _resolve_conflict(
-        self, key: str, body: bytes, lost_reply: Exception | None
+        self, change: KeyChange, lost: Exception | None
     ) -> int | None:
-        """Tell another writer's change from our own whose reply was lost.
-
-        The bodies of two writers always differ.
-        """
-        if lost_reply is None:
+        """Tell another writer's change from our own whose reply was lost."""
+        if lost is None:
             return None
         try:
-            found = await self.read(key)
+            found = await self.read(change.key)
         except PlatformUnavailableError as exc:
-            raise WriteUnknownError(
-                f'reply to the write of {key} was lost: {lost_reply!r}',
-                retry_after_s=OUTAGE_RETRY_AFTER_S,
-            ) from exc
-        if found is not None and found.body == body:
-            return found.mod_revision
-        return None
+            raise _write_unknown(change, lost) from exc
+        if found is None:
+            return 0 if change.body is None else None
+        return found.mod_revision if found.body == change.body else None
 
     async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         try:
             return await self._post_unguarded(path, body)
-        except httpx.HTTPError as exc:
+        except (httpx.HTTPError, ValueError) as exc:
             raise _unavailable(exc) from exc
 
     async def _post_unguarded(
         self, path: str, body: dict[str, Any]
     ) -> dict[str, Any]:
+        KEY_VALUE_CALLS.labels(path.removeprefix('/v3/')).inc()
         reply = await self._client.post(
             path, json=body, timeout=CALL_TIMEOUT_S
         )
@@ -219,16 +197,63 @@
         return decoded
 
 
-def _unless_never_sent(exc: httpx.HTTPError) -> httpx.HTTPError:
-    """Return the error of a write that may have taken effect.
+def _txn(changes: Sequence[KeyChange]) -> dict[str, Any]:
+    """Return the body of a transaction."""
+    compared = [
+        change for change in changes if change.mod_revision is not None
+    ]
+    return {
+        'compare': [_comparison(change) for change in compared],
+        'success': [_operation(change) for change in changes],
+    }
+
+
+def _comparison(change: KeyChange) -> dict[str, Any]:
+    return {
+        'key': _b64(change.key.encode()),
+        'target': 'MOD',
+        'result': 'EQUAL',
+        'mod_revision': change.mod_revision,
+    }
+
 
-    :raises PlatformUnavailableError: the write was certainly not sent.
+def _operation(change: KeyChange) -> dict[str, Any]:
+    key = _b64(change.key.encode())
+    if change.body is None:
+        return {'request_delete_range': {'key': key}}
+    put = {'key': key, 'value': _b64(change.body), 'lease': change.lease_id}
+    return {'request_put': put}
+
+
+def _lost_reply(exc: Exception, earlier: Exception | None) -> Exception:
+    """Return the first error after which the write may have taken effect.
+
+    :raises PlatformUnavailableError: no attempt was taken by the service.
     """
-    if isinstance(exc, (httpx.ConnectError, httpx.ConnectTimeout)):
+    if earlier is not None:
+        return earlier
+    if _is_refusal(exc):
         raise _unavailable(exc) from exc
     return exc
 
 
+def _is_refusal(exc: Exception) -> bool:
+    """Tell whether a failed call certainly had no effect."""
+    if isinstance(exc, httpx.HTTPStatusError):
+        refused = exc.response.is_client_error
+        return refused or any(map(exc.response.text.count, REFUSALS))
+    return isinstance(exc, NEVER_SENT)
+
+
+def _write_unknown(
+    change: KeyChange, lost: Exception | None
+) -> WriteUnknownError:
+    return WriteUnknownError(
+        f'reply to the write of {change.key} was lost: {lost!r}',
+        retry_after_s=OUTAGE_RETRY_AFTER_S,
+    )
+
+
 def _unavailable(exc: Exception) -> PlatformUnavailableError:
     return PlatformUnavailableError(
         f'key-value service: {exc!r}', retry_after_s=OUTAGE_RETRY_AFTER_S
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -1,11 +1,11 @@
 """briarrill.transport.key_value: the contract of the key-value service."""
 
 import abc
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import attrs
 
-__all__ = ('KeyValue', 'KeyValueService', 'WatchEvent')
+__all__ = ('KeyChange', 'KeyValue', 'KeyValueService', 'WatchEvent')
 
 
 @attrs.frozen
@@ -17,6 +17,22 @@
     mod_revision: int
 
 
+@attrs.frozen
+class KeyChange:
+    """A write or delete of one key in a transaction.
+
+    :param body: the new value, absent to delete the key.
+    :param mod_revision: revision the writer saw, 0 for no such key, absent
+        to change the key whatever its revision is.
+    :param lease_id: lease that deletes the key when it ends, default none.
+    """
+
+    key: str
+    body: bytes | None
+    mod_revision: int | None = None
+    lease_id: int = 0
+
+
 @attrs.frozen
 class WatchEvent:
     """A change of a key; the value is absent when the key was deleted."""
@@ -50,6 +66,18 @@
         """
 
     @abc.abstractmethod
+    async def transact(self, changes: Sequence[KeyChange]) -> int | None:
+        """Make all changes, or none if a revision is another one.
+
+        The first change must write a value of its own, so that a lost reply
+        can be resolved by reading its key back, or be the only one.
+
+        :return: the new revision, or nothing when another writer was first.
+        :raises PlatformUnavailableError: nothing was written, now or later.
+        :raises WriteUnknownError: the reply was lost and not resolved; the
+            changes may have been made or may still be.
+        """
+
     async def compare_and_swap(
         self,
         key: str,
@@ -65,13 +93,15 @@
             none.
         :return: the new revision, or nothing when another writer was first.
         :raises PlatformUnavailableError: nothing was written.
-        :raises WriteUnknownError: the reply was lost and the key could not
-            be read back.
+        :raises WriteUnknownError: the reply was lost and not resolved.
         """
+        change = KeyChange(key, body, mod_revision, lease_id)
+        return await self.transact([change])
 
-    @abc.abstractmethod
     async def delete(self, key: str, *, mod_revision: int) -> bool:
         """Delete the key if its revision is unchanged."""
+        change = KeyChange(key, None, mod_revision)
+        return await self.transact([change]) is not None
 
     @abc.abstractmethod
     async def grant_lease(self, ttl_s: int) -> int:
@@ -87,7 +117,9 @@
 
     @abc.abstractmethod
     def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
-        """Follow changes under a prefix from now on.
+        """Yield the keys under a prefix, then each change.
+
+        A change that comes while the watch starts may be seen twice.
 
         :raises PlatformUnavailableError: the watch ended.
         """
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -27,8 +27,11 @@
     lose_replies: int = 0
 
 
-def add_fault_switches(app: QuartTrio) -> Faults:
-    """Add the switches to an application and return them."""
+def add_fault_switches(app: QuartTrio, down_body: str = 'down\n') -> Faults:
+    """Add the switches to an application and return them.
+
+    :param down_body: body of the 503 while the application is down.
+    """
     faults = Faults()
 
     @app.put(FAULTS_PATH)
@@ -46,7 +49,7 @@
             await trio.sleep_forever()
         await trio.sleep(faults.delay_s)
         if faults.down:
-            return Response('down\n', status=503)
+            return Response(down_body, status=503)
         return None
 
     @app.after_request
--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -24,6 +24,9 @@
 WATCH_BUFFER = 10_000
 LEASE_CHECK_S = 0.1
 
+# what the service answers when it takes no calls
+DOWN_BODY = json.dumps({'code': 14, 'message': 'etcdserver: no leader'})
+
 
 def _decode(text: str) -> bytes:
     return base64.b64decode(text)
@@ -195,7 +198,7 @@
     """Return the application."""
     app = QuartTrio('key-value')
     store = Store()
-    add_fault_switches(app)
+    add_fault_switches(app, DOWN_BODY)
     answers = {
         'kv/range': store.range,
         'kv/txn': store.txn,
--- /dev/null
+++ b/tests/transport/test_etcd.py
@@ -0,0 +1,134 @@
+"""The key-value service over HTTP, with faults."""
+
+import contextlib
+import json
+
+import httpx
+import pytest
+import trio
+
+from briarrill.errors import PlatformUnavailableError, WriteUnknownError
+from briarrill.result_codes import Ran
+from briarrill.transport.etcd import EtcdService
+from briarrill.transport.key_value import KeyChange
+from standins.key_value import DOWN_BODY, Store
+
+OUTAGE = ('refuse', 'refuse', 'refuse', 'refuse')
+TIMED_OUT = json.dumps(
+    {'code': 14, 'message': 'etcdserver: request timed out'}
+)
+
+
+class FakeGateway(httpx.AsyncBaseTransport):
+    """Answers from a store; ``script`` says what happens to each call.
+
+    ``ok`` answers; ``lose`` takes effect without an answer; ``drop`` does
+    neither; ``refuse`` says that there is no leader; ``time out`` takes
+    effect and says that it timed out; ``no connection`` never connects.
+    """
+
+    def __init__(self, *script):
+        self.store = Store()
+        self.script = list(script)
+
+    async def handle_async_request(self, request):
+        step = self.script.pop(0) if self.script else 'ok'
+        if step == 'no connection':
+            raise httpx.ConnectError('refused')
+        if step == 'refuse':
+            return httpx.Response(503, text=DOWN_BODY)
+        if step == 'drop':
+            raise httpx.ReadTimeout('dropped')
+        body = json.loads(request.content)
+        if request.url.path == '/v3/kv/txn':
+            reply = self.store.txn(body)
+        else:
+            reply = self.store.range(body)
+        if step == 'lose':
+            raise httpx.ReadTimeout('lost')
+        if step == 'time out':
+            return httpx.Response(503, text=TIMED_OUT)
+        return httpx.Response(200, json=reply)
+
+
+@contextlib.asynccontextmanager
+async def _open(*script):
+    gateway = FakeGateway(*script)
+    async with httpx.AsyncClient(
+        transport=gateway, base_url='http://service'
+    ) as client:
+        yield EtcdService(client), gateway
+
+
+@pytest.mark.parametrize('fault', ['refuse', 'no connection'])
+async def test_write_that_was_refused_did_not_run(fault):
+    async with _open(fault) as (service, gateway):
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await service.compare_and_swap('key', b'one', mod_revision=0)
+        assert caught.value.ran is Ran.NO
+        assert not gateway.store.revision
+
+
+@pytest.mark.parametrize('fault', ['lose', 'drop', 'time out'])
+async def test_lost_reply_is_resolved(fault):
+    async with _open(fault) as (service, gateway):
+        written = await service.compare_and_swap('key', b'1', mod_revision=0)
+        assert written == 1
+        assert (await service.read('key')).body == b'1'
+
+
+@pytest.mark.parametrize('fault', ['lose', 'time out'])
+async def test_lost_reply_then_outage_is_unknown(fault):
+    async with _open(fault, *OUTAGE) as (service, gateway):
+        with pytest.raises(WriteUnknownError) as caught:
+            await service.compare_and_swap('key', b'one', mod_revision=0)
+        assert caught.value.ran is Ran.UNKNOWN
+        assert gateway.store.revision == 1
+
+
+async def test_delete_whose_reply_was_lost_is_not_called_refused():
+    async with _open('ok', 'lose', *OUTAGE) as (service, _):
+        written = await service.compare_and_swap('key', b'1', mod_revision=0)
+        with pytest.raises(WriteUnknownError):
+            await service.delete('key', mod_revision=written)
+
+
+async def test_delete_whose_reply_was_lost_is_resolved():
+    async with _open('ok', 'lose') as (service, _):
+        written = await service.compare_and_swap('key', b'1', mod_revision=0)
+        assert await service.delete('key', mod_revision=written)
+
+
+async def test_other_writer_is_told_from_a_lost_reply():
+    async with _open() as (service, gateway):
+        await service.compare_and_swap('key', b'other', mod_revision=0)
+        gateway.script = ['drop']
+        assert (
+            await service.compare_and_swap('key', b'own', mod_revision=0)
+            is None
+        )
+
+
+async def test_transaction_changes_all_keys_or_none():
+    async with _open() as (service, _):
+        await service.compare_and_swap('b', b'other', mod_revision=0)
+        changes = [KeyChange('a', b'1', 0), KeyChange('b', b'1', 0)]
+        assert await service.transact(changes) is None
+        assert await service.read('a') is None
+        changes = [KeyChange('a', b'1', 0), KeyChange('b', b'2')]
+        assert await service.transact(changes) == 2
+        assert (await service.read('b')).mod_revision == 2
+
+
+async def test_reply_that_is_no_json_is_an_outage(monkeypatch):
+    async def answer(_transport, _request):
+        await trio.lowlevel.checkpoint()
+        return httpx.Response(200, text='<html>')
+
+    monkeypatch.setattr(FakeGateway, 'handle_async_request', answer)
+    monkeypatch.setattr('briarrill.transport.etcd.WRITE_ATTEMPTS', 1)
+    async with _open() as (service, _):
+        with pytest.raises(PlatformUnavailableError):
+            await service.read('key')
+        with pytest.raises(WriteUnknownError):
+            await service.compare_and_swap('key', b'1', mod_revision=0)
