--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 import time
 
 import attrs
@@ -163,3 +164,24 @@
             choice = {'index': 0, 'delta': {'content': word}}
             event = json.dumps({'id': 'x', 'choices': [choice]})
             yield f'data: {event}\n\n'.encode()
+
+
+async def wait_ports_free(host, ports):
+    """Wait for sockets of an earlier member; ZeroMQ closes them later."""
+    with trio.fail_after(5):
+        for port in (
+            ports.batch_items,
+            ports.batch_store,
+            ports.batch_control,
+        ):
+            while not _is_free(host, port):
+                await trio.sleep(0.01)
+
+
+def _is_free(host, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return True
+    return False
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -6,7 +6,6 @@
 
 import contextlib
 import json
-import socket
 import time
 
 import attrs
@@ -50,6 +49,7 @@
     FakeStore,
     FakeUpstream,
     answer_of,
+    wait_ports_free,
 )
 
 CONTRACT = 'kinship'
@@ -81,27 +81,6 @@
     raise PeerUnreachableError('killed')
 
 
-async def _wait_ports_free(host):
-    """Wait for sockets of an earlier member; ZeroMQ closes them later."""
-    with trio.fail_after(5):
-        for port in (
-            PORTS.batch_items,
-            PORTS.batch_store,
-            PORTS.batch_control,
-        ):
-            while not _is_free(host, port):
-                await trio.sleep(0.01)
-
-
-def _is_free(host, port):
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        with contextlib.suppress(OSError):
-            probe.bind((host, port))
-            return True
-    return False
-
-
 class World:
     """Batch processes, sidecars and an entry's job directory."""
 
@@ -283,7 +262,7 @@
 
     async def _run_batch(self, number, task_status=None):
         instance = self.instances[number]
-        await _wait_ports_free(instance.host)
+        await wait_ports_free(instance.host, PORTS)
         client = FakeClient(self.store)
         control = self._control(instance, client)
         cfg = BatchSettings(
