--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -40,7 +40,7 @@
 from .item_sources import ItemSources
 from .job_finder import JobFinder, new_process_name
 from .job_runner import JobRunner
-from .job_store import JobStore, OwnedJob
+from .job_store import JobStore
 from .store_server import StoreServer
 
 __all__ = ('BatchProcess', 'run_batch')
@@ -212,14 +212,15 @@
                 self.finder.offer_later(key)
                 continue
             if job is not None:
-                nursery.start_soon(self._run_job, job)
+                runner = JobRunner(job, self.store, self.copies, self.handout)
+                # before the task starts, or a second offer claims it again
+                self.runners[key] = runner
+                nursery.start_soon(self._run_job, runner)
 
-    async def _run_job(self, job: OwnedJob) -> None:
-        runner = JobRunner(job, self.store, self.copies, self.handout)
-        self.runners[job.key] = runner
+    async def _run_job(self, runner: JobRunner) -> None:
         if self.control.readiness.is_draining:
             runner.release()
         try:
             await runner.run()
         finally:
-            self.runners.pop(job.key)
+            self.runners.pop(runner.job)
--- /dev/null
+++ b/tests/entry/test_intake.py
@@ -0,0 +1,114 @@
+"""Uploaded files: wrong lines by number, and copies before the answer."""
+
+import json
+
+import pytest
+
+from briarrill.entry.intake import FileIntake
+from briarrill.errors import (
+    InvalidLinesError,
+    PlatformUnavailableError,
+    TooLargeError,
+)
+from briarrill.state.job_records import Place, SegmentRef
+
+LIMIT = 1_000_000_000
+
+
+class FakeCopies:
+    """Keeps segments, or fails."""
+
+    def __init__(self, error=None):
+        self.bodies = []
+        self.error = error
+
+    async def put(self, body, lines):
+        if self.error:
+            raise self.error
+        self.bodies.append(body)
+        place = Place('entry-0', '127.0.0.1', 'a')
+        return SegmentRef(str(len(self.bodies)), lines, len(body), (place,))
+
+
+def _line(custom_id, **changes):
+    line = {
+        'custom_id': custom_id,
+        'method': 'POST',
+        'url': '/v1/chat/completions',
+        'body': {'model': 'clause-drafter', 'messages': []},
+    }
+    return json.dumps({**line, **changes})
+
+
+async def _store(text, copies=None, part_bytes=7, max_bytes=LIMIT):
+    body = text.encode()
+
+    async def parts():
+        for start in range(0, len(body), part_bytes):
+            yield body[start : start + part_bytes]
+
+    intake = FileIntake(copies or FakeCopies(), 'kinship', max_bytes)
+    return await intake.store(parts())
+
+
+async def test_wrong_lines_are_named_by_number_and_nothing_is_recorded():
+    text = '\n'.join(
+        [
+            _line('a'),
+            '{',
+            '',
+            _line('a'),
+            _line('b', method='GET'),
+            _line('c', url='/v1/files'),
+            _line('d', body={'messages': []}),
+        ]
+    )
+    with pytest.raises(InvalidLinesError) as refused:
+        await _store(text)
+    message = refused.value.message
+    for number in (2, 4, 5, 6, 7):
+        assert f'line {number}: ' in message
+    for number in (1, 3):
+        assert f'line {number}: ' not in message
+    assert "custom_id: 'a' occurs twice" in message
+
+
+@pytest.mark.parametrize('part_bytes', [1, 64, 100_000])
+async def test_same_content_is_the_same_file(part_bytes):
+    text = '\n'.join(_line(str(number)) for number in range(50))
+    copies = FakeCopies()
+    record = await _store(text, copies, part_bytes)
+    assert record.file_id == (await _store(text)).file_id
+    assert record.lines == 50
+    assert b''.join(copies.bodies).decode() == f'{text}\n'
+
+
+async def test_large_file_is_stored_in_segments_of_about_a_megabyte():
+    text = '\n'.join(
+        _line(str(number), body={'model': 'm', 'pad': 'x' * 900})
+        for number in range(3000)
+    )
+    copies = FakeCopies()
+    record = await _store(text, copies, part_bytes=65_536)
+    assert [ref.size for ref in record.segments] == [
+        len(body) for body in copies.bodies
+    ]
+    assert len(copies.bodies) >= 2
+    assert max(len(body) for body in copies.bodies) < 1_100_000
+
+
+async def test_too_few_copies_refuse_the_file():
+    error = PlatformUnavailableError('1 of 2 copies', retry_after_s=5)
+    with pytest.raises(PlatformUnavailableError):
+        await _store(_line('a'), FakeCopies(error))
+
+
+async def test_file_above_the_bound_is_refused():
+    with pytest.raises(TooLargeError):
+        await _store(_line('a'), max_bytes=20)
+
+
+@pytest.mark.parametrize('text', ['', '\n \n'])
+async def test_file_without_lines_is_refused(text):
+    with pytest.raises(InvalidLinesError):
+        await _store(text)
