--- a/briarrill/batch/job_runner.py
+++ b/briarrill/batch/job_runner.py
@@ -5,7 +5,7 @@
 
 import attrs
 import trio
-from eliot import log_message, start_action
+from eliot import Action, log_message, start_action
 
 from ..errors import BriarrillError, SegmentLostError, VersionConflictError
 from ..metrics import DUPLICATES
@@ -86,7 +86,7 @@
         self._wake_feed = trio.Event()
         self._stop_reason: _Stop | None = None
         self._ended = trio.Event()
-        self._trace = ''
+        self._action: Action | None = None
 
     def next_item(
         self, models: tuple[str, ...], sidecar: str
@@ -105,7 +105,11 @@
         if batch_item is None:
             return None
         # the claim may have been renewed since the item was read
-        return attrs.evolve(batch_item, epoch=self._owned.record.epoch)
+        return attrs.evolve(
+            batch_item,
+            epoch=self._owned.record.epoch,
+            trace=self._new_trace(),
+        )
 
     def take_back(self, batch_item: BatchItem) -> None:
         """Hand an item out again that was lost with its sidecar."""
@@ -134,7 +138,7 @@
         with start_action(
             action_type='job:run', job=record.job_id, epoch=record.epoch
         ) as action:
-            self._trace = action.serialize_task_id().decode()
+            self._action = action
             self._handout.add_source(self)
             try:
                 await self._run_to_end()
@@ -167,6 +171,12 @@
     def _is_cancelled(self) -> bool:
         return self._stop_reason is _Stop.CANCEL
 
+    def _new_trace(self) -> str:
+        """Return a task identifier; each attempt needs one of its own."""
+        if self._action is None:
+            return ''
+        return str(self._action.serialize_task_id().decode())
+
     def _stop(self, reason: _Stop) -> None:
         self._stop_reason = reason
         self._ended.set()
@@ -288,7 +298,6 @@
             model=line.model,
             url=line.url,
             body=bytes(line.body),
-            trace=self._trace,
         )
         self._held[index] = _HeldItem(batch_item, line.custom_id)
         self._queue.add(batch_item)
--- a/briarrill/state/settings.py
+++ b/briarrill/state/settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..errors import SettingsError
+from ..transport.curve import CurveKeys
 from .structuring import structure
 
 __all__ = (
@@ -82,10 +83,14 @@
     """A listening HTTP server.
 
     :param host: IP address to listen on, default the instance's.
+    :param idle_timeout_s: wait for a whole request head.
+    :param send_timeout_s: wait for a peer that takes no bytes.
     """
 
     port: int
     host: str = ''
+    idle_timeout_s: float = 75.0
+    send_timeout_s: float = 30.0
 
 
 @attrs.frozen
@@ -123,6 +128,9 @@
     """Settings of ``briarrill-entry``.
 
     :param copies: instances that keep each segment of an input file.
+    :param max_requests: callers' requests served at the same time.
+    :param body_timeout_s: wait for a JSON body, or for the next part of an
+        uploaded file.
     """
 
     instance: InstanceSettings
@@ -130,8 +138,11 @@
     log: LogSettings
     http: HttpSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
     copies: int = 2
     request_timeout_s: float = 60.0
+    body_timeout_s: float = 30.0
+    max_requests: int = 1000
     max_body_bytes: int = 4_000_000
     max_file_bytes: int = 1_000_000_000
 
@@ -146,6 +157,7 @@
     metrics: HttpSettings
     store: StoreSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
     lease_ttl_s: int = 5
 
 
@@ -159,6 +171,7 @@
     metrics: HttpSettings
     upstream: UpstreamSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
 
 
 @attrs.frozen
@@ -167,6 +180,7 @@
 
     platform: PlatformSettings
     ports: PortSettings = PortSettings()
+    curve: CurveKeys | None = None
 
 
 def load_settings(path: str, cls: type[_Settings]) -> _Settings:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,7 +19,7 @@
 
 from .faults import add_fault_switches
 
-__all__ = ('make_engine',)
+__all__ = ('EngineModel', 'make_engine', 'stream_answer')
 
 WORDS = [
     'parent',
@@ -47,7 +47,6 @@
 # streams that run without slowing each other
 KNEE_STREAMS = 8
 
-PREFILL_S_PER_WORD = 0.00005
 CACHE_BLOCK_WORDS = 16
 CACHE_BLOCKS = 4096
 
@@ -55,10 +54,17 @@
 
 
 @attrs.define
-class _Engine:
+class EngineModel:
+    """The token rate and the prefix cache of an engine.
+
+    :param token_s: seconds between two tokens of one stream.
+    :param prefill_s_per_word: seconds for each prompt word not cached.
+    """
+
     models: tuple[str, ...]
     token_s: float
     seed: int
+    prefill_s_per_word: float = 0.00005
     running: int = 0
     calls: collections.Counter[str] = attrs.field(factory=collections.Counter)
     blocks: collections.OrderedDict[int, None] = attrs.field(
@@ -98,6 +104,9 @@
 
 
 def _read_prompt(body: dict[str, Any]) -> _Prompt:
+    if 'prompt' in body:
+        tokens = int(body.get('max_tokens') or DEFAULT_MAX_TOKENS)
+        return _Prompt(text=body['prompt'], position=0, tokens=tokens)
     messages = body['messages']
     position = 0
     if body.get('continue_final_message'):
@@ -110,11 +119,13 @@
     )
 
 
-async def _generate(engine: _Engine, prompt: _Prompt) -> AsyncIterator[str]:
+async def _generate(
+    engine: EngineModel, prompt: _Prompt
+) -> AsyncIterator[str]:
     engine.running += 1
     try:
         missed = engine.cache_prefix(prompt.text)
-        await trio.sleep(missed * PREFILL_S_PER_WORD)
+        await trio.sleep(missed * engine.prefill_s_per_word)
         for offset in range(prompt.tokens):
             await trio.sleep(engine.step_s())
             yield engine.word(prompt.text, prompt.position + offset)
@@ -146,9 +157,10 @@
     }
 
 
-async def _stream(
-    engine: _Engine, body: dict[str, Any]
+async def stream_answer(
+    engine: EngineModel, body: dict[str, Any]
 ) -> AsyncIterator[bytes]:
+    """Generate an answer as server-sent events, one a token."""
     prompt = _read_prompt(body)
     yield _event(
         body, choices=_choice({'role': 'assistant', 'content': ''}, None)
@@ -163,7 +175,7 @@
     yield b'data: [DONE]\n\n'
 
 
-async def _whole(engine: _Engine, body: dict[str, Any]) -> dict[str, Any]:
+async def _whole(engine: EngineModel, body: dict[str, Any]) -> dict[str, Any]:
     prompt = _read_prompt(body)
     words = [word async for word in _generate(engine, prompt)]
     message = {'role': 'assistant', 'content': ''.join(words)}
@@ -177,6 +189,36 @@
     }
 
 
+def _text_completion(
+    body: dict[str, Any], text: str, reason: str | None
+) -> dict[str, Any]:
+    return {
+        'id': 'cmpl-standin',
+        'object': 'text_completion',
+        'created': int(time.time()),
+        'model': body['model'],
+        'choices': [{'index': 0, 'text': text, 'finish_reason': reason}],
+    }
+
+
+async def _stream_text(
+    engine: EngineModel, body: dict[str, Any]
+) -> AsyncIterator[bytes]:
+    async for word in _generate(engine, _read_prompt(body)):
+        event = _text_completion(body, word, None)
+        yield f'data: {json.dumps(event)}\n\n'.encode()
+    yield b'data: [DONE]\n\n'
+
+
+async def _whole_text(
+    engine: EngineModel, body: dict[str, Any]
+) -> dict[str, Any]:
+    prompt = _read_prompt(body)
+    words = [word async for word in _generate(engine, prompt)]
+    answer = _text_completion(body, ''.join(words), 'stop')
+    return {**answer, 'usage': _usage(prompt, len(words))}
+
+
 def make_engine(
     *, models: tuple[str, ...], token_s: float, seed: int
 ) -> QuartTrio:
@@ -186,7 +228,7 @@
     """
     app = QuartTrio('engine')
     add_fault_switches(app)
-    engine = _Engine(models, token_s, seed)
+    engine = EngineModel(models, token_s, seed)
 
     @app.get('/v1/models')
     async def show_models() -> dict[str, Any]:
@@ -198,6 +240,7 @@
         return {'running': engine.running, 'calls': engine.calls}
 
     @app.post('/v1/chat/completions')
+    @app.post('/v1/completions')
     async def complete() -> Response | dict[str, Any]:
         body = json.loads(await request.get_data())
         if body['model'] not in engine.models:
@@ -206,10 +249,10 @@
         engine.calls[prompt[:80]] += 1
         if IMPOSSIBLE_MARK in prompt:
             return Response('the item cannot be completed\n', status=500)
+        is_text = 'prompt' in body
         if body.get('stream'):
-            return Response(
-                _stream(engine, body), content_type='text/event-stream'
-            )
-        return await _whole(engine, body)
+            events = (_stream_text if is_text else stream_answer)(engine, body)
+            return Response(events, content_type='text/event-stream')
+        return await (_whole_text if is_text else _whole)(engine, body)
 
     return app
