--- a/briarrill/ctl/commands.py
+++ b/briarrill/ctl/commands.py
@@ -25,7 +25,12 @@
     hash_api_key,
     load_configuration,
 )
-from ..state.settings import CtlSettings, load_settings
+from ..state.settings import (
+    SETTINGS_BY_BINARY,
+    CtlSettings,
+    find_binary,
+    load_settings,
+)
 from ..transport.instance_list import Instance, Role
 
 __all__ = ('COMMANDS',)
@@ -41,8 +46,14 @@
 
 
 async def validate(arguments: Arguments) -> None:
-    """Check a configuration file."""
-    cfg = load_configuration(arguments['CONFIG'])
+    """Check a configuration file, or a settings file of any binary."""
+    path = arguments['CONFIG']
+    binary = find_binary(path)
+    if binary:
+        load_settings(path, SETTINGS_BY_BINARY[binary])
+        _say(f'valid: settings of briarrill-{binary}')
+        return
+    cfg = load_configuration(path)
     _say(f'valid: {len(cfg.contracts)} contracts')
 
 
--- a/briarrill/state/settings.py
+++ b/briarrill/state/settings.py
@@ -2,12 +2,22 @@
 
 import enum
 import tomllib
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import attrs
 
 from ..errors import SettingsError
 from ..transport.curve import CurveKeys
+from .checks import (
+    at_least,
+    check_address,
+    check_address_or_empty,
+    check_not_empty,
+    check_port,
+    check_positive,
+    check_url,
+)
+from .segments import SEGMENT_BYTES
 from .structuring import structure
 
 __all__ = (
@@ -19,10 +29,12 @@
     'LogSettings',
     'PlatformSettings',
     'PortSettings',
+    'SETTINGS_BY_BINARY',
     'SidecarSettings',
     'StoreSettings',
     'UpstreamKind',
     'UpstreamSettings',
+    'find_binary',
     'load_settings',
 )
 
@@ -44,38 +56,38 @@
     :param host: IP address that peers reach.
     """
 
-    name: str
-    host: str
-    failure_domain: str
-    region: str
+    name: str = attrs.field(validator=check_not_empty)
+    host: str = attrs.field(validator=check_address)
+    failure_domain: str = attrs.field(validator=check_not_empty)
+    region: str = attrs.field(validator=check_not_empty)
 
 
 @attrs.frozen
 class PlatformSettings:
     """Where the platform's services are."""
 
-    key_value_url: str
-    instance_list_url: str
-    instance_poll_s: float = 1.0
+    key_value_url: str = attrs.field(validator=check_url)
+    instance_list_url: str = attrs.field(validator=check_url)
+    instance_poll_s: float = attrs.field(default=1.0, validator=check_positive)
 
 
 @attrs.frozen
 class LogSettings:
     """Where the process writes its log; one JSON object a line."""
 
-    path: str
+    path: str = attrs.field(validator=check_not_empty)
 
 
 @attrs.frozen
 class PortSettings:
     """TCP ports between processes, the same on the whole fleet."""
 
-    entry_control: int = 7110
-    batch_items: int = 7120
-    batch_store: int = 7121
-    batch_control: int = 7122
-    sidecar_online: int = 7130
-    sidecar_control: int = 7131
+    entry_control: int = attrs.field(default=7110, validator=check_port)
+    batch_items: int = attrs.field(default=7120, validator=check_port)
+    batch_store: int = attrs.field(default=7121, validator=check_port)
+    batch_control: int = attrs.field(default=7122, validator=check_port)
+    sidecar_online: int = attrs.field(default=7130, validator=check_port)
+    sidecar_control: int = attrs.field(default=7131, validator=check_port)
 
 
 @attrs.frozen
@@ -87,10 +99,10 @@
     :param send_timeout_s: wait for a peer that takes no bytes.
     """
 
-    port: int
-    host: str = ''
-    idle_timeout_s: float = 75.0
-    send_timeout_s: float = 30.0
+    port: int = attrs.field(validator=check_port)
+    host: str = attrs.field(default='', validator=check_address_or_empty)
+    idle_timeout_s: float = attrs.field(default=75.0, validator=check_positive)
+    send_timeout_s: float = attrs.field(default=30.0, validator=check_positive)
 
 
 @attrs.frozen
@@ -101,9 +113,11 @@
     :param max_bytes: disk space that segments may take.
     """
 
-    folder: str
-    copies: int = 2
-    max_bytes: int = 10_000_000_000
+    folder: str = attrs.field(validator=check_not_empty)
+    copies: int = attrs.field(default=2, validator=at_least(1))
+    max_bytes: int = attrs.field(
+        default=10_000_000_000, validator=at_least(SEGMENT_BYTES)
+    )
 
 
 @attrs.frozen
@@ -116,10 +130,10 @@
     """
 
     kind: UpstreamKind
-    url: str
-    pool: str
-    slots: int = 8
-    queue: int = 64
+    url: str = attrs.field(validator=check_url)
+    pool: str = attrs.field(validator=check_not_empty)
+    slots: int = attrs.field(default=8, validator=at_least(1))
+    queue: int = attrs.field(default=64, validator=at_least(0))
     fencing: bool = True
 
 
@@ -139,12 +153,16 @@
     http: HttpSettings
     ports: PortSettings = PortSettings()
     curve: CurveKeys | None = None
-    copies: int = 2
-    request_timeout_s: float = 60.0
-    body_timeout_s: float = 30.0
-    max_requests: int = 1000
-    max_body_bytes: int = 4_000_000
-    max_file_bytes: int = 1_000_000_000
+    copies: int = attrs.field(default=2, validator=at_least(1))
+    request_timeout_s: float = attrs.field(
+        default=60.0, validator=check_positive
+    )
+    body_timeout_s: float = attrs.field(default=30.0, validator=check_positive)
+    max_requests: int = attrs.field(default=1000, validator=at_least(1))
+    max_body_bytes: int = attrs.field(default=4_000_000, validator=at_least(1))
+    max_file_bytes: int = attrs.field(
+        default=1_000_000_000, validator=at_least(1)
+    )
 
 
 @attrs.frozen
@@ -158,7 +176,7 @@
     store: StoreSettings
     ports: PortSettings = PortSettings()
     curve: CurveKeys | None = None
-    lease_ttl_s: int = 5
+    lease_ttl_s: int = attrs.field(default=5, validator=at_least(1))
 
 
 @attrs.frozen
@@ -188,12 +206,47 @@
 
     :raises SettingsError: names the file, the key and what is allowed.
     """
+    tables = _read_tables(path)
     try:
-        with open(path, 'rb') as stream:
-            fields = tomllib.load(stream)
-    except (OSError, tomllib.TOMLDecodeError) as exc:
-        raise SettingsError(f'{path}: {exc}') from exc
-    try:
-        return structure(fields, cls)
+        return structure(tables, cls)
     except SettingsError as exc:
         raise SettingsError(f'{path}: {exc.message}') from exc
+
+
+#: Binary to the class of its settings file.
+SETTINGS_BY_BINARY: dict[str, type[object]] = {
+    'batch': BatchSettings,
+    'ctl': CtlSettings,
+    'entry': EntrySettings,
+    'sidecar': SidecarSettings,
+}
+
+# the table that only the settings of one binary have
+_BINARY_BY_TABLE = {'http': 'entry', 'store': 'batch', 'upstream': 'sidecar'}
+
+_SETTINGS_TABLES = frozenset(
+    field.name
+    for cls in SETTINGS_BY_BINARY.values()
+    for field in attrs.fields(cls)  # type: ignore[arg-type]
+)
+
+
+def find_binary(path: str) -> str:
+    """Return the binary that a settings file is for.
+
+    :returns: empty when the file holds no settings at all.
+    :raises SettingsError: the file cannot be read.
+    """
+    tables = _read_tables(path)
+    if not _SETTINGS_TABLES.intersection(tables):
+        return ''
+    named = (_BINARY_BY_TABLE.get(key, '') for key in tables)
+    return next(filter(None, named), 'ctl')
+
+
+def _read_tables(path: str) -> dict[str, Any]:
+    try:
+        with open(path, 'rb') as stream:
+            return tomllib.load(stream)
+    except (OSError, ValueError) as exc:
+        raise SettingsError(f'{path}: {exc}') from exc
--- a/briarrill/state/structuring.py
+++ b/briarrill/state/structuring.py
@@ -3,8 +3,9 @@
 import enum
 from typing import Any, TypeVar
 
+import attrs
 from cattrs import Converter, transform_error
-from cattrs.errors import BaseValidationError
+from cattrs.errors import BaseValidationError, ForbiddenExtraKeysError
 
 from ..errors import SettingsError
 
@@ -17,6 +18,8 @@
 
 def _structure_exactly(raw: Any, cls: type[Any]) -> Any:
     """Take a TOML scalar only in its own type; whole numbers are floats."""
+    if issubclass(cls, enum.Enum):
+        return _structure_enum(raw, cls)
     if cls is float and raw.__class__ is int:
         return float(raw)
     if raw.__class__ is not cls:
@@ -33,13 +36,9 @@
 
 def _make_converter() -> Converter:
     converter = Converter(forbid_extra_keys=True)
-    converter.register_structure_hook_func(
-        lambda cls: cls in _SCALARS, _structure_exactly
-    )
-    converter.register_structure_hook_func(
-        lambda cls: isinstance(cls, type) and issubclass(cls, enum.Enum),
-        _structure_enum,
-    )
+    # enumerations of texts find the hook of their base
+    for scalar in _SCALARS:
+        converter.register_structure_hook(scalar, _structure_exactly)
     return converter
 
 
@@ -47,6 +46,12 @@
 
 
 def _describe(exc: BaseException, _cls: type[Any] | None) -> str:
+    if isinstance(exc, ForbiddenExtraKeysError):
+        unknown = ', '.join(sorted(exc.extra_fields))
+        allowed = ', '.join(field.name for field in attrs.fields(exc.cl))
+        return f'unknown key {unknown}; allowed: {allowed}'
+    if isinstance(exc, KeyError):
+        return f'missing key {exc}'
     return str(exc)
 
 
