--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -50,6 +50,19 @@
     assert ''.join(pieces) == whole.choices[0].message.content
     assert len(whole.choices[0].message.content.split()) == 5
 
+    text = client.completions.create(
+        model='clause-drafter', prompt='The handover is', max_tokens=5
+    )
+    events = client.completions.create(
+        model='clause-drafter',
+        prompt='The handover is',
+        max_tokens=5,
+        stream=True,
+    )
+    words = [event.choices[0].text for event in events]
+    assert ''.join(words) == text.choices[0].text
+    assert len(words) == 5
+
     uploaded = client.files.create(
         file=(EXAMPLES / 'holiday-sections.jsonl').open('rb'), purpose='batch'
     )
