--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -91,7 +91,8 @@
     this function has returned.
     """
     with contextlib.ExitStack() as stack:
-        stack.enter_context(ctx.limits.request(caller.name, caller.contract))
+        admitted = await ctx.limits.request(caller.name, caller.contract)
+        held = stack.enter_context(admitted)
         req = _online_request(ctx, caller, target, path, body)
         stack.enter_context(ctx.in_flight.hold(req.request_id))
         action = stack.enter_context(
@@ -105,11 +106,12 @@
         trace = action.serialize_task_id().decode()
         answer = await ctx.dispatcher.open(attrs.evolve(req, trace=trace))
         stack.callback(answer.close)
+        stack.callback(lambda: held.charge(answer.tokens))
         if _is_stream(body):
-            held = stack.pop_all()
+            ending = stack.pop_all()
             # the answer may be given up before its first chunk is taken
-            request_resources(request).push(held)
-            return _stream_response(answer, held)
+            request_resources(request).push(ending)
+            return _stream_response(answer, ending)
         return await _whole_response(answer)
 
 
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -17,6 +17,7 @@
 from .app import make_app
 from .context import EntryContext
 from .dispatch import Dispatcher
+from .lender import FleetLender
 from .limits import Limits
 from .upstreams import UpstreamSet
 
@@ -45,9 +46,11 @@
             caller=caller,
         )
         upstreams = UpstreamSet(control.membership, cfg.instance, cfg.ports)
-        app = make_app(_make_context(cfg, control, upstreams), nursery)
+        ctx = _make_context(cfg, control, upstreams)
+        app = make_app(ctx, nursery)
         await control.start(nursery, cfg.platform.instance_poll_s)
         nursery.start_soon(upstreams.run)
+        nursery.start_soon(ctx.limits.run)
         nursery.start_soon(_begin_drain_on_signal, control)
         nursery.start_soon(_mark_ready, control)
         await serve_app(
@@ -88,13 +91,14 @@
 def _make_context(
     cfg: EntrySettings, control: Control, upstreams: UpstreamSet
 ) -> EntryContext:
+    rng = random.Random()
     return EntryContext(
         cfg=cfg,
         control=control,
         dispatcher=Dispatcher(
-            upstreams, AffinityPolicy(random.Random()), RetryBudgets()
+            upstreams, AffinityPolicy(rng), RetryBudgets(), rng
         ),
-        limits=Limits(lambda: len(control.membership.live(Role.ENTRY))),
+        limits=Limits(cfg.instance.name, FleetLender(control)),
         copies=SegmentCopies(
             caller=control.caller,
             membership=control.membership,
