Give the limits' test settings an IP address as host

Settings refuse a host that is no IP address; three tests built one from the instance's name. What they assert is unchanged: the settings' host is not read by them, peers are found by the hosts of the instance list.

--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -161,7 +161,7 @@
     )
     for name in ENTRIES:
         control = Control(
-            instance=InstanceSettings(name, name, 'hobart-a', 'lutruwita'),
+            instance=InstanceSettings(name, '127.0.0.1', 'a', 'r'),
             role=Role.ENTRY,
             ports=PortSettings(),
             platform=None,
