Tell a service's path from the raw one, and probe silent connections

A service's name that was percent-encoded stayed in the path that went on, so /services/approv%61ls/submit was not seen as non-idempotent; red before, 1 of 13 in tests/entry/test_idempotency.py. Connections are probed after 30 s of silence, so that a caller that vanished while it waits is noticed.

--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -69,13 +69,14 @@
         if name not in caller.contract.services:
             raise ForbiddenError(f'service {name!r} is not in the contract')
         body = await read_body()
-        return await _answer(ctx, caller, name, _path_at_service(name), body)
+        return await _answer(ctx, caller, name, _path_at_service(), body)
 
 
-def _path_at_service(name: str) -> str:
-    """Return the rest of the path as the caller encoded it."""
+def _path_at_service() -> str:
+    """Return what follows the service's name, as the caller encoded it."""
     raw: bytes = request.scope['raw_path']
-    return raw.decode('ascii').removeprefix(f'{SERVICES_PATH}{name}')
+    rest = raw.decode('ascii').removeprefix(SERVICES_PATH).partition('/')[2]
+    return f'/{rest}'
 
 
 def _model(name: str) -> dict[str, object]:
--- a/briarrill/transport/http_server.py
+++ b/briarrill/transport/http_server.py
@@ -20,6 +20,9 @@
 # connections that wait to be accepted
 ACCEPT_BACKLOG = 512
 
+# silence after which a connection is probed
+KEEP_ALIVE_IDLE_S = 30
+
 MS_PER_S = 1000
 
 # time for the last bytes of an answer to leave the process
@@ -82,6 +85,9 @@
     with socket.socket(family) as listener:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        listener.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S
+        )
         listener.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
--- a/tests/entry/test_idempotency.py
+++ b/tests/entry/test_idempotency.py
@@ -58,6 +58,13 @@
         assert req.path == '/a%01b%3Fc%2Fd?q=%20'
 
 
+async def test_encoded_name_of_a_service_is_no_part_of_the_path(serve_entry):
+    """Before, the name stayed in the path and hid what it listed."""
+    async with serve_entry() as entry:
+        req = await _sent(entry, '/services/approv%61ls/submit')
+        assert (req.path, req.idempotent) == ('/submit', False)
+
+
 async def test_header_marks_a_call(serve_entry):
     async with serve_entry() as entry:
         path = '/services/approvals/show'
