--- /dev/null
+++ b/bench/online/__init__.py
@@ -0,0 +1,1 @@
+"""bench.online: harm to online requests, batch throughput and overload."""
--- /dev/null
+++ b/bench/online/__main__.py
@@ -0,0 +1,33 @@
+"""bench.online: run all figures, or one.
+
+Usage:
+  bench.online [harm | weights | yield | overload]
+
+Absolute times hold only for the run. Harm, weights and overload run in one
+process with modelled engines over real sockets; yield uses the stand-in
+engine over HTTP.
+"""
+
+import trio
+from docopt import docopt
+
+from .figures import measure_harm, measure_overload, measure_weights
+from .yielding import measure_yield
+
+DEFAULT_WEIGHT = 0.5
+
+
+async def _run(arguments: dict[str, bool]) -> None:
+    named = {name for name, is_set in arguments.items() if is_set}
+    if 'harm' in named or not named:
+        await measure_harm(DEFAULT_WEIGHT)
+    if 'weights' in named or not named:
+        await measure_weights()
+    if 'yield' in named or not named:
+        await measure_yield()
+    if 'overload' in named or not named:
+        await measure_overload()
+
+
+if __name__ == '__main__':
+    trio.run(_run, docopt(__doc__))
--- /dev/null
+++ b/bench/online/baselines.py
@@ -0,0 +1,70 @@
+"""bench.online.baselines: admission without the decisions under test."""
+
+import contextlib
+import math
+from collections.abc import AsyncIterator
+
+import trio
+
+from briarrill.coordination.admission import Admission, BatchSlot
+
+__all__ = ('SharedQueue', 'TimedAdmission', 'TimedSharedQueue')
+
+
+class SharedQueue(Admission):
+    """One queue for online and batch, first in, first out, no refusals."""
+
+    def __init__(self, slots: int, queue: int, reserved: int = 0) -> None:
+        """Start with all slots free."""
+        super().__init__(slots, queue, reserved)
+        self._limiter = trio.CapacityLimiter(slots)
+
+    @contextlib.asynccontextmanager
+    async def online_slot(
+        self, contract: str, time_left_s: float = math.inf
+    ) -> AsyncIterator[None]:
+        """Wait in the one queue."""
+        async with self._limiter_slot():
+            yield
+
+    @contextlib.asynccontextmanager
+    async def batch_slot(self) -> AsyncIterator[BatchSlot]:
+        """Wait in the one queue."""
+        async with self._limiter_slot():
+            yield BatchSlot()
+
+    @contextlib.asynccontextmanager
+    async def _limiter_slot(self) -> AsyncIterator[None]:
+        borrower = object()
+        await self._limiter.acquire_on_behalf_of(borrower)
+        try:
+            yield
+        finally:
+            self._limiter.release_on_behalf_of(borrower)
+
+
+class _Timed(Admission):
+    """Notes how long each online request waits for its slot."""
+
+    def __init__(self, slots: int, queue: int, reserved: int = 0) -> None:
+        """Start without times."""
+        super().__init__(slots, queue, reserved)
+        self.waits_s: list[float] = []
+
+    @contextlib.asynccontextmanager
+    async def online_slot(
+        self, contract: str, time_left_s: float = math.inf
+    ) -> AsyncIterator[None]:
+        """Hold a slot and note the wait for it."""
+        arrived_s = trio.current_time()
+        async with super().online_slot(contract, time_left_s):
+            self.waits_s.append(trio.current_time() - arrived_s)
+            yield
+
+
+class TimedAdmission(_Timed):
+    """The admission under test."""
+
+
+class TimedSharedQueue(_Timed, SharedQueue):
+    """The baseline."""
--- /dev/null
+++ b/bench/online/figures.py
@@ -0,0 +1,140 @@
+"""bench.online.figures: each figure with its target and its baseline."""
+
+import statistics
+import sys
+
+import attrs
+
+from bench.traces import Trace, load_trace
+from briarrill.coordination.admission import reserved_slots
+
+from .baselines import SharedQueue
+from .replay import Outcome, replay
+from .rig import RigPlan
+
+__all__ = ('measure_harm', 'measure_overload', 'measure_weights', 'say')
+
+# pairs run in turn, A B A B
+PAIRS = 2
+
+OVERLOAD_ENGINES = 4
+OVERLOAD_DEADLINE_S = 4.0
+ENDLESS_QUEUE = 1_000_000
+
+
+def say(line: str) -> None:
+    """Print a line at once."""
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def _verdict(is_reached: bool) -> str:
+    return 'reached' if is_reached else 'NOT reached'
+
+
+def _describe(name: str, outcome: Outcome) -> None:
+    say(
+        f'  {name}: first token p50 {outcome.p50_ms:.0f} ms '
+        f'p99 {outcome.p99_ms:.0f} ms, in time {outcome.in_time}, '
+        f'refused {outcome.refused}, failed {outcome.failed}, '
+        f'batch {outcome.batch_rate:.0f} tokens/s, '
+        f'online {outcome.online_rate:.0f} tokens/s'
+    )
+
+
+async def _run(
+    name: str, plan: RigPlan, trace: Trace, deadline_s: float = 60.0
+) -> Outcome:
+    outcome = await replay(plan, trace, deadline_s=deadline_s)
+    _describe(name, outcome)
+    return outcome
+
+
+async def measure_harm(weight: float) -> None:
+    """Measure online latency with and without batch, and what batch keeps."""
+    trace = load_trace('online-bursts')
+    say(f'harm, trace {trace.name}, seed {trace.seed}, weight {weight}')
+    idle = RigPlan()
+    busy = RigPlan(
+        with_batch=True, reserved=reserved_slots(idle.slots, weight)
+    )
+    pairs = []
+    for _ in range(PAIRS):
+        without = await _run('batch idle', idle, trace)
+        pairs.append((without, await _run('batch saturating', busy, trace)))
+    shared = await _run(
+        'one shared queue (baseline)',
+        attrs.evolve(busy, admission=SharedQueue),
+        trace,
+    )
+    ceiling = await _run(
+        'batch alone (ceiling)',
+        attrs.evolve(busy, reserved=0),
+        attrs.evolve(trace, arrivals=trace.arrivals[-1:]),
+    )
+    _report_harm(trace, pairs, shared)
+    _report_kept(trace, [pair[1] for pair in pairs], ceiling)
+
+
+def _report_harm(
+    trace: Trace, pairs: list[tuple[Outcome, Outcome]], shared: Outcome
+) -> None:
+    target = trace.outcomes['harm_p99_first_token']
+    harm = statistics.median(
+        busy.p99_ms / without.p99_ms for without, busy in pairs
+    )
+    baseline = shared.p99_ms / pairs[-1][0].p99_ms
+    say(
+        f'harm to online p99 first token: {harm:.2f} '
+        f'(target {target:.2f}, {_verdict(harm <= target)}; '
+        f'one shared queue {baseline:.2f})'
+    )
+
+
+def _report_kept(trace: Trace, busy: list[Outcome], ceiling: Outcome) -> None:
+    target = trace.outcomes['batch_kept']
+    kept = statistics.median(
+        outcome.batch_rate / (ceiling.batch_rate - outcome.online_rate)
+        for outcome in busy
+    )
+    say(
+        f'batch throughput kept: {kept:.2f} of what online leaves '
+        f'(target {target:.2f}, {_verdict(kept >= target)})'
+    )
+
+
+async def measure_weights() -> None:
+    """Measure both ends of the policy's online weight."""
+    trace = load_trace('online-bursts')
+    say(f'online_weight, trace {trace.name}, seed {trace.seed}')
+    for _ in range(PAIRS):
+        for weight in (0.0, 1.0):
+            slots = RigPlan().slots
+            plan = RigPlan(
+                with_batch=True, reserved=reserved_slots(slots, weight)
+            )
+            await _run(f'online_weight {weight}', plan, trace)
+
+
+async def measure_overload() -> None:
+    """Measure goodput at the capacity and at twice as many arrivals."""
+    capacity = load_trace('online-capacity')
+    overload = load_trace('online-overload')
+    target = overload.outcomes['goodput_of_capacity']
+    say(f'overload, seeds {capacity.seed} and {overload.seed}')
+    plan = RigPlan(engines=OVERLOAD_ENGINES)
+    shares = []
+    for _ in range(PAIRS):
+        once = await _run('1x', plan, capacity, OVERLOAD_DEADLINE_S)
+        twice = await _run('2x', plan, overload, OVERLOAD_DEADLINE_S)
+        shares.append(twice.goodput / once.goodput)
+    endless = attrs.evolve(plan, admission=SharedQueue, queue=ENDLESS_QUEUE)
+    baseline = await _run(
+        '2x, no refusals (baseline)', endless, overload, OVERLOAD_DEADLINE_S
+    )
+    share = statistics.median(shares)
+    say(
+        f'goodput at 2x of that at 1x: {share:.2f} '
+        f'(target {target:.2f}, {_verdict(share >= target)}; '
+        f'no refusals {baseline.goodput / once.goodput:.2f})'
+    )
--- /dev/null
+++ b/bench/online/replay.py
@@ -0,0 +1,127 @@
+"""bench.online.replay: replay a trace through a rig and count outcomes."""
+
+import statistics
+import time
+from collections.abc import Sequence
+
+import attrs
+import trio
+
+from bench.traces import Arrival, Trace
+from briarrill.entry.links import OnlineRequest
+from briarrill.errors import BriarrillError
+
+from .rig import MODEL, PATH, Rig, RigPlan, completion, open_rig
+
+__all__ = ('Outcome', 'percentile', 'replay')
+
+# the batch work has filled the slots after this time
+WARM_UP_S = 3.0
+
+
+def percentile(samples: Sequence[float], percent: int) -> float:
+    """Return a percentile."""
+    return statistics.quantiles(samples, n=100, method='inclusive')[
+        percent - 1
+    ]
+
+
+@attrs.define
+class Outcome:
+    """What a replay showed.
+
+    :param first_token_s: times to the first token.
+    :param in_time: requests that finished before their deadline.
+    :param refused: requests that were refused without being run.
+    """
+
+    seconds: float = 0.0
+    first_token_s: list[float] = attrs.field(factory=list)
+    in_time: int = 0
+    refused: int = 0
+    failed: int = 0
+    online_tokens: int = 0
+    batch_tokens: int = 0
+
+    @property
+    def p50_ms(self) -> float:
+        """Return the median time to the first token."""
+        return percentile(self.first_token_s, 50) * 1000
+
+    @property
+    def p99_ms(self) -> float:
+        """Return the tail of the time to the first token."""
+        return percentile(self.first_token_s, 99) * 1000
+
+    @property
+    def goodput(self) -> float:
+        """Return the requests a second that finished in time."""
+        return self.in_time / self.seconds
+
+    @property
+    def batch_rate(self) -> float:
+        """Return batch tokens a second."""
+        return self.batch_tokens / self.seconds
+
+    @property
+    def online_rate(self) -> float:
+        """Return online tokens a second."""
+        return self.online_tokens / self.seconds
+
+
+async def replay(
+    plan: RigPlan, trace: Trace, *, deadline_s: float = 60.0
+) -> Outcome:
+    """Send the arrivals of a trace at their times."""
+    outcome = Outcome()
+    async with open_rig(plan, trace.seed) as rig:
+        await trio.sleep(WARM_UP_S)
+        started_s = time.monotonic()
+        tokens_before = rig.batch_tokens
+        async with trio.open_nursery() as nursery:
+            for number, arrival in enumerate(trace.arrivals):
+                wait_s = started_s + arrival.at_s - time.monotonic()
+                await trio.sleep(max(0, wait_s))
+                req = _request(arrival, number, deadline_s)
+                nursery.start_soon(_call, rig, req, outcome)
+            outcome.seconds = time.monotonic() - started_s
+            outcome.batch_tokens = rig.batch_tokens - tokens_before
+            online_tokens = outcome.online_tokens
+        outcome.online_tokens = online_tokens
+    return outcome
+
+
+def _request(
+    arrival: Arrival, number: int, deadline_s: float
+) -> OnlineRequest:
+    return OnlineRequest(
+        request_id=f'r{number}',
+        contract=arrival.contract,
+        target=MODEL,
+        method='POST',
+        path=PATH,
+        body=completion(arrival.tokens),
+        idempotent=True,
+        deadline_s=time.monotonic() + deadline_s,
+    )
+
+
+async def _call(rig: Rig, req: OnlineRequest, outcome: Outcome) -> None:
+    try:
+        await _read_answer(rig, req, outcome)
+    except BriarrillError as exc:
+        outcome.refused += exc.ran.value == 'no'
+        outcome.failed += exc.ran.value != 'no'
+        return
+    outcome.in_time += time.monotonic() < req.deadline_s
+
+
+async def _read_answer(rig: Rig, req: OnlineRequest, outcome: Outcome) -> None:
+    sent_s = time.monotonic()
+    answer = await rig.dispatcher.open(req)
+    # the first chunk names the role only
+    await answer.next_chunk()
+    await answer.next_chunk()
+    outcome.first_token_s.append(time.monotonic() - sent_s)
+    while await answer.next_chunk() is not None:
+        outcome.online_tokens += 1
--- /dev/null
+++ b/bench/online/yielding.py
@@ -0,0 +1,121 @@
+"""bench.online.yielding: time until a burst has the slots of batch work.
+
+One sidecar before a stand-in engine over HTTP in a process of its own.
+"""
+
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import httpx
+import trio
+
+from bench.traces import load_trace
+from briarrill.coordination.admission import Admission
+from briarrill.protocol.messages import BatchItem
+from briarrill.sidecar.batch import BatchRunner
+from briarrill.sidecar.upstreams import Call, EngineUpstream
+
+from .baselines import TimedAdmission, TimedSharedQueue
+from .figures import say
+from .replay import percentile
+from .rig import MODEL, PATH, completion
+
+__all__ = ('measure_yield',)
+
+HOST = '127.129.201.1'
+PORT = 9100
+SLOTS = 8
+BURSTS = 25
+BASELINE_BURSTS = 4
+BATCH_TOKENS = 100
+ONLINE_TOKENS = 3
+TOKEN_MS = 20
+
+
+@contextmanager
+def _open_engine() -> Iterator[str]:
+    command = [sys.executable, '-m', 'standins', 'engine', HOST, str(PORT)]
+    engine = subprocess.Popen([*command, f'--token-ms={TOKEN_MS}'])
+    try:
+        yield f'http://{HOST}:{PORT}'
+    finally:
+        engine.terminate()
+        engine.wait()
+
+
+async def measure_yield() -> None:
+    """Send bursts as large as the running set and note their waits."""
+    target = load_trace('online-bursts').outcomes['yield_ms']
+    with _open_engine() as url:
+        async with httpx.AsyncClient(base_url=url, timeout=None) as client:
+            await _wait_answering(client)
+            upstream = EngineUpstream(client)
+            own = TimedAdmission(SLOTS, queue=64)
+            shared = TimedSharedQueue(SLOTS, queue=64)
+            for admission, bursts in (
+                (own, BURSTS),
+                (shared, BASELINE_BURSTS),
+            ):
+                await _run_bursts(upstream, admission, bursts)
+    p50, p99 = (percentile(own.waits_s, part) * 1000 for part in (50, 99))
+    baseline = percentile(shared.waits_s, 99) * 1000
+    verdict = 'reached' if p99 <= target else 'NOT reached'
+    say(
+        f'slots yielded to a burst of {SLOTS}, {len(own.waits_s)} requests: '
+        f'p50 {p50:.1f} ms p99 {p99:.1f} ms max {max(own.waits_s) * 1000:.1f} '
+        f'ms (target {target:.0f} ms, {verdict}; one shared queue p99 '
+        f'{baseline:.0f} ms)'
+    )
+
+
+async def _wait_answering(client: httpx.AsyncClient) -> None:
+    deadline_s = time.monotonic() + 20
+    while time.monotonic() < deadline_s:
+        try:
+            await client.get('/counts')
+        except httpx.ConnectError:
+            await trio.sleep(0.1)
+        else:
+            return
+    raise TimeoutError('the engine did not start')
+
+
+async def _run_bursts(
+    upstream: EngineUpstream, admission: Admission, bursts: int
+) -> None:
+    runner = BatchRunner(upstream, admission)
+    async with trio.open_nursery() as nursery:
+        for _ in range(SLOTS + 2):
+            nursery.start_soon(_run_items, runner)
+        for _ in range(bursts):
+            await trio.sleep(1)
+            async with trio.open_nursery() as burst:
+                for _ in range(SLOTS):
+                    burst.start_soon(_call, upstream, admission)
+        nursery.cancel_scope.cancel()
+
+
+async def _run_items(runner: BatchRunner) -> None:
+    while True:
+        await runner.run_item(
+            BatchItem(
+                job='bench',
+                index=0,
+                epoch=1,
+                contract='kinship-plans',
+                model=MODEL,
+                url=PATH,
+                body=completion(BATCH_TOKENS),
+            )
+        )
+
+
+async def _call(upstream: EngineUpstream, admission: Admission) -> None:
+    async with admission.online_slot('signal-engineers'):
+        call = Call('POST', PATH, completion(ONLINE_TOKENS))
+        async with upstream.open_call(call) as answer:
+            async for _ in answer.chunks:
+                await trio.lowlevel.checkpoint()
--- a/bench/traces/__main__.py
+++ b/bench/traces/__main__.py
@@ -1,6 +1,6 @@
 """bench.traces: write the traces anew (``python -m bench.traces``)."""
 
-from .arrivals import bursty_trace, steady_trace
+from .arrivals import Bursts, bursty_trace, steady_trace
 
 SEED = 20240611
 
@@ -12,11 +12,10 @@
         SEED,
         per_second=20,
         seconds=20,
-        burst_size=30,
-        burst_every_s=4,
+        bursts=Bursts(size=30, every_s=4),
         outcomes={
-            'harm_p99_first_token': 1.10,
-            'batch_kept': 0.90,
+            'harm_p99_first_token': 1.1,
+            'batch_kept': 0.9,
             'yield_ms': 50,
         },
     ).write()
--- a/bench/traces/arrivals.py
+++ b/bench/traces/arrivals.py
@@ -6,7 +6,14 @@
 import attrs
 import msgspec
 
-__all__ = ('Arrival', 'Trace', 'bursty_trace', 'load_trace', 'steady_trace')
+__all__ = (
+    'Arrival',
+    'Bursts',
+    'Trace',
+    'bursty_trace',
+    'load_trace',
+    'steady_trace',
+)
 
 FOLDER = pathlib.Path(__file__).parent
 
@@ -35,6 +42,17 @@
     tokens: int
 
 
+@attrs.frozen
+class Bursts:
+    """Requests that arrive together, at random times.
+
+    :param every_s: mean time between two bursts.
+    """
+
+    size: int
+    every_s: float
+
+
 @attrs.frozen
 class Trace:
     """Arrivals with the outcomes that are asked.
@@ -50,7 +68,7 @@
     def write(self) -> None:
         """Write the trace beside this module."""
         body = msgspec.json.format(msgspec.json.encode(self), indent=1)
-        (FOLDER / f'{self.name}.json').write_bytes(body + b'\n')
+        (FOLDER / f'{self.name}.json').write_bytes(body)
 
 
 def load_trace(name: str) -> Trace:
@@ -79,20 +97,19 @@
     *,
     per_second: float,
     seconds: float,
-    burst_size: int,
-    burst_every_s: float,
+    bursts: Bursts,
     outcomes: dict[str, float],
 ) -> Trace:
     """Return arrivals at a constant mean rate with bursts over them."""
     rng = random.Random(seed)
     arrivals = _poisson(rng, per_second, seconds)
-    at_s = rng.expovariate(1 / burst_every_s)
+    at_s = rng.expovariate(1 / bursts.every_s)
     while at_s < seconds:
         arrivals += [
             _arrival(rng, at_s + rng.uniform(0, BURST_S))
-            for _ in range(burst_size)
+            for _ in range(bursts.size)
         ]
-        at_s += rng.expovariate(1 / burst_every_s)
+        at_s += rng.expovariate(1 / bursts.every_s)
     arrivals.sort(key=lambda arrival: arrival.at_s)
     return Trace(name, seed, outcomes, tuple(arrivals))
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -116,7 +116,9 @@
     )
 
 
-async def _generate(engine: EngineModel, prompt: _Prompt) -> AsyncIterator[str]:
+async def _generate(
+    engine: EngineModel, prompt: _Prompt
+) -> AsyncIterator[str]:
     engine.running += 1
     try:
         missed = engine.cache_prefix(prompt.text)
