--- a/bench/online/__main__.py
+++ b/bench/online/__main__.py
@@ -3,9 +3,9 @@
 Usage:
   bench.online [harm | weights | yield | overload]
 
-Absolute times hold only for the run. Harm, weights and overload run in one
-process with modelled engines over real sockets; yield uses the stand-in
-engine over HTTP.
+Absolute times hold only for the run. Harm, weights and overload use
+modelled engines, three sidecars a process, over real sockets; yield uses the
+stand-in engine over HTTP.
 """
 
 import trio
--- a/bench/online/figures.py
+++ b/bench/online/figures.py
@@ -8,7 +8,6 @@
 from bench.traces import Trace, load_trace
 from briarrill.coordination.admission import reserved_slots
 
-from .baselines import SharedQueue
 from .replay import Outcome, replay
 from .rig import RigPlan
 
@@ -64,13 +63,13 @@
         pairs.append((without, await _run('batch saturating', busy, trace)))
     shared = await _run(
         'one shared queue (baseline)',
-        attrs.evolve(busy, admission=SharedQueue),
+        attrs.evolve(busy, admission='shared queue'),
         trace,
     )
     ceiling = await _run(
         'batch alone (ceiling)',
         attrs.evolve(busy, reserved=0),
-        attrs.evolve(trace, arrivals=trace.arrivals[-1:]),
+        attrs.evolve(trace, arrivals=trace.arrivals[-2:]),
     )
     _report_harm(trace, pairs, shared)
     _report_kept(trace, [pair[1] for pair in pairs], ceiling)
@@ -128,7 +127,7 @@
         once = await _run('1x', plan, capacity, OVERLOAD_DEADLINE_S)
         twice = await _run('2x', plan, overload, OVERLOAD_DEADLINE_S)
         shares.append(twice.goodput / once.goodput)
-    endless = attrs.evolve(plan, admission=SharedQueue, queue=ENDLESS_QUEUE)
+    endless = attrs.evolve(plan, admission='shared queue', queue=ENDLESS_QUEUE)
     baseline = await _run(
         '2x, no refusals (baseline)', endless, overload, OVERLOAD_DEADLINE_S
     )
--- a/bench/online/replay.py
+++ b/bench/online/replay.py
@@ -77,7 +77,7 @@
     async with open_rig(plan, trace.seed) as rig:
         await trio.sleep(WARM_UP_S)
         started_s = time.monotonic()
-        tokens_before = rig.batch_tokens
+        tokens_before = await rig.batch_tokens()
         async with trio.open_nursery() as nursery:
             for number, arrival in enumerate(trace.arrivals):
                 wait_s = started_s + arrival.at_s - time.monotonic()
@@ -85,9 +85,10 @@
                 req = _request(arrival, number, deadline_s)
                 nursery.start_soon(_call, rig, req, outcome)
             outcome.seconds = time.monotonic() - started_s
-            outcome.batch_tokens = rig.batch_tokens - tokens_before
             online_tokens = outcome.online_tokens
+            batch_tokens = await rig.batch_tokens()
         outcome.online_tokens = online_tokens
+        outcome.batch_tokens = batch_tokens - tokens_before
     return outcome
 
 
