--- a/bench/traces/arrivals.py
+++ b/bench/traces/arrivals.py
@@ -68,7 +68,7 @@
     def write(self) -> None:
         """Write the trace beside this module."""
         body = msgspec.json.format(msgspec.json.encode(self), indent=1)
-        (FOLDER / f'{self.name}.json').write_bytes(body)
+        (FOLDER / f'{self.name}.json').write_bytes(b'%b\n' % body)
 
 
 def load_trace(name: str) -> Trace:
--- a/tests/entry/serving.py
+++ b/tests/entry/serving.py
@@ -29,6 +29,7 @@
 )
 from briarrill.transport.http_server import DEFAULT_BOUNDS, serve_app
 from briarrill.transport.key_value import KeyValue
+from tests.entry.lending import LedgerLender
 
 PORT = 8081
 
@@ -58,6 +59,7 @@
         self.chunks = iter(chunks)
         self.error = error
         self.closed = False
+        self.tokens = 0
         self.finish = Finish(
             request_id='r', attempt=0, chunks=0, content_type='text/plain'
         )
@@ -164,7 +166,7 @@
         cfg=settings(**options),
         control=control,
         dispatcher=FakeDispatcher(),
-        limits=Limits(lambda: 1),
+        limits=Limits('entry-0', LedgerLender()),
         copies=copies,
     )
     host = f'{network}.1'
