--- a/bench/online/__main__.py
+++ b/bench/online/__main__.py
@@ -1,17 +1,18 @@
 """bench.online: run all figures, or one.
 
 Usage:
-  bench.online [harm | weights | yield | overload]
+  bench.online [harm | weights | yield | overload | resume]
 
 Absolute times hold only for the run. Harm, weights and overload use
-modelled engines, three sidecars a process, over real sockets; yield uses the
-stand-in engine over HTTP.
+modelled engines, three sidecars a process, over real sockets; yield and
+resume use the stand-in engine over HTTP.
 """
 
 import trio
 from docopt import docopt
 
 from .figures import measure_harm, measure_overload, measure_weights
+from .resuming import measure_resume
 from .yielding import measure_yield
 
 DEFAULT_WEIGHT = 0.5
@@ -27,6 +28,8 @@
         await measure_yield()
     if 'overload' in named or not named:
         await measure_overload()
+    if 'resume' in named or not named:
+        await measure_resume()
 
 
 if __name__ == '__main__':
--- a/bench/online/yielding.py
+++ b/bench/online/yielding.py
@@ -3,12 +3,6 @@
 One sidecar before a stand-in engine over HTTP in a process of its own.
 """
 
-import subprocess
-import sys
-import time
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 import httpx
 import trio
 
@@ -19,39 +13,25 @@
 from briarrill.sidecar.upstreams import Call, EngineUpstream
 
 from .baselines import TimedAdmission, TimedSharedQueue
+from .engine_process import open_engine
 from .figures import say
 from .replay import percentile
 from .rig import MODEL, PATH, completion
 
 __all__ = ('measure_yield',)
 
-HOST = '127.129.201.1'
-PORT = 9100
 SLOTS = 8
 BURSTS = 25
 BASELINE_BURSTS = 4
 BATCH_TOKENS = 100
 ONLINE_TOKENS = 3
-TOKEN_MS = 20
-
-
-@contextmanager
-def _open_engine() -> Iterator[str]:
-    command = [sys.executable, '-m', 'standins', 'engine', HOST, str(PORT)]
-    engine = subprocess.Popen([*command, f'--token-ms={TOKEN_MS}'])
-    try:
-        yield f'http://{HOST}:{PORT}'
-    finally:
-        engine.terminate()
-        engine.wait()
 
 
 async def measure_yield() -> None:
     """Send bursts as large as the running set and note their waits."""
     target = load_trace('online-bursts').outcomes['yield_ms']
-    with _open_engine() as url:
+    with open_engine() as url:
         async with httpx.AsyncClient(base_url=url, timeout=None) as client:
-            await _wait_answering(client)
             upstream = EngineUpstream(client)
             own = TimedAdmission(SLOTS, queue=64)
             shared = TimedSharedQueue(SLOTS, queue=64)
@@ -71,18 +51,6 @@
     )
 
 
-async def _wait_answering(client: httpx.AsyncClient) -> None:
-    deadline_s = time.monotonic() + 20
-    while time.monotonic() < deadline_s:
-        try:
-            await client.get('/counts')
-        except httpx.ConnectError:
-            await trio.sleep(0.1)
-        else:
-            return
-    raise TimeoutError('the engine did not start')
-
-
 async def _run_bursts(
     upstream: EngineUpstream, admission: Admission, bursts: int
 ) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -50,9 +50,18 @@
 CACHE_BLOCK_WORDS = 16
 CACHE_BLOCKS = 4096
 
+# key and value cache of one token, and the rate of its export and import
+KV_BYTES_PER_WORD = 131_072
+KV_BYTES_PER_S = 1_250_000_000
+
 IMPOSSIBLE_MARK = 'IMPOSSIBLE'
 
 
+def kv_transfer_s(words: int) -> float:
+    """Return the time to export or import the state of a stream."""
+    return words * KV_BYTES_PER_WORD / KV_BYTES_PER_S
+
+
 @attrs.define
 class EngineModel:
     """The token rate and the prefix cache of an engine.
@@ -66,6 +75,7 @@
     seed: int
     prefill_s_per_word: float = 0.00005
     running: int = 0
+    kv_states: dict[str, int] = attrs.field(factory=dict)
     calls: collections.Counter[str] = attrs.field(factory=collections.Counter)
     blocks: collections.OrderedDict[int, None] = attrs.field(
         factory=collections.OrderedDict
@@ -75,6 +85,14 @@
         """Return the time to the next token of one stream."""
         return self.token_s * max(1.0, self.running / KNEE_STREAMS)
 
+    def start_s(self, prompt: '_Prompt') -> float:
+        """Return the time from the request's start to its first step."""
+        words = self.kv_states.pop(prompt.kv_state, 0)
+        missed = self.cache_prefix(f'{prompt.text} {prompt.kept}')
+        if words:
+            return kv_transfer_s(words)
+        return missed * self.prefill_s_per_word
+
     def word(self, prompt: str, position: int) -> str:
         """Return the token at a position of the answer."""
         digest = xxhash.xxh3_64_intdigest(
@@ -99,23 +117,30 @@
 @attrs.frozen
 class _Prompt:
     text: str
-    position: int
+    kept: str
     tokens: int
+    kv_state: str = ''
+
+    @property
+    def position(self) -> int:
+        """Return the tokens that an earlier stream produced."""
+        return len(self.kept.split())
 
 
 def _read_prompt(body: dict[str, Any]) -> _Prompt:
     if 'prompt' in body:
         tokens = int(body.get('max_tokens') or DEFAULT_MAX_TOKENS)
-        return _Prompt(text=body['prompt'], position=0, tokens=tokens)
+        return _Prompt(text=body['prompt'], kept='', tokens=tokens)
     messages = body['messages']
-    position = 0
+    kept = ''
     if body.get('continue_final_message'):
-        position = len(messages[-1]['content'].split())
+        kept = messages[-1]['content']
         messages = messages[:-1]
     return _Prompt(
         text='\n'.join(message['content'] for message in messages),
-        position=position,
+        kept=kept,
         tokens=int(body.get('max_tokens') or DEFAULT_MAX_TOKENS),
+        kv_state=body.get('kv_state', ''),
     )
 
 
@@ -123,14 +148,18 @@
     engine: EngineModel, prompt: _Prompt
 ) -> AsyncIterator[str]:
     engine.running += 1
+    text = prompt.kept
     try:
-        missed = engine.cache_prefix(prompt.text)
-        await trio.sleep(missed * engine.prefill_s_per_word)
+        await trio.sleep(engine.start_s(prompt))
         for offset in range(prompt.tokens):
             await trio.sleep(engine.step_s())
-            yield engine.word(prompt.text, prompt.position + offset)
+            word = engine.word(prompt.text, prompt.position + offset)
+            text += word
+            yield word
     finally:
         engine.running -= 1
+        # the state of the answer stays in the cache as well
+        engine.cache_prefix(f'{prompt.text} {text}')
 
 
 def _event(body: dict[str, Any], **fields: Any) -> bytes:
@@ -239,6 +268,15 @@
     async def show_counts() -> dict[str, Any]:
         return {'running': engine.running, 'calls': engine.calls}
 
+    @app.post('/kv/export')
+    async def export_state() -> dict[str, str]:
+        prompt = _read_prompt(json.loads(await request.get_data()))
+        words = len(prompt.text.split()) + prompt.position
+        await trio.sleep(kv_transfer_s(words))
+        state = f'state-{time.monotonic_ns()}'
+        engine.kv_states[state] = words
+        return {'state': state}
+
     @app.post('/v1/chat/completions')
     @app.post('/v1/completions')
     async def complete() -> Response | dict[str, Any]:
