--- a/briarrill/coordination/admission.py
+++ b/briarrill/coordination/admission.py
@@ -24,6 +24,9 @@
 # share of the slots that batch leaves free at an online weight of 1.0
 MAX_RESERVED_SHARE = 0.5
 
+# shortest wait that a refusal names
+MIN_RETRY_AFTER_S = 1.0
+
 
 def reserved_slots(slots: int, online_weight: float) -> int:
     """Return the slots that batch leaves free under an online weight."""
@@ -172,9 +175,12 @@
     def _unreachable(self, contract: str) -> DeadlineUnreachableError:
         return DeadlineUnreachableError(
             'the request would finish after its deadline',
-            retry_after_s=self._expected_wait_s(contract),
+            retry_after_s=self._retry_after_s(contract),
         )
 
+    def _retry_after_s(self, contract: str) -> float:
+        return max(MIN_RETRY_AFTER_S, self._expected_wait_s(contract))
+
     def _expected_wait_s(self, contract: str) -> float:
         """Return the wait of a new request; batch yields its slots first."""
         behind = self._waiting.ahead_of(contract) - self.batch_running + 1
@@ -186,7 +192,7 @@
             return
         refusal = OverloadedError(
             'the upstream queue is full',
-            retry_after_s=self._expected_wait_s(contract),
+            retry_after_s=self._retry_after_s(contract),
         )
         displaced = self._waiting.drop_for(contract)
         if displaced is None:
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -194,7 +194,7 @@
     async def _run(self, call: OnlineCall) -> None:
         self._check(call)
         try:
-            with trio.fail_after(call.time_left_s):
+            with trio.fail_after(max(0, call.time_left_s)):
                 await self._run_admitted(call)
         except trio.TooSlowError as exc:
             raise DeadlineExceededError(
@@ -205,7 +205,7 @@
         submit = call.submit
         if not self._sessions.has(call.peer, submit.session):
             STALE_MESSAGES.inc()
-            raise NotReadyError('unknown session')
+            raise NotReadyError('unknown session', retry_after_s=RETRY_AFTER_S)
         if self._readiness.is_draining:
             raise DrainingError(
                 'the upstream is leaving', retry_after_s=RETRY_AFTER_S
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -239,6 +239,7 @@
             await end.wait()
     except (OverloadedError, DeadlineUnreachableError) as exc:
         assert exc.ran is Ran.NO
+        assert exc.retry_after_s >= 1
         log.append(exc)
 
 
