--- /dev/null
+++ b/tests/sidecar/test_preemption.py
@@ -0,0 +1,97 @@
+"""Batch streams that online bursts preempt, resumed where they stopped."""
+
+import contextlib
+import json
+import random
+
+import httpx
+import trio
+
+from briarrill.coordination.admission import Admission
+from briarrill.protocol.messages import BatchItem
+from briarrill.result_codes import ResultCode
+from briarrill.sidecar.batch import BatchRunner
+from briarrill.sidecar.upstreams import Answer, Upstream
+from standins.engine import EngineModel, stream_answer
+
+SEED = 7
+TOKENS = 80
+
+
+class _ModelledUpstream(Upstream):
+    def __init__(self):
+        super().__init__(httpx.AsyncClient())
+        self.engine = EngineModel(('model',), token_s=0.002, seed=SEED)
+        self.starts = 0
+
+    async def fetch_models(self):
+        return self.engine.models
+
+    def split(self, reply):
+        raise NotImplementedError
+
+    @contextlib.asynccontextmanager
+    async def open_call(self, call):
+        self.starts += 1
+        events = stream_answer(self.engine, json.loads(call.body))
+        async with contextlib.aclosing(events):
+            yield Answer(200, 'text/event-stream', events)
+
+
+def _item(index):
+    message = {'role': 'user', 'content': f'Draft section {index}.'}
+    body = {'model': 'model', 'messages': [message], 'max_tokens': TOKENS}
+    return BatchItem(
+        job='job',
+        index=index,
+        epoch=1,
+        contract='kinship',
+        model='model',
+        url='/v1/chat/completions',
+        body=json.dumps(body).encode(),
+    )
+
+
+async def _run_all(upstream, admission):
+    """Run four items; return their texts and token counts by index."""
+    runner = BatchRunner(upstream, admission)
+    answers = {}
+
+    async def run(index):
+        outcome = await runner.run_item(_item(index))
+        assert outcome.code is ResultCode.OK
+        answer = json.loads(outcome.body)
+        answers[index] = (
+            answer['choices'][0]['message']['content'],
+            answer['usage']['completion_tokens'],
+        )
+
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            for index in range(4):
+                nursery.start_soon(run, index)
+    return answers
+
+
+async def test_preempted_items_get_the_same_answers(nursery):
+    undisturbed = await _run_all(_ModelledUpstream(), Admission(2, 8))
+    assert {len(text.split()) for text, _ in undisturbed.values()} == {TOKENS}
+
+    upstream = _ModelledUpstream()
+    admission = Admission(2, 8)
+    rng = random.Random(SEED)
+
+    async def online(contract):
+        async with admission.online_slot(contract):
+            await trio.sleep(rng.uniform(0, 0.01))
+
+    async def send_bursts():
+        while True:
+            await trio.sleep(rng.uniform(0.01, 0.05))
+            for number in range(rng.randint(1, 3)):
+                nursery.start_soon(online, f'contract-{number}')
+
+    nursery.start_soon(send_bursts)
+    assert await _run_all(upstream, admission) == undisturbed
+    assert upstream.starts > 4
+    nursery.cancel_scope.cancel()
