--- a/bench/online/__main__.py
+++ b/bench/online/__main__.py
@@ -1,29 +1,25 @@
 """bench.online: run all figures, or one.
 
 Usage:
-  bench.online [harm | weights | yield | overload | resume]
+  bench.online [harm | yield | overload | resume]
 
-Absolute times hold only for the run. Harm, weights and overload use
-modelled engines, three sidecars a process, over real sockets; yield and
-resume use the stand-in engine over HTTP.
+Absolute times hold only for the run. Harm and overload use modelled
+engines, three sidecars a process, over real sockets; yield and resume use
+the stand-in engine over HTTP.
 """
 
 import trio
 from docopt import docopt
 
-from .figures import measure_harm, measure_overload, measure_weights
+from .figures import measure_harm, measure_overload
 from .resuming import measure_resume
 from .yielding import measure_yield
 
-DEFAULT_WEIGHT = 0.5
-
 
 async def _run(arguments: dict[str, bool]) -> None:
     named = {name for name, is_set in arguments.items() if is_set}
     if 'harm' in named or not named:
-        await measure_harm(DEFAULT_WEIGHT)
-    if 'weights' in named or not named:
-        await measure_weights()
+        await measure_harm()
     if 'yield' in named or not named:
         await measure_yield()
     if 'overload' in named or not named:
--- a/bench/online/figures.py
+++ b/bench/online/figures.py
@@ -11,11 +11,14 @@
 from .replay import Outcome, replay
 from .rig import RigPlan
 
-__all__ = ('measure_harm', 'measure_overload', 'measure_weights', 'say')
+__all__ = ('measure_harm', 'measure_overload', 'say')
 
 # pairs run in turn, A B A B
 PAIRS = 2
 
+# both ends of the policy
+WEIGHTS = (0.0, 1.0)
+
 OVERLOAD_ENGINES = 4
 OVERLOAD_DEADLINE_S = 4.0
 ENDLESS_QUEUE = 1_000_000
@@ -49,72 +52,71 @@
     return outcome
 
 
-async def measure_harm(weight: float) -> None:
-    """Measure online latency with and without batch, and what batch keeps."""
+async def measure_harm() -> None:
+    """Measure online latency with and without batch, and what batch keeps.
+
+    Both ends of the policy's online weight are measured.
+    """
     trace = load_trace('online-bursts')
-    say(f'harm, trace {trace.name}, seed {trace.seed}, weight {weight}')
+    say(f'harm, trace {trace.name}, seed {trace.seed}')
     idle = RigPlan()
-    busy = RigPlan(
-        with_batch=True, reserved=reserved_slots(idle.slots, weight)
-    )
-    pairs = []
+    rounds = []
     for _ in range(PAIRS):
         without = await _run('batch idle', idle, trace)
-        pairs.append((without, await _run('batch saturating', busy, trace)))
+        rounds.append((without, await _run_weights(trace)))
+    busy = attrs.evolve(idle, with_batch=True)
     shared = await _run(
         'one shared queue (baseline)',
         attrs.evolve(busy, admission='shared queue'),
         trace,
     )
-    ceiling = await _run(
-        'batch alone (ceiling)',
-        attrs.evolve(busy, reserved=0),
-        attrs.evolve(trace, arrivals=trace.arrivals[-2:]),
-    )
-    _report_harm(trace, pairs, shared)
-    _report_kept(trace, [pair[1] for pair in pairs], ceiling)
+    alone = attrs.evolve(trace, arrivals=trace.arrivals[-2:])
+    ceiling = await _run('batch alone (ceiling)', busy, alone)
+    baseline = shared.p99_ms / rounds[-1][0].p99_ms
+    say(f'one shared queue: harm {baseline:.2f}')
+    for weight in WEIGHTS:
+        pairs = [(without, busy[weight]) for without, busy in rounds]
+        _report_harm(weight, trace, pairs)
+        _report_kept(weight, trace, [pair[1] for pair in pairs], ceiling)
+
+
+async def _run_weights(trace: Trace) -> dict[float, Outcome]:
+    outcomes = {}
+    for weight in WEIGHTS:
+        reserved = reserved_slots(RigPlan().slots, weight)
+        plan = RigPlan(with_batch=True, reserved=reserved)
+        name = f'batch saturating, online_weight {weight}'
+        outcomes[weight] = await _run(name, plan, trace)
+    return outcomes
 
 
 def _report_harm(
-    trace: Trace, pairs: list[tuple[Outcome, Outcome]], shared: Outcome
+    weight: float, trace: Trace, pairs: list[tuple[Outcome, Outcome]]
 ) -> None:
     target = trace.outcomes['harm_p99_first_token']
     harm = statistics.median(
         busy.p99_ms / without.p99_ms for without, busy in pairs
     )
-    baseline = shared.p99_ms / pairs[-1][0].p99_ms
     say(
-        f'harm to online p99 first token: {harm:.2f} '
-        f'(target {target:.2f}, {_verdict(harm <= target)}; '
-        f'one shared queue {baseline:.2f})'
+        f'harm to online p99 first token, online_weight {weight}: '
+        f'{harm:.2f} (target {target:.2f}, {_verdict(harm <= target)})'
     )
 
 
-def _report_kept(trace: Trace, busy: list[Outcome], ceiling: Outcome) -> None:
+def _report_kept(
+    weight: float, trace: Trace, busy: list[Outcome], ceiling: Outcome
+) -> None:
     target = trace.outcomes['batch_kept']
     kept = statistics.median(
         outcome.batch_rate / (ceiling.batch_rate - outcome.online_rate)
         for outcome in busy
     )
     say(
-        f'batch throughput kept: {kept:.2f} of what online leaves '
-        f'(target {target:.2f}, {_verdict(kept >= target)})'
+        f'batch throughput kept, online_weight {weight}: {kept:.2f} of what '
+        f'online leaves (target {target:.2f}, {_verdict(kept >= target)})'
     )
 
 
-async def measure_weights() -> None:
-    """Measure both ends of the policy's online weight."""
-    trace = load_trace('online-bursts')
-    say(f'online_weight, trace {trace.name}, seed {trace.seed}')
-    for _ in range(PAIRS):
-        for weight in (0.0, 1.0):
-            slots = RigPlan().slots
-            plan = RigPlan(
-                with_batch=True, reserved=reserved_slots(slots, weight)
-            )
-            await _run(f'online_weight {weight}', plan, trace)
-
-
 async def measure_overload() -> None:
     """Measure goodput at the capacity and at twice as many arrivals."""
     capacity = load_trace('online-capacity')
--- a/bench/online/rig.py
+++ b/bench/online/rig.py
@@ -126,8 +126,11 @@
             with trio.fail_after(START_TIMEOUT_S):
                 while len(upstreams.serving(MODEL)) < plan.engines:
                     await trio.sleep(0.05)
-            policy = TwoChoicesPolicy(random.Random(seed))
-            yield Rig(Dispatcher(upstreams, policy, RetryBudgets()), hosts)
+            rng = random.Random(seed)
+            dispatcher = Dispatcher(
+                upstreams, TwoChoicesPolicy(rng), RetryBudgets(), rng
+            )
+            yield Rig(dispatcher, hosts)
             nursery.cancel_scope.cancel()
 
 
