--- a/bench/online/replay.py
+++ b/bench/online/replay.py
@@ -31,7 +31,9 @@
     """What a replay showed.
 
     :param first_token_s: times to the first token.
-    :param in_time: requests that finished before their deadline.
+    :param seconds: time from the first to the last arrival.
+    :param in_time: requests that finished before their deadline and before
+        the last arrival.
     :param refused: requests that were refused without being run.
     """
 
@@ -114,7 +116,8 @@
         outcome.refused += exc.ran.value == 'no'
         outcome.failed += exc.ran.value != 'no'
         return
-    outcome.in_time += time.monotonic() < req.deadline_s
+    has_ended = outcome.seconds > 0
+    outcome.in_time += time.monotonic() < req.deadline_s and not has_ended
 
 
 async def _read_answer(rig: Rig, req: OnlineRequest, outcome: Outcome) -> None:
