--- a/briarrill/coordination/ejection.py
+++ b/briarrill/coordination/ejection.py
@@ -24,11 +24,13 @@
 # an upstream is slow when its first chunks take this many times the median
 SLOW_RATIO = 4.0
 
-# first chunks that are seen before an upstream can be called slow
+# first chunks that are seen before an upstream can be called slow, and of
+# one that was left out before
 MIN_SAMPLES = 10
+MIN_SAMPLES_RETURNING = 2
 
-# first chunks faster than this are never called slow
-SLOW_FLOOR_S = 0.05
+# first chunks faster than this on average are never called slow
+SLOW_FLOOR_S = 0.5
 
 # weight of the newest sample in the moving average
 SAMPLE_WEIGHT = 0.2
@@ -132,7 +134,9 @@
             self._eject(name, health, 'slow')
 
     def _is_slow(self, name: str, health: _Health) -> bool:
-        if health.samples < MIN_SAMPLES:
+        is_returning = bool(health.ejections)
+        needed = MIN_SAMPLES_RETURNING if is_returning else MIN_SAMPLES
+        if health.samples < needed:
             return False
         others = [
             other.first_chunk_s
--- a/briarrill/coordination/routing.py
+++ b/briarrill/coordination/routing.py
@@ -10,6 +10,7 @@
 __all__ = (
     'ROUTING_POLICIES',
     'AffinityPolicy',
+    'BoundedAffinityPolicy',
     'Candidate',
     'RandomPolicy',
     'RoutingPolicy',
@@ -99,7 +100,33 @@
         return super().choose(candidates, prefix_key)
 
 
+class BoundedAffinityPolicy(RoutingPolicy):
+    """The first in the prefix's order whose load is under the bound.
+
+    A prefix that overflows its first upstream goes to the same second one.
+    """
+
+    name = 'bounded-affinity'
+
+    def choose(
+        self, candidates: Sequence[Candidate], prefix_key: str
+    ) -> Candidate:
+        """Return the first under the bound, or the least loaded."""
+        by_name = {candidate.name: candidate for candidate in candidates}
+        mean = sum(candidate.load for candidate in candidates) / len(by_name)
+        bound = max(mean, 1 / len(by_name)) * AFFINITY_LOAD_BOUND
+        for name in rank(prefix_key, by_name):
+            if by_name[name].load <= bound:
+                return by_name[name]
+        return min(candidates, key=lambda candidate: candidate.load)
+
+
 ROUTING_POLICIES = {
     policy.name: policy
-    for policy in (RandomPolicy, TwoChoicesPolicy, AffinityPolicy)
+    for policy in (
+        RandomPolicy,
+        TwoChoicesPolicy,
+        AffinityPolicy,
+        BoundedAffinityPolicy,
+    )
 }
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -12,7 +12,7 @@
 
 from ..control import Control
 from ..coordination.retries import RetryBudgets
-from ..coordination.routing import AffinityPolicy
+from ..coordination.routing import BoundedAffinityPolicy
 from ..errors import (
     BadRequestError,
     BriarrillError,
@@ -108,7 +108,7 @@
         cfg=cfg,
         control=control,
         dispatcher=Dispatcher(
-            upstreams, AffinityPolicy(rng), RetryBudgets(), rng
+            upstreams, BoundedAffinityPolicy(rng), RetryBudgets(), rng
         ),
         limits=Limits(cfg.instance.name, FleetLender(control)),
         copies=SegmentCopies(
