Refuse nobody because of a report, and know at once who holds

A holder learned that it was one only with its first request, so its bucket began empty (red: 1 of 12, now 12).

--- a/bench/allowances.py
+++ b/bench/allowances.py
@@ -94,6 +94,7 @@
         self.membership = Membership(listed)
         self.thawed = trio.Event()
         self.thawed.set()
+        self.awake = self.thawed
         configuration = Configuration(contracts={'c': CONTRACT})
         own = InstanceSettings(
             self.instance.name, self.instance.host, 'a', 'lutruwita'
@@ -138,8 +139,12 @@
 
     lender: FleetLender
 
+    async def run(self) -> None:
+        """Follow no fleet."""
+
     async def borrow(self, borrow: Borrow, contract: Contract) -> Allowance:
         """Lend from the entry's own part."""
+        await trio.lowlevel.checkpoint()
         return self.lender.ledger.lend(borrow, contract, 0, 1 / ENTRIES)
 
 
@@ -197,6 +202,7 @@
 
 
 async def _request(entry: Entry, tally: Tally, hold_s: float) -> None:
+    await entry.awake.wait()
     tally.demand += 1
     try:
         held = await entry.limits.request('c', CONTRACT)
@@ -228,11 +234,21 @@
     _hide(lost, entries)
 
 
+async def _cut_holder(entries: list[Entry]) -> None:
+    """Cut the holder off; it lends to itself and answers others late."""
+    cut = _first_holder(entries)
+    await trio.sleep(FAULT_AT_S)
+    cut.thawed = trio.Event()
+    await trio.sleep(THAW_AT_S - FAULT_AT_S)
+    cut.thawed.set()
+
+
 async def _freeze_holder(entries: list[Entry]) -> None:
-    """Freeze the holder's control port; it answers late."""
+    """Freeze the holder and its requests; it goes on later."""
     frozen = _first_holder(entries)
     await trio.sleep(FAULT_AT_S)
     frozen.thawed = trio.Event()
+    frozen.awake = frozen.thawed
     await trio.sleep(THAW_AT_S - FAULT_AT_S)
     frozen.thawed.set()
 
@@ -264,6 +280,7 @@
     'steady': _no_fault,
     'holder lost': _lose_holder,
     'holder frozen': _freeze_holder,
+    'holder cut off': _cut_holder,
     'two holders': _split_views,
 }
 
--- a/briarrill/entry/lender.py
+++ b/briarrill/entry/lender.py
@@ -31,6 +31,10 @@
     async def borrow(self, borrow: Borrow, contract: Contract) -> Allowance:
         """Return what may be used; never fails."""
 
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Follow the fleet until cancelled."""
+
 
 @attrs.define
 class FleetLender(Lender):
@@ -50,6 +54,16 @@
         """Serve the other entries."""
         self._order = HolderOrder(self.control.instance.name)
         self.control.extra_handlers[Borrow] = self.answer
+        self._refresh()
+
+    async def run(self) -> None:
+        """Take each new instance list when it comes.
+
+        When this entry became the holder decides what it may lend.
+        """
+        while True:
+            self._refresh()
+            await self.control.membership.wait_changed()
 
     async def borrow(self, borrow: Borrow, contract: Contract) -> Allowance:
         """Borrow from the first holder that answers."""
--- a/briarrill/entry/limits.py
+++ b/briarrill/entry/limits.py
@@ -18,7 +18,7 @@
     RequestRateError,
     TokenRateError,
 )
-from ..protocol.messages import Borrow
+from ..protocol.messages import Allowance, Borrow
 from ..state.contracts import Contract
 from .lender import Lender
 
@@ -29,8 +29,8 @@
 # demand is borrowed this long ahead
 AHEAD_S = 0.5
 
-# longest time for which a refusal is repeated without asking the holder
-MAX_REFUSAL_S = 0.1
+# time for which a refusal is repeated without asking the holder
+REFUSAL_S = 0.1
 
 # time between reports of requests in flight that have ended
 REPORT_INTERVAL_S = 0.5
@@ -134,6 +134,11 @@
 
     async def run(self) -> None:
         """Report ended and long requests to the holders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.lender.run)
+            await self._report_use()
+
+    async def _report_use(self) -> None:
         while True:
             await trio.sleep(REPORT_INTERVAL_S)
             self._forget_idle()
@@ -180,23 +185,24 @@
         usage.tokens += allowance.tokens
         usage.in_flight = allowance.in_flight
         usage.lapses_at = usage.asked_at + allowance.duration_s
-        usage.refusal = None
-        if usage.requests < 1:
-            usage.refusal = RequestRateError(
-                'requests_per_second of the contract is reached',
-                retry_after_s=max(0, allowance.retry_after_s),
-            )
-        elif usage.tokens <= 0:
-            debt_s = -usage.tokens / usage.contract.tokens_per_second
-            usage.refusal = TokenRateError(
-                'tokens_per_second of the contract is reached',
-                retry_after_s=allowance.token_retry_after_s + debt_s,
-            )
-        elif usage.in_flight <= usage.in_use:
-            usage.refusal = _in_flight_error()
-        if usage.refusal:
-            wait_s = usage.refusal.retry_after_s or 0
-            usage.refused_until = time.monotonic() + min(wait_s, MAX_REFUSAL_S)
+        usage.refusal = _refusal(usage, allowance) if usage.waiting else None
+        usage.refused_until = time.monotonic() + REFUSAL_S
+
+
+def _refusal(usage: _Usage, allowance: Allowance) -> LimitError | None:
+    """Return why requests that wait are refused."""
+    if usage.requests < 1:
+        return RequestRateError(
+            'requests_per_second of the contract is reached',
+            retry_after_s=max(0, allowance.retry_after_s),
+        )
+    if usage.tokens <= 0:
+        debt_s = -usage.tokens / usage.contract.tokens_per_second
+        return TokenRateError(
+            'tokens_per_second of the contract is reached',
+            retry_after_s=allowance.token_retry_after_s + debt_s,
+        )
+    return _in_flight_error() if usage.in_flight <= usage.in_use else None
 
 
 def _in_flight_error() -> InFlightLimitError:
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -40,6 +40,9 @@
         self.ledger = AllowanceLedger()
         self.calls = []
 
+    async def run(self):
+        """Follow no fleet."""
+
     async def borrow(self, borrow, contract):
         await trio.lowlevel.checkpoint()
         self.calls.append(borrow)
@@ -228,3 +231,24 @@
     )
     assert allowance.requests <= 4
     assert allowance.in_flight <= 4
+
+
+async def test_report_of_ended_requests_brings_no_refusal(lender):
+    """A report asks for nothing, so what it gets is no refusal."""
+    contract = _contract(requests_per_second=100, requests_in_flight=100)
+    limits = Limits('entry-1', lender)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(limits.run)
+        admitted = 0
+        for _ in range(120):
+            admitted += await _admit(limits, contract, 1)
+            await trio.sleep(0.015)
+        nursery.cancel_scope.cancel()
+    assert admitted == 120
+
+
+async def test_holder_of_a_running_fleet_starts_with_a_full_bucket(fleet):
+    lender = fleet.caller.lenders[fleet.holders[0]]
+    await trio.sleep(1.1)
+    limits = Limits(fleet.holders[0], lender)
+    assert await _admit(limits, fleet.contract, 12) == 12
