--- a/briarrill/result_codes.py
+++ b/briarrill/result_codes.py
@@ -29,6 +29,8 @@
     NOT_FOUND = 120
     CONFLICT = 121
     TOO_LARGE = 130
+    HEADERS_TOO_LARGE = 131
+    BODY_TIMEOUT = 132
 
     # a limit of the contract
     REQUEST_RATE = 200
@@ -61,6 +63,7 @@
     PEER_UNREACHABLE = 504
     SEGMENT_LOST = 505
     LEASE_LOST = 506
+    PEER_BUSY = 507
 
     # settings, configuration and messages between processes
     INVALID_SETTINGS = 600
--- a/briarrill/sidecar/service.py
+++ b/briarrill/sidecar/service.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..control import Control
-from ..coordination.admission import Admission
+from ..coordination.admission import Admission, reserved_slots
 from ..protocol.rpc import open_rpc_pool
 from ..runtime import (
     Readiness,
@@ -19,6 +19,7 @@
 from ..transport.instance_list import Instance, Role
 from ..transport.zmq_socket import open_router
 from .batch import BatchPuller, BatchRunner
+from .held_items import HeldItems
 from .online import Identity, OnlineServer
 from .upstreams import UPSTREAMS, Upstream
 
@@ -30,13 +31,21 @@
 # time for peers to hear of the drain before the process ends
 DRAIN_NOTICE_S = 1.0
 
+# time for the last messages to leave the process
+DRAIN_FLUSH_S = 0.2
+
+# admission bounds the calls to the upstream, not the client
+UNBOUNDED = httpx.Limits(max_connections=None)
+
 
 async def run_sidecar(cfg: SidecarSettings) -> None:
     """Run until a stop signal and the drain that follows it."""
     async with (
         open_platform(cfg.platform) as platform,
         open_rpc_pool() as caller,
-        httpx.AsyncClient(base_url=cfg.upstream.url, timeout=None) as client,
+        httpx.AsyncClient(
+            base_url=cfg.upstream.url, timeout=None, limits=UNBOUNDED
+        ) as client,
     ):
         upstream = UPSTREAMS[cfg.upstream.kind](client)
         control = Control(
@@ -75,6 +84,7 @@
     upstream: Upstream
     server: OnlineServer
     pullers: dict[str, BatchPuller] = attrs.field(factory=dict)
+    held: HeldItems = attrs.field(factory=HeldItems)
 
     async def run(self) -> None:
         """Run until drained."""
@@ -92,8 +102,7 @@
             nursery.start_soon(self._follow_models)
             nursery.start_soon(self._follow_batch_processes)
             nursery.start_soon(self._begin_drain_on_signal)
-            await self.control.wait_configured()
-            self.control.readiness.has_started = True
+            nursery.start_soon(self._follow_policy)
             await self._wait_drained()
             nursery.cancel_scope.cancel()
 
@@ -107,10 +116,21 @@
         await trio.sleep(DRAIN_NOTICE_S)
         while self._work_left():
             await trio.sleep(DRAIN_POLL_S)
+        await trio.sleep(DRAIN_FLUSH_S)
 
     def _work_left(self) -> int:
-        held = sum(puller.held for puller in self.pullers.values())
-        return self.server.in_flight + held
+        return self.server.in_flight + len(self.held)
+
+    async def _follow_policy(self) -> None:
+        """Hold back slots from batch as each version says."""
+        admission = self.server.admission
+        holder = self.control.holder
+        await self.control.wait_configured()
+        self.control.readiness.has_started = True
+        while True:
+            weight = holder.current.policy.online_weight
+            admission.reserve(reserved_slots(admission.slots, weight))
+            await holder.wait_changed()
 
     async def _follow_models(self) -> None:
         while True:
@@ -135,7 +155,11 @@
         self, instance: Instance, runner: BatchRunner
     ) -> None:
         puller = BatchPuller(
-            _identity(self.cfg), runner, self.control.readiness
+            _identity(self.cfg),
+            runner,
+            self.control.readiness,
+            instance.name,
+            self.held,
         )
         puller.models = self.server.models
         self.pullers[instance.name] = puller
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -1,6 +1,7 @@
 """A sidecar whose answers a test writes, and an entry's dispatcher."""
 
 import contextlib
+import functools
 import random
 import time
 import types
@@ -30,6 +31,7 @@
 from briarrill.state.settings import InstanceSettings, PortSettings
 from briarrill.transport.instance_list import Instance, Role
 from briarrill.transport.zmq_socket import open_router
+from tests.entry import serving
 
 PORTS = PortSettings()
 SEED = 11
@@ -100,7 +102,11 @@
         if isinstance(message, Hello) and not self.is_silent:
             session = self._peers.setdefault(peer, f'session-{peer.hex()}')
             welcome = Welcome(
-                session, self.name, time.monotonic(), models=('m',)
+                session=session,
+                process=self.name,
+                clock_s=time.monotonic(),
+                load=self.load,
+                models=('m',),
             )
             self._socket.send([peer, *encode(welcome)])
         elif isinstance(message, Submit):
@@ -191,3 +197,8 @@
         )
 
     return make
+
+
+@pytest.fixture
+def serve_entry(network):
+    return functools.partial(serving.serve_entry, network)
