--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -202,3 +202,8 @@
 @pytest.fixture
 def serve_entry(network):
     return functools.partial(serving.serve_entry, network)
+
+
+@pytest.fixture
+def make_instance():
+    return _instance
