Measure the spread and control's cost; fetch the instance list only when it changed

Each process polls the list; at 950 instances of about 150 bytes a second that is ten times a node's 14 kB/s.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,254 @@
+"""bench.control: spread of configuration and what control costs a node.
+
+All processes share one interpreter and one event loop, with a socket pair
+for each connection. Processor time is that of the interpreter, divided by
+the processes; the service and the list are in memory.
+
+Usage:
+  control.py [--seed=N] [--quick]
+
+Options:
+  --seed=N  Seed of lost messages [default: 1].
+  --quick   Fewer processes and shorter windows.
+"""
+
+import gc
+import os
+import pathlib
+import statistics
+import tempfile
+import time
+from collections.abc import Sequence
+
+import attrs
+import trio
+from docopt import docopt
+
+from briarrill.coordination.neighbours import choose_neighbours
+from briarrill.protocol.codec import encode
+from briarrill.protocol.messages import ConfigDigest
+from standins.control_fleet import ControlFleet, open_control_fleet
+from standins.fleet import FleetPlan, open_fleet
+
+NETWORK = '127.159.0'
+DAEMON_NETWORK = '127.159.9'
+DOMAINS = 8
+LOSS = 0.1
+TARGET_S = 2.0
+LIMIT_S = 8.0
+CPU_LIMIT = 0.016
+MEMORY_LIMIT_MB = 256
+BYTES_LIMIT = 14_000
+CHANGES_A_DAY = 260
+DAY_S = 86_400
+SETTLE_S = 4.0
+
+# what TCP/IP and ZeroMQ add to a message each way: two packets of headers
+# with their acknowledgement, and the frames' lengths
+WIRE_OVERHEAD = 180
+
+
+@attrs.frozen
+class Cost:
+    """What one process spends while nothing changes."""
+
+    cpu: float
+    rss_kb: float
+    requests_s: float
+    bytes_s: float
+    key_value_s: float
+    connections: float
+
+
+@attrs.frozen
+class Plan:
+    """Sizes of a run."""
+
+    counts: tuple[int, ...]
+    versions: int
+    window_s: float
+
+
+FULL = Plan((8, 32, 128), 5, 32.0)
+QUICK = Plan((8, 32), 3, 5.0)
+
+
+def main() -> None:
+    """Print all figures."""
+    arguments = docopt(__doc__)
+    seed = int(arguments['--seed'])
+    plan = QUICK if arguments['--quick'] else FULL
+    costs = {}
+    for count in plan.counts:
+        costs[count] = trio.run(_measure, plan, count, seed)
+    _print_slopes(costs)
+    trio.run(_measure_contracts, seed)
+    _measure_choice()
+    _measure_daemons(plan.window_s)
+
+
+async def _measure(plan: Plan, count: int, seed: int) -> Cost:
+    gc.collect()
+    rss_before = _rss_kb()
+    async with open_control_fleet(
+        NETWORK, domains=DOMAINS, seed=seed
+    ) as fleet:
+        await fleet.accept(0)
+        await fleet.add(count)
+        await fleet.wait_version(1)
+        await trio.sleep(SETTLE_S)
+        rss_kb = (_rss_kb() - rss_before) / count
+        cost = await _measure_idle(fleet, plan, rss_kb)
+        for loss in (0.0, LOSS, 0.0, LOSS):
+            fleet.traffic.loss = loss
+            times = await _time_spread(fleet, plan.versions)
+            print(
+                f'in force everywhere: {count} processes,'
+                f' {loss:.0%} of messages lost:'
+                f' median {statistics.median(times):.3f} s,'
+                f' longest {max(times):.3f} s of {len(times)};'
+                f' target {TARGET_S} s, limit {LIMIT_S} s, seed {seed}'
+            )
+    return cost
+
+
+async def _time_spread(fleet: ControlFleet, versions: int) -> list[float]:
+    """Return the times from acceptance until all have the version."""
+    times = []
+    for number in range(versions):
+        start = time.perf_counter()
+        await fleet.wait_version(await fleet.accept(number / versions))
+        times.append(time.perf_counter() - start)
+        await trio.sleep(0.5)
+    return times
+
+
+async def _measure_idle(
+    fleet: ControlFleet, plan: Plan, rss_kb: float
+) -> Cost:
+    count = len(fleet.nodes)
+    calls = fleet.key_value.calls.total()
+    requests = fleet.traffic.requests
+    cpu = time.process_time()
+    start = time.perf_counter()
+    await trio.sleep(plan.window_s)
+    took_s = time.perf_counter() - start
+    requests_s = (fleet.traffic.requests - requests) / took_s / count
+    connections = [len(node.pool) for node in fleet.nodes.values()]
+    # a process sends and answers as many digests as it asks
+    size = sum(map(len, encode(ConfigDigest('127.159.0.100:7131', 1000))))
+    return Cost(
+        cpu=(time.process_time() - cpu) / took_s / count,
+        rss_kb=rss_kb,
+        requests_s=requests_s,
+        bytes_s=requests_s * 2 * 2 * (size + WIRE_OVERHEAD),
+        key_value_s=(fleet.key_value.calls.total() - calls) / took_s,
+        connections=statistics.mean(connections),
+    )
+
+
+def _print_slopes(costs: dict[int, Cost]) -> None:
+    for count, cost in costs.items():
+        print(
+            f'idle cost of a process at {count}: cpu {cost.cpu:.3%}'
+            f' of a core (limit {CPU_LIMIT:.1%}),'
+            f' memory +{cost.rss_kb:.0f} kB (limit {MEMORY_LIMIT_MB} MB'
+            f' with the interpreter), {cost.requests_s:.2f} requests/s,'
+            f' {cost.bytes_s:.0f} bytes/s in and out, reckoned'
+            f' (limit {BYTES_LIMIT}), {cost.connections:.1f} connections;'
+            f' service {cost.key_value_s:.2f} calls/s from all'
+        )
+    counts = list(costs)
+    for name in ('cpu', 'requests_s', 'bytes_s', 'key_value_s'):
+        values = [getattr(cost, name) for cost in costs.values()]
+        print(f'slope against processes: {name} {_slope(counts, values):.3g}')
+
+
+async def _measure_contracts(seed: int) -> None:
+    """Print what a version costs against its number of contracts."""
+    sizes, cpus = (100, 400, 1600), []
+    async with open_control_fleet(
+        NETWORK, domains=DOMAINS, seed=seed
+    ) as fleet:
+        await fleet.accept(0)
+        await fleet.add(16)
+        await fleet.wait_version(1)
+        await trio.sleep(SETTLE_S)
+        for size in sizes:
+            cpu = time.process_time()
+            took = time.perf_counter()
+            await fleet.wait_version(await fleet.accept(0.5, size))
+            took = time.perf_counter() - took
+            used = (time.process_time() - cpu) / len(fleet.nodes)
+            cpus.append(used)
+            stored = len(fleet.nodes[0].control.holder.raw)
+            print(
+                f'version of {size} contracts: record {stored} bytes,'
+                f' {took:.3f} s to 16 processes,'
+                f' cpu {used * 1000:.1f} ms a process; at {CHANGES_A_DAY}'
+                f' a day {used * CHANGES_A_DAY / DAY_S:.4%} of a core,'
+                f' {stored * CHANGES_A_DAY / DAY_S:.0f} bytes/s a copy'
+            )
+            await trio.sleep(1)
+        slope = _slope(sizes, cpus)
+        print(f'slope of cpu against contracts: {slope * 1e6:.1f} us each')
+
+
+def _measure_choice() -> None:
+    """Print what choosing neighbours costs against the fleet's size."""
+    sizes, times = (130, 433, 1300), []
+    fleet = ControlFleet(NETWORK, DOMAINS, 0, None)  # type: ignore[arg-type]
+    for size in sizes:
+        fleet.listed.instances = {
+            str(number): fleet.instance(number) for number in range(size)
+        }
+        processes = fleet.processes()
+        start = time.process_time()
+        for own in processes[:20]:
+            choose_neighbours(own, processes)
+        times.append((time.process_time() - start) / 20)
+        print(f'choice of neighbours among {size}: {times[-1] * 1000:.2f} ms')
+    print(f'slope of the choice: {_slope(sizes, times) * 1e6:.2f} us each')
+
+
+def _measure_daemons(window_s: float) -> None:
+    """Print what idle processes of a small real fleet take."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder)
+        demo = path / 'demo.toml'
+        demo.write_text('', encoding='utf-8')
+        with open_fleet(FleetPlan(DAEMON_NETWORK), path, str(demo)) as fleet:
+            pids = {
+                name: member.process.pid
+                for name, member in fleet.members.items()
+                if name.startswith(('entry', 'batch', 'sidecar'))
+            }
+            before = {name: _cpu_s(pid) for name, pid in pids.items()}
+            time.sleep(window_s)
+            for name, pid in pids.items():
+                cpu = (_cpu_s(pid) - before[name]) / window_s
+                print(
+                    f'idle daemon {name}: cpu {cpu:.3%} of a core,'
+                    f' memory {_rss_kb(pid) / 1000:.0f} MB'
+                )
+
+
+def _cpu_s(pid: int) -> float:
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='utf-8')
+    user, system = text.rpartition(')')[2].split()[11:13]
+    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
+
+def _slope(xs: Sequence[float], ys: Sequence[float]) -> float:
+    return statistics.linear_regression(xs, ys).slope
+
+
+def _rss_kb(pid: int | str = 'self') -> int:
+    path = pathlib.Path(f'/proc/{pid}/status')
+    status = path.read_text(encoding='utf-8')
+    row = next(ln for ln in status.splitlines() if ln.startswith('VmRSS'))
+    return int(row.split()[1])
+
+
+if __name__ == '__main__':
+    main()
--- a/briarrill/transport/instance_list.py
+++ b/briarrill/transport/instance_list.py
@@ -53,19 +53,27 @@
     def __init__(self, client: httpx.AsyncClient) -> None:
         """Keep the client; the caller closes it."""
         self._client = client
+        self._tag = ''
+        self._instances: tuple[Instance, ...] = ()
 
     async def fetch(self) -> tuple[Instance, ...]:
-        """Return all instances.
+        """Return all instances; an unchanged list is not sent again.
 
         :raises PlatformUnavailableError: the list did not answer.
         """
+        known = {'If-None-Match': self._tag} if self._tag else {}
         try:
             reply = await self._client.get(
-                '/instances', timeout=CALL_TIMEOUT_S
-            )
-            reply.raise_for_status()
-            return msgspec.json.decode(
-                reply.content, type=tuple[Instance, ...]
+                '/instances', headers=known, timeout=CALL_TIMEOUT_S
             )
+            if reply.status_code != httpx.codes.NOT_MODIFIED:
+                self._take(reply.raise_for_status())
         except (httpx.HTTPError, msgspec.MsgspecError) as exc:
             raise PlatformUnavailableError(f'instance list: {exc!r}') from exc
+        return self._instances
+
+    def _take(self, reply: httpx.Response) -> None:
+        self._instances = msgspec.json.decode(
+            reply.content, type=tuple[Instance, ...]
+        )
+        self._tag = reply.headers.get('ETag', '')
--- a/standins/control_fleet.py
+++ b/standins/control_fleet.py
@@ -13,15 +13,21 @@
 import attrs
 import trio
 
-from briarrill.control import Control
+from briarrill.control import Control, control_processes
 from briarrill.coordination.acceptance import accept_version, read_head
 from briarrill.coordination.configuration import decode_config_record
+from briarrill.coordination.neighbours import Process
 from briarrill.errors import PeerUnreachableError, PlatformUnavailableError
 from briarrill.protocol.messages import Message
 from briarrill.protocol.rpc import RpcCaller, RpcPool, open_rpc_pool
 from briarrill.runtime import Platform, Readiness
 from briarrill.state.config_file import ConfigFile
-from briarrill.state.contracts import Configuration, Contract, Policy
+from briarrill.state.contracts import (
+    Configuration,
+    Contract,
+    Policy,
+    hash_api_key,
+)
 from briarrill.state.settings import InstanceSettings, PortSettings
 from briarrill.transport.instance_list import Instance, InstanceList, Role
 
@@ -162,6 +168,11 @@
             roles=(Role.UPSTREAM,),
         )
 
+    def processes(self) -> list[Process]:
+        """Return the listed processes."""
+        listed = tuple(self.listed.instances.values())
+        return control_processes(listed, PORTS)
+
     async def add(self, count: int) -> None:
         """List and start processes."""
         numbers = [next(self._numbers) for _ in range(count)]
@@ -244,7 +255,7 @@
     return Configuration(
         contracts={
             f'contract-{number:04d}': Contract(
-                api_key_sha256=(f'{number:064x}',)
+                api_key_sha256=(hash_api_key(str(number)),)
             )
             for number in range(contracts)
         },
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -32,7 +32,10 @@
         now = time.monotonic()
         while len(versions) > 1 and versions[1][0] <= now:
             versions.pop(0)
-        return _json(list(versions[0][1].values()))
+        reply = _json(list(versions[0][1].values()))
+        await reply.add_etag()
+        await reply.make_conditional(request)
+        return reply
 
     @app.put('/instances/<name>')
     async def put(name: str) -> Response:
