--- a/briarrill/ctl/main.py
+++ b/briarrill/ctl/main.py
@@ -1,8 +1,10 @@
 """briarrill.ctl.main: the command line of ``briarrill-ctl``.
 
 Usage:
-  briarrill-ctl [--settings=FILE] apply CONFIG [--base=VERSION]
-  briarrill-ctl [--settings=FILE] get
+  briarrill-ctl [--settings=FILE] apply CONFIG [--base=VERSION] [--wait]
+  briarrill-ctl [--settings=FILE] diff CONFIG [--base=VERSION]
+  briarrill-ctl [--settings=FILE] get [VERSION] [--toml]
+  briarrill-ctl [--settings=FILE] history [--limit=N]
   briarrill-ctl [--settings=FILE] status [--json]
   briarrill-ctl [--settings=FILE] drain HOST ROLE
   briarrill-ctl validate CONFIG
@@ -13,6 +15,9 @@
 Options:
   --settings=FILE  Settings of this command [default: ctl.toml].
   --base=VERSION   Version that the change is based on; the newest by default.
+  --wait           Return when all processes have the version.
+  --toml           Print a file that can be edited and applied.
+  --limit=N        Versions to show [default: 20].
   --json           Print JSON.
 
 Exit codes: 0 done, 1 failed; the message names the result code.
--- a/briarrill/protocol/rpc.py
+++ b/briarrill/protocol/rpc.py
@@ -195,9 +195,16 @@
 @contextlib.asynccontextmanager
 async def open_rpc_pool() -> AsyncIterator[RpcPool]:
     """Open a pool of connections and close them on exit."""
+    failure: BriarrillError | None = None
     async with trio.open_nursery() as nursery:
-        yield RpcPool(nursery)
+        try:
+            yield RpcPool(nursery)
+        except BriarrillError as exc:
+            # raised outside, or the nursery would wrap it in a group
+            failure = exc
         nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
 
 
 async def serve_rpc(
