--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -4,12 +4,14 @@
 
 __all__ = (
     'ADMITTED',
+    'ALLOWANCE_CALLS',
     'BATCH_COMMITS',
     'BATCH_ITEMS',
     'CANCELLED',
     'CONFIG_EXCHANGES',
     'CONFIG_VERSION',
     'DUPLICATES',
+    'EJECTED',
     'KEY_VALUE_CALLS',
     'MALFORMED_MESSAGES',
     'PREEMPTED',
@@ -19,6 +21,11 @@
     'STALE_MESSAGES',
 )
 
+ALLOWANCE_CALLS = Counter(
+    'briarrill_allowance_calls',
+    'Calls to the holders of contracts, by outcome.',
+    ('outcome',),
+)
 ADMITTED = Counter(
     'briarrill_admitted', 'Requests admitted to run.', ('queue',)
 )
@@ -50,6 +57,9 @@
 BATCH_COMMITS = Counter(
     'briarrill_batch_commits', 'Result segments committed.', ('outcome',)
 )
+EJECTED = Counter(
+    'briarrill_ejected', 'Upstreams left out, by reason.', ('reason',)
+)
 KEY_VALUE_CALLS = Counter(
     'briarrill_key_value_calls', 'Calls to the key-value service.', ('call',)
 )
--- a/briarrill/transport/zmq_socket.py
+++ b/briarrill/transport/zmq_socket.py
@@ -11,7 +11,8 @@
 import trio
 import zmq
 
-from ..errors import PeerUnreachableError
+from ..errors import PeerBusyError, PeerUnreachableError
+from .curve import secure_socket
 
 __all__ = ('ZmqSocket', 'open_dealer', 'open_router')
 
@@ -35,6 +36,13 @@
         self._fd: int = zsock.FD
         self._receive_scope: trio.CancelScope | None = None
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether a message would be taken now: the peer is connected."""
+        events = int(self._zsock.get(zmq.EVENTS))
+        self._wake_receiver()
+        return bool(events & zmq.POLLOUT)
+
     async def receive(self) -> list[bytes]:
         """Wait for the next message and return its frames.
 
@@ -50,11 +58,15 @@
     def send(self, frames: Sequence[bytes]) -> None:
         """Queue a message or refuse it at once.
 
-        :raises PeerUnreachableError: the peer is not connected or its queue
-            is full; the message was not sent.
+        :raises PeerBusyError: the peer's queue is full, or no peer is
+            connected to a dealer; the message was not sent.
+        :raises PeerUnreachableError: a router does not know the peer; the
+            message was not sent.
         """
         try:
             self._zsock.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.Again as exc:
+            raise PeerBusyError('not sent: the queue is full') from exc
         except zmq.ZMQError as exc:
             raise PeerUnreachableError(f'not sent: {exc}') from exc
         finally:
@@ -84,6 +96,7 @@
     zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.DEALER)
     zsock.setsockopt(zmq.IMMEDIATE, 1)
     _set_common_options(zsock)
+    secure_socket(zsock, is_server=False)
     try:
         zsock.connect(f'tcp://{host}:{port}')
         yield ZmqSocket(zsock)
@@ -97,6 +110,7 @@
     zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.ROUTER)
     zsock.setsockopt(zmq.ROUTER_MANDATORY, 1)
     _set_common_options(zsock)
+    secure_socket(zsock, is_server=True)
     try:
         zsock.bind(f'tcp://{host}:{port}')
         yield ZmqSocket(zsock)
