Tell a caller that its named call was received before

The entry turned the sidecar's DUPLICATE (406) into OUTCOME_UNKNOWN (403), so a call sent again could not be told from a lost upstream.

--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -15,6 +15,7 @@
     BriarrillError,
     CapacityError,
     DeadlineExceededError,
+    DuplicateError,
     InternalError,
     NoUpstreamError,
     OutcomeUnknownError,
@@ -159,6 +160,8 @@
         self, req: OnlineRequest, exc: BriarrillError, attempts: '_Attempts'
     ) -> None:
         """Raise the final error unless another attempt is allowed."""
+        if isinstance(exc, DuplicateError):
+            raise exc
         if attempts.ran is Ran.UNKNOWN and not req.idempotent:
             raise OutcomeUnknownError(exc.message) from exc
         is_last = attempts.count >= MAX_ATTEMPTS
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -11,6 +11,7 @@
     BriarrillError,
     DeadlineExceededError,
     DrainingError,
+    DuplicateError,
     NoUpstreamError,
     OutcomeUnknownError,
     OverloadedError,
@@ -176,6 +177,22 @@
         assert sum(len(sidecar.submits) for sidecar in sidecars) == 1
 
 
+async def test_call_that_the_sidecar_remembers_is_a_duplicate(
+    open_entry, sidecars, make_request
+):
+    """Before, the caller could not tell it from a lost upstream."""
+    async with open_entry(sidecars) as entry, trio.open_nursery() as nursery:
+        outcome = await _collect(
+            nursery, entry.dispatcher, make_request(idempotent=False)
+        )
+        first, submit = await _first_submit(sidecars)
+        first.finish(submit, code=ResultCode.DUPLICATE, ran=Ran.UNKNOWN)
+        await _ended(outcome)
+        assert isinstance(outcome['error'], DuplicateError)
+        assert outcome['error'].ran is Ran.UNKNOWN
+        assert sum(len(sidecar.submits) for sidecar in sidecars) == 1
+
+
 async def test_refused_non_idempotent_call_runs_elsewhere(
     open_entry, sidecars, make_request
 ):
