--- a/tests/entry/test_bounds.py
+++ b/tests/entry/test_bounds.py
@@ -283,3 +283,14 @@
         error = msgspec.json.decode(second)['error']
         assert first == '1'
         assert (error['code'], error['ran']) == (401, 'unknown')
+
+
+async def test_defect_has_an_error_body_that_claims_nothing(serve_entry):
+    async with serve_entry() as entry, entry.client() as client:
+        entry.dispatcher.make = {}.popitem
+        reply = await client.post(CHAT, json=BODY)
+        error = reply.json()['error']
+        assert reply.status_code == 500
+        assert (error['code'], error['ran']) == (900, 'unknown')
+        entry.dispatcher.make = FakeAnswer
+        assert (await client.post(CHAT, json=BODY)).status_code == 200
