--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -1,5 +1,6 @@
 """briarrill.batch.service: assembles and runs one batch process."""
 
+import pathlib
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -30,6 +31,7 @@
     serve_ops,
     wait_for_stop_signal,
 )
+from ..state.config_file import ConfigFile
 from ..state.contracts import Contract
 from ..state.segment_copies import SegmentCopies
 from ..state.segments import SegmentFolder
@@ -40,7 +42,7 @@
 from .item_sources import ItemSources
 from .job_finder import JobFinder, new_process_name
 from .job_runner import JobRunner
-from .job_store import JobStore, OwnedJob
+from .job_store import JobStore
 from .store_server import StoreServer
 
 __all__ = ('BatchProcess', 'run_batch')
@@ -94,6 +96,7 @@
         platform=platform,
         readiness=Readiness(),
         caller=caller,
+        config_file=ConfigFile(pathlib.Path(cfg.store.folder)),
     )
 
 
@@ -212,14 +215,15 @@
                 self.finder.offer_later(key)
                 continue
             if job is not None:
-                nursery.start_soon(self._run_job, job)
+                runner = JobRunner(job, self.store, self.copies, self.handout)
+                # before the task starts, or a second offer claims it again
+                self.runners[key] = runner
+                nursery.start_soon(self._run_job, runner)
 
-    async def _run_job(self, job: OwnedJob) -> None:
-        runner = JobRunner(job, self.store, self.copies, self.handout)
-        self.runners[job.key] = runner
+    async def _run_job(self, runner: JobRunner) -> None:
         if self.control.readiness.is_draining:
             runner.release()
         try:
             await runner.run()
         finally:
-            self.runners.pop(job.key)
+            self.runners.pop(runner.job)
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 import time
 
 import attrs
@@ -68,24 +69,21 @@
         chosen = sorted(key for key in keys if key > after)
         return [self._find(key) for key in chosen[: limit or None]]
 
-    async def compare_and_swap(self, key, body, *, mod_revision, lease_id=0):
+    async def transact(self, changes):
         await self._begin()
-        if self._revision(key) != mod_revision:
+        if not all(map(self._matches, changes)):
             return None
-        self.store.put(key, body, lease_id)
+        for change in changes:
+            if change.body is None:
+                self.store.entries.pop(change.key, None)
+            else:
+                self.store.put(change.key, change.body, change.lease_id)
         revision = self.store.revision
         if self.store.lose_replies:
             self.store.lose_replies -= 1
             raise WriteUnknownError('reply lost', retry_after_s=RETRY_AFTER_S)
         return revision
 
-    async def delete(self, key, *, mod_revision):
-        await self._begin()
-        if self._revision(key) != mod_revision:
-            return False
-        self.store.entries.pop(key)
-        return True
-
     async def grant_lease(self, ttl_s):
         await self._begin()
         self.store.revision += 1
@@ -105,8 +103,10 @@
         await self._begin()
         self.store.end_lease(lease_id)
 
-    def watch(self, prefix):
-        raise NotImplementedError
+    async def watch(self, prefix):
+        """Follow changes; no test here makes one that is watched."""
+        await trio.sleep_forever()
+        yield
 
     def _find(self, key):
         found = self.store.entries.get(key)
@@ -116,6 +116,10 @@
         found = self._find(key)
         return found.mod_revision if found else 0
 
+    def _matches(self, change):
+        seen = change.mod_revision
+        return seen is None or self._revision(change.key) == seen
+
     async def _begin(self):
         await trio.lowlevel.checkpoint()
         if self.is_cut or self.store.is_down:
@@ -163,3 +167,24 @@
             choice = {'index': 0, 'delta': {'content': word}}
             event = json.dumps({'id': 'x', 'choices': [choice]})
             yield f'data: {event}\n\n'.encode()
+
+
+async def wait_ports_free(host, ports):
+    """Wait for sockets of an earlier member; ZeroMQ closes them later."""
+    with trio.fail_after(5):
+        for port in (
+            ports.batch_items,
+            ports.batch_store,
+            ports.batch_control,
+        ):
+            while not _is_free(host, port):
+                await trio.sleep(0.01)
+
+
+def _is_free(host, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return True
+    return False
--- a/tests/entry/lending.py
+++ b/tests/entry/lending.py
@@ -13,6 +13,9 @@
         self.ledger = AllowanceLedger()
         self.calls = []
 
+    async def run(self):
+        """Follow no fleet."""
+
     async def borrow(self, borrow, contract):
         await trio.lowlevel.checkpoint()
         self.calls.append(borrow)
