--- a/bench/allowances.py
+++ b/bench/allowances.py
@@ -37,7 +37,8 @@
 from briarrill.transport.instance_list import Instance, Role
 
 ENTRIES = 4
-NETWORK = '127.139.1'
+# addresses of a run are not used again, since they may still be closing
+NETWORKS = (f'127.139.{number}' for number in range(1, 250))
 PORTS = PortSettings()
 
 RATE = 100.0
@@ -148,11 +149,11 @@
         return self.lender.ledger.lend(borrow, contract, 0, 1 / ENTRIES)
 
 
-def _listed() -> tuple[Instance, ...]:
+def _listed(network: str) -> tuple[Instance, ...]:
     return tuple(
         Instance(
             f'entry-{number}',
-            f'{NETWORK}.{number + 1}',
+            f'{network}.{number + 1}',
             'a',
             'lutruwita',
             (Role.ENTRY,),
@@ -165,7 +166,8 @@
 async def _open_entries(tally: Tally) -> AsyncIterator[list[Entry]]:
     async with open_rpc_pool() as pool, trio.open_nursery() as nursery:
         _count_calls(pool, tally)
-        entries = [Entry(number, pool, _listed()) for number in range(ENTRIES)]
+        listed = _listed(next(NETWORKS))
+        entries = [Entry(number, pool, listed) for number in range(ENTRIES)]
         for entry in entries:
             await nursery.start(entry.run)
         # a fleet that has run for a while
@@ -261,13 +263,13 @@
     _hide(holder, others[:2])
     await trio.sleep(THAW_AT_S - FAULT_AT_S)
     for entry in others[:2]:
-        entry.membership.update(_listed())
+        entry.membership.update(holder.membership.instances)
 
 
 def _hide(hidden: Entry, entries: list[Entry]) -> None:
     left = tuple(
         instance
-        for instance in _listed()
+        for instance in hidden.membership.instances
         if instance.name != hidden.instance.name
     )
     for entry in entries:
