--- /dev/null
+++ b/tests/batch/test_real_processes.py
@@ -0,0 +1,132 @@
+"""A job through kill -9 of its owner and a sidecar, and a frozen owner."""
+
+import json
+import pathlib
+import time
+
+import httpx
+import pytest
+
+from standins.engine import EngineModel
+from standins.fleet import FleetPlan, open_fleet
+
+EXAMPLES = pathlib.Path(__file__).parent.parent.parent / 'examples'
+ITEMS = 400
+TOKENS = 4
+LEASE_TTL_S = 2
+LIMIT_S = 60.0
+
+
+@pytest.fixture
+def fleet(network, tmp_path):
+    plan = FleetPlan(
+        network=network,
+        domains=('hobart-a', 'launceston-b', 'devonport-c'),
+        entries=3,
+        services=0,
+        token_ms=15.0,
+        lease_ttl_s=LEASE_TTL_S,
+    )
+    configuration = str(EXAMPLES / 'configuration.toml')
+    with open_fleet(plan, tmp_path, configuration) as running:
+        yield running
+
+
+def _prompt(number):
+    return f'Draft section {number}.'
+
+
+def _line(number):
+    body = {
+        'model': 'clause-drafter',
+        'max_tokens': TOKENS,
+        'messages': [{'role': 'user', 'content': _prompt(number)}],
+    }
+    return json.dumps(
+        {
+            'custom_id': str(number),
+            'method': 'POST',
+            'url': '/v1/chat/completions',
+            'body': body,
+        }
+    )
+
+
+def _wait(condition):
+    deadline = time.monotonic() + LIMIT_S
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise AssertionError('waited too long')
+
+
+def _newest_owner(fleet, epoch):
+    """Return the batch process that runs the job under this epoch."""
+    for number in range(fleet.plan.entries):
+        log = fleet.folder / f'entry-{number}.batch.log'
+        for row in log.read_text().splitlines():
+            if '"job:run"' in row and f'"epoch": {epoch}' in row:
+                return fleet.members[f'batch-{number}']
+            if '"job:run"' in row and f'"epoch":{epoch}' in row:
+                return fleet.members[f'batch-{number}']
+    return None
+
+
+def _expected(number):
+    engine = EngineModel(('clause-drafter',), 0.0, seed=1)
+    words = [engine.word(_prompt(number), at) for at in range(TOKENS)]
+    return ''.join(words)
+
+
+def test_each_item_has_one_result_after_every_loss(fleet):
+    client = httpx.Client(
+        base_url=fleet.entry_url(0),
+        headers={'Authorization': 'Bearer demo-key'},
+        timeout=30,
+    )
+    text = '\n'.join(_line(number) for number in range(ITEMS))
+    uploaded = client.post(
+        '/v1/files',
+        files={'file': ('jobs.jsonl', text.encode())},
+        data={'purpose': 'batch'},
+    ).json()
+    job = client.post(
+        '/v1/batches',
+        json={
+            'input_file_id': uploaded['id'],
+            'endpoint': '/v1/chat/completions',
+        },
+    ).json()
+
+    _wait(lambda: _newest_owner(fleet, 1))
+    time.sleep(0.5)
+    killed = _newest_owner(fleet, 1)
+    killed.kill()
+    second = _wait(lambda: _newest_owner(fleet, 2))
+    fleet.members['sidecar-0'].kill()
+    fleet.start_sidecar(0)
+    time.sleep(0.5)
+    # its successor needs a second data folder, so the first one comes back
+    fleet.start_batch(int(killed.name.removeprefix('batch-')))
+    second.freeze()
+    _wait(lambda: _newest_owner(fleet, 3))
+    second.thaw()
+
+    def finished():
+        view = client.get(f'/v1/batches/{job["id"]}').json()
+        return view if view['status'] == 'completed' else None
+
+    view = _wait(finished)
+    assert view['request_counts'] == {
+        'total': ITEMS,
+        'completed': ITEMS,
+        'failed': 0,
+    }
+    content = client.get(f'/v1/files/{view["output_file_id"]}/content')
+    rows = [json.loads(row) for row in content.text.splitlines()]
+    assert sorted(int(row['custom_id']) for row in rows) == list(range(ITEMS))
+    for row in rows:
+        message = row['response']['body']['choices'][0]['message']
+        assert message['content'] == _expected(int(row['custom_id']))
