--- a/tests/batch/test_exactly_once.py
+++ b/tests/batch/test_exactly_once.py
@@ -5,7 +5,10 @@
 import pytest
 import trio
 
+from briarrill.errors import StoreFullError
+from briarrill.result_codes import Ran
 from briarrill.state.job_records import JobState
+from briarrill.state.segments import SegmentFolder
 from tests.batch.world import open_world
 
 ITEMS = 120
@@ -142,3 +145,22 @@
         assert (await world.find()).state is JobState.IN_PROGRESS
         await world.start_batch(number)
         await world.check_whole(await world.wait_final())
+
+
+async def test_full_data_folders_lose_nothing(network, tmp_path, monkeypatch):
+    async with open_world(network, tmp_path) as world:
+        await world.create(ITEMS)
+        await world.wait_runs(ITEMS // 3)
+        with monkeypatch.context() as patch:
+            patch.setattr(SegmentFolder, 'put', _refuse_full)
+            with pytest.raises(StoreFullError) as refused:
+                await world.upload(5, mark='b')
+            assert refused.value.ran is Ran.NO
+            await world.wait_runs(ITEMS)
+            await trio.sleep(0.5)
+            assert (await world.find()).state is JobState.IN_PROGRESS
+        await world.check_whole(await world.wait_final())
+
+
+def _refuse_full(*_):
+    raise StoreFullError('the data folder is full')
