--- a/briarrill/batch/job_runner.py
+++ b/briarrill/batch/job_runner.py
@@ -11,7 +11,7 @@
 from ..metrics import DUPLICATES
 from ..protocol.callers_api import InputLine, parse_input_line, result_line
 from ..protocol.messages import BatchItem, ItemOutcome
-from ..result_codes import Ran, ResultCode
+from ..result_codes import ResultCode
 from ..state.job_records import JobState, SegmentRef
 from ..state.segment_copies import SegmentCopies
 from .handout import Handout
@@ -19,19 +19,15 @@
 from .item_queue import ItemQueue
 from .item_sources import ItemSource
 from .job_store import JobStore, OwnedJob
+from .outcomes import MAX_ITEM_LOSSES, is_retryable, lost_outcome
 from .ownership import Ownership
-from .result_writer import ResultWriter
+from .result_writer import PLATFORM_RETRY_S, ResultWriter
 
 __all__ = ('JobRunner',)
 
 # attempts that fail before an item ends with an error line
 MAX_ITEM_ATTEMPTS = 3
 
-# sidecars lost with an item before it ends with an error line
-MAX_ITEM_LOSSES = 10
-
-PLATFORM_RETRY_S = 1.0
-
 # time between checks whether a stopping job's items have come back
 STOP_POLL_S = 0.05
 
@@ -118,7 +114,7 @@
             return
         held.losses += 1
         if held.losses >= MAX_ITEM_LOSSES:
-            self._record(batch_item.index, _lost_outcome(batch_item))
+            self._record(batch_item.index, lost_outcome(batch_item))
             return
         self._queue.add_first(batch_item)
         self._handout.fill()
@@ -158,7 +154,7 @@
             self._queue.add_retry(held.batch_item, sidecar)
             return
         attempt = held.batch_item.attempt
-        if _is_retryable(outcome):
+        if is_retryable(outcome):
             if outcome.attempt != attempt:
                 DUPLICATES.inc()
                 return
@@ -301,18 +297,3 @@
         )
         self._held[index] = _HeldItem(batch_item, line.custom_id)
         self._queue.add(batch_item)
-
-
-def _is_retryable(outcome: ItemOutcome) -> bool:
-    return outcome.code not in {ResultCode.OK, ResultCode.BAD_REQUEST}
-
-
-def _lost_outcome(batch_item: BatchItem) -> ItemOutcome:
-    return ItemOutcome(
-        job=batch_item.job,
-        index=batch_item.index,
-        epoch=batch_item.epoch,
-        code=ResultCode.UPSTREAM_LOST,
-        ran=Ran.UNKNOWN,
-        message=f'{MAX_ITEM_LOSSES} sidecars were lost with the item',
-    )
--- a/briarrill/batch/result_writer.py
+++ b/briarrill/batch/result_writer.py
@@ -17,7 +17,7 @@
 from .index_set import IndexSet
 from .job_store import JobStore, OwnedJob
 
-__all__ = ('ResultWriter',)
+__all__ = ('PLATFORM_RETRY_S', 'ResultWriter')
 
 # how long a result waits for its commit; grows with the segments that the
 # record names, so a slow job does not fill its record with small ones
@@ -31,6 +31,7 @@
 # bytes that wait to be stored before no more items are handed out
 MAX_BUFFER_SEGMENTS = 4
 
+# between tries of a write to the platform or the data folders
 PLATFORM_RETRY_S = 1.0
 
 
--- /dev/null
+++ b/tests/state/test_job_records.py
@@ -0,0 +1,56 @@
+"""The size of the records that are rewritten with each commit."""
+
+import random
+
+import attrs
+
+from briarrill.batch.index_set import IndexSet
+from briarrill.state.job_records import (
+    JobRecord,
+    Place,
+    ResultSegment,
+    SegmentRef,
+    decode_job_record,
+    encode_record,
+)
+
+ITEMS = 670_000
+SEGMENTS = 1400
+MAX_RECORD_BYTES = 250_000
+SEED = 7
+
+
+def _job(rng):
+    places = tuple(
+        Place(f'entry-{number}', f'10.0.0.{number}', f'domain-{number}')
+        for number in range(2)
+    )
+    results = tuple(
+        ResultSegment(SegmentRef(rng.randbytes(16).hex(), 478, 10**6, places))
+        for _ in range(SEGMENTS)
+    )
+    return JobRecord(
+        job_id='batch-1',
+        contract='kinship',
+        input_file_id='file-1',
+        total=ITEMS,
+        endpoint='/v1/chat/completions',
+        created_at=1,
+        due_at=2,
+        writer='w',
+        results=results,
+    )
+
+
+def test_record_of_the_largest_job_stays_small_in_any_order():
+    """Half of the items are done, spread at random: the largest map."""
+    rng = random.Random(SEED)
+    done = IndexSet(ITEMS)
+    done.add_all(rng.sample(range(ITEMS), ITEMS // 2))
+    job = attrs.evolve(_job(rng), done_map=done.pack())
+    body = encode_record(job)
+    assert len(body) < MAX_RECORD_BYTES
+    assert decode_job_record(body) == job
+    again = IndexSet.unpack(job.done_map, ITEMS)
+    assert len(again) == ITEMS // 2
+    assert all((index in again) == (index in done) for index in range(ITEMS))
