List, show and cancel batch jobs from the operators' shell

The records and notices of jobs moved from the entry to the state layer, so that both binaries use one piece of code. A refused command ended in a traceback: a nursery wraps the error in a group, which the command line did not open. Before: NotFoundError inside two groups; now one line with its code.

--- a/briarrill/ctl/commands.py
+++ b/briarrill/ctl/commands.py
@@ -18,6 +18,7 @@
 )
 from ..transport.instance_list import Instance, Role
 from .configuration import apply, diff, get, history
+from .jobs import cancel_job, list_jobs, show_job
 from .output import say
 from .survey import ask_all
 
@@ -94,11 +95,14 @@
 #: Command word to the coroutine that runs it.
 COMMANDS = {
     'apply': apply,
+    'cancel': cancel_job,
     'diff': diff,
     'drain': drain,
     'get': get,
     'hash-key': hash_key,
     'history': history,
+    'jobs': list_jobs,
+    'show': show_job,
     'status': status,
     'validate': validate,
 }
--- a/briarrill/ctl/main.py
+++ b/briarrill/ctl/main.py
@@ -7,6 +7,9 @@
   briarrill-ctl [--settings=FILE] history [--limit=N]
   briarrill-ctl [--settings=FILE] status [--json]
   briarrill-ctl [--settings=FILE] drain HOST ROLE
+  briarrill-ctl [--settings=FILE] jobs [--all] [--json]
+  briarrill-ctl [--settings=FILE] show CONTRACT JOB [--json]
+  briarrill-ctl [--settings=FILE] cancel CONTRACT JOB [--json]
   briarrill-ctl validate CONFIG
   briarrill-ctl hash-key
   briarrill-ctl --help
@@ -18,12 +21,14 @@
   --wait           Return when all processes have the version.
   --toml           Print a file that can be edited and applied.
   --limit=N        Versions to show [default: 20].
+  --all            Show finished jobs too.
   --json           Print JSON.
 
 Exit codes: 0 done, 1 failed; the message names the result code.
 """
 
 import sys
+from collections.abc import Iterator
 from typing import Any
 
 import trio
@@ -42,9 +47,22 @@
     """Run one command and return its exit code."""
     arguments: dict[str, Any] = docopt(__doc__, version=__version__)
     command = next(name for name in COMMANDS if arguments[name])
+    exit_code = 0
     try:
         trio.run(COMMANDS[command], arguments)
-    except BriarrillError as exc:
-        sys.stderr.write(f'{exc.code.name} ({exc.code:d}): {exc}\n')
-        return EXIT_FAILED
-    return 0
+    except* BriarrillError as group:
+        exit_code = EXIT_FAILED
+        for exc in _leaves(group):
+            sys.stderr.write(f'{exc.code.name} ({exc.code:d}): {exc}\n')
+    return exit_code
+
+
+def _leaves(
+    group: BaseExceptionGroup[BriarrillError],
+) -> Iterator[BriarrillError]:
+    """Yield the errors of a group; a nursery wraps even a single one."""
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            yield from _leaves(exc)
+        else:
+            yield exc
--- /dev/null
+++ b/briarrill/ctl/tables.py
@@ -0,0 +1,34 @@
+"""briarrill.ctl.tables: rows for people or for programs."""
+
+import sys
+from collections.abc import Sequence
+
+import msgspec
+from attrs import AttrsInstance, fields
+
+__all__ = ('print_rows',)
+
+COLUMN_GAP = '  '
+
+
+def print_rows(rows: Sequence[AttrsInstance], *, as_json: bool) -> None:
+    """Print attrs instances of one class as a table or as JSON.
+
+    :param rows: the table has a column for each of their attributes.
+    """
+    if as_json:
+        sys.stdout.write(f'{msgspec.json.encode(rows).decode()}\n')
+        return
+    if not rows:
+        sys.stdout.write('none\n')
+        return
+    names = [field.name for field in fields(type(rows[0]))]
+    table = [names, *(_cells(row, names) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    for cells in table:
+        padded = map(str.ljust, cells, widths)
+        sys.stdout.write(f'{COLUMN_GAP.join(padded).rstrip()}\n')
+
+
+def _cells(row: AttrsInstance, names: list[str]) -> list[str]:
+    return [str(getattr(row, name)) for name in names]
--- a/briarrill/entry/app.py
+++ b/briarrill/entry/app.py
@@ -24,11 +24,11 @@
 from ..ops_app import add_ops_routes
 from ..protocol.callers_api import error_body
 from ..result_codes import Ran
+from ..state.job_directory import JobDirectory
 from ..transport.http_connection import BoundedRequest, PacedConnection
 from .batch_routes import add_batch_routes
 from .context import EntryContext
 from .entrance import add_entrance_checks
-from .jobs import JobDirectory
 from .online_routes import add_online_routes
 from .uploads import UPLOAD_PATH
 
@@ -63,7 +63,7 @@
     add_ops_routes(app, ctx.control.readiness)
     add_entrance_checks(app, ctx)
     add_online_routes(app, ctx)
-    add_batch_routes(app, ctx, JobDirectory(ctx.control, nursery))
+    add_batch_routes(app, ctx, _job_directory(ctx, nursery))
 
     @app.errorhandler(BriarrillError)
     async def refuse(exc: BriarrillError) -> Response:
@@ -101,3 +101,13 @@
         content_type='application/json',
         headers=headers,
     )
+
+
+def _job_directory(ctx: EntryContext, nursery: trio.Nursery) -> JobDirectory:
+    return JobDirectory(
+        key_value=ctx.control.platform.key_value,
+        caller=ctx.control.caller,
+        membership=ctx.control.membership,
+        port=ctx.cfg.ports.batch_store,
+        nursery=nursery,
+    )
--- a/briarrill/entry/batch_routes.py
+++ b/briarrill/entry/batch_routes.py
@@ -13,11 +13,11 @@
 
 from ..errors import BadRequestError, BatchItemsLimitError
 from ..protocol.callers_api import BATCH_ENDPOINTS
+from ..state.job_directory import JobDirectory
 from ..state.job_records import FileRecord, JobRecord, SegmentRef
 from .batch_views import batch_view, file_view, output_job_id
 from .context import Caller, EntryContext, read_body
 from .intake import FileIntake
-from .jobs import JobDirectory
 from .uploads import UPLOAD_PATH, Upload, read_upload
 
 __all__ = ('add_batch_routes',)
--- a/briarrill/entry/jobs.py
+++ b/briarrill/state/job_directory.py
@@ -1,4 +1,4 @@
-"""briarrill.entry.jobs: creates, finds and cancels jobs."""
+"""briarrill.state.job_directory: creates, finds and cancels jobs."""
 
 import uuid
 
@@ -6,7 +6,7 @@
 import trio
 from eliot import log_message
 
-from ..control import Control
+from ..coordination.membership import Membership
 from ..coordination.rendezvous import rank
 from ..errors import (
     BriarrillError,
@@ -17,7 +17,10 @@
     WriteUnknownError,
 )
 from ..protocol.messages import CancelJob, JobNotice, Message
-from ..state.job_records import (
+from ..protocol.rpc import RpcCaller
+from ..transport.instance_list import Role
+from ..transport.key_value import KeyValue, KeyValueService
+from .job_records import (
     FileRecord,
     JobRecord,
     JobState,
@@ -25,9 +28,7 @@
     decode_job_record,
     encode_record,
 )
-from ..state.keys import FILES, JOBS, file_key, job_key, open_job_key
-from ..transport.instance_list import Role
-from ..transport.key_value import KeyValue
+from .keys import FILES, JOBS, file_key, job_key, open_job_key
 
 __all__ = ('JobDirectory',)
 
@@ -43,10 +44,14 @@
 class JobDirectory:
     """Records of files and jobs, and notices to the batch processes.
 
+    :param port: store port of the batch processes.
     :param nursery: runs the notices, which nobody waits for.
     """
 
-    control: Control
+    key_value: KeyValueService
+    caller: RpcCaller
+    membership: Membership
+    port: int
     nursery: trio.Nursery
 
     async def check_available(self) -> None:
@@ -54,12 +59,12 @@
 
         :raises PlatformUnavailableError: new work cannot be recorded now.
         """
-        await self.control.platform.key_value.read(FILES)
+        await self.key_value.read(FILES)
 
     async def create_file(self, record: FileRecord) -> FileRecord:
         """Store a file's record; the same file again is the same record."""
         key = file_key(record.contract, record.file_id)
-        service = self.control.platform.key_value
+        service = self.key_value
         body = encode_record(record)
         if await service.compare_and_swap(key, body, mod_revision=0):
             return record
@@ -71,7 +76,7 @@
         :raises NotFoundError: the contract has no such file.
         """
         key = file_key(contract, file_id)
-        found = await self.control.platform.key_value.read(key)
+        found = await self.key_value.read(key)
         if found is None:
             raise NotFoundError(f'no file {file_id}')
         return decode_file_record(found.body)
@@ -87,7 +92,7 @@
             is safe.
         """
         key = job_key(job.contract, job.job_id)
-        service = self.control.platform.key_value
+        service = self.key_value
         await self._write_index(key, job)
         body = encode_record(job)
         if await service.compare_and_swap(key, body, mod_revision=0):
@@ -107,7 +112,7 @@
         self, contract: str, *, after: str, limit: int
     ) -> list[JobRecord]:
         """Return some jobs of a contract in the order of their names."""
-        found = await self.control.platform.key_value.read_prefix(
+        found = await self.key_value.read_prefix(
             f'{JOBS}{contract}/',
             after=job_key(contract, after) if after else '',
             limit=limit,
@@ -134,7 +139,7 @@
 
     async def _write_index(self, key: str, job: JobRecord) -> None:
         try:
-            await self.control.platform.key_value.compare_and_swap(
+            await self.key_value.compare_and_swap(
                 open_job_key(key), str(job.created_at).encode(), mod_revision=0
             )
         except WriteUnknownError as exc:
@@ -153,14 +158,14 @@
         return found
 
     async def _replace(self, found: KeyValue, job: JobRecord) -> bool:
-        written = await self.control.platform.key_value.compare_and_swap(
+        written = await self.key_value.compare_and_swap(
             found.key, encode_record(job), mod_revision=found.mod_revision
         )
         return written is not None
 
     async def _read(self, contract: str, job_id: str) -> KeyValue:
         key = job_key(contract, job_id)
-        found = await self.control.platform.key_value.read(key)
+        found = await self.key_value.read(key)
         if found is None:
             raise NotFoundError(f'no batch job {job_id}')
         return found
@@ -191,16 +196,13 @@
         """Return the batch processes, the job's likely owner first."""
         hosts = {
             instance.name: instance.host
-            for instance in self.control.membership.live(Role.BATCH)
+            for instance in self.membership.live(Role.BATCH)
         }
         return [hosts[name] for name in rank(job.contract, hosts)]
 
     async def _notify(self, host: str, message: Message) -> bool:
-        port = self.control.ports.batch_store
         try:
-            await self.control.caller.call(
-                host, port, message, NOTICE_TIMEOUT_S
-            )
+            await self.caller.call(host, self.port, message, NOTICE_TIMEOUT_S)
         except BriarrillError as exc:
             log_message('job:notice-lost', reason=exc.message)
             return False
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -22,7 +22,6 @@
 from briarrill.coordination.leases import Lease
 from briarrill.coordination.membership import Membership
 from briarrill.entry.intake import FileIntake
-from briarrill.entry.jobs import JobDirectory
 from briarrill.errors import PeerUnreachableError, PlatformUnavailableError
 from briarrill.protocol.rpc import open_rpc_pool
 from briarrill.runtime import Platform, Readiness
@@ -30,6 +29,7 @@
 from briarrill.sidecar.held_items import HeldItems
 from briarrill.sidecar.online import Identity
 from briarrill.state.contracts import Configuration, Contract, Model
+from briarrill.state.job_directory import JobDirectory
 from briarrill.state.job_records import JobRecord
 from briarrill.state.segment_copies import SegmentCopies
 from briarrill.state.settings import (
@@ -119,7 +119,13 @@
         self.caller = caller
         self.client = FakeClient(self.store)
         self.control = self._control(self.instances[0], self.client)
-        self.directory = JobDirectory(self.control, nursery)
+        self.directory = JobDirectory(
+            key_value=self.client,
+            caller=caller,
+            membership=self.control.membership,
+            port=PORTS.batch_store,
+            nursery=nursery,
+        )
         self.segments = SegmentCopies(
             caller=caller,
             membership=self.control.membership,
--- a/tests/entry/serving.py
+++ b/tests/entry/serving.py
@@ -160,6 +160,7 @@
         holder=types.SimpleNamespace(current=CONFIGURATION),
         readiness=readiness,
         platform=types.SimpleNamespace(key_value=key_value),
+        caller=None,
         membership=types.SimpleNamespace(live=lambda role: ()),
     )
     ctx = EntryContext(
