--- a/briarrill/ctl/commands.py
+++ b/briarrill/ctl/commands.py
@@ -16,6 +16,7 @@
     find_binary,
     load_settings,
 )
+from ..transport.curve import make_curve_keys
 from ..transport.instance_list import Instance, Role
 from .configuration import apply, diff, get, history
 from .jobs import cancel_job, list_jobs, show_job
@@ -39,6 +40,14 @@
     say(f'valid: {len(cfg.contracts)} contracts')
 
 
+async def curve_keys(_arguments: Arguments) -> None:
+    """Print new keys of a fleet, as a table for every settings file."""
+    keys = make_curve_keys()
+    say('[curve]')
+    say(f"public_key = '{keys.public_key}'")
+    say(f"secret_key = '{keys.secret_key}'")
+
+
 async def hash_key(_arguments: Arguments) -> None:
     """Print the hash of an API key read from standard input."""
     say(hash_api_key(sys.stdin.readline().strip()))
@@ -96,6 +105,7 @@
 COMMANDS = {
     'apply': apply,
     'cancel': cancel_job,
+    'curve-keys': curve_keys,
     'diff': diff,
     'drain': drain,
     'get': get,
--- a/briarrill/ctl/main.py
+++ b/briarrill/ctl/main.py
@@ -12,6 +12,7 @@
   briarrill-ctl [--settings=FILE] cancel CONTRACT JOB [--json]
   briarrill-ctl validate CONFIG
   briarrill-ctl hash-key
+  briarrill-ctl curve-keys
   briarrill-ctl --help
   briarrill-ctl --version
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -108,7 +108,10 @@
 def _show_time_line(fleet: Fleet) -> None:
     _say('\n== the time line of all processes')
     call = 'import sys; from briarrill.timeline.main import main; main()'
-    subprocess.run([sys.executable, '-c', call, *fleet.logs], check=True)
+    show = [sys.executable, '-c', call]
+    subprocess.run([*show, *fleet.logs], check=True)
+    page = f'--html={fleet.folder / "time-line.html"}'
+    subprocess.run([*show, page, *fleet.logs], check=True)
 
 
 def _run_demo(fleet: Fleet) -> None:
