Judge a passed deadline against the pool, not as a failure

Under overload deadlines pass at all upstreams; three in a row left out an upstream, up to half of the pool on top of the overload (red: after 12 passed deadlines some of three upstreams got none of the next 12). It now counts as a slow first chunk, which is compared with the others.

--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -119,26 +119,29 @@
         link = self._choose(req, attempts.tried)
         attempts.tried.add(link.name)
         call = link.submit(req, attempts.count)
-        began = time.monotonic()
         try:
             with self._judged(req.target, link.name):
                 first = await _next_chunk(call, req.deadline_s)
         except BaseException:
             call.cancel()
             raise
-        self._ejector(req.target).record_first_chunk(
-            link.name, time.monotonic() - began
-        )
         return OpenAnswer(call, first, req.deadline_s)
 
     @contextlib.contextmanager
     def _judged(self, target: str, upstream: str) -> Iterator[None]:
-        """Count a failure of the upstream, but not its refusals."""
+        """Count the first chunk or failure of the upstream, no refusal."""
+        ejector = self._ejector(target)
+        began = time.monotonic()
         try:
             yield
-        except (UpstreamLostError, UpstreamFailedError, DeadlineExceededError):
-            self._ejector(target).record_failure(upstream)
+        except (UpstreamLostError, UpstreamFailedError):
+            ejector.record_failure(upstream)
+            raise
+        except DeadlineExceededError:
+            # slow is judged against the others: all are under overload
+            ejector.record_first_chunk(upstream, time.monotonic() - began)
             raise
+        ejector.record_first_chunk(upstream, time.monotonic() - began)
 
     def _ejector(self, target: str) -> Ejector:
         return self._ejectors.setdefault(target, Ejector(self._rng))
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -349,3 +349,24 @@
         assert outcome['error'].ran is Ran.UNKNOWN
         assert (await first.next_cancel()).request_id == submit.request_id
         assert not any(other.submits for other in _others(sidecars, first))
+
+
+async def test_deadlines_that_pass_everywhere_eject_nothing(
+    open_entry, sidecars, make_request
+):
+    """Under overload half of the pool would be left out on top of it."""
+    async with open_entry(sidecars) as entry:
+        for number in range(12):
+            req = make_request(f'{number}', deadline_s=time.monotonic() + 0.05)
+            with pytest.raises(DeadlineExceededError):
+                await entry.dispatcher.open(req)
+        before = [len(sidecar.submits) for sidecar in sidecars]
+        assert min(before) > 0
+        for number in range(12):
+            req = make_request(
+                f'again-{number}', deadline_s=time.monotonic() + 0.05
+            )
+            with pytest.raises(DeadlineExceededError):
+                await entry.dispatcher.open(req)
+        after = [len(sidecar.submits) for sidecar in sidecars]
+        assert all(now > then for now, then in zip(after, before, strict=True))
