--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -215,11 +215,12 @@
                 self.finder.offer_later(key)
                 continue
             if job is not None:
-                nursery.start_soon(self._run_job, job)
+                # noted before the task starts: the job may be offered twice
+                runner = JobRunner(job, self.store, self.copies, self.handout)
+                self.runners[job.key] = runner
+                nursery.start_soon(self._run_job, job, runner)
 
-    async def _run_job(self, job: OwnedJob) -> None:
-        runner = JobRunner(job, self.store, self.copies, self.handout)
-        self.runners[job.key] = runner
+    async def _run_job(self, job: OwnedJob, runner: JobRunner) -> None:
         if self.control.readiness.is_draining:
             runner.release()
         try:
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -68,24 +68,21 @@
         chosen = sorted(key for key in keys if key > after)
         return [self._find(key) for key in chosen[: limit or None]]
 
-    async def compare_and_swap(self, key, body, *, mod_revision, lease_id=0):
+    async def transact(self, changes):
         await self._begin()
-        if self._revision(key) != mod_revision:
+        if not all(map(self._matches, changes)):
             return None
-        self.store.put(key, body, lease_id)
+        for change in changes:
+            if change.body is None:
+                self.store.entries.pop(change.key, None)
+            else:
+                self.store.put(change.key, change.body, change.lease_id)
         revision = self.store.revision
-        if self.store.lose_replies:
+        if self.store.lose_replies and changes[0].body is not None:
             self.store.lose_replies -= 1
             raise WriteUnknownError('reply lost', retry_after_s=RETRY_AFTER_S)
         return revision
 
-    async def delete(self, key, *, mod_revision):
-        await self._begin()
-        if self._revision(key) != mod_revision:
-            return False
-        self.store.entries.pop(key)
-        return True
-
     async def grant_lease(self, ttl_s):
         await self._begin()
         self.store.revision += 1
@@ -106,12 +103,16 @@
         self.store.end_lease(lease_id)
 
     def watch(self, prefix):
-        raise NotImplementedError
+        """Offer no watches: readers fall back to their other ways."""
+        raise PlatformUnavailableError('no watches')
 
     def _find(self, key):
         found = self.store.entries.get(key)
         return found[0] if found else None
 
+    def _matches(self, change):
+        return change.mod_revision in {None, self._revision(change.key)}
+
     def _revision(self, key):
         found = self._find(key)
         return found.mod_revision if found else 0
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -18,8 +18,8 @@
 from briarrill.batch.job_store import JobStore
 from briarrill.batch.service import BatchProcess, _ContractFinder
 from briarrill.control import Control
+from briarrill.coordination.acceptance import accept_version
 from briarrill.coordination.admission import Admission
-from briarrill.coordination.configuration import accept_version
 from briarrill.coordination.leases import Lease
 from briarrill.coordination.membership import Membership
 from briarrill.entry.intake import FileIntake
