--- a/briarrill/control.py
+++ b/briarrill/control.py
@@ -101,8 +101,8 @@
     holder: ConfigHolder = attrs.field(factory=ConfigHolder)
     membership: Membership = attrs.field(factory=Membership)
     load: Callable[[], LoadReport] = _no_load
-    extra_handlers: HandlerTable = attrs.field(factory=dict)
     config_file: ConfigFile | None = None
+    extra_handlers: HandlerTable = attrs.field(factory=dict)
     _spread: Spread = attrs.field(init=False)
     _has_first: trio.Event = attrs.field(factory=trio.Event, init=False)
 
--- a/briarrill/ctl/commands.py
+++ b/briarrill/ctl/commands.py
@@ -10,7 +10,12 @@
 from ..protocol.rpc import open_rpc_pool
 from ..runtime import open_platform
 from ..state.contracts import hash_api_key, load_configuration
-from ..state.settings import CtlSettings, load_settings
+from ..state.settings import (
+    SETTINGS_BY_BINARY,
+    CtlSettings,
+    find_binary,
+    load_settings,
+)
 from ..transport.instance_list import Instance, Role
 from .configuration import apply, diff, get, history
 from .output import say
@@ -22,8 +27,14 @@
 
 
 async def validate(arguments: Arguments) -> None:
-    """Check a configuration file."""
-    cfg = load_configuration(arguments['CONFIG'])
+    """Check a configuration file, or a settings file of any binary."""
+    path = arguments['CONFIG']
+    binary = find_binary(path)
+    if binary:
+        load_settings(path, SETTINGS_BY_BINARY[binary])
+        say(f'valid: settings of briarrill-{binary}')
+        return
+    cfg = load_configuration(path)
     say(f'valid: {len(cfg.contracts)} contracts')
 
 
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 import time
 
 import attrs
@@ -102,9 +103,10 @@
         await self._begin()
         self.store.end_lease(lease_id)
 
-    def watch(self, prefix):
-        """Offer no watches: readers fall back to their other ways."""
-        raise PlatformUnavailableError('no watches')
+    async def watch(self, prefix):
+        """Follow changes; no test here makes one that is watched."""
+        await trio.sleep_forever()
+        yield
 
     def _find(self, key):
         found = self.store.entries.get(key)
@@ -117,6 +119,10 @@
         found = self._find(key)
         return found.mod_revision if found else 0
 
+    def _matches(self, change):
+        seen = change.mod_revision
+        return seen is None or self._revision(change.key) == seen
+
     async def _begin(self):
         await trio.lowlevel.checkpoint()
         if self.is_cut or self.store.is_down:
@@ -164,3 +170,24 @@
             choice = {'index': 0, 'delta': {'content': word}}
             event = json.dumps({'id': 'x', 'choices': [choice]})
             yield f'data: {event}\n\n'.encode()
+
+
+async def wait_ports_free(host, ports):
+    """Wait for sockets of an earlier member; ZeroMQ closes them later."""
+    with trio.fail_after(5):
+        for port in (
+            ports.batch_items,
+            ports.batch_store,
+            ports.batch_control,
+        ):
+            while not _is_free(host, port):
+                await trio.sleep(0.01)
+
+
+def _is_free(host, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return True
+    return False
