--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -1,5 +1,6 @@
 """briarrill.batch.service: assembles and runs one batch process."""
 
+import pathlib
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -30,6 +31,7 @@
     serve_ops,
     wait_for_stop_signal,
 )
+from ..state.config_file import ConfigFile
 from ..state.contracts import Contract
 from ..state.segment_copies import SegmentCopies
 from ..state.segments import SegmentFolder
@@ -94,6 +96,7 @@
         platform=platform,
         readiness=Readiness(),
         caller=caller,
+        config_file=ConfigFile(pathlib.Path(cfg.store.folder)),
     )
 
 
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -7,7 +7,7 @@
 
 from ..control import Control
 from ..coordination.retries import RetryBudgets
-from ..coordination.routing import AffinityPolicy
+from ..coordination.routing import BoundedAffinityPolicy
 from ..protocol.rpc import open_rpc_pool
 from ..runtime import Readiness, open_platform, wait_for_stop_signal
 from ..state.segment_copies import SegmentCopies
@@ -96,7 +96,7 @@
         cfg=cfg,
         control=control,
         dispatcher=Dispatcher(
-            upstreams, AffinityPolicy(rng), RetryBudgets(), rng
+            upstreams, BoundedAffinityPolicy(rng), RetryBudgets(), rng
         ),
         limits=Limits(cfg.instance.name, FleetLender(control)),
         copies=SegmentCopies(
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -17,8 +17,8 @@
 from briarrill.batch.job_store import JobStore
 from briarrill.batch.service import BatchProcess, _ContractFinder
 from briarrill.control import Control
+from briarrill.coordination.acceptance import accept_version
 from briarrill.coordination.admission import Admission
-from briarrill.coordination.configuration import accept_version
 from briarrill.coordination.leases import Lease
 from briarrill.coordination.membership import Membership
 from briarrill.entry.intake import FileIntake
@@ -55,6 +55,7 @@
 CONTRACT = 'kinship'
 PORTS = PortSettings()
 FAR_FUTURE = 10**10
+UNUSED_URL = 'http://127.0.0.1:1'
 
 
 @attrs.define
@@ -267,8 +268,8 @@
         control = self._control(instance, client)
         cfg = BatchSettings(
             instance=control.instance,
-            platform=PlatformSettings('', '', 0.2),
-            log=LogSettings(''),
+            platform=PlatformSettings(UNUSED_URL, UNUSED_URL, 0.2),
+            log=LogSettings('unused.log'),
             metrics=HttpSettings(9103),
             store=StoreSettings(
                 str(self.folder / f'data-{number}'), self.copies
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -7,6 +7,7 @@
 import trio
 
 from briarrill.control import Control
+from briarrill.coordination.allowances import AllowanceLedger
 from briarrill.coordination.membership import Membership
 from briarrill.coordination.rendezvous import rank
 from briarrill.entry.lender import FleetLender
@@ -28,6 +29,9 @@
 
 ENTRIES = ('entry-1', 'entry-2', 'entry-3')
 
+# a ledger with this clock earns nothing during a test
+FROZEN_CLOCK_S = 1000.0
+
 
 def _contract(**fields):
     return Contract(api_key_sha256=(), **fields)
@@ -51,11 +55,12 @@
 
 
 async def test_entries_together_admit_what_one_bucket_holds(lender):
+    lender.ledger = AllowanceLedger(lambda: FROZEN_CLOCK_S)
     contract = _contract(requests_per_second=20, requests_in_flight=1000)
     admitted = [
         await _admit(Limits(name, lender), contract, 40) for name in ENTRIES
     ]
-    assert 20 <= sum(admitted) <= 22
+    assert sum(admitted) == 20
 
 
 async def test_whole_limit_is_usable_at_one_entry(lender):
@@ -65,6 +70,7 @@
 
 
 async def test_refusal_says_when_to_come_back(lender):
+    lender.ledger = AllowanceLedger(lambda: FROZEN_CLOCK_S)
     contract = _contract(requests_per_second=2)
     limits = Limits('entry-1', lender)
     await _admit(limits, contract, 2)
@@ -161,7 +167,7 @@
     )
     for name in ENTRIES:
         control = Control(
-            instance=InstanceSettings(name, name, 'hobart-a', 'lutruwita'),
+            instance=InstanceSettings(name, '127.0.0.1', 'a', 'r'),
             role=Role.ENTRY,
             ports=PortSettings(),
             platform=None,
@@ -215,3 +221,24 @@
     )
     assert allowance.requests <= 4
     assert allowance.in_flight <= 4
+
+
+async def test_report_of_ended_requests_brings_no_refusal(lender):
+    """A report asks for nothing, so what it gets is no refusal."""
+    contract = _contract(requests_per_second=100, requests_in_flight=100)
+    limits = Limits('entry-1', lender)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(limits.run)
+        admitted = 0
+        for _ in range(120):
+            admitted += await _admit(limits, contract, 1)
+            await trio.sleep(0.015)
+        nursery.cancel_scope.cancel()
+    assert admitted == 120
+
+
+async def test_holder_of_a_running_fleet_starts_with_a_full_bucket(fleet):
+    lender = fleet.caller.lenders[fleet.holders[0]]
+    await trio.sleep(1.1)
+    limits = Limits(fleet.holders[0], lender)
+    assert await _admit(limits, fleet.contract, 12) == 12
--- /dev/null
+++ b/tests/sidecar/test_service.py
@@ -0,0 +1,49 @@
+"""What a sidecar does with the configuration in force."""
+
+import msgspec
+from trio.testing import wait_all_tasks_blocked
+
+from briarrill.control import Control
+from briarrill.coordination.admission import Admission
+from briarrill.coordination.configuration import ConfigRecord
+from briarrill.runtime import Readiness
+from briarrill.sidecar.online import Identity, OnlineServer
+from briarrill.sidecar.service import _Sidecar
+from briarrill.state.contracts import (
+    Configuration,
+    Policy,
+    encode_configuration,
+)
+from briarrill.transport.instance_list import Role
+
+
+def _record(version, online_weight):
+    policy = Policy(online_weight=online_weight)
+    return msgspec.json.encode(
+        ConfigRecord(
+            version=version,
+            parent=version - 1,
+            writer='writer',
+            author='operator',
+            created_at=0,
+            body=encode_configuration(Configuration(policy=policy)),
+        )
+    )
+
+
+async def test_online_weight_of_each_version_acts_on_batch(nursery):
+    readiness = Readiness()
+    control = Control(None, Role.UPSTREAM, None, None, readiness, None)
+    admission = Admission(slots=8, queue=4)
+    server = OnlineServer(None, Identity('u'), None, admission, readiness)
+    sidecar = _Sidecar(None, control, None, server)
+    nursery.start_soon(sidecar._follow_policy)
+    await wait_all_tasks_blocked()
+    assert not readiness.is_ready
+    seen = []
+    for version, weight in enumerate((1.0, 0.0, 0.5), start=1):
+        control.holder.take(_record(version, weight))
+        await wait_all_tasks_blocked()
+        seen.append(admission.batch_capacity)
+    assert seen == [4, 8, 6]
+    assert readiness.is_ready
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -32,6 +32,7 @@
 from briarrill.sidecar.batch import BatchPuller
 from briarrill.sidecar.held_items import HeldItems
 from briarrill.sidecar.online import Identity, OnlineServer
+from briarrill.state.contracts import Contract
 from briarrill.state.settings import InstanceSettings
 from briarrill.tracing import continue_trace
 from briarrill.transport.instance_list import Instance, Role
@@ -145,7 +146,7 @@
 
 async def test_batch_socket_of_the_batch_process(address):
     with open_router(*address) as router, open_dealer(*address) as peer:
-        handout = Handout(router, ItemSources({}.get))
+        handout = Handout(router, ItemSources(lambda _name: Contract(())))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(handout.run)
             before = await _send_garbage(peer)
