--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -131,6 +131,7 @@
         """Start all processes and wait until they are ready."""
         self.start_platform()
         self.start_daemons()
+        self._wait_daemons('healthz')
         self.run_ctl('apply', configuration)
         self.wait_ready()
         self._check_running()
@@ -218,13 +219,7 @@
 
     def wait_ready(self) -> None:
         """Wait until all processes of briarrill are ready."""
-        for number in range(self.plan.entries):
-            _wait_answering(f'{self.entry_url(number)}/readyz')
-            host = self._entry_host(number)
-            _wait_answering(f'http://{host}:{BATCH_METRICS_PORT}/readyz')
-        for number in range(self.plan.engines + self.plan.services):
-            host = self._upstream_host(number)
-            _wait_answering(f'http://{host}:{METRICS_PORT}/readyz')
+        self._wait_daemons('readyz')
 
     def run_ctl(self, *words: str) -> str:
         """Run an operator's command and return what it printed."""
@@ -260,6 +255,16 @@
         """Set the fault switches of a stand-in; the others go off."""
         httpx.put(f'{base_url}/faults', json=faults).raise_for_status()
 
+    def _wait_daemons(self, path: str) -> None:
+        """Wait until a path answers at all processes of briarrill."""
+        for number in range(self.plan.entries):
+            _wait_answering(f'{self.entry_url(number)}/{path}')
+            host = self._entry_host(number)
+            _wait_answering(f'http://{host}:{BATCH_METRICS_PORT}/{path}')
+        for number in range(self.plan.engines + self.plan.services):
+            host = self._upstream_host(number)
+            _wait_answering(f'http://{host}:{METRICS_PORT}/{path}')
+
     def _check_running(self) -> None:
         """Raise when a process ended, such as on a port in use."""
         for name, member in self.members.items():
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -54,6 +54,7 @@
 
 CONTRACT = 'kinship'
 PORTS = PortSettings()
+UNUSED_URL = 'http://127.0.0.1'
 FAR_FUTURE = 10**10
 UNUSED_URL = 'http://127.0.0.1:1'
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -10,28 +10,40 @@
 PORT = 8083
 
 
-def _app(release):
+def _app(entered, release):
     app = QuartTrio('test')
 
     @app.get('/slow')
     async def slow():
+        entered.set()
         await release.wait()
         return 'whole'
 
     return app
 
 
+async def _wait_listening(host):
+    while True:
+        try:
+            stream = await trio.open_tcp_stream(host, PORT)
+        except OSError:
+            await trio.sleep(0.01)
+        else:
+            return await stream.aclose()
+
+
 @pytest.mark.parametrize(
     ('graceful_s', 'is_whole'), [(10, True), (0.1, False)]
 )
 async def test_stop_waits_for_running_requests(network, graceful_s, is_whole):
     """The bound decides whether a request outlasts the stop."""
-    host, stop, release = f'{network}.1', trio.Event(), trio.Event()
+    host, stop = f'{network}.1', trio.Event()
+    entered, release = trio.Event(), trio.Event()
     bounds = HttpBounds(graceful_s=graceful_s)
     texts = []
 
     async def call():
-        async with httpx.AsyncClient(trust_env=False) as client:
+        async with httpx.AsyncClient(trust_env=False, timeout=20) as client:
             try:
                 reply = await client.get(f'http://{host}:{PORT}/slow')
             except httpx.HTTPError:
@@ -41,15 +53,21 @@
     with trio.fail_after(20):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                serve_app, _app(release), host, PORT, stop.wait, bounds
+                serve_app,
+                _app(entered, release),
+                host,
+                PORT,
+                stop.wait,
+                bounds,
             )
-            await trio.sleep(0.3)
+            await _wait_listening(host)
             nursery.start_soon(call)
-            await trio.sleep(0.3)
+            await entered.wait()
             stop.set()
             await trio.sleep(1)
             release.set()
-    assert texts == (['whole'] if is_whole else [])
+    wanted = ['whole'] if is_whole else []
+    assert texts == wanted
 
 
 async def test_port_in_use_is_an_error_at_the_start(network):
