--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -56,6 +56,7 @@
 PORTS = PortSettings()
 UNUSED_URL = 'http://127.0.0.1'
 FAR_FUTURE = 10**10
+UNUSED_URL = 'http://127.0.0.1:1'
 
 
 @attrs.define
