--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -112,9 +112,6 @@
         found = self.store.entries.get(key)
         return found[0] if found else None
 
-    def _matches(self, change):
-        return change.mod_revision in {None, self._revision(change.key)}
-
     def _revision(self, key):
         found = self._find(key)
         return found.mod_revision if found else 0
