Keep the pulls of idle sidecars from growing with the batch processes

Each sidecar asked each batch process without work once a second: 350 pulls a second from a sidecar at 350 processes, 600 at a process before 600 sidecars (computed). It now sends five a second however many there are and tells when the next one comes; a sidecar is forgotten after three that it missed, but items handed to an idle one come back after 3 s as before. A puller ends when its process has left the list; before, it stayed for good.

--- a/briarrill/batch/handout.py
+++ b/briarrill/batch/handout.py
@@ -26,6 +26,9 @@
 # silence after which a sidecar's items are handed out again
 PULLER_TIMEOUT_S = 3.0
 
+# pulls that a sidecar without items may miss before it is forgotten
+MAX_MISSED_PULLS = 3
+
 CHECK_INTERVAL_S = 0.25
 
 ItemKey = tuple[str, int]
@@ -46,6 +49,13 @@
         held = max(len(self.outstanding), self.pull.held)
         return self.pull.wanted - held
 
+    @property
+    def timeout_s(self) -> float:
+        """Return the silence after which it counts as lost."""
+        if self.outstanding:
+            return PULLER_TIMEOUT_S
+        return max(PULLER_TIMEOUT_S, self.pull.next_in_s * MAX_MISSED_PULLS)
+
     def remove_job(self, job: str) -> list[BatchItem]:
         """Remove and return the outstanding items of a job."""
         keys = [key for key in self.outstanding if key[0] == job]
@@ -98,7 +108,7 @@
     async def run(self) -> None:
         """Receive messages until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._drop_silent)
+            nursery.start_soon(self._watch_silence)
             while True:
                 peer, *frames = await self._socket.receive()
                 try:
@@ -113,6 +123,13 @@
         for puller in list(self._pullers.values()):
             self._fill(puller)
 
+    def drop_silent(self) -> None:
+        """Forget sidecars that are silent for too long."""
+        now = time.monotonic()
+        for puller in list(self._pullers.values()):
+            if now - puller.seen_at > puller.timeout_s:
+                self._drop(puller, 'silent')
+
     def _dispatch(self, peer: bytes, message: Message) -> None:
         if isinstance(message, Pull):
             self._take_pull(peer, message)
@@ -151,6 +168,7 @@
 
     def _fill(self, puller: _Puller) -> None:
         chosen = []
+        was_idle = not puller.outstanding
         while puller.room > 0:
             batch_item = self._sources.next_item(
                 puller.pull.models, puller.pull.process
@@ -159,6 +177,9 @@
                 break
             puller.outstanding[batch_item.job, batch_item.index] = batch_item
             chosen.append(batch_item)
+        if chosen and was_idle:
+            # its silence counts from here: it may have been long before
+            puller.seen_at = time.monotonic()
         if chosen:
             self._send_assign(puller, chosen)
 
@@ -173,13 +194,10 @@
         except PeerUnreachableError:
             self._drop(puller, 'unreachable')
 
-    async def _drop_silent(self) -> None:
+    async def _watch_silence(self) -> None:
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            oldest = time.monotonic() - PULLER_TIMEOUT_S
-            for puller in list(self._pullers.values()):
-                if puller.seen_at < oldest:
-                    self._drop(puller, 'silent')
+            self.drop_silent()
 
     def _drop(self, puller: _Puller, reason: str) -> None:
         """Forget a sidecar and take its items back."""
--- a/briarrill/protocol/messages/batch.py
+++ b/briarrill/protocol/messages/batch.py
@@ -42,6 +42,7 @@
     :param wanted: items that the sidecar is willing to hold from this
         process, those already assigned included.
     :param held: items of this process that the sidecar holds.
+    :param next_in_s: seconds until its next pull at the latest.
     """
 
     session: str
@@ -50,6 +51,7 @@
     models: tuple[str, ...]
     service: str = ''
     held: int = 0
+    next_in_s: float = 1.0
 
 
 @attrs.frozen
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -36,6 +36,9 @@
 # between pulls from a process that hands out nothing
 IDLE_PULL_INTERVAL_S = 1.0
 
+# between pulls from any two such processes, however many there are
+IDLE_PULL_SPACING_S = 0.2
+
 # outcomes kept for a process that does not answer
 MAX_UNSENT_OUTCOMES = 1000
 
@@ -139,6 +142,8 @@
 class BatchPuller:
     """Pulls items from one batch process and returns their outcomes.
 
+    ``processes`` is the number of batch processes that are pulled from.
+
     :param owner: name of the batch process's instance.
     :param held: items held from all batch processes.
     """
@@ -153,6 +158,7 @@
     ) -> None:
         """Start without items."""
         self.models: tuple[str, ...] = ()
+        self.processes = 1
         self.owner = owner
         self._identity = identity
         self._runner = runner
@@ -237,10 +243,16 @@
         while True:
             self._send_unsent()
             self._send_pull()
-            is_idle = not self.held
-            await trio.sleep(
-                IDLE_PULL_INTERVAL_S if is_idle else PULL_INTERVAL_S
-            )
+            await trio.sleep(self._interval_s())
+
+    def _interval_s(self) -> float:
+        """Return the time to the next pull.
+
+        Pulls from idle processes do not grow with their number.
+        """
+        if self.held:
+            return PULL_INTERVAL_S
+        return max(IDLE_PULL_INTERVAL_S, self.processes * IDLE_PULL_SPACING_S)
 
     def _send_pull(self) -> None:
         self._send(
@@ -251,6 +263,7 @@
                 models=self.models,
                 service=self._identity.service,
                 held=self.held,
+                next_in_s=self._interval_s(),
             )
         )
 
--- a/briarrill/sidecar/service.py
+++ b/briarrill/sidecar/service.py
@@ -28,6 +28,9 @@
 MODEL_POLL_S = 1.0
 DRAIN_POLL_S = 0.05
 
+# between looks whether a batch process has left the list
+GONE_CHECK_S = 1.0
+
 # time for peers to hear of the drain before the process ends
 DRAIN_NOTICE_S = 1.0
 
@@ -163,4 +166,22 @@
         )
         puller.models = self.server.models
         self.pullers[instance.name] = puller
-        await puller.run(instance.host, self.cfg.ports.batch_items)
+        self._share_pulls()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_when_gone, puller, nursery)
+            await puller.run(instance.host, self.cfg.ports.batch_items)
+        self.pullers.pop(instance.name)
+        self._share_pulls()
+
+    def _share_pulls(self) -> None:
+        for puller in self.pullers.values():
+            puller.processes = len(self.pullers)
+
+    async def _end_when_gone(
+        self, puller: BatchPuller, nursery: trio.Nursery
+    ) -> None:
+        """End a puller whose process has left the list and owns no item."""
+        membership = self.control.membership
+        while membership.find(puller.owner) or puller.held:
+            await trio.sleep(GONE_CHECK_S)
+        nursery.cancel_scope.cancel()
