--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 READY := $(VENV)/.ready
 
 .PHONY: demo fleet test lint format lock
-.PHONY: bench-overhead bench-online bench-batch bench-control
+.PHONY: bench-overhead bench-token_cost bench-online bench-routing
+.PHONY: bench-allowances bench-batch bench-control
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,7 +23,7 @@
 test: $(READY)
 	$(BIN)/python -m pytest
 
-bench-overhead bench-online bench-batch bench-control: bench-%: $(READY)
+bench-overhead bench-token_cost bench-online bench-routing bench-allowances bench-batch bench-control: bench-%: $(READY)
 	$(BIN)/python -m bench.$*
 
 lint: $(READY)
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -82,7 +82,8 @@
     sys.stdout.flush()
 
 
-def _client(url: str) -> httpx.AsyncClient:
+def open_client(url: str) -> httpx.AsyncClient:
+    """Return a client of an entry or engine."""
     return httpx.AsyncClient(
         base_url=url,
         headers={'Authorization': f'Bearer {API_KEY}'},
@@ -92,7 +93,8 @@
     )
 
 
-def _body(number: int, tokens: int) -> dict[str, Any]:
+def make_body(number: int, tokens: int) -> dict[str, Any]:
+    """Return the body of a streamed completion."""
     prompt = f'Draft the handover clause, case {number}.'
     return {
         'model': MODEL,
@@ -107,7 +109,7 @@
 ) -> None:
     arrivals: list[float] = []
     started = time.perf_counter()
-    body = _body(number, TOKENS)
+    body = make_body(number, TOKENS)
     async with client.stream('POST', PATH, json=body) as reply:
         reply.raise_for_status()
         async for line in reply.aiter_lines():
@@ -123,7 +125,7 @@
 ) -> list[Timing]:
     """Send requests at random times and return their timings."""
     found: list[Timing] = []
-    async with _client(url) as client, trio.open_nursery() as nursery:
+    async with open_client(url) as client, trio.open_nursery() as nursery:
         for number in range(WARM_UP_REQUESTS + requests):
             nursery.start_soon(_time_call, client, number, found)
             await trio.sleep(rng.expovariate(rate))
@@ -183,20 +185,21 @@
 ) -> None:
     """Send one request after the other; count answers and refusals."""
     while time.monotonic() < deadline:
-        reply = await client.post(PATH, json=_body(sum(counts), 1))
+        reply = await client.post(PATH, json=make_body(sum(counts), 1))
         counts[0 if reply.is_success else 1] += 1
 
 
 async def _load(url: str, seconds: float) -> list[int]:
     counts = [0, 0]
     deadline = time.monotonic() + seconds
-    async with _client(url) as client, trio.open_nursery() as nursery:
+    async with open_client(url) as client, trio.open_nursery() as nursery:
         for _ in range(LOAD_STREAMS):
             nursery.start_soon(_load_worker, client, deadline, counts)
     return counts
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Return the processor seconds that a process has spent."""
     fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')')[-1]
     user, system = fields.split()[11:13]
     return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
@@ -206,14 +209,14 @@
     pid = fleet.members['entry-0'].process.pid
     command = [sys.executable, '-m', 'bench.overhead', 'client']
     command += [fleet.entry_url(0), str(LOAD_SECONDS)]
-    cpu, started = _cpu_s(pid), time.monotonic()
+    cpu, started = cpu_s(pid), time.monotonic()
     clients = [
         subprocess.Popen(command, stdout=subprocess.PIPE)
         for _ in range(LOAD_PROCESSES)
     ]
     counts = [json.loads(client.communicate()[0]) for client in clients]
     done, refused = (sum(column) for column in zip(*counts, strict=True))
-    took, cpu = time.monotonic() - started, _cpu_s(pid) - cpu
+    took, cpu = time.monotonic() - started, cpu_s(pid) - cpu
     _say(
         f'highest rate of one entry: {done / LOAD_SECONDS:.0f} '
         f'requests/s of one token, streamed, {refused} refused; entry at '
--- /dev/null
+++ b/bench/token_cost.py
@@ -0,0 +1,156 @@
+"""bench.token_cost: processor time of entry and sidecar for each token.
+
+Usage:
+  token_cost [--seed=N] [--rate=N] [--seconds=N]
+
+Short and long answers take turns in one run, at the same rate of requests.
+The difference between them gives the cost of a token, the rest that of a
+request; an idle part gives what a process spends without requests.
+
+Options:
+  --seed=N     Seed of the arrivals [default: 1].
+  --rate=N     Requests a second at the entry [default: 10].
+  --seconds=N  Seconds of each part [default: 8].
+"""
+
+import pathlib
+import random
+import sys
+import tempfile
+import time
+from typing import Any
+
+import attrs
+import httpx
+import trio
+from docopt import docopt
+
+from standins.fleet import Fleet, FleetPlan, open_fleet
+
+from .overhead import CONFIGURATION, MS, PATH, cpu_s, make_body, open_client
+
+NETWORK = '127.118.0'
+SHORT_TOKENS = 1
+LONG_TOKENS = 129
+PAIRS = 2
+TOKEN_MS = 10.0
+PROCESSES = ('entry-0', 'sidecar-0')
+IDLE_S = 10.0
+
+
+@attrs.define
+class Spent:
+    """Processor seconds of one process and the requests they served."""
+
+    seconds: float = 0.0
+    requests: int = 0
+
+    @property
+    def per_request_s(self) -> float:
+        """Return the seconds for each request."""
+        return self.seconds / self.requests
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+async def _call(client: httpx.AsyncClient, number: int, tokens: int) -> None:
+    body = make_body(number, tokens)
+    async with client.stream('POST', PATH, json=body) as reply:
+        reply.raise_for_status()
+        await reply.aread()
+
+
+async def _run_part(
+    url: str, rate: float, seconds: float, tokens: int, rng: random.Random
+) -> int:
+    """Send requests at random times; return how many."""
+    count = 0
+    ends_at = time.monotonic() + seconds
+    async with open_client(url) as client, trio.open_nursery() as nursery:
+        while time.monotonic() < ends_at:
+            nursery.start_soon(_call, client, count, tokens)
+            count += 1
+            await trio.sleep(rng.expovariate(rate))
+    return count
+
+
+def _cpu_of(fleet: Fleet) -> dict[str, float]:
+    return {name: cpu_s(fleet.members[name].process.pid) for name in PROCESSES}
+
+
+def _measure_idle(fleet: Fleet) -> dict[str, float]:
+    """Return the part of a core that each process spends without work."""
+    before = _cpu_of(fleet)
+    time.sleep(IDLE_S)
+    after = _cpu_of(fleet)
+    return {name: (after[name] - before[name]) / IDLE_S for name in PROCESSES}
+
+
+def _measure(fleet: Fleet, arguments: dict[str, Any]) -> None:
+    rate, seconds = float(arguments['--rate']), float(arguments['--seconds'])
+    idle = _measure_idle(fleet)
+    spent = {
+        (name, tokens): Spent()
+        for name in PROCESSES
+        for tokens in (SHORT_TOKENS, LONG_TOKENS)
+    }
+    for pair in range(PAIRS):
+        for tokens in (SHORT_TOKENS, LONG_TOKENS):
+            rng = random.Random(int(arguments['--seed']) + pair)
+            before, started = _cpu_of(fleet), time.monotonic()
+            count = trio.run(
+                _run_part, fleet.entry_url(0), rate, seconds, tokens, rng
+            )
+            took, after = time.monotonic() - started, _cpu_of(fleet)
+            for name in PROCESSES:
+                work_s = after[name] - before[name] - idle[name] * took
+                spent[name, tokens].seconds += work_s
+                spent[name, tokens].requests += count
+    for name in PROCESSES:
+        _report(name, idle[name], spent)
+
+
+def _report(
+    name: str, idle: float, spent: dict[tuple[str, int], Spent]
+) -> None:
+    short, long = spent[name, SHORT_TOKENS], spent[name, LONG_TOKENS]
+    extra_tokens = LONG_TOKENS - SHORT_TOKENS
+    token_s = (long.per_request_s - short.per_request_s) / extra_tokens
+    request_s = short.per_request_s - token_s * SHORT_TOKENS
+    _say(
+        f'{name}: {token_s * MS:.3f} ms of processor time a token, '
+        f'{request_s * MS:.2f} ms a request, idle {idle:.2%} of a core; '
+        f'{short.requests} and {long.requests} requests'
+    )
+
+
+def main() -> int:
+    """Run the bench."""
+    arguments: dict[str, Any] = docopt(__doc__)
+    _say(
+        f'seed {arguments["--seed"]}, {arguments["--rate"]} requests/s, '
+        f'{TOKEN_MS} ms between tokens of a stream'
+    )
+    plan = FleetPlan(
+        network=NETWORK,
+        entries=1,
+        engines=1,
+        services=0,
+        slots=64,
+        token_ms=TOKEN_MS,
+        list_poll_s=1.0,
+    )
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        configuration = folder / 'configuration.toml'
+        configuration.write_text(CONFIGURATION)
+        with open_fleet(plan, folder, str(configuration)) as fleet:
+            _measure(fleet, arguments)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -53,6 +53,7 @@
     http_host: str = ''
     lease_ttl_s: int = 3
     list_lag_s: float = 0.0
+    list_poll_s: float = 0.25
 
 
 @attrs.define
@@ -311,7 +312,7 @@
         return {
             'key_value_url': self.key_value_url,
             'instance_list_url': self.instance_list_url,
-            'instance_poll_s': 0.25,
+            'instance_poll_s': self.plan.list_poll_s,
         }
 
     def _settings(self, instance: dict[str, Any], role: str) -> dict[str, Any]:
