Decode or count in one place, and open both kinds of socket in one

The receive loop of three processes and the entry's link each had the same five lines around decode; open_dealer and open_router repeated their options and clean-up.

--- a/briarrill/batch/handout.py
+++ b/briarrill/batch/handout.py
@@ -7,9 +7,9 @@
 import trio
 from eliot import log_message
 
-from ..errors import MalformedMessageError, PeerUnreachableError
+from ..errors import PeerUnreachableError
 from ..metrics import DUPLICATES, MALFORMED_MESSAGES
-from ..protocol.codec import decode, encode
+from ..protocol.codec import decode_or_count, encode
 from ..protocol.messages import (
     Assign,
     BatchItem,
@@ -111,12 +111,9 @@
             nursery.start_soon(self._watch_silence)
             while True:
                 peer, *frames = await self._socket.receive()
-                try:
-                    message = decode(frames)
-                except MalformedMessageError:
-                    MALFORMED_MESSAGES.inc()
-                    continue
-                self._dispatch(peer, message)
+                message = decode_or_count(frames)
+                if message is not None:
+                    self._dispatch(peer, message)
 
     def fill(self) -> None:
         """Hand out items to all sidecars that have room."""
--- a/briarrill/entry/links.py
+++ b/briarrill/entry/links.py
@@ -7,12 +7,11 @@
 
 from ..coordination.deadlines import PeerClock
 from ..errors import (
-    MalformedMessageError,
     NoUpstreamError,
     PeerUnreachableError,
 )
-from ..metrics import MALFORMED_MESSAGES, STALE_MESSAGES
-from ..protocol.codec import decode, encode
+from ..metrics import STALE_MESSAGES
+from ..protocol.codec import decode_or_count, encode
 from ..protocol.messages import (
     CancelCall,
     Chunk,
@@ -165,11 +164,7 @@
             self._cancel_at_peer(key)
 
     def _receive(self, frames: list[bytes]) -> None:
-        try:
-            message = decode(frames)
-        except MalformedMessageError:
-            MALFORMED_MESSAGES.inc()
-            return
+        message = decode_or_count(frames)
         if isinstance(message, (Chunk, Finish)):
             self._deliver(message)
         elif isinstance(message, Welcome):
--- a/briarrill/protocol/codec.py
+++ b/briarrill/protocol/codec.py
@@ -15,9 +15,16 @@
     InternalError,
     MalformedMessageError,
 )
+from ..metrics import MALFORMED_MESSAGES
 from .messages import Failure, Finish, Message
 
-__all__ = ('decode', 'encode', 'error_from', 'failure_from')
+__all__ = (
+    'decode',
+    'decode_or_count',
+    'encode',
+    'error_from',
+    'failure_from',
+)
 
 _TYPES_BY_NAME = {
     cls.__name__.encode(): cls for cls in Message.__subclasses__()
@@ -64,6 +71,15 @@
     return decoded
 
 
+def decode_or_count(frames: Sequence[bytes]) -> Message | None:
+    """Return the message of the frames; count and drop a malformed one."""
+    try:
+        return decode(frames)
+    except MalformedMessageError:
+        MALFORMED_MESSAGES.inc()
+        return None
+
+
 def failure_from(exc: BriarrillError) -> Failure:
     """Return the message that carries an error to the peer."""
     return Failure(
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -9,9 +9,9 @@
 import trio
 
 from ..coordination.admission import Admission
-from ..errors import MalformedMessageError, PeerUnreachableError
+from ..errors import PeerUnreachableError
 from ..metrics import BATCH_ITEMS, DUPLICATES, MALFORMED_MESSAGES, RESUMED
-from ..protocol.codec import decode, encode
+from ..protocol.codec import decode_or_count, encode
 from ..protocol.messages import (
     Assign,
     BatchItem,
@@ -183,12 +183,9 @@
                 nursery.start_soon(self._send_pulls)
                 while True:
                     frames = await socket.receive()
-                    try:
-                        message = decode(frames)
-                    except MalformedMessageError:
-                        MALFORMED_MESSAGES.inc()
-                        continue
-                    self._dispatch(nursery, message)
+                    message = decode_or_count(frames)
+                    if message is not None:
+                        self._dispatch(nursery, message)
 
     def _dispatch(self, nursery: trio.Nursery, message: Message) -> None:
         if isinstance(message, Assign):
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -12,7 +12,6 @@
     DrainingError,
     DuplicateError,
     InternalError,
-    MalformedMessageError,
     NotReadyError,
     PeerUnreachableError,
     SlowReaderError,
@@ -24,7 +23,7 @@
     MALFORMED_MESSAGES,
     STALE_MESSAGES,
 )
-from ..protocol.codec import decode
+from ..protocol.codec import decode_or_count
 from ..protocol.messages import (
     CancelCall,
     Finish,
@@ -97,12 +96,9 @@
             nursery.start_soon(self._send_heartbeats)
             while True:
                 peer, *frames = await self._socket.receive()
-                try:
-                    message = decode(frames)
-                except MalformedMessageError:
-                    MALFORMED_MESSAGES.inc()
-                    continue
-                self._dispatch(nursery, peer, message)
+                message = decode_or_count(frames)
+                if message is not None:
+                    self._dispatch(nursery, peer, message)
 
     def announce(self) -> None:
         """Send a heartbeat to all sessions now."""
--- a/briarrill/transport/zmq_socket.py
+++ b/briarrill/transport/zmq_socket.py
@@ -105,33 +105,32 @@
     Messages are refused while the peer is down instead of being kept for
     its successor, so nothing stale is delivered after a restart.
     """
-    zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.DEALER)
-    zsock.setsockopt(zmq.IMMEDIATE, 1)
-    _set_common_options(zsock)
-    secure_socket(zsock, is_server=False)
-    try:
+    with _open_socket(zmq.DEALER) as zsock:
+        zsock.setsockopt(zmq.IMMEDIATE, 1)
+        secure_socket(zsock, is_server=False)
         zsock.connect(f'tcp://{host}:{port}')
         yield ZmqSocket(zsock)
-    finally:
-        zsock.close()
 
 
 @contextlib.contextmanager
 def open_router(host: str, port: int) -> Iterator[ZmqSocket]:
     """Bind a router and close it on exit."""
-    zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.ROUTER)
-    zsock.setsockopt(zmq.ROUTER_MANDATORY, 1)
-    _set_common_options(zsock)
-    secure_socket(zsock, is_server=True)
-    try:
+    with _open_socket(zmq.ROUTER) as zsock:
+        zsock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        secure_socket(zsock, is_server=True)
         zsock.bind(f'tcp://{host}:{port}')
         yield ZmqSocket(zsock)
-    finally:
-        zsock.close()
 
 
-def _set_common_options(zsock: zmq.Socket[bytes]) -> None:
+@contextlib.contextmanager
+def _open_socket(kind: int) -> Iterator[zmq.Socket[bytes]]:
+    """Create a socket with the options of both kinds; close it on exit."""
+    zsock: zmq.Socket[bytes] = zmq.Context.instance().socket(kind)
     zsock.setsockopt(zmq.LINGER, 0)
     zsock.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
     zsock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     zsock.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
+    try:
+        yield zsock
+    finally:
+        zsock.close()
