--- a/bench/online/rig.py
+++ b/bench/online/rig.py
@@ -157,7 +157,7 @@
 
 
 def _link(number: int) -> UpstreamLink:
-    own = InstanceSettings('entry-0', NETWORK, 'sofia-a', 'bg-sofia')
+    own = InstanceSettings('entry-0', f'{NETWORK}.1', 'sofia-a', 'bg-sofia')
     instance = Instance(
         name=f'upstream-{number}',
         host=sidecar_host(number),
