Refuse with an engine's error instead of relaying it as an answer

A streamed answer begins with status 200 before the engine's status is known at the entry, so an engine's 404 or 500 stood in the stream as if it were an answer. The sidecar now turns an engine's error into one of ours: 4xx is BAD_REQUEST and final, 429 OVERLOADED, 5xx UPSTREAM_FAILED and retried for idempotent requests. Answers of plain services are relayed as before.

--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -13,6 +13,7 @@
 from ..coordination.routing import RoutingPolicy
 from ..errors import (
     BriarrillError,
+    CallerError,
     CapacityError,
     DeadlineExceededError,
     DuplicateError,
@@ -204,6 +205,8 @@
 def _is_retryable(req: OnlineRequest, exc: BriarrillError) -> bool:
     if exc.code in _FINAL_CODES or time.monotonic() >= req.deadline_s:
         return False
+    if isinstance(exc, CallerError):
+        return False
     if exc.ran is Ran.NO:
         return True
     # a refusal that follows a lost attempt speaks for both of them
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -252,6 +252,7 @@
             ) from exc
 
     async def _relay_answer(self, call: OnlineCall, answer: Answer) -> None:
+        await self._upstream.check(answer)
         call.ran = Ran.YES
         call.http_status = answer.http_status
         call.content_type = answer.content_type
--- a/briarrill/sidecar/upstreams/base.py
+++ b/briarrill/sidecar/upstreams/base.py
@@ -7,10 +7,24 @@
 import attrs
 import httpx
 
-from ...errors import BadRequestError
+from ...errors import (
+    BadRequestError,
+    OverloadedError,
+    UpstreamFailedError,
+)
+from ...result_codes import Ran
 
 __all__ = ('Answer', 'Call', 'Upstream')
 
+HTTP_BAD_REQUEST = 400
+HTTP_TOO_MANY = 429
+HTTP_SERVER_ERROR = 500
+
+# of an upstream's error, shown to the caller
+MAX_REASON_BYTES = 500
+
+RETRY_AFTER_S = 1.0
+
 
 @attrs.frozen
 class Call:
@@ -44,6 +58,9 @@
 
     kind = ''
 
+    #: whether an answer with an error status goes to the caller as it is
+    relays_errors = True
+
     def __init__(self, client: httpx.AsyncClient) -> None:
         """Keep the client; the caller closes it."""
         self.client = client
@@ -52,6 +69,23 @@
     async def fetch_models(self) -> tuple[str, ...]:
         """Return the models that the upstream serves now."""
 
+    async def check(self, answer: Answer) -> None:
+        """Turn an error that must not be relayed into one of ours.
+
+        :raises BriarrillError: what the caller gets instead of the answer.
+        """
+        status = answer.http_status
+        if self.relays_errors or status < HTTP_BAD_REQUEST:
+            return
+        parts = [chunk async for chunk in answer.chunks]
+        reason = b''.join(parts)[:MAX_REASON_BYTES].decode(errors='replace')
+        message = f'the upstream answered {status}: {reason.strip()}'
+        if status == HTTP_TOO_MANY:
+            raise OverloadedError(message, retry_after_s=RETRY_AFTER_S)
+        if status < HTTP_SERVER_ERROR:
+            raise BadRequestError(message)
+        raise UpstreamFailedError(message, ran=Ran.UNKNOWN)
+
     @abc.abstractmethod
     def split(self, reply: httpx.Response) -> AsyncIterator[bytes]:
         """Split an answer's body into chunks that may be relayed alone."""
--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -47,6 +47,10 @@
 
     kind = 'engine'
 
+    #: a stream has no status of its own, so a relayed error would look like
+    #: an answer
+    relays_errors = False
+
     async def fetch_models(self) -> tuple[str, ...]:
         """Ask the engine for its loaded models."""
         reply = await self.client.get('/v1/models')
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -8,6 +8,7 @@
 
 from briarrill.coordination.retries import RetryBudgets
 from briarrill.errors import (
+    BadRequestError,
     BriarrillError,
     DeadlineExceededError,
     DrainingError,
@@ -302,6 +303,18 @@
         sidecar.finish(await sidecar.next_submit(count), **fields)
 
 
+async def test_wrong_request_is_not_sent_to_other_upstreams(
+    open_entry, sidecars, make_request
+):
+    async with open_entry(sidecars) as entry, trio.open_nursery() as nursery:
+        outcome = await _collect(nursery, entry.dispatcher, make_request())
+        first, submit = await _first_submit(sidecars)
+        first.finish(submit, code=ResultCode.BAD_REQUEST, ran=Ran.NO)
+        await _ended(outcome)
+        assert isinstance(outcome['error'], BadRequestError)
+        assert sum(len(sidecar.submits) for sidecar in sidecars) == 1
+
+
 async def test_retries_stop_at_the_budget(open_entry, sidecars, make_request):
     budgets = RetryBudgets(ratio=0, burst=1)
     refusal = {'code': ResultCode.DRAINING, 'ran': Ran.NO}
--- a/tests/sidecar/test_online.py
+++ b/tests/sidecar/test_online.py
@@ -358,6 +358,43 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize(
+    ('status', 'code', 'ran'),
+    [
+        (400, ResultCode.BAD_REQUEST, Ran.NO),
+        (404, ResultCode.BAD_REQUEST, Ran.NO),
+        (429, ResultCode.OVERLOADED, Ran.NO),
+        (500, ResultCode.UPSTREAM_FAILED, Ran.UNKNOWN),
+    ],
+)
+async def test_error_of_an_engine_is_no_answer(network, status, code, ran):
+    """Relayed, it would stand in a stream with status 200."""
+
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some()
+            head = f'HTTP/1.1 {status} Error\r\ncontent-length: 10\r\n\r\n'
+            await stream.send_all(f'{head}no such me'.encode())
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            lambda task_status: trio.serve_tcp(
+                serve, 9101, host=f'{network}.2', task_status=task_status
+            )
+        )
+        url = f'http://{network}.2:9101'
+        async with (
+            httpx.AsyncClient(base_url=url, timeout=None) as client,
+            open_rig(f'{network}.1', EngineUpstream(client)) as rig,
+            rig.linked() as link,
+        ):
+            chunks, finish = await read_all(link.submit(make_request(), 0))
+        assert not chunks
+        assert (finish.code, finish.ran) == (code, ran)
+        assert f'{status}: no such me' in finish.message
+        nursery.cancel_scope.cancel()
+
+
 async def test_upstream_that_never_answers_ends_at_the_deadline(network):
     async def serve(stream):
         async with stream:
