--- a/briarrill/state/contracts.py
+++ b/briarrill/state/contracts.py
@@ -83,7 +83,7 @@
         all of them with batch work.
     """
 
-    online_weight: float = 0.5
+    online_weight: float = 0.0
 
 
 @attrs.frozen
