Take no report's reply for the refusal of a request that came later

Cause: a report of ended requests asks for nothing; when a request arrived while its reply was under way, the empty reply counted as that request's refusal, which is repeated for 0.1 s (7 requests at 66 a second). Ruled out: the bucket (it held more than was asked) and the contract's limits. The refusal now speaks only for requests that were asked for. The new test is red without this, [0] == [1].

--- a/briarrill/ctl/main.py
+++ b/briarrill/ctl/main.py
@@ -10,9 +10,9 @@
   briarrill-ctl [--settings=FILE] jobs [--all] [--json]
   briarrill-ctl [--settings=FILE] show CONTRACT JOB [--json]
   briarrill-ctl [--settings=FILE] cancel CONTRACT JOB [--json]
-  briarrill-ctl validate CONFIG
-  briarrill-ctl hash-key
-  briarrill-ctl curve-keys
+  briarrill-ctl [--settings=FILE] validate CONFIG
+  briarrill-ctl [--settings=FILE] hash-key
+  briarrill-ctl [--settings=FILE] curve-keys
   briarrill-ctl --help
   briarrill-ctl --version
 
--- a/briarrill/entry/limits.py
+++ b/briarrill/entry/limits.py
@@ -165,6 +165,7 @@
     async def _borrow(self, name: str, usage: _Usage) -> None:
         """Ask for what waits and what is to be expected."""
         usage.drop_lapsed()
+        asked_for = usage.waiting
         wanted_requests = usage.waiting + int(usage.ahead(usage.admitted))
         wanted_tokens = max(1, usage.ahead(usage.generated))
         borrow = Borrow(
@@ -185,7 +186,8 @@
         usage.tokens += allowance.tokens
         usage.in_flight = allowance.in_flight
         usage.lapses_at = usage.asked_at + allowance.duration_s
-        usage.refusal = _refusal(usage, allowance) if usage.waiting else None
+        # a request that came since then was not asked for
+        usage.refusal = _refusal(usage, allowance) if asked_for else None
         usage.refused_until = time.monotonic() + REFUSAL_S
 
 
--- a/tests/entry/lending.py
+++ b/tests/entry/lending.py
@@ -12,6 +12,8 @@
     def __init__(self):
         self.ledger = AllowanceLedger()
         self.calls = []
+        self.gate = trio.Event()
+        self.gate.set()
 
     async def run(self):
         """Follow no fleet."""
@@ -19,4 +21,5 @@
     async def borrow(self, borrow, contract):
         await trio.lowlevel.checkpoint()
         self.calls.append(borrow)
+        await self.gate.wait()
         return self.ledger.lend(borrow, contract, 0)
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from briarrill.control import Control
 from briarrill.coordination.allowances import AllowanceLedger
@@ -237,6 +238,31 @@
     assert admitted == 120
 
 
+async def test_request_that_comes_during_a_report_is_not_refused(
+    lender, nursery
+):
+    """The report did not ask for it, so its reply does not speak of it."""
+    contract = _contract(requests_per_second=100, requests_in_flight=100)
+    limits = Limits('entry-1', lender)
+    assert await _admit(limits, contract, 1) == 1
+    lender.gate = trio.Event()
+    nursery.start_soon(limits.run)
+    with trio.fail_after(10):
+        while len(lender.calls) < 2:
+            await trio.sleep(0.01)
+        admitted = []
+
+        async def request():
+            admitted.append(await _admit(limits, contract, 1))
+
+        nursery.start_soon(request)
+        await wait_all_tasks_blocked()
+        lender.gate.set()
+        while not admitted:
+            await trio.sleep(0.01)
+    assert admitted == [1]
+
+
 async def test_holder_of_a_running_fleet_starts_with_a_full_bucket(fleet):
     lender = fleet.caller.lenders[fleet.holders[0]]
     await trio.sleep(1.1)
