Receive all that a stalled entry was sent, however long it takes

The test read for half a second and compared counts: 1433 of 2997 chunks on a machine at a load of 20. It now receives each chunk by its number and then waits whether another one comes. Nothing of the sidecar changed.

--- a/tests/sidecar/test_online.py
+++ b/tests/sidecar/test_online.py
@@ -221,15 +221,12 @@
             dealer.send(encode(_submit(welcome)))
             await until(lambda: sent and not rig.server.in_flight)
             assert not rig.upstream.running
-            seqs = []
-            with trio.move_on_after(0.5):
-                while True:
-                    message = decode(await dealer.receive())
-                    if isinstance(message, Chunk):
-                        seqs.append(message.seq)
             # all that was sent arrives in order, and nothing says it is whole
-            assert seqs == list(range(len(seqs)))
-            assert len(sent) - 1 == len(seqs)
+            for seq in range(len(sent) - 1):
+                assert (await _next(dealer, (Chunk, Finish))).seq == seq
+            with trio.move_on_after(0.5) as rest:
+                await _next(dealer, (Chunk, Finish))
+            assert rest.cancelled_caught
 
 
 async def test_slow_entry_loses_no_chunk(network):
