Read the operator's settings and pages of keys in one place

Three modules of briarrill-ctl had the same alias and the same function for the settings, jobs had the same paging loop twice, and two modules of the sidecar named the same HTTP statuses; one function was a coroutine without need. Behaviour and assertions are unchanged; the test's patch follows the function's new name.

--- a/briarrill/ctl/commands.py
+++ b/briarrill/ctl/commands.py
@@ -1,7 +1,6 @@
 """briarrill.ctl.commands: what each command does."""
 
 import sys
-from typing import Any
 
 import msgspec
 
@@ -12,12 +11,12 @@
 from ..state.contracts import hash_api_key, load_configuration
 from ..state.settings import (
     SETTINGS_BY_BINARY,
-    CtlSettings,
     find_binary,
     load_settings,
 )
 from ..transport.curve import make_curve_keys
 from ..transport.instance_list import Instance, Role
+from .arguments import Arguments, read_settings
 from .configuration import apply, diff, get, history
 from .jobs import cancel_job, list_jobs, show_job
 from .output import say
@@ -25,8 +24,6 @@
 
 __all__ = ('COMMANDS',)
 
-Arguments = dict[str, Any]
-
 
 async def validate(arguments: Arguments) -> None:
     """Check a configuration file, or a settings file of any binary."""
@@ -55,7 +52,7 @@
 
 async def status(arguments: Arguments) -> None:
     """Show the processes of the fleet and the version of each."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     async with (
         open_platform(settings.platform) as platform,
         open_rpc_pool() as caller,
@@ -83,7 +80,7 @@
 
 async def drain(arguments: Arguments) -> None:
     """Ask one process to stop gracefully."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     instance = Instance(
         name='',
         host=arguments['HOST'],
@@ -97,10 +94,6 @@
     say('draining')
 
 
-def _settings(arguments: Arguments) -> CtlSettings:
-    return load_settings(arguments['--settings'], CtlSettings)
-
-
 #: Command word to the coroutine that runs it.
 COMMANDS = {
     'apply': apply,
--- a/briarrill/ctl/configuration.py
+++ b/briarrill/ctl/configuration.py
@@ -3,7 +3,6 @@
 import contextlib
 import getpass
 import time
-from typing import Any
 
 import msgspec
 import trio
@@ -27,7 +26,7 @@
     decode_configuration,
     load_configuration,
 )
-from ..state.settings import CtlSettings, load_settings
+from .arguments import Arguments, read_settings
 from .output import say
 from .survey import CONCURRENCY, ask
 
@@ -45,12 +44,10 @@
 SPREAD_POLL_S = 0.25
 MAX_NAMED = 5
 
-Arguments = dict[str, Any]
-
 
 async def apply(arguments: Arguments) -> None:
     """Accept a configuration file as the next version."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     cfg = load_configuration(arguments['CONFIG'])
     async with (
         open_platform(settings.platform) as platform,
@@ -76,7 +73,7 @@
 
 async def get(arguments: Arguments) -> None:
     """Print a version, the newest by default."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     async with open_platform(settings.platform) as platform:
         record = await _find(platform, arguments['VERSION'])
     if record is None:
@@ -93,7 +90,7 @@
 
 async def diff(arguments: Arguments) -> None:
     """Show what applying a file would change."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     cfg = load_configuration(arguments['CONFIG'])
     async with open_platform(settings.platform) as platform:
         record = await _find(platform, arguments['--base'])
@@ -105,7 +102,7 @@
 
 async def history(arguments: Arguments) -> None:
     """Show the newest versions and what each changed."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     limit = int(arguments['--limit'])
     async with open_platform(settings.platform) as platform:
         records = await read_history(platform.key_value, limit + 1)
@@ -193,10 +190,6 @@
     return row is not None and row.config_version >= version
 
 
-def _settings(arguments: Arguments) -> CtlSettings:
-    return load_settings(arguments['--settings'], CtlSettings)
-
-
 async def _find(platform: Platform, wanted: str | None) -> ConfigRecord | None:
     """Return a version, or the newest, or nothing when there is none.
 
--- a/briarrill/ctl/jobs.py
+++ b/briarrill/ctl/jobs.py
@@ -4,7 +4,6 @@
 import datetime
 import time
 from collections.abc import AsyncIterator
-from typing import Any
 
 import attrs
 import trio
@@ -15,8 +14,9 @@
 from ..state.job_directory import JobDirectory
 from ..state.job_records import JobRecord, decode_job_record
 from ..state.keys import JOBS, OPEN_JOBS
-from ..state.settings import CtlSettings, load_settings
-from ..transport.key_value import KeyValueService
+from ..state.settings import CtlSettings
+from ..transport.key_value import KeyValue, KeyValueService
+from .arguments import Arguments, read_settings
 from .tables import print_rows
 
 __all__ = ('cancel_job', 'list_jobs', 'show_job')
@@ -27,8 +27,6 @@
 # time for the batch processes to hear of a cancelled job
 NOTICE_TIMEOUT_S = 2.0
 
-Arguments = dict[str, Any]
-
 
 @attrs.frozen
 class JobRow:
@@ -47,7 +45,7 @@
 
 async def list_jobs(arguments: Arguments) -> None:
     """Print unfinished jobs, or all of them."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     rows = []
     async with open_platform(settings.platform) as platform:
         jobs = _all_jobs if arguments['--all'] else _open_jobs
@@ -58,7 +56,7 @@
 
 async def show_job(arguments: Arguments) -> None:
     """Print one job."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     async with (
         open_platform(settings.platform) as platform,
         _open_directory(settings, platform) as directory,
@@ -69,7 +67,7 @@
 
 async def cancel_job(arguments: Arguments) -> None:
     """Cancel a job and print it."""
-    settings = _settings(arguments)
+    settings = read_settings(arguments)
     async with (
         open_platform(settings.platform) as platform,
         _open_directory(settings, platform) as directory,
@@ -99,25 +97,26 @@
 
 
 async def _open_jobs(service: KeyValueService) -> AsyncIterator[JobRecord]:
-    async for key in _keys(service, OPEN_JOBS):
-        found = await service.read(f'{JOBS}{key.removeprefix(OPEN_JOBS)}')
+    async for entry in _entries(service, OPEN_JOBS):
+        name = entry.key.removeprefix(OPEN_JOBS)
+        found = await service.read(f'{JOBS}{name}')
         if found is not None:
             yield decode_job_record(found.body)
 
 
-async def _keys(service: KeyValueService, prefix: str) -> AsyncIterator[str]:
-    after = ''
-    while page := await service.read_prefix(prefix, after=after, limit=PAGE):
-        for entry in page:
-            yield entry.key
-        after = page[-1].key
+async def _all_jobs(service: KeyValueService) -> AsyncIterator[JobRecord]:
+    async for entry in _entries(service, JOBS):
+        yield decode_job_record(entry.body)
 
 
-async def _all_jobs(service: KeyValueService) -> AsyncIterator[JobRecord]:
+async def _entries(
+    service: KeyValueService, prefix: str
+) -> AsyncIterator[KeyValue]:
+    """Yield all keys under a prefix, a page at a time."""
     after = ''
-    while page := await service.read_prefix(JOBS, after=after, limit=PAGE):
+    while page := await service.read_prefix(prefix, after=after, limit=PAGE):
         for entry in page:
-            yield decode_job_record(entry.body)
+            yield entry
         after = page[-1].key
 
 
@@ -149,7 +148,3 @@
 def _moment(seconds: float) -> str:
     moment = datetime.datetime.fromtimestamp(seconds, tz=datetime.UTC)
     return moment.strftime('%Y-%m-%dT%H:%M:%SZ')
-
-
-def _settings(arguments: Arguments) -> CtlSettings:
-    return load_settings(arguments['--settings'], CtlSettings)
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -28,6 +28,7 @@
 from .online import Identity
 from .partial_answer import PartialAnswer
 from .upstreams import Call, Upstream
+from .upstreams.base import HTTP_SERVER_ERROR, HTTP_TOO_MANY
 
 __all__ = ('BatchPuller', 'BatchRunner')
 
@@ -47,8 +48,6 @@
 LOOKAHEAD_ITEMS = 2
 
 HTTP_OK = 200
-HTTP_TOO_MANY = 429
-HTTP_SERVER_ERROR = 500
 
 
 @attrs.frozen
@@ -101,7 +100,7 @@
         call = Call('POST', batch_item.url, partial.next_request())
         async with self.upstream.open_call(call) as answer:
             if answer.http_status != HTTP_OK:
-                return await _refusal(batch_item, answer.http_status)
+                return _refusal(batch_item, answer.http_status)
             async for events in answer.chunks:
                 partial.add_events(events)
         return _outcome(
@@ -112,7 +111,7 @@
         )
 
 
-async def _refusal(batch_item: BatchItem, http_status: int) -> ItemOutcome:
+def _refusal(batch_item: BatchItem, http_status: int) -> ItemOutcome:
     is_final = http_status < HTTP_SERVER_ERROR and http_status != HTTP_TOO_MANY
     return _outcome(
         batch_item,
--- a/tests/ctl/test_jobs.py
+++ b/tests/ctl/test_jobs.py
@@ -42,7 +42,7 @@
         yield platform
 
     monkeypatch.setattr(jobs, 'open_platform', open_platform)
-    monkeypatch.setattr(jobs, 'load_settings', lambda path, cls: SETTINGS)
+    monkeypatch.setattr(jobs, 'read_settings', lambda _arguments: SETTINGS)
     return store
 
 
