--- a/bench/online/sidecars.py
+++ b/bench/online/sidecars.py
@@ -18,7 +18,7 @@
 
 from briarrill.coordination.admission import Admission
 from briarrill.protocol.messages import BatchItem
-from briarrill.runtime import Readiness
+from briarrill.readiness import Readiness
 from briarrill.sidecar.batch import BatchRunner
 from briarrill.sidecar.online import Identity, OnlineServer
 from briarrill.sidecar.upstreams import Answer, Call, Upstream
--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -24,9 +24,9 @@
     open_rpc_pool,
     serve_rpc,
 )
+from ..readiness import Readiness
 from ..runtime import (
     Platform,
-    Readiness,
     open_platform,
     serve_ops,
     wait_for_stop_signal,
--- a/briarrill/control.py
+++ b/briarrill/control.py
@@ -31,7 +31,8 @@
     StatusRequest,
 )
 from .protocol.rpc import HandlerTable, RpcCaller, serve_rpc
-from .runtime import Platform, Readiness
+from .readiness import Readiness
+from .runtime import Platform
 from .state.config_file import ConfigFile
 from .state.settings import InstanceSettings, PortSettings
 from .transport.instance_list import Instance, Role
--- /dev/null
+++ b/briarrill/coordination/load_exchange.py
@@ -0,0 +1,223 @@
+"""briarrill.coordination.load_exchange: who has what at which upstream.
+
+Upstreams admit requests in order of arrival and report their load late. So
+each process tells the others what it has in flight, soon after a change and
+at least once an interval; a process that is silent counts as gone.
+"""
+
+import collections
+import contextlib
+import random
+import socket
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+import trio
+from eliot import log_message
+
+from ..errors import MalformedMessageError
+from ..metrics import MALFORMED_MESSAGES
+from ..protocol.load_reports import (
+    LoadReport,
+    decode_report,
+    encode_report,
+)
+
+__all__ = ('InFlight', 'LoadExchange', 'Peer')
+
+# a report is sent at least this often
+HEARTBEAT_S = 0.25
+
+# silence after which a process counts as gone; four lost reports
+PEER_TIMEOUT_S = 1.0
+
+# shortest pause between two reports, and the part of it that each peer adds,
+# so that the reports of a fleet grow with its size and not its square
+MIN_PAUSE_S = 0.02
+PAUSE_PER_PEER_S = 0.001
+
+# silence after which a host that only answered once is sent nothing more
+FORGET_HOST_S = 30.0
+
+MAX_DATAGRAM_BYTES = 65_536
+
+
+@attrs.define
+class InFlight:
+    """Own requests in flight by upstream.
+
+    :param changed: called after each change.
+    """
+
+    changed: Callable[[], None]
+    online: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    batch: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    @contextlib.contextmanager
+    def counted(self, upstream_id: str, *, is_batch: bool) -> Iterator[None]:
+        """Count a request as long as it is at the upstream."""
+        counter = self.batch if is_batch else self.online
+        counter[upstream_id] += 1
+        self.changed()
+        try:
+            yield
+        finally:
+            counter[upstream_id] -= 1
+            if not counter[upstream_id]:
+                counter.pop(upstream_id)
+            self.changed()
+
+
+@attrs.define
+class Peer:
+    """The last report of another process."""
+
+    report: LoadReport
+    heard_at: float
+
+
+class LoadExchange:
+    """Sends own reports and keeps those of the others.
+
+    :param process: name of this process's instance.
+    :param host: IP address that peers reach.
+    :param port: UDP port, the same on all instances.
+    :param seeds: hosts that are told before the fleet is known.
+    :param describe: adds to a report what this process knows.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        host: str,
+        port: int,
+        seeds: tuple[str, ...],
+        describe: Callable[[LoadReport], LoadReport],
+    ) -> None:
+        """Start without peers."""
+        self.in_flight = InFlight(self.report_soon)
+        self.on_report: list[Callable[[LoadReport], None]] = []
+        self._process = process
+        self._host = host
+        self._port = port
+        self._seeds = seeds
+        self._describe = describe
+        self._members: dict[str, str] = {}
+        self._peers: dict[str, Peer] = {}
+        self._incarnation = time.time_ns()
+        self._sequence = 0
+        self._wake = trio.Event()
+
+    @property
+    def live(self) -> dict[str, LoadReport]:
+        """Return the newest report of each live peer."""
+        oldest = time.monotonic() - PEER_TIMEOUT_S
+        return {
+            name: peer.report
+            for name, peer in self._peers.items()
+            if peer.heard_at >= oldest
+        }
+
+    def online(self, upstream_id: str) -> int:
+        """Return the online requests of all processes at an upstream."""
+        return self.in_flight.online[upstream_id] + sum(
+            report.online.get(upstream_id, 0) for report in self.live.values()
+        )
+
+    def batch(self, upstream_id: str) -> int:
+        """Return the batch items of all processes at an upstream."""
+        return self.in_flight.batch[upstream_id] + sum(
+            report.batch.get(upstream_id, 0) for report in self.live.values()
+        )
+
+    def set_member(self, name: str, host: str | None) -> None:
+        """Take a process that is registered, or is so no more."""
+        if host is None:
+            self._members.pop(name, None)
+        elif name != self._process:
+            self._members[name] = host
+
+    def report_soon(self) -> None:
+        """Send a report after the shortest pause."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with sock:
+            await sock.bind((self._host, self._port))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_reports, sock)
+                await self._receive(sock)
+
+    def take_report(self, report: LoadReport) -> None:
+        """Keep a report unless a newer one has come."""
+        if report.process == self._process:
+            return
+        known = self._peers.get(report.process)
+        if known is not None and _order(known.report) >= _order(report):
+            return
+        if known is None or not self._is_live(known):
+            log_message('peer:heard', peer=report.process, host=report.host)
+        self._peers[report.process] = Peer(report, time.monotonic())
+        for listener in self.on_report:
+            listener(report)
+
+    def make_report(self) -> LoadReport:
+        """Return the next report of this process."""
+        self._sequence += 1
+        return self._describe(
+            LoadReport(
+                process=self._process,
+                host=self._host,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                online=dict(self.in_flight.online),
+                batch=dict(self.in_flight.batch),
+            )
+        )
+
+    def _is_live(self, peer: Peer) -> bool:
+        return time.monotonic() - peer.heard_at < PEER_TIMEOUT_S
+
+    async def _receive(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                raw, _ = await sock.recvfrom(MAX_DATAGRAM_BYTES)
+                self.take_report(decode_report(raw))
+            except MalformedMessageError as exc:
+                MALFORMED_MESSAGES.inc()
+                log_message('peer:malformed', reason=exc.message)
+            except OSError as exc:
+                # an ICMP error of an earlier datagram to a stopped process
+                log_message('peer:unreachable', reason=repr(exc))
+
+    async def _send_reports(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            raw = encode_report(self.make_report())
+            hosts = self._hosts()
+            for host in hosts:
+                with contextlib.suppress(OSError):
+                    await sock.sendto(raw, (host, self._port))
+            await trio.sleep(MIN_PAUSE_S + PAUSE_PER_PEER_S * len(hosts))
+            with trio.move_on_after(HEARTBEAT_S * random.uniform(0.8, 1)):
+                await self._wake.wait()
+            self._wake = trio.Event()
+
+    def _hosts(self) -> set[str]:
+        """Return where reports go: the fleet, or what may know of it."""
+        now = time.monotonic()
+        heard = {
+            peer.report.host
+            for peer in self._peers.values()
+            if now - peer.heard_at < FORGET_HOST_S
+        }
+        known = heard | set(self._members.values())
+        known.update(self._seeds)
+        known.discard(self._host)
+        return known
+
+
+def _order(report: LoadReport) -> tuple[int, int]:
+    return report.incarnation, report.sequence
--- /dev/null
+++ b/briarrill/coordination/mirror.py
@@ -0,0 +1,183 @@
+"""briarrill.coordination.mirror: a local copy of keys in the service.
+
+A copy that falls silent is found by what peers have seen: they tell the
+revision of their newest change, and a copy that stays behind is read anew.
+"""
+
+import abc
+import random
+import time
+
+import trio
+from eliot import log_message
+
+from ..errors import PlatformUnavailableError
+from ..transport.key_value import (
+    KeySnapshot,
+    KeyValue,
+    KeyValueService,
+    WatchEvent,
+)
+
+__all__ = ('Mirror', 'MirrorUser')
+
+# pauses between attempts while the service is away; they double, and a
+# random part of each is left out so that processes spread out
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+MIN_JITTER = 0.5
+
+# time in which a change that a peer has seen must have arrived here too
+MAX_LAG_S = 0.3
+
+LAG_CHECK_S = 0.1
+
+
+class MirrorUser(abc.ABC):
+    """Takes what a mirror finds."""
+
+    @abc.abstractmethod
+    def take_key(self, key: str, body: bytes | None) -> None:
+        """Take the newest value of a key, none when it was deleted."""
+
+
+class Mirror:
+    """Keys under a prefix as last seen.
+
+    :param user: told of each change, once.
+    :param pace_s: shortest time between two watches; changes that come in
+        between arrive together, default none.
+    :param keeps_bodies: whether peers may take the keys from here.
+    """
+
+    def __init__(
+        self,
+        service: KeyValueService,
+        prefix: str,
+        user: MirrorUser,
+        pace_s: float = 0,
+        *,
+        keeps_bodies: bool = False,
+    ) -> None:
+        """Start empty."""
+        self.revision = 0
+        self.synced = trio.Event()
+        self.is_connected = False
+        self.back_since = time.monotonic()
+        self._service = service
+        self._prefix = prefix
+        self._user = user
+        self._pace_s = pace_s
+        self._revisions: dict[str, int] = {}
+        self._keeps_bodies = keeps_bodies
+        self._bodies: dict[str, bytes] = {}
+        self._scope = trio.CancelScope()
+        self._peer_revision = 0
+
+    def is_settled(self, after_s: float) -> bool:
+        """Tell whether the service has been followed for some time."""
+        since_s = time.monotonic() - self.back_since
+        return self.is_connected and since_s >= after_s
+
+    def hear_revision(self, revision: int) -> None:
+        """Take the revision of a peer's newest change."""
+        self._peer_revision = max(self._peer_revision, revision)
+
+    def snapshot(self) -> KeySnapshot:
+        """Return the keys with their values, for peers."""
+        return KeySnapshot(
+            tuple(
+                KeyValue(key, body, self._revisions[key])
+                for key, body in self._bodies.items()
+            )
+        )
+
+    def take_peer_snapshot(self, snapshot: KeySnapshot) -> None:
+        """Take the keys of a peer that has seen more."""
+        self._take_entries(snapshot)
+        self.synced.set()
+
+    async def run(self) -> None:
+        """Follow the keys until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_lag)
+            pause_s = FIRST_PAUSE_S
+            while True:
+                with trio.CancelScope() as self._scope:
+                    try:
+                        await self._follow()
+                    except PlatformUnavailableError as exc:
+                        self._lose(exc.message)
+                        await trio.sleep(
+                            pause_s * random.uniform(MIN_JITTER, 1)
+                        )
+                pause_s = min(MAX_PAUSE_S, pause_s * 2)
+                if self.is_connected:
+                    pause_s = FIRST_PAUSE_S
+
+    async def _follow(self) -> None:
+        changes = self._service.follow(self._prefix, self._pace_s)
+        async for change in changes:
+            if isinstance(change, KeySnapshot):
+                self._take_snapshot(change)
+            else:
+                self._take(change)
+
+    def _take_entries(self, snapshot: KeySnapshot) -> None:
+        found = {entry.key for entry in snapshot.entries}
+        for key in set(self._revisions) - found:
+            self._forget(key)
+            self._user.take_key(key, None)
+        for entry in snapshot.entries:
+            self._take(WatchEvent(entry.key, entry.body, entry.mod_revision))
+
+    def _take_snapshot(self, snapshot: KeySnapshot) -> None:
+        self._take_entries(snapshot)
+        if not self.is_connected:
+            self.back_since = time.monotonic()
+            log_message(
+                'mirror:synced',
+                prefix=self._prefix,
+                keys=len(snapshot.entries),
+            )
+        self.is_connected = True
+        self.synced.set()
+
+    def _take(self, event: WatchEvent) -> None:
+        self.revision = max(self.revision, event.mod_revision)
+        if event.mod_revision <= self._revisions.get(event.key, 0):
+            return
+        if event.body is None:
+            self._forget(event.key)
+        else:
+            self._revisions[event.key] = event.mod_revision
+            if self._keeps_bodies:
+                self._bodies[event.key] = event.body
+        self._user.take_key(event.key, event.body)
+
+    def _forget(self, key: str) -> None:
+        self._revisions.pop(key, None)
+        self._bodies.pop(key, None)
+
+    def _lose(self, reason: str) -> None:
+        if self.is_connected:
+            log_message(
+                'mirror:lost', prefix=self._prefix, reason=reason[:200]
+            )
+        self.is_connected = False
+
+    async def _watch_lag(self) -> None:
+        """Read the keys anew when peers have seen more for some time."""
+        behind_since: float | None = None
+        while True:
+            await trio.sleep(LAG_CHECK_S)
+            now = time.monotonic()
+            if self._peer_revision <= self.revision or not self.is_connected:
+                behind_since = None
+            elif behind_since is None:
+                behind_since = now
+            elif now - behind_since > MAX_LAG_S + self._pace_s:
+                log_message('mirror:behind', prefix=self._prefix)
+                behind_since = None
+                self._peer_revision = self.revision
+                self._scope.cancel()
--- /dev/null
+++ b/briarrill/coordination/placement.py
@@ -0,0 +1,70 @@
+"""briarrill.coordination.placement: at which upstream a request is best off.
+
+Answers peaks of online requests over upstreams that batch work fills in the
+valleys: a free slot is taken where there is one; where all are taken, the
+request goes where batch work will yield, and only then where it must wait
+behind other online requests.
+"""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+__all__ = ('Place', 'choose_place', 'expected_wait_s')
+
+# an upstream in the own failure domain is taken although it holds this many
+# more requests
+LOCAL_BONUS = 0.5
+
+
+@attrs.frozen
+class Place:
+    """An upstream as a place for one more request.
+
+    :param online: online requests of all processes at the upstream.
+    :param batch: batch items of all processes at the upstream.
+    """
+
+    name: str
+    slots: int
+    online: int
+    batch: int
+    is_local: bool = False
+
+    @property
+    def free(self) -> int:
+        """Return the slots that nobody holds."""
+        return self.slots - self.online - self.batch
+
+
+def choose_place(places: Sequence[Place], rng: random.Random) -> Place:
+    """Return the place for one more online request.
+
+    :param places: at least one.
+    """
+    shuffled = rng.sample(places, len(places))
+    if any(place.free > 0 for place in shuffled):
+        return max(shuffled, key=_free_score)
+    return min(shuffled, key=_waiting_score)
+
+
+def expected_wait_s(place: Place, service_time_s: float) -> float:
+    """Return how long a new online request waits for a slot.
+
+    Batch items yield, so only online requests are waited for.
+    """
+    behind = max(0, place.online + 1 - place.slots)
+    return behind * service_time_s / max(1, place.slots)
+
+
+def _free_score(place: Place) -> float:
+    return place.free / max(1, place.slots) + _bonus(place)
+
+
+def _waiting_score(place: Place) -> float:
+    return place.online / max(1, place.slots) - _bonus(place)
+
+
+def _bonus(place: Place) -> float:
+    return LOCAL_BONUS / max(1, place.slots) if place.is_local else 0
--- /dev/null
+++ b/briarrill/coordination/state_transfer.py
@@ -0,0 +1,112 @@
+"""briarrill.coordination.state_transfer: state of mirrors from peers.
+
+A process that cannot follow the key-value service, for instance one that
+started while the service was away, takes what a connected or more advanced
+peer has seen.
+"""
+
+import attrs
+import msgspec
+import trio
+from eliot import log_message
+
+from ..errors import PeerUnreachableError, UpstreamLostError
+from ..transport.http_callers import CallerBounds, CallerConnection
+from ..transport.http_channel import connect
+from ..transport.http_messages import RequestHead
+from ..transport.key_value import KeySnapshot, KeyValue
+from .load_exchange import LoadExchange
+from .mirror import Mirror
+
+__all__ = ('StateTransfer',)
+
+CHECK_INTERVAL_S = 0.2
+
+# time in which the service itself answers at a start, if it is there
+PATIENCE_S = 0.5
+
+FETCH_TIMEOUT_S = 1.0
+
+MAX_STATE_BYTES = 32_000_000
+
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+
+_PATH = '/state/'
+
+_ENTRIES = msgspec.msgpack.Decoder(tuple[KeyValue, ...])
+
+
+@attrs.define
+class StateTransfer:
+    """Offers own mirrors to peers and takes theirs when they know more.
+
+    :param mirrors: those that keep bodies, by prefix.
+    """
+
+    mirrors: dict[str, Mirror]
+    load: LoadExchange
+    port: int
+
+    async def serve(self, conn: CallerConnection) -> None:
+        """Answer requests of peers on one connection."""
+        while (head := await conn.next_request()) is not None:
+            await conn.read_body(head)
+            mirror = self.mirrors.get(head.path.removeprefix(_PATH))
+            if mirror is None:
+                await conn.send_answer(_HTTP_NOT_FOUND, (), b'')
+                continue
+            raw = msgspec.msgpack.encode(mirror.snapshot().entries)
+            await conn.send_answer(_HTTP_OK, (), raw)
+
+    def bounds(self) -> CallerBounds:
+        """Return the bounds for peers."""
+        return CallerBounds()
+
+    async def run(self) -> None:
+        """Catch up with peers until cancelled."""
+        await trio.sleep(PATIENCE_S)
+        while True:
+            for prefix, mirror in self.mirrors.items():
+                if not mirror.is_connected:
+                    await self._catch_up(prefix, mirror)
+            await trio.sleep(CHECK_INTERVAL_S)
+
+    async def _catch_up(self, prefix: str, mirror: Mirror) -> None:
+        ahead = {
+            report.revisions.get(prefix, 0): report.host
+            for report in self.load.live.values()
+        }
+        newest = max(ahead, default=0)
+        if newest <= mirror.revision:
+            return
+        try:
+            with trio.fail_after(FETCH_TIMEOUT_S):
+                entries = await self._fetch(ahead[newest], prefix)
+        except (
+            PeerUnreachableError,
+            UpstreamLostError,
+            msgspec.MsgspecError,
+            trio.TooSlowError,
+        ) as exc:
+            log_message(
+                'state:not-fetched', peer=ahead[newest], reason=repr(exc)
+            )
+            return
+        mirror.take_peer_snapshot(KeySnapshot(entries))
+        log_message('state:fetched', peer=ahead[newest], prefix=prefix)
+
+    async def _fetch(self, host: str, prefix: str) -> tuple[KeyValue, ...]:
+        channel = await connect((host, self.port), FETCH_TIMEOUT_S)
+        try:
+            head = RequestHead(
+                b'GET',
+                f'{_PATH}{prefix}'.encode(),
+                ((b'host', host.encode()),),
+            )
+            async with channel.exchange(head, b''):
+                await channel.read_head()
+                raw = await channel.read_whole_body(MAX_STATE_BYTES)
+        finally:
+            channel.close()
+        return _ENTRIES.decode(raw)
--- a/briarrill/entry/entrance.py
+++ b/briarrill/entry/entrance.py
@@ -10,7 +10,7 @@
     NotReadyError,
     OverloadedError,
 )
-from ..runtime import Readiness
+from ..readiness import Readiness
 from ..transport.http_connection import request_resources
 from .context import EntryContext
 
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -9,7 +9,8 @@
 from ..coordination.retries import RetryBudgets
 from ..coordination.routing import BoundedAffinityPolicy
 from ..protocol.rpc import open_rpc_pool
-from ..runtime import Readiness, open_platform, wait_for_stop_signal
+from ..readiness import Readiness
+from ..runtime import open_platform, wait_for_stop_signal
 from ..state.segment_copies import SegmentCopies
 from ..state.settings import EntrySettings
 from ..transport.http_server import HttpBounds, serve_app
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -13,6 +13,7 @@
     'DUPLICATES',
     'EJECTED',
     'KEY_VALUE_CALLS',
+    'LOG_LINES_DROPPED',
     'MALFORMED_MESSAGES',
     'PREEMPTED',
     'REFUSED',
@@ -60,6 +61,9 @@
 EJECTED = Counter(
     'briarrill_ejected', 'Upstreams left out, by reason.', ('reason',)
 )
+LOG_LINES_DROPPED = Counter(
+    'briarrill_log_lines_dropped', 'Log lines that were left out.'
+)
 KEY_VALUE_CALLS = Counter(
     'briarrill_key_value_calls', 'Calls to the key-value service.', ('call',)
 )
--- /dev/null
+++ b/briarrill/platform/configuration.py
@@ -0,0 +1,138 @@
+"""briarrill.platform.configuration: the operator's configuration.
+
+Versions only go up: an older one that arrives late is left out.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import msgspec
+import trio
+from eliot import log_message
+
+from ..coordination.mirror import MirrorUser
+from ..coordination.routes import Route, RouteKind, RouteTable, Target
+from ..metrics import CONFIG_VERSION
+from ..transport.http_callers import CallerBounds
+
+__all__ = ('CONFIGURATION_KEY', 'ConfigurationHolder', 'OPERATOR_PREFIX')
+
+#: Prefix of the keys that the operator writes.
+OPERATOR_PREFIX = 'op/'
+CONFIGURATION_KEY = 'op/config'
+
+_MS_PER_S = 1000
+
+
+@attrs.frozen
+class _Split:
+    service: str
+    weight: float = 0
+
+
+@attrs.frozen
+class _Route:
+    """A route; ``completion_target_ms`` and ``keep_s`` count from a job's
+    first arrival, ``max_queued_tokens`` bounds what waits on the route."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    service: str = ''
+    traffic_split: tuple[_Split, ...] = ()
+    max_attempts: int = 1
+    resumable: bool = False
+    gap_aim_ms: float = 250
+    completion_target_ms: float = 0
+    keep_s: float = 0
+    max_queued_tokens: int = 0
+
+
+@attrs.frozen
+class _Limits:
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+@attrs.frozen
+class _Configuration:
+    version: int
+    routes: tuple[_Route, ...]
+    limits: _Limits = _Limits()
+
+
+class ConfigurationHolder(MirrorUser):
+    """The newest configuration that this process has seen.
+
+    :param listener: called after each change.
+    """
+
+    def __init__(self, listener: Callable[[], None]) -> None:
+        """Start without a configuration."""
+        self.routes: RouteTable | None = None
+        self.bounds = CallerBounds()
+        self.changed = trio.Event()
+        self._listener = listener
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 when none is."""
+        return 0 if self.routes is None else self.routes.version
+
+    def take_key(self, key: str, body: bytes | None) -> None:
+        """Take a configuration that is newer than the present one."""
+        if key == CONFIGURATION_KEY and body is not None:
+            self.take(body)
+
+    def take(self, body: bytes) -> None:
+        """Take a configuration from the store or from a peer."""
+        try:
+            found = msgspec.json.decode(body, type=_Configuration)
+            routes = RouteTable(
+                found.version, tuple(map(_route, found.routes))
+            )
+        except ValueError as exc:
+            log_message('configuration:unreadable', reason=str(exc))
+            return
+        if found.version <= self.version:
+            return
+        self.routes = routes
+        self.bounds = CallerBounds(
+            max_header_bytes=found.limits.max_header_bytes,
+            max_body_bytes=found.limits.max_body_bytes,
+            header_timeout_s=found.limits.header_timeout_ms / _MS_PER_S,
+            idle_timeout_s=found.limits.idle_timeout_ms / _MS_PER_S,
+        )
+        self.changed.set()
+        self.changed = trio.Event()
+        CONFIG_VERSION.set(found.version)
+        log_message('configuration:in-force', version=found.version)
+        self._listener()
+
+
+def _route(wire: _Route) -> Route:
+    targets = [
+        Target(split.service, split.weight) for split in wire.traffic_split
+    ]
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=RouteKind(wire.kind),
+        targets=tuple(targets) or (Target(wire.service),),
+        timeout_s=wire.timeout_ms / _MS_PER_S,
+        objective_s=wire.target_latency_ms / _MS_PER_S,
+        max_attempts=wire.max_attempts,
+        priority=wire.priority,
+        resumable=wire.resumable,
+        longest_pause_s=wire.gap_aim_ms / _MS_PER_S,
+        due_s=wire.completion_target_ms / _MS_PER_S,
+        keep_s=wire.keep_s,
+        max_waiting_tokens=wire.max_queued_tokens,
+    )
--- /dev/null
+++ b/briarrill/platform/entry.py
@@ -0,0 +1,65 @@
+"""briarrill.platform.entry: an entry process on the platform."""
+
+import random
+
+import trio
+
+from ..errors import NotReadyError, SettingsError
+from ..relay.drain import drain_front
+from ..relay.forwarding import Forwarder
+from ..relay.front import Front
+from ..transport.http_callers import serve_callers
+from .fleet import Fleet, follow_fleet, open_fleet, serve_ready, wait_stop
+from .settings import PlatformInstance
+from .wire import PlatformWire
+
+__all__ = ('run_entry',)
+
+
+async def run_entry(cfg: PlatformInstance) -> None:
+    """Run until a stop signal and the drain that follows it."""
+    if cfg.callers is None or cfg.ready is None:
+        raise SettingsError('an entry needs addresses for callers')
+    async with open_fleet(cfg, runs_batch=False) as fleet:
+        front = _make_front(fleet)
+        async with (
+            serve_ready(cfg.ready, fleet.readiness),
+            follow_fleet(fleet),
+            serve_callers(
+                cfg.callers, lambda: fleet.holder.bounds, front.serve
+            ),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(_become_ready, fleet)
+            await wait_stop(fleet.readiness)
+            await drain_front(front, cfg.grace_s)
+            nursery.cancel_scope.cancel()
+
+
+async def _become_ready(fleet: Fleet) -> None:
+    """Take callers once the configuration and the upstreams are known."""
+    for mirror in fleet.mirrors.values():
+        await mirror.synced.wait()
+    while fleet.holder.routes is None:
+        await fleet.holder.changed.wait()
+    fleet.readiness.has_started = True
+
+
+def _make_front(fleet: Fleet) -> Front:
+    rng = random.Random()
+    wire = PlatformWire()
+    forwarder = Forwarder(
+        wire, fleet.upstreams, fleet.load, fleet.cfg.failure_domain, rng
+    )
+    return Front(
+        wire=wire,
+        routes=lambda: fleet.holder.routes,
+        forwarder=forwarder,
+        serve_job_call=_refuse_job,
+        readiness=fleet.readiness,
+        rng=rng,
+    )
+
+
+async def _refuse_job(intent, body, conn):
+    raise NotReadyError('no batch', retry_after_s=1)
--- /dev/null
+++ b/briarrill/platform/settings.py
@@ -0,0 +1,119 @@
+"""briarrill.platform.settings: the platform's settings file.
+
+The platform may add fields at any time, so unknown ones are ignored; known
+ones of a wrong type are errors.
+"""
+
+import tomllib
+
+import attrs
+import msgspec
+
+from ..errors import SettingsError
+
+__all__ = ('PlatformInstance', 'SETTINGS_VARIABLE', 'load_platform_settings')
+
+#: Environment variable with the path of the settings file.
+SETTINGS_VARIABLE = 'BRIARRILL_CONFIG'
+
+_MS_PER_S = 1000
+
+Address = tuple[str, int]
+
+
+@attrs.frozen
+class _Store:
+    address: str
+    value_bytes: int = 1_048_576
+
+
+@attrs.frozen
+class _ListenAddrs:
+    front_http: str = ''
+    ready: str = ''
+
+
+@attrs.frozen
+class _Params:
+    """Bounds of the contracts in force; the defaults are the usual ones."""
+
+    addr_reuse_s: float = 2
+    ack_ms: float = 4000
+    grace_s: float = 8
+    pass_ms: float = 120
+    retention_s: float = 120
+    cancel_ms: float = 3000
+    settle_ms: float = 1000
+
+
+@attrs.frozen
+class _File:
+    node_name: str
+    ip: str
+    zone: str
+    internal_port_range: tuple[int, int]
+    platform: _Store
+    seed_nodes: tuple[str, ...] = ()
+    listen_addrs: _ListenAddrs = _ListenAddrs()
+    contract_params: _Params = _Params()
+
+
+@attrs.frozen
+class PlatformInstance:
+    """What a process of briarrill learns from the platform.
+
+    :param name: the instance's name.
+    :param store: address of the key-value service.
+    :param peer_port: UDP and TCP port of briarrill's own processes.
+    :param seeds: hosts that may know the fleet when the service is away.
+    :param callers: address for callers, none on instances without them.
+    :param ready: address for the balancer's readiness checks.
+    :param grace_s: time between the stop signal and the kill.
+    :param retention_s: time for which results stay readable.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    store: Address
+    peer_port: int
+    seeds: tuple[str, ...]
+    callers: Address | None
+    ready: Address | None
+    max_value_bytes: int
+    grace_s: float
+    retention_s: float
+
+
+def load_platform_settings(path: str) -> PlatformInstance:
+    """Read and check the platform's settings file.
+
+    :raises SettingsError: names the file, the field and what is allowed.
+    """
+    try:
+        with open(path, 'rb') as stream:
+            fields = tomllib.load(stream)
+        found = msgspec.convert(fields, _File)
+    except (OSError, ValueError) as exc:
+        raise SettingsError(f'{path}: {exc}') from exc
+    listen = found.listen_addrs
+    return PlatformInstance(
+        name=found.node_name,
+        host=found.ip,
+        failure_domain=found.zone,
+        store=_address(found.platform.address),
+        peer_port=found.internal_port_range[0],
+        seeds=tuple(_address(seed)[0] for seed in found.seed_nodes),
+        callers=_address(listen.front_http) if listen.front_http else None,
+        ready=_address(listen.ready) if listen.ready else None,
+        max_value_bytes=found.platform.value_bytes,
+        grace_s=found.contract_params.grace_s,
+        retention_s=found.contract_params.retention_s,
+    )
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        raise SettingsError(f'{text!r} is no address of the form IP:PORT')
+    return host, int(port)
--- /dev/null
+++ b/briarrill/platform/wire.py
@@ -0,0 +1,203 @@
+"""briarrill.platform.wire: headers and paths of callers and upstreams."""
+
+import math
+from urllib.parse import parse_qs, unquote
+
+from ..coordination.routes import Route, RouteKind, RouteTable
+from ..coordination.upstream_table import RegisteredUpstream
+from ..errors import BadRequestError, BriarrillError, NotFoundError
+from ..relay.wire import Call, Intent, IntentKind, RelayWire
+from ..transport.http_messages import (
+    AnswerHead,
+    Headers,
+    RequestHead,
+    end_to_end,
+    find_header,
+)
+
+__all__ = ('PlatformWire',)
+
+_ATTEMPT_ID = b'briarrill-attempt-id'
+_DEADLINE_MS = b'briarrill-deadline-ms'
+_EXPECT_INSTANCE = b'briarrill-expect-instance'
+_NOT_EXECUTED = b'briarrill-not-executed'
+_WAIT_MS = b'briarrill-wait-ms'
+_LAST_EVENT_ID = b'last-event-id'
+_CONTENT_LENGTH = b'content-length'
+_TRANSFER_ENCODING = b'transfer-encoding'
+
+_JOBS_PATH = '/lots/'
+_ITEMS_PATH = '/items/'
+
+_MISDIRECTED = 421
+
+_MS_PER_S = 1000
+
+# longest wait for a first result that a caller may ask for
+_MAX_WAIT_MS = 1000
+
+# headers that the relay sets itself
+_SET_BY_RELAY = frozenset(
+    (_DEADLINE_MS, _EXPECT_INSTANCE, _CONTENT_LENGTH, _LAST_EVENT_ID)
+)
+_NONE: frozenset[bytes] = frozenset()
+
+
+class PlatformWire(RelayWire):
+    """The platform's headers."""
+
+    def read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
+        """Return what a caller asks for."""
+        host = _text(head, b'host')
+        path = head.path
+        for prefix, read in (
+            (_JOBS_PATH, _read_job_call),
+            (_ITEMS_PATH, _read_item_call),
+        ):
+            batch_routes = routes.of_host(host, RouteKind.BATCH)
+            if path.startswith(prefix) and batch_routes:
+                return read(head, batch_routes[0], path.removeprefix(prefix))
+        route = routes.find(host, path)
+        request_id = _text(head, _ATTEMPT_ID)
+        if route.kind is RouteKind.BATCH:
+            if head.method != b'POST':
+                raise NotFoundError(f'no job call {head.method!r} {path}')
+            kind, job_id = IntentKind.SUBMIT_JOB, request_id
+        else:
+            kind, job_id = IntentKind.FORWARD, ''
+        return Intent(
+            kind=kind,
+            request_id=request_id,
+            route=route,
+            time_left_s=_number(head, _DEADLINE_MS, math.inf) / _MS_PER_S,
+            job_id=job_id,
+            last_event_id=_last_event_id(head),
+        )
+
+    def upstream_request(
+        self, call: Call, upstream: RegisteredUpstream, time_left_s: float
+    ) -> RequestHead:
+        """Return the head that is sent to an upstream."""
+        headers = list(end_to_end(call.head.headers, _SET_BY_RELAY))
+        if math.isfinite(time_left_s):
+            left_ms = max(1, int(time_left_s * _MS_PER_S))
+            headers.append((_DEADLINE_MS, str(left_ms).encode()))
+        headers.append((_EXPECT_INSTANCE, upstream.upstream_id.encode()))
+        if call.last_event_id is not None:
+            last = str(call.last_event_id).encode()
+            headers.append((_LAST_EVENT_ID, last))
+        if call.body or _announces_body(call.head):
+            length = str(len(call.body)).encode()
+            headers.append((_CONTENT_LENGTH, length))
+        return RequestHead(call.head.method, call.head.target, tuple(headers))
+
+    def is_own_answer(self, call: Call, head: AnswerHead) -> bool:
+        """Tell the answer to a call from a late one to another call."""
+        echoed = find_header(head.headers, _ATTEMPT_ID)
+        return echoed in {None, call.request_id.encode()}
+
+    def says_not_run(self, head: AnswerHead) -> bool:
+        """Tell whether the upstream says that it did not run the request."""
+        if head.status == _MISDIRECTED:
+            return True
+        return find_header(head.headers, _NOT_EXECUTED) is not None
+
+    def answer_headers(self, head: AnswerHead) -> Headers:
+        """Return the headers of an upstream's answer for the caller."""
+        return end_to_end(head.headers, _NONE)
+
+    def error_headers(self, exc: BriarrillError) -> Headers:
+        """Return the headers of an error of the relay's own."""
+        headers: Headers = ((b'content-type', b'text/plain'),)
+        if exc.retry_after_s:
+            wait = f'{exc.retry_after_s:.3f}'.encode()
+            headers = (*headers, (b'retry-after', wait))
+        return headers
+
+
+def _read_job_call(head: RequestHead, route: Route, rest: str) -> Intent:
+    job_id = unquote(rest)
+    query = _query(head)
+    if head.method == b'DELETE':
+        return _job_intent(IntentKind.END_JOB, head, route, job_id)
+    if head.method != b'GET':
+        raise NotFoundError(f'no job call {head.method!r}')
+    position = query.get('after', '0')
+    if not position.isdigit():
+        raise BadRequestError('"after" must be a whole number')
+    return _job_intent(
+        IntentKind.READ_RESULTS, head, route, job_id, position=int(position)
+    )
+
+
+def _read_item_call(head: RequestHead, route: Route, rest: str) -> Intent:
+    if head.method != b'GET':
+        raise NotFoundError(f'no item call {head.method!r}')
+    return _job_intent(
+        IntentKind.READ_ITEM,
+        head,
+        route,
+        unquote(rest),
+        item_id=_query(head).get('id', ''),
+    )
+
+
+def _job_intent(
+    kind: IntentKind,
+    head: RequestHead,
+    route: Route,
+    job_id: str,
+    *,
+    item_id: str = '',
+    position: int = 0,
+) -> Intent:
+    named = find_header(head.headers, _ATTEMPT_ID) or b''
+    wait_ms = min(_MAX_WAIT_MS, _number(head, _WAIT_MS, 0))
+    return Intent(
+        kind=kind,
+        request_id=named.decode('latin-1'),
+        route=route,
+        time_left_s=_number(head, _DEADLINE_MS, math.inf) / _MS_PER_S,
+        job_id=job_id,
+        item_id=item_id,
+        position=position,
+        wait_s=wait_ms / _MS_PER_S,
+    )
+
+
+def _query(head: RequestHead) -> dict[str, str]:
+    text = head.target.partition(b'?')[2].decode('latin-1')
+    return {name: found[0] for name, found in parse_qs(text).items()}
+
+
+def _text(head: RequestHead, name: bytes) -> str:
+    found = find_header(head.headers, name)
+    if found is None:
+        raise BadRequestError(f'the header {name.decode()} is missing')
+    return found.decode('latin-1')
+
+
+def _number(head: RequestHead, name: bytes, default: float) -> float:
+    found = find_header(head.headers, name)
+    if found is None:
+        return default
+    try:
+        return max(0, float(found))
+    except ValueError as exc:
+        raise BadRequestError(f'{name.decode()} must be a number') from exc
+
+
+def _last_event_id(head: RequestHead) -> int | None:
+    found = find_header(head.headers, _LAST_EVENT_ID)
+    if found is None:
+        return None
+    if not found.isdigit():
+        raise BadRequestError('Last-Event-Id must be a whole number')
+    return int(found)
+
+
+def _announces_body(head: RequestHead) -> bool:
+    return any(
+        name in {_CONTENT_LENGTH, _TRANSFER_ENCODING}
+        for name, _ in head.headers
+    )
--- /dev/null
+++ b/briarrill/protocol/load_reports.py
@@ -0,0 +1,66 @@
+"""briarrill.protocol.load_reports: what processes tell each other.
+
+Reports go out as datagrams: a lost or late one is made good by the next.
+"""
+
+import attrs
+import msgspec
+
+from ..errors import MalformedMessageError
+
+__all__ = ('LoadReport', 'decode_report', 'encode_report')
+
+PROTOCOL_VERSION = 1
+
+
+@attrs.frozen
+class LoadReport:
+    """What a process has at upstreams and how much it knows.
+
+    :param process: the instance's name, unique in the fleet.
+    :param incarnation: start of the process; grows with each start.
+    :param sequence: grows with each report of an incarnation.
+    :param runs_batch: whether the process runs batch items.
+    :param is_leaving: it takes no new work.
+    :param online: requests in flight by upstream.
+    :param batch: batch items in flight by upstream.
+    :param items: identifiers of the batch items in flight.
+    :param revisions: newest change seen, by prefix of keys.
+    :param connected: prefixes that are followed at the moment.
+    """
+
+    process: str
+    host: str
+    incarnation: int
+    sequence: int
+    runs_batch: bool = False
+    is_leaving: bool = False
+    online: dict[str, int] = attrs.field(factory=dict)
+    batch: dict[str, int] = attrs.field(factory=dict)
+    items: tuple[str, ...] = ()
+    revisions: dict[str, int] = attrs.field(factory=dict)
+    connected: tuple[str, ...] = ()
+    version: int = PROTOCOL_VERSION
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(LoadReport)
+
+
+def encode_report(report: LoadReport) -> bytes:
+    """Return a report as a datagram."""
+    return _ENCODER.encode(report)
+
+
+def decode_report(raw: bytes) -> LoadReport:
+    """Return the report of a datagram.
+
+    :raises MalformedMessageError: it holds none of this version.
+    """
+    try:
+        report = _DECODER.decode(raw)
+    except msgspec.MsgspecError as exc:
+        raise MalformedMessageError(f'load report: {exc}') from exc
+    if report.version != PROTOCOL_VERSION:
+        raise MalformedMessageError(f'load report version {report.version}')
+    return report
--- /dev/null
+++ b/briarrill/relay/__init__.py
@@ -0,0 +1,1 @@
+"""briarrill.relay: callers' requests forwarded to upstreams as they are."""
--- /dev/null
+++ b/briarrill/relay/front.py
@@ -0,0 +1,186 @@
+"""briarrill.relay.front: callers' connections to a relay."""
+
+import math
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+from eliot import log_message
+
+from ..coordination.routes import RouteTable
+from ..errors import BriarrillError, DrainingError, NotReadyError
+from ..metrics import CANCELLED, REFUSED
+from ..readiness import Readiness
+from ..transport.http_callers import CallerConnection
+from ..transport.http_messages import RequestHead
+from ..transport.task_errors import single_error
+from .answer import Answer
+from .forwarding import Forwarder
+from .wire import Call, Intent, IntentKind, RelayWire
+
+__all__ = ('Front', 'JobCalls')
+
+# what a caller waits before it asks an instance again that knows no
+# configuration yet, or another one instead of one that is leaving
+NOT_READY_RETRY_AFTER_S = 0.3
+
+JobCalls = Callable[[Intent, bytes, CallerConnection], Awaitable[None]]
+
+
+@attrs.define
+class Front:
+    """Serves callers.
+
+    :param routes: the routes in force, none before there are any.
+    :param serve_job_call: serves the calls of batch jobs.
+    """
+
+    wire: RelayWire
+    routes: Callable[[], RouteTable | None]
+    forwarder: Forwarder
+    serve_job_call: JobCalls
+    readiness: Readiness
+    rng: random.Random
+    active: int = 0
+    _connections: set[CallerConnection] = attrs.field(factory=set, init=False)
+
+    def close_idle(self) -> None:
+        """Close connections that wait for a request."""
+        for conn in self._connections:
+            conn.close_if_idle()
+
+    async def serve(self, conn: CallerConnection) -> None:
+        """Serve one connection until it ends."""
+        self._connections.add(conn)
+        try:
+            while await self._serve_next(conn):
+                continue
+        finally:
+            self._connections.discard(conn)
+
+    async def _serve_next(self, conn: CallerConnection) -> bool:
+        """Serve one request and return whether another may follow."""
+        try:
+            head = await conn.next_request()
+        except BriarrillError as exc:
+            conn.closes_after_answer = True
+            await self._refuse(conn, '', exc)
+            await conn.linger()
+            return False
+        if head is None:
+            return False
+        conn.closes_after_answer = self.readiness.is_draining
+        self.active += 1
+        try:
+            await self._serve_request(conn, head)
+        finally:
+            self.active -= 1
+        if conn.is_reusable:
+            return True
+        if conn.has_ended:
+            await conn.linger()
+        return False
+
+    async def _serve_request(
+        self, conn: CallerConnection, head: RequestHead
+    ) -> None:
+        """Answer one request; its caller's leaving cancels it."""
+        arrived_at = time.monotonic()
+        try:
+            intent, body = await self._read(conn, head)
+        except BriarrillError as exc:
+            conn.closes_after_answer = True
+            await self._refuse(conn, '', exc)
+            return
+        with single_error():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when_gone, conn, nursery)
+                await self._answer(conn, head, intent, body, arrived_at)
+                nursery.cancel_scope.cancel()
+
+    async def _read(
+        self, conn: CallerConnection, head: RequestHead
+    ) -> tuple[Intent, bytes]:
+        routes = self.routes()
+        if self.readiness.is_closed:
+            raise DrainingError(
+                'the entry is leaving', retry_after_s=NOT_READY_RETRY_AFTER_S
+            )
+        if routes is None:
+            raise NotReadyError(
+                'no configuration yet', retry_after_s=NOT_READY_RETRY_AFTER_S
+            )
+        intent = self.wire.read_intent(head, routes)
+        return intent, await conn.read_body(head)
+
+    async def _answer(
+        self,
+        conn: CallerConnection,
+        head: RequestHead,
+        intent: Intent,
+        body: bytes,
+        arrived_at: float,
+    ) -> None:
+        answer = Answer(conn, self.wire, intent.last_event_id)
+        try:
+            if intent.kind is IntentKind.FORWARD:
+                call = self._call(head, intent, body, arrived_at)
+                await self.forwarder.forward(call, answer)
+            else:
+                await self.serve_job_call(intent, body, conn)
+        except BriarrillError as exc:
+            if answer.has_begun:
+                # only the connection's end can tell the caller now
+                log_message(
+                    'request:cut',
+                    request_id=intent.request_id,
+                    reason=exc.message,
+                )
+            elif not await answer.send_failure():
+                await self._refuse(conn, intent.request_id, exc)
+
+    def _call(
+        self,
+        head: RequestHead,
+        intent: Intent,
+        body: bytes,
+        arrived_at: float,
+    ) -> Call:
+        left_s = min(intent.time_left_s, intent.route.timeout_s)
+        return Call(
+            request_id=intent.request_id,
+            route=intent.route,
+            service=intent.route.choose_service(self.rng),
+            head=head,
+            body=body,
+            deadline_s=arrived_at + (left_s or math.inf),
+            last_event_id=intent.last_event_id,
+        )
+
+    async def _refuse(
+        self, conn: CallerConnection, request_id: str, exc: BriarrillError
+    ) -> None:
+        REFUSED.labels(exc.code.name).inc()
+        log_message(
+            'request:refused',
+            request_id=request_id,
+            code=exc.code.value,
+            reason=exc.message,
+            ran=exc.ran.value,
+            retry_after_s=exc.retry_after_s,
+        )
+        await conn.send_answer(
+            exc.http_status,
+            self.wire.error_headers(exc),
+            f'{exc.code.value} {exc.message}\n'.encode(),
+        )
+
+
+async def _cancel_when_gone(
+    conn: CallerConnection, nursery: trio.Nursery
+) -> None:
+    await conn.wait_gone()
+    CANCELLED.inc()
+    nursery.cancel_scope.cancel()
--- a/briarrill/runtime.py
+++ b/briarrill/runtime.py
@@ -17,6 +17,7 @@
 from quart_trio import QuartTrio
 
 from .ops_app import make_ops_app
+from .readiness import Readiness
 from .state.settings import HttpSettings, LogSettings, PlatformSettings
 from .transport.etcd import EtcdService
 from .transport.http_server import HttpBounds, serve_app
@@ -25,7 +26,6 @@
 
 __all__ = (
     'Platform',
-    'Readiness',
     'open_log',
     'open_platform',
     'serve_ops',
@@ -41,36 +41,6 @@
     instance_list: InstanceList
 
 
-class Readiness:
-    """Whether the process takes work, and its planned stop."""
-
-    def __init__(self) -> None:
-        """Start neither ready nor draining."""
-        self.has_started = False
-        self.is_closed = False
-        self.drain = trio.Event()
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether the planned stop has begun."""
-        return self.drain.is_set()
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether the balancer may send requests."""
-        return self.has_started and not self.is_draining
-
-    def close(self) -> None:
-        """Refuse new work: whoever chooses processes knows of the drain."""
-        self.is_closed = True
-
-    def begin_drain(self) -> None:
-        """Begin the planned stop."""
-        if not self.is_draining:
-            log_message('drain:begun')
-        self.drain.set()
-
-
 @contextlib.contextmanager
 def open_log(cfg: LogSettings, process: str) -> Iterator[None]:
     """Write eliot messages to the log file until exit."""
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -20,8 +20,8 @@
     Pull,
     Revoke,
 )
+from ..readiness import Readiness
 from ..result_codes import Ran, ResultCode
-from ..runtime import Readiness
 from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket, open_dealer
 from .held_items import HeldItem, HeldItems
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -32,8 +32,8 @@
     Message,
     Submit,
 )
+from ..readiness import Readiness
 from ..result_codes import Ran
-from ..runtime import Readiness
 from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket
 from .entry_sessions import EntrySessions, Identity, SidecarState
--- a/briarrill/sidecar/service.py
+++ b/briarrill/sidecar/service.py
@@ -9,8 +9,8 @@
 from ..control import Control
 from ..coordination.admission import Admission, reserved_slots
 from ..protocol.rpc import open_rpc_pool
+from ..readiness import Readiness
 from ..runtime import (
-    Readiness,
     open_platform,
     serve_ops,
     wait_for_stop_signal,
--- a/briarrill/state/keys.py
+++ b/briarrill/state/keys.py
@@ -6,11 +6,14 @@
     'FILES',
     'JOBS',
     'LEASES',
+    'MEMBERS',
     'OPEN_JOBS',
+    'ROOT',
     'config_version_key',
     'file_key',
     'job_key',
     'lease_key',
+    'member_key',
     'open_job_key',
 )
 
@@ -20,6 +23,7 @@
 FILES = f'{ROOT}files/'
 JOBS = f'{ROOT}jobs/'
 LEASES = f'{ROOT}leases/'
+MEMBERS = f'{ROOT}members/'
 OPEN_JOBS = f'{ROOT}open-jobs/'
 
 
@@ -43,6 +47,11 @@
     return f'{LEASES}{process}'
 
 
+def member_key(name: str) -> str:
+    """Return the key under which a process is registered."""
+    return f'{MEMBERS}{name}'
+
+
 def open_job_key(key: str) -> str:
     """Return the index key that exists while a job is unfinished.
 
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -9,7 +9,13 @@
 
 from ..errors import PlatformUnavailableError, WriteUnknownError
 from ..metrics import KEY_VALUE_CALLS
-from .key_value import KeyChange, KeyValue, KeyValueService, WatchEvent
+from .key_value import (
+    KeyChange,
+    KeySnapshot,
+    KeyValue,
+    KeyValueService,
+    WatchEvent,
+)
 
 __all__ = ('EtcdService', 'prefix_end')
 
@@ -117,8 +123,10 @@
         """End a lease and delete its keys."""
         await self._post('/v3/lease/revoke', {'ID': lease_id})
 
-    async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
-        """Yield the keys under a prefix, then each change."""
+    async def follow(
+        self, prefix: str, pace_s: float = 0
+    ) -> AsyncIterator[KeySnapshot | WatchEvent]:
+        """Yield all keys under a prefix at once, then each change."""
         create = {
             'create_request': {
                 'key': _b64(prefix.encode()),
@@ -128,8 +136,8 @@
         try:
             KEY_VALUE_CALLS.labels('watch').inc()
             async for line in self._stream_lines('/v3/watch', create):
-                for event in await self._events(json.loads(line), prefix):
-                    yield event
+                for change in await self._changes(json.loads(line), prefix):
+                    yield change
         except (httpx.HTTPError, ValueError) as exc:
             raise _unavailable(exc) from exc
         raise PlatformUnavailableError('the watch ended')
@@ -149,21 +157,18 @@
         reply = await self._post('/v3/kv/range', body)
         return [_key_value(fields) for fields in reply.get('kvs', ())]
 
-    async def _events(
+    async def _changes(
         self, message: dict[str, Any], prefix: str
-    ) -> list[WatchEvent]:
-        """Return the events of a message of a watch.
+    ) -> Sequence[KeySnapshot | WatchEvent]:
+        """Return the changes of a message of a watch.
 
         The first message says that the watch runs; the keys are read after
         it, so that no change falls between the two.
         """
         reply = message['result']
-        if not reply.get('created'):
-            return [_watch_event(fields) for fields in reply.get('events', ())]
-        return [
-            WatchEvent(found.key, found.body, found.mod_revision)
-            for found in await self.read_prefix(prefix)
-        ]
+        if reply.get('created'):
+            return [KeySnapshot(tuple(await self.read_prefix(prefix)))]
+        return [_watch_event(fields) for fields in reply.get('events', ())]
 
     async def _resolve_conflict(
         self, change: KeyChange, lost: Exception | None
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-__all__ = ('KeyChange', 'KeyValue', 'KeyValueService', 'WatchEvent')
+__all__ = (
+    'KeyChange',
+    'KeySnapshot',
+    'KeyValue',
+    'KeyValueService',
+    'WatchEvent',
+)
 
 
 @attrs.frozen
@@ -42,6 +48,13 @@
     mod_revision: int
 
 
+@attrs.frozen
+class KeySnapshot:
+    """All keys under a prefix; what it lacks does not exist any more."""
+
+    entries: tuple[KeyValue, ...]
+
+
 class KeyValueService(abc.ABC):
     """Compare-and-swap, leases and watches.
 
@@ -115,11 +128,32 @@
     async def revoke_lease(self, lease_id: int) -> None:
         """End a lease and delete its keys."""
 
-    @abc.abstractmethod
-    def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
+    async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
         """Yield the keys under a prefix, then each change.
 
         A change that comes while the watch starts may be seen twice.
 
         :raises PlatformUnavailableError: the watch ended.
         """
+        async for change in self.follow(prefix):
+            if isinstance(change, WatchEvent):
+                yield change
+                continue
+            for found in change.entries:
+                yield WatchEvent(found.key, found.body, found.mod_revision)
+
+    @abc.abstractmethod
+    def follow(
+        self, prefix: str, pace_s: float = 0
+    ) -> AsyncIterator[KeySnapshot | WatchEvent]:
+        """Yield all keys under a prefix at once, then each change.
+
+        :param pace_s: shortest time between two calls to the service, for
+            changes that need not be seen at once; default none. A service
+            that pushes changes makes one call and ignores it.
+
+        Another snapshot follows when changes may have been missed. Changes
+        that a snapshot holds may be seen again, with their old revisions.
+
+        :raises PlatformUnavailableError: the watch ended.
+        """
--- a/standins/control_fleet.py
+++ b/standins/control_fleet.py
@@ -20,7 +20,8 @@
 from briarrill.errors import PeerUnreachableError, PlatformUnavailableError
 from briarrill.protocol.messages import Message
 from briarrill.protocol.rpc import RpcCaller, RpcPool, open_rpc_pool
-from briarrill.runtime import Platform, Readiness
+from briarrill.readiness import Readiness
+from briarrill.runtime import Platform
 from briarrill.state.config_file import ConfigFile
 from briarrill.state.contracts import (
     Configuration,
--- a/standins/memory_key_value.py
+++ b/standins/memory_key_value.py
@@ -13,6 +13,7 @@
 from briarrill.errors import PlatformUnavailableError, WriteUnknownError
 from briarrill.transport.key_value import (
     KeyChange,
+    KeySnapshot,
     KeyValue,
     KeyValueService,
     WatchEvent,
@@ -127,15 +128,16 @@
         ]
         self._apply([KeyChange(key, None) for key in held])
 
-    async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
-        """Yield the keys under a prefix, then each change."""
+    async def follow(
+        self, prefix: str, pace_s: float = 0
+    ) -> AsyncIterator[KeySnapshot | WatchEvent]:
+        """Yield all keys under a prefix at once, then each change."""
         await self._begin('watch')
         sender, receiver = trio.open_memory_channel[WatchEvent](WATCH_BUFFER)
         watch = _Watch(prefix, sender)
         self._watches.add(watch)
         try:
-            for found in await self.read_prefix(prefix):
-                yield WatchEvent(found.key, found.body, found.mod_revision)
+            yield KeySnapshot(tuple(await self.read_prefix(prefix)))
             async for event in receiver:
                 yield event
         finally:
--- a/tests/batch/test_idle_pulls.py
+++ b/tests/batch/test_idle_pulls.py
@@ -6,7 +6,7 @@
 from briarrill.batch.item_sources import ItemSource, ItemSources
 from briarrill.protocol.codec import decode, encode
 from briarrill.protocol.messages import Assign, BatchItem, Pull
-from briarrill.runtime import Readiness
+from briarrill.readiness import Readiness
 from briarrill.sidecar.batch import BatchPuller
 from briarrill.sidecar.held_items import HeldItems
 from briarrill.sidecar.online import Identity
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -24,7 +24,8 @@
 from briarrill.entry.intake import FileIntake
 from briarrill.errors import PeerUnreachableError, PlatformUnavailableError
 from briarrill.protocol.rpc import open_rpc_pool
-from briarrill.runtime import Platform, Readiness
+from briarrill.readiness import Readiness
+from briarrill.runtime import Platform
 from briarrill.sidecar.batch import BatchPuller, BatchRunner
 from briarrill.sidecar.held_items import HeldItems
 from briarrill.sidecar.online import Identity
--- a/tests/entry/serving.py
+++ b/tests/entry/serving.py
@@ -12,7 +12,7 @@
 from briarrill.entry.limits import Limits
 from briarrill.errors import BriarrillError
 from briarrill.protocol.messages import Finish
-from briarrill.runtime import Readiness
+from briarrill.readiness import Readiness
 from briarrill.state.contracts import (
     Configuration,
     Contract,
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -9,7 +9,7 @@
 
 from briarrill.coordination.admission import Admission
 from briarrill.entry.links import OnlineRequest, UpstreamLink
-from briarrill.runtime import Readiness
+from briarrill.readiness import Readiness
 from briarrill.sidecar.online import Identity, OnlineServer
 from briarrill.sidecar.upstreams import Answer, Upstream
 from briarrill.state.settings import InstanceSettings
--- a/tests/sidecar/test_service.py
+++ b/tests/sidecar/test_service.py
@@ -6,7 +6,7 @@
 
 from briarrill.coordination.admission import Admission
 from briarrill.coordination.configuration import ConfigHolder, ConfigRecord
-from briarrill.runtime import Readiness
+from briarrill.readiness import Readiness
 from briarrill.sidecar.online import Identity, OnlineServer
 from briarrill.sidecar.service import _Sidecar
 from briarrill.state.contracts import (
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -28,7 +28,7 @@
     Welcome,
 )
 from briarrill.protocol.rpc import RpcClient, serve_rpc
-from briarrill.runtime import Readiness
+from briarrill.readiness import Readiness
 from briarrill.sidecar.batch import BatchPuller
 from briarrill.sidecar.held_items import HeldItems
 from briarrill.sidecar.online import Identity, OnlineServer
