Run stored batch jobs in the slots that online requests leave

Cause: jobs were refused on the platform. A job is now one conditional write before it is accepted; each result is a key of its own whose name holds its position and that is only ever created, so no two writers can give a position or an item two results, and no lease or epoch is needed. Every batch process sees every job; each upstream has one owner among the live processes, which starts items there and gives slots up as online requests come.

Ruled out: one value a job with all results, rewritten for each (bytes), and an owner a job under a lease (a stalled owner delays its job, and two owners need fencing).

--- /dev/null
+++ b/briarrill/coordination/batch_shares.py
@@ -0,0 +1,42 @@
+"""briarrill.coordination.batch_shares: what batch work may hold, and where.
+
+Answers online traffic that comes in peaks of seconds: batch items take the
+slots that the valleys leave, but for some that are kept free for the first
+requests of a peak, and give them up as online requests come.
+"""
+
+from collections.abc import Sequence
+
+__all__ = ('is_owner', 'slots_to_take', 'slots_to_yield')
+
+# slots of an upstream that batch work leaves free: online requests that come
+# within the time of one load report find a slot without waiting
+RESERVED_SLOTS = 1
+
+
+def slots_to_take(slots: int, online: int, batch: int) -> int:
+    """Return how many more items may start at an upstream."""
+    return max(0, slots - RESERVED_SLOTS - online - batch)
+
+
+def slots_to_yield(slots: int, online: int, batch: int) -> int:
+    """Return how many running items must leave an upstream."""
+    return min(batch, max(0, online + batch - slots))
+
+
+def is_owner(
+    process: str,
+    upstream_id: str,
+    processes: Sequence[str],
+    upstreams: Sequence[str],
+) -> bool:
+    """Tell whether a process is the one that starts items at an upstream.
+
+    Each upstream has one owner among the live processes, so that two never
+    take the same free slot.
+
+    :param processes: the live batch processes, this one too.
+    :param upstreams: all upstreams of the service.
+    """
+    position = sorted(upstreams).index(upstream_id)
+    return sorted(processes)[position % len(processes)] == process
--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -102,7 +102,7 @@
         self._host = host
         self._port = port
         self._seeds = seeds
-        self._describe = describe
+        self.describe = describe
         self._members: dict[str, str] = {}
         self._peers: dict[str, Peer] = {}
         self._incarnation = time.time_ns()
@@ -167,7 +167,7 @@
     def make_report(self) -> LoadReport:
         """Return the next report of this process."""
         self._sequence += 1
-        return self._describe(
+        return self.describe(
             LoadReport(
                 process=self._process,
                 host=self._host,
--- a/briarrill/relay/wire.py
+++ b/briarrill/coordination/wire.py
@@ -1,19 +1,21 @@
-"""briarrill.relay.wire: what a relay asks of a protocol.
+"""briarrill.coordination.wire: what relays ask of a protocol.
 
-An adapter names the headers; the relay decides.
+An adapter names the headers and fields; others decide.
 """
 
 import abc
 import enum
+from collections.abc import Sequence
 
 import attrs
 
-from ..coordination.routes import Route, RouteTable
-from ..coordination.upstream_table import RegisteredUpstream
 from ..errors import BriarrillError
+from ..state.stored_jobs import StoredItem, StoredResult
 from ..transport.http_messages import AnswerHead, Headers, RequestHead
+from .routes import Route, RouteTable
+from .upstream_table import RegisteredUpstream
 
-__all__ = ('Call', 'Intent', 'IntentKind', 'RelayWire')
+__all__ = ('Call', 'Intent', 'IntentKind', 'JobWire', 'RelayWire')
 
 
 class IntentKind(enum.Enum):
@@ -85,6 +87,10 @@
     ) -> RequestHead:
         """Return the head that is sent to an upstream."""
 
+    @abc.abstractmethod
+    def item_head(self, host: str, stored: StoredItem) -> RequestHead:
+        """Return the head with which a job's item would have come alone."""
+
     @abc.abstractmethod
     def is_own_answer(self, call: Call, head: AnswerHead) -> bool:
         """Tell the answer to a call from a late one to another call."""
@@ -100,3 +106,23 @@
     @abc.abstractmethod
     def error_headers(self, exc: BriarrillError) -> Headers:
         """Return the headers of an error of the relay's own."""
+
+
+class JobWire(abc.ABC):
+    """Reads and writes the bodies of job calls."""
+
+    @abc.abstractmethod
+    def read_items(self, body: bytes) -> tuple[StoredItem, ...]:
+        """Return the items of a job that is handed in.
+
+        :raises BadRequestError: names the place of the mistake.
+        """
+
+    @abc.abstractmethod
+    def results_body(
+        self, total: int, position: int, found: Sequence[StoredResult]
+    ) -> bytes:
+        """Return the body of an answer with results.
+
+        :param position: position of the first result.
+        """
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -1,13 +1,74 @@
 """briarrill.platform.batch: a batch process on the platform."""
 
-from .fleet import follow_fleet, open_fleet, wait_stop
+import attrs
+import trio
+from eliot import log_message
+
+from ..coordination.job_table import JobTable
+from ..item_runs.commits import Committer
+from ..item_runs.run import ItemRunner
+from ..item_runs.scheduler import Scheduler
+from ..protocol.load_reports import LoadReport
+from .fleet import Fleet, follow_fleet, open_fleet, wait_stop
+from .retirement import Retirement
 from .settings import PlatformInstance
+from .wire import PlatformWire
 
 __all__ = ('run_batch',)
 
+# time before the kill at which running items are given up, and what is left
+# of it for their results
+GIVE_UP_MARGIN_S = 1.5
+COMMIT_MARGIN_S = 0.3
+
+POLL_S = 0.02
+
 
 async def run_batch(cfg: PlatformInstance) -> None:
-    """Run until a stop signal."""
+    """Run until a stop signal and the drain that follows it."""
     async with open_fleet(cfg, runs_batch=True) as fleet:
-        async with follow_fleet(fleet):
+        jobs = JobTable(fleet.store)
+        fleet.own_keys.add('', jobs)
+        committer = Committer(fleet.store, jobs)
+        scheduler = Scheduler(
+            process=cfg.name,
+            jobs=jobs,
+            upstreams=fleet.upstreams,
+            load=fleet.load,
+            runner=ItemRunner(PlatformWire()),
+            committer=committer,
+        )
+        _connect(fleet, scheduler)
+        retirement = Retirement(fleet.store, cfg.name, scheduler)
+        fleet.operator_keys.add('', retirement)
+        async with follow_fleet(fleet), trio.open_nursery() as nursery:
+            nursery.start_soon(committer.run)
+            nursery.start_soon(scheduler.run, lambda: fleet.holder.routes)
+            nursery.start_soon(retirement.run)
             await wait_stop(fleet.readiness)
+            await _drain(scheduler, cfg.grace_s)
+            nursery.cancel_scope.cancel()
+
+
+def _connect(fleet: Fleet, scheduler: Scheduler) -> None:
+    """Let reports tell of the items in hand, and wake the scheduler."""
+    describe = fleet.describe
+
+    def describe_items(report: LoadReport) -> LoadReport:
+        return attrs.evolve(describe(report), items=scheduler.items_in_hand)
+
+    fleet.load.describe = describe_items
+    fleet.load.on_report.append(lambda report: scheduler.wake())
+
+
+async def _drain(scheduler: Scheduler, grace_s: float) -> None:
+    """Let running items end, then give up the others."""
+    scheduler.is_closed = True
+    with trio.move_on_after(grace_s - GIVE_UP_MARGIN_S):
+        while not scheduler.is_idle:
+            await trio.sleep(POLL_S)
+    scheduler.preempt_all()
+    with trio.move_on_after(GIVE_UP_MARGIN_S - COMMIT_MARGIN_S):
+        while not scheduler.is_idle:
+            await trio.sleep(POLL_S)
+    log_message('drain:ended', is_idle=scheduler.is_idle)
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -4,12 +4,15 @@
 
 import trio
 
-from ..errors import NotReadyError, SettingsError
+from ..coordination.job_table import JobTable
+from ..errors import SettingsError
 from ..relay.drain import drain_front
 from ..relay.forwarding import Forwarder
 from ..relay.front import Front
+from ..relay.job_calls import JobCalls
 from ..transport.http_callers import serve_callers
 from .fleet import Fleet, follow_fleet, open_fleet, serve_ready, wait_stop
+from .job_messages import PlatformJobWire
 from .settings import PlatformInstance
 from .wire import PlatformWire
 
@@ -51,15 +54,16 @@
     forwarder = Forwarder(
         wire, fleet.upstreams, fleet.load, fleet.cfg.failure_domain, rng
     )
+    jobs = JobTable(fleet.store)
+    fleet.own_keys.add('', jobs)
+    job_calls = JobCalls(
+        fleet.store, jobs, PlatformJobWire(), fleet.cfg.max_value_bytes
+    )
     return Front(
         wire=wire,
         routes=lambda: fleet.holder.routes,
         forwarder=forwarder,
-        serve_job_call=_refuse_job,
+        serve_job_call=job_calls.serve,
         readiness=fleet.readiness,
         rng=rng,
     )
-
-
-async def _refuse_job(intent, body, conn):
-    raise NotReadyError('no batch', retry_after_s=1)
--- a/briarrill/platform/wire.py
+++ b/briarrill/platform/wire.py
@@ -5,8 +5,9 @@
 
 from ..coordination.routes import Route, RouteKind, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream
+from ..coordination.wire import Call, Intent, IntentKind, RelayWire
 from ..errors import BadRequestError, BriarrillError, NotFoundError
-from ..relay.wire import Call, Intent, IntentKind, RelayWire
+from ..state.stored_jobs import StoredItem
 from ..transport.http_messages import (
     AnswerHead,
     Headers,
@@ -91,6 +92,22 @@
             headers.append((_CONTENT_LENGTH, length))
         return RequestHead(call.head.method, call.head.target, tuple(headers))
 
+    def item_head(self, host: str, stored: StoredItem) -> RequestHead:
+        """Return the head with which a job's item would have come alone."""
+        named = [
+            (name.lower().encode('latin-1'), text.encode('latin-1'))
+            for name, text in stored.headers.items()
+        ]
+        own = [
+            (b'host', host.encode('latin-1')),
+            (_ATTEMPT_ID, stored.item_id.encode('latin-1')),
+            (_CONTENT_LENGTH, str(len(stored.body)).encode()),
+        ]
+        set_here = {name for name, _ in own}
+        others = [pair for pair in named if pair[0] not in set_here]
+        target = stored.path.encode('latin-1')
+        return RequestHead(b'POST', target, (*own, *others))
+
     def is_own_answer(self, call: Call, head: AnswerHead) -> bool:
         """Tell the answer to a call from a late one to another call."""
         echoed = find_header(head.headers, _ATTEMPT_ID)
--- a/briarrill/relay/answer.py
+++ b/briarrill/relay/answer.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Sequence
 
+from ..coordination.wire import RelayWire
 from ..protocol.event_stream import Event
 from ..transport.http_callers import CallerConnection
 from ..transport.http_messages import AnswerHead, Headers
-from .wire import RelayWire
 
 __all__ = ('Answer',)
 
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -22,6 +22,7 @@
 from ..coordination.routes import RouteKind
 from ..coordination.service_times import ServiceTimes
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
+from ..coordination.wire import Call, RelayWire
 from ..errors import (
     BriarrillError,
     CapacityError,
@@ -40,7 +41,6 @@
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import AnswerHead
 from .answer import Answer
-from .wire import Call, RelayWire
 
 __all__ = ('Forwarder',)
 
--- a/briarrill/relay/front.py
+++ b/briarrill/relay/front.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from ..coordination.routes import RouteTable
+from ..coordination.wire import Call, Intent, IntentKind, RelayWire
 from ..errors import BriarrillError, DrainingError, NotReadyError
 from ..metrics import CANCELLED, REFUSED
 from ..readiness import Readiness
@@ -18,7 +19,6 @@
 from ..transport.task_errors import single_error
 from .answer import Answer
 from .forwarding import Forwarder
-from .wire import Call, Intent, IntentKind, RelayWire
 
 __all__ = ('Front', 'JobCalls')
 
--- a/briarrill/state/keys.py
+++ b/briarrill/state/keys.py
@@ -5,15 +5,22 @@
     'CONFIG_HISTORY',
     'FILES',
     'JOBS',
+    'JOB_BODIES',
+    'JOB_ENDS',
+    'JOB_RESULTS',
     'LEASES',
     'MEMBERS',
     'OPEN_JOBS',
     'ROOT',
     'config_version_key',
     'file_key',
+    'job_body_prefix',
+    'job_end_key',
     'job_key',
+    'job_results_prefix',
     'lease_key',
     'member_key',
+    'numbered_key',
     'open_job_key',
 )
 
@@ -22,6 +29,9 @@
 CONFIG_HISTORY = f'{ROOT}config/history/'
 FILES = f'{ROOT}files/'
 JOBS = f'{ROOT}jobs/'
+JOB_BODIES = f'{ROOT}job-bodies/'
+JOB_ENDS = f'{ROOT}job-ends/'
+JOB_RESULTS = f'{ROOT}job-results/'
 LEASES = f'{ROOT}leases/'
 MEMBERS = f'{ROOT}members/'
 OPEN_JOBS = f'{ROOT}open-jobs/'
@@ -58,3 +68,23 @@
     :param key: key of the job's record.
     """
     return f'{OPEN_JOBS}{key.removeprefix(JOBS)}'
+
+
+def job_body_prefix(job_id: str) -> str:
+    """Return the prefix of the parts of a job that is kept whole."""
+    return f'{JOB_BODIES}{job_id}/'
+
+
+def job_results_prefix(job_id: str) -> str:
+    """Return the prefix of a job's results, one key a position."""
+    return f'{JOB_RESULTS}{job_id}/'
+
+
+def job_end_key(job_id: str) -> str:
+    """Return the key that exists once a job's end was asked for."""
+    return f'{JOB_ENDS}{job_id}'
+
+
+def numbered_key(prefix: str, number: int) -> str:
+    """Return the key of a numbered part; the order of keys is theirs."""
+    return f'{prefix}{number:06d}'
