--- a/briarrill/coordination/batch_shares.py
+++ b/briarrill/coordination/batch_shares.py
@@ -9,8 +9,8 @@
 
 __all__ = ('is_owner', 'slots_to_take', 'slots_to_yield')
 
-# slots of an upstream that batch work leaves free: online requests that come
-# within the time of one load report find a slot without waiting
+# slots of an upstream that batch work leaves free; a running item leaves
+# within a load report's time, a tenth of what a first event may take
 RESERVED_SLOTS = 1
 
 
--- a/briarrill/coordination/routes.py
+++ b/briarrill/coordination/routes.py
@@ -106,6 +106,13 @@
             if route.kind is kind
         ]
 
+    @property
+    def batch_routes(self) -> list[Route]:
+        """Return the routes of batch jobs."""
+        return [
+            route for route in self.routes if route.kind is RouteKind.BATCH
+        ]
+
     def of_name(self, name: str) -> Route | None:
         """Return the route with a name, if it is still there."""
         return _first(route for route in self.routes if route.name == name)
--- a/briarrill/item_runs/choice.py
+++ b/briarrill/item_runs/choice.py
@@ -1,91 +1,106 @@
-"""briarrill.item_runs.choice: which item runs next.
+"""briarrill.item_runs.choice: which item runs next, and which yields first.
 
-Items of jobs that can still be on time go first, the earliest due first; a
-job whose time is over waits until no other has items. A process prefers the
-jobs that the rendezvous hash gives it and takes over others' items after
-they have waited for some time.
+A process prefers the jobs that the rendezvous hash gives it and takes over
+others' items after they have waited for some time.
 """
 
 import time
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection
 
 import attrs
 
+from ..coordination.batch_order import Urgency, urgency_of
 from ..coordination.job_table import JobTable, KnownJob
 from ..coordination.rendezvous import rank
 from ..coordination.routes import Route, RouteTable
-from ..state.stored_jobs import StoredItem
+from ..coordination.service_times import ServiceTimes
+from .item import ItemProgress
 
 __all__ = ('ItemChoice', 'NextItem')
 
 # time after which an item that its own process does not start is taken over
 TAKE_OVER_S = 0.4
 
+# time from the end of a run until entries show the result, less what a
+# caller's read comes later than it could
+COMMIT_S = 0.5
+
+# least slot time that an item takes, however far it is
+MIN_REMAINING_S = 0.2
+
 
 @attrs.frozen
 class NextItem:
     """An item that may run now."""
 
+    progress: ItemProgress
     known: KnownJob
-    stored: StoredItem
     route: Route
 
 
 @attrs.define
 class ItemChoice:
-    """Orders the items that wait.
+    """Orders items.
 
     :param process: name of this process.
+    :param wall_clock: Unix seconds, as jobs' times are.
     """
 
     process: str
     jobs: JobTable
+    wall_clock: Callable[[], float] = time.time
     _seen_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _times: ServiceTimes = attrs.field(factory=ServiceTimes, init=False)
+
+    def add_time(self, ran_s: float) -> None:
+        """Take the slot time of an item that was completed."""
+        self._times.add(ran_s)
 
     def waiting(
         self,
         routes: RouteTable,
         processes: Collection[str],
-        taken: Collection[str],
-    ) -> Iterator[NextItem]:
+        progress_of: Callable[[KnownJob, str], ItemProgress | None],
+    ) -> list[NextItem]:
         """Return the items that may run now, the most urgent first.
 
         :param processes: the live batch processes.
-        :param taken: items that some process runs or has finished.
+        :param progress_of: the progress of an item, or nothing when some
+            process runs it or it has a result.
         """
-        for known in self._open_jobs(routes):
-            if not self._may_take(known, processes):
-                continue
+        found: list[NextItem] = []
+        for known in self._own_jobs(processes):
             route = routes.of_name(known.job.route) if known.job else None
             if route is None:
                 continue
-            for stored in known.items.values():
-                is_done = stored.item_id in known.finished
-                if not is_done and stored.item_id not in taken:
-                    yield NextItem(known, stored, route)
-
-    def _open_jobs(self, routes: RouteTable) -> list[KnownJob]:
-        now = time.time()
+            for item_id in known.items:
+                progress = progress_of(known, item_id)
+                if progress is not None:
+                    found.append(NextItem(progress, known, route))
+        return sorted(found, key=self._urgency_of_next)
+
+    def urgency(
+        self, progress: ItemProgress, known: KnownJob, route: Route
+    ) -> Urgency:
+        """Return the sort key of an item."""
+        submitted_at = known.job.submitted_at if known.job else 0
+        due_in_s = submitted_at + route.due_s - self.wall_clock() - COMMIT_S
+        left_s = self._times.mean_s - progress.ran_s
+        return urgency_of(due_in_s, max(MIN_REMAINING_S, left_s))
+
+    def _urgency_of_next(self, one: NextItem) -> Urgency:
+        return self.urgency(one.progress, one.known, one.route)
+
+    def _own_jobs(self, processes: Collection[str]) -> list[KnownJob]:
         found = [known for known in self.jobs.known if known.is_open]
         self._seen_at = {
             known.job_id: self._seen_at.get(known.job_id, time.monotonic())
             for known in found
         }
-        return sorted(found, key=lambda known: _urgency(known, routes, now))
+        return [known for known in found if self._may_take(known, processes)]
 
     def _may_take(self, known: KnownJob, processes: Collection[str]) -> bool:
         if rank(known.job_id, processes)[0] == self.process:
             return True
         waited_s = time.monotonic() - self._seen_at[known.job_id]
         return waited_s > TAKE_OVER_S
-
-
-def _urgency(
-    known: KnownJob, routes: RouteTable, now: float
-) -> tuple[bool, float]:
-    """Return what jobs are sorted by: overdue ones last, then by due time."""
-    if known.job is None:
-        return True, now
-    route = routes.of_name(known.job.route)
-    due_at = known.job.submitted_at + (route.due_s if route else 0)
-    return due_at < now, due_at
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -27,6 +27,7 @@
 
     :param failures: runs that the upstream answered with an error.
     :param not_before: monotonic time before which it is not run again.
+    :param ran_s: time that it has had slots.
     :param avoided: upstream of the last run that went wrong.
     """
 
@@ -34,6 +35,7 @@
     stored: StoredItem
     failures: int = 0
     not_before: float = 0
+    ran_s: float = 0
     avoided: str = ''
     last_event_id: int | None = None
     _lines: list[bytes] = attrs.field(factory=list)
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -1,5 +1,6 @@
 """briarrill.item_runs.scheduler: starts items in free slots, and yields."""
 
+import math
 import time
 from collections.abc import Callable
 
@@ -7,12 +8,13 @@
 import trio
 from eliot import log_message
 
+from ..coordination.batch_order import Urgency
 from ..coordination.batch_shares import (
     is_owner,
     slots_to_take,
     slots_to_yield,
 )
-from ..coordination.job_table import JobTable
+from ..coordination.job_table import JobTable, KnownJob
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.routes import Route, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
@@ -28,6 +30,9 @@
 # longest time between two looks at the slots
 TICK_S = 0.05
 
+# time between two looks for items whose time or route is over
+GIVE_UP_CHECK_S = 1.0
+
 # pause before an item runs again after a refusal or a failure
 REFUSED_PAUSE_S = 0.1
 FAILED_PAUSE_S = 0.3
@@ -42,6 +47,7 @@
     """An item that is at an upstream."""
 
     progress: ItemProgress
+    route: Route
     upstream_id: str
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_preempted: bool = False
@@ -101,6 +107,7 @@
 
     async def run(self, routes: Callable[[], RouteTable | None]) -> None:
         """Start and yield until cancelled."""
+        given_up_at = -math.inf
         async with trio.open_nursery() as nursery:
             while True:
                 with trio.move_on_after(TICK_S):
@@ -110,8 +117,10 @@
                 if table is None:
                     continue
                 self._stop_ended()
-                self._yield_slots()
-                self._give_up(table)
+                self._yield_slots(table)
+                if time.monotonic() - given_up_at >= GIVE_UP_CHECK_S:
+                    given_up_at = time.monotonic()
+                    self._give_up(table)
                 if not self.is_closed:
                     self._start_items(table, nursery)
 
@@ -126,7 +135,8 @@
             if known is None or key[1] in known.finished:
                 self._progress.pop(key)
 
-    def _yield_slots(self) -> None:
+    def _yield_slots(self, routes: RouteTable) -> None:
+        """Let online requests have their slots, the least urgent first."""
         for upstream in self._upstreams.all:
             name = upstream.upstream_id
             own = [
@@ -134,15 +144,22 @@
                 for running in self._running.values()
                 if running.upstream_id == name and not running.is_preempted
             ]
-            if not own:
-                continue
             count = slots_to_yield(
                 upstream.slots, self._load.online(name), len(own)
             )
-            for running in own[len(own) - count :]:
+            if not count:
+                continue
+            own.sort(key=self._urgency_of_running, reverse=True)
+            for running in own[:count]:
                 running.preempt()
                 PREEMPTED.inc()
 
+    def _urgency_of_running(self, running: '_Running') -> Urgency:
+        known = self._jobs.find(running.progress.job_id)
+        if known is None:
+            return True, math.inf
+        return self._choice.urgency(running.progress, known, running.route)
+
     def _give_up(self, routes: RouteTable) -> None:
         """Give up items whose time or route is over."""
         now = time.time()
@@ -163,28 +180,41 @@
         return key[1] not in finished and not self._committer.has_pending(*key)
 
     def _start_items(self, routes: RouteTable, nursery: trio.Nursery) -> None:
-        processes = self._processes()
-        taken = self._taken()
-        for candidate in self._choice.waiting(routes, processes, taken):
-            progress = self._progress_of(candidate)
-            if progress.not_before > time.monotonic():
+        if not any(map(self._has_free, routes.batch_routes)):
+            return
+        for chosen in self._choice.waiting(
+            routes, self._processes(), self._untaken()
+        ):
+            if chosen.progress.not_before > time.monotonic():
                 continue
-            upstream = self._free_upstream(candidate.route, progress)
+            upstream = self._free_upstream(chosen.route, chosen.progress)
             if upstream is None:
-                if not self._has_free(candidate.route):
+                if not self._has_free(chosen.route):
                     return
                 continue
-            running = _Running(progress, upstream.upstream_id)
-            self._running[progress.key] = running
-            nursery.start_soon(
-                self._run_item, running, candidate.route, upstream
+            running = _Running(
+                chosen.progress, chosen.route, upstream.upstream_id
             )
+            self._running[chosen.progress.key] = running
+            nursery.start_soon(self._run_item, running, chosen, upstream)
 
-    def _taken(self) -> set[str]:
+    def _untaken(self) -> Callable[[KnownJob, str], ItemProgress | None]:
+        """Return what finds the progress of items that nobody has."""
         taken = set(self.items_in_hand)
         for report in self._load.live.values():
             taken.update(report.items)
-        return taken
+
+        def progress_of(known: KnownJob, item_id: str) -> ItemProgress | None:
+            if item_id in taken or item_id in known.finished:
+                return None
+            key = (known.job_id, item_id)
+            progress = self._progress.get(key)
+            if progress is None:
+                progress = ItemProgress(key[0], known.items[item_id])
+                self._progress[key] = progress
+            return progress
+
+        return progress_of
 
     def _processes(self) -> list[str]:
         others = [
@@ -194,14 +224,6 @@
         ]
         return [self._process, *others]
 
-    def _progress_of(self, candidate: NextItem) -> ItemProgress:
-        key = (candidate.known.job_id, candidate.stored.item_id)
-        progress = self._progress.get(key)
-        if progress is None:
-            progress = ItemProgress(key[0], candidate.stored)
-            self._progress[key] = progress
-        return progress
-
     def _has_free(self, route: Route) -> bool:
         return any(self._free_slots(route).values())
 
@@ -243,14 +265,17 @@
         return own + others
 
     async def _run_item(
-        self, running: _Running, route: Route, upstream: RegisteredUpstream
+        self,
+        running: _Running,
+        chosen: NextItem,
+        upstream: RegisteredUpstream,
     ) -> None:
         progress = running.progress
-        known = self._jobs.find(progress.job_id)
-        host = known.job.host if known and known.job else route.host
+        host = chosen.known.job.host if chosen.known.job else ''
         if progress.last_event_id is not None:
             RESUMED.inc()
         end = RunEnd.PREEMPTED
+        began_at = time.monotonic()
         try:
             with (
                 self._load.in_flight.counted(
@@ -258,10 +283,13 @@
                 ),
                 running.scope,
             ):
-                end = await self._runner.run(progress, route, host, upstream)
+                end = await self._runner.run(
+                    progress, running.route, host, upstream
+                )
         finally:
             self._running.pop(progress.key, None)
-        self._after_run(progress, route, upstream.upstream_id, end)
+        progress.ran_s += time.monotonic() - began_at
+        self._after_run(progress, running.route, upstream.upstream_id, end)
         self.wake()
 
     def _after_run(
@@ -273,6 +301,7 @@
     ) -> None:
         """Commit the item, or say when it may run again."""
         if end is RunEnd.COMPLETED:
+            self._choice.add_time(progress.ran_s)
             self._finish(progress, ItemState.COMPLETED, 'whole')
         elif end is RunEnd.IMPOSSIBLE:
             self._finish(progress, ItemState.ERRORED, 'impossible')
