--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -98,8 +98,10 @@
     def is_reusable(self) -> bool:
         """Whether the exchange ended so that another may follow."""
         states = (self._http.our_state, self._http.their_state)
-        extra, _ = self._http.trailing_data
-        return self._sent_whole and not extra and states == (h11.DONE,) * 2
+        extra, has_closed = self._http.trailing_data
+        if extra or has_closed or not self._sent_whole:
+            return False
+        return states == (h11.DONE, h11.DONE)
 
     @property
     def is_fresh(self) -> bool:
--- /dev/null
+++ b/tests/coordination/test_load_exchange.py
@@ -0,0 +1,78 @@
+"""What processes tell each other of their load."""
+
+import attrs
+import pytest
+import trio
+
+from briarrill.coordination import load_exchange
+from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.errors import MalformedMessageError
+from briarrill.protocol.load_reports import (
+    LoadReport,
+    decode_report,
+    encode_report,
+)
+
+
+def _exchange(name='a', host='127.0.0.1', port=0, seeds=()):
+    return LoadExchange(name, host, port, seeds, lambda report: report)
+
+
+def _report(sequence, incarnation=1, **online):
+    return LoadReport('b', '127.0.0.2', incarnation, sequence, online=online)
+
+
+def test_late_report_does_not_undo_a_newer_one():
+    exchange = _exchange()
+    exchange.take_report(_report(2, x=5))
+    exchange.take_report(_report(1, x=9))
+    assert exchange.online('x') == 5
+    exchange.take_report(_report(1, incarnation=2))
+    assert exchange.online('x') == 0
+
+
+def test_silent_process_counts_as_gone(monkeypatch):
+    exchange = _exchange()
+    exchange.take_report(_report(1, x=5))
+    monkeypatch.setattr(load_exchange, 'PEER_TIMEOUT_S', -1)
+    assert exchange.online('x') == 0
+    assert exchange.live == {}
+
+
+def test_own_requests_are_counted_while_they_run():
+    exchange = _exchange()
+    exchange.take_report(_report(1, x=2))
+    with exchange.in_flight.counted('x', is_batch=False):
+        assert exchange.online('x') == 3
+        assert exchange.make_report().online == {'x': 1}
+    assert exchange.online('x') == 2
+    assert exchange.make_report().online == {}
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'',
+        b'\xff\x00',
+        encode_report(attrs.evolve(_report(1), version=99)),
+    ],
+)
+def test_malformed_datagram_is_refused(raw):
+    with pytest.raises(MalformedMessageError):
+        decode_report(raw)
+
+
+async def test_processes_find_each_other_by_a_seed(network):
+    port = 21_300
+    first = _exchange('a', f'{network}.1', port)
+    second = _exchange('b', f'{network}.2', port, seeds=(f'{network}.1',))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.run)
+        nursery.start_soon(second.run)
+        with trio.fail_after(5):
+            while not (first.live and second.live):
+                await trio.sleep(0.01)
+            with second.in_flight.counted('x', is_batch=True):
+                while first.batch('x') != 1:
+                    await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/coordination/test_mirror.py
@@ -0,0 +1,105 @@
+"""A mirror misses nothing for long, and believes no older value."""
+
+import trio
+
+from briarrill.coordination import mirror as mirror_module
+from briarrill.coordination.mirror import Mirror, MirrorUser
+from briarrill.transport.key_value import (
+    KeyChange,
+    KeySnapshot,
+    KeyValue,
+    WatchEvent,
+)
+from standins.memory_key_value import MemoryKeyValue
+
+
+class Seen(MirrorUser):
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.calls = []
+        self.keys = {}
+
+    def take_key(self, key, body):
+        self.calls.append((key, body))
+        if body is None:
+            self.keys.pop(key, None)
+        else:
+            self.keys[key] = body
+
+
+class DeafService(MemoryKeyValue):
+    """Sends no changes, as a watch on a dead connection."""
+
+    async def follow(self, prefix, pace_s=0):
+        yield KeySnapshot(tuple(await self.read_prefix(prefix)))
+        await trio.sleep_forever()
+
+
+async def _until(condition):
+    with trio.fail_after(5):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+async def test_changes_and_deletions_arrive():
+    service, seen = MemoryKeyValue(), Seen()
+    await service.compare_and_swap('a/1', b'x', mod_revision=0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(Mirror(service, 'a/', seen).run)
+        await _until(lambda: seen.keys == {'a/1': b'x'})
+        await service.transact([KeyChange('a/2', b'y')])
+        await service.transact([KeyChange('a/1', None)])
+        await service.transact([KeyChange('b/1', b'other')])
+        await _until(lambda: seen.keys == {'a/2': b'y'})
+        nursery.cancel_scope.cancel()
+
+
+async def test_what_was_deleted_during_an_outage_is_told():
+    service, seen = MemoryKeyValue(), Seen()
+    await service.transact([KeyChange('a/1', b'x'), KeyChange('a/2', b'y')])
+    async with trio.open_nursery() as nursery:
+        mirror = Mirror(service, 'a/', seen)
+        nursery.start_soon(mirror.run)
+        await _until(lambda: len(seen.keys) == 2)
+        service.down = True
+        await _until(lambda: not mirror.is_connected)
+        service._apply([KeyChange('a/1', None)])
+        assert set(seen.keys) == {'a/1', 'a/2'}
+        service.down = False
+        await _until(lambda: set(seen.keys) == {'a/2'})
+        nursery.cancel_scope.cancel()
+
+
+async def test_mirror_behind_its_peers_reads_anew(monkeypatch):
+    monkeypatch.setattr(mirror_module, 'MAX_LAG_S', 0.02)
+    service, seen = DeafService(), Seen()
+    async with trio.open_nursery() as nursery:
+        mirror = Mirror(service, 'a/', seen)
+        nursery.start_soon(mirror.run)
+        await mirror.synced.wait()
+        await service.transact([KeyChange('a/1', b'x')])
+        await trio.sleep(0.2)
+        assert seen.keys == {}
+        mirror.hear_revision(service.revision)
+        await _until(lambda: seen.keys == {'a/1': b'x'})
+        nursery.cancel_scope.cancel()
+
+
+def test_older_value_is_left_out():
+    seen = Seen()
+    mirror = Mirror(MemoryKeyValue(), 'a/', seen)
+    mirror._take(WatchEvent('a/1', b'new', 9))
+    mirror._take(WatchEvent('a/1', b'old', 4))
+    assert seen.calls == [('a/1', b'new')]
+
+
+def test_peer_snapshot_is_taken_and_offered():
+    seen = Seen()
+    mirror = Mirror(MemoryKeyValue(), 'a/', seen, keeps_bodies=True)
+    mirror._take(WatchEvent('a/gone', b'x', 3))
+    found = KeySnapshot((KeyValue('a/1', b'y', 8),))
+    mirror.take_peer_snapshot(found)
+    assert seen.keys == {'a/1': b'y'}
+    assert mirror.snapshot() == found
+    assert mirror.synced.is_set()
--- /dev/null
+++ b/tests/coordination/test_placement.py
@@ -0,0 +1,87 @@
+"""Placement in valleys, in peaks over batch work, and when all is full."""
+
+import collections
+import random
+
+from briarrill.coordination.batch_order import urgency_of
+from briarrill.coordination.batch_shares import (
+    is_owner,
+    slots_to_take,
+    slots_to_yield,
+)
+from briarrill.coordination.placement import (
+    Place,
+    choose_place,
+    expected_wait_s,
+)
+
+RNG = random.Random(1)
+
+
+def test_free_slot_goes_before_one_that_batch_must_yield():
+    places = [Place('few-online', 8, 1, 7), Place('free', 8, 6, 1)]
+    assert choose_place(places, RNG).name == 'free'
+
+
+def test_full_upstreams_are_taken_where_batch_yields():
+    places = [Place('online', 8, 8, 0), Place('batch', 8, 2, 6)]
+    assert choose_place(places, RNG).name == 'batch'
+
+
+def test_own_failure_domain_wins_while_that_costs_nothing():
+    near = Place('near', 8, 3, 0, is_local=True)
+    assert choose_place([near, Place('far', 8, 3, 0)], RNG).name == 'near'
+    busy = Place('near', 8, 5, 0, is_local=True)
+    assert choose_place([busy, Place('far', 8, 3, 0)], RNG).name == 'far'
+
+
+def test_peak_spreads_over_all_upstreams():
+    """A peak of 40 requests over six upstreams full of batch items."""
+    load = collections.Counter()
+    batch = collections.Counter({name: 8 for name in 'abcdef'})
+    for _ in range(40):
+        places = [Place(name, 8, load[name], batch[name]) for name in batch]
+        name = choose_place(places, RNG).name
+        load[name] += 1
+        batch[name] -= slots_to_yield(8, load[name], batch[name])
+    assert max(load.values()) == 7
+    assert all(load[name] + batch[name] == 8 for name in batch)
+
+
+def test_only_online_requests_are_waited_for():
+    assert expected_wait_s(Place('a', 8, 7, 8), 1) == 0
+    assert expected_wait_s(Place('a', 8, 15, 0), 1) == 1
+
+
+def test_batch_fills_what_online_leaves_and_yields_the_rest():
+    assert slots_to_take(8, 0, 0) >= 7
+    assert slots_to_take(8, 8, 0) == 0
+    assert slots_to_yield(8, 5, 3) == 0
+    assert slots_to_yield(8, 6, 3) == 1
+    assert slots_to_yield(8, 20, 3) == 3
+
+
+def test_each_upstream_has_one_owner():
+    upstreams = [f'i-{number}' for number in range(7)]
+    processes = ['c', 'a', 'b']
+    owners = [
+        [name for name in processes if is_owner(name, one, processes, upstreams)]
+        for one in upstreams
+    ]
+    assert all(len(found) == 1 for found in owners)
+    counts = collections.Counter(found[0] for found in owners)
+    assert max(counts.values()) - min(counts.values()) <= 1
+
+
+def test_items_that_can_be_on_time_go_first():
+    """Overload: earliest due first alone would start with a lost one."""
+    lost = urgency_of(due_in_s=2, remaining_s=5)
+    tight = urgency_of(due_in_s=7, remaining_s=5)
+    ample = urgency_of(due_in_s=17, remaining_s=5)
+    nearly_done = urgency_of(due_in_s=-1, remaining_s=1)
+    assert sorted([lost, ample, nearly_done, tight]) == [
+        tight,
+        ample,
+        nearly_done,
+        lost,
+    ]
--- /dev/null
+++ b/tests/item_runs/test_commits.py
@@ -0,0 +1,138 @@
+"""Positions and items stay single, whatever fails and whoever writes."""
+
+import collections
+
+import pytest
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from briarrill.coordination.job_table import JobTable
+from briarrill.errors import BriarrillError
+from briarrill.item_runs.commits import Committer
+from briarrill.state.keys import job_results_prefix
+from briarrill.state.stored_jobs import (
+    ItemState,
+    StoredResult,
+    decode_result,
+    job_changes,
+)
+from standins.memory_key_value import MemoryKeyValue
+from tests.state.test_stored_jobs import make_job
+
+ITEMS = 6
+
+
+class Commits(RuleBasedStateMachine):
+    """Two processes that both run the items of one job."""
+
+    def __init__(self):
+        super().__init__()
+        self.service = MemoryKeyValue()
+        job = make_job(count=ITEMS)
+        trio.run(self.service.transact, job_changes(job, 1_000_000))
+        self.writers = []
+        self.seen = {}
+        for _ in range(2):
+            table = JobTable(self.service)
+            table.add(job)
+            self.writers.append(Committer(self.service, table))
+
+    @rule(writer=st.integers(0, 1), item=st.integers(0, ITEMS - 1))
+    def finish(self, writer, item):
+        result = StoredResult(
+            f'j1-{item}', ItemState.COMPLETED, f'by-{writer}'
+        )
+        self.writers[writer].add('j1', result)
+
+    @rule(writer=st.integers(0, 1))
+    def commit(self, writer):
+        try:
+            trio.run(self.writers[writer]._commit, 'j1')
+        except BriarrillError:
+            return
+
+    @rule()
+    def lose_a_reply(self):
+        self.service.lose_replies = 1
+
+    @rule()
+    def delay_a_write(self):
+        self.service.delay_writes = 1
+
+    @rule()
+    def make_late_writes(self):
+        self.service.make_late_writes()
+
+    @rule(is_down=st.booleans())
+    def switch(self, is_down):
+        self.service.down = is_down
+
+    @invariant()
+    def positions_keep_their_results(self):
+        entries = self.service._entries
+        prefix = job_results_prefix('j1')
+        found = {
+            key: decode_result(entry[0].body)
+            for key, entry in entries.items()
+            if key.startswith(prefix)
+        }
+        assert self.seen.items() <= found.items()
+        self.seen = found
+        numbers = sorted(int(key[-6:]) for key in found)
+        assert numbers == list(range(len(found)))
+        items = collections.Counter(one.item_id for one in found.values())
+        assert all(count == 1 for count in items.values())
+
+
+Commits.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
+TestCommits = Commits.TestCase
+
+
+@pytest.fixture
+async def job():
+    """Return a stored job with its service and a table that knows it."""
+    service = MemoryKeyValue()
+    stored = make_job(count=ITEMS)
+    await service.transact(job_changes(stored, 1_000_000))
+    table = JobTable(service)
+    table.add(stored)
+    return service, table
+
+
+async def test_results_of_a_short_time_are_one_write(job):
+    service, table = job
+    committer = Committer(service, table)
+    writes = service.calls['txn']
+    for item in range(ITEMS):
+        result = StoredResult(f'j1-{item}', ItemState.ERRORED)
+        committer.add('j1', result)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(committer.run)
+        with trio.fail_after(5):
+            while not committer.is_idle:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    assert service.calls['txn'] == writes + 1
+    assert not table.find('j1').is_open
+
+
+async def test_results_wait_for_a_service_that_is_away(job, monkeypatch):
+    monkeypatch.setattr('briarrill.item_runs.commits.RETRY_S', 0.01)
+    service, table = job
+    committer = Committer(service, table)
+    committer.add('j1', StoredResult('j1-0', ItemState.COMPLETED, 'x'))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(committer.run)
+        service.down = True
+        await trio.sleep(0.5)
+        assert not committer.is_idle
+        service.down = False
+        with trio.fail_after(5):
+            while not committer.is_idle:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    assert table.find('j1').results[0].output == 'x'
--- /dev/null
+++ b/tests/protocol/test_event_stream.py
@@ -0,0 +1,49 @@
+"""Events come whole, however their bytes are cut."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarrill.errors import UpstreamLostError
+from briarrill.protocol import event_stream
+from briarrill.protocol.event_stream import EventSplitter
+
+LINES = st.binary(max_size=20).filter(
+    lambda line: not set(line) & set(b'\r\n\x0b\x0c\x1c\x1d\x1e\x85')
+)
+
+
+@given(st.lists(LINES, max_size=8), st.lists(st.integers(0, 60), max_size=9))
+def test_any_cut_gives_the_same_events(texts, cuts):
+    raw = b''.join(
+        b'id: %d\ndata: %s\n\n' % (number, text)
+        for number, text in enumerate(texts)
+    )
+    splitter = EventSplitter()
+    events = []
+    start = 0
+    for end in [*sorted(cuts), len(raw)]:
+        events.extend(splitter.feed(raw[start:end]))
+        start = max(start, end)
+    assert [event.event_id for event in events] == list(range(len(texts)))
+    assert [event.data for event in events] == texts
+    assert b''.join(event.raw for event in events) == raw
+    assert not splitter.has_partial
+
+
+def test_end_inside_an_event_is_told():
+    splitter = EventSplitter()
+    assert splitter.feed(b'id: 1\ndata: a\n') == []
+    assert splitter.has_partial
+
+
+def test_extra_lines_and_many_data_lines():
+    raw = b'briarrill-weights: 2\r\nid: 7\r\ndata: a\r\ndata:b\r\n\r\n'
+    (event,) = EventSplitter().feed(raw)
+    assert (event.event_id, event.data, event.raw) == (7, b'a\nb', raw)
+
+
+def test_event_without_end_is_refused(monkeypatch):
+    monkeypatch.setattr(event_stream, 'MAX_EVENT_BYTES', 10)
+    with pytest.raises(UpstreamLostError):
+        EventSplitter().feed(b'data: longer than ten')
--- /dev/null
+++ b/tests/relay/test_front.py
@@ -0,0 +1,82 @@
+"""Routes, the drain, and what a front answers without upstreams."""
+
+import trio
+
+from briarrill.relay import drain
+from briarrill.relay.drain import drain_front
+from standins.platform_engine import StandinEngine, stream, whole
+from tests.relay.world import IDEMPOTENT, ONCE, STREAM, world
+
+
+async def test_unknown_route_is_not_found():
+    engine = StandinEngine(whole(b'ok'))
+    async with world([ONCE], engine) as fleet:
+        status, _, _ = await fleet.ask('/elsewhere/')
+    assert status == 404
+    assert engine.runs == []
+
+
+async def test_front_without_configuration_says_when_to_come_back():
+    async with world([ONCE]) as fleet:
+        fleet.front.routes = lambda: None
+        status, headers, _ = await fleet.ask(ONCE.prefix)
+    assert status == 503
+    assert b'retry-after' in headers
+
+
+async def test_no_upstream_is_a_refusal():
+    async with world([IDEMPOTENT]) as fleet:
+        status, _, _ = await fleet.ask(IDEMPOTENT.prefix)
+    assert status == 503
+
+
+async def test_drain_lets_streams_end_and_then_refuses(monkeypatch):
+    monkeypatch.setattr(drain, 'NOTICE_S', 0.05)
+    engine = StandinEngine(stream(30, pause_s=0.02))
+    found = {}
+
+    async def ask(name, fleet):
+        found[name] = await fleet.ask(STREAM.prefix)
+
+    async with world([STREAM], engine) as fleet:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, 'before', fleet)
+            while not engine.runs:
+                await trio.sleep(0.01)
+            fleet.front.readiness.begin_drain()
+            nursery.start_soon(ask, 'in notice', fleet)
+            nursery.start_soon(drain_front, fleet.front, 8)
+            await trio.sleep(0.2)
+            await ask('after', fleet)
+    assert found['before'][0] == found['in notice'][0] == 200
+    assert found['in notice'][1][b'connection'] == b'close'
+    assert found['after'][0] == 503
+    assert len(engine.runs) == 2
+
+
+async def test_idle_connection_is_closed_only_after_the_notice(monkeypatch):
+    monkeypatch.setattr(drain, 'NOTICE_S', 0.2)
+    async with world([ONCE]) as fleet:
+        stream_ = await trio.open_tcp_stream(*fleet.address)
+        await trio.sleep(0.05)
+        fleet.front.readiness.begin_drain()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(drain_front, fleet.front, 8)
+            with trio.move_on_after(0.1) as early:
+                await stream_.receive_some()
+            assert early.cancelled_caught
+            assert await stream_.receive_some() == b''
+
+
+async def test_caller_that_leaves_before_its_body_ends_costs_nothing():
+    engine = StandinEngine(whole(b'ok'))
+    async with world([ONCE], engine) as fleet:
+        stream_ = await trio.open_tcp_stream(*fleet.address)
+        await stream_.send_all(
+            b'POST /non_idempotent/ HTTP/1.1\r\nhost: h.example\r\n'
+            b'briarrill-attempt-id: x\r\ncontent-length: 9\r\n\r\nhalf'
+        )
+        await stream_.aclose()
+        while fleet.front.active:
+            await trio.sleep(0.01)
+    assert engine.runs == []
--- /dev/null
+++ b/tests/relay/world.py
@@ -0,0 +1,121 @@
+"""A front with stand-in upstreams on loopback ports."""
+
+import contextlib
+import random
+
+import attrs
+import trio
+
+from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.routes import (
+    Route,
+    RouteKind,
+    RouteTable,
+    Target,
+)
+from briarrill.coordination.upstream_table import (
+    RegisteredUpstream,
+    UpstreamTable,
+)
+from briarrill.platform.wire import PlatformWire
+from briarrill.readiness import Readiness
+from briarrill.relay.forwarding import Forwarder
+from briarrill.relay.front import Front
+from briarrill.transport.http_callers import CallerBounds, serve_callers
+from briarrill.transport.http_channel import connect
+from briarrill.transport.http_messages import RequestHead
+from tests.serving import free_port, serving
+
+HOST = b'h.example'
+
+
+def route(kind, **fields):
+    """Return a route whose prefix is its kind."""
+    return Route(
+        name=kind.value,
+        host=HOST.decode(),
+        prefix=f'/{kind.value}/',
+        kind=kind,
+        targets=(Target('llm'),),
+        timeout_s=fields.pop('timeout_s', 5),
+        objective_s=fields.pop('objective_s', 0.3),
+        **fields,
+    )
+
+
+@attrs.define
+class World:
+    """The front and what it is connected to."""
+
+    front: Front
+    address: tuple
+    upstreams: UpstreamTable
+    load: LoadExchange
+
+    async def ask(self, path, body=b'', **headers):
+        """Send one request; return status, headers and body."""
+        named = {'attempt_id': 'r1', 'deadline_ms': '3000', **headers}
+        fields = [(b'host', HOST)]
+        for name, text in named.items():
+            prefix = '' if name.startswith('last') else 'briarrill-'
+            field = f'{prefix}{name}'.replace('_', '-')
+            fields.append((field.encode(), text.encode()))
+        fields.append((b'content-length', str(len(body)).encode()))
+        head = RequestHead(b'POST', path.encode(), tuple(fields))
+        channel = await connect(self.address, 1)
+        try:
+            async with channel.exchange(head, body):
+                found = await channel.read_head()
+                whole = await channel.read_whole_body(10_000_000)
+        finally:
+            channel.close()
+        return found.status, dict(found.headers), whole
+
+
+async def _no_jobs(intent, body, conn):
+    raise AssertionError('no job call here')
+
+
+@contextlib.asynccontextmanager
+async def world(routes, *engines):
+    """Serve engines behind a front, the first with the least load."""
+    upstreams = UpstreamTable(lambda: True)
+    load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
+    wire = PlatformWire()
+    forwarder = Forwarder(wire, upstreams, load, 'a', random.Random(1))
+    table = RouteTable(1, tuple(routes))
+    front = Front(
+        wire=wire,
+        routes=lambda: table,
+        forwarder=forwarder,
+        serve_job_call=_no_jobs,
+        readiness=Readiness(),
+        rng=random.Random(1),
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        for number, engine in enumerate(engines):
+            address = await stack.enter_async_context(serving(engine))
+            if number:
+                load.in_flight.online[f'i-{number}'] = number
+            upstreams.put(
+                RegisteredUpstream(
+                    upstream_id=f'i-{number}',
+                    service='llm',
+                    address=address,
+                    failure_domain='a',
+                    slots=20,
+                    incarnation=f'i-{number}',
+                )
+            )
+        address = ('127.0.0.1', free_port())
+        await stack.enter_async_context(
+            serve_callers(address, CallerBounds, front.serve)
+        )
+        with trio.fail_after(20):
+            yield World(front, address, upstreams, load)
+
+
+STREAM = route(RouteKind.STREAMING, max_attempts=1)
+RESUMABLE = route(RouteKind.STREAMING, max_attempts=2, resumable=True)
+IDEMPOTENT = route(RouteKind.IDEMPOTENT, max_attempts=2)
+ONCE = route(RouteKind.NON_IDEMPOTENT, max_attempts=3)
--- /dev/null
+++ b/tests/state/test_stored_jobs.py
@@ -0,0 +1,60 @@
+"""Jobs in parts, and identifiers that may be part of a key."""
+
+import pytest
+
+from briarrill.errors import BadRequestError, InternalError
+from briarrill.state.stored_jobs import (
+    ItemState,
+    StoredItem,
+    StoredJob,
+    StoredResult,
+    check_job_id,
+    decode_result,
+    job_changes,
+    join_parts,
+    result_changes,
+)
+
+
+def make_job(job_id='j1', count=3, body=b'body', submitted_at=1000.0):
+    """Return a job with items named by their number."""
+    stored = tuple(
+        StoredItem(f'{job_id}-{number}', '/p/x', {'h': 'v'}, body, 100)
+        for number in range(count)
+    )
+    return StoredJob(job_id, 'r-batch', 'host', submitted_at, stored)
+
+
+@pytest.mark.parametrize('size', [50, 1000, 1_000_000])
+def test_job_is_the_same_after_it_was_cut_into_parts(size):
+    job = make_job(body=b'x' * 300)
+    changes = job_changes(job, size)
+    assert all(len(change.body) <= size for change in changes)
+    assert [change.key for change in changes] == sorted(
+        change.key for change in changes
+    )
+    bodies = [change.body for change in changes]
+    assert join_parts(bodies) == job
+    if len(bodies) > 1:
+        assert join_parts(bodies[:-1]) is None
+
+
+def test_damaged_job_is_an_error():
+    (change,) = job_changes(make_job(), 1_000_000)
+    with pytest.raises(InternalError):
+        join_parts([change.body[:-3]])
+    with pytest.raises(InternalError):
+        decode_result(b'nonsense')
+
+
+def test_positions_are_created_and_never_overwritten():
+    found = [StoredResult('a', ItemState.COMPLETED, 'x')] * 2
+    changes = result_changes('j1', 4, found)
+    assert {change.mod_revision for change in changes} == {0}
+    assert [change.key[-6:] for change in changes] == ['000004', '000005']
+
+
+@pytest.mark.parametrize('job_id', ['', 'a/b', '../x', 'x' * 101, 'ä'])
+def test_identifier_that_is_no_part_of_a_key(job_id):
+    with pytest.raises(BadRequestError):
+        check_job_id(job_id)
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,35 @@
+"""The platform's names stand in the adapter's folder only."""
+
+import pathlib
+import re
+
+import pytest
+
+PACKAGE = pathlib.Path(__file__).parent.parent / 'briarrill'
+
+#: Names of calls, headers, keys and fields of the platform.
+NAMES = re.compile(
+    r'kv-(?:key|range|watch|txn|lease|keep)|briarrill-(?:attempt|deadline|expect|'
+    r'not-exec|response-seal|wait)|\bop/|status/retire|servers/|/lots|/items/|'
+    r'front_http|seed_nodes|call_seq|(?-i:BRIARRILL_CONFIG)|node_name|_queued_tokens'
+    r'|completion_target|target_latency|gap_aim|traffic_split',
+    re.IGNORECASE,
+)
+
+MODULES = [
+    path
+    for path in PACKAGE.rglob('*.py')
+    if path.relative_to(PACKAGE).parts[0] != 'platform'
+]
+
+
+def test_adapter_holds_such_names() -> None:
+    adapter = (PACKAGE / 'platform').glob('*.py')
+    assert sum(len(NAMES.findall(path.read_text())) for path in adapter) > 20
+
+
+@pytest.mark.parametrize(
+    'path', MODULES, ids=lambda path: str(path.relative_to(PACKAGE))
+)
+def test_module_holds_no_name_of_the_platform(path: pathlib.Path) -> None:
+    assert NAMES.findall(path.read_text(encoding='utf-8')) == []
--- /dev/null
+++ b/tests/transport/test_http_callers.py
@@ -0,0 +1,116 @@
+"""Callers that send too much, too slowly, or go away."""
+
+import contextlib
+
+import pytest
+import trio
+
+from briarrill.errors import BriarrillError
+from briarrill.transport.http_callers import CallerBounds, serve_callers
+from tests.serving import free_port
+
+BOUNDS = CallerBounds(
+    max_header_bytes=1000,
+    max_body_bytes=100,
+    header_timeout_s=0.1,
+    idle_timeout_s=0.2,
+)
+
+
+class Echo:
+    """Answers with the target and body of each request."""
+
+    def __init__(self):
+        self.codes = []
+        self.ended = trio.Event()
+
+    async def serve(self, conn):
+        try:
+            while (head := await conn.next_request()) is not None:
+                body = await conn.read_body(head)
+                answer = head.target + b' ' + body
+                await conn.send_answer(200, (), answer)
+        except BriarrillError as exc:
+            self.codes.append(exc.http_status)
+        finally:
+            self.ended.set()
+
+
+@contextlib.asynccontextmanager
+async def echo_server():
+    echo = Echo()
+    address = ('127.0.0.1', free_port())
+    async with serve_callers(address, lambda: BOUNDS, echo.serve):
+        yield echo, await trio.open_tcp_stream(*address)
+
+
+async def _read_until(stream, text):
+    received = b''
+    while text not in received:
+        part = await stream.receive_some()
+        assert part, received
+        received += part
+    return received
+
+
+async def test_target_and_chunked_body_arrive_as_sent():
+    async with echo_server() as (_, stream):
+        await stream.send_all(
+            b'POST /a%2fb//c?x=%41 HTTP/1.1\r\nhost: h\r\n'
+            b'transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+        )
+        await _read_until(stream, b'/a%2fb//c?x=%41 abcde')
+
+
+async def test_requests_sent_together_are_answered_in_order():
+    async with echo_server() as (_, stream):
+        for number in (b'1', b'2', b'3'):
+            await stream.send_all(
+                b'GET /' + number + b' HTTP/1.1\r\nhost: h\r\n\r\n'
+            )
+        received = await _read_until(stream, b'/3 ')
+    assert received.index(b'/1 ') < received.index(b'/2 ')
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'GET / HTTP/1.1\r\nhost: h\r\nx: ' + b'y' * 2000, 431),
+        (b'POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 101\r\n\r\n', 413),
+        (
+            b'POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'80\r\n' + b'x' * 128 + b'\r\n',
+            413,
+        ),
+        (b'GET / HTTP/1.1\r\nhost', 408),
+        (b'\x00\x01nonsense\r\n\r\n', 400),
+    ],
+)
+async def test_bounds_are_kept(sent, status):
+    async with echo_server() as (echo, stream):
+        await stream.send_all(sent)
+        await echo.ended.wait()
+    assert echo.codes == [status]
+
+
+async def test_idle_connection_ends_without_an_answer():
+    async with echo_server() as (echo, stream):
+        assert await stream.receive_some() == b''
+    assert echo.codes == []
+
+
+async def test_caller_that_leaves_is_seen_during_its_answer():
+    left = trio.Event()
+
+    async def serve(conn):
+        await conn.read_body(await conn.next_request())
+        await conn.wait_gone()
+        left.set()
+
+    address = ('127.0.0.1', free_port())
+    async with serve_callers(address, lambda: BOUNDS, serve):
+        stream = await trio.open_tcp_stream(*address)
+        await stream.send_all(b'GET / HTTP/1.1\r\nhost: h\r\n\r\n')
+        await stream.aclose()
+        with trio.fail_after(5):
+            await left.wait()
--- /dev/null
+++ b/tests/transport/test_http_channel.py
@@ -0,0 +1,149 @@
+"""Answers of servers, whole, cut, late and doubled."""
+
+import contextlib
+
+import pytest
+import trio
+
+from briarrill.errors import PeerUnreachableError, UpstreamLostError
+from briarrill.transport.http_channel import ChannelPool, connect
+from briarrill.transport.http_messages import RequestHead, find_header
+
+HEAD = RequestHead(b'GET', b'/a%2Fb?q=%20', ((b'host', b'h'),))
+
+
+@contextlib.asynccontextmanager
+async def raw_server(*replies, then_close=True):
+    """Serve fixed bytes, one reply for each read; return the address."""
+    received = []
+
+    async def handle(stream):
+        for reply in replies:
+            received.append(await stream.receive_some(65536))
+            await stream.send_all(reply)
+        if not then_close:
+            await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(trio.serve_listeners, handle, listeners)
+        yield listeners[0].socket.getsockname(), received
+        nursery.cancel_scope.cancel()
+
+
+async def _ask(channel, is_own=None):
+    async with channel.exchange(HEAD, b''):
+        head = await channel.read_head(is_own)
+        return head, await channel.read_whole_body(10_000)
+
+
+async def test_target_is_sent_as_it_is():
+    reply = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+    async with raw_server(reply) as (address, received):
+        channel = await connect(address, 1)
+        head, body = await _ask(channel)
+        channel.close()
+    assert received[0].startswith(b'GET /a%2Fb?q=%20 HTTP/1.1\r\n')
+    assert (head.status, body) == (200, b'ok')
+
+
+async def test_answer_without_length_ends_with_its_connection():
+    async with raw_server(b'HTTP/1.1 200 OK\r\n\r\nwhole') as (address, _):
+        channel = await connect(address, 1)
+        _, body = await _ask(channel)
+        assert body == b'whole'
+        assert not channel.is_reusable
+        channel.close()
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort',
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n',
+        b'HTTP/1.1 200 OK\r\ncontent-le',
+        b'',
+        b'these bytes are no answer\r\n\r\n',
+    ],
+)
+async def test_cut_or_damaged_answer_is_told(reply):
+    async with raw_server(reply) as (address, _):
+        channel = await connect(address, 1)
+        with pytest.raises(UpstreamLostError):
+            await _ask(channel)
+        channel.close()
+
+
+async def test_late_answer_of_another_request_is_skipped():
+    late = b'HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 3\r\n\r\nold'
+    own = b'HTTP/1.1 200 OK\r\nx-id: new\r\ncontent-length: 3\r\n\r\nnew'
+    async with raw_server(late + own) as (address, _):
+        channel = await connect(address, 1)
+        _, body = await _ask(
+            channel, lambda head: find_header(head.headers, b'x-id') == b'new'
+        )
+        channel.close()
+    assert body == b'new'
+
+
+async def test_bytes_after_an_answer_end_the_channel():
+    reply = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokextra'
+    async with raw_server(reply, then_close=False) as (address, _):
+        channel = await connect(address, 1)
+        _, body = await _ask(channel)
+        assert body == b'ok'
+        assert not channel.is_reusable
+        channel.close()
+
+
+async def test_channel_with_unasked_bytes_is_not_taken_again():
+    first = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+    async with raw_server(first, b'', then_close=True) as (address, _):
+        pool = ChannelPool(1)
+        channel = await pool.take('a', address)
+        await _ask(channel)
+        pool.put_back('a', channel)
+        await channel._sock.send(b'x')
+        while not channel._sock.is_readable():
+            await trio.sleep(0.01)
+        assert not channel.is_fresh
+        again = await pool.take('a', address)
+        assert again is not channel
+        again.close()
+        pool.close()
+
+
+async def test_idle_channel_carries_the_next_request():
+    reply = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+    async with raw_server(reply, reply, then_close=False) as (address, _):
+        pool = ChannelPool(1)
+        channel = await pool.take('a', address)
+        await _ask(channel)
+        pool.put_back('a', channel)
+        assert await pool.take('a', address) is channel
+        _, body = await _ask(channel)
+        assert body == b'ok'
+        channel.close()
+
+
+async def test_early_answer_to_a_long_body_does_not_wait_for_it():
+    reply = b'HTTP/1.1 413 No\r\ncontent-length: 0\r\n\r\n'
+    body = b'x' * 20_000_000
+    head = RequestHead(
+        b'POST',
+        b'/',
+        ((b'host', b'h'), (b'content-length', str(len(body)).encode())),
+    )
+    async with raw_server(reply, then_close=False) as (address, _):
+        channel = await connect(address, 1)
+        async with channel.exchange(head, body):
+            found = await channel.read_head()
+            await channel.read_whole_body(10)
+        assert found.status == 413
+        assert not channel.is_reusable
+        channel.close()
+
+
+async def test_no_listener_means_that_nothing_was_sent():
+    with pytest.raises(PeerUnreachableError):
+        await connect(('127.0.0.1', 1), 1)
