--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -44,6 +44,8 @@
 class Mirror:
     """Keys under a prefix as last seen.
 
+    :ivar revision: newest change that was seen under the prefix.
+
     :param user: told of each change, once.
     :param pace_s: shortest time between two watches; changes that come in
         between arrive together, default none.
@@ -73,6 +75,7 @@
         self._bodies: dict[str, bytes] = {}
         self._scope = trio.CancelScope()
         self._peer_revision = 0
+        self._covered = 0
 
     def is_settled(self, after_s: float) -> bool:
         """Tell whether the service has been followed for some time."""
@@ -133,6 +136,8 @@
 
     def _take_snapshot(self, snapshot: KeySnapshot) -> None:
         self._take_entries(snapshot)
+        # a deleted key's revision is in no entry
+        self._covered = max(self._covered, snapshot.revision)
         if not self.is_connected:
             self.back_since = time.monotonic()
             log_message(
@@ -172,12 +177,12 @@
         while True:
             await trio.sleep(LAG_CHECK_S)
             now = time.monotonic()
-            if self._peer_revision <= self.revision or not self.is_connected:
+            covered = max(self._covered, self.revision)
+            if self._peer_revision <= covered or not self.is_connected:
                 behind_since = None
             elif behind_since is None:
                 behind_since = now
             elif now - behind_since > MAX_LAG_S + self._pace_s:
                 log_message('mirror:behind', prefix=self._prefix)
                 behind_since = None
-                self._peer_revision = self.revision
                 self._scope.cancel()
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -194,7 +194,7 @@
         """Yield all keys under a prefix at once, then each change."""
         while True:
             entries, at = await self._read_pages(prefix)
-            yield KeySnapshot(tuple(entries))
+            yield KeySnapshot(tuple(entries), at)
             while (reply := await self._wait_changes(prefix, at)) is not None:
                 at = reply.at
                 for event in reply.events:
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -50,9 +50,13 @@
 
 @attrs.frozen
 class KeySnapshot:
-    """All keys under a prefix; what it lacks does not exist any more."""
+    """All keys under a prefix; what it lacks does not exist any more.
+
+    :param revision: all changes up to this one are in it, default unknown.
+    """
 
     entries: tuple[KeyValue, ...]
+    revision: int = 0
 
 
 class KeyValueService(abc.ABC):
--- a/standins/memory_key_value.py
+++ b/standins/memory_key_value.py
@@ -137,7 +137,8 @@
         watch = _Watch(prefix, sender)
         self._watches.add(watch)
         try:
-            yield KeySnapshot(tuple(await self.read_prefix(prefix)))
+            found = await self.read_prefix(prefix)
+            yield KeySnapshot(tuple(found), self.revision)
             async for event in receiver:
                 yield event
         finally:
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -28,6 +28,17 @@
             self.keys[key] = body
 
 
+class CountingService(MemoryKeyValue):
+    """Counts how often keys are read whole."""
+
+    snapshots = 0
+
+    async def follow(self, prefix, pace_s=0):
+        self.snapshots += 1
+        async for change in super().follow(prefix, pace_s):
+            yield change
+
+
 class DeafService(MemoryKeyValue):
     """Sends no changes, as a watch on a dead connection."""
 
@@ -103,3 +114,21 @@
     assert seen.keys == {'a/1': b'y'}
     assert mirror.snapshot() == found
     assert mirror.synced.is_set()
+
+
+async def test_change_that_only_deleted_is_not_read_again_and_again(
+    monkeypatch,
+):
+    """A mirror that starts later sees no revision of a deleted key."""
+    monkeypatch.setattr(mirror_module, 'MAX_LAG_S', 0.02)
+    service = CountingService()
+    await service.transact([KeyChange('a/1', b'x')])
+    await service.transact([KeyChange('a/1', None)])
+    mirror = Mirror(service, 'a/', Seen())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(mirror.run)
+        await mirror.synced.wait()
+        mirror.hear_revision(service.revision)
+        await trio.sleep(0.5)
+        nursery.cancel_scope.cancel()
+    assert service.snapshots == 1
