Suspect upstreams that fall silent, and tell all processes

Cause: an upstream that crashes without a word stays registered for seconds; requests sent to it on kept connections were lost, and new ones waited for the connection. Ruled out: judging by failures alone (three in a row are needed, at each entry for itself).

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -23,6 +23,7 @@
     decode_report,
     encode_report,
 )
+from .silence import SilenceWatch
 
 __all__ = ('InFlight', 'LoadExchange', 'Peer')
 
@@ -97,6 +98,7 @@
     ) -> None:
         """Start without peers."""
         self.in_flight = InFlight(self.report_soon)
+        self.silence = SilenceWatch()
         self.on_report: list[Callable[[LoadReport], None]] = []
         self._process = process
         self._host = host
@@ -131,6 +133,20 @@
             report.batch.get(upstream_id, 0) for report in self.live.values()
         )
 
+    def is_suspect(self, upstream_id: str) -> bool:
+        """Tell whether an upstream has fallen silent.
+
+        Others' suspicion holds unless this process hears the upstream: a
+        link that is cut for one peer does not end it for all.
+        """
+        if upstream_id in self.silence.suspects:
+            return True
+        if self.silence.has_just_heard(upstream_id):
+            return False
+        return any(
+            upstream_id in report.suspects for report in self.live.values()
+        )
+
     def set_member(self, name: str, host: str | None) -> None:
         """Take a process that is registered, or is so no more."""
         if host is None:
@@ -175,6 +191,7 @@
                 sequence=self._sequence,
                 online=dict(self.in_flight.online),
                 batch=dict(self.in_flight.batch),
+                suspects=self.silence.suspects,
             )
         )
 
--- a/briarrill/coordination/placement.py
+++ b/briarrill/coordination/placement.py
@@ -24,6 +24,7 @@
 
     :param online: online requests of all processes at the upstream.
     :param batch: batch items of all processes at the upstream.
+    :param is_suspect: the upstream has fallen silent.
     """
 
     name: str
@@ -31,6 +32,12 @@
     online: int
     batch: int
     is_local: bool = False
+    is_suspect: bool = False
+
+    @property
+    def load(self) -> float:
+        """Return what is in hand, 1.0 when all slots are taken."""
+        return (self.online + self.batch) / max(1, self.slots)
 
     @property
     def free(self) -> int:
@@ -43,7 +50,8 @@
 
     :param places: at least one.
     """
-    shuffled = rng.sample(places, len(places))
+    trusted = [place for place in places if not place.is_suspect] or places
+    shuffled = rng.sample(trusted, len(trusted))
     if any(place.free > 0 for place in shuffled):
         return max(shuffled, key=_free_score)
     return min(shuffled, key=_waiting_score)
@@ -59,7 +67,7 @@
 
 
 def _free_score(place: Place) -> float:
-    return place.free / max(1, place.slots) + _bonus(place)
+    return _bonus(place) - place.load
 
 
 def _waiting_score(place: Place) -> float:
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from ..protocol.event_stream import Event
+from ..errors import UpstreamLostError
+from ..protocol.event_stream import Event, EventSplitter
 from ..state.stored_jobs import ItemState, StoredItem, StoredResult
 
 __all__ = ('ItemProgress', 'RunEnd')
@@ -39,24 +40,32 @@
     avoided: str = ''
     last_event_id: int | None = None
     _lines: list[bytes] = attrs.field(factory=list)
+    _splitter: EventSplitter = attrs.field(factory=EventSplitter)
 
     @property
     def key(self) -> tuple[str, str]:
         """Return what names the item among those of all jobs."""
         return self.job_id, self.stored.item_id
 
-    def take_event(self, event: Event) -> bool:
-        """Take the next event; return whether it was the next one."""
-        if event.event_id is None:
-            return True
-        if self.last_event_id is not None:
-            if event.event_id <= self.last_event_id:
-                return True
-            if event.event_id != self.last_event_id + 1:
-                return False
-        self.last_event_id = event.event_id
-        self._lines.append(event.data)
-        return True
+    def begin_run(self) -> None:
+        """Forget the part of an event with which the last run ended."""
+        self._splitter = EventSplitter()
+
+    def take_part(self, part: bytes) -> None:
+        """Take bytes of the present run's stream.
+
+        :raises UpstreamLostError: an event is missing.
+        """
+        for event in self._splitter.feed(part):
+            self._take_event(event)
+
+    def check_whole(self) -> None:
+        """Check that the stream ended between two events.
+
+        :raises UpstreamLostError: it ended inside one.
+        """
+        if self._splitter.has_partial:
+            raise UpstreamLostError('the stream ended inside an event')
 
     def result(self, state: ItemState) -> StoredResult:
         """Return the final outcome."""
@@ -64,3 +73,15 @@
         if state is ItemState.COMPLETED:
             output = b'\n'.join(self._lines).decode('utf-8', 'replace')
         return StoredResult(self.stored.item_id, state, output)
+
+    def _take_event(self, event: Event) -> None:
+        """Take an event unless an earlier run has brought it."""
+        if event.event_id is None:
+            return
+        if self.last_event_id is not None:
+            if event.event_id <= self.last_event_id:
+                return
+            if event.event_id != self.last_event_id + 1:
+                raise UpstreamLostError(f'a gap before {event.event_id}')
+        self.last_event_id = event.event_id
+        self._lines.append(event.data)
--- a/briarrill/item_runs/run.py
+++ b/briarrill/item_runs/run.py
@@ -2,17 +2,17 @@
 
 import contextlib
 import math
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 
 import attrs
 import trio
 from eliot import log_message
 
 from ..coordination.routes import Route
+from ..coordination.silence import SilenceWatch
 from ..coordination.upstream_table import RegisteredUpstream
 from ..coordination.wire import Call, RelayWire
 from ..errors import BriarrillError, PeerUnreachableError, UpstreamLostError
-from ..protocol.event_stream import EventSplitter
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import AnswerHead
 from .item import ItemProgress, RunEnd
@@ -23,7 +23,7 @@
 
 # silence after which a run is given up and resumed elsewhere, in longest
 # pauses of its route, and before its first event
-PATIENCE_PAUSES = 6.0
+PATIENCE_PAUSES = 4.0
 FIRST_EVENT_PATIENCE_S = 3.0
 
 # bytes of an error's body that are read to keep the connection
@@ -39,9 +39,11 @@
     """Runs items and keeps what they produced.
 
     :param wire: the protocol towards upstreams.
+    :param silence: told of each upstream's bytes.
     """
 
     wire: RelayWire
+    silence: SilenceWatch
     _pool: ChannelPool = attrs.field(
         factory=lambda: ChannelPool(CONNECT_TIMEOUT_S), init=False
     )
@@ -60,9 +62,11 @@
             )
         except PeerUnreachableError as exc:
             self._pool.forget(upstream.incarnation)
+            self.silence.suspect(upstream.upstream_id)
             _log(progress, upstream, exc)
             return RunEnd.REFUSED
         call = self._call(progress, route, host, upstream)
+        progress.begin_run()
         try:
             end = await self._exchange(progress, call, upstream, channel)
         except UpstreamLostError as exc:
@@ -107,7 +111,11 @@
                 )
             if reply.status != _HTTP_OK:
                 return await self._read_error(reply, channel)
-            await _read_events(progress, call.route, channel)
+            with self.silence.begun_stream(upstream.upstream_id):
+                async for part in _parts(call.route, channel):
+                    self.silence.hear(upstream.upstream_id)
+                    progress.take_part(part)
+            progress.check_whole()
         return RunEnd.COMPLETED
 
     async def _read_error(
@@ -137,26 +145,19 @@
         raise UpstreamLostError(f'silent for {limit_s} s')
 
 
-async def _read_events(
-    progress: ItemProgress, route: Route, channel: HttpChannel
-) -> None:
-    """Read a stream to its end.
+async def _parts(route: Route, channel: HttpChannel) -> AsyncIterator[bytes]:
+    """Yield the parts of a stream.
 
-    :raises UpstreamLostError: it was cut, silent or has a gap.
+    :raises UpstreamLostError: it was cut, or silent for too long.
     """
-    splitter = EventSplitter()
     patience_s = FIRST_EVENT_PATIENCE_S
     while True:
         with _patience(patience_s):
             part = await channel.read_body()
         if part is None:
-            break
+            return
+        yield part
         patience_s = PATIENCE_PAUSES * route.longest_pause_s
-        for event in splitter.feed(part):
-            if not progress.take_event(event):
-                raise UpstreamLostError(f'a gap before {event.event_id}')
-    if splitter.has_partial:
-        raise UpstreamLostError('the stream ended inside an event')
 
 
 def _log(
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -248,6 +248,8 @@
             names = [upstream.upstream_id for upstream in found]
             for upstream in found:
                 name = upstream.upstream_id
+                if self._load.is_suspect(name):
+                    continue
                 if is_owner(self._process, name, processes, names):
                     free[name] = slots_to_take(
                         upstream.slots,
@@ -300,6 +302,15 @@
         end: RunEnd,
     ) -> None:
         """Commit the item, or say when it may run again."""
+        log_message(
+            'item:run-ended',
+            job=progress.job_id,
+            request_id=progress.stored.item_id,
+            upstream=upstream_id,
+            end=end.name,
+            event=progress.last_event_id,
+            ran_s=round(progress.ran_s, 3),
+        )
         if end is RunEnd.COMPLETED:
             self._choice.add_time(progress.ran_s)
             self._finish(progress, ItemState.COMPLETED, 'whole')
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -35,7 +35,7 @@
             jobs=jobs,
             upstreams=fleet.upstreams,
             load=fleet.load,
-            runner=ItemRunner(PlatformWire()),
+            runner=ItemRunner(PlatformWire(), fleet.load.silence),
             committer=committer,
         )
         _connect(fleet, scheduler)
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -25,6 +25,7 @@
     :param online: requests in flight by upstream.
     :param batch: batch items in flight by upstream.
     :param items: identifiers of the batch items in flight.
+    :param suspects: upstreams that have fallen silent.
     :param revisions: newest change seen, by prefix of keys.
     :param connected: prefixes that are followed at the moment.
     """
@@ -38,6 +39,7 @@
     online: dict[str, int] = attrs.field(factory=dict)
     batch: dict[str, int] = attrs.field(factory=dict)
     items: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     version: int = PROTOCOL_VERSION
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -196,6 +196,7 @@
             online=self._load.online(upstream.upstream_id),
             batch=self._load.batch(upstream.upstream_id),
             is_local=upstream.failure_domain == self._failure_domain,
+            is_suspect=self._load.is_suspect(upstream.upstream_id),
         )
 
     def _check_reachable(self, call: Call, place: Place) -> None:
@@ -242,6 +243,7 @@
             )
         except PeerUnreachableError:
             self._pool.forget(upstream.incarnation)
+            self._load.silence.suspect(upstream.upstream_id)
             raise
 
     async def _exchange(
@@ -257,25 +259,33 @@
         left_s = call.deadline_s - began_at
         head = self._wire.upstream_request(call, upstream, left_s)
         async with channel.exchange(head, call.body):
-            reply = await self._read_head(attempt, channel)
+            reply = await self._read_head(attempt, upstream, channel)
             self._record_begin(call, upstream, began_at)
             if self._wire.says_not_run(reply):
                 await channel.read_whole_body(MAX_HELD_BYTES)
                 raise OverloadedError(f'refused with {reply.status}')
             if call.route.kind is RouteKind.STREAMING:
-                await self._relay_stream(attempt, channel, reply)
+                with self._load.silence.begun_stream(upstream.upstream_id):
+                    await self._relay_stream(attempt, upstream, channel, reply)
             else:
                 await self._relay_whole(attempt, channel, reply)
         self._times(call.service).add(time.monotonic() - began_at)
 
     async def _read_head(
-        self, attempt: _Attempt, channel: HttpChannel
+        self,
+        attempt: _Attempt,
+        upstream: RegisteredUpstream,
+        channel: HttpChannel,
     ) -> AnswerHead:
         call = attempt.call
-        with _time_limit(attempt.answer_patience_s, call):
-            return await channel.read_head(
-                lambda head: self._wire.is_own_answer(call, head)
-            )
+        try:
+            with _time_limit(attempt.answer_patience_s, call):
+                return await channel.read_head(
+                    lambda head: self._wire.is_own_answer(call, head)
+                )
+        except UpstreamLostError:
+            self._load.silence.suspect(upstream.upstream_id)
+            raise
 
     async def _relay_whole(
         self, attempt: _Attempt, channel: HttpChannel, reply: AnswerHead
@@ -304,7 +314,11 @@
             await answer.send_whole(reply, b''.join(parts))
 
     async def _relay_stream(
-        self, attempt: _Attempt, channel: HttpChannel, reply: AnswerHead
+        self,
+        attempt: _Attempt,
+        upstream: RegisteredUpstream,
+        channel: HttpChannel,
+        reply: AnswerHead,
     ) -> None:
         answer = attempt.answer
         if reply.status != HTTP_OK:
@@ -316,6 +330,7 @@
                 part = await channel.read_body()
             if part is None:
                 break
+            self._load.silence.hear(upstream.upstream_id)
             if not attempt.call.route.resumable:
                 await answer.begin(reply)
                 await answer.send(part)
--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import cast
 
 import attrs
 import h11
@@ -212,7 +213,7 @@
             if exc.error_status_hint == HTTP_HEADERS_TOO_LARGE:
                 raise HeadersTooLargeError(str(exc)) from exc
             raise BadRequestError(str(exc)) from exc
-        return event
+        return cast(h11.Event, event)
 
     def _encode_head(self, status: int, headers: Headers) -> bytes:
         self.has_answered = True
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Callable
+from typing import cast
 
 import attrs
 import h11
@@ -232,7 +233,7 @@
                 if isinstance(event, h11.ConnectionClosed):
                     raise UpstreamLostError('closed without an answer')
                 if event is not h11.NEED_DATA:
-                    return event
+                    return cast(h11.Event, event)
                 self._http.receive_data(await self._sock.recv(RECEIVE_BYTES))
         except (OSError, h11.RemoteProtocolError) as exc:
             raise UpstreamLostError(f'receiving: {exc!r}') from exc
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -53,9 +53,7 @@
     return ((b'briarrill-attempt-id', attempt), SEAL)
 
 
-def stream(
-    count: int, *, cut_after: int = 0, pause_s: float = 0
-) -> Behaviour:
+def stream(count: int, *, cut_after: int = 0, pause_s: float = 0) -> Behaviour:
     """Stream numbered events, from the one after ``Last-Event-Id``.
 
     :param cut_after: close the connection after this many events.
@@ -74,9 +72,7 @@
     return behave
 
 
-def whole(
-    body: bytes, status: int = 200, extra: Headers = ()
-) -> Behaviour:
+def whole(body: bytes, status: int = 200, extra: Headers = ()) -> Behaviour:
     """Answer with a whole body."""
 
     async def behave(run: Run, conn: CallerConnection) -> None:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -67,7 +67,9 @@
         while (head := await conn.next_request()) is not None:
             body = await conn.read_body(head)
             _, _, query = head.target.decode().partition('?')
-            fields = {name: found[0] for name, found in parse_qs(query).items()}
+            fields = {
+                name: found[0] for name, found in parse_qs(query).items()
+            }
             call = head.path.split('/')[1]
             self.calls.append(call)
             if self.silent:
@@ -99,9 +101,7 @@
         if self.entries.pop(key, None) is None:
             return
         self.revision += 1
-        self._tell(
-            {'key': key, 'revision': self.revision, 'tombstone': True}
-        )
+        self._tell({'key': key, 'revision': self.revision, 'tombstone': True})
 
     def forget_history(self) -> None:
         """Answer watches from before now with 410."""
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -65,7 +65,11 @@
     upstreams = [f'i-{number}' for number in range(7)]
     processes = ['c', 'a', 'b']
     owners = [
-        [name for name in processes if is_owner(name, one, processes, upstreams)]
+        [
+            name
+            for name in processes
+            if is_owner(name, one, processes, upstreams)
+        ]
         for one in upstreams
     ]
     assert all(len(found) == 1 for found in owners)
