Hand items over between batch processes with what they have produced

A process now takes the progress of an item from its holder, which then leaves it alone; one that starts another's fresh item says so and looks whether it is the first; results just written are told for 2 s. Ruled out: waiting for the holder to have a free slot.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -30,14 +30,20 @@
 # a report is sent at least this often
 HEARTBEAT_S = 0.25
 
+# least part of the interval; processes do not send in step
+MIN_JITTER = 0.8
+
 # silence after which a process counts as gone; four lost reports
 PEER_TIMEOUT_S = 1.0
 
 # shortest pause between two reports, and the part of it that each peer adds,
 # so that the reports of a fleet grow with its size and not its square
-MIN_PAUSE_S = 0.02
+MIN_PAUSE_S = 0.04
 PAUSE_PER_PEER_S = 0.001
 
+# pause before a report that another process must act on
+URGENT_PAUSE_S = 0.004
+
 # silence after which a host that only answered once is sent nothing more
 FORGET_HOST_S = 30.0
 
@@ -110,6 +116,7 @@
         self._incarnation = time.time_ns()
         self._sequence = 0
         self._wake = trio.Event()
+        self._urgent = trio.Event()
 
     @property
     def live(self) -> dict[str, LoadReport]:
@@ -158,6 +165,11 @@
         """Send a report after the shortest pause."""
         self._wake.set()
 
+    def report_now(self) -> None:
+        """Send a report at once: batch work must yield a slot."""
+        self._urgent.set()
+        self._wake.set()
+
     async def run(self) -> None:
         """Send and receive until cancelled."""
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -212,15 +224,28 @@
 
     async def _send_reports(self, sock: trio.socket.SocketType) -> None:
         while True:
-            raw = encode_report(self.make_report())
             hosts = self._hosts()
+            report = self.make_report()
+            whole = encode_report(report)
+            brief = encode_report(attrs.evolve(report, items=(), held=()))
+            batch_hosts = {
+                peer.host for peer in self.live.values() if peer.runs_batch
+            }
             for host in hosts:
+                raw = whole if host in batch_hosts else brief
                 with contextlib.suppress(OSError):
                     await sock.sendto(raw, (host, self._port))
-            await trio.sleep(MIN_PAUSE_S + PAUSE_PER_PEER_S * len(hosts))
-            with trio.move_on_after(HEARTBEAT_S * random.uniform(0.8, 1)):
-                await self._wake.wait()
-            self._wake = trio.Event()
+            await self._pause(len(hosts))
+
+    async def _pause(self, hosts: int) -> None:
+        """Wait until the next report is due."""
+        await trio.sleep(URGENT_PAUSE_S)
+        with trio.move_on_after(MIN_PAUSE_S + PAUSE_PER_PEER_S * hosts):
+            await self._urgent.wait()
+        with trio.move_on_after(HEARTBEAT_S * random.uniform(MIN_JITTER, 1)):
+            await self._wake.wait()
+        self._wake = trio.Event()
+        self._urgent = trio.Event()
 
     def _hosts(self) -> set[str]:
         """Return where reports go: the fleet, or what may know of it."""
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -5,6 +5,8 @@
 peer has seen.
 """
 
+from collections.abc import Callable
+
 import attrs
 import msgspec
 import trio
@@ -18,7 +20,7 @@
 from .load_exchange import LoadExchange
 from .mirror import Mirror
 
-__all__ = ('StateTransfer',)
+__all__ = ('Offer', 'StateTransfer', 'fetch_from_peer')
 
 CHECK_INTERVAL_S = 0.2
 
@@ -34,6 +36,9 @@
 
 _PATH = '/state/'
 
+#: Returns what a peer asks for by the rest of the path, or nothing.
+Offer = Callable[[str], bytes | None]
+
 _ENTRIES = msgspec.msgpack.Decoder(tuple[KeyValue, ...])
 
 
@@ -42,22 +47,30 @@
     """Offers own mirrors to peers and takes theirs when they know more.
 
     :param mirrors: those that keep bodies, by prefix.
+    :param offers: other things that peers may take, by prefix of the path.
     """
 
     mirrors: dict[str, Mirror]
     load: LoadExchange
     port: int
+    offers: dict[str, Offer] = attrs.field(factory=dict)
 
     async def serve(self, conn: CallerConnection) -> None:
         """Answer requests of peers on one connection."""
         while (head := await conn.next_request()) is not None:
             await conn.read_body(head)
-            mirror = self.mirrors.get(head.path.removeprefix(_PATH))
-            if mirror is None:
-                await conn.send_answer(_HTTP_NOT_FOUND, (), b'')
-                continue
-            raw = msgspec.msgpack.encode(mirror.snapshot().entries)
-            await conn.send_answer(_HTTP_OK, (), raw)
+            raw = self._find(head.path)
+            status = _HTTP_NOT_FOUND if raw is None else _HTTP_OK
+            await conn.send_answer(status, (), raw or b'')
+
+    def _find(self, path: str) -> bytes | None:
+        for prefix, offer in self.offers.items():
+            if path.startswith(prefix):
+                return offer(path.removeprefix(prefix))
+        mirror = self.mirrors.get(path.removeprefix(_PATH))
+        if mirror is None:
+            return None
+        return msgspec.msgpack.encode(mirror.snapshot().entries)
 
     def bounds(self) -> CallerBounds:
         """Return the bounds for peers."""
@@ -97,16 +110,26 @@
         log_message('state:fetched', peer=ahead[newest], prefix=prefix)
 
     async def _fetch(self, host: str, prefix: str) -> tuple[KeyValue, ...]:
-        channel = await connect((host, self.port), FETCH_TIMEOUT_S)
-        try:
-            head = RequestHead(
-                b'GET',
-                f'{_PATH}{prefix}'.encode(),
-                ((b'host', host.encode()),),
-            )
-            async with channel.exchange(head, b''):
-                await channel.read_head()
-                raw = await channel.read_whole_body(MAX_STATE_BYTES)
-        finally:
-            channel.close()
+        raw = await fetch_from_peer((host, self.port), f'{_PATH}{prefix}')
+        if raw is None:
+            raise UpstreamLostError('the peer does not have it')
         return _ENTRIES.decode(raw)
+
+
+async def fetch_from_peer(address: tuple[str, int], path: str) -> bytes | None:
+    """Return what a peer offers under a path, or nothing.
+
+    :raises PeerUnreachableError: it takes no connection.
+    :raises UpstreamLostError: it did not answer.
+    """
+    channel = await connect(address, FETCH_TIMEOUT_S)
+    try:
+        head = RequestHead(
+            b'GET', path.encode(), ((b'host', address[0].encode()),)
+        )
+        async with channel.exchange(head, b''):
+            answer = await channel.read_head()
+            raw = await channel.read_whole_body(MAX_STATE_BYTES)
+    finally:
+        channel.close()
+    return raw if answer.status == _HTTP_OK else None
--- a/briarrill/item_runs/commits.py
+++ b/briarrill/item_runs/commits.py
@@ -5,6 +5,8 @@
 them; an item that has a result by then gets no second one.
 """
 
+import time
+
 import attrs
 import trio
 from eliot import log_message
@@ -20,6 +22,9 @@
 # time over which results are gathered
 GATHER_S = 0.25
 
+# time in which other processes learn of a result from the service
+SPREAD_S = 2.0
+
 # pause after a failed write
 RETRY_S = 0.5
 
@@ -37,6 +42,7 @@
     _pending: dict[str, dict[str, StoredResult]] = attrs.field(
         factory=dict, init=False
     )
+    _written_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
 
     @property
@@ -45,10 +51,19 @@
         return not self._pending
 
     @property
-    def pending_items(self) -> list[str]:
-        """Return the items whose results are not written yet."""
+    def recent_items(self) -> list[str]:
+        """Return the items whose results others may not know yet."""
+        now = time.monotonic()
+        for item_id, since in list(self._written_at.items()):
+            if now - since > SPREAD_S:
+                self._written_at.pop(item_id)
         return [
-            item_id for found in self._pending.values() for item_id in found
+            *(
+                item_id
+                for found in self._pending.values()
+                for item_id in found
+            ),
+            *self._written_at,
         ]
 
     def has_pending(self, job_id: str, item_id: str) -> bool:
@@ -114,6 +129,7 @@
     ) -> None:
         for number, result in enumerate(chosen, position):
             known.take_result(number, result)
+            self._written_at[result.item_id] = time.monotonic()
             log_message(
                 'item:committed',
                 job=known.job_id,
--- /dev/null
+++ b/briarrill/item_runs/handover.py
@@ -0,0 +1,133 @@
+"""briarrill.item_runs.handover: an item goes on at another process.
+
+Answers slots that come free at another process's upstreams than those at
+which an item was broken off: the process that starts it takes what its last
+run has produced from the one that holds it, which then leaves it alone.
+"""
+
+import time
+from urllib.parse import quote, unquote
+
+import attrs
+import msgspec
+import trio
+from eliot import log_message
+
+from ..coordination.load_exchange import LoadExchange
+from ..coordination.rendezvous import rank
+from ..coordination.state_transfer import fetch_from_peer
+from ..errors import BriarrillError
+from ..protocol.load_reports import item_mark
+from .item import ItemProgress, ProgressRecord
+
+__all__ = ('HANDOVER_PATH', 'Handover')
+
+HANDOVER_PATH = '/item-progress/'
+
+# time after which an item that was handed over, and that nobody runs, is
+# taken back; several load reports
+GIVEN_S = 1.0
+
+# time in which an urgent report reaches all peers
+CLAIM_S = 0.03
+
+# peers answer within a round trip
+FETCH_TIMEOUT_S = 0.3
+
+_RECORD = msgspec.msgpack.Decoder(ProgressRecord)
+
+_Key = tuple[str, str]
+
+
+@attrs.define
+class Handover:
+    """Gives items to peers and takes theirs.
+
+    :param held: items of this process that are not run at the moment.
+    """
+
+    load: LoadExchange
+    port: int
+    held: dict[_Key, ItemProgress]
+    _given_at: dict[_Key, float] = attrs.field(factory=dict, init=False)
+
+    def was_given(self, key: _Key) -> bool:
+        """Tell whether a peer has just taken an item."""
+        return time.monotonic() - self._given_at.get(key, 0) < GIVEN_S
+
+    def give(self, path: str) -> bytes | None:
+        """Return an item's progress to a peer, which will run it."""
+        job_id, _, item_id = path.partition('/')
+        key = (unquote(job_id), unquote(item_id))
+        progress = self.held.pop(key, None)
+        if progress is None:
+            return None
+        self._given_at[key] = time.monotonic()
+        log_message('item:given', job=key[0], request_id=key[1])
+        return msgspec.msgpack.encode(progress.record())
+
+    async def take(self, progress: ItemProgress, process: str) -> bool:
+        """Take what a peer holds of an item; return whether it may run.
+
+        :param process: name of this process.
+        """
+        if progress.has_begun:
+            return True
+        host = self._holder(progress.stored.item_id)
+        if host is None:
+            return await self._claim(progress, process)
+        was_taken = False
+        # what was given is lost unless it arrives here
+        with trio.CancelScope(shield=True):
+            was_taken = await self._fetch(progress, host)
+        return was_taken
+
+    async def _claim(self, progress: ItemProgress, process: str) -> bool:
+        """Return whether no process with a better right starts the item.
+
+        The job's own process starts at once; others tell of it and look
+        whether they are the first.
+        """
+        job_id, item_id = progress.key
+        live = self.load.live
+        names = [name for name in live if live[name].runs_batch]
+        if rank(job_id, [process, *names])[0] == process:
+            return True
+        self.load.report_now()
+        await trio.sleep(CLAIM_S)
+        mark = item_mark(item_id)
+        rivals = [
+            name
+            for name, report in self.load.live.items()
+            if mark in report.items
+        ]
+        if not rivals:
+            return True
+        home = rank(job_id, [process, *names])[0]
+        return (
+            home not in rivals
+            and rank(item_id, [process, *rivals])[0] == process
+        )
+
+    async def _fetch(self, progress: ItemProgress, host: str) -> bool:
+        """Take an item from its holder; return whether it was still there."""
+        job_id, item_id = progress.key
+        path = f'{HANDOVER_PATH}{quote(job_id, "")}/{quote(item_id, "")}'
+        try:
+            with trio.fail_after(FETCH_TIMEOUT_S):
+                raw = await fetch_from_peer((host, self.port), path)
+        except (BriarrillError, trio.TooSlowError) as exc:
+            log_message('item:not-taken', request_id=item_id, why=repr(exc))
+            return False
+        if raw is None:
+            return False
+        progress.take_record(_RECORD.decode(raw))
+        return True
+
+    def _holder(self, item_id: str) -> str | None:
+        """Return the host of the live process that holds an item."""
+        mark = item_mark(item_id)
+        for report in self.load.live.values():
+            if mark in report.held:
+                return report.host
+        return None
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -8,7 +8,20 @@
 from ..protocol.event_stream import Event, EventSplitter
 from ..state.stored_jobs import ItemState, StoredItem, StoredResult
 
-__all__ = ('ItemProgress', 'RunEnd')
+__all__ = ('ItemProgress', 'ProgressRecord', 'RunEnd')
+
+
+@attrs.frozen
+class ProgressRecord:
+    """What another process needs to go on with an item.
+
+    :param lines: the data of the events so far.
+    """
+
+    last_event_id: int | None
+    lines: tuple[bytes, ...]
+    failures: int
+    ran_s: float
 
 
 class RunEnd(enum.Enum):
@@ -47,6 +60,24 @@
         """Return what names the item among those of all jobs."""
         return self.job_id, self.stored.item_id
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a run has produced anything worth keeping."""
+        return bool(self._lines or self.failures)
+
+    def record(self) -> ProgressRecord:
+        """Return what another process needs to go on."""
+        return ProgressRecord(
+            self.last_event_id, tuple(self._lines), self.failures, self.ran_s
+        )
+
+    def take_record(self, record: ProgressRecord) -> None:
+        """Go on from where another process has stopped."""
+        self.last_event_id = record.last_event_id
+        self._lines = list(record.lines)
+        self.failures = record.failures
+        self.ran_s = record.ran_s
+
     def begin_run(self) -> None:
         """Forget the part of an event with which the last run ended."""
         self._splitter = EventSplitter()
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -15,13 +15,14 @@
     slots_to_yield,
 )
 from ..coordination.job_table import JobTable, KnownJob
-from ..coordination.load_exchange import LoadExchange
 from ..coordination.routes import Route, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
-from ..metrics import PREEMPTED, RESUMED
+from ..metrics import PREEMPTED
+from ..protocol.load_reports import item_mark
 from ..state.stored_jobs import ItemState
 from .choice import ItemChoice, NextItem
 from .commits import Committer
+from .handover import Handover
 from .item import ItemProgress, RunEnd
 from .run import ItemRunner
 
@@ -61,6 +62,7 @@
     """Runs the items of stored jobs where online requests leave slots.
 
     :param process: name of this process.
+    :param handover: exchanges items with the other processes.
     """
 
     def __init__(
@@ -68,7 +70,7 @@
         process: str,
         jobs: JobTable,
         upstreams: UpstreamTable,
-        load: LoadExchange,
+        handover: Handover,
         runner: ItemRunner,
         committer: Committer,
     ) -> None:
@@ -77,19 +79,29 @@
         self._process = process
         self._jobs = jobs
         self._upstreams = upstreams
-        self._load = load
+        self._handover = handover
+        self._load = handover.load
         self._runner = runner
         self._committer = committer
         self._choice = ItemChoice(process, jobs)
-        self._progress: dict[tuple[str, str], ItemProgress] = {}
+        self._progress = handover.held
         self._running: dict[tuple[str, str], _Running] = {}
         self._wake = trio.Event()
 
     @property
-    def items_in_hand(self) -> tuple[str, ...]:
-        """Return the items that run here or wait to be committed."""
+    def marks_in_hand(self) -> tuple[int, ...]:
+        """Return the marks of items that run here or have just ended."""
         running = [item_id for _, item_id in self._running]
-        return (*running, *self._committer.pending_items)
+        return tuple(map(item_mark, (*running, *self._committer.recent_items)))
+
+    @property
+    def marks_held(self) -> tuple[int, ...]:
+        """Return the marks of items whose last run was broken off here."""
+        return tuple(
+            item_mark(key[1])
+            for key, progress in self._progress.items()
+            if progress.has_begun
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -195,24 +207,25 @@
             running = _Running(
                 chosen.progress, chosen.route, upstream.upstream_id
             )
+            self._progress.pop(chosen.progress.key, None)
             self._running[chosen.progress.key] = running
             nursery.start_soon(self._run_item, running, chosen, upstream)
+            self._load.report_now()
 
     def _untaken(self) -> Callable[[KnownJob, str], ItemProgress | None]:
         """Return what finds the progress of items that nobody has."""
-        taken = set(self.items_in_hand)
+        taken = set(self.marks_in_hand)
         for report in self._load.live.values():
             taken.update(report.items)
 
         def progress_of(known: KnownJob, item_id: str) -> ItemProgress | None:
-            if item_id in taken or item_id in known.finished:
+            if item_id in known.finished or item_mark(item_id) in taken:
                 return None
             key = (known.job_id, item_id)
+            if self._handover.was_given(key):
+                return None
             progress = self._progress.get(key)
-            if progress is None:
-                progress = ItemProgress(key[0], known.items[item_id])
-                self._progress[key] = progress
-            return progress
+            return progress or ItemProgress(key[0], known.items[item_id])
 
         return progress_of
 
@@ -274,8 +287,6 @@
     ) -> None:
         progress = running.progress
         host = chosen.known.job.host if chosen.known.job else ''
-        if progress.last_event_id is not None:
-            RESUMED.inc()
         end = RunEnd.PREEMPTED
         began_at = time.monotonic()
         try:
@@ -285,9 +296,12 @@
                 ),
                 running.scope,
             ):
-                end = await self._runner.run(
-                    progress, running.route, host, upstream
-                )
+                end = RunEnd.REFUSED
+                if await self._handover.take(progress, self._process):
+                    end = RunEnd.PREEMPTED
+                    end = await self._runner.run(
+                        progress, running.route, host, upstream
+                    )
         finally:
             self._running.pop(progress.key, None)
         progress.ran_s += time.monotonic() - began_at
@@ -320,9 +334,12 @@
             progress.failures += 1
             if progress.failures >= route.max_attempts:
                 self._finish(progress, ItemState.ERRORED, 'attempts')
+        if self._committer.has_pending(*progress.key):
+            return
         if end in _PAUSES:
             progress.not_before = time.monotonic() + _PAUSES[end]
             progress.avoided = upstream_id
+        self._progress[progress.key] = progress
 
     def _finish(
         self, progress: ItemProgress, state: ItemState, reason: str
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -6,6 +6,7 @@
 
 from ..coordination.job_table import JobTable
 from ..item_runs.commits import Committer
+from ..item_runs.handover import HANDOVER_PATH, Handover
 from ..item_runs.run import ItemRunner
 from ..item_runs.scheduler import Scheduler
 from ..protocol.load_reports import LoadReport
@@ -30,11 +31,13 @@
         jobs = JobTable(fleet.store)
         fleet.own_keys.add('', jobs)
         committer = Committer(fleet.store, jobs)
+        handover = Handover(fleet.load, cfg.peer_port, {})
+        fleet.offers[HANDOVER_PATH] = handover.give
         scheduler = Scheduler(
             process=cfg.name,
             jobs=jobs,
             upstreams=fleet.upstreams,
-            load=fleet.load,
+            handover=handover,
             runner=ItemRunner(PlatformWire(), fleet.load.silence),
             committer=committer,
         )
@@ -55,7 +58,11 @@
     describe = fleet.describe
 
     def describe_items(report: LoadReport) -> LoadReport:
-        return attrs.evolve(describe(report), items=scheduler.items_in_hand)
+        return attrs.evolve(
+            describe(report),
+            items=scheduler.marks_in_hand,
+            held=scheduler.marks_held,
+        )
 
     fleet.load.describe = describe_items
     fleet.load.on_report.append(lambda report: scheduler.wake())
--- a/briarrill/platform/fleet.py
+++ b/briarrill/platform/fleet.py
@@ -12,7 +12,7 @@
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.mirror import Mirror, MirrorUser
 from ..coordination.registration import hold_registration
-from ..coordination.state_transfer import StateTransfer
+from ..coordination.state_transfer import Offer, StateTransfer
 from ..coordination.upstream_table import RETURN_GRACE_S, UpstreamTable
 from ..protocol.load_reports import LoadReport
 from ..readiness import Readiness
@@ -83,6 +83,7 @@
     operator_keys: KeyRouter
     own_keys: KeyRouter
     runs_batch: bool
+    offers: dict[str, Offer] = attrs.field(factory=dict)
 
     def describe(self, report: LoadReport) -> LoadReport:
         """Add to a report what this process knows."""
@@ -177,7 +178,7 @@
         for prefix, mirror in fleet.mirrors.items()
         if prefix != ROOT
     }
-    transfer = StateTransfer(shared, fleet.load, cfg.peer_port)
+    transfer = StateTransfer(shared, fleet.load, cfg.peer_port, fleet.offers)
     address = (cfg.host, cfg.peer_port)
     async with (
         serve_callers(address, transfer.bounds, transfer.serve),
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -5,10 +5,11 @@
 
 import attrs
 import msgspec
+import xxhash
 
 from ..errors import MalformedMessageError
 
-__all__ = ('LoadReport', 'decode_report', 'encode_report')
+__all__ = ('LoadReport', 'decode_report', 'encode_report', 'item_mark')
 
 PROTOCOL_VERSION = 1
 
@@ -24,7 +25,8 @@
     :param is_leaving: it takes no new work.
     :param online: requests in flight by upstream.
     :param batch: batch items in flight by upstream.
-    :param items: identifiers of the batch items in flight.
+    :param items: marks of the batch items that are run or have just ended.
+    :param held: marks of the items whose last run was broken off here.
     :param suspects: upstreams that have fallen silent.
     :param revisions: newest change seen, by prefix of keys.
     :param connected: prefixes that are followed at the moment.
@@ -38,13 +40,22 @@
     is_leaving: bool = False
     online: dict[str, int] = attrs.field(factory=dict)
     batch: dict[str, int] = attrs.field(factory=dict)
-    items: tuple[str, ...] = ()
+    items: tuple[int, ...] = ()
+    held: tuple[int, ...] = ()
     suspects: tuple[str, ...] = ()
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     version: int = PROTOCOL_VERSION
 
 
+def item_mark(item_id: str) -> int:
+    """Return the short mark that stands for an item in reports.
+
+    Two items with one mark only wait for each other.
+    """
+    return xxhash.xxh32_intdigest(item_id.encode())
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(LoadReport)
 
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -174,6 +174,8 @@
         place = choose_place(places, self._rng)
         if not progress.attempts:
             self._check_reachable(call, place)
+        if place.free <= 0:
+            self._load.report_now()
         found = self._upstreams.find(place.name)
         if found is None:
             raise NoUpstreamError('the upstream has just left')
