Become ready without the store when peers know enough

Cause: an entry that started while the store was away waited for the jobs too, which peers do not hand on, and so took no callers although it had learnt the configuration and the upstreams. Job calls say 503 themselves while jobs are not known. Ruled out: the transfer of state (the entry had both).

Test: a second entry process beside a store that refuses all calls; red before (never ready in 40 s), green after. Tests of the adapter and of the whole path by real processes come with it.

--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -11,9 +11,11 @@
 from ..relay.front import Front
 from ..relay.job_calls import JobCalls
 from ..transport.http_callers import serve_callers
+from .configuration import OPERATOR_PREFIX
 from .fleet import Fleet, follow_fleet, open_fleet, serve_ready, wait_stop
 from .job_messages import PlatformJobWire
 from .settings import PlatformInstance
+from .upstreams import REGISTRATIONS_PREFIX
 from .wire import PlatformWire
 
 __all__ = ('run_entry',)
@@ -40,9 +42,12 @@
 
 
 async def _become_ready(fleet: Fleet) -> None:
-    """Take callers once the configuration and the upstreams are known."""
-    for mirror in fleet.mirrors.values():
-        await mirror.synced.wait()
+    """Take callers once the configuration and the upstreams are known.
+
+    Jobs are not waited for: their calls say so while they are not known.
+    """
+    for prefix in (OPERATOR_PREFIX, REGISTRATIONS_PREFIX):
+        await fleet.mirrors[prefix].synced.wait()
     while fleet.holder.routes is None:
         await fleet.holder.changed.wait()
     fleet.readiness.has_started = True
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -56,9 +56,7 @@
     progress = _progress(events=3)
     progress.failures = 1
     giver.held[progress.key] = progress
-    offered = StateTransfer(
-        {}, giver.load, port, {HANDOVER_PATH: giver.give}
-    )
+    offered = StateTransfer({}, giver.load, port, {HANDOVER_PATH: giver.give})
     mark = item_mark(progress.stored.item_id)
     taker = _handover(port, _report('giver', held=(mark,)))
     taken, late = _progress(), _progress()
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,152 @@
+"""The operator's configuration and the upstreams' registrations."""
+
+import json
+
+import pytest
+
+from briarrill.coordination.routes import RouteKind
+from briarrill.coordination.upstream_table import UpstreamTable
+from briarrill.errors import NotFoundError
+from briarrill.platform.configuration import (
+    CONFIGURATION_KEY,
+    ConfigurationHolder,
+)
+from briarrill.platform.upstreams import Registrations
+
+
+def configuration(version, *routes):
+    """Return the body of a configuration."""
+    named = [
+        {
+            'name': prefix.strip('/') or 'root',
+            'host': 'h',
+            'prefix': prefix,
+            'kind': 'streaming',
+            'timeout_ms': 5000,
+            'target_latency_ms': 300,
+            'service': service,
+            'something_new': [1],
+        }
+        for prefix, service in routes
+    ]
+    return json.dumps({'version': version, 'routes': named}).encode()
+
+
+def _holder():
+    changes = []
+    return ConfigurationHolder(lambda: changes.append(1)), changes
+
+
+def test_newer_version_is_taken_and_older_left_out():
+    holder, changes = _holder()
+    holder.take_key(CONFIGURATION_KEY, configuration(4, ('/a/', 'one')))
+    holder.take_key(CONFIGURATION_KEY, configuration(9, ('/a/', 'two')))
+    holder.take_key(CONFIGURATION_KEY, configuration(7, ('/a/', 'old')))
+    holder.take_key(CONFIGURATION_KEY, configuration(9, ('/a/', 'same')))
+    assert holder.version == 9
+    assert holder.routes.find('h', '/a/x').targets[0].service == 'two'
+    assert len(changes) == 2
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{}', b'{"version": 99, "routes": [{"name": 3}]}', b'\xff'],
+)
+def test_unreadable_configuration_changes_nothing(body):
+    holder, _ = _holder()
+    holder.take(configuration(4, ('/a/', 'one')))
+    holder.take(body)
+    holder.take_key(CONFIGURATION_KEY, None)
+    assert holder.version == 4
+
+
+def test_longest_prefix_of_the_host_is_chosen():
+    holder, _ = _holder()
+    holder.take(configuration(1, ('/', 'r'), ('/a/', 's'), ('/a/b/', 'l')))
+    find = holder.routes.find
+    assert find('h', '/a/b/c').targets[0].service == 'l'
+    assert find('h', '/a/bc').targets[0].service == 's'
+    assert find('h', '/ab/').targets[0].service == 'r'
+    with pytest.raises(NotFoundError):
+        find('other', '/a/')
+
+
+def test_fields_of_a_batch_route():
+    body = json.dumps(
+        {
+            'version': 1,
+            'routes': [
+                {
+                    'name': 'b',
+                    'host': 'h',
+                    'prefix': '/b/',
+                    'kind': 'batch',
+                    'timeout_ms': 15000,
+                    'target_latency_ms': 400,
+                    'completion_target_ms': 18000,
+                    'keep_s': 60,
+                    'max_queued_tokens': 1000,
+                    'max_attempts': 3,
+                    'traffic_split': [
+                        {'service': 'x', 'weight': 90},
+                        {'service': 'y', 'weight': 10},
+                    ],
+                }
+            ],
+        }
+    ).encode()
+    holder, _ = _holder()
+    holder.take(body)
+    (route,) = holder.routes.batch_routes
+    assert route.kind is RouteKind.BATCH
+    assert (route.due_s, route.keep_s) == (18, 60)
+    assert route.max_waiting_tokens == 1000
+    assert [target.weight for target in route.targets] == [90, 10]
+
+
+REGISTRATION = {
+    'service': 'llm',
+    'address': '10.0.0.9:8080',
+    'zone': 'a',
+    'slots': 8,
+    'state': 'ready',
+    'call_seq': 4,
+    'born': 17,
+}
+
+
+def _registered(**changed):
+    table = UpstreamTable(lambda: True)
+    body = json.dumps({**REGISTRATION, **changed}).encode()
+    Registrations(table).take_key('servers/i-1', body)
+    return table
+
+
+def test_registration_becomes_an_upstream():
+    (upstream,) = _registered().of_service('llm')
+    assert upstream.upstream_id == 'i-1'
+    assert upstream.address == ('10.0.0.9', 8080)
+    assert upstream.incarnation == 'i-1/17'
+
+
+def test_draining_upstream_gets_nothing_new():
+    assert _registered(state='draining').of_service('llm') == []
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'slots': '8'},
+        {'state': 'resting'},
+        {'address': 'nowhere'},
+        {'service': None},
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(changed):
+    assert _registered(**changed).all == ()
+
+
+def test_unreadable_entry_ends_the_registration_before_it():
+    table = _registered()
+    Registrations(table).take_key('servers/i-1', b'\x00')
+    assert table.all == ()
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,153 @@
+"""The platform's store, with its faults, against a stand-in."""
+
+import contextlib
+
+import pytest
+import trio
+
+from briarrill.errors import PlatformUnavailableError, WriteUnknownError
+from briarrill.platform import store as store_module
+from briarrill.platform.store import PlatformStore
+from briarrill.transport.key_value import (
+    KeyChange,
+    KeySnapshot,
+    WatchEvent,
+)
+from standins.platform_store import StandinStore
+from tests.serving import serving
+
+
+@contextlib.asynccontextmanager
+async def store():
+    standin = StandinStore()
+    async with serving(standin) as address:
+        client = PlatformStore(address)
+        with trio.fail_after(20):
+            yield client, standin
+        client.close()
+
+
+async def test_write_under_a_condition_and_read():
+    async with store() as (client, standin):
+        revision = await client.compare_and_swap(
+            'k/ä', b'\x00\xff', mod_revision=0
+        )
+        found = await client.read('k/ä')
+        assert (found.body, found.mod_revision) == (b'\x00\xff', revision)
+        assert await client.read('none') is None
+        again = await client.compare_and_swap('k/ä', b'x', mod_revision=0)
+        assert again is None
+        assert await client.delete('k/ä', mod_revision=revision)
+        assert standin.entries == {}
+
+
+async def test_pages_are_read_to_their_end():
+    async with store() as (client, standin):
+        standin.page = 2
+        for number in range(5):
+            standin.put(f'p/{number}', b'x')
+        found = await client.read_prefix('p/')
+        assert [entry.key[-1] for entry in found] == list('01234')
+        some = await client.read_prefix('p/', after='p/1', limit=2)
+        assert [entry.key[-1] for entry in some] == list('23')
+
+
+async def test_changes_follow_a_snapshot_and_lost_history():
+    async with store() as (client, standin):
+        standin.put('p/1', b'one')
+        follow = client.follow('p/')
+        first = await anext(follow)
+        assert isinstance(first, KeySnapshot)
+        assert first.revision == standin.revision
+        standin.put('q/1', b'other')
+        standin.put('p/2', b'two')
+        assert await anext(follow) == WatchEvent('p/2', b'two', 10)
+        standin.remove('p/1')
+        assert await anext(follow) == WatchEvent('p/1', None, 11)
+        standin.put('p/3', b'three')
+        standin.forget_history()
+        again = await anext(follow)
+        assert isinstance(again, KeySnapshot)
+        assert [entry.key for entry in again.entries] == ['p/2', 'p/3']
+        await follow.aclose()
+
+
+@pytest.mark.parametrize('status', [503, 429, 403])
+async def test_refused_write_was_not_made(status):
+    async with store() as (client, standin):
+        standin.refuse_with = status
+        with pytest.raises(PlatformUnavailableError):
+            await client.transact([KeyChange('k', b'x', 0)])
+        assert standin.entries == {}
+
+
+async def test_lost_reply_of_a_write_is_resolved():
+    async with store() as (client, standin):
+        standin.lose_replies = 1
+        revision = await client.transact([KeyChange('k', b'mine', 0)])
+        assert revision == standin.entries['k'].revision
+
+
+async def test_other_writer_after_a_lost_reply_is_told_from_own_write():
+    async with store() as (client, standin):
+        standin.put('k', b'theirs')
+        standin.lose_replies = 1
+        assert await client.transact([KeyChange('k', b'mine', 0)]) is None
+
+
+async def test_late_write_cannot_follow_its_own_repeat():
+    async with store() as (client, standin):
+        standin.lose_writes = 1
+        assert await client.transact([KeyChange('k', b'mine', 0)])
+        made = standin.entries['k'].revision
+        assert [status for status, _ in standin.make_late_writes()] == [412]
+        assert standin.entries['k'].revision == made
+
+
+async def test_write_that_may_still_be_made_is_unknown():
+    async with store() as (client, standin):
+        standin.lose_writes = 10
+        with pytest.raises(WriteUnknownError):
+            await client.transact([KeyChange('k', b'x', 0)])
+
+
+async def test_refusal_after_a_lost_reply_stays_unknown():
+    """The first attempt may be made later, whatever the second is told."""
+
+    class Store(StandinStore):
+        async def _answer(self, call, argument, fields, body):
+            self.refuse_with = 503
+            return None
+
+    standin = Store()
+    async with serving(standin) as address:
+        client = PlatformStore(address)
+        with pytest.raises(WriteUnknownError):
+            await client.transact([KeyChange('k', b'x', 0)])
+        client.close()
+
+
+async def test_silent_store_is_given_up(monkeypatch):
+    monkeypatch.setattr(store_module, 'CALL_TIMEOUT_S', 0.05)
+    async with store() as (client, standin):
+        standin.silent = True
+        with pytest.raises(PlatformUnavailableError):
+            await client.read('k')
+        with pytest.raises(WriteUnknownError):
+            await client.transact([KeyChange('k', b'x', 0)])
+
+
+async def test_lease_deletes_its_keys():
+    async with store() as (client, standin):
+        lease = await client.grant_lease(3)
+        await client.transact([KeyChange('k', b'x', lease_id=lease)])
+        assert await client.keep_lease_alive(lease) > 0
+        await client.revoke_lease(lease)
+        assert await client.read('k') is None
+        assert await client.keep_lease_alive(lease) == 0
+
+
+async def test_no_store_at_all():
+    client = PlatformStore(('127.0.0.1', 1))
+    with pytest.raises(PlatformUnavailableError):
+        await client.transact([KeyChange('k', b'x', 0)])
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,293 @@
+"""The programs as processes, against the store and the upstreams."""
+
+import base64
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import attrs
+import pytest
+import trio
+
+from briarrill.transport.http_callers import serve_callers
+from briarrill.transport.http_channel import connect
+from briarrill.transport.http_messages import RequestHead
+from standins.platform_engine import StandinEngine, event, stream, whole
+from standins.platform_store import StandinStore
+
+STORE_PORT = 8142
+FRONT_PORT = 8144
+READY_PORT = 8140
+PEER_PORT = 7660
+
+WORDS = '\n'.join(f'word-{number}' for number in range(1, 6))
+
+ROUTES = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'online',
+            'host': 'h',
+            'prefix': '/online/',
+            'kind': 'streaming',
+            'timeout_ms': 5000,
+            'target_latency_ms': 300,
+            'service': 'llm',
+            'max_attempts': 1,
+        },
+        {
+            'name': 'jobs',
+            'host': 'h',
+            'prefix': '/jobs/',
+            'kind': 'batch',
+            'timeout_ms': 5000,
+            'target_latency_ms': 400,
+            'completion_target_ms': 18000,
+            'keep_s': 60,
+            'max_queued_tokens': 1000,
+            'max_attempts': 2,
+            'service': 'llm',
+        },
+    ],
+}
+
+
+@attrs.define
+class Fleet:
+    """A store, an engine, an entry and a batch process."""
+
+    network: str
+    store: StandinStore
+    engine: StandinEngine
+    processes: dict
+
+    async def ask(self, method, target, body=b'', **headers):
+        """Ask the entry; return status and body."""
+        fields = {'host': 'h', 'briarrill-attempt-id': 'r1'}
+        fields.update(
+            (name.replace('_', '-'), text) for name, text in headers.items()
+        )
+        fields['content-length'] = str(len(body))
+        head = RequestHead(
+            method.encode(),
+            target.encode(),
+            tuple(
+                (key.encode(), text.encode()) for key, text in fields.items()
+            ),
+        )
+        return await _ask((f'{self.network}.2', FRONT_PORT), head, body)
+
+    async def read_results(self, job_id, count):
+        """Read until a job has this many results."""
+        while True:
+            status, body = await self.ask(
+                'GET', f'/lots/{job_id}?after=0', briarrill_wait_ms='500'
+            )
+            found = json.loads(body) if status == 200 else {'results': []}
+            if len(found['results']) >= count:
+                return found
+            await trio.sleep(0.05)
+
+    async def submit(self, job_id, count, tokens=10):
+        """Hand in a job; return the status."""
+        items = [
+            {
+                'id': f'{job_id}-{number}',
+                'path': f'/jobs/{number}',
+                'headers': {'Briarrill-Model': 'm'},
+                'body': base64.b64encode(b'prompt').decode(),
+                'tokens': tokens,
+            }
+            for number in range(count)
+        ]
+        status, _ = await self.ask(
+            'POST',
+            '/jobs/',
+            json.dumps({'items': items}).encode(),
+            briarrill_attempt_id=job_id,
+        )
+        return status
+
+
+async def _ask(address, head, body=b''):
+    channel = await connect(address, 1)
+    try:
+        async with channel.exchange(head, body):
+            found = await channel.read_head()
+            return found.status, await channel.read_whole_body(1_000_000)
+    finally:
+        channel.close()
+
+
+def _settings(network, host, name):
+    return f"""
+node_name = "{name}"
+ip = "{host}"
+zone = "a"
+internal_port_range = [{PEER_PORT}, {PEER_PORT + 9}]
+seed_nodes = ["{network}.2:9999"]
+[listen_addrs]
+front_http = "{host}:{FRONT_PORT}"
+ready = "{host}:{READY_PORT}"
+[contract_params]
+grace_s = 6
+[platform]
+address = "{network}.1:{STORE_PORT}"
+"""
+
+
+async def _start(network, folder, program, number):
+    host = f'{network}.{number}'
+    name = f'{program}-{number}'
+    path = folder / f'{name}.toml'
+    path.write_text(_settings(network, host, name), encoding='utf-8')
+    return await trio.lowlevel.open_process(
+        [sys.executable, '-m', 'briarrill.platform', program],
+        env={**os.environ, 'BRIARRILL_CONFIG': str(path)},
+        stdout=subprocess.DEVNULL,
+    )
+
+
+async def _wait_ready(host):
+    head = RequestHead(b'GET', b'/ready', ((b'host', b'h'),))
+    while True:
+        with contextlib.suppress(Exception):
+            status, _ = await _ask((host, READY_PORT), head)
+            if status == 200:
+                return
+        await trio.sleep(0.05)
+
+
+@pytest.fixture
+async def fleet(network, tmp_path):
+    store, engine = StandinStore(), StandinEngine(stream(5, pause_s=0.01))
+    store.put('op/config', json.dumps(ROUTES).encode())
+    registration = {
+        'service': 'llm',
+        'address': f'{network}.9:8080',
+        'zone': 'a',
+        'slots': 4,
+        'state': 'ready',
+    }
+    store.put('servers/i-1', json.dumps(registration).encode())
+    async with (
+        serve_callers((f'{network}.1', STORE_PORT), store.bounds, store.serve),
+        serve_callers((f'{network}.9', 8080), engine.bounds, engine.serve),
+    ):
+        processes = {
+            'entry': await _start(network, tmp_path, 'entry', 2),
+            'batch': await _start(network, tmp_path, 'batch', 3),
+        }
+        try:
+            with trio.fail_after(40):
+                await _wait_ready(f'{network}.2')
+                yield Fleet(network, store, engine, processes)
+        finally:
+            for process in processes.values():
+                process.kill()
+                await process.wait()
+
+
+async def test_stream_and_job_go_end_to_end(fleet):
+    status, body = await fleet.ask('POST', '/online/x', b'prompt')
+    assert (status, body) == (
+        200,
+        b''.join(event(number) for number in range(1, 6)),
+    )
+    assert await fleet.submit('j1', 3) == 202
+    assert await fleet.submit('j1', 3) == 202
+    found = await fleet.read_results('j1', 3)
+    assert found['total'] == found['next_token'] == 3
+    assert {one['output'] for one in found['results']} == {WORDS}
+    assert {one['id'] for one in found['results']} == {
+        'j1-0',
+        'j1-1',
+        'j1-2',
+    }
+    items = [run for run in fleet.engine.runs if run.head.path != '/online/x']
+    assert len(items) == 3
+    assert {run.body for run in items} == {b'prompt'}
+
+
+async def test_job_that_does_not_fit_is_refused_and_ended_one_stops(fleet):
+    fleet.engine.behaviours = [stream(10_000, pause_s=0.02)]
+    assert await fleet.submit('big', 2, tokens=400) == 202
+    assert await fleet.submit('more', 1, tokens=400) == 429
+    while len(fleet.engine.runs) < 2:
+        await trio.sleep(0.02)
+    status, body = await fleet.ask('GET', '/items/big?id=big-0')
+    assert (status, body) == (200, b'prompt')
+    assert (await fleet.ask('DELETE', '/lots/big'))[0] == 200
+    assert (await fleet.ask('DELETE', '/lots/big'))[0] == 200
+    while fleet.engine.left < 2:
+        await trio.sleep(0.02)
+    assert (await fleet.ask('GET', '/items/big?id=big-0'))[0] == 404
+    assert await fleet.submit('more', 1, tokens=400) == 202
+
+
+async def test_impossible_and_failing_items_are_given_up(fleet):
+    fleet.engine.behaviours = [whole(b'', 422), whole(b'', 500)]
+    assert await fleet.submit('bad', 1) == 202
+    (first,) = (await fleet.read_results('bad', 1))['results']
+    assert first['state'] == 'errored'
+    assert len(fleet.engine.runs) == 1
+    assert await fleet.submit('worse', 1) == 202
+    (second,) = (await fleet.read_results('worse', 1))['results']
+    assert second['state'] == 'errored'
+    assert len(fleet.engine.runs) == 3
+
+
+async def test_unknown_job_and_store_that_is_away(fleet):
+    assert (await fleet.ask('GET', '/lots/none?after=0'))[0] == 404
+    assert await fleet.submit('j1', 1) == 202
+    await fleet.read_results('j1', 1)
+    fleet.store.refuse_with = 503
+    assert (await fleet.ask('GET', '/lots/none?after=0'))[0] == 503
+    assert await fleet.submit('j2', 1) == 503
+    status, body = await fleet.ask('GET', '/lots/j1?after=0')
+    assert (status, len(json.loads(body)['results'])) == (200, 1)
+    assert (await fleet.ask('POST', '/online/x', b'prompt'))[0] == 200
+
+
+async def test_planned_stop_cuts_nothing(fleet):
+    fleet.engine.behaviours = [stream(40, pause_s=0.02)]
+    found = {}
+
+    async def ask():
+        found['stream'] = await fleet.ask('POST', '/online/x', b'prompt')
+
+    assert await fleet.submit('j1', 1) == 202
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        while len(fleet.engine.runs) < 2:
+            await trio.sleep(0.01)
+        for process in fleet.processes.values():
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+    status, body = found['stream']
+    assert (status, body.count(b'data:')) == (200, 40)
+    for process in fleet.processes.values():
+        assert await process.wait() == 0
+    keys = [key for key in fleet.store.entries if 'job-results/j1/' in key]
+    assert len(keys) == 1
+
+
+async def test_process_that_starts_without_the_store_asks_its_peers(
+    fleet, tmp_path
+):
+    fleet.store.refuse_with = 503
+    host = f'{fleet.network}.4'
+    process = await _start(fleet.network, tmp_path, 'entry', 4)
+    fleet.processes['second'] = process
+    await _wait_ready(host)
+    address = (host, FRONT_PORT)
+    head = RequestHead(
+        b'POST',
+        b'/online/x',
+        ((b'host', b'h'), (b'briarrill-attempt-id', b'r2')),
+    )
+    status, _ = await _ask(address, head)
+    assert status == 200
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,159 @@
+"""Heads of callers and of upstreams."""
+
+import json
+import math
+
+import pytest
+
+from briarrill.coordination.routes import RouteKind, RouteTable
+from briarrill.coordination.upstream_table import RegisteredUpstream
+from briarrill.coordination.wire import Call, IntentKind
+from briarrill.errors import BadRequestError, NotFoundError
+from briarrill.platform.job_messages import PlatformJobWire
+from briarrill.platform.wire import PlatformWire
+from briarrill.state.stored_jobs import (
+    ItemState,
+    StoredItem,
+    StoredResult,
+)
+from briarrill.transport.http_messages import AnswerHead, RequestHead
+from tests.relay.world import route
+
+BATCH = route(RouteKind.BATCH)
+STREAM = route(RouteKind.STREAMING)
+ROUTES = RouteTable(1, (BATCH, STREAM))
+UPSTREAM = RegisteredUpstream('i-1', 'llm', ('10.0.0.1', 80), 'a', 8)
+WIRE = PlatformWire()
+
+
+def _head(method, target, **headers):
+    fields = {'host': 'h.example', 'briarrill-attempt-id': 'r1'}
+    fields.update(
+        (name.replace('_', '-'), text) for name, text in headers.items()
+    )
+    return RequestHead(
+        method.encode(),
+        target.encode(),
+        tuple((name.encode(), text.encode()) for name, text in fields.items()),
+    )
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'kind'),
+    [
+        ('POST', '/streaming/a', IntentKind.FORWARD),
+        ('POST', '/batch/j1', IntentKind.SUBMIT_JOB),
+        ('GET', '/lots/j1?after=12', IntentKind.READ_RESULTS),
+        ('DELETE', '/lots/j1', IntentKind.END_JOB),
+        ('GET', '/items/j1?id=e5', IntentKind.READ_ITEM),
+    ],
+)
+def test_what_a_caller_asks_for(method, target, kind):
+    intent = WIRE.read_intent(_head(method, target), ROUTES)
+    assert intent.kind is kind
+    if kind is not IntentKind.FORWARD and '/j1' in target:
+        assert intent.job_id in {'j1', 'r1'}
+
+
+def test_position_item_and_wait_of_a_read():
+    head = _head('GET', '/lots/j1?after=12', briarrill_wait_ms='5000')
+    intent = WIRE.read_intent(head, ROUTES)
+    assert (intent.position, intent.wait_s) == (12, 1)
+    head = _head('GET', '/items/j1?id=e%2F5')
+    assert WIRE.read_intent(head, ROUTES).item_id == 'e/5'
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'headers', 'error'),
+    [
+        ('GET', '/lots/j1?after=x', {}, BadRequestError),
+        ('PUT', '/lots/j1', {}, NotFoundError),
+        ('GET', '/batch/', {}, NotFoundError),
+        ('POST', '/none/', {}, NotFoundError),
+        (
+            'POST',
+            '/streaming/',
+            {'briarrill-deadline-ms': 'soon'},
+            BadRequestError,
+        ),
+        ('POST', '/streaming/', {'last-event-id': '-1'}, BadRequestError),
+    ],
+)
+def test_what_is_not_understood(method, target, headers, error):
+    with pytest.raises(error):
+        WIRE.read_intent(_head(method, target, **headers), ROUTES)
+
+
+def test_head_for_an_upstream():
+    head = _head(
+        'POST',
+        '/streaming/a',
+        briarrill_deadline_ms='9000',
+        briarrill_expect_instance='forged',
+        connection='close, x-hop',
+        x_hop='1',
+        x_own='2',
+        transfer_encoding='chunked',
+    )
+    call = Call('r1', STREAM, 'llm', head, b'body', math.inf, 4)
+    sent = dict(WIRE.upstream_request(call, UPSTREAM, 1.25).headers)
+    assert sent == {
+        b'host': b'h.example',
+        b'briarrill-attempt-id': b'r1',
+        b'x-own': b'2',
+        b'briarrill-deadline-ms': b'1250',
+        b'briarrill-expect-instance': b'i-1',
+        b'last-event-id': b'4',
+        b'content-length': b'4',
+    }
+
+
+def test_item_is_a_request_of_its_own():
+    stored = StoredItem(
+        'e5', '/b/x', {'Briarrill-Model': 'm', 'Host': 'forged'}, b'xy', 9
+    )
+    head = WIRE.item_head('h.example', stored)
+    assert (head.method, head.target) == (b'POST', b'/b/x')
+    assert dict(head.headers) == {
+        b'host': b'h.example',
+        b'briarrill-attempt-id': b'e5',
+        b'content-length': b'2',
+        b'briarrill-model': b'm',
+    }
+
+
+def test_answers_that_promise_not_to_have_run():
+    assert WIRE.says_not_run(AnswerHead(421, ()))
+    refusal = AnswerHead(503, ((b'briarrill-not-executed', b'1'),))
+    assert WIRE.says_not_run(refusal)
+    assert not WIRE.says_not_run(AnswerHead(503, ()))
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'{"items": 3}',
+        b'{"items": [{"id": "a"}]}',
+        b'{"items": [{"id": "a", "path": "/", "headers": {}, '
+        b'"body": "%%", "tokens": 1}]}',
+    ],
+)
+def test_body_that_is_no_job(body):
+    with pytest.raises(BadRequestError):
+        PlatformJobWire().read_items(body)
+
+
+def test_job_and_results_bodies():
+    wire = PlatformJobWire()
+    (stored,) = wire.read_items(
+        b'{"items":[{"id":"e","path":"/p","headers":{"A":"b"},'
+        b'"body":"q83v","tokens":7}],"new":1}'
+    )
+    assert stored.body == b'\xab\xcd\xef'
+    found = [StoredResult('e', ItemState.COMPLETED, 'x\ny')]
+    assert json.loads(wire.results_body(4, 2, found)) == {
+        'total': 4,
+        'next_token': 3,
+        'results': [{'id': 'e', 'state': 'completed', 'output': 'x\ny'}],
+    }
