Forward load reports around a cut between two processes

Every report now says whose reports arrive, and of the processes that hear both sides one forwards. Ruled out: slow upstreams (other entries' streams were on time there).

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -22,7 +22,9 @@
     LoadReport,
     decode_report,
     encode_report,
+    short_mark,
 )
+from .rendezvous import rank
 from .silence import SilenceWatch
 
 __all__ = ('InFlight', 'LoadExchange', 'Peer')
@@ -78,10 +80,14 @@
 
 @attrs.define
 class Peer:
-    """The last report of another process."""
+    """The last report of another process.
+
+    :param direct_at: when a report last came from the process itself.
+    """
 
     report: LoadReport
     heard_at: float
+    direct_at: float = 0
 
 
 class LoadExchange:
@@ -179,16 +185,25 @@
                 nursery.start_soon(self._send_reports, sock)
                 await self._receive(sock)
 
-    def take_report(self, report: LoadReport) -> None:
-        """Keep a report unless a newer one has come."""
+    def take_report(
+        self, report: LoadReport, *, is_direct: bool = True
+    ) -> None:
+        """Keep a report unless a newer one has come.
+
+        :param is_direct: whether it came from the process itself.
+        """
         if report.process == self._process:
             return
         known = self._peers.get(report.process)
-        if known is not None and _order(known.report) >= _order(report):
-            return
+        direct_at = time.monotonic() if is_direct else 0
+        if known is not None:
+            known.direct_at = max(known.direct_at, direct_at)
+            if _order(known.report) >= _order(report):
+                return
+            direct_at = known.direct_at
         if known is None or not self._is_live(known):
             log_message('peer:heard', peer=report.process, host=report.host)
-        self._peers[report.process] = Peer(report, time.monotonic())
+        self._peers[report.process] = Peer(report, time.monotonic(), direct_at)
         for listener in self.on_report:
             listener(report)
 
@@ -203,18 +218,59 @@
                 sequence=self._sequence,
                 online=dict(self.in_flight.online),
                 batch=dict(self.in_flight.batch),
+                heard=tuple(map(short_mark, self._directly_heard())),
                 suspects=self.silence.suspects,
             )
         )
 
+    def relay_hosts(self, report: LoadReport) -> list[str]:
+        """Return the hosts that a process's report is forwarded to.
+
+        Those do not hear the process itself, because a link between them is
+        cut; of the processes that hear both sides, one forwards.
+        """
+        mark = short_mark(report.process)
+        live = self.live
+        return [
+            peer.host
+            for name, peer in live.items()
+            if name != report.process
+            and mark not in peer.heard
+            and self._is_relay(report.process, name)
+        ]
+
+    def _is_relay(self, sender: str, receiver: str) -> bool:
+        """Tell whether this process is the one that forwards."""
+        both = {short_mark(sender), short_mark(receiver)}
+        others = [
+            name
+            for name, report in self.live.items()
+            if both <= set(report.heard)
+        ]
+        ranked = rank(f'{sender}/{receiver}', [self._process, *others])
+        return ranked[0] == self._process
+
+    def _directly_heard(self) -> list[str]:
+        oldest = time.monotonic() - PEER_TIMEOUT_S
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.direct_at >= oldest
+        ]
+
     def _is_live(self, peer: Peer) -> bool:
         return time.monotonic() - peer.heard_at < PEER_TIMEOUT_S
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
             try:
-                raw, _ = await sock.recvfrom(MAX_DATAGRAM_BYTES)
-                self.take_report(decode_report(raw))
+                raw, address = await sock.recvfrom(MAX_DATAGRAM_BYTES)
+                report = decode_report(raw)
+                is_direct = address[0] == report.host
+                self.take_report(report, is_direct=is_direct)
+                if is_direct:
+                    for host in self.relay_hosts(report):
+                        await sock.sendto(raw, (host, self._port))
             except MalformedMessageError as exc:
                 MALFORMED_MESSAGES.inc()
                 log_message('peer:malformed', reason=exc.message)
--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -17,7 +17,7 @@
 from ..coordination.rendezvous import rank
 from ..coordination.state_transfer import fetch_from_peer
 from ..errors import BriarrillError
-from ..protocol.load_reports import item_mark
+from ..protocol.load_reports import short_mark
 from .item import ItemProgress, ProgressRecord
 
 __all__ = ('HANDOVER_PATH', 'Handover')
@@ -95,7 +95,7 @@
             return True
         self.load.report_now()
         await trio.sleep(CLAIM_S)
-        mark = item_mark(item_id)
+        mark = short_mark(item_id)
         rivals = [
             name
             for name, report in self.load.live.items()
@@ -126,7 +126,7 @@
 
     def _holder(self, item_id: str) -> str | None:
         """Return the host of the live process that holds an item."""
-        mark = item_mark(item_id)
+        mark = short_mark(item_id)
         for report in self.load.live.values():
             if mark in report.held:
                 return report.host
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -18,7 +18,7 @@
 from ..coordination.routes import Route, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..metrics import PREEMPTED
-from ..protocol.load_reports import item_mark
+from ..protocol.load_reports import short_mark
 from ..state.stored_jobs import ItemState
 from .choice import ItemChoice, NextItem
 from .commits import Committer
@@ -92,13 +92,15 @@
     def marks_in_hand(self) -> tuple[int, ...]:
         """Return the marks of items that run here or have just ended."""
         running = [item_id for _, item_id in self._running]
-        return tuple(map(item_mark, (*running, *self._committer.recent_items)))
+        return tuple(
+            map(short_mark, (*running, *self._committer.recent_items))
+        )
 
     @property
     def marks_held(self) -> tuple[int, ...]:
         """Return the marks of items whose last run was broken off here."""
         return tuple(
-            item_mark(key[1])
+            short_mark(key[1])
             for key, progress in self._progress.items()
             if progress.has_begun
         )
@@ -219,7 +221,7 @@
             taken.update(report.items)
 
         def progress_of(known: KnownJob, item_id: str) -> ItemProgress | None:
-            if item_id in known.finished or item_mark(item_id) in taken:
+            if item_id in known.finished or short_mark(item_id) in taken:
                 return None
             key = (known.job_id, item_id)
             if self._handover.was_given(key):
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -9,7 +9,7 @@
 
 from ..errors import MalformedMessageError
 
-__all__ = ('LoadReport', 'decode_report', 'encode_report', 'item_mark')
+__all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_mark')
 
 PROTOCOL_VERSION = 1
 
@@ -27,6 +27,7 @@
     :param batch: batch items in flight by upstream.
     :param items: marks of the batch items that are run or have just ended.
     :param held: marks of the items whose last run was broken off here.
+    :param heard: marks of the processes whose own reports arrive here.
     :param suspects: upstreams that have fallen silent.
     :param revisions: newest change seen, by prefix of keys.
     :param connected: prefixes that are followed at the moment.
@@ -42,18 +43,20 @@
     batch: dict[str, int] = attrs.field(factory=dict)
     items: tuple[int, ...] = ()
     held: tuple[int, ...] = ()
+    heard: tuple[int, ...] = ()
     suspects: tuple[str, ...] = ()
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     version: int = PROTOCOL_VERSION
 
 
-def item_mark(item_id: str) -> int:
-    """Return the short mark that stands for an item in reports.
+def short_mark(name: str) -> int:
+    """Return what stands for an item or a process in reports.
 
-    Two items with one mark only wait for each other.
+    Two items with one mark only wait for each other, and of two processes
+    with one mark the reports are not forwarded.
     """
-    return xxhash.xxh32_intdigest(item_id.encode())
+    return xxhash.xxh32_intdigest(name.encode())
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/coordination/test_load_exchange.py
+++ b/tests/coordination/test_load_exchange.py
@@ -11,6 +11,7 @@
     LoadReport,
     decode_report,
     encode_report,
+    short_mark,
 )
 
 
@@ -76,3 +77,36 @@
                 while first.batch('x') != 1:
                     await trio.sleep(0.01)
         nursery.cancel_scope.cancel()
+
+
+def _hearing(name, *heard, sequence=1, **fields):
+    marks = tuple(map(short_mark, heard))
+    return LoadReport(name, f'host-{name}', 1, sequence, heard=marks, **fields)
+
+
+def test_report_is_forwarded_around_a_cut_by_one_process():
+    """a and b do not hear each other; c and d hear both."""
+    relays = []
+    for own, other in (('c', 'd'), ('d', 'c')):
+        exchange = _exchange(own)
+        exchange.take_report(_hearing('a', 'c', 'd'))
+        exchange.take_report(_hearing('b', 'c', 'd'))
+        exchange.take_report(_hearing(other, 'a', 'b', own))
+        relays.append(exchange.relay_hosts(_hearing('a', 'c', 'd')))
+    assert sorted(relays) == [[], ['host-b']]
+
+
+def test_forwarded_report_counts_but_is_not_heard():
+    exchange = _exchange('b')
+    exchange.take_report(_hearing('a', online={'x': 4}), is_direct=False)
+    assert exchange.online('x') == 4
+    assert exchange.make_report().heard == ()
+    exchange.take_report(_hearing('a', sequence=2))
+    assert exchange.make_report().heard == (short_mark('a'),)
+
+
+def test_nothing_is_forwarded_while_all_hear_each_other():
+    exchange = _exchange('c')
+    exchange.take_report(_hearing('a', 'b', 'c'))
+    exchange.take_report(_hearing('b', 'a', 'c'))
+    assert exchange.relay_hosts(_hearing('a', 'b', 'c')) == []
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -7,7 +7,7 @@
 from briarrill.coordination.state_transfer import StateTransfer
 from briarrill.item_runs.handover import HANDOVER_PATH, Handover
 from briarrill.item_runs.item import ItemProgress
-from briarrill.protocol.load_reports import LoadReport, item_mark
+from briarrill.protocol.load_reports import LoadReport, short_mark
 from briarrill.state.stored_jobs import ItemState
 from briarrill.transport.http_callers import serve_callers
 from standins.platform_engine import event
@@ -57,7 +57,7 @@
     progress.failures = 1
     giver.held[progress.key] = progress
     offered = StateTransfer({}, giver.load, port, {HANDOVER_PATH: giver.give})
-    mark = item_mark(progress.stored.item_id)
+    mark = short_mark(progress.stored.item_id)
     taker = _handover(port, _report('giver', held=(mark,)))
     taken, late = _progress(), _progress()
     async with serve_callers(
@@ -93,14 +93,14 @@
 
 async def test_item_that_its_own_process_starts_is_left(autojump_clock):
     home, _ = _names()
-    mark = item_mark(JOB.items[0].item_id)
+    mark = short_mark(JOB.items[0].item_id)
     handover = _handover(0, _report(home, items=(mark,)))
     assert not await handover.take(_progress(), 'me')
 
 
 async def test_item_with_progress_needs_no_claim(autojump_clock):
     home, _ = _names()
-    mark = item_mark(JOB.items[0].item_id)
+    mark = short_mark(JOB.items[0].item_id)
     handover = _handover(0, _report(home, items=(mark,)))
     assert await handover.take(_progress(events=1), 'me')
 
