Let batch processes that cannot commit give their items away

Cause: a process cut from the store kept its items and finished results until the cut healed, and an entry cut from it showed no new results. The first now releases its items, whole outputs included, to the processes that can commit; mirrors follow jobs through peers, which send only what is newer.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -134,6 +134,16 @@
             if peer.heard_at >= oldest
         }
 
+    @property
+    def directly_heard(self) -> tuple[int, ...]:
+        """Return marks of the processes whose own reports arrive here."""
+        oldest = time.monotonic() - PEER_TIMEOUT_S
+        return tuple(
+            short_mark(name)
+            for name, peer in self._peers.items()
+            if peer.direct_at >= oldest
+        )
+
     def online(self, upstream_id: str) -> int:
         """Return the online requests of all processes at an upstream."""
         return self.in_flight.online[upstream_id] + sum(
@@ -218,7 +228,7 @@
                 sequence=self._sequence,
                 online=dict(self.in_flight.online),
                 batch=dict(self.in_flight.batch),
-                heard=tuple(map(short_mark, self._directly_heard())),
+                heard=self.directly_heard,
                 suspects=self.silence.suspects,
             )
         )
@@ -250,14 +260,6 @@
         ranked = rank(f'{sender}/{receiver}', [self._process, *others])
         return ranked[0] == self._process
 
-    def _directly_heard(self) -> list[str]:
-        oldest = time.monotonic() - PEER_TIMEOUT_S
-        return [
-            name
-            for name, peer in self._peers.items()
-            if peer.direct_at >= oldest
-        ]
-
     def _is_live(self, peer: Peer) -> bool:
         return time.monotonic() - peer.heard_at < PEER_TIMEOUT_S
 
--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -8,6 +8,7 @@
 import random
 import time
 
+import attrs
 import trio
 from eliot import log_message
 
@@ -19,7 +20,7 @@
     WatchEvent,
 )
 
-__all__ = ('Mirror', 'MirrorUser')
+__all__ = ('Mirror', 'MirrorChanges', 'MirrorUser')
 
 # pauses between attempts while the service is away; they double, and a
 # random part of each is left out so that processes spread out
@@ -33,6 +34,18 @@
 LAG_CHECK_S = 0.1
 
 
+@attrs.frozen
+class MirrorChanges:
+    """What one mirror has seen more than another.
+
+    :param keys: all keys that exist.
+    :param changed: those whose value may be new to the other.
+    """
+
+    keys: tuple[str, ...]
+    changed: tuple[KeyValue, ...]
+
+
 class MirrorUser(abc.ABC):
     """Takes what a mirror finds."""
 
@@ -86,18 +99,22 @@
         """Take the revision of a peer's newest change."""
         self._peer_revision = max(self._peer_revision, revision)
 
-    def snapshot(self) -> KeySnapshot:
-        """Return the keys with their values, for peers."""
-        return KeySnapshot(
-            tuple(
-                KeyValue(key, body, self._revisions[key])
-                for key, body in self._bodies.items()
-            )
-        )
-
-    def take_peer_snapshot(self, snapshot: KeySnapshot) -> None:
-        """Take the keys of a peer that has seen more."""
-        self._take_entries(snapshot)
+    def changes_after(self, revision: int) -> MirrorChanges:
+        """Return what a peer lacks that has seen up to a revision."""
+        changed = [
+            KeyValue(key, body, self._revisions[key])
+            for key, body in self._bodies.items()
+            if self._revisions[key] > revision
+        ]
+        return MirrorChanges(tuple(self._bodies), tuple(changed))
+
+    def take_changes(self, changes: MirrorChanges) -> None:
+        """Take what a peer has seen more."""
+        for key in set(self._revisions).difference(changes.keys):
+            self._forget(key)
+            self._user.take_key(key, None)
+        for entry in changes.changed:
+            self._take(WatchEvent(entry.key, entry.body, entry.mod_revision))
         self.synced.set()
 
     async def run(self) -> None:
@@ -126,16 +143,9 @@
             else:
                 self._take(change)
 
-    def _take_entries(self, snapshot: KeySnapshot) -> None:
-        found = {entry.key for entry in snapshot.entries}
-        for key in set(self._revisions) - found:
-            self._forget(key)
-            self._user.take_key(key, None)
-        for entry in snapshot.entries:
-            self._take(WatchEvent(entry.key, entry.body, entry.mod_revision))
-
     def _take_snapshot(self, snapshot: KeySnapshot) -> None:
-        self._take_entries(snapshot)
+        keys = tuple(entry.key for entry in snapshot.entries)
+        self.take_changes(MirrorChanges(keys, snapshot.entries))
         # a deleted key's revision is in no entry
         self._covered = max(self._covered, snapshot.revision)
         if not self.is_connected:
@@ -146,7 +156,6 @@
                 keys=len(snapshot.entries),
             )
         self.is_connected = True
-        self.synced.set()
 
     def _take(self, event: WatchEvent) -> None:
         self.revision = max(self.revision, event.mod_revision)
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -13,16 +13,16 @@
 from eliot import log_message
 
 from ..errors import PeerUnreachableError, UpstreamLostError
+from ..protocol.load_reports import short_mark
 from ..transport.http_callers import CallerBounds, CallerConnection
 from ..transport.http_channel import connect
 from ..transport.http_messages import RequestHead
-from ..transport.key_value import KeySnapshot, KeyValue
 from .load_exchange import LoadExchange
-from .mirror import Mirror
+from .mirror import Mirror, MirrorChanges
 
 __all__ = ('Offer', 'StateTransfer', 'fetch_from_peer')
 
-CHECK_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.3
 
 # time in which the service itself answers at a start, if it is there
 PATIENCE_S = 0.5
@@ -39,7 +39,7 @@
 #: Returns what a peer asks for by the rest of the path, or nothing.
 Offer = Callable[[str], bytes | None]
 
-_ENTRIES = msgspec.msgpack.Decoder(tuple[KeyValue, ...])
+_CHANGES = msgspec.msgpack.Decoder(MirrorChanges)
 
 
 @attrs.define
@@ -59,7 +59,7 @@
         """Answer requests of peers on one connection."""
         while (head := await conn.next_request()) is not None:
             await conn.read_body(head)
-            raw = self._find(head.path)
+            raw = self._find(head.target.decode('latin-1'))
             status = _HTTP_NOT_FOUND if raw is None else _HTTP_OK
             await conn.send_answer(status, (), raw or b'')
 
@@ -67,10 +67,11 @@
         for prefix, offer in self.offers.items():
             if path.startswith(prefix):
                 return offer(path.removeprefix(prefix))
-        mirror = self.mirrors.get(path.removeprefix(_PATH))
-        if mirror is None:
+        prefix, _, after = path.removeprefix(_PATH).partition('?after=')
+        mirror = self.mirrors.get(prefix)
+        if mirror is None or not after.isdigit():
             return None
-        return msgspec.msgpack.encode(mirror.snapshot().entries)
+        return msgspec.msgpack.encode(mirror.changes_after(int(after)))
 
     def bounds(self) -> CallerBounds:
         """Return the bounds for peers."""
@@ -89,13 +90,16 @@
         ahead = {
             report.revisions.get(prefix, 0): report.host
             for report in self.load.live.values()
+            if short_mark(report.process) in self.load.directly_heard
         }
         newest = max(ahead, default=0)
         if newest <= mirror.revision:
             return
         try:
             with trio.fail_after(FETCH_TIMEOUT_S):
-                entries = await self._fetch(ahead[newest], prefix)
+                changes = await self._fetch(
+                    ahead[newest], prefix, mirror.revision
+                )
         except (
             PeerUnreachableError,
             UpstreamLostError,
@@ -106,14 +110,22 @@
                 'state:not-fetched', peer=ahead[newest], reason=repr(exc)
             )
             return
-        mirror.take_peer_snapshot(KeySnapshot(entries))
-        log_message('state:fetched', peer=ahead[newest], prefix=prefix)
+        mirror.take_changes(changes)
+        log_message(
+            'state:fetched',
+            peer=ahead[newest],
+            prefix=prefix,
+            changed=len(changes.changed),
+        )
 
-    async def _fetch(self, host: str, prefix: str) -> tuple[KeyValue, ...]:
-        raw = await fetch_from_peer((host, self.port), f'{_PATH}{prefix}')
+    async def _fetch(
+        self, host: str, prefix: str, revision: int
+    ) -> MirrorChanges:
+        path = f'{_PATH}{prefix}?after={revision}'
+        raw = await fetch_from_peer((host, self.port), path)
         if raw is None:
             raise UpstreamLostError('the peer does not have it')
-        return _ENTRIES.decode(raw)
+        return _CHANGES.decode(raw)
 
 
 async def fetch_from_peer(address: tuple[str, int], path: str) -> bytes | None:
--- a/briarrill/item_runs/commits.py
+++ b/briarrill/item_runs/commits.py
@@ -13,9 +13,10 @@
 
 from ..coordination.job_table import JobTable, KnownJob
 from ..errors import BriarrillError
-from ..metrics import BATCH_COMMITS, DUPLICATES
-from ..state.stored_jobs import StoredResult, result_changes
+from ..metrics import BATCH_COMMITS
+from ..state.stored_jobs import ItemState, StoredResult, result_changes
 from ..transport.key_value import KeyValueService
+from .item import ItemProgress
 
 __all__ = ('Committer',)
 
@@ -42,6 +43,9 @@
     _pending: dict[str, dict[str, StoredResult]] = attrs.field(
         factory=dict, init=False
     )
+    _ended: dict[tuple[str, str], ItemProgress] = attrs.field(
+        factory=dict, init=False
+    )
     _written_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
 
@@ -70,12 +74,23 @@
         """Tell whether an item's result waits to be written."""
         return item_id in self._pending.get(job_id, ())
 
-    def add(self, job_id: str, result: StoredResult) -> None:
-        """Take a result."""
-        waiting = self._pending.setdefault(job_id, {})
+    def add(self, progress: ItemProgress, state: ItemState) -> None:
+        """Take an item that has ended."""
+        result = progress.result(state)
+        waiting = self._pending.setdefault(progress.job_id, {})
         waiting[result.item_id] = result
+        self._ended[progress.key] = progress
         self._wake.set()
 
+    def give_back(self) -> list[ItemProgress]:
+        """Return the completed items whose results are not written."""
+        given = [
+            progress for progress in self._ended.values() if progress.is_whole
+        ]
+        for progress in given:
+            self._drop(progress.job_id, progress.stored.item_id)
+        return given
+
     async def run(self) -> None:
         """Write results until cancelled."""
         while True:
@@ -97,7 +112,8 @@
         """Write a job's results, or leave some for the next time."""
         known = self.jobs.find(job_id)
         if known is None:
-            self._pending.pop(job_id)
+            for item_id in list(self._pending[job_id]):
+                self._drop(job_id, item_id)
             return
         chosen = self._choose(known)
         if chosen:
@@ -143,8 +159,12 @@
         waiting = self._pending.get(known.job_id, {})
         for item_id in list(waiting):
             if item_id in known.finished:
-                waiting.pop(item_id)
-                DUPLICATES.inc()
+                self._drop(known.job_id, item_id)
+        return known.job_id in self._pending
+
+    def _drop(self, job_id: str, item_id: str) -> None:
+        waiting = self._pending.get(job_id, {})
+        waiting.pop(item_id, None)
+        self._ended.pop((job_id, item_id), None)
         if not waiting:
-            self._pending.pop(known.job_id, None)
-        return bool(waiting)
+            self._pending.pop(job_id, None)
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -16,12 +16,14 @@
     """What another process needs to go on with an item.
 
     :param lines: the data of the events so far.
+    :param is_whole: whether the output is complete.
     """
 
     last_event_id: int | None
     lines: tuple[bytes, ...]
     failures: int
     ran_s: float
+    is_whole: bool = False
 
 
 class RunEnd(enum.Enum):
@@ -42,6 +44,7 @@
     :param failures: runs that the upstream answered with an error.
     :param not_before: monotonic time before which it is not run again.
     :param ran_s: time that it has had slots.
+    :param is_whole: whether the output is complete.
     :param avoided: upstream of the last run that went wrong.
     """
 
@@ -51,6 +54,7 @@
     not_before: float = 0
     ran_s: float = 0
     avoided: str = ''
+    is_whole: bool = False
     last_event_id: int | None = None
     _lines: list[bytes] = attrs.field(factory=list)
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -68,7 +72,11 @@
     def record(self) -> ProgressRecord:
         """Return what another process needs to go on."""
         return ProgressRecord(
-            self.last_event_id, tuple(self._lines), self.failures, self.ran_s
+            last_event_id=self.last_event_id,
+            lines=tuple(self._lines),
+            failures=self.failures,
+            ran_s=self.ran_s,
+            is_whole=self.is_whole,
         )
 
     def take_record(self, record: ProgressRecord) -> None:
@@ -77,6 +85,7 @@
         self._lines = list(record.lines)
         self.failures = record.failures
         self.ran_s = record.ran_s
+        self.is_whole = record.is_whole
 
     def begin_run(self) -> None:
         """Forget the part of an event with which the last run ended."""
--- a/briarrill/item_runs/run.py
+++ b/briarrill/item_runs/run.py
@@ -56,6 +56,8 @@
         upstream: RegisteredUpstream,
     ) -> RunEnd:
         """Run an item from where it stopped; return how the run ended."""
+        if progress.is_whole:
+            return RunEnd.COMPLETED
         try:
             channel = await self._pool.take(
                 upstream.incarnation, upstream.address
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -19,6 +19,7 @@
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..metrics import PREEMPTED
 from ..protocol.load_reports import short_mark
+from ..state.keys import ROOT
 from ..state.stored_jobs import ItemState
 from .choice import ItemChoice, NextItem
 from .commits import Committer
@@ -63,6 +64,7 @@
 
     :param process: name of this process.
     :param handover: exchanges items with the other processes.
+    :param is_connected: whether the key-value service answers.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         handover: Handover,
         runner: ItemRunner,
         committer: Committer,
+        is_connected: Callable[[], bool],
     ) -> None:
         """Start without items."""
         self.is_closed = False
@@ -83,6 +86,7 @@
         self._load = handover.load
         self._runner = runner
         self._committer = committer
+        self._is_connected = is_connected
         self._choice = ItemChoice(process, jobs)
         self._progress = handover.held
         self._running: dict[tuple[str, str], _Running] = {}
@@ -131,6 +135,9 @@
                 if table is None:
                     continue
                 self._stop_ended()
+                if self._is_isolated():
+                    self._release()
+                    continue
                 self._yield_slots(table)
                 if time.monotonic() - given_up_at >= GIVE_UP_CHECK_S:
                     given_up_at = time.monotonic()
@@ -138,6 +145,19 @@
                 if not self.is_closed:
                     self._start_items(table, nursery)
 
+    def _is_isolated(self) -> bool:
+        """Tell whether peers can commit results and this process cannot."""
+        return not self._is_connected() and any(
+            report.runs_batch and ROOT in report.connected
+            for report in self._load.live.values()
+        )
+
+    def _release(self) -> None:
+        """Let the processes that can commit go on with all items."""
+        self.preempt_all()
+        for progress in self._committer.give_back():
+            self._progress[progress.key] = progress
+
     def _stop_ended(self) -> None:
         """Stop items of jobs that ended, and those finished elsewhere."""
         for (job_id, item_id), running in list(self._running.items()):
@@ -232,12 +252,18 @@
         return progress_of
 
     def _processes(self) -> list[str]:
-        others = [
-            name
+        """Return the processes that start items, this one too.
+
+        Those that cannot commit results are left out, unless none can.
+        """
+        able = {
+            name: ROOT in report.connected
             for name, report in self._load.live.items()
             if report.runs_batch and not report.is_leaving
-        ]
-        return [self._process, *others]
+        }
+        able[self._process] = self._is_connected()
+        connected = [name for name, is_able in able.items() if is_able]
+        return connected or list(able)
 
     def _has_free(self, route: Route) -> bool:
         return any(self._free_slots(route).values())
@@ -328,6 +354,7 @@
             ran_s=round(progress.ran_s, 3),
         )
         if end is RunEnd.COMPLETED:
+            progress.is_whole = True
             self._choice.add_time(progress.ran_s)
             self._finish(progress, ItemState.COMPLETED, 'whole')
         elif end is RunEnd.IMPOSSIBLE:
@@ -355,7 +382,7 @@
                 failures=progress.failures,
             )
         self._progress.pop(progress.key, None)
-        self._committer.add(progress.job_id, progress.result(state))
+        self._committer.add(progress, state)
 
 
 _PAUSES = {
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -10,6 +10,7 @@
 from ..item_runs.run import ItemRunner
 from ..item_runs.scheduler import Scheduler
 from ..protocol.load_reports import LoadReport
+from ..state.keys import ROOT
 from .fleet import Fleet, follow_fleet, open_fleet, wait_stop
 from .retirement import Retirement
 from .settings import PlatformInstance
@@ -40,6 +41,7 @@
             handover=handover,
             runner=ItemRunner(PlatformWire(), fleet.load.silence),
             committer=committer,
+            is_connected=lambda: fleet.mirrors[ROOT].is_connected,
         )
         _connect(fleet, scheduler)
         retirement = Retirement(fleet.store, cfg.name, scheduler)
--- a/briarrill/platform/fleet.py
+++ b/briarrill/platform/fleet.py
@@ -129,7 +129,9 @@
         Registrations(upstreams),
         keeps_bodies=True,
     )
-    mirrors[ROOT] = Mirror(store, ROOT, own_keys, JOBS_PACE_S)
+    mirrors[ROOT] = Mirror(
+        store, ROOT, own_keys, JOBS_PACE_S, keeps_bodies=True
+    )
     fleet: Fleet
     load = LoadExchange(
         process=cfg.name,
@@ -173,12 +175,9 @@
 async def follow_fleet(fleet: Fleet) -> AsyncIterator[None]:
     """Follow the store and the peers in the background."""
     cfg = fleet.cfg
-    shared = {
-        prefix: mirror
-        for prefix, mirror in fleet.mirrors.items()
-        if prefix != ROOT
-    }
-    transfer = StateTransfer(shared, fleet.load, cfg.peer_port, fleet.offers)
+    transfer = StateTransfer(
+        fleet.mirrors, fleet.load, cfg.peer_port, fleet.offers
+    )
     address = (cfg.host, cfg.peer_port)
     async with (
         serve_callers(address, transfer.bounds, transfer.serve),
