--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -5,7 +5,7 @@
 peer has seen.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import msgspec
@@ -20,7 +20,13 @@
 from .load_exchange import LoadExchange
 from .mirror import Mirror, MirrorChanges
 
-__all__ = ('Offer', 'StateTransfer', 'fetch_from_peer')
+__all__ = (
+    'Action',
+    'Offer',
+    'StateTransfer',
+    'ask_peer',
+    'fetch_from_peer',
+)
 
 CHECK_INTERVAL_S = 0.3
 
@@ -39,6 +45,9 @@
 #: Returns what a peer asks for by the rest of the path, or nothing.
 Offer = Callable[[str], bytes | None]
 
+#: Does what a peer's body asks for and returns the outcome, if any.
+Action = Callable[[bytes], Awaitable[bytes | None]]
+
 _CHANGES = msgspec.msgpack.Decoder(MirrorChanges)
 
 
@@ -48,18 +57,24 @@
 
     :param mirrors: those that keep bodies, by prefix.
     :param offers: other things that peers may take, by prefix of the path.
+    :param actions: what is done with the bodies that peers send, by path.
     """
 
     mirrors: dict[str, Mirror]
     load: LoadExchange
     port: int
     offers: dict[str, Offer] = attrs.field(factory=dict)
+    actions: dict[str, Action] = attrs.field(factory=dict)
 
     async def serve(self, conn: CallerConnection) -> None:
         """Answer requests of peers on one connection."""
         while (head := await conn.next_request()) is not None:
-            await conn.read_body(head)
-            raw = self._find(head.target.decode('latin-1'))
+            body = await conn.read_body(head)
+            target = head.target.decode('latin-1')
+            if target in self.actions:
+                raw = await self.actions[target](body)
+            else:
+                raw = self._find(target)
             status = _HTTP_NOT_FOUND if raw is None else _HTTP_OK
             await conn.send_answer(status, (), raw or b'')
 
@@ -75,7 +90,7 @@
 
     def bounds(self) -> CallerBounds:
         """Return the bounds for peers."""
-        return CallerBounds()
+        return CallerBounds(max_body_bytes=MAX_STATE_BYTES)
 
     async def run(self) -> None:
         """Catch up with peers until cancelled."""
@@ -131,15 +146,29 @@
 async def fetch_from_peer(address: tuple[str, int], path: str) -> bytes | None:
     """Return what a peer offers under a path, or nothing.
 
+    :raises PeerUnreachableError: it takes no connection.
+    :raises UpstreamLostError: it did not answer.
+    """
+    return await ask_peer(address, path, b'')
+
+
+async def ask_peer(
+    address: tuple[str, int], path: str, body: bytes
+) -> bytes | None:
+    """Send a body to a peer and return its answer, or nothing.
+
     :raises PeerUnreachableError: it takes no connection.
     :raises UpstreamLostError: it did not answer.
     """
     channel = await connect(address, FETCH_TIMEOUT_S)
+    length = str(len(body)).encode()
     try:
         head = RequestHead(
-            b'GET', path.encode(), ((b'host', address[0].encode()),)
+            b'POST',
+            path.encode(),
+            ((b'host', address[0].encode()), (b'content-length', length)),
         )
-        async with channel.exchange(head, b''):
+        async with channel.exchange(head, body):
             answer = await channel.read_head()
             raw = await channel.read_whole_body(MAX_STATE_BYTES)
     finally:
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -62,7 +62,7 @@
     jobs = JobTable(fleet.store)
     fleet.own_keys.add('', jobs)
     job_calls = JobCalls(
-        fleet.store, jobs, PlatformJobWire(), fleet.cfg.max_value_bytes
+        fleet.writes, jobs, PlatformJobWire(), fleet.cfg.max_value_bytes
     )
     return Front(
         wire=wire,
--- a/briarrill/platform/fleet.py
+++ b/briarrill/platform/fleet.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from ..coordination.hedged_writes import WRITE_PATH, HedgedWrites
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.mirror import Mirror, MirrorUser
 from ..coordination.registration import hold_registration
@@ -83,6 +84,7 @@
     operator_keys: KeyRouter
     own_keys: KeyRouter
     runs_batch: bool
+    writes: HedgedWrites
     offers: dict[str, Offer] = attrs.field(factory=dict)
 
     def describe(self, report: LoadReport) -> LoadReport:
@@ -154,6 +156,7 @@
         operator_keys=operator_keys,
         own_keys=own_keys,
         runs_batch=runs_batch,
+        writes=HedgedWrites(store, load, cfg.peer_port),
     )
     load.on_report.append(fleet.hear_report)
     return fleet
@@ -176,7 +179,11 @@
     """Follow the store and the peers in the background."""
     cfg = fleet.cfg
     transfer = StateTransfer(
-        fleet.mirrors, fleet.load, cfg.peer_port, fleet.offers
+        mirrors=fleet.mirrors,
+        load=fleet.load,
+        port=cfg.peer_port,
+        offers=fleet.offers,
+        actions={WRITE_PATH: fleet.writes.take},
     )
     address = (cfg.host, cfg.peer_port)
     async with (
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -11,6 +11,7 @@
 import trio
 from eliot import log_message
 
+from ..coordination.hedged_writes import HedgedWrites
 from ..coordination.job_table import JobTable, KnownJob
 from ..coordination.routes import Route
 from ..coordination.wire import Intent, IntentKind, JobWire
@@ -31,7 +32,7 @@
 )
 from ..transport.http_callers import CallerConnection
 from ..transport.http_messages import Headers
-from ..transport.key_value import KeyChange, KeyValueService
+from ..transport.key_value import KeyChange
 
 __all__ = ('JobCalls',)
 
@@ -64,7 +65,7 @@
     :param max_value_bytes: size of a value in the service.
     """
 
-    service: KeyValueService
+    writes: HedgedWrites
     jobs: JobTable
     wire: JobWire
     max_value_bytes: int
@@ -147,17 +148,18 @@
             )
 
     async def _write(self, changes: list[KeyChange]) -> int | None:
-        """Write once more after a refusal; the outcome is always told.
+        """Write, once more after a refusal.
 
         :raises OutcomeUnknownError: the write may have been made, or may
             still be.
+        :raises PlatformUnavailableError: nothing was written.
         """
         try:
             try:
-                return await self.service.transact(changes)
+                return await self.writes.write(changes)
             except PlatformUnavailableError:
                 await trio.sleep(WRITE_RETRY_S)
-                return await self.service.transact(changes)
+                return await self.writes.write(changes)
         except WriteUnknownError as exc:
             raise OutcomeUnknownError(exc.message) from exc
         except PlatformUnavailableError as exc:
