--- /dev/null
+++ b/tests/item_runs/test_scheduler.py
@@ -0,0 +1,222 @@
+"""Items fill valleys, yield in peaks and go on where they stopped."""
+
+import contextlib
+
+import attrs
+import pytest
+import trio
+
+from briarrill.coordination.job_table import JobTable
+from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.routes import RouteKind, RouteTable
+from briarrill.coordination.upstream_table import (
+    RegisteredUpstream,
+    UpstreamTable,
+)
+from briarrill.item_runs import scheduler as scheduler_module
+from briarrill.item_runs.commits import Committer
+from briarrill.item_runs.handover import Handover
+from briarrill.item_runs.run import ItemRunner
+from briarrill.item_runs.scheduler import Scheduler
+from briarrill.item_runs.slots import FreeSlots
+from briarrill.platform.wire import PlatformWire
+from briarrill.protocol.load_reports import LoadReport
+from briarrill.state.keys import ROOT
+from briarrill.state.stored_jobs import ItemState, job_changes
+from standins.memory_key_value import MemoryKeyValue
+from standins.platform_engine import StandinEngine, refuse, stream, whole
+from tests.relay.world import route
+from tests.serving import serving
+from tests.state.test_stored_jobs import make_job
+
+BATCH = route(RouteKind.BATCH, max_attempts=2, due_s=18, keep_s=60)
+NOW = 1_000_000.0
+SLOTS = 4
+
+
+class World:
+    """A scheduler with its parts."""
+
+    def __init__(self, address, monkeypatch):
+        monkeypatch.setattr(scheduler_module.time, 'time', lambda: NOW)
+        self.service = MemoryKeyValue()
+        self.jobs = JobTable(self.service)
+        self.load = LoadExchange('me', '127.0.0.1', 0, (), lambda one: one)
+        upstreams = UpstreamTable(lambda: True)
+        upstreams.put(RegisteredUpstream('i-1', 'llm', address, 'a', SLOTS))
+        self.is_connected = True
+        self.slots = FreeSlots(
+            'me', upstreams, self.load, lambda: self.is_connected
+        )
+        self.committer = Committer(self.service, self.jobs)
+        self.scheduler = Scheduler(
+            self.jobs,
+            self.slots,
+            Handover(self.load, 0, {}),
+            ItemRunner(PlatformWire(), self.load.silence),
+            self.committer,
+        )
+        self.routes = RouteTable(1, (BATCH,))
+
+    async def submit(self, count, **fields):
+        """Store a job on the batch route."""
+        job = make_job(count=count, submitted_at=fields.pop('at', NOW))
+        job = attrs.evolve(job, route=BATCH.name, host=BATCH.host)
+        await self.service.transact(job_changes(job, 1_000_000))
+        return self.jobs.add(job)
+
+    def peak(self, online):
+        """Let another process have online requests at the upstream."""
+        self._sequence = getattr(self, '_sequence', 0) + 1
+        self.load.take_report(
+            LoadReport(
+                'entry',
+                '127.0.0.2',
+                1,
+                self._sequence,
+                online={'i-1': online},
+            )
+        )
+        self.scheduler.wake()
+
+
+@pytest.fixture
+def in_world(monkeypatch):
+    @contextlib.asynccontextmanager
+    async def start(*behaviours):
+        engine = StandinEngine(*behaviours)
+        async with serving(engine) as address, trio.open_nursery() as nursery:
+            world = World(address, monkeypatch)
+            nursery.start_soon(world.committer.run)
+            nursery.start_soon(world.scheduler.run, lambda: world.routes)
+            with trio.fail_after(20):
+                yield world, engine
+            nursery.cancel_scope.cancel()
+
+    return start
+
+
+async def _until(condition):
+    while not condition():
+        await trio.sleep(0.01)
+
+
+async def test_items_run_to_their_results(in_world):
+    async with in_world(stream(5)) as (world, engine):
+        known = await world.submit(6)
+        await _until(lambda: not known.is_open)
+    assert len(engine.runs) == 6
+    assert {one.state for one in known.results} == {ItemState.COMPLETED}
+
+
+async def test_batch_yields_to_a_peak_and_goes_on_after_it(in_world):
+    """The load pattern: all slots held by items, then a peak of requests."""
+    async with in_world(stream(60, pause_s=0.02)) as (world, engine):
+        known = await world.submit(SLOTS)
+        await _until(lambda: len(engine.runs) >= SLOTS - 1)
+        await trio.sleep(0.3)
+        world.peak(SLOTS)
+        await _until(lambda: not world.scheduler._running)
+        began = len(engine.runs)
+        await trio.sleep(0.2)
+        assert len(engine.runs) == began
+        world.peak(0)
+        await _until(lambda: not known.is_open)
+    resumed = [run for run in engine.runs if run.header(b'last-event-id')]
+    assert len(resumed) >= SLOTS - 1
+    words = '\n'.join(f'word-{number}' for number in range(1, 61))
+    assert {one.output for one in known.results} == {words}
+
+
+async def test_items_never_hold_more_than_online_leaves(in_world):
+    async with in_world(stream(20, pause_s=0.02)) as (world, engine):
+        world.peak(SLOTS - 2)
+        known = await world.submit(6)
+        most = 0
+        while known.is_open:
+            most = max(most, len(world.scheduler._running))
+            world.peak(SLOTS - 2)
+            await trio.sleep(0.02)
+    assert 0 < most <= 2
+
+
+async def test_ended_job_stops_at_once(in_world):
+    async with in_world(stream(10_000, pause_s=0.02)) as (world, engine):
+        known = await world.submit(2)
+        await _until(lambda: len(engine.runs) == 2)
+        known.end()
+        await _until(lambda: engine.left == 2)
+        await trio.sleep(0.2)
+    assert len(engine.runs) == 2
+
+
+@pytest.mark.parametrize(
+    ('behaviour', 'runs'), [(whole(b'', 422), 1), (whole(b'', 500), 2)]
+)
+async def test_item_that_cannot_be_done_ends(in_world, behaviour, runs):
+    async with in_world(behaviour) as (world, engine):
+        known = await world.submit(1)
+        await _until(lambda: not known.is_open)
+    assert len(engine.runs) == runs
+    assert known.results[0].state is ItemState.ERRORED
+    assert known.results[0].output == ''
+
+
+async def test_refused_and_cut_runs_are_no_failures(in_world):
+    behaviours = (refuse(), stream(5, cut_after=2), refuse(429), stream(5))
+    async with in_world(*behaviours) as (world, engine):
+        known = await world.submit(1)
+        await _until(lambda: not known.is_open)
+    assert known.results[0].state is ItemState.COMPLETED
+    assert known.results[0].output.count('word') == 5
+    assert engine.runs[-1].header(b'last-event-id') == b'2'
+
+
+async def test_item_is_kept_until_its_time_is_over(in_world):
+    async with in_world(refuse()) as (world, engine):
+        kept = await world.submit(1, at=NOW - BATCH.keep_s)
+        await _until(lambda: engine.runs)
+        await trio.sleep(0.2)
+        assert kept.is_open
+        assert world.committer.is_idle
+
+
+async def test_item_whose_time_is_over_is_given_up(in_world):
+    async with in_world(refuse()) as (world, _):
+        at = NOW - BATCH.keep_s - scheduler_module.CLOCK_MARGIN_S - 1
+        known = await world.submit(1, at=at)
+        await _until(lambda: not known.is_open)
+    assert known.results[0].state is ItemState.ERRORED
+
+
+async def test_process_cut_from_the_service_holds_no_items(in_world):
+    async with in_world(stream(10_000, pause_s=0.02)) as (world, engine):
+        await world.submit(2)
+        await _until(lambda: len(engine.runs) == 2)
+        world.is_connected = False
+        world.load.take_report(
+            LoadReport(
+                'other',
+                '127.0.0.2',
+                1,
+                1,
+                runs_batch=True,
+                connected=(ROOT,),
+            )
+        )
+        await _until(lambda: engine.left == 2)
+        assert len(world.scheduler.marks_held) == 2
+        assert world.slots.processes() == ['other']
+
+
+async def test_items_run_on_while_the_service_is_away_for_all(in_world):
+    async with in_world(stream(5)) as (world, engine):
+        known = await world.submit(2)
+        world.service.down = True
+        world.is_connected = False
+        await _until(lambda: len(engine.runs) == 2)
+        await trio.sleep(0.5)
+        assert known.results == []
+        world.service.down = False
+        await _until(lambda: not known.is_open)
+    assert len(engine.runs) == 2
