Say what a late answer was placed by, and how long a job took

Cause: a late answer left no line, so that its request id led nowhere. Test: the lines of one late request name its attempts and the load it was placed by; red before (no line).

--- a/briarrill/relay/answer.py
+++ b/briarrill/relay/answer.py
@@ -1,5 +1,6 @@
 """briarrill.relay.answer: the answer that a caller is getting."""
 
+import time
 from collections.abc import Sequence
 
 from ..coordination.wire import RelayWire
@@ -17,6 +18,7 @@
     upstream may take over.
 
     :param last_event_id: last event that the caller has, if any.
+    :ivar begun_at: monotonic time at which the caller got the first bytes.
     """
 
     def __init__(
@@ -29,6 +31,7 @@
         self.last_event_id = last_event_id
         self._conn = conn
         self._wire = wire
+        self.begun_at: float | None = None
         self._failure: tuple[AnswerHead, bytes] | None = None
 
     @property
@@ -39,6 +42,7 @@
     async def begin(self, head: AnswerHead) -> None:
         """Send the head of the first upstream that answers."""
         if not self.has_begun:
+            self.begun_at = time.monotonic()
             await self._conn.send_head(head.status, self._headers(head))
 
     async def send(self, part: bytes) -> None:
@@ -60,6 +64,7 @@
 
     async def send_whole(self, head: AnswerHead, body: bytes) -> None:
         """Send a whole answer at once."""
+        self.begun_at = time.monotonic()
         await self._conn.send_answer(head.status, self._headers(head), body)
 
     def keep_failure(self, head: AnswerHead, body: bytes) -> None:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -73,12 +73,16 @@
 
 @attrs.define
 class _Progress:
-    """What is known of a call after its attempts so far."""
+    """What is known of a call after its attempts so far.
+
+    :param place: what the last choice was made from.
+    """
 
     refused: set[str] = attrs.field(factory=set)
     runs: int = 0
     attempts: int = 0
     ran: Ran = Ran.NO
+    place: Place | None = None
 
     @property
     def is_exhausted(self) -> bool:
@@ -145,6 +149,7 @@
             may have begun.
         """
         progress = _Progress()
+        began_at = time.monotonic()
         self._budgets.record_request(call.route.name)
         while True:
             upstream = self._choose(call, answer, progress)
@@ -153,6 +158,7 @@
             except BriarrillError as exc:
                 self._after_failure(call, upstream, answer, progress, exc)
             else:
+                _log_if_late(call, answer, progress, began_at)
                 return
 
     def _choose(
@@ -172,6 +178,7 @@
                 ),
             )
         place = choose_place(places, self._rng)
+        progress.place = place
         if not progress.attempts:
             self._check_reachable(call, place)
         if place.free <= 0:
@@ -429,6 +436,23 @@
         return self._service_times.setdefault(service, ServiceTimes())
 
 
+def _log_if_late(
+    call: Call, answer: Answer, progress: _Progress, began_at: float
+) -> None:
+    """Say what a late answer was placed by."""
+    first_s = (answer.begun_at or began_at) - began_at
+    if first_s <= call.route.objective_s or progress.place is None:
+        return
+    log_message(
+        'request:late',
+        request_id=call.request_id,
+        first_bytes_s=round(first_s, 3),
+        objective_s=call.route.objective_s,
+        attempts=progress.attempts,
+        place=attrs.asdict(progress.place),
+    )
+
+
 @contextlib.contextmanager
 def _time_limit(patience_s: float, call: Call) -> Iterator[None]:
     """Bound a wait by the patience with an upstream and by the deadline.
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -123,11 +123,13 @@
 
     async def _store(self, job: StoredJob) -> None:
         changes = job_changes(job, self.max_value_bytes)
+        began_at = time.monotonic()
         revision = await self._write(changes)
         log_message(
             'job:accepted',
             job=job.job_id,
             items=len(job.items),
+            took_s=round(time.monotonic() - began_at, 3),
             is_new=revision is not None,
         )
         if revision is not None:
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 import trio
+from eliot import add_destinations, remove_destination
 
 from briarrill.errors import UpstreamLostError
 from standins.platform_engine import (
@@ -19,6 +20,7 @@
     STREAM,
     world,
 )
+from tests.serving import serving
 
 ALL = b''.join(event(number) for number in range(1, 6))
 
@@ -222,3 +224,42 @@
     assert status == 503
     assert float(headers[b'retry-after']) > 1
     assert engine.runs == []
+
+
+async def test_late_answer_is_explained_by_its_request_id():
+    kept = attrs.evolve(ONCE, objective_s=0.01)
+
+    async def slow(run, conn):
+        await trio.sleep(0.05)
+        await whole(b'ok')(run, conn)
+
+    lines = []
+    add_destinations(lines.append)
+    try:
+        async with world([kept], StandinEngine(refuse(), slow)) as fleet:
+            second = StandinEngine(slow)
+            async with serving(second) as address:
+                fleet.upstreams.put(
+                    attrs.evolve(
+                        fleet.upstreams.find('i-0'),
+                        upstream_id='i-9',
+                        incarnation='i-9',
+                        address=address,
+                    )
+                )
+                fleet.load.in_flight.online['i-9'] = 3
+                await fleet.ask(kept.prefix)
+    finally:
+        remove_destination(lines.append)
+    found = {
+        line['message_type']: line
+        for line in lines
+        if line.get('request_id') == 'r1'
+    }
+    assert found['request:attempt-failed']['upstream'] == 'i-0'
+    assert found['request:attempt-failed']['ran'] == 'no'
+    late = found['request:late']
+    assert late['attempts'] == 2
+    assert late['first_bytes_s'] > late['objective_s']
+    assert late['place']['name'] == 'i-9'
+    assert late['place']['online'] == 3
