--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -151,6 +151,17 @@
         progress = _Progress()
         began_at = time.monotonic()
         self._budgets.record_request(call.route.name)
+        try:
+            await self._forward(call, answer, progress)
+        except trio.Cancelled:
+            _log_left(call, answer, progress, began_at)
+            raise
+        _log_if_late(call, answer, progress, began_at)
+
+    async def _forward(
+        self, call: Call, answer: Answer, progress: _Progress
+    ) -> None:
+        """Make attempts until one answers, or none may follow."""
         while True:
             upstream = self._choose(call, answer, progress)
             try:
@@ -158,7 +169,6 @@
             except BriarrillError as exc:
                 self._after_failure(call, upstream, answer, progress, exc)
             else:
-                _log_if_late(call, answer, progress, began_at)
                 return
 
     def _choose(
@@ -269,7 +279,9 @@
         head = self._wire.upstream_request(call, upstream, left_s)
         async with channel.exchange(head, call.body):
             reply = await self._read_head(attempt, upstream, channel)
-            self._record_begin(call, upstream, began_at)
+            self._ejector(call.service).record_first_chunk(
+                upstream.upstream_id, time.monotonic() - began_at
+            )
             if self._wire.says_not_run(reply):
                 await channel.read_whole_body(MAX_HELD_BYTES)
                 raise OverloadedError(f'refused with {reply.status}')
@@ -407,13 +419,6 @@
         if not isinstance(exc, CapacityError):
             self._ejector(call.service).record_failure(upstream.upstream_id)
 
-    def _record_begin(
-        self, call: Call, upstream: RegisteredUpstream, began_at: float
-    ) -> None:
-        self._ejector(call.service).record_first_chunk(
-            upstream.upstream_id, time.monotonic() - began_at
-        )
-
     def _final(
         self, progress: _Progress, exc: BriarrillError
     ) -> BriarrillError:
@@ -436,6 +441,21 @@
         return self._service_times.setdefault(service, ServiceTimes())
 
 
+def _log_left(
+    call: Call, answer: Answer, progress: _Progress, began_at: float
+) -> None:
+    """Say where a request was when its caller left."""
+    log_message(
+        'request:caller-left',
+        request_id=call.request_id,
+        after_s=round(time.monotonic() - began_at, 3),
+        attempts=progress.attempts,
+        upstream='' if progress.place is None else progress.place.name,
+        has_begun=answer.has_begun,
+        event=answer.last_event_id,
+    )
+
+
 def _log_if_late(
     call: Call, answer: Answer, progress: _Progress, began_at: float
 ) -> None:
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -1,5 +1,7 @@
 """Requests at upstreams that refuse, fail, cut, lag or leave."""
 
+import contextlib
+
 import attrs
 import pytest
 import trio
@@ -20,11 +22,26 @@
     STREAM,
     world,
 )
-from tests.serving import serving
 
 ALL = b''.join(event(number) for number in range(1, 6))
 
 
+@contextlib.contextmanager
+def lines_of(request_id):
+    """Collect the log lines of a request, the last one of each type."""
+    found = {}
+
+    def take(line):
+        if line.get('request_id') == request_id:
+            found[line['message_type']] = line
+
+    add_destinations(take)
+    try:
+        yield found
+    finally:
+        remove_destination(take)
+
+
 async def _close(run, conn):
     raise ConnectionResetError
 
@@ -233,33 +250,29 @@
         await trio.sleep(0.05)
         await whole(b'ok')(run, conn)
 
-    lines = []
-    add_destinations(lines.append)
-    try:
-        async with world([kept], StandinEngine(refuse(), slow)) as fleet:
-            second = StandinEngine(slow)
-            async with serving(second) as address:
-                fleet.upstreams.put(
-                    attrs.evolve(
-                        fleet.upstreams.find('i-0'),
-                        upstream_id='i-9',
-                        incarnation='i-9',
-                        address=address,
-                    )
-                )
-                fleet.load.in_flight.online['i-9'] = 3
-                await fleet.ask(kept.prefix)
-    finally:
-        remove_destination(lines.append)
-    found = {
-        line['message_type']: line
-        for line in lines
-        if line.get('request_id') == 'r1'
-    }
+    engines = StandinEngine(refuse(), slow), StandinEngine(slow)
+    with lines_of('r1') as found:
+        async with world([kept], *engines) as fleet:
+            fleet.load.in_flight.online['i-1'] = 3
+            await fleet.ask(kept.prefix)
     assert found['request:attempt-failed']['upstream'] == 'i-0'
     assert found['request:attempt-failed']['ran'] == 'no'
     late = found['request:late']
     assert late['attempts'] == 2
     assert late['first_bytes_s'] > late['objective_s']
-    assert late['place']['name'] == 'i-9'
+    assert late['place']['name'] == 'i-1'
     assert late['place']['online'] == 3
+
+
+async def test_caller_that_leaves_is_explained_by_its_request_id():
+    """The upstream runs the request and its answer is lost."""
+    with lines_of('r1') as found:
+        async with world([STREAM], StandinEngine(_hang)) as fleet:
+            with trio.move_on_after(0.2):
+                await fleet.ask(STREAM.prefix)
+            while fleet.front.active:
+                await trio.sleep(0.01)
+    left = found['request:caller-left']
+    assert left['upstream'] == 'i-0'
+    assert left['attempts'] == 1
+    assert not left['has_begun']
