--- a/briarrill/coordination/silence.py
+++ b/briarrill/coordination/silence.py
@@ -74,8 +74,3 @@
         """Tell whether own evidence speaks against others' suspicion."""
         heard_at = self._heard_at.get(upstream_id, 0)
         return self._clock() - heard_at < SILENCE_S
-
-    def forget(self, upstream_id: str) -> None:
-        """Forget an upstream that has left."""
-        self._heard_at.pop(upstream_id, None)
-        self._suspected_at.pop(upstream_id, None)
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -5,7 +5,6 @@
 back for some time.
 """
 
-import time
 from collections.abc import Callable
 
 import attrs
@@ -42,19 +41,13 @@
 
     :param is_service_settled: whether the key-value service has answered
         for long enough that a missing registration means a lost upstream.
-    :param clock: monotonic clock.
     """
 
-    def __init__(
-        self,
-        is_service_settled: Callable[[], bool],
-        clock: Callable[[], float] = time.monotonic,
-    ) -> None:
+    def __init__(self, is_service_settled: Callable[[], bool]) -> None:
         """Start empty."""
         self._is_service_settled = is_service_settled
-        self._clock = clock
         self._upstreams: dict[str, RegisteredUpstream] = {}
-        self._missing_since: dict[str, float] = {}
+        self._missing: set[str] = set()
 
     @property
     def all(self) -> tuple[RegisteredUpstream, ...]:
@@ -79,7 +72,7 @@
         """Take a registration."""
         previous = self._upstreams.get(upstream.upstream_id)
         self._upstreams[upstream.upstream_id] = upstream
-        self._missing_since.pop(upstream.upstream_id, None)
+        self._missing.discard(upstream.upstream_id)
         if previous != upstream:
             log_message(
                 'upstream:registered',
@@ -91,14 +84,14 @@
     def remove(self, upstream_id: str) -> None:
         """Take the end of a registration."""
         if upstream_id in self._upstreams:
-            self._missing_since.setdefault(upstream_id, self._clock())
+            self._missing.add(upstream_id)
             self._drop_missing()
 
     def _drop_missing(self) -> None:
         """Forget what is missing, unless the service was just away."""
-        if not self._missing_since or not self._is_service_settled():
+        if not self._missing or not self._is_service_settled():
             return
-        for upstream_id in self._missing_since:
+        for upstream_id in self._missing:
             self._upstreams.pop(upstream_id, None)
             log_message('upstream:gone', upstream=upstream_id)
-        self._missing_since.clear()
+        self._missing.clear()
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -177,12 +177,9 @@
         if lost is None:
             return None
         try:
-            found = await self.read(change.key)
+            return await self.find_own_write(change)
         except PlatformUnavailableError as exc:
             raise _write_unknown(change, lost) from exc
-        if found is None:
-            return 0 if change.body is None else None
-        return found.mod_revision if found.body == change.body else None
 
     async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         try:
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -90,11 +90,6 @@
         self._idle_s = DEFAULT_IDLE_S
         self._idle_since = time.monotonic()
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether the whole answer has been read."""
-        return self._http.their_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
-
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange ended so that another may follow."""
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -120,6 +120,17 @@
         change = KeyChange(key, None, mod_revision)
         return await self.transact([change]) is not None
 
+    async def find_own_write(self, change: KeyChange) -> int | None:
+        """Tell an own write whose reply was lost from another writer's.
+
+        :return: its revision, or nothing when another writer was first.
+        :raises PlatformUnavailableError: the service did not answer.
+        """
+        found = await self.read(change.key)
+        if found is None:
+            return 0 if change.body is None else None
+        return found.mod_revision if found.body == change.body else None
+
     @abc.abstractmethod
     async def grant_lease(self, ttl_s: int) -> int:
         """Create a lease and return its identifier."""
