Keep receiving signals during the drain, and split the forwarder

Cause: the receiver was closed at SIGTERM, so a SIGHUP or SIGTERM that came with it or after it had its default action and cut what was draining.

The forwarder's attempts, log lines and streams are modules of their own now; no other change of behaviour.

--- a/briarrill/platform/__main__.py
+++ b/briarrill/platform/__main__.py
@@ -12,6 +12,7 @@
 """
 
 import os
+import signal
 import sys
 from importlib import import_module
 
@@ -41,6 +42,8 @@
 
 def main() -> int:
     """Run a program and return its exit code."""
+    # until the receiver of signals runs there is nothing to reload
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     arguments = docopt(__doc__, version=__version__)
     try:
         cfg = load_platform_settings(_settings_path())
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -12,7 +12,7 @@
 from ..item_runs.slots import FreeSlots
 from ..protocol.load_reports import LoadReport
 from ..state.keys import ROOT
-from .fleet import Fleet, follow_fleet, open_fleet, wait_stop
+from .fleet import Fleet, follow_fleet, open_fleet, watch_signals
 from .retirement import Retirement
 from .settings import PlatformInstance
 from .wire import PlatformWire
@@ -47,10 +47,11 @@
         retirement = Retirement(fleet.store, cfg.name, scheduler)
         fleet.operator_keys.add('', retirement)
         async with follow_fleet(fleet), trio.open_nursery() as nursery:
+            nursery.start_soon(watch_signals, fleet.readiness)
             nursery.start_soon(committer.run)
             nursery.start_soon(scheduler.run, lambda: fleet.holder.routes)
             nursery.start_soon(retirement.run)
-            await wait_stop(fleet.readiness)
+            await fleet.readiness.drain.wait()
             await _drain(scheduler, cfg.grace_s)
             nursery.cancel_scope.cancel()
 
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -12,7 +12,7 @@
 from ..relay.job_calls import JobCalls
 from ..transport.http_callers import serve_callers
 from .configuration import OPERATOR_PREFIX
-from .fleet import Fleet, follow_fleet, open_fleet, serve_ready, wait_stop
+from .fleet import Fleet, follow_fleet, open_fleet, serve_ready, watch_signals
 from .job_messages import PlatformJobWire
 from .settings import PlatformInstance
 from .upstreams import REGISTRATIONS_PREFIX
@@ -35,8 +35,9 @@
             ),
             trio.open_nursery() as nursery,
         ):
+            nursery.start_soon(watch_signals, fleet.readiness)
             nursery.start_soon(_become_ready, fleet)
-            await wait_stop(fleet.readiness)
+            await fleet.readiness.drain.wait()
             await drain_front(front, cfg.grace_s)
             nursery.cancel_scope.cancel()
 
--- a/briarrill/platform/fleet.py
+++ b/briarrill/platform/fleet.py
@@ -31,7 +31,7 @@
 from .store import PlatformStore
 from .upstreams import REGISTRATIONS_PREFIX, Registrations
 
-__all__ = ('Fleet', 'KeyRouter', 'open_fleet', 'serve_ready', 'wait_stop')
+__all__ = ('Fleet', 'KeyRouter', 'open_fleet', 'serve_ready', 'watch_signals')
 
 # shortest time between two reads of changes of jobs and results; a result is
 # read about twice a second
@@ -199,20 +199,21 @@
         nursery.cancel_scope.cancel()
 
 
-async def wait_stop(readiness: Readiness) -> None:
-    """Return on SIGTERM or SIGINT, which begin the drain.
+async def watch_signals(readiness: Readiness) -> None:
+    """Begin the drain on SIGTERM or SIGINT, for the life of the process.
 
     SIGHUP says that the settings file has changed. All that is read from it
     are the instance's own addresses and the store's, which stay for the life
-    of a process, so it is only noted.
+    of a process, so it is only noted. Signals during the drain change
+    nothing: without a receiver they would end the process.
     """
     watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*watched) as signals:
         async for number in signals:
-            if number != signal.SIGHUP:
+            if number == signal.SIGHUP:
+                log_message('settings:changed')
+            else:
                 readiness.begin_drain()
-                return
-            log_message('settings:changed')
 
 
 @attrs.define
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -5,11 +5,8 @@
 after the last event that the caller has.
 """
 
-import contextlib
-import math
 import random
 import time
-from collections.abc import Iterator
 
 import attrs
 import trio
@@ -36,26 +33,19 @@
     UpstreamLostError,
 )
 from ..metrics import RESUMED, RETRIED
-from ..protocol.event_stream import Event, EventSplitter
+from ..protocol.event_stream import EventSplitter
 from ..result_codes import Ran
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import AnswerHead
 from .answer import Answer
+from .attempts import Attempt, Progress, log_if_late, log_left, time_limit
+from .streams import read_part, send_whole_events
 
 __all__ = ('Forwarder',)
 
 # a live upstream takes a connection within a round trip or two
 CONNECT_TIMEOUT_S = 0.25
 
-# attempts at upstreams that did not run the request, over all
-MAX_REFUSED_ATTEMPTS = 4
-
-# an answer that may be repeated is asked for elsewhere after this many
-# objectives without one, and a stream that may be resumed after this many
-# longest pauses without an event
-PATIENCE_OBJECTIVES = 2.5
-PATIENCE_PAUSES = 4.0
-
 # whole answers up to this size are kept until they are complete, so that a
 # cut one can be asked for again
 MAX_HELD_BYTES = 262_144
@@ -71,52 +61,6 @@
 HTTP_SERVER_ERROR = 500
 
 
-@attrs.define
-class _Progress:
-    """What is known of a call after its attempts so far.
-
-    :param place: what the last choice was made from.
-    """
-
-    refused: set[str] = attrs.field(factory=set)
-    runs: int = 0
-    attempts: int = 0
-    ran: Ran = Ran.NO
-    place: Place | None = None
-
-    @property
-    def is_exhausted(self) -> bool:
-        return len(self.refused) >= MAX_REFUSED_ATTEMPTS
-
-
-@attrs.frozen
-class _Attempt:
-    """One attempt of a call.
-
-    :param is_last: no other attempt could follow if this one runs.
-    """
-
-    call: Call
-    answer: Answer
-    is_last: bool
-
-    @property
-    def answer_patience_s(self) -> float:
-        """Return how long to wait for bytes of a whole answer."""
-        route = self.call.route
-        if self.is_last or not (route.may_repeat or route.resumable):
-            return math.inf
-        return PATIENCE_OBJECTIVES * route.objective_s
-
-    @property
-    def pause_patience_s(self) -> float:
-        """Return how long to wait for the next event of a stream."""
-        route = self.call.route
-        if self.is_last or not route.resumable:
-            return math.inf
-        return PATIENCE_PAUSES * route.longest_pause_s
-
-
 class Forwarder:
     """Chooses upstreams for requests and relays their answers.
 
@@ -148,18 +92,18 @@
         :raises BriarrillError: the final refusal or failure; the answer
             may have begun.
         """
-        progress = _Progress()
+        progress = Progress()
         began_at = time.monotonic()
         self._budgets.record_request(call.route.name)
         try:
             await self._forward(call, answer, progress)
         except trio.Cancelled:
-            _log_left(call, answer, progress, began_at)
+            log_left(call, answer, progress, began_at)
             raise
-        _log_if_late(call, answer, progress, began_at)
+        log_if_late(call, answer, progress, began_at)
 
     async def _forward(
-        self, call: Call, answer: Answer, progress: _Progress
+        self, call: Call, answer: Answer, progress: Progress
     ) -> None:
         """Make attempts until one answers, or none may follow."""
         while True:
@@ -172,7 +116,7 @@
                 return
 
     def _choose(
-        self, call: Call, answer: Answer, progress: _Progress
+        self, call: Call, answer: Answer, progress: Progress
     ) -> RegisteredUpstream:
         """Return the upstream of the next attempt.
 
@@ -198,7 +142,7 @@
             raise NoUpstreamError('the upstream has just left')
         return found
 
-    def _places(self, call: Call, progress: _Progress) -> list[Place]:
+    def _places(self, call: Call, progress: Progress) -> list[Place]:
         found = [
             self._place(upstream)
             for upstream in self._upstreams.of_service(call.service)
@@ -234,7 +178,7 @@
         call: Call,
         upstream: RegisteredUpstream,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
     ) -> None:
         """Relay the answer of one upstream to its end.
 
@@ -243,7 +187,7 @@
         """
         progress.attempts += 1
         is_last = progress.runs + 1 >= call.route.max_attempts
-        attempt = _Attempt(call, answer, is_last)
+        attempt = Attempt(call, answer, is_last)
         with self._load.in_flight.counted(
             upstream.upstream_id, is_batch=False
         ):
@@ -267,7 +211,7 @@
 
     async def _exchange(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         upstream: RegisteredUpstream,
         channel: HttpChannel,
     ) -> None:
@@ -294,13 +238,13 @@
 
     async def _read_head(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         upstream: RegisteredUpstream,
         channel: HttpChannel,
     ) -> AnswerHead:
         call = attempt.call
         try:
-            with _time_limit(attempt.answer_patience_s, call):
+            with time_limit(attempt.answer_patience_s, call):
                 return await channel.read_head(
                     lambda head: self._wire.is_own_answer(call, head)
                 )
@@ -309,14 +253,14 @@
             raise
 
     async def _relay_whole(
-        self, attempt: _Attempt, channel: HttpChannel, reply: AnswerHead
+        self, attempt: Attempt, channel: HttpChannel, reply: AnswerHead
     ) -> None:
         """Keep an answer until it is whole, if it is not too long."""
         answer = attempt.answer
         parts: list[bytes] = []
         held = 0
         while True:
-            with _time_limit(attempt.answer_patience_s, attempt.call):
+            with time_limit(attempt.answer_patience_s, attempt.call):
                 part = await channel.read_body()
             if part is None:
                 break
@@ -336,7 +280,7 @@
 
     async def _relay_stream(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         upstream: RegisteredUpstream,
         channel: HttpChannel,
         reply: AnswerHead,
@@ -346,10 +290,10 @@
             await self._relay_whole(attempt, channel, reply)
             return
         splitter = EventSplitter()
-        while (part := await _read_part(attempt, channel)) is not None:
+        while (part := await read_part(attempt, channel)) is not None:
             self._load.silence.hear(upstream.upstream_id)
             if attempt.call.route.resumable:
-                await _send_whole_events(splitter.feed(part), reply, answer)
+                await send_whole_events(splitter.feed(part), reply, answer)
             else:
                 await answer.begin(reply)
                 await answer.send(part)
@@ -363,7 +307,7 @@
         call: Call,
         upstream: RegisteredUpstream,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
         exc: BriarrillError,
     ) -> None:
         """Return if another attempt follows, else raise the final error."""
@@ -395,7 +339,7 @@
         self,
         call: Call,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
         left_s: float,
     ) -> bool:
         if progress.is_exhausted or progress.runs >= call.route.max_attempts:
@@ -420,7 +364,7 @@
             self._ejector(call.service).record_failure(upstream.upstream_id)
 
     def _final(
-        self, progress: _Progress, exc: BriarrillError
+        self, progress: Progress, exc: BriarrillError
     ) -> BriarrillError:
         """Return the error for the caller; a refusal must be true."""
         if progress.ran is Ran.NO:
@@ -439,87 +383,3 @@
 
     def _times(self, service: str) -> ServiceTimes:
         return self._service_times.setdefault(service, ServiceTimes())
-
-
-def _log_left(
-    call: Call, answer: Answer, progress: _Progress, began_at: float
-) -> None:
-    """Say where a request was when its caller left."""
-    log_message(
-        'request:caller-left',
-        request_id=call.request_id,
-        after_s=round(time.monotonic() - began_at, 3),
-        attempts=progress.attempts,
-        upstream='' if progress.place is None else progress.place.name,
-        has_begun=answer.has_begun,
-        event=answer.last_event_id,
-    )
-
-
-def _log_if_late(
-    call: Call, answer: Answer, progress: _Progress, began_at: float
-) -> None:
-    """Say what a late answer was placed by."""
-    first_s = (answer.begun_at or began_at) - began_at
-    if first_s <= call.route.objective_s or progress.place is None:
-        return
-    log_message(
-        'request:late',
-        request_id=call.request_id,
-        first_bytes_s=round(first_s, 3),
-        objective_s=call.route.objective_s,
-        attempts=progress.attempts,
-        place=attrs.asdict(progress.place),
-    )
-
-
-@contextlib.contextmanager
-def _time_limit(patience_s: float, call: Call) -> Iterator[None]:
-    """Bound a wait by the patience with an upstream and by the deadline.
-
-    :raises DeadlineExceededError: the call's time is over.
-    :raises UpstreamLostError: the upstream was silent for too long.
-    """
-    left_s = call.deadline_s - time.monotonic()
-    with trio.move_on_after(max(0, min(patience_s, left_s))) as scope:
-        yield
-    if not scope.cancelled_caught:
-        return
-    if left_s <= patience_s:
-        raise DeadlineExceededError('the deadline passed')
-    raise UpstreamLostError('the upstream is silent')
-
-
-async def _read_part(attempt: _Attempt, channel: HttpChannel) -> bytes | None:
-    part: bytes | None = None
-    with _time_limit(attempt.pause_patience_s, attempt.call):
-        part = await channel.read_body()
-    return part
-
-
-async def _send_whole_events(
-    events: list[Event], reply: AnswerHead, answer: Answer
-) -> None:
-    """Send the events that the caller does not have."""
-    fresh = _fresh_events(events, answer.last_event_id)
-    if fresh:
-        await answer.begin(reply)
-        await answer.send_events(fresh)
-
-
-def _fresh_events(events: list[Event], last: int | None) -> list[Event]:
-    """Return the events after the last one that the caller has.
-
-    :raises UpstreamLostError: events are missing in between.
-    """
-    if last is None:
-        return events
-    fresh = [
-        event
-        for event in events
-        if event.event_id is None or event.event_id > last
-    ]
-    numbers = [event.event_id for event in fresh if event.event_id is not None]
-    if numbers != list(range(last + 1, last + 1 + len(numbers))):
-        raise UpstreamLostError(f'events after {last} are missing')
-    return fresh
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -267,6 +267,10 @@
         for process in fleet.processes.values():
             process.send_signal(signal.SIGHUP)
             process.send_signal(signal.SIGTERM)
+        await trio.sleep(0.2)
+        for process in fleet.processes.values():
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
     status, body = found['stream']
     assert (status, body.count(b'data:')) == (200, 40)
     for process in fleet.processes.values():
