Keep sums of the peers' load instead of adding up for each upstream

Cause: `LoadExchange.live` was built anew in each `online`, `batch` and `is_suspect`, three times for each upstream of each placement, and once more for each datagram; peers that had left were never forgotten.

Ruled out: summing once for each report.

Conclusion: kept, in coordination/peer_reports.py, apart from the sockets.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -18,16 +18,11 @@
 
 from ..errors import MalformedMessageError
 from ..metrics import MALFORMED_MESSAGES
-from ..protocol.load_reports import (
-    LoadReport,
-    decode_report,
-    encode_report,
-    short_mark,
-)
-from ..state.rendezvous import rank
+from ..protocol.load_reports import LoadReport, decode_report, encode_report
+from .peer_reports import PeerReports
 from .silence import SilenceWatch
 
-__all__ = ('InFlight', 'LoadExchange', 'Peer')
+__all__ = ('InFlight', 'LoadExchange')
 
 # a report is sent at least this often
 HEARTBEAT_S = 0.25
@@ -35,9 +30,6 @@
 # least part of the interval; processes do not send in step
 MIN_JITTER = 0.8
 
-# silence after which a process counts as gone; four lost reports
-PEER_TIMEOUT_S = 1.0
-
 # shortest pause between two reports, and the part of it that each peer adds,
 # so that the reports of a fleet grow with its size and not its square
 MIN_PAUSE_S = 0.04
@@ -46,9 +38,6 @@
 # pause before a report that another process must act on
 URGENT_PAUSE_S = 0.004
 
-# silence after which a host that only answered once is sent nothing more
-FORGET_HOST_S = 30.0
-
 MAX_DATAGRAM_BYTES = 65_536
 
 
@@ -76,23 +65,6 @@
             self.changed()
 
 
-@attrs.define
-class Peer:
-    """The last report of another process.
-
-    :param direct_at: when a report last came from the process itself.
-    """
-
-    report: LoadReport
-    heard_at: float
-    direct_at: float = 0
-
-    @property
-    def is_live(self) -> bool:
-        """Whether the process was heard lately, by whatever way."""
-        return time.monotonic() - self.heard_at < PEER_TIMEOUT_S
-
-
 class LoadExchange:
     """Sends own reports and keeps those of the others.
 
@@ -121,7 +93,7 @@
         self._seeds = seeds
         self.describe = describe
         self._members: dict[str, str] = {}
-        self._peers: dict[str, Peer] = {}
+        self._peers = PeerReports(process)
         self._incarnation = time.time_ns()
         self._sequence = 0
         self._wake = trio.Event()
@@ -130,33 +102,22 @@
     @property
     def live(self) -> dict[str, LoadReport]:
         """Return the newest report of each live peer."""
-        return {
-            name: peer.report
-            for name, peer in self._peers.items()
-            if peer.is_live
-        }
+        return self._peers.load.reports
 
     @property
     def directly_heard(self) -> tuple[int, ...]:
         """Return marks of the processes whose own reports arrive here."""
-        oldest = time.monotonic() - PEER_TIMEOUT_S
-        return tuple(
-            short_mark(name)
-            for name, peer in self._peers.items()
-            if peer.direct_at >= oldest
-        )
+        return self._peers.directly_heard
 
     def online(self, upstream_id: str) -> int:
         """Return the online requests of all processes at an upstream."""
-        return self.in_flight.online[upstream_id] + sum(
-            report.online.get(upstream_id, 0) for report in self.live.values()
-        )
+        own = self.in_flight.online[upstream_id]
+        return own + self._peers.load.online[upstream_id]
 
     def batch(self, upstream_id: str) -> int:
         """Return the batch items of all processes at an upstream."""
-        return self.in_flight.batch[upstream_id] + sum(
-            report.batch.get(upstream_id, 0) for report in self.live.values()
-        )
+        own = self.in_flight.batch[upstream_id]
+        return own + self._peers.load.batch[upstream_id]
 
     def is_suspect(self, upstream_id: str) -> bool:
         """Tell whether an upstream has fallen silent.
@@ -168,9 +129,7 @@
             return True
         if self.silence.has_just_heard(upstream_id):
             return False
-        return any(
-            upstream_id in report.suspects for report in self.live.values()
-        )
+        return upstream_id in self._peers.load.suspects
 
     def set_member(self, name: str, host: str | None) -> None:
         """Take a process that is registered, or is so no more."""
@@ -204,18 +163,8 @@
 
         :param is_direct: whether it came from the process itself.
         """
-        if report.process == self._process:
+        if not self._peers.take(report, is_direct=is_direct):
             return
-        known = self._peers.get(report.process)
-        direct_at = time.monotonic() if is_direct else 0
-        if known is not None:
-            known.direct_at = max(known.direct_at, direct_at)
-            if _order(known.report) >= _order(report):
-                return
-            direct_at = known.direct_at
-        if known is None or not known.is_live:
-            log_message('peer:heard', peer=report.process, host=report.host)
-        self._peers[report.process] = Peer(report, time.monotonic(), direct_at)
         for listener in self.on_report:
             listener(report)
 
@@ -235,33 +184,6 @@
             )
         )
 
-    def relay_hosts(self, report: LoadReport) -> list[str]:
-        """Return the hosts that a process's report is forwarded to.
-
-        Those do not hear the process itself, because a link between them is
-        cut; of the processes that hear both sides, one forwards.
-        """
-        mark = short_mark(report.process)
-        live = self.live
-        return [
-            peer.host
-            for name, peer in live.items()
-            if name != report.process
-            and mark not in peer.heard
-            and self._is_relay(report.process, name)
-        ]
-
-    def _is_relay(self, sender: str, receiver: str) -> bool:
-        """Tell whether this process is the one that forwards."""
-        both = {short_mark(sender), short_mark(receiver)}
-        others = [
-            name
-            for name, report in self.live.items()
-            if both <= set(report.heard)
-        ]
-        ranked = rank(f'{sender}/{receiver}', [self._process, *others])
-        return ranked[0] == self._process
-
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
             try:
@@ -284,7 +206,7 @@
             return
         is_direct = sender == report.host
         self.take_report(report, is_direct=is_direct)
-        for host in self.relay_hosts(report) if is_direct else ():
+        for host in self._peers.relay_hosts(report) if is_direct else ():
             await self._send(sock, raw, host)
 
     async def _send(
@@ -320,13 +242,7 @@
 
     def _hosts(self) -> set[str]:
         """Return where reports go: the fleet, or what may know of it."""
-        now = time.monotonic()
-        heard = {
-            peer.report.host
-            for peer in self._peers.values()
-            if now - peer.heard_at < FORGET_HOST_S
-        }
-        known = heard | set(self._members.values())
+        known = self._peers.hosts | set(self._members.values())
         known.update(self._seeds)
         known.discard(self._host)
         return known
@@ -336,7 +252,3 @@
     counter[name] -= 1
     if not counter[name]:
         counter.pop(name)
-
-
-def _order(report: LoadReport) -> tuple[int, int]:
-    return report.incarnation, report.sequence
