Start an item at one process when several start at once

The first had started 42 items before it had heard of the others; the second saw all of them as nobody's and started the same at the same upstreams, up to 15 items for 8 slots. A process that was heard for the first time was told back with the next report only (0.14 s later), and two runs of an item went on side by side until the first result was read. Requests waited 0.5 to 1.4 s behind them.

Ruled out: stale registrations (each start wrote its own), items of before the loss (their runs ended at the upstreams by 38 s).

Mended: a process that is new is answered at once, and a new member is told at once; items start 0.1 s after the connection to the service; of two processes that run an item, the one without the right to it stops (`has_right`, also the rule of the claim, which ranked the home twice).

--- a/briarrill/coordination/batch_shares.py
+++ b/briarrill/coordination/batch_shares.py
@@ -5,9 +5,11 @@
 requests of a peak, and give them up as online requests come.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
-__all__ = ('is_owner', 'slots_to_take', 'slots_to_yield')
+from ..state.rendezvous import rank
+
+__all__ = ('has_right', 'is_owner', 'slots_to_take', 'slots_to_yield')
 
 # slots of an upstream that batch work leaves free; a running item leaves
 # within a load report's time, a tenth of what a first event may take
@@ -40,3 +42,25 @@
     """
     position = sorted(upstreams).index(upstream_id)
     return sorted(processes)[position % len(processes)] == process
+
+
+def has_right(
+    process: str,
+    rivals: Collection[str],
+    processes: Collection[str],
+    job_id: str,
+    item_id: str,
+) -> bool:
+    """Tell whether an item is this process's, of those that run it.
+
+    The job's own process goes first; each of the rivals finds the same.
+
+    :param rivals: the others that run it or are about to.
+    :param processes: the live batch processes, this one too.
+    """
+    home = rank(job_id, processes)[0]
+    if home == process:
+        return True
+    if home in rivals:
+        return False
+    return rank(item_id, [process, *rivals])[0] == process
--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -109,6 +109,15 @@
         """Return marks of the processes whose own reports arrive here."""
         return self._peers.directly_heard
 
+    @property
+    def items_of_peers(self) -> set[int]:
+        """Return the marks of the batch items that live peers have."""
+        return set(self._peers.load.item_marks)
+
+    def has_item(self, mark: int) -> bool:
+        """Tell whether a live peer has a batch item in hand."""
+        return mark in self._peers.load.item_marks
+
     def online(self, upstream_id: str) -> int:
         """Return the online requests of all processes at an upstream."""
         own = self.in_flight.online[upstream_id]
@@ -137,6 +146,8 @@
             self._members.pop(name, None)
         elif name != self._process:
             self._members[name] = host
+            if name not in self.live:
+                self.report_now()
 
     def report_soon(self) -> None:
         """Send a report after the shortest pause."""
@@ -163,8 +174,12 @@
 
         :param is_direct: whether it came from the process itself.
         """
+        is_new = report.process not in self.live
         if not self._peers.take(report, is_direct=is_direct):
             return
+        if is_new:
+            # it must not act before it knows what this process has
+            self.report_now()
         for listener in self.on_report:
             listener(report)
 
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -8,6 +8,7 @@
 import math
 import time
 from collections.abc import Mapping
+from typing import TypeVar
 
 import attrs
 from eliot import log_message
@@ -23,6 +24,8 @@
 # silence after which a process that is not registered is told nothing more
 FORGET_PEER_S = 30.0
 
+_Name = TypeVar('_Name', str, int)
+
 
 @attrs.define
 class Peer:
@@ -43,10 +46,13 @@
 
 @attrs.define
 class FleetLoad:
-    """What the live peers have at upstreams, summed by upstream.
+    """What the live peers have, summed up.
 
     :param reports: the newest report of each live peer, by process.
+    :param online: requests by upstream.
+    :param batch: batch items by upstream.
     :param suspects: how many of them suspect an upstream.
+    :param item_marks: how many of them have a batch item, by its mark.
     """
 
     reports: dict[str, LoadReport] = attrs.field(factory=dict)
@@ -55,6 +61,9 @@
     suspects: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
+    item_marks: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
 
     def replace(self, report: LoadReport) -> None:
         """Count a report instead of the one that its process sent before."""
@@ -72,6 +81,7 @@
         _add_counts(self.online, report.online, sign)
         _add_counts(self.batch, report.batch, sign)
         _add_counts(self.suspects, dict.fromkeys(report.suspects, 1), sign)
+        _add_counts(self.item_marks, dict.fromkeys(report.items, 1), sign)
 
 
 @attrs.define
@@ -177,7 +187,7 @@
 
 
 def _add_counts(
-    total: collections.Counter[str], counts: Mapping[str, int], sign: int
+    total: collections.Counter[_Name], counts: Mapping[_Name, int], sign: int
 ) -> None:
     """Add counts, and keep no names whose sum is zero."""
     for name, count in counts.items():
--- a/briarrill/item_runs/choice.py
+++ b/briarrill/item_runs/choice.py
@@ -29,6 +29,10 @@
 # caller's read comes later than it could
 COMMIT_S = 0.5
 
+# clocks of two instances may differ by this much, so an item is given up
+# only later than its route allows
+CLOCK_MARGIN_S = 5.0
+
 # least slot time that an item takes, however far it is
 MIN_REMAINING_S = 0.2
 
@@ -47,12 +51,10 @@
     """Orders items.
 
     :param process: name of this process.
-    :param wall_clock: Unix seconds, as jobs' times are.
     """
 
     process: str
     jobs: JobTable
-    wall_clock: Callable[[], float] = time.time
     _seen_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _times: ServiceTimes = attrs.field(factory=ServiceTimes, init=False)
 
@@ -94,6 +96,15 @@
         is_batch = found is not None and found.kind is RouteKind.BATCH
         return found if is_batch else None
 
+    def is_over(self, known: KnownJob, routes: RouteTable) -> bool:
+        """Tell whether the time or the route of a job's items is over."""
+        job = known.job
+        route = None if job is None else self.route_of(job, routes)
+        if job is None or route is None:
+            return True
+        age_s = time.time() - job.submitted_at
+        return age_s > route.keep_s + CLOCK_MARGIN_S
+
     def urgency_of_running(self, running: RunningItem) -> Urgency:
         """Return the sort key of an item that has a slot."""
         known = self.jobs.find(running.progress.job_id)
@@ -106,7 +117,7 @@
     ) -> Urgency:
         """Return the sort key of an item."""
         submitted_at = known.job.submitted_at if known.job else 0
-        due_in_s = submitted_at + route.due_s - self.wall_clock() - COMMIT_S
+        due_in_s = submitted_at + route.due_s - time.time() - COMMIT_S
         left_s = self._times.mean_s - progress.ran_s
         return urgency_of(due_in_s, max(MIN_REMAINING_S, left_s))
 
--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -6,6 +6,7 @@
 """
 
 import time
+from collections.abc import Collection
 from urllib.parse import quote, unquote
 
 import attrs
@@ -13,6 +14,7 @@
 import trio
 from eliot import log_message
 
+from ..coordination.batch_shares import has_right
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.state_transfer import fetch_from_peer
 from ..errors import BriarrillError
@@ -43,9 +45,11 @@
 class Handover:
     """Gives items to peers and takes theirs.
 
+    :param process: name of this process.
     :param held: items of this process that are not run at the moment.
     """
 
+    process: str
     load: LoadExchange
     port: int
     held: dict[_Key, ItemProgress]
@@ -66,23 +70,34 @@
         log_message('item:given', job=key[0], request_id=key[1])
         return msgspec.msgpack.encode(progress.record())
 
-    async def take(self, progress: ItemProgress, process: str) -> bool:
-        """Take what a peer holds of an item; return whether it may run.
+    def is_lost(self, key: _Key, processes: Collection[str]) -> bool:
+        """Tell whether a peer with a better right runs an item too.
 
-        :param process: name of this process.
+        :param processes: the live batch processes, this one too.
         """
+        mark = short_mark(key[1])
+        if not self.load.has_item(mark):
+            return False
+        rivals = self._rivals(mark)
+        if has_right(self.process, rivals, processes, *key):
+            return False
+        log_message('item:twin', job=key[0], request_id=key[1], peers=rivals)
+        return True
+
+    async def take(self, progress: ItemProgress) -> bool:
+        """Take what a peer holds of an item; return whether it may run."""
         if progress.has_begun:
             return True
         host = self._holder(progress.stored.item_id)
         if host is None:
-            return await self._claim(progress, process)
+            return await self._claim(progress)
         was_taken = False
         # what was given is lost unless it arrives here
         with trio.CancelScope(shield=True):
             was_taken = await self._fetch(progress, host)
         return was_taken
 
-    async def _claim(self, progress: ItemProgress, process: str) -> bool:
+    async def _claim(self, progress: ItemProgress) -> bool:
         """Return whether no process with a better right starts the item.
 
         The job's own process starts at once; others tell of it and look
@@ -90,24 +105,14 @@
         """
         job_id, item_id = progress.key
         live = self.load.live
-        names = [name for name in live if live[name].runs_batch]
-        if rank(job_id, [process, *names])[0] == process:
+        peers = [name for name in live if live[name].runs_batch]
+        names = [self.process, *peers]
+        if rank(job_id, names)[0] == self.process:
             return True
         self.load.report_now()
         await trio.sleep(CLAIM_S)
-        mark = short_mark(item_id)
-        rivals = [
-            name
-            for name, report in self.load.live.items()
-            if mark in report.items
-        ]
-        if not rivals:
-            return True
-        home = rank(job_id, [process, *names])[0]
-        return (
-            home not in rivals
-            and rank(item_id, [process, *rivals])[0] == process
-        )
+        rivals = self._rivals(short_mark(item_id))
+        return has_right(self.process, rivals, names, job_id, item_id)
 
     async def _fetch(self, progress: ItemProgress, host: str) -> bool:
         """Take an item from its holder; return whether it was still there."""
@@ -124,6 +129,14 @@
         progress.take_record(_RECORD.decode(raw))
         return True
 
+    def _rivals(self, mark: int) -> list[str]:
+        """Return the live processes that have an item in hand."""
+        return [
+            name
+            for name, report in self.load.live.items()
+            if mark in report.items
+        ]
+
     def _holder(self, item_id: str) -> str | None:
         """Return the host of the live process that holds an item."""
         mark = short_mark(item_id)
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -33,10 +33,6 @@
 REFUSED_PAUSE_S = 0.1
 FAILED_PAUSE_S = 0.3
 
-# clocks of two instances may differ by this much, so an item is given up
-# only later than its route allows
-CLOCK_MARGIN_S = 5.0
-
 
 class Scheduler:
     """Runs the items of stored jobs where online requests leave slots.
@@ -114,6 +110,7 @@
     def _look(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         """Stop, yield and start items as it stands now."""
         self._stop_ended()
+        self._stop_twins()
         if self._slots.is_isolated:
             self._release()
             return
@@ -121,7 +118,7 @@
         if time.monotonic() - self._given_up_at >= GIVE_UP_CHECK_S:
             self._given_up_at = time.monotonic()
             self._give_up(routes)
-        if not self.is_closed:
+        if not self.is_closed and self._slots.is_settled():
             self._start_items(routes, nursery)
 
     def _release(self) -> None:
@@ -141,6 +138,13 @@
             if known is None or key[1] in known.finished:
                 self._progress.pop(key)
 
+    def _stop_twins(self) -> None:
+        """Stop items that another process runs too, with a better right."""
+        processes = self._slots.processes()
+        for key, running in self._running.items():
+            if self._handover.is_lost(key, processes):
+                running.preempt()
+
     def _yield_slots(self, routes: RouteTable) -> None:
         """Let online requests have their slots, the least urgent first."""
         for upstream in self._upstreams.all:
@@ -163,20 +167,13 @@
     def _give_up(self, routes: RouteTable) -> None:
         """Give up items whose time or route is over."""
         for known in self._jobs.known:
-            if not known.is_open or not self._is_over(known, routes):
+            if not known.is_open or not self._choice.is_over(known, routes):
                 continue
             for item_id, stored in known.items.items():
                 if self._is_open(known, item_id):
                     progress = ItemProgress(known.job_id, stored)
                     self._finish(progress, ItemState.ERRORED, 'over')
 
-    def _is_over(self, known: KnownJob, routes: RouteTable) -> bool:
-        job = known.job
-        route = None if job is None else self._choice.route_of(job, routes)
-        if job is None or route is None:
-            return True
-        return time.time() - job.submitted_at > route.keep_s + CLOCK_MARGIN_S
-
     def _is_open(self, known: KnownJob, item_id: str) -> bool:
         if item_id in known.finished:
             return False
@@ -207,9 +204,7 @@
 
     def _untaken(self) -> Callable[[KnownJob, str], ItemProgress | None]:
         """Return what finds the progress of items that nobody has."""
-        taken = set(self.marks_in_hand)
-        for report in self._load.live.values():
-            taken.update(report.items)
+        taken = self._load.items_of_peers.union(self.marks_in_hand)
 
         def progress_of(known: KnownJob, item_id: str) -> ItemProgress | None:
             if item_id in known.finished or short_mark(item_id) in taken:
@@ -240,7 +235,7 @@
                 running.scope,
             ):
                 end = RunEnd.REFUSED
-                if await self._handover.take(progress, self._process):
+                if await self._handover.take(progress):
                     end = RunEnd.PREEMPTED
                     end = await self._runner.run(
                         progress, running.route, host, upstream
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -1,6 +1,7 @@
 """briarrill.item_runs.slots: which slots this process may take for items."""
 
 import collections
+import time
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +14,11 @@
 
 __all__ = ('FreeSlots',)
 
+# time from the connection to the key-value service, which names the peers,
+# until items start; an urgent report and its answer take a few round trips
+# and the pause between two reports
+SETTLE_S = 0.1
+
 
 @attrs.define
 class FreeSlots:
@@ -30,6 +36,7 @@
     taken: collections.Counter[str] = attrs.field(
         factory=collections.Counter, init=False
     )
+    _connected_at: float | None = attrs.field(default=None, init=False)
 
     @property
     def is_isolated(self) -> bool:
@@ -39,6 +46,16 @@
             for report in self.load.live.values()
         )
 
+    def is_settled(self) -> bool:
+        """Tell whether peers could say what they have since the connection."""
+        if not self.is_connected():
+            self._connected_at = None
+            return True
+        now = time.monotonic()
+        if self._connected_at is None:
+            self._connected_at = now
+        return now - self._connected_at >= SETTLE_S
+
     def processes(self) -> list[str]:
         """Return the processes that start items, this one too.
 
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -33,7 +33,7 @@
         jobs = JobTable(fleet.store)
         fleet.own_keys.add('', jobs)
         committer = Committer(fleet.store, jobs)
-        handover = Handover(fleet.load, cfg.peer_port, {})
+        handover = Handover(cfg.name, fleet.load, cfg.peer_port, {})
         fleet.offers[HANDOVER_PATH] = handover.give
         slots = FreeSlots(
             process=cfg.name,
--- a/tests/coordination/test_load_exchange.py
+++ b/tests/coordination/test_load_exchange.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from briarrill.coordination import peer_reports
+from briarrill.coordination import load_exchange, peer_reports
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.errors import MalformedMessageError
 from briarrill.protocol.load_reports import (
@@ -33,9 +33,12 @@
 
 
 def test_silent_process_counts_as_gone(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: now)
     exchange = _exchange()
     exchange.take_report(_report(1, x=5))
-    monkeypatch.setattr(peer_reports, 'PEER_TIMEOUT_S', -1)
+    assert exchange.online('x') == 5
+    now += peer_reports.PEER_TIMEOUT_S
     assert exchange.online('x') == 0
     assert exchange.live == {}
 
@@ -79,6 +82,38 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_new_process_is_answered_at_once(network, monkeypatch):
+    """A process that starts must not act before it knows the others."""
+    monkeypatch.setattr(load_exchange, 'HEARTBEAT_S', 60)
+    port = 21_310
+    first = _exchange('a', f'{network}.3', port)
+    second = _exchange('b', f'{network}.4', port, seeds=(f'{network}.3',))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.run)
+        await trio.sleep(0.2)
+        nursery.start_soon(second.run)
+        with trio.fail_after(5):
+            while not second.live:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
+async def test_new_member_is_told_at_once(network, monkeypatch):
+    monkeypatch.setattr(load_exchange, 'HEARTBEAT_S', 60)
+    port = 21_320
+    first = _exchange('a', f'{network}.5', port)
+    second = _exchange('b', f'{network}.6', port)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.run)
+        nursery.start_soon(second.run)
+        await trio.sleep(0.2)
+        second.set_member('a', f'{network}.5')
+        with trio.fail_after(5):
+            while not (first.live and second.live):
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
 def _hearing(name, *heard, sequence=1, **fields):
     marks = tuple(map(short_mark, heard))
     return LoadReport(name, f'host-{name}', 1, sequence, heard=marks, **fields)
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -5,6 +5,7 @@
 
 from briarrill.coordination.batch_order import urgency_of
 from briarrill.coordination.batch_shares import (
+    has_right,
     is_owner,
     slots_to_take,
     slots_to_yield,
@@ -14,6 +15,7 @@
     choose_place,
     expected_wait_s,
 )
+from briarrill.state.rendezvous import rank
 
 RNG = random.Random(1)
 
@@ -77,6 +79,27 @@
     assert max(counts.values()) - min(counts.values()) <= 1
 
 
+def test_one_of_several_processes_has_the_right_to_an_item():
+    processes = ['a', 'b', 'c']
+    for number in range(20):
+        job_id = f'job-{number}'
+        home = rank(job_id, processes)[0]
+        for rivals in (['a', 'b'], ['b', 'c'], ['a', 'b', 'c']):
+            having = [
+                name
+                for name in rivals
+                if has_right(
+                    name,
+                    [other for other in rivals if other != name],
+                    processes,
+                    job_id,
+                    'item',
+                )
+            ]
+            assert len(having) == 1
+            assert home not in rivals or having == [home]
+
+
 def test_items_that_can_be_on_time_go_first():
     """Overload: earliest due first alone would start with a lost one."""
     lost = urgency_of(due_in_s=2, remaining_s=5)
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -32,7 +32,7 @@
     load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
     for report in reports:
         load.take_report(report)
-    return Handover(load, port, {})
+    return Handover('me', load, port, {})
 
 
 def _names():
@@ -63,8 +63,8 @@
     async with serve_callers(
         ('127.0.0.1', port), offered.bounds, offered.serve
     ):
-        assert await taker.take(taken, 'me')
-        assert not await taker.take(late, 'me')
+        assert await taker.take(taken)
+        assert not await taker.take(late)
     assert taken.last_event_id == 3
     assert taken.failures == 1
     taken.take_part(event(4))
@@ -79,7 +79,7 @@
     _, other = _names()
     handover = _handover(0, _report(other))
     began = trio.current_time()
-    assert await handover.take(_progress(), 'me')
+    assert await handover.take(_progress())
     assert trio.current_time() == began
 
 
@@ -88,21 +88,21 @@
 ):
     home, _ = _names()
     handover = _handover(0, _report(home))
-    assert await handover.take(_progress(), 'me')
+    assert await handover.take(_progress())
 
 
 async def test_item_that_its_own_process_starts_is_left(autojump_clock):
     home, _ = _names()
     mark = short_mark(JOB.items[0].item_id)
     handover = _handover(0, _report(home, items=(mark,)))
-    assert not await handover.take(_progress(), 'me')
+    assert not await handover.take(_progress())
 
 
 async def test_item_with_progress_needs_no_claim(autojump_clock):
     home, _ = _names()
     mark = short_mark(JOB.items[0].item_id)
     handover = _handover(0, _report(home, items=(mark,)))
-    assert await handover.take(_progress(events=1), 'me')
+    assert await handover.take(_progress(events=1))
 
 
 def test_half_an_event_is_forgotten_with_its_run():
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from briarrill.coordination.batch_shares import has_right
 from briarrill.coordination.job_table import JobTable
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.coordination.routes import RouteKind, RouteTable
@@ -13,14 +14,16 @@
     RegisteredUpstream,
     UpstreamTable,
 )
+from briarrill.item_runs import choice as choice_module
 from briarrill.item_runs import scheduler as scheduler_module
+from briarrill.item_runs import slots as slots_module
 from briarrill.item_runs.commits import Committer
 from briarrill.item_runs.handover import Handover
 from briarrill.item_runs.run import ItemRunner
 from briarrill.item_runs.scheduler import Scheduler
 from briarrill.item_runs.slots import FreeSlots
 from briarrill.platform.wire import PlatformWire
-from briarrill.protocol.load_reports import LoadReport
+from briarrill.protocol.load_reports import LoadReport, short_mark
 from briarrill.state.keys import ROOT
 from briarrill.state.stored_jobs import ItemState, job_changes
 from standins.memory_key_value import MemoryKeyValue
@@ -52,7 +55,7 @@
         self.scheduler = Scheduler(
             self.jobs,
             self.slots,
-            Handover(self.load, 0, {}),
+            Handover('me', self.load, 0, {}),
             ItemRunner(PlatformWire(), self.load.silence),
             self.committer,
         )
@@ -183,12 +186,52 @@
 
 async def test_item_whose_time_is_over_is_given_up(in_world):
     async with in_world(refuse()) as (world, _):
-        at = NOW - BATCH.keep_s - scheduler_module.CLOCK_MARGIN_S - 1
+        at = NOW - BATCH.keep_s - choice_module.CLOCK_MARGIN_S - 1
         known = await world.submit(1, at=at)
         await _until(lambda: not known.is_open)
     assert known.results[0].state is ItemState.ERRORED
 
 
+async def test_item_that_two_processes_run_goes_on_at_one(in_world):
+    """Two processes that started at once took the same items."""
+    async with in_world(stream(10_000, pause_s=0.02)) as (world, engine):
+        known = await world.submit(SLOTS - 1)
+        await _until(lambda: len(engine.runs) == SLOTS - 1)
+        names = ['me', 'other']
+        marks = [short_mark(item_id) for item_id in known.items]
+        world.load.take_report(
+            LoadReport(
+                'other',
+                '127.0.0.2',
+                1,
+                1,
+                runs_batch=True,
+                connected=(ROOT,),
+                items=tuple(marks),
+            )
+        )
+        world.scheduler.wake()
+        kept = [
+            short_mark(item_id)
+            for item_id in known.items
+            if has_right('me', ['other'], names, known.job_id, item_id)
+        ]
+        await _until(lambda: engine.left == len(marks) - len(kept))
+        await trio.sleep(0.2)
+        assert sorted(world.scheduler.marks_in_hand) == sorted(kept)
+
+
+async def test_nothing_starts_before_peers_could_answer(in_world, monkeypatch):
+    """A process that is just connected does not know the others' items."""
+    monkeypatch.setattr(slots_module, 'SETTLE_S', 60)
+    async with in_world(stream(5)) as (world, engine):
+        await world.submit(2)
+        await trio.sleep(0.3)
+        assert not engine.runs
+        monkeypatch.setattr(slots_module, 'SETTLE_S', 0)
+        await _until(lambda: len(engine.runs) == 2)
+
+
 async def test_process_cut_from_the_service_holds_no_items(in_world):
     async with in_world(stream(10_000, pause_s=0.02)) as (world, engine):
         await world.submit(2)
