Count the items that a process without power has left at its upstreams

Mended: the batch items of a process that falls silent are counted for 2.5 s after its last report, also when it is back with another incarnation. The new tests fail without it.

Late requests remain in the first second, before anybody knows of the loss, and after a loss of power of all processes.

--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -21,6 +21,11 @@
 # silence after which a process counts as gone; four lost reports
 PEER_TIMEOUT_S = 1.0
 
+# time from the last report of a process that fell silent until the runs that
+# it left at upstreams are over: an upstream learns of the end of a connection
+# only from the other host, so it goes on until an item's output is complete
+ORPHAN_S = 2.5
+
 # silence after which a process that is not registered is told nothing more
 FORGET_PEER_S = 30.0
 
@@ -50,7 +55,7 @@
 
     :param reports: the newest report of each live peer, by process.
     :param online: requests by upstream.
-    :param batch: batch items by upstream.
+    :param batch: batch items by upstream, those too that silent peers left.
     :param suspects: how many of them suspect an upstream.
     :param item_marks: how many of them have a batch item, by its mark.
     """
@@ -77,9 +82,13 @@
         if report is not None:
             self._add(report, -1)
 
+    def add_batch(self, report: LoadReport, sign: int) -> None:
+        """Count a report's batch items only, once more or once less."""
+        _add_counts(self.batch, report.batch, sign)
+
     def _add(self, report: LoadReport, sign: int) -> None:
         _add_counts(self.online, report.online, sign)
-        _add_counts(self.batch, report.batch, sign)
+        self.add_batch(report, sign)
         _add_counts(self.suspects, dict.fromkeys(report.suspects, 1), sign)
         _add_counts(self.item_marks, dict.fromkeys(report.items, 1), sign)
 
@@ -93,6 +102,7 @@
 
     process: str
     _peers: dict[str, Peer] = attrs.field(factory=dict, init=False)
+    _orphans: dict[str, Peer] = attrs.field(factory=dict, init=False)
     _load: FleetLoad = attrs.field(factory=FleetLoad, init=False)
     _check_at: float = attrs.field(default=-math.inf, init=False)
 
@@ -137,6 +147,9 @@
             direct_at = known.direct_at
         if known is None or not known.is_live:
             log_message('peer:heard', peer=report.process, host=report.host)
+        orphan = self._orphans.get(report.process)
+        if orphan and orphan.report.incarnation == report.incarnation:
+            self._drop_orphans(report.process)
         self._peers[report.process] = Peer(report, now, direct_at)
         self._load.replace(report)
         return True
@@ -170,6 +183,12 @@
     def _drop_silent(self, now: float) -> None:
         """Count silent peers no more, and say when to look again."""
         self._check_at = now + PEER_TIMEOUT_S
+        for name, orphan in list(self._orphans.items()):
+            until = orphan.heard_at + ORPHAN_S
+            if until <= now:
+                self._drop_orphans(name)
+            else:
+                self._check_at = min(self._check_at, until)
         for name in list(self._load.reports):
             peer = self._peers[name]
             if peer.is_live:
@@ -177,6 +196,26 @@
                 self._check_at = min(self._check_at, until)
             else:
                 self._load.drop(name)
+                self._keep_orphans(peer, now)
+
+    def _keep_orphans(self, peer: Peer, now: float) -> None:
+        """Count the batch items of a process that has just fallen silent."""
+        report = peer.report
+        until = peer.heard_at + ORPHAN_S
+        if report.is_leaving or not report.batch or until <= now:
+            return
+        self._drop_orphans(report.process)
+        self._orphans[report.process] = peer
+        self._check_at = min(self._check_at, until)
+        self._load.add_batch(report, 1)
+        log_message(
+            'peer:silent', peer=report.process, left=sum(report.batch.values())
+        )
+
+    def _drop_orphans(self, process: str) -> None:
+        orphan = self._orphans.pop(process, None)
+        if orphan is not None:
+            self._load.add_batch(orphan.report, -1)
 
     def _forget_silent(self) -> None:
         now = time.monotonic()
--- a/tests/coordination/test_peer_reports.py
+++ b/tests/coordination/test_peer_reports.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -72,6 +73,40 @@
     assert peers.load.online == {'x': 3}
 
 
+def test_items_of_a_process_without_power_still_hold_slots(monkeypatch):
+    """Upstreams learn of the end of a connection only from its host."""
+    now = 100.0
+    monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: now)
+    peers = _reports('a', _report('b', online={'x': 2}, batch={'x': 7}))
+    now += peer_reports.PEER_TIMEOUT_S
+    assert not peers.load.reports
+    assert (peers.load.online['x'], peers.load.batch['x']) == (0, 7)
+    again = attrs.evolve(_report('b', batch={'x': 1}), incarnation=2)
+    peers.take(again, is_direct=True)
+    assert peers.load.batch['x'] == 8
+    now = 100.0 + peer_reports.ORPHAN_S
+    peers.take(attrs.evolve(again, sequence=2), is_direct=True)
+    assert peers.load.batch['x'] == 1
+
+
+def test_process_that_was_only_frozen_is_counted_once(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: now)
+    peers = _reports('a', _report('b', batch={'x': 7}))
+    now += peer_reports.PEER_TIMEOUT_S
+    assert peers.load.batch['x'] == 7
+    peers.take(_report('b', sequence=2, batch={'x': 6}), is_direct=True)
+    assert peers.load.batch['x'] == 6
+
+
+def test_process_that_has_left_holds_no_slots(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: now)
+    peers = _reports('a', _report('b', batch={'x': 7}, is_leaving=True))
+    now += peer_reports.PEER_TIMEOUT_S
+    assert peers.load.batch['x'] == 0
+
+
 def test_process_that_is_gone_is_forgotten(monkeypatch):
     now = 100.0
     monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: now)
