Leave upstreams that begin late out of placement

Cause: placement went by what the processes have in hand only.

Mended: the time to the first bytes, and the wait of a request that still has none, are known by upstream, told in load reports while they are over 0.1 s, and forgotten after 1 s. Requests go where they are expected to begin soonest, differences of 0.3 of the objective apart, but at least half of the upstreams stay in use. What a silent process left counts as work that does not yield: as batch items it drew requests while all upstreams were full.

Ruled out: the ejector. It needs ten first chunks of 0.5 s, at each entry for itself, and judges for 5 s or more.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -19,8 +19,9 @@
 from ..errors import MalformedMessageError
 from ..metrics import MALFORMED_MESSAGES
 from ..protocol.load_reports import LoadReport, decode_report, encode_report
-from .peer_reports import PeerReports
+from .peer_reports import FleetLoad, PeerReports
 from .silence import SilenceWatch
+from .start_delays import StartDelays
 
 __all__ = ('InFlight', 'LoadExchange')
 
@@ -86,6 +87,7 @@
         """Start without peers."""
         self.in_flight = InFlight(self.report_soon)
         self.silence = SilenceWatch()
+        self.delays = StartDelays()
         self.on_report: list[Callable[[LoadReport], None]] = []
         self._process = process
         self._host = host
@@ -102,7 +104,7 @@
     @property
     def live(self) -> dict[str, LoadReport]:
         """Return the newest report of each live peer."""
-        return self._peers.load.reports
+        return self.fleet.reports
 
     @property
     def directly_heard(self) -> tuple[int, ...]:
@@ -110,23 +112,24 @@
         return self._peers.directly_heard
 
     @property
-    def items_of_peers(self) -> set[int]:
-        """Return the marks of the batch items that live peers have."""
-        return set(self._peers.load.item_marks)
-
-    def has_item(self, mark: int) -> bool:
-        """Tell whether a live peer has a batch item in hand."""
-        return mark in self._peers.load.item_marks
+    def fleet(self) -> FleetLoad:
+        """Return what the live peers have."""
+        return self._peers.load
 
     def online(self, upstream_id: str) -> int:
         """Return the online requests of all processes at an upstream."""
         own = self.in_flight.online[upstream_id]
-        return own + self._peers.load.online[upstream_id]
+        return own + self.fleet.online[upstream_id]
 
     def batch(self, upstream_id: str) -> int:
         """Return the batch items of all processes at an upstream."""
         own = self.in_flight.batch[upstream_id]
-        return own + self._peers.load.batch[upstream_id]
+        return own + self.fleet.batch[upstream_id]
+
+    def delay_s(self, upstream_id: str) -> float:
+        """Return how late an upstream began lately, here or at a peer."""
+        told_s = self.fleet.delay_s(upstream_id)
+        return max(told_s, self.delays.of(upstream_id))
 
     def is_suspect(self, upstream_id: str) -> bool:
         """Tell whether an upstream has fallen silent.
@@ -138,7 +141,7 @@
             return True
         if self.silence.has_just_heard(upstream_id):
             return False
-        return upstream_id in self._peers.load.suspects
+        return upstream_id in self.fleet.suspects
 
     def set_member(self, name: str, host: str | None) -> None:
         """Take a process that is registered, or is so no more."""
@@ -196,6 +199,7 @@
                 batch=dict(self.in_flight.batch),
                 heard=self.directly_heard,
                 suspects=self.silence.suspects,
+                delays=self.delays.known,
             )
         )
 
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -54,9 +54,11 @@
     """What the live peers have, summed up.
 
     :param reports: the newest report of each live peer, by process.
-    :param online: requests by upstream.
-    :param batch: batch items by upstream, those too that silent peers left.
+    :param online: requests by upstream, and the batch items that silent
+        peers left there, since those yield to nobody.
+    :param batch: batch items by upstream.
     :param suspects: how many of them suspect an upstream.
+    :param delays: seconds to first bytes by upstream, by process.
     :param item_marks: how many of them have a batch item, by its mark.
     """
 
@@ -66,6 +68,7 @@
     suspects: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
+    delays: dict[str, dict[str, float]] = attrs.field(factory=dict)
     item_marks: collections.Counter[int] = attrs.field(
         factory=collections.Counter
     )
@@ -74,21 +77,31 @@
         """Count a report instead of the one that its process sent before."""
         self.drop(report.process)
         self.reports[report.process] = report
+        if report.delays:
+            self.delays[report.process] = report.delays
         self._add(report, 1)
 
     def drop(self, process: str) -> None:
         """Count a process no more."""
         report = self.reports.pop(process, None)
+        self.delays.pop(process, None)
         if report is not None:
             self._add(report, -1)
 
-    def add_batch(self, report: LoadReport, sign: int) -> None:
-        """Count a report's batch items only, once more or once less."""
-        _add_counts(self.batch, report.batch, sign)
+    def delay_s(self, upstream_id: str) -> float:
+        """Return the longest delay that a peer tells of an upstream."""
+        return max(
+            (told.get(upstream_id, 0.0) for told in self.delays.values()),
+            default=0.0,
+        )
+
+    def add_orphans(self, report: LoadReport, sign: int) -> None:
+        """Count what yields to nobody any more, or does so no longer."""
+        _add_counts(self.online, report.batch, sign)
 
     def _add(self, report: LoadReport, sign: int) -> None:
         _add_counts(self.online, report.online, sign)
-        self.add_batch(report, sign)
+        _add_counts(self.batch, report.batch, sign)
         _add_counts(self.suspects, dict.fromkeys(report.suspects, 1), sign)
         _add_counts(self.item_marks, dict.fromkeys(report.items, 1), sign)
 
@@ -207,7 +220,7 @@
         self._drop_orphans(report.process)
         self._orphans[report.process] = peer
         self._check_at = min(self._check_at, until)
-        self._load.add_batch(report, 1)
+        self._load.add_orphans(report, 1)
         log_message(
             'peer:silent', peer=report.process, left=sum(report.batch.values())
         )
@@ -215,7 +228,7 @@
     def _drop_orphans(self, process: str) -> None:
         orphan = self._orphans.pop(process, None)
         if orphan is not None:
-            self._load.add_batch(orphan.report, -1)
+            self._load.add_orphans(orphan.report, -1)
 
     def _forget_silent(self) -> None:
         now = time.monotonic()
--- a/briarrill/coordination/placement.py
+++ b/briarrill/coordination/placement.py
@@ -3,9 +3,11 @@
 Answers peaks of online requests over upstreams that batch work fills in the
 valleys: a free slot is taken where there is one; where all are taken, the
 request goes where batch work will yield, and only then where it must wait
-behind other online requests.
+behind other online requests. Upstreams that begin late are left out while
+others are expected to begin sooner.
 """
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -17,6 +19,9 @@
 # more requests
 LOCAL_BONUS = 0.5
 
+# part of a pool that is never left out
+MIN_POOL_SHARE = 0.5
+
 
 @attrs.frozen
 class Place:
@@ -25,6 +30,7 @@
     :param online: online requests of all processes at the upstream.
     :param batch: batch items of all processes at the upstream.
     :param is_suspect: the upstream has fallen silent.
+    :param delay_s: how late it began lately, 0 when in normal time.
     """
 
     name: str
@@ -33,6 +39,7 @@
     batch: int
     is_local: bool = False
     is_suspect: bool = False
+    delay_s: float = 0
 
     @property
     def load(self) -> float:
@@ -45,13 +52,22 @@
         return self.slots - self.online - self.batch
 
 
-def choose_place(places: Sequence[Place], rng: random.Random) -> Place:
+def choose_place(
+    places: Sequence[Place],
+    rng: random.Random,
+    tolerance_s: float,
+    service_time_s: float,
+) -> Place:
     """Return the place for one more online request.
 
     :param places: at least one.
+    :param tolerance_s: difference between two beginnings that does not
+        matter to the caller.
+    :param service_time_s: how long a request holds its slot.
     """
     trusted = [place for place in places if not place.is_suspect] or places
-    shuffled = rng.sample(trusted, len(trusted))
+    prompt = _prompt_places(trusted, tolerance_s, service_time_s)
+    shuffled = rng.sample(prompt, len(prompt))
     if any(place.free > 0 for place in shuffled):
         return max(shuffled, key=_free_score)
     return min(shuffled, key=_waiting_score)
@@ -66,6 +82,28 @@
     return behind * service_time_s / max(1, place.slots)
 
 
+def _prompt_places(
+    places: Sequence[Place], tolerance_s: float, service_time_s: float
+) -> Sequence[Place]:
+    """Return the places that are expected to begin soonest.
+
+    At least half of them are returned: what they would get besides would
+    make the few fastest ones the slowest.
+    """
+
+    def begins_in(place: Place) -> float:
+        return place.delay_s + expected_wait_s(place, service_time_s)
+
+    soonest = min(map(begins_in, places))
+    prompt = [
+        place for place in places if begins_in(place) <= soonest + tolerance_s
+    ]
+    least = math.ceil(len(places) * MIN_POOL_SHARE)
+    if len(prompt) >= least:
+        return prompt
+    return sorted(places, key=begins_in)[:least]
+
+
 def _free_score(place: Place) -> float:
     return _bonus(place) - place.load
 
--- a/briarrill/item_runs/commits.py
+++ b/briarrill/item_runs/commits.py
@@ -54,6 +54,11 @@
         """Whether all results are written."""
         return not self._pending
 
+    @property
+    def ended(self) -> list[ItemProgress]:
+        """Return the items whose results are not written."""
+        return list(self._ended.values())
+
     @property
     def recent_items(self) -> list[str]:
         """Return the items whose results others may not know yet."""
@@ -84,9 +89,7 @@
 
     def give_back(self) -> list[ItemProgress]:
         """Return the completed items whose results are not written."""
-        given = [
-            progress for progress in self._ended.values() if progress.is_whole
-        ]
+        given = [progress for progress in self.ended if progress.is_whole]
         for progress in given:
             self._drop(progress.job_id, progress.stored.item_id)
         return given
--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -76,7 +76,7 @@
         :param processes: the live batch processes, this one too.
         """
         mark = short_mark(key[1])
-        if not self.load.has_item(mark):
+        if mark not in self.load.fleet.item_marks:
             return False
         rivals = self._rivals(mark)
         if has_right(self.process, rivals, processes, *key):
--- a/briarrill/item_runs/run.py
+++ b/briarrill/item_runs/run.py
@@ -10,6 +10,7 @@
 
 from ..coordination.routes import Route
 from ..coordination.silence import SilenceWatch
+from ..coordination.start_delays import StartDelays
 from ..coordination.upstream_table import RegisteredUpstream
 from ..coordination.wire import Call, RelayWire
 from ..errors import BriarrillError, PeerUnreachableError, UpstreamLostError
@@ -40,10 +41,12 @@
 
     :param wire: the protocol towards upstreams.
     :param silence: told of each upstream's bytes.
+    :param delays: told of the waits for them.
     """
 
     wire: RelayWire
     silence: SilenceWatch
+    delays: StartDelays
     _pool: ChannelPool = attrs.field(
         factory=lambda: ChannelPool(CONNECT_TIMEOUT_S), init=False
     )
@@ -107,10 +110,13 @@
     ) -> RunEnd:
         head = self.wire.upstream_request(call, upstream, math.inf)
         async with channel.exchange(head, call.body):
-            with _patience(FIRST_EVENT_PATIENCE_S):
-                reply = await channel.read_head(
-                    lambda found: self.wire.is_own_answer(call, found)
-                )
+            with self.delays.waiting(upstream.upstream_id) as heard:
+                with _patience(FIRST_EVENT_PATIENCE_S):
+                    reply = await channel.read_head(
+                        lambda found: self.wire.is_own_answer(call, found)
+                    )
+                if reply.status == _HTTP_OK:
+                    heard()
             if reply.status != _HTTP_OK:
                 return await self._read_error(reply, channel)
             with self.silence.begun_stream(upstream.upstream_id):
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -82,6 +82,15 @@
             if progress.has_begun
         )
 
+    @property
+    def in_hand(self) -> list[ItemProgress]:
+        """Return the items that have no result written yet."""
+        return [
+            *(running.progress for running in self._running.values()),
+            *self._progress.values(),
+            *self._committer.ended,
+        ]
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing runs and all results are written."""
@@ -110,7 +119,6 @@
     def _look(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         """Stop, yield and start items as it stands now."""
         self._stop_ended()
-        self._stop_twins()
         if self._slots.is_isolated:
             self._release()
             return
@@ -128,22 +136,22 @@
             self._progress[progress.key] = progress
 
     def _stop_ended(self) -> None:
-        """Stop items of jobs that ended, and those finished elsewhere."""
-        for (job_id, item_id), running in list(self._running.items()):
-            known = self._jobs.find(job_id)
-            if known is None or known.is_ended or item_id in known.finished:
-                running.scope.cancel()
-        for key in list(self._progress):
-            known = self._jobs.find(key[0])
-            if known is None or key[1] in known.finished:
-                self._progress.pop(key)
-
-    def _stop_twins(self) -> None:
-        """Stop items that another process runs too, with a better right."""
+        """Stop items that are done, or another process's."""
         processes = self._slots.processes()
         for key, running in self._running.items():
-            if self._handover.is_lost(key, processes):
+            if self._is_done(key):
+                running.scope.cancel()
+            elif running.is_preempted:
+                continue
+            elif self._handover.is_lost(key, processes):
                 running.preempt()
+        for held in filter(self._is_done, list(self._progress)):
+            self._progress.pop(held)
+
+    def _is_done(self, key: tuple[str, str]) -> bool:
+        """Tell whether an item has a result, or its job has ended."""
+        known = self._jobs.find(key[0])
+        return known is None or known.is_ended or key[1] in known.finished
 
     def _yield_slots(self, routes: RouteTable) -> None:
         """Let online requests have their slots, the least urgent first."""
@@ -170,15 +178,12 @@
             if not known.is_open or not self._choice.is_over(known, routes):
                 continue
             for item_id, stored in known.items.items():
-                if self._is_open(known, item_id):
+                if item_id in known.finished:
+                    continue
+                if not self._committer.has_pending(known.job_id, item_id):
                     progress = ItemProgress(known.job_id, stored)
                     self._finish(progress, ItemState.ERRORED, 'over')
 
-    def _is_open(self, known: KnownJob, item_id: str) -> bool:
-        if item_id in known.finished:
-            return False
-        return not self._committer.has_pending(known.job_id, item_id)
-
     def _start_items(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         if not any(map(self._slots.has_any, routes.batch_routes)):
             return
@@ -204,7 +209,7 @@
 
     def _untaken(self) -> Callable[[KnownJob, str], ItemProgress | None]:
         """Return what finds the progress of items that nobody has."""
-        taken = self._load.items_of_peers.union(self.marks_in_hand)
+        taken = {*self._load.fleet.item_marks, *self.marks_in_hand}
 
         def progress_of(known: KnownJob, item_id: str) -> ItemProgress | None:
             if item_id in known.finished or short_mark(item_id) in taken:
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -41,7 +41,9 @@
             load=fleet.load,
             is_connected=lambda: fleet.mirrors[ROOT].is_connected,
         )
-        runner = ItemRunner(PlatformWire(), fleet.load.silence)
+        runner = ItemRunner(
+            PlatformWire(), fleet.load.silence, fleet.load.delays
+        )
         scheduler = Scheduler(jobs, slots, handover, runner, committer)
         _connect(fleet, scheduler)
         retirement = Retirement(fleet.store, cfg.name, scheduler)
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -29,6 +29,7 @@
     :param held: marks of the items whose last run was broken off here.
     :param heard: marks of the processes whose own reports arrive here.
     :param suspects: upstreams that have fallen silent.
+    :param delays: seconds to first bytes, by upstream that began late.
     :param revisions: newest change seen, by prefix of keys.
     :param connected: prefixes that are followed at the moment.
     """
@@ -45,6 +46,7 @@
     held: tuple[int, ...] = ()
     heard: tuple[int, ...] = ()
     suspects: tuple[str, ...] = ()
+    delays: dict[str, float] = attrs.field(factory=dict)
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     version: int = PROTOCOL_VERSION
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -53,6 +53,9 @@
 # least time left for another attempt to be of use, in objectives
 MIN_ATTEMPT_OBJECTIVES = 0.2
 
+# difference between two beginnings that does not matter, in objectives
+TOLERANCE_OBJECTIVES = 0.3
+
 # what a refused caller waits at least; the shortest valley between two peaks
 # is longer, so most come back to free slots
 MIN_RETRY_AFTER_S = 0.15
@@ -131,7 +134,12 @@
                     retry_after_s=MIN_RETRY_AFTER_S,
                 ),
             )
-        place = choose_place(places, self._rng)
+        place = choose_place(
+            places,
+            self._rng,
+            tolerance_s=TOLERANCE_OBJECTIVES * call.route.objective_s,
+            service_time_s=self._times(call.service).mean_s,
+        )
         progress.place = place
         if not progress.attempts:
             self._check_reachable(call, place)
@@ -160,6 +168,7 @@
             batch=self._load.batch(upstream.upstream_id),
             is_local=upstream.failure_domain == self._failure_domain,
             is_suspect=self._load.is_suspect(upstream.upstream_id),
+            delay_s=self._load.delay_s(upstream.upstream_id),
         )
 
     def _check_reachable(self, call: Call, place: Place) -> None:
@@ -222,13 +231,15 @@
         left_s = call.deadline_s - began_at
         head = self._wire.upstream_request(call, upstream, left_s)
         async with channel.exchange(head, call.body):
-            reply = await self._read_head(attempt, upstream, channel)
+            with self._load.delays.waiting(upstream.upstream_id) as heard:
+                reply = await self._read_head(attempt, upstream, channel)
+                if self._wire.says_not_run(reply):
+                    await channel.read_whole_body(MAX_HELD_BYTES)
+                    raise OverloadedError(f'refused with {reply.status}')
+                heard()
             self._ejector(call.service).record_first_chunk(
                 upstream.upstream_id, time.monotonic() - began_at
             )
-            if self._wire.says_not_run(reply):
-                await channel.read_whole_body(MAX_HELD_BYTES)
-                raise OverloadedError(f'refused with {reply.status}')
             if call.route.kind is RouteKind.STREAMING:
                 with self._load.silence.begun_stream(upstream.upstream_id):
                     await self._relay_stream(attempt, upstream, channel, reply)
