Keep the progress of items on the local disk

After a restart the items wait here with their progress, and the other processes hear of them in load reports as of any other held item. The copy is a cache: without it an item repeats its work.

What a process has in hand is a class of its own.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -240,7 +240,9 @@
             hosts = self._hosts()
             report = self.make_report()
             whole = encode_report(report)
-            brief = encode_report(attrs.evolve(report, items=(), held=()))
+            brief = encode_report(
+                attrs.evolve(report, items=(), claims=(), held=())
+            )
             batch_hosts = {
                 peer.host for peer in self.live.values() if peer.runs_batch
             }
--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -73,12 +73,19 @@
     def is_lost(self, key: _Key, processes: Collection[str]) -> bool:
         """Tell whether a peer with a better right runs an item too.
 
+        A peer that is only about to start it gives way.
+
         :param processes: the live batch processes, this one too.
         """
         mark = short_mark(key[1])
         if mark not in self.load.fleet.item_marks:
             return False
-        rivals = self._rivals(mark)
+        live = self.load.live
+        rivals = [
+            name
+            for name in self._rivals(mark)
+            if mark not in live[name].claims
+        ]
         if has_right(self.process, rivals, processes, *key):
             return False
         log_message('item:twin', job=key[0], request_id=key[1], peers=rivals)
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -131,13 +131,17 @@
 
 @attrs.define(eq=False)
 class RunningItem:
-    """An item that is at an upstream."""
+    """An item that is at an upstream, or about to be.
+
+    :param is_claimed: it has not started; others may have a better right.
+    """
 
     progress: ItemProgress
     route: Route
     upstream_id: str
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_preempted: bool = False
+    is_claimed: bool = True
 
     def preempt(self) -> None:
         """Tell the item to leave its upstream."""
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -17,6 +17,7 @@
 from .choice import ItemChoice, NextItem
 from .commits import Committer
 from .handover import Handover
+from .in_hand import ItemsInHand
 from .item import ItemProgress, RunEnd, RunningItem
 from .run import ItemRunner
 from .slots import FreeSlots
@@ -60,42 +61,12 @@
         self._runner = runner
         self._committer = committer
         self._choice = ItemChoice(slots.process, jobs)
-        self._progress = handover.held
-        self._running: dict[tuple[str, str], RunningItem] = {}
+        self.in_hand = ItemsInHand(committer, handover.held)
+        self._held = handover.held
+        self._running = self.in_hand.running
         self._wake = trio.Event()
         self._given_up_at = -math.inf
 
-    @property
-    def marks_in_hand(self) -> tuple[int, ...]:
-        """Return the marks of items that run here or have just ended."""
-        running = [item_id for _, item_id in self._running]
-        return tuple(
-            map(short_mark, (*running, *self._committer.recent_items))
-        )
-
-    @property
-    def marks_held(self) -> tuple[int, ...]:
-        """Return the marks of items whose last run was broken off here."""
-        return tuple(
-            short_mark(key[1])
-            for key, progress in self._progress.items()
-            if progress.has_begun
-        )
-
-    @property
-    def in_hand(self) -> list[ItemProgress]:
-        """Return the items that have no result written yet."""
-        return [
-            *(running.progress for running in self._running.values()),
-            *self._progress.values(),
-            *self._committer.ended,
-        ]
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether nothing runs and all results are written."""
-        return not self._running and self._committer.is_idle
-
     def wake(self) -> None:
         """Look at the slots soon."""
         self._wake.set()
@@ -118,7 +89,8 @@
 
     def _look(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         """Stop, yield and start items as it stands now."""
-        self._stop_ended()
+        self._stop_done()
+        self._stop_lost()
         if self._slots.is_isolated:
             self._release()
             return
@@ -133,20 +105,24 @@
         """Let the processes that can commit go on with all items."""
         self.preempt_all()
         for progress in self._committer.give_back():
-            self._progress[progress.key] = progress
+            self._held[progress.key] = progress
 
-    def _stop_ended(self) -> None:
-        """Stop items that are done, or another process's."""
-        processes = self._slots.processes()
+    def _stop_done(self) -> None:
+        """Stop items that have a result, or whose job has ended."""
         for key, running in self._running.items():
             if self._is_done(key):
                 running.scope.cancel()
-            elif running.is_preempted:
+        for held in filter(self._is_done, list(self._held)):
+            self._held.pop(held)
+
+    def _stop_lost(self) -> None:
+        """Stop items that another process runs too, with a better right."""
+        processes = self._slots.processes()
+        for key, running in self._running.items():
+            if running.is_claimed or running.is_preempted:
                 continue
-            elif self._handover.is_lost(key, processes):
+            if self._handover.is_lost(key, processes):
                 running.preempt()
-        for held in filter(self._is_done, list(self._progress)):
-            self._progress.pop(held)
 
     def _is_done(self, key: tuple[str, str]) -> bool:
         """Tell whether an item has a result, or its job has ended."""
@@ -175,14 +151,16 @@
     def _give_up(self, routes: RouteTable) -> None:
         """Give up items whose time or route is over."""
         for known in self._jobs.known:
-            if not known.is_open or not self._choice.is_over(known, routes):
+            if known.is_open and self._choice.is_over(known, routes):
+                self._give_up_items(known)
+
+    def _give_up_items(self, known: KnownJob) -> None:
+        for item_id, stored in known.items.items():
+            if item_id in known.finished:
                 continue
-            for item_id, stored in known.items.items():
-                if item_id in known.finished:
-                    continue
-                if not self._committer.has_pending(known.job_id, item_id):
-                    progress = ItemProgress(known.job_id, stored)
-                    self._finish(progress, ItemState.ERRORED, 'over')
+            if not self._committer.has_pending(known.job_id, item_id):
+                progress = ItemProgress(known.job_id, stored)
+                self._finish(progress, ItemState.ERRORED, 'over')
 
     def _start_items(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         if not any(map(self._slots.has_any, routes.batch_routes)):
@@ -201,7 +179,7 @@
         if upstream is None:
             return
         running = RunningItem(progress, chosen.route, upstream.upstream_id)
-        self._progress.pop(progress.key, None)
+        self._held.pop(progress.key, None)
         self._running[progress.key] = running
         self._slots.taken[upstream.upstream_id] += 1
         nursery.start_soon(self._run_item, running, chosen, upstream)
@@ -209,7 +187,7 @@
 
     def _untaken(self) -> Callable[[KnownJob, str], ItemProgress | None]:
         """Return what finds the progress of items that nobody has."""
-        taken = {*self._load.fleet.item_marks, *self.marks_in_hand}
+        taken = {*self._load.fleet.item_marks, *self.in_hand.marks}
 
         def progress_of(known: KnownJob, item_id: str) -> ItemProgress | None:
             if item_id in known.finished or short_mark(item_id) in taken:
@@ -217,7 +195,7 @@
             key = (known.job_id, item_id)
             if self._handover.was_given(key):
                 return None
-            progress = self._progress.get(key)
+            progress = self._held.get(key)
             return progress or ItemProgress(key[0], known.items[item_id])
 
         return progress_of
@@ -241,6 +219,7 @@
             ):
                 end = RunEnd.REFUSED
                 if await self._handover.take(progress):
+                    running.is_claimed = False
                     end = RunEnd.PREEMPTED
                     end = await self._runner.run(
                         progress, running.route, host, upstream
@@ -285,7 +264,7 @@
         if pause_s is not None:
             progress.not_before = time.monotonic() + pause_s
             progress.avoided = upstream_id
-        self._progress[progress.key] = progress
+        self._held[progress.key] = progress
 
     def _finish(
         self, progress: ItemProgress, state: ItemState, reason: str
@@ -298,7 +277,7 @@
                 reason=reason,
                 failures=progress.failures,
             )
-        self._progress.pop(progress.key, None)
+        self._held.pop(progress.key, None)
         self._committer.add(progress, state)
 
 
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -1,16 +1,16 @@
 """briarrill.platform.batch: a batch process on the platform."""
 
-import attrs
 import trio
 from eliot import log_message
 
 from ..coordination.job_table import JobTable
+from ..item_runs.checkpoints import Checkpoints
 from ..item_runs.commits import Committer
 from ..item_runs.handover import HANDOVER_PATH, Handover
 from ..item_runs.run import ItemRunner
 from ..item_runs.scheduler import Scheduler
 from ..item_runs.slots import FreeSlots
-from ..protocol.load_reports import LoadReport
+from ..state.checkpoint_file import CheckpointFile
 from ..state.keys import ROOT
 from .fleet import Fleet, follow_fleet, open_fleet, watch_signals
 from .retirement import Retirement
@@ -53,6 +53,13 @@
             nursery.start_soon(committer.run)
             nursery.start_soon(scheduler.run, lambda: fleet.holder.routes)
             nursery.start_soon(retirement.run)
+            if cfg.data_dir is not None:
+                disk = CheckpointFile(cfg.data_dir)
+                in_hand = scheduler.in_hand
+                checkpoints = Checkpoints(
+                    disk, jobs, handover.held, lambda: in_hand.uncommitted
+                )
+                nursery.start_soon(checkpoints.run)
             await fleet.readiness.drain.wait()
             await _drain(scheduler, cfg.grace_s)
             nursery.cancel_scope.cancel()
@@ -61,15 +68,9 @@
 def _connect(fleet: Fleet, scheduler: Scheduler) -> None:
     """Let reports tell of the items in hand, and wake the scheduler."""
     describe = fleet.describe
-
-    def describe_items(report: LoadReport) -> LoadReport:
-        return attrs.evolve(
-            describe(report),
-            items=scheduler.marks_in_hand,
-            held=scheduler.marks_held,
-        )
-
-    fleet.load.describe = describe_items
+    fleet.load.describe = lambda report: scheduler.in_hand.describe(
+        describe(report)
+    )
     fleet.load.on_report.append(lambda report: scheduler.wake())
 
 
@@ -77,10 +78,10 @@
     """Let running items end, then give up the others."""
     scheduler.is_closed = True
     with trio.move_on_after(grace_s - GIVE_UP_MARGIN_S):
-        while not scheduler.is_idle:
+        while not scheduler.in_hand.is_idle:
             await trio.sleep(POLL_S)
     scheduler.preempt_all()
     with trio.move_on_after(GIVE_UP_MARGIN_S - COMMIT_MARGIN_S):
-        while not scheduler.is_idle:
+        while not scheduler.in_hand.is_idle:
             await trio.sleep(POLL_S)
-    log_message('drain:ended', is_idle=scheduler.is_idle)
+    log_message('drain:ended', is_idle=scheduler.in_hand.is_idle)
--- a/briarrill/platform/retirement.py
+++ b/briarrill/platform/retirement.py
@@ -72,7 +72,7 @@
         await self._report('completed')
 
     async def _wait_idle(self) -> None:
-        while not self._scheduler.is_idle:
+        while not self._scheduler.in_hand.is_idle:
             await trio.sleep(POLL_S)
 
     async def _report(self, state: str) -> None:
--- a/briarrill/platform/settings.py
+++ b/briarrill/platform/settings.py
@@ -5,6 +5,7 @@
 """
 
 import tomllib
+from pathlib import Path
 
 import attrs
 import msgspec
@@ -53,6 +54,7 @@
     zone: str
     internal_port_range: tuple[int, int]
     platform: _Store
+    data_dir: str = ''
     seed_nodes: tuple[str, ...] = ()
     listen_addrs: _ListenAddrs = _ListenAddrs()
     contract_params: _Params = _Params()
@@ -68,6 +70,7 @@
     :param seeds: hosts that may know the fleet when the service is away.
     :param callers: address for callers, none on instances without them.
     :param ready: address for the balancer's readiness checks.
+    :param data_dir: folder on the local disk, none on instances without.
     :param grace_s: time between the stop signal and the kill.
     :param retention_s: time for which results stay readable.
     """
@@ -81,6 +84,7 @@
     callers: Address | None
     ready: Address | None
     max_value_bytes: int
+    data_dir: Path | None
     grace_s: float
     retention_s: float
 
@@ -106,6 +110,7 @@
         seeds=tuple(_address(seed)[0] for seed in found.seed_nodes),
         callers=_address(listen.front_http) if listen.front_http else None,
         ready=_address(listen.ready) if listen.ready else None,
+        data_dir=Path(found.data_dir) if found.data_dir else None,
         max_value_bytes=found.platform.value_bytes,
         grace_s=found.contract_params.grace_s,
         retention_s=found.contract_params.retention_s,
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -26,6 +26,7 @@
     :param online: requests in flight by upstream.
     :param batch: batch items in flight by upstream.
     :param items: marks of the batch items that are run or have just ended.
+    :param claims: marks of those of them that are about to start.
     :param held: marks of the items whose last run was broken off here.
     :param heard: marks of the processes whose own reports arrive here.
     :param suspects: upstreams that have fallen silent.
@@ -43,6 +44,7 @@
     online: dict[str, int] = attrs.field(factory=dict)
     batch: dict[str, int] = attrs.field(factory=dict)
     items: tuple[int, ...] = ()
+    claims: tuple[int, ...] = ()
     held: tuple[int, ...] = ()
     heard: tuple[int, ...] = ()
     suspects: tuple[str, ...] = ()
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -218,7 +218,30 @@
         ]
         await _until(lambda: engine.left == len(marks) - len(kept))
         await trio.sleep(0.2)
-        assert sorted(world.scheduler.marks_in_hand) == sorted(kept)
+        assert sorted(world.scheduler.in_hand.marks) == sorted(kept)
+
+
+async def test_item_that_runs_is_not_lost_to_a_claim(in_world):
+    """A peer that chose the item a moment later gives way."""
+    async with in_world(stream(10_000, pause_s=0.02)) as (world, engine):
+        known = await world.submit(SLOTS - 1)
+        await _until(lambda: len(engine.runs) == SLOTS - 1)
+        marks = tuple(short_mark(item_id) for item_id in known.items)
+        world.load.take_report(
+            LoadReport(
+                'other',
+                '127.0.0.2',
+                1,
+                1,
+                runs_batch=True,
+                items=marks,
+                claims=marks,
+            )
+        )
+        world.scheduler.wake()
+        await trio.sleep(0.2)
+        assert not engine.left
+        assert len(world.scheduler.in_hand.marks) == len(marks)
 
 
 async def test_nothing_starts_before_peers_could_answer(in_world, monkeypatch):
@@ -248,7 +271,7 @@
             )
         )
         await _until(lambda: engine.left == 2)
-        assert len(world.scheduler.marks_held) == 2
+        assert len(world.scheduler.in_hand.held_marks) == 2
         assert world.slots.processes() == ['other']
 
 
