Wait for registered peers before items start, and tell of restored ones

Mended: items start once all registered processes are heard, 0.5 s after the connection at the latest; restored items are told at once.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -95,7 +95,7 @@
         self._seeds = seeds
         self.describe = describe
         self._members: dict[str, str] = {}
-        self._peers = PeerReports(process)
+        self.peers = PeerReports(process)
         self._incarnation = time.time_ns()
         self._sequence = 0
         self._wake = trio.Event()
@@ -107,14 +107,14 @@
         return self.fleet.reports
 
     @property
-    def directly_heard(self) -> tuple[int, ...]:
-        """Return marks of the processes whose own reports arrive here."""
-        return self._peers.directly_heard
+    def has_unheard_members(self) -> bool:
+        """Whether processes are registered that are not heard."""
+        return not self._members.keys() <= self.live.keys()
 
     @property
     def fleet(self) -> FleetLoad:
         """Return what the live peers have."""
-        return self._peers.load
+        return self.peers.load
 
     def online(self, upstream_id: str) -> int:
         """Return the online requests of all processes at an upstream."""
@@ -178,7 +178,7 @@
         :param is_direct: whether it came from the process itself.
         """
         is_new = report.process not in self.live
-        if not self._peers.take(report, is_direct=is_direct):
+        if not self.peers.take(report, is_direct=is_direct):
             return
         if is_new:
             # it must not act before it knows what this process has
@@ -197,7 +197,7 @@
                 sequence=self._sequence,
                 online=dict(self.in_flight.online),
                 batch=dict(self.in_flight.batch),
-                heard=self.directly_heard,
+                heard=self.peers.directly_heard,
                 suspects=self.silence.suspects,
                 delays=self.delays.known,
             )
@@ -225,7 +225,7 @@
             return
         is_direct = sender == report.host
         self.take_report(report, is_direct=is_direct)
-        for host in self._peers.relay_hosts(report) if is_direct else ():
+        for host in self.peers.relay_hosts(report) if is_direct else ():
             await self._send(sock, raw, host)
 
     async def _send(
@@ -263,7 +263,7 @@
 
     def _hosts(self) -> set[str]:
         """Return where reports go: the fleet, or what may know of it."""
-        known = self._peers.hosts | set(self._members.values())
+        known = self.peers.hosts | set(self._members.values())
         known.update(self._seeds)
         known.discard(self._host)
         return known
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -103,7 +103,7 @@
         ahead = {
             report.revisions.get(prefix, 0): report.host
             for report in self.load.live.values()
-            if short_mark(report.process) in self.load.directly_heard
+            if short_mark(report.process) in self.load.peers.directly_heard
         }
         newest = max(ahead, default=0)
         if newest <= mirror.revision:
--- a/briarrill/item_runs/checkpoints.py
+++ b/briarrill/item_runs/checkpoints.py
@@ -37,12 +37,14 @@
     :param held: items of this process that are not run at the moment;
         restored ones are added.
     :param in_hand: returns all items with progress.
+    :param restored: called when items were restored.
     """
 
     disk: CheckpointFile
     jobs: JobTable
     held: dict[_Key, ItemProgress]
     in_hand: Callable[[], Iterable[ItemProgress]]
+    restored: Callable[[], None]
     _restored: dict[_Key, ProgressRecord] = attrs.field(
         factory=dict, init=False
     )
@@ -88,6 +90,7 @@
         self._restored.clear()
 
     def _restore_known(self) -> None:
+        count = len(self.held)
         for key, record in list(self._restored.items()):
             known = self.jobs.find(key[0])
             if known is None:
@@ -105,6 +108,8 @@
                 request_id=key[1],
                 event=record.last_event_id,
             )
+        if len(self.held) > count:
+            self.restored()
 
     async def _save_changes(self) -> None:
         found = [one for one in self.in_hand() if one.has_begun]
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -19,6 +19,10 @@
 # and the pause between two reports
 SETTLE_S = 0.1
 
+# the same while peers are named that were not heard; processes that lost
+# power together start within about this time of each other
+SETTLE_WITH_ALL_S = 0.5
+
 
 @attrs.define
 class FreeSlots:
@@ -54,7 +58,10 @@
         now = time.monotonic()
         if self._connected_at is None:
             self._connected_at = now
-        return now - self._connected_at >= SETTLE_S
+        since_s = now - self._connected_at
+        if self.load.has_unheard_members:
+            return since_s >= SETTLE_WITH_ALL_S
+        return since_s >= SETTLE_S
 
     def processes(self) -> list[str]:
         """Return the processes that start items, this one too.
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -54,10 +54,12 @@
             nursery.start_soon(scheduler.run, lambda: fleet.holder.routes)
             nursery.start_soon(retirement.run)
             if cfg.data_dir is not None:
-                disk = CheckpointFile(cfg.data_dir)
-                in_hand = scheduler.in_hand
                 checkpoints = Checkpoints(
-                    disk, jobs, handover.held, lambda: in_hand.uncommitted
+                    CheckpointFile(cfg.data_dir),
+                    jobs,
+                    handover.held,
+                    lambda: scheduler.in_hand.uncommitted,
+                    fleet.load.report_now,
                 )
                 nursery.start_soon(checkpoints.run)
             await fleet.readiness.drain.wait()
--- a/tests/item_runs/test_checkpoints.py
+++ b/tests/item_runs/test_checkpoints.py
@@ -22,9 +22,10 @@
     return progress
 
 
-def _checkpoints(directory, *in_hand):
+def _checkpoints(directory, *in_hand, restored=int):
     jobs = JobTable(MemoryKeyValue())
-    return Checkpoints(CheckpointFile(directory), jobs, {}, lambda: in_hand)
+    disk = CheckpointFile(directory)
+    return Checkpoints(disk, jobs, {}, lambda: in_hand, restored)
 
 
 async def _run(checkpoints, condition):
@@ -45,10 +46,12 @@
     progress = _progress(3)
     progress.failures = 1
     await _save(tmp_path, progress, ItemProgress(JOB.job_id, JOB.items[1]))
-    again = _checkpoints(tmp_path)
+    told = []
+    again = _checkpoints(tmp_path, restored=lambda: told.append(1))
     again.jobs.add(JOB)
     await _run(again, lambda: again.held)
     assert list(again.held) == [progress.key]
+    assert told == [1]
     held = again.held[progress.key]
     held.take_part(event(4))
     assert held.failures == 1
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -255,6 +255,20 @@
         await _until(lambda: len(engine.runs) == 2)
 
 
+async def test_peers_that_start_too_are_waited_for(in_world, monkeypatch):
+    """All lost power; the others are registered and not yet heard."""
+    monkeypatch.setattr(slots_module, 'SETTLE_WITH_ALL_S', 60)
+    async with in_world(stream(5)) as (world, engine):
+        world.load.set_member('other', '127.0.0.2')
+        await world.submit(2)
+        await trio.sleep(0.3)
+        assert not engine.runs
+        world.load.take_report(
+            LoadReport('other', '127.0.0.2', 1, 1, runs_batch=True)
+        )
+        await _until(lambda: len(engine.runs) == 2)
+
+
 async def test_process_cut_from_the_service_holds_no_items(in_world):
     async with in_world(stream(10_000, pause_s=0.02)) as (world, engine):
         await world.submit(2)
