Let items of several processes yield an upstream together

Cause: read in the code, not seen as a loss by itself: each process yielded by its own items and the online requests only.

Mended: the items of all processes count, and each finds the same order of who yields. The new tests fail without it.

--- a/briarrill/coordination/batch_shares.py
+++ b/briarrill/coordination/batch_shares.py
@@ -5,7 +5,7 @@
 requests of a peak, and give them up as online requests come.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from ..state.rendezvous import rank
 
@@ -21,9 +21,23 @@
     return max(0, slots - RESERVED_SLOTS - online - batch)
 
 
-def slots_to_yield(slots: int, online: int, batch: int) -> int:
-    """Return how many running items must leave an upstream."""
-    return min(batch, max(0, online + batch - slots))
+def slots_to_yield(
+    slots: int, online: int, batch: Mapping[str, int], process: str
+) -> int:
+    """Return how many of its items a process takes away from an upstream.
+
+    Several processes have items at an upstream while it changes its owner.
+    Each finds which of them are too many, the first by name yielding first.
+
+    :param batch: items at the upstream by process, this one's too.
+    """
+    excess = max(0, online + sum(batch.values()) - slots)
+    for name in sorted(batch):
+        yielded = min(batch[name], excess)
+        if name == process:
+            return yielded
+        excess -= yielded
+    return 0
 
 
 def is_owner(
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -88,6 +88,16 @@
         if report is not None:
             self._add(report, -1)
 
+    def batch_at(self, upstream_id: str) -> dict[str, int]:
+        """Return the batch items at an upstream by process."""
+        if not self.batch[upstream_id]:
+            return {}
+        return {
+            name: report.batch[upstream_id]
+            for name, report in self.reports.items()
+            if upstream_id in report.batch
+        }
+
     def delay_s(self, upstream_id: str) -> float:
         """Return the longest delay that a peer tells of an upstream."""
         return max(
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -138,11 +138,15 @@
                 for running in self._running.values()
                 if running.upstream_id == name and not running.is_preempted
             ]
+            if not own:
+                continue
+            batch = {
+                self._process: len(own),
+                **self._load.fleet.batch_at(name),
+            }
             count = slots_to_yield(
-                upstream.slots, self._load.online(name), len(own)
+                upstream.slots, self._load.online(name), batch, self._process
             )
-            if not count:
-                continue
             own.sort(key=self._choice.urgency_of_running, reverse=True)
             for running in own[:count]:
                 running.preempt()
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -51,7 +51,7 @@
         places = [Place(name, 8, load[name], batch[name]) for name in batch]
         name = choose_place(places, RNG, 0.1, 0.3).name
         load[name] += 1
-        batch[name] -= slots_to_yield(8, load[name], batch[name])
+        batch[name] -= slots_to_yield(8, load[name], {'a': batch[name]}, 'a')
     assert max(load.values()) == 7
     assert all(load[name] + batch[name] == 8 for name in batch)
 
@@ -64,9 +64,24 @@
 def test_batch_fills_what_online_leaves_and_yields_the_rest():
     assert slots_to_take(8, 0, 0) >= 7
     assert slots_to_take(8, 8, 0) == 0
-    assert slots_to_yield(8, 5, 3) == 0
-    assert slots_to_yield(8, 6, 3) == 1
-    assert slots_to_yield(8, 20, 3) == 3
+    assert slots_to_yield(8, 5, {'a': 3}, 'a') == 0
+    assert slots_to_yield(8, 6, {'a': 3}, 'a') == 1
+    assert slots_to_yield(8, 20, {'a': 3}, 'a') == 3
+
+
+def test_items_of_several_processes_yield_no_more_than_needed():
+    """An upstream has just changed its owner, and a peak begins."""
+    batch = {'a': 4, 'b': 1, 'c': 2}
+    for online, expected in (
+        (1, {'a': 0, 'b': 0, 'c': 0}),
+        (4, {'a': 3, 'b': 0, 'c': 0}),
+        (6, {'a': 4, 'b': 1, 'c': 0}),
+        (9, {'a': 4, 'b': 1, 'c': 2}),
+    ):
+        yielded = {
+            name: slots_to_yield(8, online, batch, name) for name in batch
+        }
+        assert yielded == expected
 
 
 def test_each_upstream_has_one_owner():
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -131,6 +131,30 @@
     assert {one.output for one in known.results} == {words}
 
 
+async def test_batch_yields_for_items_of_another_process_too(in_world):
+    """Two processes have items here; together with online they are many."""
+    async with in_world(stream(10_000, pause_s=0.02)) as (world, engine):
+        await world.submit(SLOTS - 1)
+        await _until(lambda: len(engine.runs) == SLOTS - 1)
+        world.load.take_report(
+            LoadReport(
+                'other',
+                '127.0.0.3',
+                1,
+                1,
+                runs_batch=True,
+                connected=(ROOT,),
+                batch={'i-1': 2},
+            )
+        )
+        world.scheduler.wake()
+        await _until(lambda: engine.left == 1)
+        world.peak(1)
+        await _until(lambda: engine.left == 2)
+        await trio.sleep(0.2)
+        assert engine.left == 2
+
+
 async def test_items_never_hold_more_than_online_leaves(in_world):
     async with in_world(stream(20, pause_s=0.02)) as (world, engine):
         world.peak(SLOTS - 2)
