Let known delays drain, unless an upstream is slow for seconds

Cause: a delay was known for 1 s after its last sample.

Mended: a delay of d seconds shrinks by a second each second, as a backlog does. An upstream at which nothing began sooner over the last 2 to 5 s is slow itself and stays known for 5 s.

--- a/briarrill/coordination/start_delays.py
+++ b/briarrill/coordination/start_delays.py
@@ -3,8 +3,12 @@
 Answers upstreams that are slow though their slots look free: slow machines,
 and those that still work for callers that lost power. What one process has
 waited for lately, or waits for now, is told to all.
+
+Most delays are backlogs, which drain as time passes. An upstream at which
+nothing began sooner for some seconds is slow itself and stays known as that.
 """
 
+import collections
 import contextlib
 import time
 from collections.abc import Callable, Iterator
@@ -20,33 +24,62 @@
 # weight of the newest delay in the moving average: two or three tell
 SAMPLE_WEIGHT = 0.5
 
-# time after which a delay is forgotten, so that a request tries again
-FRESH_S = 1.0
+# time for which samples are kept; without new ones a slow upstream is tried
+# again after it
+MEMORY_S = 5.0
+
+# least time that the samples of a slow upstream cover; longer than the
+# backlog of full slots
+SLOW_SPAN_S = 2.0
+
+# samples of one upstream that are kept at most
+MAX_SAMPLES = 64
 
 
 @attrs.define
 class _Upstream:
     """What is known of one upstream.
 
+    :param backlog_s: the moving average when the last sample came.
+    :param samples: time and delay of the recent ones, the oldest first.
     :param waiting_since: begin of each wait that goes on, the oldest first.
     """
 
-    delay_s: float = 0.0
-    seen_at: float = 0.0
+    backlog_s: float = 0.0
+    samples: collections.deque[tuple[float, float]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
+    )
     waiting_since: dict[int, float] = attrs.field(factory=dict)
 
     def delay_at(self, now: float) -> float:
-        """Return the recent delay, or the longest wait that goes on."""
-        is_fresh = now - self.seen_at < FRESH_S
-        recent_s = self.delay_s if is_fresh else 0.0
+        """Return the delay that the next request would meet."""
         oldest = next(iter(self.waiting_since.values()), now)
-        return max(recent_s, now - oldest)
+        return max(self._backlog_at(now), self._floor_at(now), now - oldest)
 
     def add(self, delay_s: float, now: float) -> None:
         """Take a delay into the moving average."""
-        known_s = self.delay_s if now - self.seen_at < FRESH_S else delay_s
-        self.delay_s = known_s + SAMPLE_WEIGHT * (delay_s - known_s)
-        self.seen_at = now
+        known_s = self._backlog_at(now) if self.samples else delay_s
+        self.backlog_s = known_s + SAMPLE_WEIGHT * (delay_s - known_s)
+        self.samples.append((now, delay_s))
+
+    def _backlog_at(self, now: float) -> float:
+        """Return what is left of the backlog that was met last."""
+        if not self.samples:
+            return 0.0
+        return max(0.0, self.backlog_s - (now - self.samples[-1][0]))
+
+    def _floor_at(self, now: float) -> float:
+        """Return the least delay of an upstream that is slow itself."""
+        if self.samples and now - self.samples[-1][0] > MEMORY_S:
+            self.samples.clear()
+        if not self.samples:
+            return 0.0
+        newest_at = self.samples[-1][0]
+        while newest_at - self.samples[0][0] > MEMORY_S:
+            self.samples.popleft()
+        if newest_at - self.samples[0][0] < SLOW_SPAN_S:
+            return 0.0
+        return min(delay_s for _, delay_s in self.samples)
 
 
 class StartDelays:
@@ -70,7 +103,7 @@
             delay_s = upstream.delay_at(now)
             if delay_s >= MIN_DELAY_S:
                 found[name] = round(delay_s, 3)
-            elif not upstream.waiting_since and not upstream.delay_at(now):
+            elif not upstream.waiting_since and not upstream.samples:
                 self._upstreams.pop(name)
         return found
 
