Bound the looks of the scheduler, and leave the field names out of reports

Each report of a peer woke the scheduler; with 400 reports a second and 400 items that wait a look took 1.1 to 1.4 ms, most of it ranking the processes for each job anew.

Mended: looks come 20 ms apart at least; the home of a job is ranked once for each set of processes; reports are rows (393 bytes before, 256 after, for 8 upstreams and 28 peers).

Measured in a loop on this machine: a look with 400 items, 10 batch processes and 21 upstreams 1128 us before, 482 to 619 us after; taking a report 39 us.

--- a/briarrill/item_runs/choice.py
+++ b/briarrill/item_runs/choice.py
@@ -56,6 +56,8 @@
     process: str
     jobs: JobTable
     _seen_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _homes: dict[str, str] = attrs.field(factory=dict, init=False)
+    _processes: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _times: ServiceTimes = attrs.field(factory=ServiceTimes, init=False)
 
     def add_time(self, ran_s: float) -> None:
@@ -130,10 +132,17 @@
             known.job_id: self._seen_at.get(known.job_id, time.monotonic())
             for known in found
         }
-        return [known for known in found if self._may_take(known, processes)]
+        if self._processes != frozenset(processes):
+            self._processes = frozenset(processes)
+            self._homes = {}
+        self._homes = {
+            known.job_id: self._homes.get(known.job_id)
+            or rank(known.job_id, processes)[0]
+            for known in found
+        }
+        return [known for known in found if self._may_take(known.job_id)]
 
-    def _may_take(self, known: KnownJob, processes: Collection[str]) -> bool:
-        if rank(known.job_id, processes)[0] == self.process:
+    def _may_take(self, job_id: str) -> bool:
+        if self._homes[job_id] == self.process:
             return True
-        waited_s = time.monotonic() - self._seen_at[known.job_id]
-        return waited_s > TAKE_OVER_S
+        return time.monotonic() - self._seen_at[job_id] > TAKE_OVER_S
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -27,6 +27,10 @@
 # longest time between two looks at the slots
 TICK_S = 0.05
 
+# shortest time between two looks; each report of a peer asks for one, and a
+# look takes a millisecond or more when hundreds of items wait
+MIN_PAUSE_S = 0.02
+
 # time between two looks for items whose time or route is over
 GIVE_UP_CHECK_S = 1.0
 
@@ -86,6 +90,7 @@
                 table = routes()
                 if table is not None:
                     self._look(table, nursery)
+                await trio.sleep(MIN_PAUSE_S)
 
     def _look(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         """Stop, yield and start items as it stands now."""
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -3,6 +3,8 @@
 Reports go out as datagrams: a lost or late one is made good by the next.
 """
 
+from types import GenericAlias
+
 import attrs
 import msgspec
 import xxhash
@@ -11,7 +13,7 @@
 
 __all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_mark')
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @attrs.frozen
@@ -63,13 +65,15 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+_NAMES = tuple(field.name for field in attrs.fields(LoadReport))
+_TYPES = tuple(field.type for field in attrs.fields(LoadReport))
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(LoadReport)
+_DECODER = msgspec.msgpack.Decoder(GenericAlias(tuple, _TYPES))
 
 
 def encode_report(report: LoadReport) -> bytes:
-    """Return a report as a datagram."""
-    return _ENCODER.encode(report)
+    """Return a report as a datagram, without the names of its fields."""
+    return _ENCODER.encode([getattr(report, name) for name in _NAMES])
 
 
 def decode_report(raw: bytes) -> LoadReport:
@@ -78,7 +82,7 @@
     :raises MalformedMessageError: it holds none of this version.
     """
     try:
-        report = _DECODER.decode(raw)
+        report = LoadReport(*_DECODER.decode(raw))
     except msgspec.MsgspecError as exc:
         raise MalformedMessageError(f'load report: {exc}') from exc
     if report.version != PROTOCOL_VERSION:
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -104,6 +104,24 @@
         await trio.sleep(0.01)
 
 
+async def test_reports_of_many_peers_do_not_take_all_the_time(
+    monkeypatch, autojump_clock
+):
+    """The load pattern: 400 reports a second while hundreds of items wait."""
+    world = World(('127.0.0.1', 1), monkeypatch)
+    looks = []
+    monkeypatch.setattr(
+        world.scheduler, '_look', lambda *_: looks.append(trio.current_time())
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.scheduler.run, lambda: world.routes)
+        for _ in range(400):
+            world.scheduler.wake()
+            await trio.sleep(1 / 400)
+        nursery.cancel_scope.cancel()
+    assert 40 <= len(looks) <= 51
+
+
 async def test_items_run_to_their_results(in_world):
     async with in_world(stream(5)) as (world, engine):
         known = await world.submit(6)
