Ask only peers in reach to write for this process

A job of ten items sent there at 5 s was never accepted: the write went to the process that follows the service most closely by its report, which came around the cut; it could not be reached, and the caller left (nothing was logged of it).

Mended: peers that were not heard directly are not asked, as in the transfer of state; the new test fails without it. A caller of a job's call that leaves is logged.

--- a/briarrill/coordination/hedged_writes.py
+++ b/briarrill/coordination/hedged_writes.py
@@ -134,10 +134,10 @@
         return _Outcome(may_be_made=True)
 
     def _peer_host(self) -> str | None:
-        """Return the live peer that follows the service most closely."""
+        """Return the peer in reach that follows the service most closely."""
         able = [
             report
-            for report in self.load.live.values()
+            for report in self.load.peers.reachable
             if ROOT in report.connected and not report.is_leaving
         ]
         if not able:
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -144,14 +144,22 @@
         return {peer.report.host for peer in self._peers.values()}
 
     @property
-    def directly_heard(self) -> tuple[int, ...]:
-        """Return marks of the processes whose own reports arrive here."""
+    def reachable(self) -> list[LoadReport]:
+        """Return the newest reports of the processes heard directly.
+
+        The others are cut off from this process, or will be soon.
+        """
         oldest = time.monotonic() - PEER_TIMEOUT_S
-        return tuple(
-            short_mark(name)
-            for name, peer in self._peers.items()
+        return [
+            peer.report
+            for peer in self._peers.values()
             if peer.direct_at >= oldest
-        )
+        ]
+
+    @property
+    def directly_heard(self) -> tuple[int, ...]:
+        """Return marks of the processes whose own reports arrive here."""
+        return tuple(short_mark(report.process) for report in self.reachable)
 
     def take(self, report: LoadReport, *, is_direct: bool) -> bool:
         """Keep a report; return whether it is news.
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -13,7 +13,6 @@
 from eliot import log_message
 
 from ..errors import BriarrillError, UpstreamLostError
-from ..protocol.load_reports import short_mark
 from ..transport.http_callers import CallerBounds, CallerConnection
 from ..transport.http_channel import connect
 from ..transport.http_messages import RequestHead
@@ -102,8 +101,7 @@
     async def _catch_up(self, prefix: str, mirror: Mirror) -> None:
         ahead = {
             report.revisions.get(prefix, 0): report.host
-            for report in self.load.live.values()
-            if short_mark(report.process) in self.load.peers.directly_heard
+            for report in self.load.peers.reachable
         }
         newest = max(ahead, default=0)
         if newest <= mirror.revision:
--- a/briarrill/relay/front.py
+++ b/briarrill/relay/front.py
@@ -1,9 +1,10 @@
 """briarrill.relay.front: callers' connections to a relay."""
 
+import contextlib
 import math
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 import trio
@@ -130,7 +131,8 @@
                 call = self._call(head, intent, body, arrived_at)
                 await self.forwarder.forward(call, answer)
             else:
-                await self.serve_job_call(intent, body, conn)
+                with _log_if_left(intent):
+                    await self.serve_job_call(intent, body, conn)
         except BriarrillError as exc:
             if answer.has_begun:
                 # only the connection's end can tell the caller now
@@ -179,6 +181,22 @@
         )
 
 
+@contextlib.contextmanager
+def _log_if_left(intent: Intent) -> Iterator[None]:
+    """Say that the caller of a job's call left before its answer."""
+    began_at = time.monotonic()
+    try:
+        yield
+    except trio.Cancelled:
+        log_message(
+            'job:caller-left',
+            job=intent.job_id,
+            call=intent.kind.name,
+            after_s=round(time.monotonic() - began_at, 3),
+        )
+        raise
+
+
 async def _cancel_when_gone(
     conn: CallerConnection, nursery: trio.Nursery
 ) -> None:
--- a/tests/coordination/test_hedged_writes.py
+++ b/tests/coordination/test_hedged_writes.py
@@ -68,6 +68,23 @@
     assert (await service.read(KEY)).body == b'job'
 
 
+async def test_peer_that_is_cut_off_is_not_asked():
+    """Its reports come around the cut, and it knows most."""
+    service = MemoryKeyValue()
+    async with peer(service) as port:
+        writes = _beside_peer(Silent(), port)
+        far = LoadReport(
+            'far',
+            '127.0.0.250',
+            1,
+            1,
+            connected=(ROOT,),
+            revisions={ROOT: 1000},
+        )
+        writes.load.take_report(far, is_direct=False)
+        assert await writes.write(CREATE) == 1
+
+
 async def test_refusal_here_goes_to_the_peer_at_once():
     refusing, service = MemoryKeyValue(), MemoryKeyValue()
     refusing.down = True
