Go on from the position of a broken watch, and let slow reading end

Mended: a watch that was broken off, for being behind or by an outage, is asked for what came after its last position; all keys are read only when the service has forgotten that. A mirror that asks is not found behind.

Tests: a mirror that reads slowly gets to the end, and one that lost the service reads nothing twice; both fail without it.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -1,10 +1,12 @@
 """briarrill.coordination.mirror: a local copy of keys in the service.
 
 A copy that falls silent is found by what peers have seen: they tell the
-revision of their newest change, and a copy that stays behind is read anew.
+revision of their newest change, and a copy that stays behind asks anew for
+what it lacks. All keys are read only when the service has forgotten it.
 """
 
 import abc
+import math
 import random
 import time
 
@@ -14,6 +16,7 @@
 
 from ..errors import PlatformUnavailableError
 from ..transport.key_value import (
+    KeyPosition,
     KeySnapshot,
     KeyValue,
     KeyValueService,
@@ -89,6 +92,8 @@
         self._scope = trio.CancelScope()
         self._peer_revision = 0
         self._covered = 0
+        self._position = 0
+        self._is_asking = False
 
     def is_settled(self, after_s: float) -> bool:
         """Tell whether the service has been followed for some time."""
@@ -140,24 +145,35 @@
                 await trio.sleep(pause_s * random.uniform(MIN_JITTER, 1))
 
     async def _follow(self) -> None:
-        changes = self._service.follow(self._prefix, self._pace_s)
+        self._is_asking = True
+        changes = self._service.follow(
+            self._prefix, self._pace_s, self._position
+        )
         async for change in changes:
+            self._is_asking = False
             if isinstance(change, KeySnapshot):
                 self._take_snapshot(change)
+            elif isinstance(change, KeyPosition):
+                self._reach(change.revision)
             else:
                 self._take(change)
 
     def _take_snapshot(self, snapshot: KeySnapshot) -> None:
         keys = tuple(entry.key for entry in snapshot.entries)
         self.take_changes(MirrorChanges(keys, snapshot.entries))
-        # a deleted key's revision is in no entry
-        self._covered = max(self._covered, snapshot.revision)
+        self._reach(snapshot.revision)
+
+    def _reach(self, revision: int) -> None:
+        """Take that all changes up to a revision were seen.
+
+        A deleted key's revision is in no entry.
+        """
+        self._position = revision
+        self._covered = max(self._covered, revision)
         if not self.is_connected:
             self.back_since = time.monotonic()
             log_message(
-                'mirror:synced',
-                prefix=self._prefix,
-                keys=len(snapshot.entries),
+                'mirror:synced', prefix=self._prefix, keys=len(self._revisions)
             )
         self.is_connected = True
 
@@ -183,17 +199,21 @@
         self.is_connected = False
 
     async def _watch_lag(self) -> None:
-        """Read the keys anew when peers have seen more for some time."""
-        behind_since: float | None = None
+        """Ask anew when peers have seen more for some time."""
+        behind_since = math.inf
         while True:
             await trio.sleep(LAG_CHECK_S)
             now = time.monotonic()
-            covered = max(self._covered, self.revision)
-            if self._peer_revision <= covered or not self.is_connected:
-                behind_since = None
-            elif behind_since is None:
-                behind_since = now
-            elif now - behind_since > MAX_LAG_S + self._pace_s:
+            behind_since = min(behind_since, now) if self._lacks else math.inf
+            if now - behind_since > MAX_LAG_S + self._pace_s:
                 log_message('mirror:behind', prefix=self._prefix)
-                behind_since = None
+                behind_since = math.inf
+                self._is_asking = True
                 self._scope.cancel()
+
+    @property
+    def _lacks(self) -> bool:
+        """Whether peers have seen more, and no answer is on its way."""
+        if self._is_asking or not self.is_connected:
+            return False
+        return self._peer_revision > max(self._covered, self.revision)
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -23,6 +23,7 @@
 from ..transport.http_messages import RequestHead
 from ..transport.key_value import (
     KeyChange,
+    KeyPosition,
     KeySnapshot,
     KeyValue,
     KeyValueService,
@@ -37,9 +38,8 @@
 CONNECT_TIMEOUT_S = 0.5
 
 # longest wait of one watch; a watch whose connection is silently dead is
-# found no later than this and the margin
+# found no later than this and the time for a call
 WATCH_WAIT_S = 4.0
-WATCH_MARGIN_S = 0.5
 
 # a write whose reply was lost is repeated: its condition lets it take effect
 # once, and a late first one cannot overtake it
@@ -179,17 +179,27 @@
         await self._guarded('DELETE', f'/kv-lease-end/{lease_id}', b'')
 
     async def follow(
-        self, prefix: str, pace_s: float = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent]:
+        self, prefix: str, pace_s: float = 0, after: int = 0
+    ) -> AsyncIterator[KeySnapshot | WatchEvent | KeyPosition]:
         """Yield all keys under a prefix at once, then each change."""
+        at = after
+        # the first reply after a pause says at once that the watch runs
+        wait_s = 0.0
         while True:
-            entries, at = await self._read_pages(prefix)
-            yield KeySnapshot(tuple(entries), at)
-            while (reply := await self._wait_changes(prefix, at)) is not None:
-                at = reply.at
-                for event in reply.events:
-                    yield event.as_event()
-                await trio.sleep(pace_s if reply.events else 0)
+            if not at:
+                entries, at = await self._read_pages(prefix)
+                yield KeySnapshot(tuple(entries), at)
+                wait_s = WATCH_WAIT_S
+            reply = await self._wait_changes(prefix, at, wait_s)
+            wait_s = WATCH_WAIT_S
+            if reply is None:
+                at = 0
+                continue
+            at = reply.at
+            for event in reply.events:
+                yield event.as_event()
+            yield KeyPosition(at)
+            await trio.sleep(pace_s if reply.events else 0)
 
     def close(self) -> None:
         """Close the kept connections."""
@@ -214,20 +224,22 @@
             after = entries[-1].key
         return entries[: limit or None], first_at
 
-    async def _wait_changes(self, prefix: str, at: int) -> _WatchReply | None:
+    async def _wait_changes(
+        self, prefix: str, at: int, wait_s: float
+    ) -> _WatchReply | None:
         """Return the next changes, or nothing when history was lost."""
         query = urlencode(
             {
                 'prefix': prefix,
                 'after': at,
-                'wait_ms': int(WATCH_WAIT_S * _MS_PER_S),
+                'wait_ms': int(wait_s * _MS_PER_S),
             }
         )
         raw = await self._guarded(
             'GET',
             f'/kv-watch?{query}',
             b'',
-            timeout_s=WATCH_WAIT_S + WATCH_MARGIN_S,
+            timeout_s=wait_s + CALL_TIMEOUT_S,
         )
         if raw.status == HTTPStatus.GONE:
             return None
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -11,6 +11,7 @@
 from ..metrics import KEY_VALUE_CALLS
 from .key_value import (
     KeyChange,
+    KeyPosition,
     KeySnapshot,
     KeyValue,
     KeyValueService,
@@ -124,8 +125,8 @@
         await self._post('/v3/lease/revoke', {'ID': lease_id})
 
     async def follow(
-        self, prefix: str, pace_s: float = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent]:
+        self, prefix: str, pace_s: float = 0, after: int = 0
+    ) -> AsyncIterator[KeySnapshot | WatchEvent | KeyPosition]:
         """Yield all keys under a prefix at once, then each change."""
         create = {
             'create_request': {
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -7,6 +7,7 @@
 
 __all__ = (
     'KeyChange',
+    'KeyPosition',
     'KeySnapshot',
     'KeyValue',
     'KeyValueService',
@@ -48,6 +49,13 @@
     mod_revision: int
 
 
+@attrs.frozen
+class KeyPosition:
+    """All changes up to a revision have been yielded."""
+
+    revision: int
+
+
 @attrs.frozen
 class KeySnapshot:
     """All keys under a prefix; what it lacks does not exist any more.
@@ -153,19 +161,22 @@
         async for change in self.follow(prefix):
             if isinstance(change, WatchEvent):
                 yield change
-                continue
-            for found in change.entries:
-                yield WatchEvent(found.key, found.body, found.mod_revision)
+            elif isinstance(change, KeySnapshot):
+                for found in change.entries:
+                    yield WatchEvent(found.key, found.body, found.mod_revision)
 
     @abc.abstractmethod
     def follow(
-        self, prefix: str, pace_s: float = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent]:
+        self, prefix: str, pace_s: float = 0, after: int = 0
+    ) -> AsyncIterator[KeySnapshot | WatchEvent | KeyPosition]:
         """Yield all keys under a prefix at once, then each change.
 
         :param pace_s: shortest time between two calls to the service, for
             changes that need not be seen at once; default none. A service
             that pushes changes makes one call and ignores it.
+        :param after: position of an earlier call from which to go on without
+            all keys, default none. A service that yields no positions
+            ignores it.
 
         Another snapshot follows when changes may have been missed. Changes
         that a snapshot holds may be seen again, with their old revisions.
--- a/standins/memory_key_value.py
+++ b/standins/memory_key_value.py
@@ -13,6 +13,7 @@
 from briarrill.errors import PlatformUnavailableError, WriteUnknownError
 from briarrill.transport.key_value import (
     KeyChange,
+    KeyPosition,
     KeySnapshot,
     KeyValue,
     KeyValueService,
@@ -129,8 +130,8 @@
         self._apply([KeyChange(key, None) for key in held])
 
     async def follow(
-        self, prefix: str, pace_s: float = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent]:
+        self, prefix: str, pace_s: float = 0, after: int = 0
+    ) -> AsyncIterator[KeySnapshot | WatchEvent | KeyPosition]:
         """Yield all keys under a prefix at once, then each change."""
         await self._begin('watch')
         sender, receiver = trio.open_memory_channel[WatchEvent](WATCH_BUFFER)
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -103,7 +103,7 @@
         await self._begin()
         self.store.end_lease(lease_id)
 
-    async def follow(self, prefix, pace_s=0):
+    async def follow(self, prefix, pace_s=0, after=0):
         """Follow changes; no test here makes one that is watched."""
         await trio.sleep_forever()
         yield
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -8,8 +8,10 @@
     MirrorChanges,
     MirrorUser,
 )
+from briarrill.errors import PlatformUnavailableError
 from briarrill.transport.key_value import (
     KeyChange,
+    KeyPosition,
     KeySnapshot,
     KeyValue,
     WatchEvent,
@@ -37,20 +39,53 @@
 
     snapshots = 0
 
-    async def follow(self, prefix, pace_s=0):
+    async def follow(self, prefix, pace_s=0, after=0):
         self.snapshots += 1
-        async for change in super().follow(prefix, pace_s):
+        async for change in super().follow(prefix, pace_s, after):
             yield change
 
 
 class DeafService(MemoryKeyValue):
     """Sends no changes, as a watch on a dead connection."""
 
-    async def follow(self, prefix, pace_s=0):
+    async def follow(self, prefix, pace_s=0, after=0):
         yield KeySnapshot(tuple(await self.read_prefix(prefix)))
         await trio.sleep_forever()
 
 
+class SlowService(MemoryKeyValue):
+    """Takes longer for all keys than a mirror may be behind."""
+
+    snapshots = 0
+
+    async def follow(self, prefix, pace_s=0, after=0):
+        self.snapshots += 1
+        await trio.sleep(0.3)
+        async for change in super().follow(prefix, pace_s, after):
+            yield change
+
+
+class PositionedService(MemoryKeyValue):
+    """Goes on from a position, until its watch is broken off."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked_after = []
+        self.broken = trio.Event()
+
+    async def follow(self, prefix, pace_s=0, after=0):
+        self.asked_after.append(after)
+        found = await self.read_prefix(prefix)
+        if not after:
+            yield KeySnapshot(tuple(found), self.revision)
+        for entry in found:
+            if entry.mod_revision > after:
+                yield WatchEvent(entry.key, entry.body, entry.mod_revision)
+        yield KeyPosition(self.revision)
+        await self.broken.wait()
+        raise PlatformUnavailableError('broken off')
+
+
 async def _until(condition):
     with trio.fail_after(5):
         while not condition():
@@ -101,6 +136,42 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_reading_all_keys_is_not_broken_off_for_being_behind(
+    monkeypatch,
+):
+    """The load pattern: megabytes of results over a slow link."""
+    monkeypatch.setattr(mirror_module, 'MAX_LAG_S', 0.02)
+    service, seen = SlowService(), Seen()
+    await service.transact([KeyChange('a/1', b'x')])
+    async with trio.open_nursery() as nursery:
+        mirror = Mirror(service, 'a/', seen)
+        nursery.start_soon(mirror.run)
+        await mirror.synced.wait()
+        # a peer's change that does not come here, so all is read again
+        mirror.hear_revision(service.revision + 1)
+        await _until(lambda: service.snapshots == 2)
+        await service.transact([KeyChange('a/2', b'y')])
+        await _until(lambda: 'a/2' in seen.keys)
+        assert service.snapshots == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_mirror_goes_on_from_where_it_lost_the_service():
+    service, seen = PositionedService(), Seen()
+    await service.transact([KeyChange('a/1', b'x')])
+    async with trio.open_nursery() as nursery:
+        mirror = Mirror(service, 'a/', seen)
+        nursery.start_soon(mirror.run)
+        await _until(lambda: mirror.is_connected)
+        await service.transact([KeyChange('a/2', b'y')])
+        service.broken.set()
+        service.broken = trio.Event()
+        await _until(lambda: len(seen.keys) == 2 and mirror.is_connected)
+        nursery.cancel_scope.cancel()
+    assert service.asked_after == [0, 1]
+    assert seen.calls == [('a/1', b'x'), ('a/2', b'y')]
+
+
 def test_older_value_is_left_out():
     seen = Seen()
     mirror = Mirror(MemoryKeyValue(), 'a/', seen)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
 from briarrill.platform.store import PlatformStore
 from briarrill.transport.key_value import (
     KeyChange,
+    KeyPosition,
     KeySnapshot,
     WatchEvent,
 )
@@ -62,8 +63,10 @@
         standin.put('q/1', b'other')
         standin.put('p/2', b'two')
         assert await anext(follow) == WatchEvent('p/2', b'two', 10)
+        assert await anext(follow) == KeyPosition(10)
         standin.remove('p/1')
         assert await anext(follow) == WatchEvent('p/1', None, 11)
+        assert await anext(follow) == KeyPosition(11)
         standin.put('p/3', b'three')
         standin.forget_history()
         again = await anext(follow)
@@ -72,6 +75,25 @@
         await follow.aclose()
 
 
+async def test_changes_follow_a_position_without_all_keys():
+    async with store() as (client, standin):
+        standin.put('p/1', b'one')
+        at = standin.revision
+        follow = client.follow('p/', after=at)
+        # nothing has changed, and that is said at once
+        assert await anext(follow) == KeyPosition(at)
+        standin.put('p/2', b'two')
+        assert await anext(follow) == WatchEvent('p/2', b'two', at + 1)
+        await follow.aclose()
+        standin.put('p/3', b'three')
+        standin.forget_history()
+        again = client.follow('p/', after=at)
+        found = await anext(again)
+        assert isinstance(found, KeySnapshot)
+        assert len(found.entries) == 3
+        await again.aclose()
+
+
 @pytest.mark.parametrize('status', [503, 429, 403])
 async def test_refused_write_was_not_made(status):
     async with store() as (client, standin):
