Ask the service when an entry's copy is behind, and bound what is remembered

Refusals of unread requests (404, 400) had no request id in their log line. `Handover._given_at` and `SilenceWatch._heard_at` grew without bound; `fetch_from_peer` was `ask_peer`.

The line of a refusal names the request. What was given or heard is forgotten after its time.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -94,6 +94,12 @@
         self._covered = 0
         self._position = 0
         self._is_asking = False
+        self._behind_since = math.inf
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether peers have seen more for longer than a change takes."""
+        return time.monotonic() - self._behind_since > MAX_LAG_S
 
     def is_settled(self, after_s: float) -> bool:
         """Tell whether the service has been followed for some time."""
@@ -200,20 +206,23 @@
 
     async def _watch_lag(self) -> None:
         """Ask anew when peers have seen more for some time."""
-        behind_since = math.inf
+        asked_at = -math.inf
         while True:
             await trio.sleep(LAG_CHECK_S)
             now = time.monotonic()
-            behind_since = min(behind_since, now) if self._lacks else math.inf
-            if now - behind_since > MAX_LAG_S + self._pace_s:
+            if not self._lacks:
+                self._behind_since = math.inf
+                continue
+            self._behind_since = min(self._behind_since, now)
+            waited_s = now - max(self._behind_since, asked_at)
+            if waited_s > MAX_LAG_S + self._pace_s and not self._is_asking:
                 log_message('mirror:behind', prefix=self._prefix)
-                behind_since = math.inf
+                asked_at = now
                 self._is_asking = True
                 self._scope.cancel()
 
     @property
     def _lacks(self) -> bool:
-        """Whether peers have seen more, and no answer is on its way."""
-        if self._is_asking or not self.is_connected:
-            return False
-        return self._peer_revision > max(self._covered, self.revision)
+        """Whether peers have seen more than this copy, which follows too."""
+        covered = max(self._covered, self.revision)
+        return self.is_connected and self._peer_revision > covered
--- a/briarrill/coordination/silence.py
+++ b/briarrill/coordination/silence.py
@@ -52,6 +52,7 @@
     @contextlib.contextmanager
     def begun_stream(self, upstream_id: str) -> Iterator[None]:
         """Expect events as long as a stream that has begun runs."""
+        self._forget_old()
         self.hear(upstream_id)
         self._begun[upstream_id] += 1
         try:
@@ -74,3 +75,10 @@
         """Tell whether own evidence speaks against others' suspicion."""
         heard_at = self._heard_at.get(upstream_id, 0)
         return self._clock() - heard_at < SILENCE_S
+
+    def _forget_old(self) -> None:
+        """Forget when upstreams were heard that are not heard any more."""
+        oldest = self._clock() - SUSPICION_S
+        for name, heard_at in list(self._heard_at.items()):
+            if heard_at < oldest and name not in self._begun:
+                self._heard_at.pop(name)
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -24,7 +24,6 @@
     'Offer',
     'StateTransfer',
     'ask_peer',
-    'fetch_from_peer',
 )
 
 CHECK_INTERVAL_S = 0.3
@@ -128,25 +127,18 @@
         self, host: str, prefix: str, revision: int
     ) -> MirrorChanges:
         path = f'{_PATH}{prefix}?after={revision}'
-        raw = await fetch_from_peer((host, self.port), path)
+        raw = await ask_peer((host, self.port), path)
         if raw is None:
             raise UpstreamLostError('the peer does not have it')
         return _CHANGES.decode(raw)
 
 
-async def fetch_from_peer(address: tuple[str, int], path: str) -> bytes | None:
-    """Return what a peer offers under a path, or nothing.
-
-    :raises PeerUnreachableError: it takes no connection.
-    :raises UpstreamLostError: it did not answer.
-    """
-    return await ask_peer(address, path, b'')
-
-
 async def ask_peer(
-    address: tuple[str, int], path: str, body: bytes
+    address: tuple[str, int], path: str, body: bytes = b''
 ) -> bytes | None:
-    """Send a body to a peer and return its answer, or nothing.
+    """Ask a peer for what it offers under a path, or to act on a body.
+
+    :return: its answer, or nothing if it has none.
 
     :raises PeerUnreachableError: it takes no connection.
     :raises UpstreamLostError: it did not answer.
--- a/briarrill/coordination/wire.py
+++ b/briarrill/coordination/wire.py
@@ -73,6 +73,13 @@
 class RelayWire(abc.ABC):
     """Reads and writes the heads of relayed messages."""
 
+    @abc.abstractmethod
+    def request_id(self, head: RequestHead) -> str:
+        """Return the caller's identifier of an attempt, empty if it has none.
+
+        For the log lines of requests that are refused unread.
+        """
+
     @abc.abstractmethod
     def read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
         """Return what a caller asks for.
--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -16,7 +16,7 @@
 
 from ..coordination.batch_shares import has_right
 from ..coordination.load_exchange import LoadExchange
-from ..coordination.state_transfer import fetch_from_peer
+from ..coordination.state_transfer import ask_peer
 from ..errors import BriarrillError
 from ..protocol.load_reports import short_mark
 from ..state.rendezvous import rank
@@ -66,6 +66,7 @@
         progress = self.held.pop(key, None)
         if progress is None:
             return None
+        self._forget_given()
         self._given_at[key] = time.monotonic()
         log_message('item:given', job=key[0], request_id=key[1])
         return msgspec.msgpack.encode(progress.record())
@@ -127,7 +128,7 @@
         path = f'{HANDOVER_PATH}{quote(job_id, "")}/{quote(item_id, "")}'
         try:
             with trio.fail_after(FETCH_TIMEOUT_S):
-                raw = await fetch_from_peer((host, self.port), path)
+                raw = await ask_peer((host, self.port), path)
         except (BriarrillError, trio.TooSlowError) as exc:
             log_message('item:not-taken', request_id=item_id, why=repr(exc))
             return False
@@ -151,3 +152,8 @@
             if mark in report.held:
                 return report.host
         return None
+
+    def _forget_given(self) -> None:
+        for key in list(self._given_at):
+            if not self.was_given(key):
+                self._given_at.pop(key)
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -10,6 +10,7 @@
 from ..relay.forwarding import Forwarder
 from ..relay.front import Front
 from ..relay.job_calls import JobCalls
+from ..state.keys import ROOT
 from ..transport.http_callers import serve_callers
 from .configuration import OPERATOR_PREFIX
 from .fleet import Fleet, follow_fleet, open_fleet, serve_ready, watch_signals
@@ -63,7 +64,11 @@
     jobs = JobTable(fleet.store)
     fleet.own_keys.add('', jobs)
     job_calls = JobCalls(
-        fleet.writes, jobs, PlatformJobWire(), fleet.cfg.max_value_bytes
+        fleet.writes,
+        jobs,
+        PlatformJobWire(),
+        fleet.cfg.max_value_bytes,
+        is_behind=lambda: fleet.mirrors[ROOT].is_behind,
     )
     return Front(
         wire=wire,
--- a/briarrill/platform/wire.py
+++ b/briarrill/platform/wire.py
@@ -50,6 +50,10 @@
 class PlatformWire(RelayWire):
     """The platform's headers."""
 
+    def request_id(self, head: RequestHead) -> str:
+        """Return the caller's identifier of an attempt."""
+        return _text(head, _ATTEMPT_ID)
+
     def read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
         """Return what a caller asks for."""
         host = _text(head, b'host')
@@ -62,7 +66,7 @@
             if path.startswith(prefix) and batch_routes:
                 return read(head, batch_routes[0], path.removeprefix(prefix))
         route = routes.find(host, path)
-        request_id = _text(head, _ATTEMPT_ID)
+        request_id = self.request_id(head)
         if route.kind is RouteKind.BATCH:
             if head.method != b'POST':
                 raise NotFoundError(f'no job call {head.method!r} {path}')
--- a/briarrill/relay/front.py
+++ b/briarrill/relay/front.py
@@ -94,7 +94,7 @@
             intent, body = await self._read(conn, head)
         except BriarrillError as exc:
             conn.closes_after_answer = True
-            await self._refuse(conn, '', exc)
+            await self._refuse(conn, self.wire.request_id(head), exc)
             return
         with single_error():
             async with trio.open_nursery() as nursery:
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -63,12 +63,14 @@
     """Serves job calls from what is known, and from the service.
 
     :param max_value_bytes: size of a value in the service.
+    :param is_behind: whether the known jobs lag behind what peers know.
     """
 
     writes: HedgedWrites
     jobs: JobTable
     wire: JobWire
     max_value_bytes: int
+    is_behind: Callable[[], bool]
     _reserved: dict[str, int] = attrs.field(factory=dict, init=False)
 
     async def serve(
@@ -186,8 +188,9 @@
         self, intent: Intent, body: bytes, conn: CallerConnection
     ) -> None:
         known = await self._find(intent.job_id)
-        if intent.position > len(known.results):
-            # the caller has read more at another entry
+        missing = intent.position - len(known.results)
+        if missing > 0 or (missing == 0 and self._may_lack(known)):
+            # the caller has read more at another entry, or may have
             known = await self.jobs.read(intent.job_id) or known
         with trio.move_on_after(intent.wait_s):
             while known.is_open and intent.position >= len(known.results):
@@ -198,6 +201,9 @@
         )
         await conn.send_answer(_HTTP_OK, _JSON, answer)
 
+    def _may_lack(self, known: KnownJob) -> bool:
+        return known.is_open and self.is_behind()
+
     async def _read_item(
         self, intent: Intent, body: bytes, conn: CallerConnection
     ) -> None:
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -172,6 +172,22 @@
     assert seen.calls == [('a/1', b'x'), ('a/2', b'y')]
 
 
+async def test_mirror_knows_that_it_is_behind(monkeypatch):
+    monkeypatch.setattr(mirror_module, 'MAX_LAG_S', 0.02)
+    service = DeafService()
+    async with trio.open_nursery() as nursery:
+        mirror = Mirror(service, 'a/', Seen(), pace_s=60)
+        nursery.start_soon(mirror.run)
+        await mirror.synced.wait()
+        await service.transact([KeyChange('a/1', b'x')])
+        assert not mirror.is_behind
+        mirror.hear_revision(service.revision)
+        await _until(lambda: mirror.is_behind)
+        mirror._take(WatchEvent('a/1', b'x', service.revision))
+        await _until(lambda: not mirror.is_behind)
+        nursery.cancel_scope.cancel()
+
+
 def test_older_value_is_left_out():
     seen = Seen()
     mirror = Mirror(MemoryKeyValue(), 'a/', seen)
--- a/tests/coordination/test_silence.py
+++ b/tests/coordination/test_silence.py
@@ -42,6 +42,15 @@
     assert watch.suspects == ()
 
 
+def test_upstreams_that_are_gone_are_forgotten():
+    clock = Clock()
+    watch = SilenceWatch(clock)
+    for number in range(20):
+        with watch.begun_stream(f'i-{number}'):
+            clock.now += SUSPICION_S
+    assert len(watch._heard_at) <= 2
+
+
 def test_suspicion_without_new_evidence_ends():
     clock = Clock()
     watch = SilenceWatch(clock)
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -4,6 +4,7 @@
 
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.coordination.state_transfer import StateTransfer
+from briarrill.item_runs import handover as handover_module
 from briarrill.item_runs.handover import HANDOVER_PATH, Handover
 from briarrill.item_runs.item import ItemProgress
 from briarrill.protocol.load_reports import LoadReport, short_mark
@@ -75,6 +76,19 @@
     assert giver.held == {}
 
 
+def test_items_that_were_given_are_forgotten(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(handover_module.time, 'monotonic', lambda: now)
+    giver = _handover()
+    for number in range(5):
+        key = ('j', str(number))
+        giver.held[key] = _progress(events=1)
+        assert giver.give('/'.join(key)) is not None
+        assert giver.was_given(key)
+        now += handover_module.GIVEN_S
+    assert len(giver._given_at) == 1
+
+
 async def test_own_job_starts_without_a_claim(autojump_clock):
     _, other = _names()
     handover = _handover(0, _report(other))
--- a/tests/relay/test_front.py
+++ b/tests/relay/test_front.py
@@ -1,6 +1,7 @@
 """Routes, the drain, and what a front answers without upstreams."""
 
 import trio
+from eliot import add_destinations, remove_destination
 
 from briarrill.relay import drain
 from briarrill.relay.drain import drain_front
@@ -16,6 +17,20 @@
     assert engine.runs == []
 
 
+async def test_refusal_of_an_unknown_route_names_the_request():
+    lines = []
+    add_destinations(lines.append)
+    try:
+        async with world([ONCE]) as fleet:
+            await fleet.ask('/elsewhere/', attempt_id='a-7')
+    finally:
+        remove_destination(lines.append)
+    refused = [
+        line for line in lines if line['message_type'] == 'request:refused'
+    ]
+    assert [line['request_id'] for line in refused] == ['a-7']
+
+
 async def test_front_without_configuration_says_when_to_come_back():
     async with world([ONCE]) as fleet:
         fleet.front.routes = lambda: None
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -54,7 +54,9 @@
             self.table,
             PlatformJobWire(),
             1_000_000,
+            is_behind=lambda: self.is_behind,
         )
+        self.is_behind = False
 
     async def __call__(self, kind, body=b'', **fields):
         intent = Intent(kind, 'r', BATCH, math.inf, 'j1')
@@ -142,6 +144,21 @@
     assert (status, b'"next_token":2' in body) == (200, True)
 
 
+async def test_entry_that_is_behind_asks_the_service(service):
+    """Its copy lags on a slow link; the caller reads from the start."""
+    calls = Calls(service)
+    job = make_job(count=2)
+    await service.transact(job_changes(job, 1_000_000))
+    calls.table.add(job)
+    found = [StoredResult('j1-0', ItemState.COMPLETED, 'x')]
+    await service.transact(result_changes('j1', 0, found))
+    _, body = await calls(IntentKind.READ_RESULTS, position=0)
+    assert b'"next_token":0' in body
+    calls.is_behind = True
+    _, body = await calls(IntentKind.READ_RESULTS, position=0)
+    assert b'"next_token":1' in body
+
+
 async def test_body_of_an_item_until_the_job_ends(service):
     calls = Calls(service)
     job = make_job()
