--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -73,11 +73,6 @@
         factory=collections.Counter
     )
 
-    @property
-    def relays(self) -> int:
-        """Return how many of the peers place online requests."""
-        return sum(not report.runs_batch for report in self.reports.values())
-
     def replace(self, report: LoadReport) -> None:
         """Count a report instead of the one that its process sent before."""
         self.drop(report.process)
--- a/briarrill/coordination/placement.py
+++ b/briarrill/coordination/placement.py
@@ -4,8 +4,7 @@
 valleys: a free slot is taken where there is one; where all are taken, the
 request goes where batch work will yield, and only then where it must wait
 behind other online requests. Upstreams that begin late are left out while
-others are expected to begin sooner. With many processes that choose by the
-same reports, each compares only a few places.
+others are expected to begin sooner.
 """
 
 import math
@@ -20,10 +19,6 @@
 # more requests
 LOCAL_BONUS = 0.5
 
-# places that are compared at least; the better of two is nearly as good as
-# the best of all, and avoids what all others choose
-MIN_SAMPLE = 2
-
 # part of a pool that is never left out
 MIN_POOL_SHARE = 0.5
 
@@ -62,7 +57,6 @@
     rng: random.Random,
     tolerance_s: float,
     service_time_s: float,
-    choosers: int = 1,
 ) -> Place:
     """Return the place for one more online request.
 
@@ -70,14 +64,13 @@
     :param tolerance_s: difference between two beginnings that does not
         matter to the caller.
     :param service_time_s: how long a request holds its slot.
-    :param choosers: processes that choose by the same reports, this one too.
     """
     trusted = [place for place in places if not place.is_suspect] or places
     prompt = _prompt_places(trusted, tolerance_s, service_time_s)
-    free = [place for place in prompt if place.free > 0]
-    if free:
-        return max(_sample(free, rng, choosers), key=_free_score)
-    return min(_sample(prompt, rng, choosers), key=_waiting_score)
+    shuffled = rng.sample(prompt, len(prompt))
+    if any(place.free > 0 for place in shuffled):
+        return max(shuffled, key=_free_score)
+    return min(shuffled, key=_waiting_score)
 
 
 def expected_wait_s(place: Place, service_time_s: float) -> float:
@@ -111,23 +104,6 @@
     return sorted(places, key=begins_in)[:least]
 
 
-def _sample(
-    places: Sequence[Place], rng: random.Random, choosers: int
-) -> list[Place]:
-    """Return places of the own failure domain and others to choose from.
-
-    Processes that all choose the best one by the same reports choose the
-    same one, until the next reports. The more there are, the fewer places
-    each looks at, down to two of each kind.
-    """
-    count = max(MIN_SAMPLE, 2 * len(places) // choosers)
-    found: list[Place] = []
-    for is_local in (True, False):
-        kind = [place for place in places if place.is_local is is_local]
-        found.extend(rng.sample(kind, min(count, len(kind))))
-    return found
-
-
 def _free_score(place: Place) -> float:
     return _bonus(place) - place.load
 
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -139,7 +139,6 @@
             self._rng,
             tolerance_s=TOLERANCE_OBJECTIVES * call.route.objective_s,
             service_time_s=self._times(call.service).mean_s,
-            choosers=1 + self._load.fleet.relays,
         )
         progress.place = place
         if not progress.attempts:
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -56,36 +56,6 @@
     assert all(load[name] + batch[name] == 8 for name in batch)
 
 
-def test_processes_with_the_same_reports_do_not_choose_the_same():
-    """19 relays get 40 requests between two reports; one upstream is best."""
-    names = [f'i-{number}' for number in range(21)]
-    reported = {name: 3 for name in names} | {'i-0': 1}
-    rng = random.Random(5)
-    own = [collections.Counter() for _ in range(19)]
-    for number in range(40):
-        relay = number % 19
-        places = [
-            Place(
-                name,
-                7,
-                reported[name] + own[relay][name],
-                0,
-                is_local=position % 3 == relay % 3,
-            )
-            for position, name in enumerate(names)
-        ]
-        place = choose_place(places, rng, 0.1, 0.3, choosers=19)
-        own[relay][place.name] += 1
-    sampled = sum(own, collections.Counter())
-    # the best of all would get one request of each relay at least
-    best = collections.Counter()
-    places = [Place(name, 7, reported[name], 0) for name in names]
-    for _ in own:
-        best[choose_place(places, rng, 0.1, 0.3).name] += 1
-    assert best['i-0'] == len(own)
-    assert 1 < max(sampled.values()) < len(own) / 2
-
-
 def test_only_online_requests_are_waited_for():
     assert expected_wait_s(Place('a', 8, 7, 8), 1) == 0
     assert expected_wait_s(Place('a', 8, 15, 0), 1) == 1
