Name a refused request only if it has an identifier

The identifier for the line of a refusal was read with the function that refuses requests without one, and the error ended the process.

Ruled out: other causes; the traceback names the line.

Mended: none is an empty one. The new test fails without it.

--- a/briarrill/platform/wire.py
+++ b/briarrill/platform/wire.py
@@ -51,8 +51,9 @@
     """The platform's headers."""
 
     def request_id(self, head: RequestHead) -> str:
-        """Return the caller's identifier of an attempt."""
-        return _text(head, _ATTEMPT_ID)
+        """Return the caller's identifier of an attempt, or nothing."""
+        found = find_header(head.headers, _ATTEMPT_ID)
+        return '' if found is None else found.decode(_CHARSET)
 
     def read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
         """Return what a caller asks for."""
@@ -66,7 +67,7 @@
             if path.startswith(prefix) and batch_routes:
                 return read(head, batch_routes[0], path.removeprefix(prefix))
         route = routes.find(host, path)
-        request_id = self.request_id(head)
+        request_id = _text(head, _ATTEMPT_ID)
         if route.kind is RouteKind.BATCH:
             if head.method != b'POST':
                 raise NotFoundError(f'no job call {head.method!r} {path}')
--- a/tests/relay/test_front.py
+++ b/tests/relay/test_front.py
@@ -1,12 +1,15 @@
 """Routes, the drain, and what a front answers without upstreams."""
 
+import attrs
 import trio
 from eliot import add_destinations, remove_destination
 
 from briarrill.relay import drain
 from briarrill.relay.drain import drain_front
+from briarrill.transport.http_channel import connect
+from briarrill.transport.http_messages import RequestHead
 from standins.platform_engine import StandinEngine, stream, whole
-from tests.relay.world import IDEMPOTENT, ONCE, STREAM, world
+from tests.relay.world import HOST, IDEMPOTENT, ONCE, STREAM, world
 
 
 async def test_unknown_route_is_not_found():
@@ -31,6 +34,23 @@
     assert [line['request_id'] for line in refused] == ['a-7']
 
 
+async def test_request_without_an_id_is_refused_and_ends_nothing():
+    engine = StandinEngine(whole(b'ok'))
+    head = RequestHead(
+        b'GET', b'/elsewhere/', ((b'host', HOST), (b'content-length', b'0'))
+    )
+    for path in (b'/elsewhere/', ONCE.prefix.encode()):
+        async with world([ONCE], engine) as fleet:
+            channel = await connect(fleet.address, 1)
+            asked = attrs.evolve(head, target=path)
+            async with channel.exchange(asked, b''):
+                found = await channel.read_head()
+                await channel.read_whole_body(1000)
+            channel.close()
+            assert found.status in {400, 404}
+            assert (await fleet.ask(ONCE.prefix))[0] == 200
+
+
 async def test_front_without_configuration_says_when_to_come_back():
     async with world([ONCE]) as fleet:
         fleet.front.routes = lambda: None
