--- a/briarrill/coordination/admission.py
+++ b/briarrill/coordination/admission.py
@@ -224,15 +224,15 @@
         """
         if len(self._online_queue) < self._queue_limit:
             return
-        rejection = OverloadedError(
-            f'{len(self._online_queue)} online requests wait at the upstream;'
-            f' the limit is {self._queue_limit}',
-            retry_after_s=self._retry_after_s(contract),
+        evicted = self._online_queue.evict_for(contract)
+        if evicted is None:
+            raise _queue_full_error(
+                self._queue_limit, self._retry_after_s(contract)
+            )
+        displaced_contract, displaced = evicted
+        displaced.rejection = _queue_full_error(
+            self._queue_limit, self._retry_after_s(displaced_contract)
         )
-        displaced = self._online_queue.evict_for(contract)
-        if displaced is None:
-            raise rejection
-        displaced.rejection = rejection
         displaced.resolved.set()
 
     def _cancel_wait(self, contract: str, waiter: _QueuedRequest) -> None:
@@ -275,3 +275,11 @@
             if not slot.preempted:
                 slot.preempt()
                 preempted_slots += 1
+
+
+def _queue_full_error(limit: int, retry_after_s: float) -> OverloadedError:
+    return OverloadedError(
+        'the queue of online requests at the upstream is full;'
+        f' the limit is {limit}',
+        retry_after_s=retry_after_s,
+    )
--- a/briarrill/coordination/fair_queue.py
+++ b/briarrill/coordination/fair_queue.py
@@ -60,17 +60,19 @@
             if name != contract
         )
 
-    def evict_for(self, contract: str) -> _Entry | None:
-        """Remove and return the last entry of the longest queue, or none.
+    def evict_for(self, contract: str) -> tuple[str, _Entry] | None:
+        """Remove the last entry of the longest queue.
 
         Nothing is removed unless that queue then still has at least as many
         entries as the one of ``contract`` with a new entry.
+
+        :return: the contract of the removed entry and the entry, if any.
         """
         longest = max(self._by_contract, key=self._length, default='')
         if self._length(longest) <= self._length(contract) + 1:
             return None
         self._count -= 1
-        return self._by_contract[longest].pop()
+        return longest, self._by_contract[longest].pop()
 
     def _length(self, contract: str) -> int:
         return len(self._by_contract.get(contract, ()))
--- a/briarrill/coordination/hedged_writes.py
+++ b/briarrill/coordination/hedged_writes.py
@@ -112,10 +112,13 @@
         except msgspec.MsgspecError as exc:
             log_message('write:malformed', reason=str(exc))
             return None
-        if not all(
-            change.key.startswith(_PEER_KEY_PREFIXES) for change in changes
-        ):
-            log_message('write:not-allowed', key=changes[0].key)
+        refused = [
+            change.key
+            for change in changes
+            if not change.key.startswith(_PEER_KEY_PREFIXES)
+        ]
+        if refused:
+            log_message('write:not-allowed', key=refused[0])
             return None
         return msgspec.msgpack.encode(await self._write_directly(changes))
 
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -208,12 +208,14 @@
         link, only one forwards.
         """
         process_hash = short_hash(report.process)
+        # a copy, because reading the load again may remove timed-out peers
+        live_reports = list(self.load.reports.values())
         return [
             peer.host
-            for name, peer in self.load.reports.items()
-            if name != report.process
+            for peer in live_reports
+            if peer.process != report.process
             and process_hash not in peer.heard
-            and self._is_relay(report.process, name)
+            and self._is_relay(report.process, peer.process)
         ]
 
     def _is_relay(self, sender: str, receiver: str) -> bool:
--- a/briarrill/entry/calls.py
+++ b/briarrill/entry/calls.py
@@ -145,5 +145,6 @@
         """
         if finish.chunks != self.received_chunks:
             raise UpstreamLostError(
-                f'received {self.received_chunks} of {finish.chunks} chunks'
+                f'received {self.received_chunks} of {finish.chunks} chunks',
+                ran=finish.ran,
             )
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -35,7 +35,8 @@
     IMPOSSIBLE: the upstream cannot ever run it. FAILED: the upstream
     responded with an error. REFUSED: it did not run, or this
     process did not acquire the item. CUT: the connection broke
-    or stalled. PREEMPTED: this process cancelled it.
+    or stalled. UNEXPECTED: the upstream responded with a status that
+    counts as no attempt. PREEMPTED: this process cancelled it.
     """
 
     COMPLETED = enum.auto()
@@ -43,6 +44,7 @@
     FAILED = enum.auto()
     REFUSED = enum.auto()
     CUT = enum.auto()
+    UNEXPECTED = enum.auto()
     PREEMPTED = enum.auto()
 
 
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -147,7 +147,7 @@
         if response_head.status == _HTTP_SERVER_ERROR:
             return RunEnd.FAILED
         log_message('item:unexpected-status', status=response_head.status)
-        return RunEnd.CUT
+        return RunEnd.UNEXPECTED
 
 
 @contextlib.contextmanager
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -38,6 +38,10 @@
 REJECTED_RETRY_DELAY_S = 0.1
 FAILED_RETRY_DELAY_S = 0.3
 
+# the same after a status that is no failed attempt of the item, so that only
+# the expiry of its job ends the retries
+UNEXPECTED_RETRY_DELAY_S = 1.0
+
 
 class Scheduler:
     """Runs the items of stored jobs in slots free of online requests.
@@ -329,4 +333,5 @@
     RunEnd.REFUSED: REJECTED_RETRY_DELAY_S,
     RunEnd.CUT: 0.0,
     RunEnd.FAILED: FAILED_RETRY_DELAY_S,
+    RunEnd.UNEXPECTED: UNEXPECTED_RETRY_DELAY_S,
 }
--- a/briarrill/protocol/rpc.py
+++ b/briarrill/protocol/rpc.py
@@ -15,6 +15,7 @@
     PeerUnreachableError,
 )
 from ..metrics import MALFORMED_MESSAGES
+from ..result_codes import Ran
 from ..transport.zmq_socket import ZmqSocket, open_dealer, open_router
 from .codec import decode, encode, error_from_failure, failure_from_error
 from .messages import Failure, Message
@@ -57,7 +58,7 @@
         """Send a request and return the reply.
 
         :raises PeerUnreachableError: the request could not be sent, or no
-            reply came within timeout_s.
+            reply came within timeout_s; ``ran`` tells which.
         :raises BriarrillError: the error that the peer replied.
         """
 
@@ -92,9 +93,11 @@
     async def call(self, request: Message, timeout_s: float) -> Message:
         """Send a request and return the reply.
 
-        :raises PeerUnreachableError: no reply came within timeout_s.
+        :raises PeerUnreachableError: no reply came within timeout_s; the
+            peer may have run the request if it was sent.
         :raises BriarrillError: the error that the peer replied.
         """
+        ran = Ran.NO
         call_id = str(next(self._call_numbers)).encode()
         sender, receiver = trio.open_memory_channel[Message](1)
         frames = [call_id, *encode(request)]
@@ -102,10 +105,12 @@
         try:
             with trio.fail_after(timeout_s):
                 await self._send(frames)
+                ran = Ran.UNKNOWN
                 reply = await receiver.receive()
         except trio.TooSlowError as exc:
             raise PeerUnreachableError(
-                f'no reply to {type(request).__name__} within {timeout_s} s'
+                f'no reply to {type(request).__name__} within {timeout_s} s',
+                ran=ran,
             ) from exc
         finally:
             self._pending_calls.pop(call_id, None)
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -365,9 +365,16 @@
         """Relay the events of a stream as they arrive.
 
         :raises UpstreamLostError: the stream ended inside an event.
+        :raises UpstreamFailedError: a resumption got an error response.
         """
         response = attempt.response
         if response_head.status != HTTP_OK:
+            if response.has_begun:
+                # its body must not follow the events that were sent
+                raise UpstreamFailedError(
+                    f'answered {response_head.status} to a resumption',
+                    ran=Ran.YES,
+                )
             await self._relay_buffered(attempt, channel, response_head)
             return
         splitter = EventSplitter()
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -223,7 +223,7 @@
     ) -> None:
         """Start an assigned item unless it is revoked or runs already."""
         if self._unfinished_items.is_revoked(batch_item):
-            self._deliver_outcome(_revoked_outcome(batch_item))
+            self._deliver_outcome(_revoked_outcome(batch_item, Ran.NO))
             return
         self._unfinished_items.record_epoch(batch_item)
         unfinished = UnfinishedItem(
@@ -242,7 +242,7 @@
             outcome = await self._runner.run_item(unfinished.batch_item)
         self._unfinished_items.remove(unfinished)
         if outcome is None:
-            outcome = _revoked_outcome(unfinished.batch_item)
+            outcome = _revoked_outcome(unfinished.batch_item, Ran.UNKNOWN)
         # the item may have been reassigned to another owner while it ran
         unfinished.deliver(
             attrs.evolve(
@@ -320,11 +320,11 @@
         return True
 
 
-def _revoked_outcome(batch_item: BatchItem) -> ItemOutcome:
+def _revoked_outcome(batch_item: BatchItem, ran: Ran) -> ItemOutcome:
     """Return the outcome of an item that was stopped or not started."""
     return _make_outcome(
         batch_item,
         code=ResultCode.CANCELLED,
-        ran=Ran.NO,
+        ran=ran,
         message='the job was cancelled or has a newer owner',
     )
--- a/briarrill/state/checkpoint_file.py
+++ b/briarrill/state/checkpoint_file.py
@@ -61,7 +61,9 @@
         except FileNotFoundError:
             return None
         except OSError as exc:
-            log_message('checkpoint:unreadable', path=path, reason=repr(exc))
+            log_message(
+                'checkpoint:unreadable', path=str(path), reason=repr(exc)
+            )
             return None
         digest, sequenced_body = raw[:_DIGEST_BYTES], raw[_DIGEST_BYTES:]
         if xxhash.xxh64_digest(sequenced_body) != digest:
--- a/briarrill/state/configuration_cache.py
+++ b/briarrill/state/configuration_cache.py
@@ -38,3 +38,13 @@
             stream.flush()
             os.fsync(stream.fileno())
         new_path.replace(self.folder / FILE_NAME)
+        _sync_folder(self.folder)
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    """Make renames in a folder survive a power loss."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/briarrill/state/contracts.py
+++ b/briarrill/state/contracts.py
@@ -1,6 +1,7 @@
 """briarrill.state.contracts: configuration of contracts, models, services."""
 
 import hashlib
+import math
 import re
 import tomllib
 import zlib
@@ -173,9 +174,11 @@
 
 def _check_limits(key_path: str, contract: Contract) -> None:
     for name, limit in attrs.asdict(contract).items():
-        if isinstance(limit, (int, float)) and limit <= 0:
+        if not isinstance(limit, (int, float)):
+            continue
+        if not math.isfinite(limit) or limit <= 0:
             raise ConfigurationError(
-                f'{key_path}.{name}: must be above 0, not {limit!r}'
+                f'{key_path}.{name}: must be a number above 0, not {limit!r}'
             )
 
 
--- a/briarrill/state/settings.py
+++ b/briarrill/state/settings.py
@@ -129,7 +129,6 @@
 
     :param slots: maximum concurrent requests.
     :param queue: maximum online requests that wait for a slot.
-    :param fencing: whether it checks the fencing numbers of requests.
     """
 
     kind: UpstreamKind
@@ -137,7 +136,6 @@
     pool: str = attrs.field(validator=check_not_empty)
     slots: int = attrs.field(default=8, validator=at_least(1))
     queue: int = attrs.field(default=64, validator=at_least(0))
-    fencing: bool = True
 
 
 @attrs.frozen
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -371,3 +371,27 @@
     assert fair_queue.count_ahead_of('new') == 2
     assert fair_queue.count_ahead_of('quiet') == 3
     assert fair_queue.count_ahead_of('flood') == 4
+
+
+async def test_displaced_request_gets_its_own_contracts_retry_time(
+    nursery, autojump_clock
+):
+    """A short queue of another contract says nothing about its wait."""
+    admission = Admission(slots=1, queue=4)
+    admission._service_times.add(10.0)
+    retry_times = {}
+
+    async def wait(contract, number):
+        try:
+            async with admission.online_slot(contract):
+                await trio.sleep_forever()
+        except OverloadedError as exc:
+            retry_times[contract, number] = exc.retry_after_s
+
+    for number in range(5):
+        nursery.start_soon(wait, 'kinship', number)
+        await wait_all_tasks_blocked()
+    nursery.start_soon(wait, 'balkan', 0)
+    await wait_all_tasks_blocked()
+    # three requests of 10 s each are ahead, and its own
+    assert retry_times == {('kinship', 4): 40.0}
--- a/tests/entry/test_calls.py
+++ b/tests/entry/test_calls.py
@@ -6,6 +6,7 @@
 from briarrill.entry.calls import OnlineCall
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol.messages import Chunk, Finish
+from briarrill.result_codes import Ran
 
 
 @pytest.fixture
@@ -50,5 +51,6 @@
     _deliver_chunks(call, b'a')
     call.deliver(Finish('r', 0, chunks=2))
     assert await call.next_chunk() == b'a'
-    with pytest.raises(UpstreamLostError):
+    with pytest.raises(UpstreamLostError) as error:
         await call.next_chunk()
+    assert error.value.ran is Ran.YES
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -415,3 +415,15 @@
         setup.service.is_down = False
         await _wait_until(lambda: not tracked.is_open)
     assert len(engine.requests) == 2
+
+
+async def test_unexpected_status_is_retried_at_most_once_a_second(
+    run_scheduler,
+):
+    """Such a status counts as no attempt, so no limit ends the retries."""
+    async with run_scheduler(respond_with(b'', 404)) as (setup, engine):
+        await setup.submit(1)
+        await _wait_until(lambda: engine.requests)
+        await trio.sleep(0.5)
+        assert len(engine.requests) == 1
+        await _wait_until(lambda: len(engine.requests) > 1)
--- /dev/null
+++ b/tests/sidecar/test_batch.py
@@ -0,0 +1,58 @@
+"""Tests of the outcomes of items whose job was revoked."""
+
+import pytest
+import trio
+
+from briarrill.coordination.admission import Admission
+from briarrill.protocol.messages import BatchItem
+from briarrill.readiness import Readiness
+from briarrill.result_codes import Ran, ResultCode
+from briarrill.sidecar.batch import BatchPuller, BatchRunner
+from briarrill.sidecar.online import SidecarIdentity
+from briarrill.sidecar.unfinished_items import UnfinishedItems
+from tests.sidecar.sidecar_setup import ScriptedUpstream
+
+ITEM = BatchItem(
+    job='job',
+    index=0,
+    epoch=1,
+    contract='kinship',
+    model='model',
+    url='/v1/chat/completions',
+    body=b'{"model": "model", "messages": []}',
+)
+
+
+@pytest.fixture
+def puller():
+    upstream = ScriptedUpstream()
+    upstream.make_chunks = upstream.send_endless_chunks
+    return BatchPuller(
+        SidecarIdentity('side-0', 'llm'),
+        BatchRunner(upstream, Admission(2, 2)),
+        Readiness(),
+        'batch-0',
+        UnfinishedItems(),
+    )
+
+
+async def test_revoked_running_item_does_not_claim_that_it_never_ran(
+    puller, nursery
+):
+    puller._accept_item(nursery, ITEM)
+    with trio.fail_after(5):
+        while not puller._runner.upstream.called_paths:
+            await trio.sleep(0.01)
+        puller._unfinished_items.revoke('job', None)
+        while not puller._unsent_outcomes:
+            await trio.sleep(0.01)
+    outcome = puller._unsent_outcomes[0]
+    assert outcome.code is ResultCode.CANCELLED
+    assert outcome.ran is Ran.UNKNOWN
+
+
+async def test_item_of_a_revoked_job_did_not_run(puller, nursery):
+    puller._unfinished_items.revoke('job', None)
+    puller._accept_item(nursery, ITEM)
+    assert puller._unsent_outcomes[0].ran is Ran.NO
+    assert not puller._runner.upstream.called_paths
