Forward reports only to processes that report a silent sender

Cause: each report carried the hashes of all processes heard, and each receiver ranked every peer for every pair of sender and receiver that it did not find in these lists.

Change: a report lists the known processes that have been silent for the timeout, usually none. A pair is ranked only if the receiver lists the sender and the sender has been heard for 0.4 s, so starts and restarts cause no ranking. The pause between two reports of a process grows by 2 ms a peer, so that a process receives at most 500 reports a second at any fleet size.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -36,7 +36,7 @@
 # shortest pause between two reports, and the time that each peer adds to it,
 # so that the number of reports in a fleet grows with its size, not its square
 MIN_REPORT_PAUSE_S = 0.04
-REPORT_PAUSE_PER_PEER_S = 0.001
+REPORT_PAUSE_PER_PEER_S = 0.002
 
 # shortest pause before an urgent report, on which peers must act at once
 MIN_URGENT_PAUSE_S = 0.004
@@ -154,8 +154,10 @@
         """Add a registered process, or remove it if ``host`` is none."""
         if host is None:
             self._members.pop(name, None)
+            self.peers.update_member(name, is_registered=False)
         elif name != self._process:
             self._members[name] = host
+            self.peers.update_member(name, is_registered=True)
             if name not in self.live_reports:
                 self.schedule_urgent_report()
 
@@ -207,7 +209,7 @@
                 sequence=self._sequence,
                 online=dict(self.in_flight.online),
                 batch=dict(self.in_flight.batch),
-                heard=self.peers.direct_peer_hashes,
+                unheard=self.peers.unheard_hashes,
                 suspects=self.silence.suspects,
                 delays=self.delays.recent_delays_s,
             )
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -8,7 +8,7 @@
 import collections
 import math
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import TypeVar
 
 import attrs
@@ -31,6 +31,10 @@
 # more reports
 PEER_EXPIRY_S = 30.0
 
+# time for which a process must have been heard before its reports are
+# forwarded; within it all peers send a report
+RELAY_DELAY_S = 0.4
+
 _Name = TypeVar('_Name', str, int)
 
 
@@ -41,17 +45,26 @@
     :param received_at: monotonic time at which the report arrived.
     :param direct_received_at: monotonic time at which a report last came
         from the process itself, not forwarded by another.
+    :param direct_since: monotonic time since which reports come from the
+        process itself without a pause of ``PEER_TIMEOUT_S``.
     """
 
     report: LoadReport
     received_at: float
     direct_received_at: float = 0
+    direct_since: float = 0
 
     @property
     def is_live(self) -> bool:
         """Whether a report came within the timeout, direct or forwarded."""
         return time.monotonic() - self.received_at < PEER_TIMEOUT_S
 
+    def record_direct_report(self, now: float) -> None:
+        """Record that a report came from the process itself."""
+        if now - self.direct_received_at >= PEER_TIMEOUT_S:
+            self.direct_since = now
+        self.direct_received_at = now
+
 
 @attrs.define
 class PeerLoad:
@@ -64,6 +77,8 @@
     :param suspects: number of peers that suspect an upstream.
     :param delays: seconds to first bytes by upstream, by process.
     :param item_hashes: number of peers that run a batch item, by its hash.
+    :param unheard: number of peers that do not hear a process directly, by
+        its hash.
     """
 
     reports: dict[str, LoadReport] = attrs.field(factory=dict)
@@ -76,6 +91,9 @@
     item_hashes: collections.Counter[int] = attrs.field(
         factory=collections.Counter
     )
+    unheard: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
 
     def replace(self, report: LoadReport) -> None:
         """Replace the counts of a process's previous report."""
@@ -122,6 +140,7 @@
         _add_counts(self.batch, report.batch, sign)
         _add_counts(self.suspects, dict.fromkeys(report.suspects, 1), sign)
         _add_counts(self.item_hashes, dict.fromkeys(report.items, 1), sign)
+        _add_counts(self.unheard, dict.fromkeys(report.unheard, 1), sign)
 
 
 @attrs.define
@@ -134,6 +153,7 @@
     process: str
     _peers: dict[str, PeerState] = attrs.field(factory=dict, init=False)
     _orphans: dict[str, PeerState] = attrs.field(factory=dict, init=False)
+    _member_since: dict[str, float] = attrs.field(factory=dict, init=False)
     _load: PeerLoad = attrs.field(factory=PeerLoad, init=False)
     _next_check_at: float = attrs.field(default=-math.inf, init=False)
 
@@ -166,9 +186,30 @@
         ]
 
     @property
-    def direct_peer_hashes(self) -> tuple[int, ...]:
-        """Return the hashes of the peers whose reports come directly."""
-        return tuple(short_hash(report.process) for report in self.reachable)
+    def unheard_hashes(self) -> tuple[int, ...]:
+        """Return the hashes of known processes that are not heard directly.
+
+        A process that has just become known is not among them.
+        """
+        min_direct_at = time.monotonic() - PEER_TIMEOUT_S
+        silent_peers = [
+            name
+            for name, peer in self._peers.items()
+            if peer.direct_received_at < min_direct_at
+        ]
+        silent_members = [
+            name
+            for name, since in self._member_since.items()
+            if since < min_direct_at and name not in self._peers
+        ]
+        return tuple(map(short_hash, silent_peers + silent_members))
+
+    def update_member(self, name: str, *, is_registered: bool) -> None:
+        """Add a registered process, whose reports are expected, or remove it."""
+        if is_registered:
+            self._member_since.setdefault(name, time.monotonic())
+        else:
+            self._member_since.pop(name, None)
 
     def store(self, report: LoadReport, *, is_direct: bool) -> bool:
         """Store a report; return whether it is newer than the stored one.
@@ -181,22 +222,21 @@
             return False
         now = time.monotonic()
         previous = self._peers.get(report.process)
-        direct_received_at = now if is_direct else 0
-        if previous is not None:
-            previous.direct_received_at = max(
-                previous.direct_received_at, direct_received_at
-            )
-            if _sequence_key(previous.report) >= _sequence_key(report):
-                return False
-            direct_received_at = previous.direct_received_at
+        if previous is not None and is_direct:
+            previous.record_direct_report(now)
+        if previous is None:
+            direct_at = now if is_direct else 0
+            newest = PeerState(report, now, direct_at, direct_at)
+        elif _sequence_key(previous.report) >= _sequence_key(report):
+            return False
+        else:
+            newest = attrs.evolve(previous, report=report, received_at=now)
         if previous is None or not previous.is_live:
             log_message('peer:heard', peer=report.process, host=report.host)
         orphan = self._orphans.get(report.process)
         if orphan and orphan.report.incarnation == report.incarnation:
             self._remove_orphans(report.process)
-        self._peers[report.process] = PeerState(
-            report, now, direct_received_at
-        )
+        self._peers[report.process] = newest
         self._load.replace(report)
         return True
 
@@ -205,30 +245,42 @@
 
         They are the live peers that do not receive it directly because a
         link is cut. Of the processes that receive from both ends of the
-        link, only one forwards.
+        link, only one forwards. Nothing is forwarded for a process that was
+        silent until a moment ago: its peers have not reported yet that they
+        hear it again.
         """
-        process_hash = short_hash(report.process)
-        # a copy, because reading the load again may remove timed-out peers
+        sender_hash = short_hash(report.process)
+        if not self._load.unheard[sender_hash]:
+            return []
+        sender = self._peers.get(report.process)
+        if sender is None or (
+            time.monotonic() - sender.direct_since < RELAY_DELAY_S
+        ):
+            return []
         live_reports = list(self.load.reports.values())
         return [
             peer.host
             for peer in live_reports
-            if peer.process != report.process
-            and process_hash not in peer.heard
-            and self._is_relay(report.process, peer.process)
+            if sender_hash in peer.unheard
+            and peer.process != report.process
+            and self._is_relay(report.process, peer.process, live_reports)
         ]
 
-    def _is_relay(self, sender: str, receiver: str) -> bool:
+    def _is_relay(
+        self, sender: str, receiver: str, live_reports: Sequence[LoadReport]
+    ) -> bool:
         """Tell whether this process forwards from sender to receiver.
 
         The processes that receive from both are ranked; each process computes
         the same order, and the first one forwards.
         """
-        endpoint_hashes = {short_hash(sender), short_hash(receiver)}
+        endpoints = {sender, receiver}
+        endpoint_hashes = set(map(short_hash, endpoints))
         candidates = [
-            name
-            for name, report in self.load.reports.items()
-            if endpoint_hashes <= set(report.heard)
+            peer.process
+            for peer in live_reports
+            if peer.process not in endpoints
+            and endpoint_hashes.isdisjoint(peer.unheard)
         ]
         ranked = rank_nodes(
             f'{sender}/{receiver}', [self.process, *candidates]
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -3,6 +3,7 @@
 Each report replaces the one before, so lost and late reports need no retry.
 """
 
+import functools
 from types import GenericAlias
 
 import attrs
@@ -13,7 +14,10 @@
 
 __all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_hash')
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
+
+# hashes of items and processes that are kept for their next use
+MAX_CACHED_HASHES = 8192
 
 
 @attrs.frozen
@@ -30,9 +34,11 @@
     :param items: hashes of batch items that are running or just ended.
     :param claims: hashes of those items that are about to start.
     :param held: hashes of items whose latest run was interrupted here.
-    :param heard: hashes of processes whose reports arrive here directly.
+    :param unheard: hashes of known processes whose reports do not arrive
+        here directly.
     :param suspects: upstreams that stopped responding.
     :param delays: seconds to the first bytes, by slow upstream.
+    :param leaving: incarnations of upstreams that announced their departure.
     :param revisions: newest revision received, by key prefix.
     :param connected: key prefixes whose watch is connected.
     """
@@ -48,14 +54,16 @@
     items: tuple[int, ...] = ()
     claims: tuple[int, ...] = ()
     held: tuple[int, ...] = ()
-    heard: tuple[int, ...] = ()
+    unheard: tuple[int, ...] = ()
     suspects: tuple[str, ...] = ()
     delays: dict[str, float] = attrs.field(factory=dict)
+    leaving: tuple[str, ...] = ()
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     version: int = PROTOCOL_VERSION
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_HASHES)
 def short_hash(name: str) -> int:
     """Return the 32-bit hash that names an item or a process in reports.
 
