Read job changes from one follower a failure domain; know leaving upstreams

Change: one process of each failure domain, a batch process where there is one, watches the store (follower_choice); the others read the changes from it in long polls at the store's revisions (feeds). A follower that is lost, frozen, cut from the store or behind its peers is left for the store at the same position.

A response that announces the departure of its upstream takes the upstream out of the table at once, here and through load reports at all peers, also while the store is away and for a process that restarts meanwhile.

The stand-in store lost a change that coincided with the end of a watch.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -7,7 +7,9 @@
 """
 
 import abc
+import collections
 import math
+import operator
 import random
 import time
 
@@ -17,9 +19,9 @@
 
 from ..errors import PlatformUnavailableError
 from ..transport.key_value import (
+    ChangeSource,
     KeySnapshot,
     KeyValue,
-    KeyValueService,
     WatchEvent,
     WatchProgress,
 )
@@ -38,6 +40,9 @@
 
 LAG_CHECK_INTERVAL_S = 0.1
 
+# recent changes that a mirror offers to peers that follow it
+MAX_RECENT_CHANGES = 8192
+
 
 @attrs.frozen
 class MirrorChanges:
@@ -63,6 +68,7 @@
     """Follows the keys under a prefix.
 
     :ivar revision: revision of the newest change received.
+    :ivar advanced: set, and replaced, when the position advances.
     :ivar synced: set after all keys were received once.
     :ivar is_connected: whether the watch on the service works.
     :ivar connected_since: monotonic time of the last connection to the
@@ -76,7 +82,7 @@
 
     def __init__(
         self,
-        service: KeyValueService,
+        service: ChangeSource,
         prefix: str,
         listener: MirrorListener,
         min_interval_s: float = 0,
@@ -85,6 +91,7 @@
     ) -> None:
         """Start without keys."""
         self.revision = 0
+        self.advanced = trio.Event()
         self.synced = trio.Event()
         self.is_connected = False
         self.connected_since = time.monotonic()
@@ -95,6 +102,10 @@
         self._revisions: dict[str, int] = {}
         self._stores_bodies = stores_bodies
         self._bodies: dict[str, bytes] = {}
+        self._recent_changes: collections.deque[tuple[int, str]] = (
+            collections.deque(maxlen=MAX_RECENT_CHANGES)
+        )
+        self._recent_since = 0
         self._follow_scope = trio.CancelScope()
         self._peer_revision = 0
         self._synced_revision = 0
@@ -107,6 +118,11 @@
         """Whether this mirror lags behind its peers for over ``MAX_LAG_S``."""
         return time.monotonic() - self._behind_since > MAX_LAG_S
 
+    @property
+    def position(self) -> int:
+        """Return the revision up to which all changes were received."""
+        return self._resume_revision
+
     def is_stable(self, after_s: float) -> bool:
         """Tell whether the service has been followed for ``after_s``."""
         since_s = time.monotonic() - self.connected_since
@@ -125,6 +141,34 @@
         ]
         return MirrorChanges(tuple(self._bodies), tuple(changed))
 
+    def events_after(self, revision: int) -> tuple[WatchEvent, ...] | None:
+        """Return the newest change of each key changed after a revision.
+
+        :return: the events in order of revision, none if some changes after
+            the revision are no longer known.
+        """
+        if revision < self._recent_since:
+            return None
+        newest = {
+            key: mod_revision
+            for mod_revision, key in self._recent_changes
+            if mod_revision > revision
+        }
+        return tuple(
+            WatchEvent(key, self._bodies.get(key), mod_revision)
+            for key, mod_revision in sorted(
+                newest.items(), key=operator.itemgetter(1)
+            )
+        )
+
+    def snapshot(self) -> KeySnapshot:
+        """Return all keys at the current position."""
+        entries = tuple(
+            KeyValue(key, body, self._revisions[key])
+            for key, body in self._bodies.items()
+        )
+        return KeySnapshot(entries, self.position)
+
     def apply_changes(self, changes: MirrorChanges) -> None:
         """Apply the changes of a peer's mirror or of a snapshot.
 
@@ -183,6 +227,8 @@
     def _apply_snapshot(self, snapshot: KeySnapshot) -> None:
         keys = tuple(entry.key for entry in snapshot.entries)
         self.apply_changes(MirrorChanges(keys, snapshot.entries))
+        # deletions before the snapshot are not among the recent changes
+        self._recent_since = max(self._recent_since, snapshot.revision)
         self._advance_to(snapshot.revision)
 
     def _advance_to(self, revision: int) -> None:
@@ -199,12 +245,15 @@
                 'mirror:synced', prefix=self._prefix, keys=len(self._revisions)
             )
         self.is_connected = True
+        self.advanced.set()
+        self.advanced = trio.Event()
 
     def _apply_event(self, event: WatchEvent) -> None:
         """Apply a change unless a newer one of its key was applied."""
         self.revision = max(self.revision, event.mod_revision)
         if event.mod_revision <= self._revisions.get(event.key, 0):
             return
+        self._record_recent(event)
         if event.body is None:
             self._remove_key(event.key)
         else:
@@ -213,6 +262,14 @@
                 self._bodies[event.key] = event.body
         self._listener.apply_key(event.key, event.body)
 
+    def _record_recent(self, event: WatchEvent) -> None:
+        """Add a change to the recent ones; the oldest one may be dropped."""
+        if len(self._recent_changes) == MAX_RECENT_CHANGES:
+            self._recent_since = max(
+                self._recent_since, self._recent_changes[0][0]
+            )
+        self._recent_changes.append((event.mod_revision, event.key))
+
     def _remove_key(self, key: str) -> None:
         self._revisions.pop(key, None)
         self._bodies.pop(key, None)
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -205,7 +205,7 @@
         return tuple(map(short_hash, silent_peers + silent_members))
 
     def update_member(self, name: str, *, is_registered: bool) -> None:
-        """Add a registered process, whose reports are expected, or remove it."""
+        """Expect reports of a registered process, or no longer."""
         if is_registered:
             self._member_since.setdefault(name, time.monotonic())
         else:
--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -110,6 +110,10 @@
     def reports_not_executed(self, head: ResponseHead) -> bool:
         """Tell whether a response reports that the request was not run."""
 
+    @abc.abstractmethod
+    def reports_leaving(self, head: ResponseHead) -> bool:
+        """Tell whether a response announces that its upstream will stop."""
+
     @abc.abstractmethod
     def response_headers(self, head: ResponseHead) -> Headers:
         """Build the caller's headers from those of an upstream's response."""
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -14,7 +14,7 @@
 
 from ..errors import BriarrillError, UpstreamLostError
 from ..transport.http_callers import CallerConnection, CallerLimits
-from ..transport.http_channel import connect
+from ..transport.http_channel import HttpChannel, connect
 from ..transport.http_messages import RequestHead
 from .load_exchange import LoadExchange
 from .mirror import Mirror, MirrorChanges
@@ -24,6 +24,7 @@
     'PeerResource',
     'StateTransfer',
     'request_from_peer',
+    'send_peer_request',
 )
 
 MIRROR_CHECK_INTERVAL_S = 0.3
@@ -157,7 +158,7 @@
 async def request_from_peer(
     address: tuple[str, int], path: str, body: bytes = b''
 ) -> bytes | None:
-    """Send a request to a peer's state transfer port.
+    """Send a request to a peer's state transfer port on a new connection.
 
     :return: the reply, or none if the peer rejects the request.
 
@@ -165,16 +166,30 @@
     :raises UpstreamLostError: the connection was lost before the reply.
     """
     channel = await connect(address, FETCH_TIMEOUT_S)
-    length = str(len(body)).encode()
     try:
-        head = RequestHead(
-            b'POST',
-            path.encode(),
-            ((b'host', address[0].encode()), (b'content-length', length)),
-        )
-        async with channel.exchange(head, body):
-            response = await channel.read_head()
-            raw = await channel.read_full_body(MAX_STATE_BYTES)
+        return await send_peer_request(channel, address, path, body)
     finally:
         channel.close()
+
+
+async def send_peer_request(
+    channel: HttpChannel, address: tuple[str, int], path: str, body: bytes
+) -> bytes | None:
+    """Send a request to a peer on an open connection.
+
+    :return: the reply, or none if the peer rejects the request.
+
+    :raises UpstreamLostError: the connection was lost before the reply.
+    """
+    head = RequestHead(
+        b'POST',
+        path.encode(),
+        (
+            (b'host', address[0].encode()),
+            (b'content-length', str(len(body)).encode()),
+        ),
+    )
+    async with channel.exchange(head, body):
+        response = await channel.read_head()
+        raw = await channel.read_full_body(MAX_STATE_BYTES)
     return raw if response.status == _HTTP_OK else None
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -5,6 +5,7 @@
 been reachable for some time, so that live upstreams can register again.
 """
 
+import time
 from collections.abc import Callable
 
 import attrs
@@ -16,6 +17,10 @@
 # service: a heartbeat interval of the largest deployments, and a margin
 RETURN_GRACE_S = 2.5
 
+# time for which the announced departure of an upstream that is not registered
+# is remembered; it may register again after an outage
+DEPARTURE_RETENTION_S = 60.0
+
 
 @attrs.frozen
 class RegisteredUpstream:
@@ -50,6 +55,7 @@
         self._is_service_stable = is_service_stable
         self._upstreams: dict[str, RegisteredUpstream] = {}
         self._missing: set[str] = set()
+        self._leaving_since: dict[str, float] = {}
 
     @property
     def registered_upstreams(self) -> tuple[RegisteredUpstream, ...]:
@@ -63,13 +69,41 @@
         return self._upstreams.get(upstream_id)
 
     def accepting_upstreams(self, service: str) -> list[RegisteredUpstream]:
-        """Return the upstreams of a service that are not draining."""
+        """Return the upstreams of a service that are not draining.
+
+        Those that announced their departure are not among them.
+        """
         return [
             upstream
             for upstream in self.registered_upstreams
-            if upstream.service == service and not upstream.is_draining
+            if upstream.service == service
+            and not upstream.is_draining
+            and upstream.incarnation not in self._leaving_since
         ]
 
+    @property
+    def leaving_incarnations(self) -> tuple[str, ...]:
+        """Return the registered incarnations that are known to leave."""
+        if not self._leaving_since:
+            return ()
+        return tuple(
+            upstream.incarnation
+            for upstream in self.registered_upstreams
+            if upstream.incarnation in self._leaving_since
+        )
+
+    def mark_leaving(self, incarnation: str) -> None:
+        """Record that an incarnation of an upstream announced its departure.
+
+        Its registration may say so later, or not before the key-value service
+        is reachable again.
+        """
+        if incarnation in self._leaving_since:
+            return
+        self._forget_old_departures()
+        self._leaving_since[incarnation] = time.monotonic()
+        log_message('upstream:leaving', incarnation=incarnation)
+
     def register(self, upstream: RegisteredUpstream) -> None:
         """Add or replace a registration."""
         previous = self._upstreams.get(upstream.upstream_id)
@@ -100,3 +134,11 @@
             self._upstreams.pop(upstream_id, None)
             log_message('upstream:gone', upstream=upstream_id)
         self._missing.clear()
+
+    def _forget_old_departures(self) -> None:
+        """Remove old announcements of upstreams that are not registered."""
+        registered = {one.incarnation for one in self._upstreams.values()}
+        oldest = time.monotonic() - DEPARTURE_RETENTION_S
+        for incarnation, since in list(self._leaving_since.items()):
+            if since < oldest and incarnation not in registered:
+                self._leaving_since.pop(incarnation)
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -12,7 +12,7 @@
 from ..coordination.routes import Route
 from ..coordination.silence import SilenceDetector
 from ..coordination.start_delays import StartDelays
-from ..coordination.upstream_table import RegisteredUpstream
+from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import BriarrillError, PeerUnreachableError, UpstreamLostError
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import ResponseHead
@@ -42,11 +42,13 @@
     :param protocol: builds and reads the heads of messages.
     :param silence: records when each upstream sent bytes.
     :param delays: records each upstream's time to the first byte.
+    :param upstreams: records which upstreams announce their departure.
     """
 
     protocol: RelayProtocol
     silence: SilenceDetector
     delays: StartDelays
+    upstreams: UpstreamTable
     _pool: ChannelPool = attrs.field(
         factory=lambda: ChannelPool(CONNECT_TIMEOUT_S), init=False
     )
@@ -123,6 +125,8 @@
                             call, received
                         )
                     )
+                if self.protocol.reports_leaving(response_head):
+                    self.upstreams.mark_leaving(upstream.incarnation)
                 if response_head.status == _HTTP_OK:
                     record_first_bytes()
             if response_head.status != _HTTP_OK:
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -44,10 +44,13 @@
             process=cfg.name,
             upstreams=parts.upstreams,
             load=parts.load,
-            is_connected=lambda: parts.mirrors[ROOT_PREFIX].is_connected,
+            is_connected=lambda: parts.is_connected(ROOT_PREFIX),
         )
         runner = ItemRunner(
-            PlatformRelayProtocol(), parts.load.silence, parts.load.delays
+            PlatformRelayProtocol(),
+            parts.load.silence,
+            parts.load.delays,
+            parts.upstreams,
         )
         scheduler = Scheduler(jobs, slots, handover, runner, committer)
         _connect_reports(parts, scheduler)
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -9,6 +9,8 @@
 from eliot import log_message
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from ..coordination.feeds import FEED_PATH, FeedServer, FeedSource
+from ..coordination.follower_choice import FollowerCandidate, choose_follower
 from ..coordination.hedged_writes import WRITE_PATH, HedgedWrites
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.mirror import Mirror, MirrorListener
@@ -40,8 +42,8 @@
     'watch_signals',
 )
 
-# shortest time between two reads of changed jobs and results; callers read
-# results about twice a second
+# shortest time between two reads of changed jobs and results by the process
+# that follows them; callers read results about twice a second
 JOBS_WATCH_INTERVAL_S = 0.3
 
 _HTTP_OK = 200
@@ -105,21 +107,57 @@
         """Add role, drain state and mirror state to a load report."""
         return attrs.evolve(
             report,
+            failure_domain=self.cfg.failure_domain,
             runs_batch=self.runs_batch,
             is_leaving=self.readiness.is_draining,
+            leaving=self.upstreams.leaving_incarnations,
             revisions={
                 prefix: mirror.revision
                 for prefix, mirror in self.mirrors.items()
             },
-            connected=tuple(
-                prefix
-                for prefix, mirror in self.mirrors.items()
-                if mirror.is_connected
+            connected=tuple(filter(self.is_connected, self.mirrors)),
+        )
+
+    def is_connected(self, prefix: str) -> bool:
+        """Whether a prefix's changes arrive and the store replies."""
+        return self.store.is_reachable and self.mirrors[prefix].is_connected
+
+    def follower_host(self) -> str | None:
+        """Return the host of another process that watches the store.
+
+        None if this process is to watch it for its failure domain.
+        """
+        domain = self.cfg.failure_domain
+        peers = {
+            report.process: report for report in self.load.peers.reachable
+        }
+        candidates = [
+            FollowerCandidate(
+                name=report.process,
+                failure_domain=report.failure_domain,
+                is_able=(
+                    ROOT_PREFIX in report.connected and not report.is_leaving
+                ),
+                is_preferred=report.runs_batch,
+            )
+            for report in peers.values()
+        ]
+        own = FollowerCandidate(
+            name=self.cfg.name,
+            failure_domain=domain,
+            is_able=(
+                self.is_connected(ROOT_PREFIX)
+                and not self.readiness.is_draining
             ),
+            is_preferred=self.runs_batch,
         )
+        follower = choose_follower(domain, [own, *candidates])
+        return peers[follower].host if follower in peers else None
 
-    def record_peer_revisions(self, report: LoadReport) -> None:
-        """Record a peer's newest revisions at the mirrors."""
+    def record_peer_state(self, report: LoadReport) -> None:
+        """Record a peer's newest revisions and the departures it knows."""
+        for incarnation in report.leaving:
+            self.upstreams.mark_leaving(incarnation)
         for prefix in report.connected:
             mirror = self.mirrors.get(prefix)
             if mirror is not None:
@@ -146,10 +184,17 @@
         Registrations(upstreams),
         stores_bodies=True,
     )
+    parts: ProcessParts
+    jobs_source = FeedSource(
+        store, lambda: parts.follower_host(), cfg.peer_port
+    )
     mirrors[ROOT_PREFIX] = Mirror(
-        store, ROOT_PREFIX, own_keys, JOBS_WATCH_INTERVAL_S, stores_bodies=True
+        jobs_source,
+        ROOT_PREFIX,
+        own_keys,
+        JOBS_WATCH_INTERVAL_S,
+        stores_bodies=True,
     )
-    parts: ProcessParts
     load = LoadExchange(
         process=cfg.name,
         host=cfg.host,
@@ -173,7 +218,7 @@
         runs_batch=runs_batch,
         writes=HedgedWrites(store, load, cfg.peer_port),
     )
-    load.on_report.append(parts.record_peer_revisions)
+    load.on_report.append(parts.record_peer_state)
     return parts
 
 
@@ -198,7 +243,10 @@
         load=parts.load,
         port=cfg.peer_port,
         resources=parts.resources,
-        request_handlers={WRITE_PATH: parts.writes.apply_peer_write},
+        request_handlers={
+            WRITE_PATH: parts.writes.apply_peer_write,
+            FEED_PATH: FeedServer(parts.mirrors).serve,
+        },
     )
     address = (cfg.host, cfg.peer_port)
     async with (
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -27,6 +27,7 @@
 _DEADLINE_MS = b'briarrill-deadline-ms'
 _EXPECT_INSTANCE = b'briarrill-expect-instance'
 _NOT_EXECUTED = b'briarrill-not-executed'
+_SERVER_LEAVING = b'server-leaving'
 _WAIT_MS = b'briarrill-wait-ms'
 _LAST_EVENT_ID = b'last-event-id'
 _CONTENT_LENGTH = b'content-length'
@@ -147,6 +148,10 @@
             return True
         return find_header(head.headers, _NOT_EXECUTED) is not None
 
+    def reports_leaving(self, head: ResponseHead) -> bool:
+        """Whether the response announces the departure of its upstream."""
+        return find_header(head.headers, _SERVER_LEAVING) is not None
+
     def response_headers(self, head: ResponseHead) -> Headers:
         """Return the end-to-end headers of an upstream's response."""
         return end_to_end_headers(head.headers, _NO_HEADERS)
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import itertools
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -22,6 +22,7 @@
 from ..transport.http_channel import ChannelPool
 from ..transport.http_messages import RequestHead
 from ..transport.key_value import (
+    ChangeStream,
     KeyChange,
     KeySnapshot,
     KeyValue,
@@ -48,6 +49,10 @@
 # a page holds at most 1 MB of values; base64 and field names add half of it
 MAX_REPLY_BYTES = 8_000_000
 
+# calls in a row that fail until the store counts as unreachable; one alone
+# may have been sent on a connection that was just closed
+UNREACHABLE_FAILED_CALLS = 2
+
 OUTAGE_RETRY_AFTER_S = 1.0
 
 # wire form of no lease, and of the revision of a key that does not exist
@@ -138,6 +143,12 @@
         self._address = address
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._pool = ChannelPool(CONNECT_TIMEOUT_S)
+        self._failed_calls = 0
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the last calls were not all rejected or lost."""
+        return self._failed_calls < UNREACHABLE_FAILED_CALLS
 
     async def read(self, key: str) -> KeyValue | None:
         """Return a key with its value, or nothing if it does not exist."""
@@ -199,7 +210,7 @@
 
     async def follow_prefix(
         self, prefix: str, min_interval_s: float = 0, after_revision: int = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent | WatchProgress]:
+    ) -> ChangeStream:
         """Yield a snapshot of the keys under a prefix, then each change.
 
         :param min_interval_s: pause after changes, so that later ones come
@@ -340,10 +351,16 @@
         if body:
             headers.append((b'content-type', b'application/json'))
         head = RequestHead(method.encode(), target.encode(), tuple(headers))
-        with trio.fail_after(timeout_s):
-            raw = await self._exchange(head, body)
+        try:
+            with trio.fail_after(timeout_s):
+                raw = await self._exchange(head, body)
+        except (BriarrillError, trio.TooSlowError):
+            self._failed_calls += 1
+            raise
         if raw.status in _REJECTED_STATUSES:
+            self._failed_calls += 1
             raise _StatusError(raw.status)
+        self._failed_calls = 0
         return raw
 
     async def _exchange(self, head: RequestHead, body: bytes) -> _RawReply:
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -27,6 +27,7 @@
     :param process: the instance's name, unique in the fleet.
     :param incarnation: number of the process start; increases with each.
     :param sequence: number of the report within the incarnation.
+    :param failure_domain: the process's.
     :param runs_batch: whether the process runs batch items.
     :param is_leaving: whether the process is draining.
     :param online: requests in flight by upstream.
@@ -40,13 +41,15 @@
     :param delays: seconds to the first bytes, by slow upstream.
     :param leaving: incarnations of upstreams that announced their departure.
     :param revisions: newest revision received, by key prefix.
-    :param connected: key prefixes whose watch is connected.
+    :param connected: key prefixes whose changes arrive, none if the
+        key-value service does not reply to the process.
     """
 
     process: str
     host: str
     incarnation: int
     sequence: int
+    failure_domain: str = ''
     runs_batch: bool = False
     is_leaving: bool = False
     online: dict[str, int] = attrs.field(factory=dict)
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -277,6 +277,8 @@
                 response_head = await self._read_head(
                     attempt, upstream, channel
                 )
+                if self._protocol.reports_leaving(response_head):
+                    self._upstreams.mark_leaving(upstream.incarnation)
                 if self._protocol.reports_not_executed(response_head):
                     await channel.read_full_body(MAX_BUFFERED_RESPONSE_BYTES)
                     raise OverloadedError(
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -10,12 +10,12 @@
 from ..errors import PlatformUnavailableError, WriteUnknownError
 from ..metrics import KEY_VALUE_CALLS
 from .key_value import (
+    ChangeStream,
     KeyChange,
     KeySnapshot,
     KeyValue,
     KeyValueService,
     WatchEvent,
-    WatchProgress,
 )
 
 __all__ = ('EtcdService', 'prefix_end')
@@ -131,7 +131,7 @@
 
     async def follow_prefix(
         self, prefix: str, min_interval_s: float = 0, after_revision: int = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent | WatchProgress]:
+    ) -> ChangeStream:
         """Yield a snapshot of a prefix, then each change of its keys."""
         create = {
             'create_request': {
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -1,11 +1,13 @@
 """briarrill.transport.key_value: interface of the key-value service."""
 
 import abc
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncGenerator, AsyncIterator, Sequence
 
 import attrs
 
 __all__ = (
+    'ChangeSource',
+    'ChangeStream',
     'KeyChange',
     'KeySnapshot',
     'KeyValue',
@@ -71,7 +73,34 @@
     revision: int = 0
 
 
-class KeyValueService(abc.ABC):
+#: What a followed prefix yields; it must be closed after use.
+ChangeStream = AsyncGenerator[KeySnapshot | WatchEvent | WatchProgress, None]
+
+
+class ChangeSource(abc.ABC):
+    """Interface of what yields the changes of keys."""
+
+    @abc.abstractmethod
+    def follow_prefix(
+        self, prefix: str, min_interval_s: float = 0, after_revision: int = 0
+    ) -> ChangeStream:
+        """Yield a snapshot of a prefix, then each change of its keys.
+
+        :param min_interval_s: minimum interval between two calls to the
+            service, for changes that are not urgent; default none. A service
+            that pushes changes makes one call and ignores it.
+        :param after_revision: revision of an earlier :class:`WatchProgress`
+            from which to resume without a snapshot, default none. A service
+            that yields no progress ignores it.
+
+        Another snapshot follows when changes may have been missed. Changes
+        that a snapshot includes may be yielded again with old revisions.
+
+        :raises PlatformUnavailableError: the watch ended.
+        """
+
+
+class KeyValueService(ChangeSource):
     """Interface of a key-value service with leases and watches.
 
     Each call counts against the service's rate limits; an open watch counts
@@ -179,22 +208,3 @@
             elif isinstance(change, KeySnapshot):
                 for entry in change.entries:
                     yield WatchEvent(entry.key, entry.body, entry.mod_revision)
-
-    @abc.abstractmethod
-    def follow_prefix(
-        self, prefix: str, min_interval_s: float = 0, after_revision: int = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent | WatchProgress]:
-        """Yield a snapshot of a prefix, then each change of its keys.
-
-        :param min_interval_s: minimum interval between two calls to the
-            service, for changes that are not urgent; default none. A service
-            that pushes changes makes one call and ignores it.
-        :param after_revision: revision of an earlier :class:`WatchProgress`
-            from which to resume without a snapshot, default none. A service
-            that yields no progress ignores it.
-
-        Another snapshot follows when changes may have been missed. Changes
-        that a snapshot includes may be yielded again with old revisions.
-
-        :raises PlatformUnavailableError: the watch ended.
-        """
--- a/standins/memory_key_value.py
+++ b/standins/memory_key_value.py
@@ -5,19 +5,19 @@
 
 import collections
 import itertools
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 
 import attrs
 import trio
 
 from briarrill.errors import PlatformUnavailableError, WriteUnknownError
 from briarrill.transport.key_value import (
+    ChangeStream,
     KeyChange,
     KeySnapshot,
     KeyValue,
     KeyValueService,
     WatchEvent,
-    WatchProgress,
 )
 
 __all__ = ('MemoryKeyValue',)
@@ -146,7 +146,7 @@
 
     async def follow_prefix(
         self, prefix: str, min_interval_s: float = 0, after_revision: int = 0
-    ) -> AsyncIterator[KeySnapshot | WatchEvent | WatchProgress]:
+    ) -> ChangeStream:
         """Yield a snapshot of the keys under a prefix, then each change.
 
         Ignores ``min_interval_s`` and ``after_revision``: it pushes changes
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -27,6 +27,7 @@
     'StandinEngine',
     'encode_event',
     'reject_unexecuted',
+    'respond_leaving',
     'respond_with',
     'stream_events',
 )
@@ -97,6 +98,11 @@
     return respond
 
 
+def respond_leaving(body: bytes) -> Behaviour:
+    """Return a behaviour that announces the upstream's departure."""
+    return respond_with(body, 200, ((b'server-leaving', b'1'),))
+
+
 def reject_unexecuted(status: int = 503) -> Behaviour:
     """Return a behaviour that rejects the request before running it."""
     return respond_with(b'', status, ((b'briarrill-not-executed', b'1'),))
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -157,8 +157,11 @@
 
     async def _watch(self, fields: dict[str, str]) -> JsonResponse:
         after = int(fields['after'])
+        seen_revision = self.revision
         with trio.move_on_after(int(fields['wait_ms']) / 1000):
             while True:
+                # a change during the wait may coincide with its end
+                seen_revision = self.revision
                 if after < self._compacted_revision:
                     return HTTPStatus.GONE, {}
                 matching = [
@@ -173,7 +176,7 @@
                         'at': self.revision,
                     }
                 await self._changed.wait()
-        return HTTPStatus.OK, {'events': [], 'at': self.revision}
+        return HTTPStatus.OK, {'events': [], 'at': seen_revision}
 
     def _receive_txn(self, txn: dict[str, Any]) -> JsonResponse | None:
         if self.delay_writes:
--- a/tests/coordination/test_upstream_table.py
+++ b/tests/coordination/test_upstream_table.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from briarrill.coordination import upstream_table
 from briarrill.coordination.upstream_table import (
     RegisteredUpstream,
     UpstreamTable,
@@ -51,3 +52,37 @@
     table.register(attrs.evolve(UPSTREAM, is_draining=True))
     assert table.accepting_upstreams('llm') == []
     assert len(table.registered_upstreams) == 1
+
+
+def test_upstream_that_announced_its_departure_accepts_no_requests():
+    table, _ = _table()
+    leaving = attrs.evolve(UPSTREAM, incarnation='i-1/7')
+    table.register(leaving)
+    table.mark_leaving('i-1/7')
+    assert table.accepting_upstreams('llm') == []
+    assert table.leaving_incarnations == ('i-1/7',)
+    table.register(leaving)
+    assert table.accepting_upstreams('llm') == []
+    restarted = attrs.evolve(UPSTREAM, incarnation='i-1/8')
+    table.register(restarted)
+    assert table.accepting_upstreams('llm') == [restarted]
+    assert table.leaving_incarnations == ()
+
+
+def test_departure_outlives_a_registration_lost_in_an_outage():
+    table, service = _table()
+    leaving = attrs.evolve(UPSTREAM, incarnation='i-1/7')
+    table.mark_leaving('i-1/7')
+    table.unregister('i-1')
+    table.register(leaving)
+    assert table.accepting_upstreams('llm') == []
+
+
+def test_old_departures_are_forgotten(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(upstream_table.time, 'monotonic', lambda: now)
+    table, _ = _table()
+    for number in range(1000):
+        now += 1
+        table.mark_leaving(f'gone/{number}')
+    assert len(table._leaving_since) <= 62
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -68,7 +68,10 @@
             self.slots,
             Handover('me', self.load, 0, {}),
             ItemRunner(
-                PlatformRelayProtocol(), self.load.silence, self.load.delays
+                PlatformRelayProtocol(),
+                self.load.silence,
+                self.load.delays,
+                upstreams,
             ),
             self.committer,
         )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -182,3 +182,28 @@
     client = PlatformStore(('127.0.0.1', 1))
     with pytest.raises(PlatformUnavailableError):
         await client.transact([KeyChange('k', b'x', 0)])
+
+
+async def test_store_counts_as_unreachable_after_calls_that_failed():
+    """Calls in flight, such as long watches, say nothing about it."""
+    async with store() as (client, standin), trio.open_nursery() as nursery:
+        for number in range(4):
+            nursery.start_soon(_follow_until_cancelled, client, f'{number}/')
+        await trio.sleep(0.1)
+        assert client.is_reachable
+        nursery.cancel_scope.cancel()
+    async with store() as (client, standin):
+        standin.error_status = 503
+        for is_reachable in (True, False):
+            with pytest.raises(PlatformUnavailableError):
+                await client.read('k')
+            assert client.is_reachable is is_reachable
+        standin.error_status = 0
+        await client.read('k')
+        assert client.is_reachable
+
+
+async def _follow_until_cancelled(client, prefix):
+    async with contextlib.aclosing(client.follow_prefix(prefix)) as changes:
+        async for _ in changes:
+            await trio.lowlevel.checkpoint()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -18,6 +18,7 @@
 from standins.platform_engine import (
     StandinEngine,
     encode_event,
+    respond_leaving,
     respond_with,
     stream_events,
 )
@@ -98,6 +99,10 @@
                 return page
             await trio.sleep(0.05)
 
+    def register_upstream(self, upstream_id, host):
+        """Register a further upstream on a host."""
+        _register_upstream(self.store, upstream_id, host)
+
     async def submit(self, job_id, count, tokens=10):
         """Submit a job of ``count`` items; return the status."""
         items = [
@@ -160,6 +165,18 @@
     )
 
 
+def _register_upstream(store, upstream_id, host):
+    registration = {
+        'service': 'llm',
+        'address': f'{host}:8080',
+        'zone': 'a',
+        'slots': 4,
+        'state': 'ready',
+        'born': 1_700_000_000_000,
+    }
+    store.put(f'servers/{upstream_id}', json.dumps(registration).encode())
+
+
 async def _wait_ready(host):
     head = RequestHead(b'GET', b'/ready', ((b'host', b'h'),))
     while True:
@@ -177,14 +194,7 @@
         StandinEngine(stream_events(5, pause_s=0.01)),
     )
     store.put('op/config', json.dumps(ROUTES).encode())
-    registration = {
-        'service': 'llm',
-        'address': f'{network}.9:8080',
-        'zone': 'a',
-        'slots': 4,
-        'state': 'ready',
-    }
-    store.put('servers/i-1', json.dumps(registration).encode())
+    _register_upstream(store, 'i-1', f'{network}.9')
     async with (
         serve_callers(
             (f'{network}.1', STORE_PORT), store.caller_limits, store.serve
@@ -313,3 +323,35 @@
     )
     status, _ = await _send_request(address, head)
     assert status == 200
+
+
+async def test_leaving_upstream_gets_no_requests_while_the_store_is_away(
+    fleet, tmp_path
+):
+    """Its announcement reaches peers, and processes that start later."""
+    fleet.engine.behaviours = [respond_leaving(b'last')]
+    other = StandinEngine(respond_with(b'ok'))
+    other_host = f'{fleet.network}.8'
+    fleet.register_upstream('i-2', other_host)
+    async with serve_callers(
+        (other_host, 8080), other.caller_limits, other.serve
+    ):
+        while not (other.requests and fleet.engine.requests):
+            await fleet.send_request('POST', '/online/x', b'prompt')
+            fleet.store.error_status = 503 if other.requests else 0
+        fleet.store.error_status = 503
+        for _ in range(10):
+            await fleet.send_request('POST', '/online/x', b'prompt')
+        assert len(fleet.engine.requests) == 1
+        process = await _start_process(fleet.network, tmp_path, 'entry', 4)
+        fleet.processes['second'] = process
+        await _wait_ready(f'{fleet.network}.4')
+        head = RequestHead(
+            b'POST',
+            b'/online/x',
+            ((b'host', b'h'), (b'briarrill-attempt-id', b'r2')),
+        )
+        for _ in range(10):
+            await _send_request((f'{fleet.network}.4', FRONT_PORT), head)
+        assert len(fleet.engine.requests) == 1
+        assert len(other.requests) > 20
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -317,3 +317,21 @@
         with pytest.raises(UpstreamLostError):
             await setup.send_request(RESUMABLE_STREAM.prefix)
     assert len(second.requests) == 1
+
+
+@pytest.mark.parametrize('status', [200, 503])
+async def test_upstream_that_announces_its_departure_is_not_used_again(
+    status,
+):
+    """Also if it rejects the request that it answers."""
+    extra = ((b'server-leaving', b'1'),)
+    if status != 200:
+        extra += ((b'briarrill-not-executed', b'1'),)
+    first = StandinEngine(respond_with(b'last', status, extra))
+    second = StandinEngine(respond_with(b'ok'))
+    async with run_front_end([NON_IDEMPOTENT], first, second) as setup:
+        for _ in range(4):
+            answered, _, _ = await setup.send_request(NON_IDEMPOTENT.prefix)
+            assert answered == 200
+        assert setup.upstreams.leaving_incarnations == ('i-0',)
+    assert len(first.requests) == 1
