Compare few upstreams while reports are old, and send fewer reports

Change: the number of upstreams that placement compares falls with the number of requests that the reports lack, to two chosen at random. Datagrams are sent without the event loop and read together after a short pause.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -1,14 +1,12 @@
 """briarrill.coordination.load_exchange: share in-flight counts by UDP.
 
 Upstreams admit requests in order of arrival and report their load late. So
-each process sends its in-flight requests per upstream to all the others,
-soon after a change and at least once per heartbeat interval. A process that
-sends no report for a while counts as gone.
+each process sends its in-flight requests per upstream to all the others. A
+process that sends no report for a while counts as gone.
 """
 
 import collections
 import contextlib
-import random
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -19,28 +17,14 @@
 
 from ..errors import MalformedMessageError
 from ..metrics import MALFORMED_MESSAGES
-from ..protocol.load_reports import LoadReport, decode_report, encode_report
+from ..protocol.load_reports import LoadReport, decode_report
 from .peer_reports import PeerLoad, PeerReports
+from .report_sender import ReportSender, report_pause_s
 from .silence import SilenceDetector
 from .start_delays import StartDelays
 
 __all__ = ('InFlight', 'LoadExchange')
 
-# longest interval between two reports
-HEARTBEAT_INTERVAL_S = 0.25
-
-# lower bound of the random factor on the interval, which keeps processes
-# from sending at the same moment
-MIN_JITTER_FACTOR = 0.8
-
-# shortest pause between two reports, and the time that each peer adds to it,
-# so that the number of reports in a fleet grows with its size, not its square
-MIN_REPORT_PAUSE_S = 0.04
-REPORT_PAUSE_PER_PEER_S = 0.002
-
-# shortest pause before an urgent report, on which peers must act at once
-MIN_URGENT_PAUSE_S = 0.004
-
 MAX_DATAGRAM_BYTES = 65_536
 
 
@@ -77,6 +61,8 @@
     :param seeds: hosts that get reports before the fleet is known.
     :param complete_report: fills in report fields that this class does not
         know.
+    :param receive_pause_s: pause after which arrived reports are read
+        together, default none.
     """
 
     def __init__(
@@ -86,6 +72,8 @@
         port: int,
         seeds: tuple[str, ...],
         complete_report: Callable[[LoadReport], LoadReport],
+        *,
+        receive_pause_s: float = 0,
     ) -> None:
         """Start without peers."""
         self.in_flight = InFlight(self.schedule_report)
@@ -97,12 +85,14 @@
         self._port = port
         self._seeds = seeds
         self.complete_report = complete_report
+        self._receive_pause_s = receive_pause_s
         self._members: dict[str, str] = {}
         self.peers = PeerReports(process)
         self._incarnation = time.time_ns()
         self._sequence = 0
-        self._report_due = trio.Event()
-        self._urgent_due = trio.Event()
+        self._sender = ReportSender(
+            port, self.make_report, self._report_hosts, self._batch_hosts
+        )
 
     @property
     def live_reports(self) -> dict[str, LoadReport]:
@@ -119,6 +109,11 @@
         """Return the summed load of the live peers."""
         return self.peers.load
 
+    @property
+    def mean_report_age_s(self) -> float:
+        """Return the mean age of the peers' reports while load changes."""
+        return report_pause_s(len(self.live_reports)) / 2
+
     def online(self, upstream_id: str) -> int:
         """Return the online requests of all processes at an upstream."""
         own = self.in_flight.online[upstream_id]
@@ -163,24 +158,26 @@
 
     def schedule_report(self) -> None:
         """Have a report sent after the shortest regular pause."""
-        self._report_due.set()
+        self._sender.schedule()
 
     def schedule_urgent_report(self) -> None:
-        """Have a report sent without the regular pause.
+        """Have a report sent to batch processes without the pause.
 
-        Peers act on it, for instance by preempting batch items.
+        They act on it, for instance by preempting batch items.
         """
-        self._urgent_due.set()
-        self._report_due.set()
+        self._sender.schedule_urgent()
 
     async def run(self) -> None:
         """Send and receive reports until cancelled."""
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        with sock:
-            await sock.bind((self._host, self._port))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.setblocking(False)
+            sock.bind((self._host, self._port))
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_reports, sock)
-                await self._receive(sock)
+                nursery.start_soon(self._sender.run, sock)
+                while True:
+                    await trio.lowlevel.wait_readable(sock)
+                    self._receive_all(sock)
+                    await trio.sleep(self._receive_pause_s)
 
     def receive_report(
         self, report: LoadReport, *, is_direct: bool = True
@@ -215,19 +212,21 @@
             )
         )
 
-    async def _receive(self, sock: trio.socket.SocketType) -> None:
-        """Receive datagrams until cancelled; log socket errors."""
+    def _receive_all(self, sock: socket.socket) -> None:
+        """Process the datagrams that have arrived; log socket errors."""
         while True:
             try:
-                raw, address = await sock.recvfrom(MAX_DATAGRAM_BYTES)
+                raw, address = sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
             except OSError as exc:
                 # ICMP error for an earlier datagram to a stopped process
                 log_message('peer:unreachable', reason=repr(exc))
                 continue
-            await self._process_datagram(sock, raw, address[0])
+            self._process_datagram(sock, raw, address[0])
 
-    async def _process_datagram(
-        self, sock: trio.socket.SocketType, raw: bytes, sender: str
+    def _process_datagram(
+        self, sock: socket.socket, raw: bytes, sender: str
     ) -> None:
         """Store a received report and forward it around cut links.
 
@@ -242,53 +241,7 @@
         is_direct = sender == report.host
         self.receive_report(report, is_direct=is_direct)
         for host in self.peers.relay_hosts(report) if is_direct else ():
-            await self._send(sock, raw, host)
-
-    async def _send(
-        self, sock: trio.socket.SocketType, raw: bytes, host: str
-    ) -> None:
-        # a report that cannot be sent is superseded by the next one
-        with contextlib.suppress(OSError):
-            await sock.sendto(raw, (host, self._port))
-
-    async def _send_reports(self, sock: trio.socket.SocketType) -> None:
-        """Send reports to all hosts until cancelled.
-
-        Hosts without a batch process get them without batch item fields.
-        """
-        while True:
-            hosts = self._report_hosts()
-            report = self.make_report()
-            full_report = encode_report(report)
-            summary = encode_report(
-                attrs.evolve(report, items=(), claims=(), held=())
-            )
-            batch_hosts = {
-                peer.host
-                for peer in self.live_reports.values()
-                if peer.runs_batch
-            }
-            for host in hosts:
-                raw = full_report if host in batch_hosts else summary
-                await self._send(sock, raw, host)
-            await self._pause(len(hosts))
-
-    async def _pause(self, host_count: int) -> None:
-        """Wait until the next report is due.
-
-        :param host_count: number of hosts that reports are sent to.
-        """
-        await trio.sleep(MIN_URGENT_PAUSE_S)
-        with trio.move_on_after(
-            MIN_REPORT_PAUSE_S + REPORT_PAUSE_PER_PEER_S * host_count
-        ):
-            await self._urgent_due.wait()
-        with trio.move_on_after(
-            HEARTBEAT_INTERVAL_S * random.uniform(MIN_JITTER_FACTOR, 1)
-        ):
-            await self._report_due.wait()
-        self._report_due = trio.Event()
-        self._urgent_due = trio.Event()
+            self._sender.send(sock, raw, host)
 
     def _report_hosts(self) -> set[str]:
         """Return the hosts to send to: peers, registered processes, seeds."""
@@ -297,6 +250,16 @@
         targets.discard(self._host)
         return targets
 
+    def _batch_hosts(self) -> set[str]:
+        """Return the hosts of the live batch processes.
+
+        While none is known, every host may have one.
+        """
+        hosts = {
+            peer.host for peer in self.live_reports.values() if peer.runs_batch
+        }
+        return hosts or self._report_hosts()
+
 
 def _decrement(counter: collections.Counter[str], name: str) -> None:
     counter[name] -= 1
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -230,7 +230,9 @@
         elif _sequence_key(previous.report) >= _sequence_key(report):
             return False
         else:
-            newest = attrs.evolve(previous, report=report, received_at=now)
+            newest = PeerState(
+                report, now, previous.direct_received_at, previous.direct_since
+            )
         if previous is None or not previous.is_live:
             log_message('peer:heard', peer=report.process, host=report.host)
         orphan = self._orphans.get(report.process)
--- a/briarrill/coordination/placement.py
+++ b/briarrill/coordination/placement.py
@@ -6,6 +6,11 @@
 requests per slot: batch items are preempted there, and the request queues
 only if online requests hold all slots. Upstreams that start requests late
 are excluded while others are expected to start the request sooner.
+
+Load pattern: at a peak many processes place requests between two load
+reports. If each chose the upstream with the lowest reported load, all would
+choose the same one. So the more requests the reports lack, the fewer
+upstreams are compared, chosen at random, and at least two.
 """
 
 import math
@@ -14,12 +19,20 @@
 
 import attrs
 
-__all__ = ('UpstreamCandidate', 'choose_candidate', 'expected_wait_s')
+__all__ = (
+    'UpstreamCandidate',
+    'choose_candidate',
+    'estimate_unreported',
+    'expected_wait_s',
+)
 
 # an upstream in this process's failure domain is preferred while it holds at
 # most this many more requests than another
 LOCAL_BONUS_REQUESTS = 0.5
 
+# upstreams that are compared at least, if there are as many
+MIN_COMPARED = 2
+
 # share of a pool that always remains eligible
 MIN_ELIGIBLE_SHARE = 0.5
 
@@ -60,6 +73,7 @@
     rng: random.Random,
     tolerance_s: float,
     service_time_s: float,
+    unreported: float = 0,
 ) -> UpstreamCandidate:
     """Return the upstream for one more online request.
 
@@ -69,15 +83,35 @@
     :param tolerance_s: difference between two expected start times that is
         ignored.
     :param service_time_s: how long a request holds its slot.
+    :param unreported: estimated number of requests that other processes have
+        placed since their last reports, default none.
     """
     responsive = [
         candidate for candidate in candidates if not candidate.is_suspect
     ] or candidates
     earliest = _earliest_candidates(responsive, tolerance_s, service_time_s)
-    shuffled = rng.sample(earliest, len(earliest))
-    if any(candidate.free_slots > 0 for candidate in shuffled):
-        return max(shuffled, key=_free_slot_score)
-    return min(shuffled, key=_full_upstream_score)
+    has_free = [one for one in earliest if one.free_slots > 0]
+    preemptable = [one for one in earliest if one.online < one.slots]
+    pool = has_free or preemptable or earliest
+    compared = max(MIN_COMPARED, math.ceil(len(pool) / (1 + unreported)))
+    sample = rng.sample(pool, min(compared, len(pool)))
+    if has_free:
+        return max(sample, key=_free_slot_score)
+    return min(sample, key=_full_upstream_score)
+
+
+def estimate_unreported(
+    online: int, report_age_s: float, service_time_s: float
+) -> float:
+    """Estimate the requests placed by others since their last reports.
+
+    :param online: requests in flight of the others, as reported.
+    :param report_age_s: mean age of their reports.
+    :param service_time_s: how long a request holds its slot, 0 if unknown.
+    """
+    if not service_time_s:
+        return online
+    return online * report_age_s / service_time_s
 
 
 def expected_wait_s(
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -46,6 +46,11 @@
 # that follows them; callers read results about twice a second
 JOBS_WATCH_INTERVAL_S = 0.3
 
+# pauses after which load reports that have arrived are read together; batch
+# processes preempt items on them, entries only choose upstreams
+BATCH_RECEIVE_PAUSE_S = 0.005
+ENTRY_RECEIVE_PAUSE_S = 0.03
+
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
 
@@ -201,6 +206,9 @@
         port=cfg.peer_port,
         seeds=cfg.seeds,
         complete_report=lambda report: parts.complete_report(report),
+        receive_pause_s=(
+            BATCH_RECEIVE_PAUSE_S if runs_batch else ENTRY_RECEIVE_PAUSE_S
+        ),
     )
     routing_configuration = RoutingConfigurationHolder(load.schedule_report)
     operator_keys.add(OPERATOR_PREFIX, routing_configuration)
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -17,6 +17,7 @@
 from ..coordination.placement import (
     UpstreamCandidate,
     choose_candidate,
+    estimate_unreported,
     expected_wait_s,
 )
 from ..coordination.relay_protocol import Call, RelayProtocol
@@ -146,12 +147,18 @@
                     retry_after_s=MIN_RETRY_AFTER_S,
                 ),
             )
+        service_time_s = self._service_times_of(call.service).mean_s
         candidate = choose_candidate(
             candidates,
             self._rng,
             tolerance_s=START_TOLERANCE_OBJECTIVES
             * call.route.latency_objective_s,
-            service_time_s=self._service_times_of(call.service).mean_s,
+            service_time_s=service_time_s,
+            unreported=estimate_unreported(
+                sum(self._load.peer_load.online.values()),
+                self._load.mean_report_age_s,
+                service_time_s,
+            ),
         )
         progress.candidate = candidate
         if not progress.attempts:
--- a/tests/coordination/test_load_exchange.py
+++ b/tests/coordination/test_load_exchange.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from briarrill.coordination import load_exchange, peer_reports
+from briarrill.coordination import peer_reports, report_sender
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.errors import MalformedMessageError
 from briarrill.protocol.load_reports import (
@@ -86,7 +86,7 @@
     network, monkeypatch
 ):
     """A process that starts must not act before it knows the others' load."""
-    monkeypatch.setattr(load_exchange, 'HEARTBEAT_INTERVAL_S', 60)
+    monkeypatch.setattr(report_sender, 'HEARTBEAT_INTERVAL_S', 60)
     port = 21_310
     first = _load_exchange('a', f'{network}.3', port)
     second = _load_exchange('b', f'{network}.4', port, seeds=(f'{network}.3',))
@@ -103,7 +103,7 @@
 async def test_new_member_gets_a_report_before_the_heartbeat(
     network, monkeypatch
 ):
-    monkeypatch.setattr(load_exchange, 'HEARTBEAT_INTERVAL_S', 60)
+    monkeypatch.setattr(report_sender, 'HEARTBEAT_INTERVAL_S', 60)
     port = 21_320
     first = _load_exchange('a', f'{network}.5', port)
     second = _load_exchange('b', f'{network}.6', port)
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -7,6 +7,9 @@
 import collections
 import random
 
+import pytest
+
+from bench.placement import FLEETS, late_share
 from briarrill.coordination.batch_order import urgency_key
 from briarrill.coordination.batch_shares import (
     count_items_to_preempt,
@@ -17,6 +20,7 @@
 from briarrill.coordination.placement import (
     UpstreamCandidate,
     choose_candidate,
+    estimate_unreported,
     expected_wait_s,
 )
 from briarrill.state.rendezvous import rank_nodes
@@ -81,8 +85,8 @@
 
 
 def test_batch_items_fill_free_slots_and_the_excess_is_preempted():
-    assert count_startable_items(8, 0, 0) >= 7
-    assert count_startable_items(8, 8, 0) == 0
+    assert count_startable_items(8, 0, 0, 1) == 7
+    assert count_startable_items(8, 8, 0, 1) == 0
     assert count_items_to_preempt(8, 5, {'a': 3}, 'a') == 0
     assert count_items_to_preempt(8, 6, {'a': 3}, 'a') == 1
     assert count_items_to_preempt(8, 20, {'a': 3}, 'a') == 3
@@ -153,3 +157,30 @@
         nearly_done,
         overdue,
     ]
+
+
+@pytest.mark.parametrize(
+    ('fleet', 'most'), [('5 entries', 1.0), ('58 entries', 0.5)]
+)
+def test_peak_is_spread_although_the_reports_of_many_entries_are_old(
+    fleet, most
+):
+    """Each entry alone would choose the upstream with the lowest load."""
+    share = late_share(FLEETS[fleet], 'placement')
+    for baseline in ('lowest load', 'shortest queue'):
+        assert share <= most * late_share(FLEETS[fleet], baseline)
+    assert share < late_share(FLEETS[fleet], 'random')
+
+
+def test_fewer_upstreams_are_compared_the_more_requests_are_unreported():
+    candidates = [
+        UpstreamCandidate(str(number), 8, number, 0) for number in range(8)
+    ]
+    chosen = collections.Counter(
+        choose_candidate(candidates, RNG, 0.1, 0.3, unreported=50).name
+        for _ in range(1000)
+    )
+    assert 200 < chosen['0'] < 300
+    assert choose_candidate(candidates, RNG, 0.1, 0.3).name == '0'
+    assert estimate_unreported(140, 0.15, 0.7) == pytest.approx(30)
+    assert estimate_unreported(20, 0.1, 0) == 20
