Choose whole jobs that can be in time; search slots once a pass

Cause: under twice the batch work that fits, items of all jobs ran in order of their due times, so few jobs were whole when due. A pass looked for a free slot once for each waiting item, also after the last one was taken, and sorted all upstreams for each upstream to find the own ones; each load report requested a pass.

Change: jobs are chosen by the rule of Moore and Hodgson from the mean slot time and the places that batch items really held, for four fifths of them; items of the other jobs follow in order of due time. A pass stops at the last free slot, ownership is kept until processes or upstreams change, and only reports of online requests at own upstreams request a pass.

--- a/briarrill/coordination/batch_shares.py
+++ b/briarrill/coordination/batch_shares.py
@@ -5,6 +5,7 @@
 peak, and are preempted when online requests arrive.
 """
 
+import functools
 from collections.abc import Collection, Mapping, Sequence
 
 from ..state.rendezvous import rank_nodes
@@ -14,6 +15,7 @@
     'count_startable_items',
     'is_preferred_runner',
     'is_upstream_owner',
+    'own_upstreams',
 )
 
 # slots of an upstream that batch items leave free; more are not needed, as
@@ -21,6 +23,9 @@
 # target of a first event
 RESERVED_SLOTS_PER_UPSTREAM = 1
 
+# answers of own_upstreams that are kept, some for each service
+MAX_CACHED_OWNERSHIPS = 32
+
 
 def count_startable_items(slots: int, online: int, batch: int) -> int:
     """Return how many more batch items may start at an upstream.
@@ -71,6 +76,22 @@
     return sorted(processes)[position % len(processes)] == process
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_OWNERSHIPS)
+def own_upstreams(
+    process: str, processes: tuple[str, ...], upstreams: tuple[str, ...]
+) -> frozenset[str]:
+    """Return the upstreams of a service that a process owns.
+
+    :param processes: the live batch processes.
+    :param upstreams: all upstreams of the service.
+    """
+    return frozenset(
+        upstream_id
+        for upstream_id in upstreams
+        if is_upstream_owner(process, upstream_id, processes, upstreams)
+    )
+
+
 def is_preferred_runner(
     process: str,
     competing_processes: Collection[str],
--- a/briarrill/item_runs/item_order.py
+++ b/briarrill/item_runs/item_order.py
@@ -7,11 +7,12 @@
 import contextlib
 import math
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 
-from ..coordination.batch_order import Urgency, urgency_key
+from ..coordination.batch_choice import JobWork, choose_timely_jobs
+from ..coordination.batch_order import Rank, Urgency, urgency_key
 from ..coordination.job_table import JobTable, TrackedJob
 from ..coordination.routes import Route, RouteKind, RouteTable
 from ..coordination.service_times import ServiceTimes
@@ -33,6 +34,9 @@
 # their route says
 MAX_CLOCK_SKEW_S = 5.0
 
+# interval of the choice of the jobs that are to finish in time
+CHOICE_INTERVAL_S = 0.25
+
 # lower bound of the estimate of the slot time that an item still needs
 MIN_REMAINING_SLOT_TIME_S = 0.2
 
@@ -51,19 +55,55 @@
     """Orders items by urgency.
 
     :param process: name of this process.
+    :param ran_s_by_job: returns the slot time of open items so far.
     """
 
     process: str
     jobs: JobTable
+    _ran_s_by_job: Callable[[], Mapping[str, float]]
     _first_seen_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _assigned_processes: dict[str, str] = attrs.field(factory=dict, init=False)
     _processes: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _slot_times: ServiceTimes = attrs.field(factory=ServiceTimes, init=False)
+    _timely_jobs: set[str] = attrs.field(factory=set, init=False)
+    _chosen_at: float = attrs.field(default=-math.inf, init=False)
 
     def record_slot_time(self, ran_s: float) -> None:
         """Record the slot time of a completed item for estimates."""
         self._slot_times.add(ran_s)
 
+    def choose_timely_jobs(
+        self, routes: RouteTable, places_of: Callable[[Route], float]
+    ) -> None:
+        """Choose again, at intervals, which jobs are to finish in time.
+
+        :param places_of: returns the mean number of slots for a route.
+        """
+        if time.monotonic() - self._chosen_at < CHOICE_INTERVAL_S:
+            return
+        self._chosen_at = time.monotonic()
+        ran_s_by_job = self._ran_s_by_job()
+        work_by_service: dict[str, list[JobWork]] = {}
+        places: dict[str, float] = {}
+        for tracked in self.jobs.tracked_jobs:
+            if tracked.job is None or not tracked.is_open:
+                continue
+            route = self.route_of(tracked.job, routes)
+            if route is not None:
+                service = route.targets[0].service
+                places[service] = places_of(route)
+                work_by_service.setdefault(service, []).append(
+                    self._work_of(
+                        tracked, route, ran_s_by_job.get(tracked.job_id, 0)
+                    )
+                )
+        self._timely_jobs = set[str]().union(
+            *(
+                choose_timely_jobs(work, places[service])
+                for service, work in work_by_service.items()
+            )
+        )
+
     def startable_items(
         self,
         routes: RouteTable,
@@ -111,23 +151,18 @@
         """Return the sort key of a running item."""
         tracked = self.jobs.find(running.progress.job_id)
         if tracked is None:
-            return True, math.inf
+            return Rank.LATE, math.inf
         return self.urgency(running.progress, tracked, running.route)
 
     def urgency(
         self, progress: ItemProgress, tracked: TrackedJob, route: Route
     ) -> Urgency:
         """Return the sort key of an item, the most urgent lowest."""
-        submitted_at = tracked.job.submitted_at if tracked.job else 0
-        due_in_s = (
-            submitted_at
-            + route.completion_objective_s
-            - time.time()
-            - RESULT_READ_DELAY_S
-        )
         remaining_s = self._slot_times.mean_s - progress.ran_s
         return urgency_key(
-            due_in_s, max(MIN_REMAINING_SLOT_TIME_S, remaining_s)
+            _due_in_s(tracked, route),
+            max(MIN_REMAINING_SLOT_TIME_S, remaining_s),
+            is_job_timely=tracked.job_id in self._timely_jobs,
         )
 
     def _urgency_of_candidate(self, candidate: StartableItem) -> Urgency:
@@ -135,6 +170,20 @@
             candidate.progress, candidate.tracked, candidate.route
         )
 
+    def _work_of(
+        self, tracked: TrackedJob, route: Route, ran_s: float
+    ) -> JobWork:
+        """Return the remaining work of a job."""
+        open_items = len(tracked.items) - len(tracked.finished_item_ids)
+        slot_time_s = self._slot_times.mean_s
+        remaining_s = open_items * slot_time_s - ran_s
+        return JobWork(
+            job_id=tracked.job_id,
+            due_in_s=_due_in_s(tracked, route),
+            remaining_s=max(MIN_REMAINING_SLOT_TIME_S, remaining_s),
+            longest_item_s=max(0, min(slot_time_s, remaining_s)),
+        )
+
     def _startable_jobs(self, processes: Collection[str]) -> list[TrackedJob]:
         """Return the open jobs of which this process may start items."""
         open_jobs = [
@@ -167,3 +216,14 @@
         return (
             time.monotonic() - self._first_seen_at[job_id] > TAKEOVER_DELAY_S
         )
+
+
+def _due_in_s(tracked: TrackedJob, route: Route) -> float:
+    """Return the time within which the runs of a job's items must end."""
+    submitted_at = tracked.job.submitted_at if tracked.job else 0
+    return (
+        submitted_at
+        + route.completion_objective_s
+        - time.time()
+        - RESULT_READ_DELAY_S
+    )
--- a/briarrill/item_runs/local_items.py
+++ b/briarrill/item_runs/local_items.py
@@ -5,6 +5,8 @@
 if this process is lost.
 """
 
+import collections
+
 import attrs
 
 from ..protocol.load_reports import LoadReport, short_hash
@@ -70,6 +72,13 @@
             *self.committer.uncommitted_items,
         ]
 
+    def ran_s_by_job(self) -> dict[str, float]:
+        """Return the slot time of the open items at this process, by job."""
+        total_s: dict[str, float] = collections.defaultdict(float)
+        for progress in self.open_items:
+            total_s[progress.job_id] += progress.ran_s
+        return total_s
+
     def complete_report(self, report: LoadReport) -> LoadReport:
         """Add the hashes of this process's items to a load report."""
         return attrs.evolve(
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -12,7 +12,7 @@
 from ..coordination.routes import Route, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream
 from ..metrics import PREEMPTED
-from ..protocol.load_reports import short_hash
+from ..protocol.load_reports import LoadReport, short_hash
 from ..state.stored_jobs import ItemState
 from .handover import Handover
 from .item import ItemProgress, RunEnd, RunningItem
@@ -69,8 +69,10 @@
         self._load = handover.load
         self._runner = runner
         self._committer = committer
-        self._item_order = ItemOrder(slots.process, jobs)
         self.local_items = LocalItems(committer, handover.suspended)
+        self._item_order = ItemOrder(
+            slots.process, jobs, self.local_items.ran_s_by_job
+        )
         self._suspended = handover.suspended
         self._running = self.local_items.running
         self._wake = trio.Event()
@@ -80,6 +82,11 @@
         """Request a scheduling pass."""
         self._wake.set()
 
+    def wake_on_report(self, report: LoadReport) -> None:
+        """Request a pass if a peer's online requests may need slots."""
+        if not self._slots.own_items.keys().isdisjoint(report.online):
+            self.wake()
+
     def preempt_all(self) -> None:
         """Preempt all running items, so that other processes run them."""
         for running in list(self._running.values()):
@@ -104,7 +111,8 @@
         if self._slots.is_isolated:
             self._release_all()
             return
-        self._preempt_for_online(routes)
+        self._update_estimates(routes)
+        self._preempt_for_online()
         if (
             time.monotonic() - self._expiry_checked_at
             >= EXPIRY_CHECK_INTERVAL_S
@@ -146,7 +154,18 @@
             or key[1] in tracked.finished_item_ids
         )
 
-    def _preempt_for_online(self, routes: RouteTable) -> None:
+    def _update_estimates(self, routes: RouteTable) -> None:
+        """Record the load and choose the jobs that are to finish in time."""
+        services = {
+            target.service
+            for route in routes.batch_routes
+            for target in route.targets
+        }
+        for service in services:
+            self._slots.record_load(service)
+        self._item_order.choose_timely_jobs(routes, self._slots.places)
+
+    def _preempt_for_online(self) -> None:
         """Preempt the least urgent items where online requests need slots."""
         for upstream in self._upstreams.registered_upstreams:
             name = upstream.upstream_id
@@ -188,31 +207,42 @@
 
     def _start_items(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         """Start waiting items in order of urgency while slots are free."""
-        if not any(map(self._slots.has_free_slot, routes.batch_routes)):
+        routes_with_slots = set(
+            filter(self._slots.has_free_slot, routes.batch_routes)
+        )
+        if not routes_with_slots:
             return
         startable = self._item_order.startable_items(
             routes, self._slots.processes(), self._startable_progress()
         )
+        now = time.monotonic()
         for candidate in startable:
-            if candidate.progress.next_run_at <= time.monotonic():
-                self._start_item(candidate, nursery)
+            if not routes_with_slots:
+                return
+            if (
+                candidate.route in routes_with_slots
+                and candidate.progress.next_run_at <= now
+                and not self._try_start_item(candidate, nursery)
+            ):
+                routes_with_slots.discard(candidate.route)
 
-    def _start_item(
+    def _try_start_item(
         self, candidate: StartableItem, nursery: trio.Nursery
-    ) -> None:
-        """Start an item if an upstream has a free slot."""
+    ) -> bool:
+        """Start an item; return whether an upstream had a free slot."""
         progress = candidate.progress
         upstream = self._slots.choose_upstream(
             candidate.route, progress.avoided_upstream
         )
         if upstream is None:
-            return
+            return False
         running = RunningItem(progress, candidate.route, upstream.upstream_id)
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
         self._slots.own_items[upstream.upstream_id] += 1
         nursery.start_soon(self._run_item, running, candidate, upstream)
         self._load.schedule_urgent_report()
+        return True
 
     def _startable_progress(
         self,
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -6,9 +6,10 @@
 
 import attrs
 
+from ..coordination.batch_choice import PlaceEstimate
 from ..coordination.batch_shares import (
     count_startable_items,
-    is_upstream_owner,
+    own_upstreams,
 )
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.routes import Route
@@ -45,6 +46,7 @@
         factory=collections.Counter, init=False
     )
     _connected_at: float | None = attrs.field(default=None, init=False)
+    _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
 
     @property
     def is_isolated(self) -> bool:
@@ -84,6 +86,25 @@
         connected = [name for name, is_able in can_commit.items() if is_able]
         return connected or list(can_commit)
 
+    def record_load(self, service: str) -> None:
+        """Record the current load of a service for the estimates."""
+        now = time.monotonic()
+        upstreams = self.upstreams.accepting_upstreams(service)
+        names = [upstream.upstream_id for upstream in upstreams]
+        places = self._places.setdefault(service, PlaceEstimate())
+        places.add(sum(map(self.load.batch, names)), now)
+
+    def places(self, route: Route) -> float:
+        """Return the mean number of slots that a route's items held.
+
+        Once work waits, these are all that online requests leave free.
+        """
+        return sum(
+            self._places[target.service].mean
+            for target in route.targets
+            if target.service in self._places
+        )
+
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
         return any(self._free_slots(route).values())
@@ -109,16 +130,17 @@
         Suspect upstreams are excluded.
         """
         free: dict[str, int] = {}
-        processes = self.processes()
+        processes = tuple(self.processes())
         for target in route.targets:
             accepting = self.upstreams.accepting_upstreams(target.service)
-            upstream_ids = [upstream.upstream_id for upstream in accepting]
+            own = own_upstreams(
+                self.process,
+                processes,
+                tuple(upstream.upstream_id for upstream in accepting),
+            )
             for upstream in accepting:
                 name = upstream.upstream_id
-                is_own = is_upstream_owner(
-                    self.process, name, processes, upstream_ids
-                )
-                if is_own and not self.load.is_suspect(name):
+                if name in own and not self.load.is_suspect(name):
                     free[name] = self._free_slots_at(upstream)
         return free
 
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import itertools
 import random
 
 import pytest
@@ -16,6 +17,7 @@
     count_startable_items,
     is_preferred_runner,
     is_upstream_owner,
+    own_upstreams,
 )
 from briarrill.coordination.placement import (
     UpstreamCandidate,
@@ -61,6 +63,14 @@
     )
 
 
+def test_each_upstream_is_owned_by_one_process():
+    processes = tuple('abc')
+    upstreams = tuple(f'i-{number}' for number in range(8))
+    owned = [own_upstreams(name, processes, upstreams) for name in processes]
+    assert sorted(itertools.chain(*owned)) == sorted(upstreams)
+    assert {len(own) for own in owned} == {2, 3}
+
+
 def test_placement_spreads_a_peak_over_all_upstreams():
     """Places 40 online requests on six upstreams full of batch items."""
     load = collections.Counter()
@@ -85,8 +95,8 @@
 
 
 def test_batch_items_fill_free_slots_and_the_excess_is_preempted():
-    assert count_startable_items(8, 0, 0, 1) == 7
-    assert count_startable_items(8, 8, 0, 1) == 0
+    assert count_startable_items(8, 0, 0) == 7
+    assert count_startable_items(8, 8, 0) == 0
     assert count_items_to_preempt(8, 5, {'a': 3}, 'a') == 0
     assert count_items_to_preempt(8, 6, {'a': 3}, 'a') == 1
     assert count_items_to_preempt(8, 20, {'a': 3}, 'a') == 3
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -87,16 +87,15 @@
     def report_online(self, online):
         """Report online requests of another process at the upstream."""
         self._sequence = getattr(self, '_sequence', 0) + 1
-        self.load.receive_report(
-            LoadReport(
-                'entry',
-                '127.0.0.2',
-                1,
-                self._sequence,
-                online={'i-1': online},
-            )
+        report = LoadReport(
+            'entry',
+            '127.0.0.2',
+            1,
+            self._sequence,
+            online={'i-1': online},
         )
-        self.scheduler.wake()
+        self.load.receive_report(report)
+        self.scheduler.wake_on_report(report)
 
 
 @pytest.fixture
@@ -430,3 +429,26 @@
         await trio.sleep(0.5)
         assert len(engine.requests) == 1
         await _wait_until(lambda: len(engine.requests) > 1)
+
+
+async def test_pass_looks_for_slots_only_until_all_are_taken(
+    run_scheduler, monkeypatch
+):
+    """Hundreds of items wait for the few slots of the own upstreams."""
+    searches = []
+    choose_upstream = FreeSlots.choose_upstream
+
+    def count_search(slots, route, avoided_upstream):
+        searches.append(route)
+        return choose_upstream(slots, route, avoided_upstream)
+
+    monkeypatch.setattr(FreeSlots, 'choose_upstream', count_search)
+    async with run_scheduler(stream_events(1000, pause_s=0.02)) as (
+        setup,
+        engine,
+    ):
+        await setup.submit(200)
+        await _wait_until(lambda: len(engine.requests) >= UPSTREAM_SLOTS - 1)
+        setup.scheduler.wake()
+        await trio.sleep(0.3)
+    assert len(searches) <= UPSTREAM_SLOTS + 1
