Tell owners of each request at once and probe them before a placement

Change: in a large fleet an entry sends its report at once to the process that owns the upstream of a request, when the request begins and ends, and asks the owners of the upstreams that it compares for their load before it places a request, for 20 ms at most; without a reply the reports decide. The pause between reports grows with the square of the fleet, so that small fleets report as often as before. After a conflict, and where an entry lags behind, only the results that a job lacks are read, in one call instead of three.

--- a/briarrill/coordination/batch_shares.py
+++ b/briarrill/coordination/batch_shares.py
@@ -16,6 +16,7 @@
     'is_preferred_runner',
     'is_upstream_owner',
     'own_upstreams',
+    'upstream_owner',
 )
 
 # slots of an upstream that batch items leave free; more are not needed, as
@@ -67,13 +68,25 @@
     """Tell whether a process owns an upstream.
 
     Only the owner starts batch items there, so two processes never use the
-    same free slot. Upstreams are assigned round-robin to the live processes.
+    same free slot.
 
     :param processes: the live batch processes, including this one.
     :param upstreams: all upstreams of the service.
     """
+    return upstream_owner(upstream_id, processes, upstreams) == process
+
+
+def upstream_owner(
+    upstream_id: str, processes: Sequence[str], upstreams: Sequence[str]
+) -> str:
+    """Return the process that owns an upstream, empty if there is none.
+
+    Upstreams are assigned round-robin to the live processes.
+    """
+    if not processes:
+        return ''
     position = sorted(upstreams).index(upstream_id)
-    return sorted(processes)[position % len(processes)] == process
+    return sorted(processes)[position % len(processes)]
 
 
 @functools.lru_cache(maxsize=MAX_CACHED_OWNERSHIPS)
--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -12,6 +12,7 @@
     job_body_prefix,
     job_end_key,
     job_results_prefix,
+    numbered_key,
 )
 from ..state.stored_jobs import (
     StoredItem,
@@ -184,6 +185,18 @@
                 tracked.mark_ended()
         return tracked
 
+    async def read_results(self, tracked: TrackedJob) -> None:
+        """Read the results that a known job lacks from the service.
+
+        :raises PlatformUnavailableError: the service did not respond.
+        """
+        prefix = job_results_prefix(tracked.job_id)
+        count = len(tracked.results)
+        last_known = numbered_key(prefix, count - 1) if count else ''
+        entries = await self._service.read_prefix(prefix, after=last_known)
+        for entry in entries:
+            self.apply_key(entry.key, entry.body)
+
     def _apply(
         self, key_prefix: str, job_id: str, number: str, body: bytes
     ) -> None:
--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -17,7 +17,9 @@
 
 from ..errors import MalformedMessageError
 from ..metrics import MALFORMED_MESSAGES
-from ..protocol.load_reports import LoadReport, decode_report
+from ..protocol.load_probes import decode_probe, is_probe
+from ..protocol.load_reports import LoadReport, decode_report, encode_report
+from .load_prober import LoadProber
 from .peer_reports import PeerLoad, PeerReports
 from .report_sender import ReportSender, report_pause_s
 from .silence import SilenceDetector
@@ -90,8 +92,14 @@
         self.peers = PeerReports(process)
         self._incarnation = time.time_ns()
         self._sequence = 0
+        self._sock: socket.socket | None = None
+        self.prober = LoadProber(self._send, self.online, self.batch)
         self._sender = ReportSender(
-            port, self.make_report, self._report_hosts, self._batch_hosts
+            port,
+            self.make_report,
+            self._report_hosts,
+            # while none is known, every host may have a batch process
+            lambda: self.peer_load.batch_hosts or self._report_hosts(),
         )
 
     @property
@@ -172,6 +180,7 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             sock.setblocking(False)
             sock.bind((self._host, self._port))
+            self._sock = sock
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._sender.run, sock)
                 while True:
@@ -179,6 +188,10 @@
                     self._receive_all(sock)
                     await trio.sleep(self._receive_pause_s)
 
+    def report_to(self, host: str) -> None:
+        """Send the current report to one peer at once."""
+        self._send(encode_report(self.make_report()), host)
+
     def receive_report(
         self, report: LoadReport, *, is_direct: bool = True
     ) -> None:
@@ -233,6 +246,9 @@
         Malformed datagrams are counted and dropped.
         """
         try:
+            if is_probe(raw):
+                self.prober.receive(decode_probe(raw), sender)
+                return
             report = decode_report(raw)
         except MalformedMessageError as exc:
             MALFORMED_MESSAGES.inc()
@@ -243,6 +259,11 @@
         for host in self.peers.relay_hosts(report) if is_direct else ():
             self._sender.send(sock, raw, host)
 
+    def _send(self, raw: bytes, host: str) -> None:
+        """Send a datagram; nothing is sent before the exchange runs."""
+        if self._sock is not None:
+            self._sender.send(self._sock, raw, host)
+
     def _report_hosts(self) -> set[str]:
         """Return the hosts to send to: peers, registered processes, seeds."""
         targets = self.peers.hosts | set(self._members.values())
@@ -250,16 +271,6 @@
         targets.discard(self._host)
         return targets
 
-    def _batch_hosts(self) -> set[str]:
-        """Return the hosts of the live batch processes.
-
-        While none is known, every host may have one.
-        """
-        hosts = {
-            peer.host for peer in self.live_reports.values() if peer.runs_batch
-        }
-        return hosts or self._report_hosts()
-
 
 def _decrement(counter: collections.Counter[str], name: str) -> None:
     counter[name] -= 1
--- /dev/null
+++ b/briarrill/coordination/load_prober.py
@@ -0,0 +1,92 @@
+"""briarrill.coordination.load_prober: ask owners for the load of upstreams.
+
+In a large fleet load reports are too old to place a peak by. The process that
+owns an upstream hears of each online request there at once, so it is asked
+before a request is placed. Without a reply the reports decide.
+"""
+
+import itertools
+from collections.abc import Callable, Mapping
+
+import attrs
+import trio
+
+from ..protocol.load_probes import LoadProbe, ProbeReply, encode_probe
+
+__all__ = ('LoadProber',)
+
+# wait for replies: several round trips between failure domains, and little
+# against the latency objective of a request
+PROBE_TIMEOUT_S = 0.02
+
+
+@attrs.define
+class _Round:
+    """The open questions of one placement.
+
+    :param missing: number of replies that are missing.
+    """
+
+    missing: int
+    replies: dict[str, ProbeReply] = attrs.field(factory=dict)
+    is_complete: trio.Event = attrs.field(factory=trio.Event)
+
+    def add(self, reply: ProbeReply) -> None:
+        """Add a reply; the last one completes the round."""
+        self.replies[reply.upstream_id] = reply
+        self.missing -= 1
+        if not self.missing:
+            self.is_complete.set()
+
+
+@attrs.define
+class LoadProber:
+    """Asks the owners of upstreams for their load, and replies to peers.
+
+    :param send: sends a datagram to a host.
+    :param online: returns the online requests at an upstream.
+    :param batch: returns the batch items at an upstream.
+    """
+
+    send: Callable[[bytes, str], None]
+    online: Callable[[str], int]
+    batch: Callable[[str], int]
+    _numbers: 'itertools.count[int]' = attrs.field(
+        factory=itertools.count, init=False
+    )
+    _rounds: dict[int, _Round] = attrs.field(factory=dict, init=False)
+
+    async def probe(self, hosts: Mapping[str, str]) -> dict[str, ProbeReply]:
+        """Return the replies that arrive within the timeout.
+
+        :param hosts: host of the owner, by upstream.
+        """
+        if not hosts:
+            return {}
+        number = next(self._numbers)
+        current = _Round(len(hosts))
+        self._rounds[number] = current
+        try:
+            for upstream_id, host in hosts.items():
+                self.send(encode_probe(LoadProbe(number, upstream_id)), host)
+            with trio.move_on_after(PROBE_TIMEOUT_S):
+                await current.is_complete.wait()
+        finally:
+            self._rounds.pop(number)
+        return current.replies
+
+    def receive(self, message: LoadProbe | ProbeReply, host: str) -> None:
+        """Reply to a peer's probe, or add a reply to its round."""
+        if isinstance(message, ProbeReply):
+            current = self._rounds.get(message.number)
+            if current is not None:
+                current.add(message)
+            return
+        upstream_id = message.upstream_id
+        reply = ProbeReply(
+            message.number,
+            upstream_id,
+            online=self.online(upstream_id),
+            batch=self.batch(upstream_id),
+        )
+        self.send(encode_probe(reply), host)
--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -15,6 +15,7 @@
 from eliot import log_message
 
 from ..protocol.load_reports import LoadReport, short_hash
+from ..state.keys import ROOT_PREFIX
 from ..state.rendezvous import rank_nodes
 
 __all__ = ('PeerLoad', 'PeerReports', 'PeerState')
@@ -95,6 +96,26 @@
         factory=collections.Counter
     )
 
+    @property
+    def batch_hosts(self) -> set[str]:
+        """Return the hosts of the batch processes."""
+        return {
+            report.host
+            for report in self.reports.values()
+            if report.runs_batch
+        }
+
+    @property
+    def item_hosts(self) -> dict[str, str]:
+        """Return the hosts of the processes that start items, by name."""
+        return {
+            name: report.host
+            for name, report in self.reports.items()
+            if report.runs_batch
+            and not report.is_leaving
+            and ROOT_PREFIX in report.connected
+        }
+
     def replace(self, report: LoadReport) -> None:
         """Replace the counts of a process's previous report."""
         self.remove(report.process)
--- a/briarrill/coordination/placement.py
+++ b/briarrill/coordination/placement.py
@@ -21,9 +21,11 @@
 
 __all__ = (
     'UpstreamCandidate',
+    'best_candidate',
     'choose_candidate',
     'estimate_unreported',
     'expected_wait_s',
+    'sample_candidates',
 )
 
 # an upstream in this process's failure domain is preferred while it holds at
@@ -77,8 +79,6 @@
 ) -> UpstreamCandidate:
     """Return the upstream for one more online request.
 
-    Suspected upstreams are considered only if all are suspected.
-
     :param candidates: at least one.
     :param tolerance_s: difference between two expected start times that is
         ignored.
@@ -86,6 +86,25 @@
     :param unreported: estimated number of requests that other processes have
         placed since their last reports, default none.
     """
+    return best_candidate(
+        sample_candidates(
+            candidates, rng, tolerance_s, service_time_s, unreported
+        )
+    )
+
+
+def sample_candidates(
+    candidates: Sequence[UpstreamCandidate],
+    rng: random.Random,
+    tolerance_s: float,
+    service_time_s: float,
+    unreported: float,
+) -> list[UpstreamCandidate]:
+    """Return the upstreams to compare, chosen at random from the suitable.
+
+    Suspected upstreams are considered only if all are suspected. The
+    parameters are those of :func:`choose_candidate`.
+    """
     responsive = [
         candidate for candidate in candidates if not candidate.is_suspect
     ] or candidates
@@ -94,8 +113,12 @@
     preemptable = [one for one in earliest if one.online < one.slots]
     pool = has_free or preemptable or earliest
     compared = max(MIN_COMPARED, math.ceil(len(pool) / (1 + unreported)))
-    sample = rng.sample(pool, min(compared, len(pool)))
-    if has_free:
+    return rng.sample(pool, min(compared, len(pool)))
+
+
+def best_candidate(sample: Sequence[UpstreamCandidate]) -> UpstreamCandidate:
+    """Return the upstream that starts one more online request soonest."""
+    if any(one.free_slots > 0 for one in sample):
         return max(sample, key=_free_slot_score)
     return min(sample, key=_full_upstream_score)
 
--- a/briarrill/coordination/report_sender.py
+++ b/briarrill/coordination/report_sender.py
@@ -1,10 +1,9 @@
 """briarrill.coordination.report_sender: send load reports to peers at a pace.
 
 A report follows soon after a change, and at least once per heartbeat
-interval. The pause between two reports to all peers grows with their number,
-so that a process receives a bounded number of reports a second. Urgent
-reports are sent without the pause, to the batch processes, which act on them
-by preempting items.
+interval. The pause between two reports to all peers grows with their number
+up to a limit. Urgent reports are sent without the pause, to the batch
+processes, which act on them by preempting items.
 """
 
 import contextlib
@@ -26,10 +25,11 @@
 # from sending at the same moment
 MIN_JITTER_FACTOR = 0.8
 
-# shortest pause between two reports, the time that each peer adds to it, and
-# its upper bound: a peer must not time out after one lost report
+# shortest pause between two reports, the time that each pair of peers adds to
+# it, as the reports of a fleet grow with the square of its size, and its
+# upper bound: a peer must not time out after one lost report
 MIN_REPORT_PAUSE_S = 0.04
-REPORT_PAUSE_PER_PEER_S = 0.004
+REPORT_PAUSE_PER_PAIR_S = 0.00003
 MAX_REPORT_PAUSE_S = 0.3
 
 # shortest pause before an urgent report, on which batch processes act at once
@@ -112,5 +112,5 @@
     """Return the shortest time between two reports to all hosts."""
     return min(
         MAX_REPORT_PAUSE_S,
-        MIN_REPORT_PAUSE_S + REPORT_PAUSE_PER_PEER_S * host_count,
+        MIN_REPORT_PAUSE_S + REPORT_PAUSE_PER_PAIR_S * host_count**2,
     )
--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -136,7 +136,7 @@
             changes = result_creation_changes(job_id, position, chosen)
             if await self.service.transact(changes) is None:
                 BATCH_COMMITS.labels('conflict').inc()
-                await self.jobs.read(job_id)
+                await self.jobs.read_results(tracked)
             else:
                 BATCH_COMMITS.labels('made').inc()
                 self._record_commit(tracked, position, chosen)
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -16,8 +16,6 @@
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.placement import (
     UpstreamCandidate,
-    choose_candidate,
-    estimate_unreported,
     expected_wait_s,
 )
 from ..coordination.relay_protocol import Call, RelayProtocol
@@ -49,6 +47,7 @@
     log_if_response_late,
     time_limit,
 )
+from .placer import Placer
 from .response import Response
 from .streams import read_stream_part, send_new_events
 
@@ -100,6 +99,7 @@
         self._ejectors: dict[str, Ejector] = {}
         self._service_times: dict[str, ServiceTimes] = {}
         self._budgets = RetryBudgets()
+        self._placer = Placer(upstreams, load, rng)
 
     async def forward(self, call: Call, response: Response) -> None:
         """Forward a call and relay the upstream's response to the caller.
@@ -122,7 +122,7 @@
     ) -> None:
         """Attempt the call until a response is relayed or retries end."""
         while True:
-            upstream = self._choose_upstream(call, response, progress)
+            upstream = await self._choose_upstream(call, progress)
             try:
                 await self._run_attempt(call, upstream, response, progress)
             except BriarrillError as exc:
@@ -130,8 +130,8 @@
             else:
                 return
 
-    def _choose_upstream(
-        self, call: Call, response: Response, progress: CallProgress
+    async def _choose_upstream(
+        self, call: Call, progress: CallProgress
     ) -> RegisteredUpstream:
         """Choose the upstream of the next attempt.
 
@@ -147,18 +147,12 @@
                     retry_after_s=MIN_RETRY_AFTER_S,
                 ),
             )
-        service_time_s = self._service_times_of(call.service).mean_s
-        candidate = choose_candidate(
+        candidate = await self._placer.choose(
             candidates,
-            self._rng,
+            call.service,
             tolerance_s=START_TOLERANCE_OBJECTIVES
             * call.route.latency_objective_s,
-            service_time_s=service_time_s,
-            unreported=estimate_unreported(
-                sum(self._load.peer_load.online.values()),
-                self._load.mean_report_age_s,
-                service_time_s,
-            ),
+            service_time_s=self._service_times_of(call.service).mean_s,
         )
         progress.candidate = candidate
         if not progress.attempts:
@@ -232,9 +226,7 @@
         progress.attempts += 1
         is_last = progress.possible_runs + 1 >= call.route.max_attempts
         attempt = Attempt(call, response, is_last)
-        with self._load.in_flight.counted(
-            upstream.upstream_id, is_batch=False
-        ):
+        with self._placer.placed(upstream):
             channel = await self._connect(upstream)
             try:
                 await self._exchange(attempt, upstream, channel)
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -212,7 +212,7 @@
         missing = intent.position - len(tracked.results)
         if missing > 0 or (missing == 0 and self._may_lack_results(tracked)):
             # another entry may have returned more results to this caller
-            tracked = await self.jobs.read(intent.job_id) or tracked
+            await self.jobs.read_results(tracked)
         with trio.move_on_after(intent.wait_s):
             while tracked.is_open and intent.position >= len(tracked.results):
                 await tracked.changed.wait()
