--- a/briarrill/coordination/batch_choice.py
+++ b/briarrill/coordination/batch_choice.py
@@ -23,7 +23,7 @@
 # peaks
 PLACES_TIME_CONSTANT_S = 6.0
 
-# share of the places that chosen jobs may fill: slot times are estimates, and
+# share of the places that chosen jobs may fill: slot times are not exact, and
 # a plan without a margin makes all of its jobs a little late
 PLANNED_SHARE = 0.8
 
