Read replies to probes without the pause between reports

Cause: entries read load reports together every 30 ms, and so the replies to probes, which are awaited for 20 ms: about half of them came too late.

Change: while replies are expected, datagrams are read as they arrive.

Result: the test of probes over sockets, with a pause of 60 s at the process that asks, fails before and passes now.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -186,7 +186,8 @@
                 while True:
                     await trio.lowlevel.wait_readable(sock)
                     self._receive_all(sock)
-                    await trio.sleep(self._receive_pause_s)
+                    with trio.move_on_after(self._receive_pause_s):
+                        await self.prober.wait_for_round()
 
     def report_to(self, host: str) -> None:
         """Send the current report to one peer at once."""
--- a/briarrill/coordination/load_prober.py
+++ b/briarrill/coordination/load_prober.py
@@ -55,6 +55,11 @@
         factory=itertools.count, init=False
     )
     _rounds: dict[int, _Round] = attrs.field(factory=dict, init=False)
+    _round_began: trio.Event = attrs.field(factory=trio.Event, init=False)
+
+    async def wait_for_round(self) -> None:
+        """Wait until replies are expected."""
+        await self._round_began.wait()
 
     async def probe(self, hosts: Mapping[str, str]) -> dict[str, ProbeReply]:
         """Return the replies that arrive within the timeout.
@@ -66,6 +71,7 @@
         number = next(self._numbers)
         current = _Round(len(hosts))
         self._rounds[number] = current
+        self._round_began.set()
         try:
             for upstream_id, host in hosts.items():
                 self.send(encode_probe(LoadProbe(number, upstream_id)), host)
@@ -73,6 +79,8 @@
                 await current.is_complete.wait()
         finally:
             self._rounds.pop(number)
+            if not self._rounds:
+                self._round_began = trio.Event()
         return current.replies
 
     def receive(self, message: LoadProbe | ProbeReply, host: str) -> None:
--- a/tests/coordination/test_load_prober.py
+++ b/tests/coordination/test_load_prober.py
@@ -55,9 +55,15 @@
 
 async def test_probe_is_answered_on_the_port_of_the_reports(network):
     port = 21_330
-    first, second = (
-        LoadExchange(name, f'{network}.{number}', port, (), lambda one: one)
-        for number, name in enumerate('ab', start=1)
+    first = LoadExchange('a', f'{network}.1', port, (), lambda one: one)
+    # it reads other reports seldom, but replies at once
+    second = LoadExchange(
+        'b',
+        f'{network}.2',
+        port,
+        (f'{network}.1',),
+        lambda one: one,
+        receive_pause_s=60,
     )
     first.receive_report(
         LoadReport('c', 'host-c', 1, 1, online={'i-1': 5}, batch={'i-1': 2})
@@ -66,6 +72,9 @@
         nursery.start_soon(first.run)
         nursery.start_soon(second.run)
         with trio.fail_after(5):
+            # from its first report on it pauses
+            while not second.live_reports:
+                await trio.sleep(0.01)
             replies = {}
             while not replies:
                 replies = await second.prober.probe({'i-1': f'{network}.1'})
