--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -92,6 +92,7 @@
     :param mirrors: local copies of keys of the store, by prefix.
     :param operator_keys: passes on the keys that the operator writes.
     :param own_keys: passes on briarrill's own keys.
+    :param jobs_source: changes of jobs, from a follower or the store.
     :param resources: handlers of requests from peers, by path prefix.
     """
 
@@ -106,6 +107,7 @@
     own_keys: KeyRouter
     runs_batch: bool
     writes: HedgedWrites
+    jobs_source: FeedSource
     resources: dict[str, PeerResource] = attrs.field(factory=dict)
 
     def complete_report(self, report: LoadReport) -> LoadReport:
@@ -225,6 +227,7 @@
         own_keys=own_keys,
         runs_batch=runs_batch,
         writes=HedgedWrites(store, load, cfg.peer_port),
+        jobs_source=jobs_source,
     )
     load.on_report.append(parts.record_peer_state)
     return parts
@@ -239,6 +242,7 @@
     try:
         yield parts
     finally:
+        parts.jobs_source.close()
         parts.store.close()
 
 
