--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 .PHONY: demo fleet test lint format lock
 .PHONY: bench-overhead bench-token_cost bench-online bench-routing
 .PHONY: bench-allowances bench-batch bench-control bench-platform
+.PHONY: bench-batch_choice bench-placement
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -23,7 +24,7 @@
 test: $(READY)
 	$(BIN)/python -m pytest
 
-bench-overhead bench-token_cost bench-online bench-routing bench-allowances bench-batch bench-control: bench-%: $(READY)
+bench-overhead bench-token_cost bench-online bench-routing bench-allowances bench-batch bench-control bench-batch_choice bench-placement: bench-%: $(READY)
 	$(BIN)/python -m bench.$*
 
 # runs one day of the platform bench; SITE: site file, FLEETBENCH: its program
