Log streams that only the close of their connection has ended

Cause: a stream without a length or chunks that ended early left no line, and no line said how a body was framed or whether bytes of an event were left over, so the hypotheses about a stream that looked complete could not be told apart.

Change: `stream:ended-by-close` and `briarrill_ended_by_close_total` give the position of such an end: start, between events, inside event; for relayed streams and for items. No decision reads them.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -7,7 +7,12 @@
 
 from ..coordination.routes import Route
 from ..errors import UpstreamLostError
-from ..protocol.event_stream import EventSplitter, ServerSentEvent
+from ..protocol.event_stream import (
+    EventSplitter,
+    EventTracker,
+    ServerSentEvent,
+    StreamPosition,
+)
 from ..state.stored_jobs import ItemState, StoredItem, StoredResult
 
 __all__ = ('ItemProgress', 'ProgressRecord', 'RunEnd', 'RunningItem')
@@ -70,6 +75,7 @@
     last_event_id: int | None = None
     _lines: list[bytes] = attrs.field(factory=list)
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
+    _tracker: EventTracker = attrs.field(factory=EventTracker)
 
     @property
     def key(self) -> tuple[str, str]:
@@ -81,6 +87,11 @@
         """Whether a run has received events or failed."""
         return bool(self._lines or self.failures)
 
+    @property
+    def stream_position(self) -> StreamPosition:
+        """Return the position of the current run's stream."""
+        return self._tracker.position
+
     def record(self) -> ProgressRecord:
         """Return a snapshot of the progress for a peer or a checkpoint."""
         return ProgressRecord(
@@ -102,12 +113,14 @@
     def begin_run(self) -> None:
         """Discard the incomplete event at the end of the last run."""
         self._splitter = EventSplitter()
+        self._tracker = EventTracker()
 
     def add_stream_bytes(self, part: bytes) -> None:
         """Add bytes of the current run's stream.
 
         :raises UpstreamLostError: there is a gap between two events.
         """
+        self._tracker.add_bytes(part)
         for event in self._splitter.add_bytes(part):
             self._add_event(event)
 
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -12,6 +12,7 @@
     'CONFIG_VERSION',
     'DUPLICATES',
     'EJECTED',
+    'ENDED_BY_CLOSE',
     'KEY_VALUE_CALLS',
     'LOG_LINES_DROPPED',
     'MALFORMED_MESSAGES',
@@ -69,6 +70,12 @@
     'Upstreams ejected from routing, by reason.',
     ('reason',),
 )
+ENDED_BY_CLOSE = Counter(
+    'briarrill_ended_by_close',
+    'Streams of upstreams without a length or chunks, by where the connection'
+    ' closed.',
+    ('position',),
+)
 LOG_LINES_DROPPED = Counter(
     'briarrill_log_lines_dropped',
     'Log lines that were dropped.',
--- a/briarrill/protocol/event_stream.py
+++ b/briarrill/protocol/event_stream.py
@@ -4,15 +4,27 @@
 the fields ``id`` and ``data``, and events that end with an empty line.
 """
 
+import enum
+
 import attrs
 
 from ..errors import UpstreamLostError
 
-__all__ = ('EventSplitter', 'ServerSentEvent')
+__all__ = (
+    'EventSplitter',
+    'EventTracker',
+    'ServerSentEvent',
+    'StreamPosition',
+)
 
 # far above the size of an event, which has a few tokens
 MAX_EVENT_BYTES = 1_048_576
 
+# ends of an event: its last line and an empty line; the second one also ends
+# events with CR LF
+_EVENT_ENDS = (b'\n\n', b'\n\r\n', b'\r\r')
+_LONGEST_EVENT_END = max(map(len, _EVENT_ENDS))
+
 _ID_FIELD = b'id'
 _DATA_FIELD = b'data'
 
@@ -31,6 +43,39 @@
     data: bytes
 
 
+class StreamPosition(enum.Enum):
+    """Where a byte stream stands relative to its events."""
+
+    START = 'start'
+    BETWEEN_EVENTS = 'between events'
+    INSIDE_EVENT = 'inside event'
+
+
+class EventTracker:
+    """Tracks the position of a byte stream relative to its events.
+
+    It keeps the last few bytes only, so events may be of any size.
+    """
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self._last_bytes = b''
+
+    @property
+    def position(self) -> StreamPosition:
+        """Return the position after the bytes added so far."""
+        if not self._last_bytes:
+            return StreamPosition.START
+        if self._last_bytes.endswith(_EVENT_ENDS):
+            return StreamPosition.BETWEEN_EVENTS
+        return StreamPosition.INSIDE_EVENT
+
+    def add_bytes(self, part: bytes) -> None:
+        """Add the next bytes of the stream."""
+        last_bytes = self._last_bytes + part[-_LONGEST_EVENT_END:]
+        self._last_bytes = last_bytes[-_LONGEST_EVENT_END:]
+
+
 class EventSplitter:
     """Splits a byte stream into complete events."""
 
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -19,6 +19,7 @@
     expected_wait_s,
 )
 from ..coordination.relay_protocol import Call, RelayProtocol
+from ..coordination.response_ends import report_stream_end
 from ..coordination.retries import RetryBudgets
 from ..coordination.routes import RouteKind
 from ..coordination.service_times import ServiceTimes
@@ -36,7 +37,7 @@
     UpstreamLostError,
 )
 from ..metrics import RESUMED, RETRIED
-from ..protocol.event_stream import EventSplitter
+from ..protocol.event_stream import EventSplitter, EventTracker
 from ..result_codes import Ran
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import ResponseHead
@@ -379,8 +380,10 @@
             await self._relay_buffered(attempt, channel, response_head)
             return
         splitter = EventSplitter()
+        tracker = EventTracker()
         while (part := await read_stream_part(attempt, channel)) is not None:
             self._load.silence.record_bytes(upstream.upstream_id)
+            tracker.add_bytes(part)
             if attempt.call.route.resumable:
                 await send_new_events(
                     splitter.add_bytes(part), response_head, response
@@ -388,6 +391,12 @@
             else:
                 await response.send_head_once(response_head)
                 await response.send(part)
+        report_stream_end(
+            attempt.call.request_id,
+            upstream.upstream_id,
+            response_head,
+            tracker.position,
+        )
         if splitter.has_incomplete_event:
             raise UpstreamLostError('the stream ended inside an event')
         await response.send_head_once(response_head)
--- a/briarrill/transport/http_messages.py
+++ b/briarrill/transport/http_messages.py
@@ -1,8 +1,11 @@
 """briarrill.transport.http_messages: start lines and headers of HTTP/1.1."""
 
+import enum
+
 import attrs
 
 __all__ = (
+    'BodyFraming',
     'Headers',
     'RequestHead',
     'ResponseHead',
@@ -47,6 +50,17 @@
         return self.target.partition(b'?')[0].decode('latin-1')
 
 
+class BodyFraming(enum.Enum):
+    """How the end of a response body is marked, RFC 9112 section 6.3.
+
+    CLOSE: the connection closes, so a body that was cut looks whole.
+    """
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
 @attrs.frozen
 class ResponseHead:
     """Status and headers of a response."""
@@ -54,6 +68,15 @@
     status: int
     headers: Headers
 
+    @property
+    def body_framing(self) -> BodyFraming:
+        """Return the framing of a response that may have a body."""
+        if find_header(self.headers, b'transfer-encoding') is not None:
+            return BodyFraming.CHUNKED
+        if find_header(self.headers, b'content-length') is not None:
+            return BodyFraming.LENGTH
+        return BodyFraming.CLOSE
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None if it is absent.
--- a/tests/protocol/test_event_stream.py
+++ b/tests/protocol/test_event_stream.py
@@ -6,7 +6,11 @@
 
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol import event_stream
-from briarrill.protocol.event_stream import EventSplitter
+from briarrill.protocol.event_stream import (
+    EventSplitter,
+    EventTracker,
+    StreamPosition,
+)
 
 DATA_FIELDS = st.binary(max_size=20).filter(
     lambda line: not set(line) & set(b'\r\n\x0b\x0c\x1c\x1d\x1e\x85')
@@ -49,3 +53,18 @@
     monkeypatch.setattr(event_stream, 'MAX_EVENT_BYTES', 10)
     with pytest.raises(UpstreamLostError):
         EventSplitter().add_bytes(b'data: longer than ten')
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+def test_tracker_position_after_every_byte(line_end):
+    event = line_end.join((b'id: 1', b'data: a', b'', b''))
+    for length in range(3 * len(event) + 1):
+        tracker = EventTracker()
+        for start in range(length):
+            tracker.add_bytes((event * 3)[start : start + 1])
+        if length == 0:
+            assert tracker.position is StreamPosition.START
+        elif length % len(event) == 0:
+            assert tracker.position is StreamPosition.BETWEEN_EVENTS
+        else:
+            assert tracker.position is StreamPosition.INSIDE_EVENT
