Reproduce a cut stream that reaches its caller as complete

Cause: not mended here. An upstream that sends neither a length nor chunks and closes the connection inside an event of a stream that may not be resumed.

--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -15,6 +15,7 @@
     respond_with,
     stream_events,
 )
+from tests.raw_engine import RawEngine
 from tests.relay.front_end_setup import (
     IDEMPOTENT,
     NON_IDEMPOTENT,
@@ -221,6 +222,14 @@
     assert second.requests == []
 
 
+async def test_unframed_stream_closed_inside_an_event_is_not_complete():
+    """Only the events show that a body without length or chunks was cut."""
+    raw = b'HTTP/1.1 200 OK\r\n\r\n' + encode_event(1) + encode_event(2)[:5]
+    async with run_front_end([STREAM], RawEngine(raw)) as setup:
+        with pytest.raises(UpstreamLostError):
+            await setup.send_request(STREAM.prefix)
+
+
 async def test_last_event_id_of_caller_returns_later_events():
     engine = StandinEngine(stream_events(5))
     async with run_front_end([RESUMABLE_STREAM], engine) as setup:
