Break off callers' streams that their upstream ended inside an event

Cause: an upstream may send neither a length nor chunks; then the close of the connection ends the body, and HTTP cannot tell a cut. Only the events can. The relay looked for an incomplete event in resumable streams alone, since it splits only these into events; others were passed on as bytes, and the end of the bytes was taken for the end of the stream.

Change: all bytes of a stream pass an EventTracker, which needs no buffer and no limit on the size of events, and one function, check_stream_end, decides for relayed streams, resumable or not, and for items. The splitter's own flag is gone; its tests check the tracker instead.

--- a/briarrill/coordination/response_ends.py
+++ b/briarrill/coordination/response_ends.py
@@ -1,27 +1,35 @@
-"""briarrill.coordination.response_ends: report ends that may hide a cut."""
+"""briarrill.coordination.response_ends: check where streams end."""
 
 from eliot import log_message
 
 from ..metrics import ENDED_BY_CLOSE
-from ..protocol.event_stream import StreamPosition
+from ..protocol.event_stream import EventTracker
 from ..transport.http_messages import BodyFraming, ResponseHead
 
-__all__ = ('report_stream_end',)
+__all__ = ('check_stream_end',)
 
 
-def report_stream_end(
+def check_stream_end(
     request_id: str,
     upstream_id: str,
     response_head: ResponseHead,
-    position: StreamPosition,
+    tracker: EventTracker,
 ) -> None:
-    """Count and log the end of a stream that only a close has marked."""
-    if response_head.body_framing is not BodyFraming.CLOSE:
-        return
-    ENDED_BY_CLOSE.labels(position.value).inc()
-    log_message(
-        'stream:ended-by-close',
-        request_id=request_id,
-        upstream=upstream_id,
-        position=position.value,
-    )
+    """Check that a stream whose last byte was read is whole.
+
+    An end that only the close of the connection marks is counted and logged,
+    since nothing shows a cut between two events there.
+
+    :param tracker: has tracked all bytes of the stream.
+    :raises UpstreamLostError: the upstream broke the stream off.
+    """
+    if response_head.body_framing is BodyFraming.CLOSE:
+        position = tracker.position.value
+        ENDED_BY_CLOSE.labels(position).inc()
+        log_message(
+            'stream:ended-by-close',
+            request_id=request_id,
+            upstream=upstream_id,
+            position=position,
+        )
+    tracker.check_end()
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -11,7 +11,6 @@
     EventSplitter,
     EventTracker,
     ServerSentEvent,
-    StreamPosition,
 )
 from ..state.stored_jobs import ItemState, StoredItem, StoredResult
 
@@ -63,6 +62,7 @@
     :param ran_s: time for which the item has occupied slots.
     :param avoided_upstream: upstream that last rejected, cut or failed a run.
     :param is_complete: whether the output is complete.
+    :ivar tracker: position of the current run's stream.
     """
 
     job_id: str
@@ -75,7 +75,7 @@
     last_event_id: int | None = None
     _lines: list[bytes] = attrs.field(factory=list)
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
-    _tracker: EventTracker = attrs.field(factory=EventTracker)
+    tracker: EventTracker = attrs.field(factory=EventTracker, init=False)
 
     @property
     def key(self) -> tuple[str, str]:
@@ -87,11 +87,6 @@
         """Whether a run has received events or failed."""
         return bool(self._lines or self.failures)
 
-    @property
-    def stream_position(self) -> StreamPosition:
-        """Return the position of the current run's stream."""
-        return self._tracker.position
-
     def record(self) -> ProgressRecord:
         """Return a snapshot of the progress for a peer or a checkpoint."""
         return ProgressRecord(
@@ -113,25 +108,17 @@
     def begin_run(self) -> None:
         """Discard the incomplete event at the end of the last run."""
         self._splitter = EventSplitter()
-        self._tracker = EventTracker()
+        self.tracker = EventTracker()
 
     def add_stream_bytes(self, part: bytes) -> None:
         """Add bytes of the current run's stream.
 
         :raises UpstreamLostError: there is a gap between two events.
         """
-        self._tracker.add_bytes(part)
+        self.tracker.add_bytes(part)
         for event in self._splitter.add_bytes(part):
             self._add_event(event)
 
-    def check_stream_end(self) -> None:
-        """Check that the stream ended between two events.
-
-        :raises UpstreamLostError: the stream ended inside an event.
-        """
-        if self._splitter.has_incomplete_event:
-            raise UpstreamLostError('the stream ended inside an event')
-
     def result(self, state: ItemState) -> StoredResult:
         """Return the result to commit; only completed items have output."""
         output = ''
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from ..coordination.relay_protocol import Call, RelayProtocol
-from ..coordination.response_ends import report_stream_end
+from ..coordination.response_ends import check_stream_end
 from ..coordination.routes import Route
 from ..coordination.silence import SilenceDetector
 from ..coordination.start_delays import StartDelays
@@ -136,13 +136,12 @@
                 async for part in _read_stream(call.route, channel):
                     self.silence.record_bytes(upstream.upstream_id)
                     progress.add_stream_bytes(part)
-            report_stream_end(
+            check_stream_end(
                 call.request_id,
                 upstream.upstream_id,
                 response_head,
-                progress.stream_position,
+                progress.tracker,
             )
-            progress.check_stream_end()
         return RunEnd.COMPLETED
 
     async def _read_error(
--- a/briarrill/protocol/event_stream.py
+++ b/briarrill/protocol/event_stream.py
@@ -75,6 +75,14 @@
         last_bytes = self._last_bytes + part[-_LONGEST_EVENT_END:]
         self._last_bytes = last_bytes[-_LONGEST_EVENT_END:]
 
+    def check_end(self) -> None:
+        """Check that the stream may end here, however its body is framed.
+
+        :raises UpstreamLostError: it is inside an event.
+        """
+        if self.position is StreamPosition.INSIDE_EVENT:
+            raise UpstreamLostError('the stream ended inside an event')
+
 
 class EventSplitter:
     """Splits a byte stream into complete events."""
@@ -83,11 +91,6 @@
         """Start with an empty buffer."""
         self._incomplete = b''
 
-    @property
-    def has_incomplete_event(self) -> bool:
-        """Whether the buffer ends with an incomplete event."""
-        return bool(self._incomplete)
-
     def add_bytes(self, part: bytes) -> list[ServerSentEvent]:
         """Append bytes to the buffer; remove and return complete events.
 
@@ -112,7 +115,7 @@
     """Return the position after the first empty line, 0 if there is none."""
     ends = [
         position + len(separator)
-        for separator in (b'\n\n', b'\r\n\r\n')
+        for separator in _EVENT_ENDS
         if (position := buffered.find(separator)) >= 0
     ]
     return min(ends, default=0)
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -19,7 +19,7 @@
     expected_wait_s,
 )
 from ..coordination.relay_protocol import Call, RelayProtocol
-from ..coordination.response_ends import report_stream_end
+from ..coordination.response_ends import check_stream_end
 from ..coordination.retries import RetryBudgets
 from ..coordination.routes import RouteKind
 from ..coordination.service_times import ServiceTimes
@@ -391,14 +391,12 @@
             else:
                 await response.send_head_once(response_head)
                 await response.send(part)
-        report_stream_end(
+        check_stream_end(
             attempt.call.request_id,
             upstream.upstream_id,
             response_head,
-            tracker.position,
+            tracker,
         )
-        if splitter.has_incomplete_event:
-            raise UpstreamLostError('the stream ended inside an event')
         await response.send_head_once(response_head)
         await response.finish(b'')
 
--- a/tests/protocol/test_event_stream.py
+++ b/tests/protocol/test_event_stream.py
@@ -26,21 +26,26 @@
         for number, text in enumerate(texts)
     )
     splitter = EventSplitter()
+    tracker = EventTracker()
     events = []
     start = 0
     for end in [*sorted(cuts), len(raw)]:
         events.extend(splitter.add_bytes(raw[start:end]))
+        tracker.add_bytes(raw[start:end])
         start = max(start, end)
     assert [event.event_id for event in events] == list(range(len(texts)))
     assert [event.data for event in events] == texts
     assert b''.join(event.raw for event in events) == raw
-    assert not splitter.has_incomplete_event
+    tracker.check_end()
 
 
-def test_bytes_without_event_end_set_has_incomplete_event():
-    splitter = EventSplitter()
-    assert splitter.add_bytes(b'id: 1\ndata: a\n') == []
-    assert splitter.has_incomplete_event
+def test_stream_that_ends_without_an_event_end_raises_upstream_lost():
+    raw = b'id: 1\ndata: a\n'
+    tracker = EventTracker()
+    tracker.add_bytes(raw)
+    assert EventSplitter().add_bytes(raw) == []
+    with pytest.raises(UpstreamLostError):
+        tracker.check_end()
 
 
 def test_event_with_unknown_field_and_two_data_lines_is_parsed():
