Take a stream that closes before its first event for broken off

What callers saw: status 200 and an empty stream, framed as complete; an item completed without its output, or without the rest of it.

No event was open, so nothing was missing as far as the events show.

Change: without a length or chunks a stream needs an event to be whole. With them it may be empty, as a resumption after the last event is.

Evidence: new tests send the beginnings of a response, each byte more than the last, with a length, chunks and neither, closed and reset, to streams that may be resumed or not, responses in one piece and items.

--- a/briarrill/coordination/response_ends.py
+++ b/briarrill/coordination/response_ends.py
@@ -2,8 +2,9 @@
 
 from eliot import log_message
 
+from ..errors import UpstreamLostError
 from ..metrics import ENDED_BY_CLOSE
-from ..protocol.event_stream import EventTracker
+from ..protocol.event_stream import EventTracker, StreamPosition
 from ..transport.http_messages import BodyFraming, ResponseHead
 
 __all__ = ('check_stream_end',)
@@ -18,18 +19,28 @@
     """Check that a stream whose last byte was read is whole.
 
     An end that only the close of the connection marks is counted and logged,
-    since nothing shows a cut between two events there.
+    since nothing shows a cut between two events there. A stream of no events
+    needs a length or chunks to be whole.
 
     :param tracker: has tracked all bytes of the stream.
     :raises UpstreamLostError: the upstream broke the stream off.
     """
     if response_head.body_framing is BodyFraming.CLOSE:
-        position = tracker.position.value
-        ENDED_BY_CLOSE.labels(position).inc()
-        log_message(
-            'stream:ended-by-close',
-            request_id=request_id,
-            upstream=upstream_id,
-            position=position,
-        )
+        _report_end_by_close(request_id, upstream_id, tracker.position)
+        if tracker.position is StreamPosition.START:
+            raise UpstreamLostError(
+                'the connection closed before the first event'
+            )
     tracker.check_end()
+
+
+def _report_end_by_close(
+    request_id: str, upstream_id: str, position: StreamPosition
+) -> None:
+    ENDED_BY_CLOSE.labels(position.value).inc()
+    log_message(
+        'stream:ended-by-close',
+        request_id=request_id,
+        upstream=upstream_id,
+        position=position.value,
+    )
--- a/tests/coordination/test_response_ends.py
+++ b/tests/coordination/test_response_ends.py
@@ -55,3 +55,13 @@
 def test_stream_with_framed_end_is_not_logged(log_lines, head):
     check_stream_end('r1', 'i-0', head, _tracker(b'data: 1\n\n'))
     assert not log_lines
+
+
+def test_stream_closed_before_its_first_event_raises_upstream_lost():
+    with pytest.raises(UpstreamLostError):
+        check_stream_end('r1', 'i-0', HEAD_WITHOUT_FRAMING, _tracker(b''))
+
+
+@pytest.mark.parametrize('head', FRAMED_HEADS)
+def test_framed_stream_without_events_is_whole(head):
+    check_stream_end('r1', 'i-0', head, _tracker(b''))
--- /dev/null
+++ b/tests/item_runs/test_cut_items.py
@@ -0,0 +1,63 @@
+"""Runs of items whose streams are cut at every byte, in every framing."""
+
+import pytest
+
+from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.routes import RouteKind
+from briarrill.coordination.upstream_table import (
+    RegisteredUpstream,
+    UpstreamTable,
+)
+from briarrill.item_runs.item import ItemProgress, RunEnd
+from briarrill.item_runs.item_runner import ItemRunner
+from briarrill.platform.relay_protocol import PlatformRelayProtocol
+from briarrill.state.stored_jobs import ItemState, StoredItem
+from standins.platform_engine import (
+    StandinEngine,
+    encode_event,
+    stream_events,
+)
+from tests.raw_engine import cut_at_every_byte, every_end
+from tests.relay.front_end_setup import route
+from tests.serving import serve_standin
+
+EVENTS = (encode_event(1), encode_event(2), encode_event(3))
+OUTPUT = 'word-1\nword-2\nword-3'
+BATCH_ROUTE = route(RouteKind.BATCH)
+
+
+@pytest.fixture
+def runner():
+    load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
+    return ItemRunner(
+        PlatformRelayProtocol(),
+        load.silence,
+        load.delays,
+        UpstreamTable(lambda: True),
+    )
+
+
+async def _run(runner, progress, engine):
+    """Run an item at an upstream; return how the run ended."""
+    async with serve_standin(engine) as address:
+        upstream = RegisteredUpstream('i-0', 'llm', address, 'a', 1)
+        return await runner.run(progress, BATCH_ROUTE, 'h.example', upstream)
+
+
+def _output(progress):
+    return progress.result(ItemState.COMPLETED).output
+
+
+@every_end
+async def test_cut_run_never_completes_an_item(runner, framing, reset):
+    for cut in cut_at_every_byte(EVENTS, framing, reset):
+        progress = ItemProgress('j1', StoredItem('x1', '/p/x', {}, b'', 1))
+        end = await _run(runner, progress, cut.engine())
+        if cut.is_complete:
+            assert (end, _output(progress)) == (RunEnd.COMPLETED, OUTPUT), cut
+        elif end is RunEnd.COMPLETED:
+            assert cut.may_look_like_complete_stream, cut
+        else:
+            assert end is RunEnd.CUT, cut
+            await _run(runner, progress, StandinEngine(stream_events(3)))
+            assert _output(progress) == OUTPUT, cut
--- a/tests/raw_engine.py
+++ b/tests/raw_engine.py
@@ -1,11 +1,14 @@
-"""A stand-in upstream that sends fixed bytes and ends its connection."""
+"""Responses cut at any byte, and a stand-in upstream that sends them."""
 
 import socket
 import struct
 
 import attrs
+import pytest
 
+from briarrill.protocol.event_stream import EventTracker, StreamPosition
 from briarrill.transport.http_callers import CallerConnection, CallerLimits
+from briarrill.transport.http_messages import BodyFraming
 
 # a socket with this option resets its connection when it is closed
 RESET_WHEN_CLOSED = struct.pack('ii', 1, 0)
@@ -40,3 +43,89 @@
     def caller_limits(self) -> CallerLimits:
         """Return the limits of the HTTP server that runs the engine."""
         return CallerLimits()
+
+
+@attrs.frozen
+class CutResponse:
+    """A response of which only the first bytes are sent.
+
+    :param parts: the whole body, in parts that are sent as one chunk each.
+    :param length: number of bytes that are sent, head included.
+    :param reset: whether the connection is reset after them, not closed.
+    """
+
+    parts: tuple[bytes, ...]
+    framing: BodyFraming
+    length: int
+    reset: bool
+
+    @property
+    def raw(self) -> bytes:
+        """Return the bytes that are sent."""
+        return encode_response(self.parts, self.framing)[: self.length]
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the response is complete as HTTP defines it."""
+        whole_length = len(encode_response(self.parts, self.framing))
+        has_end = self.framing is not BodyFraming.CLOSE or not self.reset
+        return has_end and self.length == whole_length
+
+    @property
+    def may_look_complete(self) -> bool:
+        """Whether a body that is no stream may be taken for complete.
+
+        Nothing shows that a part is missing where only the close of the
+        connection marks the end.
+        """
+        hides_cut = self.framing is BodyFraming.CLOSE and not self.reset
+        return self.is_complete or (hides_cut and b'\r\n\r\n' in self.raw)
+
+    @property
+    def may_look_like_complete_stream(self) -> bool:
+        """Whether a stream may be taken for complete.
+
+        The events show a cut, unless it is between two of them.
+        """
+        tracker = EventTracker()
+        tracker.add_bytes(self.body)
+        is_between = tracker.position is StreamPosition.BETWEEN_EVENTS
+        return self.may_look_complete and is_between
+
+    @property
+    def body(self) -> bytes:
+        """Return the bytes that are sent after the head."""
+        return self.raw.partition(b'\r\n\r\n')[2]
+
+    def engine(self) -> RawEngine:
+        """Return an upstream that sends this response."""
+        return RawEngine(self.raw, self.reset)
+
+
+def encode_response(parts: tuple[bytes, ...], framing: BodyFraming) -> bytes:
+    """Return a response with status 200, encoded."""
+    if framing is BodyFraming.CLOSE:
+        return b'HTTP/1.1 200 OK\r\n\r\n' + b''.join(parts)
+    if framing is BodyFraming.LENGTH:
+        length = sum(len(part) for part in parts)
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % length
+        return head + b''.join(parts)
+    head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+    chunks = [b'%x\r\n%b\r\n' % (len(part), part) for part in parts]
+    return head + b''.join(chunks) + b'0\r\n\r\n'
+
+
+every_end = pytest.mark.parametrize(
+    ('framing', 'reset'),
+    [(framing, reset) for framing in BodyFraming for reset in (False, True)],
+)
+
+
+def cut_at_every_byte(
+    parts: tuple[bytes, ...], framing: BodyFraming, reset: bool
+) -> list[CutResponse]:
+    """Return all beginnings of a response, the whole one last."""
+    return [
+        CutResponse(parts, framing, length, reset)
+        for length in range(len(encode_response(parts, framing)) + 1)
+    ]
--- /dev/null
+++ b/tests/relay/test_cut_responses.py
@@ -0,0 +1,74 @@
+"""Responses of upstreams cut at every byte, in every framing."""
+
+from briarrill.errors import UpstreamLostError
+from standins.platform_engine import (
+    StandinEngine,
+    encode_event,
+    respond_with,
+    stream_events,
+)
+from tests.raw_engine import cut_at_every_byte, every_end
+from tests.relay.front_end_setup import (
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    RESUMABLE_STREAM,
+    STREAM,
+    run_front_end,
+)
+
+EVENTS = (encode_event(1), encode_event(2), encode_event(3))
+BODY = (b'saved ', b'plan')
+WHOLE_STREAM = b''.join(EVENTS)
+WHOLE_BODY = b''.join(BODY)
+
+
+async def _relay(route, *engines):
+    """Return the body that a caller gets as complete, if it gets one."""
+    async with run_front_end([route], *engines) as setup:
+        try:
+            status, _, body = await setup.send_request(route.prefix)
+        except UpstreamLostError:
+            return None
+    return body if status == 200 else None
+
+
+@every_end
+async def test_cut_stream_never_reaches_its_caller_as_complete(framing, reset):
+    for cut in cut_at_every_byte(EVENTS, framing, reset):
+        body = await _relay(STREAM, cut.engine())
+        if cut.is_complete:
+            assert body == WHOLE_STREAM, cut
+        elif body is not None:
+            assert cut.may_look_like_complete_stream, cut
+
+
+@every_end
+async def test_cut_resumable_stream_goes_on_to_its_end(framing, reset):
+    for cut in cut_at_every_byte(EVENTS, framing, reset):
+        second = StandinEngine(stream_events(3))
+        body = await _relay(RESUMABLE_STREAM, cut.engine(), second)
+        if body != WHOLE_STREAM:
+            assert cut.may_look_like_complete_stream, cut
+        assert not (cut.is_complete and second.requests), cut
+
+
+@every_end
+async def test_cut_response_never_reaches_its_caller_as_complete(
+    framing, reset
+):
+    for cut in cut_at_every_byte(BODY, framing, reset):
+        body = await _relay(NON_IDEMPOTENT, cut.engine())
+        if cut.is_complete:
+            assert body == WHOLE_BODY, cut
+        elif body is not None:
+            assert cut.may_look_complete, cut
+
+
+@every_end
+async def test_cut_response_on_idempotent_route_is_retried(framing, reset):
+    for cut in cut_at_every_byte(BODY, framing, reset):
+        second = StandinEngine(respond_with(WHOLE_BODY))
+        body = await _relay(IDEMPOTENT, cut.engine(), second)
+        if body != WHOLE_BODY:
+            assert cut.may_look_complete, cut
+        assert not (cut.is_complete and second.requests), cut
