Leave the outcome of a store write open after a server error

What callers saw: nothing yet; found while the replies to writes were read again.

Cause: statuses 500, 502 and 504 were raised as PlatformUnavailableError, so a write that may have been made counted as not made.

Change: they count as a lost reply, like a closed connection.

Evidence: test_write_with_server_error_has_an_unknown_outcome failed for the three statuses and passes.

--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -293,11 +293,16 @@
 
         :returns: nothing if a condition did not hold.
         :raises PlatformUnavailableError: the store rejected the write.
-        :raises UpstreamLostError: the reply was lost or cannot be read.
+        :raises UpstreamLostError: the reply was lost or cannot be read, or
+            it is a server error that does not say that nothing was done.
         """
         raw = await self._call('POST', '/kv-txn', body)
         if raw.status == HTTPStatus.PRECONDITION_FAILED:
             return None
+        if raw.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise UpstreamLostError(
+                f'the store responded to a write with status {raw.status}'
+            )
         if raw.status != HTTPStatus.OK:
             raise _unexpected_status(raw)
         try:
--- a/tests/platform/test_cut_store_replies.py
+++ b/tests/platform/test_cut_store_replies.py
@@ -8,7 +8,7 @@
 from briarrill.errors import PlatformUnavailableError, WriteUnknownError
 from briarrill.platform.store import PlatformStore
 from briarrill.transport.key_value import KeyChange, KeyValue
-from tests.raw_engine import cut_at_every_byte, every_end
+from tests.raw_engine import RawEngine, cut_at_every_byte, every_end
 from tests.serving import serve_standin
 
 WRITE_REPLY = (b'{"revi', b'sion":12}')
@@ -66,3 +66,11 @@
                 continue
             with pytest.raises(PlatformUnavailableError):
                 await client.read_prefix('k')
+
+
+@pytest.mark.parametrize('status', [500, 502, 504])
+async def test_write_with_server_error_has_an_unknown_outcome(status):
+    raw = b'HTTP/1.1 %d Error\r\ncontent-length: 0\r\n\r\n' % status
+    async with _client_of(RawEngine(raw)) as client:
+        with pytest.raises(WriteUnknownError):
+            await client.transact([CHANGE])
