Reset the connection of an HTTP/1.0 caller whose response is cut

What callers saw: a caller with HTTP/1.0 gets a stream without a length or chunks, and a stream that was broken off ended with the close of its connection, exactly as a whole one.

Change: a connection whose unfinished response has neither a length nor chunks is reset. One with a length or chunks is closed as before, since a reset may drop events that are on their way.

Evidence: test_cut_stream_resets_the_connection_of_a_caller_without_chunks failed in all three framings, closed and reset, and passes.

--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -6,7 +6,8 @@
 
 import contextlib
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import cast
 
 import attrs
@@ -51,6 +52,11 @@
 
 HTTP_HEADERS_TOO_LARGE = 431
 
+_HTTP_WITHOUT_CHUNKS = b'1.0'
+
+# a socket with this option resets its connection when it is closed
+_RESET_WHEN_CLOSED = struct.pack('ii', 1, 0)
+
 
 @attrs.frozen
 class CallerLimits:
@@ -86,6 +92,7 @@
         """Wrap the socket; the code that accepted it closes it."""
         self.closes_after_response = False
         self.has_sent_head = False
+        self._has_frame = False
         self._sock = sock
         self._limits = limits
         self._parser = self._new_parser()
@@ -102,6 +109,14 @@
         """Whether all of the response was sent."""
         return self._parser.our_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
 
+    @property
+    def hides_cut(self) -> bool:
+        """Whether a close would make a cut response look complete.
+
+        That is so if its caller knows no chunks and it has no length.
+        """
+        return self._parser.our_state is h11.SEND_BODY and not self._has_frame
+
     async def read_request_head(self) -> RequestHead | None:
         """Read the headers of the next request.
 
@@ -269,6 +284,10 @@
     def _encode_head(self, status: int, headers: Headers) -> bytes:
         """Encode a response head, with ``Connection: close`` if needed."""
         self.has_sent_head = True
+        self._has_frame = (
+            self._parser.their_http_version != _HTTP_WITHOUT_CHUNKS
+            or find_header(headers, b'content-length') is not None
+        )
         fields = list(headers)
         if self.closes_after_response:
             fields.append((b'connection', b'close'))
@@ -311,10 +330,28 @@
         with sock:
             _set_socket_options(sock)
             conn = CallerConnection(sock, self.limits)
-            with contextlib.suppress(CallerGoneError):
+            with (
+                contextlib.suppress(CallerGoneError),
+                _reset_if_cut(conn, sock),
+            ):
                 await self.serve_connection(conn)
 
 
+@contextlib.contextmanager
+def _reset_if_cut(
+    conn: CallerConnection, sock: trio.socket.SocketType
+) -> Iterator[None]:
+    """Have a connection reset if its close would hide a cut response."""
+    try:
+        yield
+    finally:
+        if conn.hides_cut:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_WHEN_CLOSED
+                )
+
+
 def _set_socket_options(sock: trio.socket.SocketType) -> None:
     """Let the kernel detect a dead caller by keep-alive and user timeout."""
     tcp = socket.IPPROTO_TCP
--- a/tests/relay/test_cut_responses.py
+++ b/tests/relay/test_cut_responses.py
@@ -1,5 +1,7 @@
 """Responses of upstreams cut at every byte, in every framing."""
 
+import trio
+
 from briarrill.errors import UpstreamLostError
 from standins.platform_engine import (
     StandinEngine,
@@ -12,6 +14,7 @@
     IDEMPOTENT,
     NON_IDEMPOTENT,
     RESUMABLE_STREAM,
+    ROUTE_HOST,
     STREAM,
     run_front_end,
 )
@@ -72,3 +75,41 @@
         if body != WHOLE_BODY:
             assert cut.may_look_complete, cut
         assert not (cut.is_complete and second.requests), cut
+
+
+async def _read_without_chunks(address):
+    """Return all bytes that a caller with HTTP/1.0 gets.
+
+    :raises trio.BrokenResourceError: the connection was reset.
+    """
+    request = (
+        b'POST %b HTTP/1.0\r\nhost: %b\r\nbriarrill-attempt-id: r1\r\n\r\n'
+        % (STREAM.prefix.encode(), ROUTE_HOST)
+    )
+    stream = await trio.open_tcp_stream(*address)
+    async with stream:
+        await stream.send_all(request)
+        return b''.join([part async for part in stream])
+
+
+def _is_short(head, body):
+    """Whether a body is shorter than its head says."""
+    _, _, length = head.lower().partition(b'content-length: ')
+    return len(body) < int(length.partition(b'\r\n')[0] or 0)
+
+
+@every_end
+async def test_cut_stream_resets_the_connection_of_a_caller_without_chunks(
+    framing, reset
+):
+    """HTTP/1.0 has no chunks, so the close would look like the end."""
+    for cut in cut_at_every_byte(EVENTS, framing, reset):
+        async with run_front_end([STREAM], cut.engine()) as setup:
+            try:
+                raw = await _read_without_chunks(setup.address)
+            except trio.BrokenResourceError:
+                assert not cut.is_complete, cut
+                continue
+        head, _, body = raw.partition(b'\r\n\r\n')
+        if b' 200 ' in head and not _is_short(head, body):
+            assert cut.may_look_like_complete_stream, cut
