Relay a response that is no event stream in one piece

What callers saw: a JSON response on a streaming route was judged by its events. After a cut stream, JSON could end the caller's stream as complete.

Cause: only the status decided whether a response is a stream.

Change: its content type decides too; without one it is a stream.

Evidence: test_json_on_a_streaming_route_is_relayed_in_one_piece failed for both kinds of streams and passes. The retried response of test_rejected_attempt_is_retried_at_another_upstream is an event now: 'ok' is no event stream. It passed only as its length had ended the response before the check.

--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -50,7 +50,7 @@
 )
 from .placer import Placer
 from .response import Response
-from .streams import read_stream_part, send_new_events
+from .streams import is_event_stream, read_stream_part, send_new_events
 
 __all__ = ('Forwarder',)
 
@@ -72,7 +72,6 @@
 # is longer, so most retries find free slots
 MIN_RETRY_AFTER_S = 0.15
 
-HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 
 
@@ -367,14 +366,16 @@
         """Relay the events of a stream as they arrive.
 
         :raises UpstreamLostError: the stream ended inside an event.
-        :raises UpstreamFailedError: a resumption got an error response.
+        :raises UpstreamFailedError: a resumption got a response that is no
+            stream.
         """
         response = attempt.response
-        if response_head.status != HTTP_OK:
+        if not is_event_stream(response_head):
             if response.has_begun:
                 # its body must not follow the events that were sent
                 raise UpstreamFailedError(
-                    f'answered {response_head.status} to a resumption',
+                    f'answered {response_head.status} without events'
+                    ' to a resumption',
                     ran=Ran.YES,
                 )
             await self._relay_buffered(attempt, channel, response_head)
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -83,11 +83,11 @@
 async def test_rejected_attempt_is_retried_at_another_upstream(status, route):
     first, second = (
         StandinEngine(reject_unexecuted(status)),
-        StandinEngine(respond_with(b'ok')),
+        StandinEngine(respond_with(encode_event(1))),
     )
     async with run_front_end([route], first, second) as setup:
         response_status, _, body = await setup.send_request(route.prefix)
-    assert (response_status, body) == (200, b'ok')
+    assert (response_status, body) == (200, encode_event(1))
     assert len(first.requests) == len(second.requests) == 1
 
 
@@ -213,6 +213,30 @@
     assert body == ALL_EVENTS
 
 
+def _json_response(body):
+    head = b'content-type: application/json\r\ntransfer-encoding: chunked'
+    chunk = b'%x\r\n%b\r\n' % (len(body), body)
+    return RawEngine(
+        b'HTTP/1.1 200 OK\r\n' + head + b'\r\n\r\n' + chunk + b'0\r\n\r\n'
+    )
+
+
+@pytest.mark.parametrize('route', [STREAM, RESUMABLE_STREAM])
+async def test_json_on_a_streaming_route_is_relayed_in_one_piece(route):
+    body = b'{"choices": []}'
+    async with run_front_end([route], _json_response(body)) as setup:
+        status, _, relayed = await setup.send_request(route.prefix)
+    assert (status, relayed) == (200, body)
+
+
+async def test_json_does_not_follow_the_events_of_a_cut_stream():
+    first = StandinEngine(stream_events(5, cut_after=2))
+    engines = first, _json_response(b'{"choices": []}')
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        with pytest.raises(UpstreamLostError):
+            await setup.send_request(RESUMABLE_STREAM.prefix)
+
+
 async def test_cut_non_resumable_stream_ends_caller_connection():
     first = StandinEngine(stream_events(5, cut_after=2))
     second = StandinEngine(stream_events(5))
