Do not pass on the length of a relayed stream

What callers saw: possibly all requests of an entry cut at once: a resumed stream that is longer than its first upstream announced, or a response with both a length and chunks, ended the entry process with h11's LocalProtocolError; a shorter one, too. A half event whose length was right reached its caller as complete before the check of its end.

Cause: the framing of one connection was passed on to another. The length of the first upstream's stream is not that of the relayed one, and chunks make a length meaningless.

Change: streams are relayed without their length, in chunks; other responses keep it only where the upstream's body was framed by it.

Evidence: test_resumption_of_another_length_ends_as_complete and test_stream_with_both_a_length_and_chunks_is_relayed_whole failed with LocalProtocolError, two cases of test_framed_stream_that_ends_inside_an_event_is_cut with a response that looked complete; all pass.

--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -380,6 +380,8 @@
                 )
             await self._relay_buffered(attempt, channel, response_head)
             return
+        # the length of a stream that resumes elsewhere is unknown
+        caller_head = response_head.without_length()
         splitter = EventSplitter()
         tracker = EventTracker()
         while (part := await read_stream_part(attempt, channel)) is not None:
@@ -387,10 +389,10 @@
             tracker.add_bytes(part)
             if attempt.call.route.resumable:
                 await send_new_events(
-                    splitter.add_bytes(part), response_head, response
+                    splitter.add_bytes(part), caller_head, response
                 )
             else:
-                await response.send_head_once(response_head)
+                await response.send_head_once(caller_head)
                 await response.send(part)
         check_stream_end(
             attempt.call.request_id,
@@ -398,7 +400,7 @@
             response_head,
             tracker,
         )
-        await response.send_head_once(response_head)
+        await response.send_head_once(caller_head)
         await response.finish(b'')
 
     def _handle_failure(
--- a/briarrill/relay/response.py
+++ b/briarrill/relay/response.py
@@ -6,7 +6,7 @@
 from ..coordination.relay_protocol import RelayProtocol
 from ..protocol.event_stream import ServerSentEvent
 from ..transport.http_callers import CallerConnection
-from ..transport.http_messages import Headers, ResponseHead
+from ..transport.http_messages import BodyFraming, Headers, ResponseHead
 
 __all__ = ('Response',)
 
@@ -41,7 +41,12 @@
         return self._conn.has_sent_head
 
     async def send_head_once(self, head: ResponseHead) -> None:
-        """Send the head unless one was sent."""
+        """Send the head unless one was sent.
+
+        Chunks take precedence over a length that the upstream also sent.
+        """
+        if head.body_framing is not BodyFraming.LENGTH:
+            head = head.without_length()
         if not self.has_begun:
             self.first_bytes_at = time.monotonic()
             await self._conn.send_head(head.status, self._headers(head))
--- a/briarrill/transport/http_messages.py
+++ b/briarrill/transport/http_messages.py
@@ -33,6 +33,9 @@
 )
 
 
+_CONTENT_LENGTH = b'content-length'
+
+
 @attrs.frozen
 class RequestHead:
     """Method, target and headers of a request.
@@ -73,10 +76,19 @@
         """Return the framing of a response that may have a body."""
         if find_header(self.headers, b'transfer-encoding') is not None:
             return BodyFraming.CHUNKED
-        if find_header(self.headers, b'content-length') is not None:
+        if find_header(self.headers, _CONTENT_LENGTH) is not None:
             return BodyFraming.LENGTH
         return BodyFraming.CLOSE
 
+    def without_length(self) -> 'ResponseHead':
+        """Return the head of a response whose length is unknown."""
+        return attrs.evolve(
+            self,
+            headers=tuple(
+                pair for pair in self.headers if pair[0] != _CONTENT_LENGTH
+            ),
+        )
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None if it is absent.
--- a/tests/relay/test_cut_responses.py
+++ b/tests/relay/test_cut_responses.py
@@ -45,6 +45,17 @@
             assert cut.may_look_like_complete_stream, cut
 
 
+@every_end
+async def test_framed_stream_that_ends_inside_an_event_is_cut(framing, reset):
+    """The upstream framed its half event as a complete response."""
+    parts = (encode_event(1), encode_event(2)[:5])
+    whole = cut_at_every_byte(parts, framing, reset)[-1]
+    assert await _relay(STREAM, whole.engine()) is None
+    second = StandinEngine(stream_events(3))
+    relayed = await _relay(RESUMABLE_STREAM, whole.engine(), second)
+    assert relayed == WHOLE_STREAM
+
+
 @every_end
 async def test_cut_resumable_stream_goes_on_to_its_end(framing, reset):
     for cut in cut_at_every_byte(EVENTS, framing, reset):
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -237,6 +237,30 @@
             await setup.send_request(RESUMABLE_STREAM.prefix)
 
 
+async def test_resumption_of_another_length_ends_as_complete():
+    """The length of the first stream is not that of the relayed one."""
+    first = encode_event(1) + encode_event(2)
+    longer_event = b'id: 2\ndata: another word of the second upstream\n\n'
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(first)
+    second = RawEngine(
+        b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b'
+        % (len(longer_event), longer_event)
+    )
+    engines = RawEngine(head + encode_event(1)), second
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        status, _, body = await setup.send_request(RESUMABLE_STREAM.prefix)
+    assert (status, body) == (200, encode_event(1) + longer_event)
+
+
+async def test_stream_with_both_a_length_and_chunks_is_relayed_whole():
+    head = b'content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n'
+    chunk = b'%x\r\n%b\r\n' % (len(ALL_EVENTS), ALL_EVENTS)
+    engine = RawEngine(b'HTTP/1.1 200 OK\r\n' + head + chunk + b'0\r\n\r\n')
+    async with run_front_end([STREAM], engine) as setup:
+        status, _, body = await setup.send_request(STREAM.prefix)
+    assert (status, body) == (200, ALL_EVENTS)
+
+
 async def test_cut_non_resumable_stream_ends_caller_connection():
     first = StandinEngine(stream_events(5, cut_after=2))
     second = StandinEngine(stream_events(5))
