Close the listening socket of callers at exit

What was seen: a second server on an address failed with "Address already in use" within one process; found by tests that serve the same address again.

Cause: only stop_accepting closed the socket; without it the socket stayed open until its cycle of references was collected.

Change: serve_callers owns it.

Evidence: test_listening_socket_is_closed_at_exit failed and passes.

--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -375,16 +375,20 @@
     """
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    await sock.bind(address)
-    sock.listen(LISTEN_BACKLOG)
-    async with trio.open_nursery() as nursery, trio.open_nursery() as accepts:
-        listener = _Listener(sock, limits, serve_connection)
-        accepts.start_soon(listener.run, nursery)
+    with sock:
+        await sock.bind(address)
+        sock.listen(LISTEN_BACKLOG)
+        async with (
+            trio.open_nursery() as nursery,
+            trio.open_nursery() as accepts,
+        ):
+            listener = _Listener(sock, limits, serve_connection)
+            accepts.start_soon(listener.run, nursery)
 
-        def stop_accepting() -> None:
-            accepts.cancel_scope.cancel()
-            sock.close()
+            def stop_accepting() -> None:
+                accepts.cancel_scope.cancel()
+                sock.close()
 
-        yield stop_accepting
-        accepts.cancel_scope.cancel()
-        nursery.cancel_scope.cancel()
+            yield stop_accepting
+            accepts.cancel_scope.cancel()
+            nursery.cancel_scope.cancel()
--- a/tests/transport/test_http_callers.py
+++ b/tests/transport/test_http_callers.py
@@ -120,3 +120,19 @@
         await stream.aclose()
         with trio.fail_after(5):
             await disconnected.wait()
+
+
+async def test_listening_socket_is_closed_at_exit(monkeypatch):
+    """The garbage collector may close it long after the next server binds."""
+    opened = []
+    open_socket = trio.socket.socket
+
+    def record_socket(*args):
+        opened.append(open_socket(*args))
+        return opened[-1]
+
+    monkeypatch.setattr(trio.socket, 'socket', record_socket)
+    address = ('127.0.0.1', free_port())
+    async with serve_callers(address, CallerLimits, Echo().serve):
+        assert opened[0].fileno() >= 0
+    assert opened[0].fileno() < 0
