Give the tests of cut responses fixed addresses

Cause: one of 106 tests of the relay failed once with "Address already in use", then 3 to 16 of them in later runs. Each cut took new free ports, and the closed connections kept some 20,000 of 28,232 for a minute (`ss`).

Change: these tests serve on their own network with a fixed port. Checks are unchanged.

--- a/tests/item_runs/test_cut_items.py
+++ b/tests/item_runs/test_cut_items.py
@@ -37,9 +37,9 @@
     )
 
 
-async def _run(runner, progress, engine):
+async def _run(runner, progress, engine, network):
     """Run an item at an upstream; return how the run ended."""
-    async with serve_standin(engine) as address:
+    async with serve_standin(engine, (f'{network}.1', 8080)) as address:
         upstream = RegisteredUpstream('i-0', 'llm', address, 'a', 1)
         return await runner.run(progress, BATCH_ROUTE, 'h.example', upstream)
 
@@ -49,15 +49,19 @@
 
 
 @every_end
-async def test_cut_run_never_completes_an_item(runner, framing, reset):
+async def test_cut_run_never_completes_an_item(
+    runner, network, framing, reset
+):
     for cut in cut_at_every_byte(EVENTS, framing, reset):
         progress = ItemProgress('j1', StoredItem('x1', '/p/x', {}, b'', 1))
-        end = await _run(runner, progress, cut.engine())
+        end = await _run(runner, progress, cut.engine(), network)
         if cut.is_complete:
             assert (end, _output(progress)) == (RunEnd.COMPLETED, OUTPUT), cut
         elif end is RunEnd.COMPLETED:
             assert cut.may_look_like_complete_stream, cut
         else:
             assert end is RunEnd.CUT, cut
-            await _run(runner, progress, StandinEngine(stream_events(3)))
+            await _run(
+                runner, progress, StandinEngine(stream_events(3)), network
+            )
             assert _output(progress) == OUTPUT, cut
--- a/tests/platform/test_cut_store_replies.py
+++ b/tests/platform/test_cut_store_replies.py
@@ -21,9 +21,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _client_of(engine):
+async def _client_of(engine, network):
     """Yield a client of a store that sends the engine's reply."""
-    async with serve_standin(engine) as address:
+    async with serve_standin(engine, (f'{network}.1', 8080)) as address:
         client = PlatformStore(address)
         with trio.fail_after(5):
             yield client
@@ -35,10 +35,12 @@
 
 
 @every_end
-async def test_write_with_cut_reply_has_an_unknown_outcome(framing, reset):
+async def test_write_with_cut_reply_has_an_unknown_outcome(
+    network, framing, reset
+):
     """The store has made the write, so it must not count as not made."""
     for cut in cut_at_every_byte(WRITE_REPLY, framing, reset):
-        async with _client_of(cut.engine()) as client:
+        async with _client_of(cut.engine(), network) as client:
             if cut.is_complete or _is_whole(cut):
                 assert await client.transact([CHANGE]) == 12, cut
                 continue
@@ -47,9 +49,9 @@
 
 
 @every_end
-async def test_read_with_cut_reply_raises_unavailable(framing, reset):
+async def test_read_with_cut_reply_raises_unavailable(network, framing, reset):
     for cut in cut_at_every_byte(READ_REPLY, framing, reset):
-        async with _client_of(cut.engine()) as client:
+        async with _client_of(cut.engine(), network) as client:
             if cut.is_complete or _is_whole(cut):
                 assert await client.read('k') == ENTRY, cut
                 continue
@@ -58,9 +60,11 @@
 
 
 @every_end
-async def test_range_with_cut_reply_raises_unavailable(framing, reset):
+async def test_range_with_cut_reply_raises_unavailable(
+    network, framing, reset
+):
     for cut in cut_at_every_byte((*RANGE_REPLY, RANGE_END), framing, reset):
-        async with _client_of(cut.engine()) as client:
+        async with _client_of(cut.engine(), network) as client:
             if cut.is_complete or _is_whole(cut):
                 assert await client.read_prefix('k') == [ENTRY], cut
                 continue
@@ -69,8 +73,8 @@
 
 
 @pytest.mark.parametrize('status', [500, 502, 504])
-async def test_write_with_server_error_has_an_unknown_outcome(status):
+async def test_write_with_server_error_has_an_unknown_outcome(network, status):
     raw = b'HTTP/1.1 %d Error\r\ncontent-length: 0\r\n\r\n' % status
-    async with _client_of(RawEngine(raw)) as client:
+    async with _client_of(RawEngine(raw), network) as client:
         with pytest.raises(WriteUnknownError):
             await client.transact([CHANGE])
--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -28,6 +28,8 @@
 
 ROUTE_HOST = b'h.example'
 
+FIXED_PORT = 8080
+
 
 def route(kind, **fields):
     """Return a route whose name and prefix are its kind."""
@@ -76,9 +78,20 @@
     raise AssertionError('unexpected job request')
 
 
+def _address(network, number):
+    """Return a fixed address of a network, or a free port without one."""
+    if network is None:
+        return '127.0.0.1', free_port()
+    return f'{network}.{number + 1}', FIXED_PORT
+
+
 @contextlib.asynccontextmanager
-async def run_front_end(routes, *engines):
-    """Serve engines behind a front end, the first with the least load."""
+async def run_front_end(routes, *engines, network=None):
+    """Serve engines behind a front end, the first with the least load.
+
+    :param network: loopback /24 prefix whose addresses are used with a fixed
+        port; free ports of one address without one.
+    """
     upstreams = UpstreamTable(lambda: True)
     load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
     protocol = PlatformRelayProtocol()
@@ -94,7 +107,9 @@
     )
     async with contextlib.AsyncExitStack() as stack:
         for number, engine in enumerate(engines):
-            address = await stack.enter_async_context(serve_standin(engine))
+            address = await stack.enter_async_context(
+                serve_standin(engine, _address(network, number + 1))
+            )
             if number:
                 load.in_flight.online[f'i-{number}'] = number
             upstreams.register(
@@ -107,7 +122,7 @@
                     incarnation=f'i-{number}',
                 )
             )
-        address = ('127.0.0.1', free_port())
+        address = _address(network, 0)
         await stack.enter_async_context(
             serve_callers(address, CallerLimits, front.serve)
         )
--- a/tests/relay/test_cut_responses.py
+++ b/tests/relay/test_cut_responses.py
@@ -1,4 +1,8 @@
-"""Responses of upstreams cut at every byte, in every framing."""
+"""Responses of upstreams cut at every byte, in every framing.
+
+Each test has a network of its own, since thousands of free ports would be
+used up by connections that were closed a short time ago.
+"""
 
 import trio
 
@@ -25,9 +29,9 @@
 WHOLE_BODY = b''.join(BODY)
 
 
-async def _relay(route, *engines):
+async def _relay(network, route, *engines):
     """Return the body that a caller gets as complete, if it gets one."""
-    async with run_front_end([route], *engines) as setup:
+    async with run_front_end([route], *engines, network=network) as setup:
         try:
             status, _, body = await setup.send_request(route.prefix)
         except UpstreamLostError:
@@ -36,9 +40,11 @@
 
 
 @every_end
-async def test_cut_stream_never_reaches_its_caller_as_complete(framing, reset):
+async def test_cut_stream_never_reaches_its_caller_as_complete(
+    network, framing, reset
+):
     for cut in cut_at_every_byte(EVENTS, framing, reset):
-        body = await _relay(STREAM, cut.engine())
+        body = await _relay(network, STREAM, cut.engine())
         if cut.is_complete:
             assert body == WHOLE_STREAM, cut
         elif body is not None:
@@ -46,21 +52,25 @@
 
 
 @every_end
-async def test_framed_stream_that_ends_inside_an_event_is_cut(framing, reset):
+async def test_framed_stream_that_ends_inside_an_event_is_cut(
+    network, framing, reset
+):
     """The upstream framed its half event as a complete response."""
     parts = (encode_event(1), encode_event(2)[:5])
     whole = cut_at_every_byte(parts, framing, reset)[-1]
-    assert await _relay(STREAM, whole.engine()) is None
+    assert await _relay(network, STREAM, whole.engine()) is None
     second = StandinEngine(stream_events(3))
-    relayed = await _relay(RESUMABLE_STREAM, whole.engine(), second)
+    relayed = await _relay(network, RESUMABLE_STREAM, whole.engine(), second)
     assert relayed == WHOLE_STREAM
 
 
 @every_end
-async def test_cut_resumable_stream_goes_on_to_its_end(framing, reset):
+async def test_cut_resumable_stream_goes_on_to_its_end(
+    network, framing, reset
+):
     for cut in cut_at_every_byte(EVENTS, framing, reset):
         second = StandinEngine(stream_events(3))
-        body = await _relay(RESUMABLE_STREAM, cut.engine(), second)
+        body = await _relay(network, RESUMABLE_STREAM, cut.engine(), second)
         if body != WHOLE_STREAM:
             assert cut.may_look_like_complete_stream, cut
         assert not (cut.is_complete and second.requests), cut
@@ -68,10 +78,10 @@
 
 @every_end
 async def test_cut_response_never_reaches_its_caller_as_complete(
-    framing, reset
+    network, framing, reset
 ):
     for cut in cut_at_every_byte(BODY, framing, reset):
-        body = await _relay(NON_IDEMPOTENT, cut.engine())
+        body = await _relay(network, NON_IDEMPOTENT, cut.engine())
         if cut.is_complete:
             assert body == WHOLE_BODY, cut
         elif body is not None:
@@ -79,10 +89,12 @@
 
 
 @every_end
-async def test_cut_response_on_idempotent_route_is_retried(framing, reset):
+async def test_cut_response_on_idempotent_route_is_retried(
+    network, framing, reset
+):
     for cut in cut_at_every_byte(BODY, framing, reset):
         second = StandinEngine(respond_with(WHOLE_BODY))
-        body = await _relay(IDEMPOTENT, cut.engine(), second)
+        body = await _relay(network, IDEMPOTENT, cut.engine(), second)
         if body != WHOLE_BODY:
             assert cut.may_look_complete, cut
         assert not (cut.is_complete and second.requests), cut
@@ -111,11 +123,13 @@
 
 @every_end
 async def test_cut_stream_resets_the_connection_of_a_caller_without_chunks(
-    framing, reset
+    network, framing, reset
 ):
     """HTTP/1.0 has no chunks, so the close would look like the end."""
     for cut in cut_at_every_byte(EVENTS, framing, reset):
-        async with run_front_end([STREAM], cut.engine()) as setup:
+        async with run_front_end(
+            [STREAM], cut.engine(), network=network
+        ) as setup:
             try:
                 raw = await _read_without_chunks(setup.address)
             except trio.BrokenResourceError:
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -14,8 +14,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serve_standin(standin):
-    """Serve a stand-in until exit; yield its address."""
-    address = ('127.0.0.1', free_port())
+async def serve_standin(standin, address=None):
+    """Serve a stand-in until exit; yield its address.
+
+    :param address: where to serve it; a free port without one.
+    """
+    address = address or ('127.0.0.1', free_port())
     async with serve_callers(address, standin.caller_limits, standin.serve):
         yield address
