Notice a reset that the sender of a request was told of

What callers saw: a response that was reset on the way could reach them as complete, if it had neither a length nor chunks and its request of over 4 KiB was still being sent.

A long request is sent by a task of its own. The kernel reports a reset once; if that task got it, the reading one saw a closed connection, which ends such a response.

Change: a close after a failed send is a reset for the reader too.

--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -91,6 +91,7 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._request: tuple[h11.Request, bytes] | None = None
         self._is_request_sent = True
+        self._has_send_failed = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = time.monotonic()
 
@@ -234,6 +235,7 @@
             while unsent:
                 unsent = unsent[await self._sock.send(unsent) :]
         except OSError as exc:
+            self._has_send_failed = True
             raise UpstreamLostError(
                 f'sending the request failed: {exc!r}'
             ) from exc
@@ -246,9 +248,7 @@
         """
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
-                self._parser.receive_data(
-                    await self._sock.recv(MAX_RECEIVE_BYTES)
-                )
+                self._parser.receive_data(await self._receive())
         except (OSError, h11.RemoteProtocolError) as exc:
             raise UpstreamLostError(
                 f'receiving the response failed: {exc!r}'
@@ -259,6 +259,19 @@
             raise UpstreamLostError('connection closed before the response')
         return cast(h11.Event, event)
 
+    async def _receive(self) -> bytes:
+        """Return the next bytes, empty if the server closed the connection.
+
+        The kernel reports a reset once. If the sender got it, the connection
+        looks closed here.
+
+        :raises OSError: the connection failed.
+        """
+        received = await self._sock.recv(MAX_RECEIVE_BYTES)
+        if not received and self._has_send_failed:
+            raise ConnectionResetError('reset while the request was sent')
+        return received
+
     async def _discard_late_response(self) -> None:
         """Discard a late response and let the parser await the next one.
 
--- a/tests/transport/test_http_channel.py
+++ b/tests/transport/test_http_channel.py
@@ -1,6 +1,7 @@
 """Responses of servers: complete, cut off, late or with extra bytes."""
 
 import contextlib
+import socket
 
 import pytest
 import trio
@@ -8,6 +9,7 @@
 from briarrill.errors import PeerUnreachableError, UpstreamLostError
 from briarrill.transport.http_channel import ChannelPool, connect
 from briarrill.transport.http_messages import RequestHead, find_header
+from tests.raw_engine import RESET_WHEN_CLOSED
 
 HEAD = RequestHead(b'GET', b'/a%2Fb?q=%20', ((b'host', b'h'),))
 
@@ -144,6 +146,39 @@
         channel.close()
 
 
+# each side of the connection gets the error of a reset with even odds
+RESETS = 24
+
+
+async def _reset_inside_response(stream):
+    """Read a part of a request, send a part of a response and reset."""
+    await stream.receive_some(1000)
+    await stream.send_all(b'HTTP/1.1 200 OK\r\n\r\na part of it')
+    await trio.sleep(0.005)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_WHEN_CLOSED)
+    stream.socket.close()
+
+
+async def test_reset_that_the_sender_gets_does_not_end_the_response():
+    """A long request is still being sent when the connection is reset."""
+    body = b'x' * 20_000_000
+    length = (b'content-length', str(len(body)).encode())
+    head = RequestHead(b'POST', b'/', ((b'host', b'h'), length))
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(
+            trio.serve_listeners, _reset_inside_response, [listener]
+        )
+        for _ in range(RESETS):
+            channel = await connect(listener.socket.getsockname(), 1)
+            with pytest.raises(UpstreamLostError):
+                async with channel.exchange(head, body):
+                    await channel.read_head()
+                    await channel.read_full_body(1000)
+            channel.close()
+        nursery.cancel_scope.cancel()
+
+
 async def test_connect_without_listener_raises_peer_unreachable():
     with pytest.raises(PeerUnreachableError):
         await connect(('127.0.0.1', 1), 1)
