Check that an engine's unframed JSON completion is whole

What callers saw: a part of a completion as a complete response with status 200, if the engine sent neither a length nor chunks and closed its connection inside the JSON.

Change: JSON without a length or chunks must decode. Nothing can be checked of a plain service's body; it ends at the close, as HTTP defines it.

--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -17,6 +17,8 @@
 
 EVENT_STREAM = 'text/event-stream'
 
+JSON_TYPE = 'application/json'
+
 _EVENT_PREFIX = b'data: '
 
 
@@ -80,12 +82,15 @@
 
         A stream that is cut ends after a complete event.
 
-        :raises httpx.RemoteProtocolError: the stream has no end event.
+        :raises httpx.RemoteProtocolError: the stream has no end event, or
+            the JSON body was cut.
         """
         if not http_response.headers.get('content-type', '').startswith(
             EVENT_STREAM
         ):
-            yield await http_response.aread()
+            body = await http_response.aread()
+            _check_unframed_json(http_response, body)
+            yield body
             return
         pending = b''
         has_ended = False
@@ -101,6 +106,22 @@
             )
 
 
+def _check_unframed_json(http_response: httpx.Response, body: bytes) -> None:
+    """Check that JSON whose end only a close has marked is whole.
+
+    :raises httpx.RemoteProtocolError: it is not.
+    """
+    headers = http_response.headers
+    is_framed = 'content-length' in headers or 'transfer-encoding' in headers
+    is_json = headers.get('content-type', '').startswith(JSON_TYPE)
+    if is_framed or not is_json:
+        return
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except msgspec.MsgspecError as exc:
+        raise httpx.RemoteProtocolError('the JSON body was cut') from exc
+
+
 async def _count_tokens(
     response: UpstreamResponse, chunks: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
--- a/tests/raw_engine.py
+++ b/tests/raw_engine.py
@@ -50,6 +50,7 @@
     """A response of which only the first bytes are sent.
 
     :param parts: the whole body, in parts that are sent as one chunk each.
+    :param content_type: without one the header is left out.
     :param length: number of bytes that are sent, head included.
     :param reset: whether the connection is reset after them, not closed.
     """
@@ -58,18 +59,23 @@
     framing: BodyFraming
     length: int
     reset: bool
+    content_type: bytes = b''
+
+    @property
+    def whole(self) -> bytes:
+        """Return the bytes of the whole response."""
+        return encode_response(self.parts, self.framing, self.content_type)
 
     @property
     def raw(self) -> bytes:
         """Return the bytes that are sent."""
-        return encode_response(self.parts, self.framing)[: self.length]
+        return self.whole[: self.length]
 
     @property
     def is_complete(self) -> bool:
         """Whether the response is complete as HTTP defines it."""
-        whole_length = len(encode_response(self.parts, self.framing))
         has_end = self.framing is not BodyFraming.CLOSE or not self.reset
-        return has_end and self.length == whole_length
+        return has_end and self.length == len(self.whole)
 
     @property
     def may_look_complete(self) -> bool:
@@ -102,17 +108,21 @@
         return RawEngine(self.raw, self.reset)
 
 
-def encode_response(parts: tuple[bytes, ...], framing: BodyFraming) -> bytes:
+def encode_response(
+    parts: tuple[bytes, ...], framing: BodyFraming, content_type: bytes = b''
+) -> bytes:
     """Return a response with status 200, encoded."""
-    if framing is BodyFraming.CLOSE:
-        return b'HTTP/1.1 200 OK\r\n\r\n' + b''.join(parts)
+    lines = [b'HTTP/1.1 200 OK']
+    body = b''.join(parts)
+    if content_type:
+        lines.append(b'content-type: ' + content_type)
     if framing is BodyFraming.LENGTH:
-        length = sum(len(part) for part in parts)
-        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % length
-        return head + b''.join(parts)
-    head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
-    chunks = [b'%x\r\n%b\r\n' % (len(part), part) for part in parts]
-    return head + b''.join(chunks) + b'0\r\n\r\n'
+        lines.append(b'content-length: %d' % len(body))
+    if framing is BodyFraming.CHUNKED:
+        lines.append(b'transfer-encoding: chunked')
+        chunks = [b'%x\r\n%b\r\n' % (len(part), part) for part in parts]
+        body = b''.join((*chunks, b'0\r\n\r\n'))
+    return b'\r\n'.join((*lines, b'', body))
 
 
 every_end = pytest.mark.parametrize(
@@ -122,10 +132,14 @@
 
 
 def cut_at_every_byte(
-    parts: tuple[bytes, ...], framing: BodyFraming, reset: bool
+    parts: tuple[bytes, ...],
+    framing: BodyFraming,
+    reset: bool,
+    content_type: bytes = b'',
 ) -> list[CutResponse]:
     """Return all beginnings of a response, the whole one last."""
+    whole = encode_response(parts, framing, content_type)
     return [
-        CutResponse(parts, framing, length, reset)
-        for length in range(len(encode_response(parts, framing)) + 1)
+        CutResponse(parts, framing, length, reset, content_type)
+        for length in range(len(whole) + 1)
     ]
