Refuse replies of peers whose cut would not show

What callers saw: nothing yet. A reply between two of our processes that had neither a length nor chunks would end at the close of its connection; a cut one decodes to an error, or, where it is empty, counts as a reply.

Our own processes always send a length.

Change: a peer's reply without a length or chunks is lost.

Evidence: test_cut_reply_of_a_peer_raises_upstream_lost failed where only the close ends the reply and passes; with a length or chunks it passed before.

--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -15,7 +15,7 @@
 from ..errors import BriarrillError, UpstreamLostError
 from ..transport.http_callers import CallerConnection, CallerLimits
 from ..transport.http_channel import HttpChannel, connect
-from ..transport.http_messages import RequestHead
+from ..transport.http_messages import BodyFraming, RequestHead
 from .load_exchange import LoadExchange
 from .mirror import Mirror, MirrorChanges
 
@@ -179,7 +179,8 @@
 
     :return: the reply, or none if the peer rejects the request.
 
-    :raises UpstreamLostError: the connection was lost before the reply.
+    :raises UpstreamLostError: the connection was lost before the reply, or a
+        cut of the reply would not show.
     """
     head = RequestHead(
         b'POST',
@@ -191,5 +192,9 @@
     )
     async with channel.exchange(head, body):
         response = await channel.read_head()
+        if response.body_framing is BodyFraming.CLOSE:
+            raise UpstreamLostError(
+                'the reply of a peer has neither a length nor chunks'
+            )
         raw = await channel.read_full_body(MAX_STATE_BYTES)
     return raw if response.status == _HTTP_OK else None
