Keep a process alive that gets a malformed handover record

What callers saw: nothing yet; found in the search for readers of replies. A record that does not decode, as from a peer of another version, ended the batch process with msgspec.DecodeError.

Change: such an item is not taken, as after any failed fetch.

Evidence: test_item_is_not_taken_with_a_malformed_record failed with DecodeError and passes.

--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -147,12 +147,17 @@
         try:
             with trio.fail_after(FETCH_TIMEOUT_S):
                 raw = await request_from_peer((host, self.port), path)
-        except (BriarrillError, trio.TooSlowError) as exc:
+            if raw is None:
+                return False
+            record = _RECORD_DECODER.decode(raw)
+        except (
+            BriarrillError,
+            msgspec.MsgspecError,
+            trio.TooSlowError,
+        ) as exc:
             log_message('item:not-taken', request_id=item_id, why=repr(exc))
             return False
-        if raw is None:
-            return False
-        progress.load_record(_RECORD_DECODER.decode(raw))
+        progress.load_record(record)
         return True
 
     def _peers_with_item(self, item_hash: int) -> list[str]:
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -78,6 +78,22 @@
     assert source.suspended == {}
 
 
+async def test_item_is_not_taken_with_a_malformed_record():
+    """A peer of another version must not end this process."""
+    port = free_port()
+    transfer = StateTransfer(
+        {}, _make_handover().load, port, {HANDOVER_PATH: lambda path: b'\xc1'}
+    )
+    item_hash = short_hash(JOB.items[0].item_id)
+    target = _make_handover(port, _make_report('giver', held=(item_hash,)))
+    fetched = _make_progress()
+    async with serve_callers(
+        ('127.0.0.1', port), transfer.caller_limits, transfer.serve
+    ):
+        assert not await target.acquire(fetched)
+    assert fetched.last_event_id is None
+
+
 def test_expired_handovers_are_removed(monkeypatch):
     now = 100.0
     monkeypatch.setattr(handover_module.time, 'monotonic', lambda: now)
