Fail a batch item whose engine sends no end event

What callers saw: a result line with a part of a completion, or an empty one, as `OK`: if the engine's response had no content type, or was JSON, its end was not checked.

Change: a completion knows whether its end event came; without one the run has failed and is tried again like any other.

Evidence: test_item_whose_stream_has_no_end_event_fails failed (OK) and passes. 22 tests of batch then failed, since the fake upstream of these tests sent neither a content type nor an end event, which no engine does; it sends one now, and all 101 tests of batch, sidecar and the whole path pass.

--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -102,7 +102,10 @@
     async def _run_on_slot(
         self, batch_item: BatchItem, completion: ResumableCompletion
     ) -> ItemOutcome:
-        """Request the rest of the completion and collect its events."""
+        """Request the rest of the completion and collect its events.
+
+        :raises httpx.RemoteProtocolError: the response is no whole stream.
+        """
         req = UpstreamRequest(
             'POST', batch_item.url, completion.next_request_body()
         )
@@ -111,6 +114,10 @@
                 return _error_status_outcome(batch_item, response.http_status)
             async for events in response.chunks:
                 completion.add_events(events)
+        if not completion.has_ended:
+            raise httpx.RemoteProtocolError(
+                'the response to an item has no end event'
+            )
         return _make_outcome(
             batch_item,
             code=ResultCode.OK,
--- a/briarrill/sidecar/resumable_completion.py
+++ b/briarrill/sidecar/resumable_completion.py
@@ -23,6 +23,7 @@
 
     :param request: decoded request body.
     :param tokens: tokens generated so far.
+    :param has_ended: whether the engine has sent its end event.
     """
 
     request: dict[str, Any]
@@ -31,6 +32,7 @@
     prompt_tokens: int = 0
     finish_reason: str = 'stop'
     completion_id: str = ''
+    has_ended: bool = False
 
     @classmethod
     def from_request_body(cls, body: bytes) -> Self:
@@ -55,6 +57,7 @@
         """Append the text of complete server-sent events."""
         for line in events.decode().splitlines():
             payload = line.removeprefix(_EVENT_PREFIX)
+            self.has_ended = self.has_ended or payload == _STREAM_END_PAYLOAD
             if payload in {line, _STREAM_END_PAYLOAD}:
                 continue
             self._add_event(json.loads(payload))
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -178,6 +178,7 @@
             choice = {'index': 0, 'delta': {'content': word}}
             event = json.dumps({'id': 'x', 'choices': [choice]})
             yield f'data: {event}\n\n'.encode()
+        yield b'data: [DONE]\n\n'
 
 
 async def wait_ports_free(host, ports):
--- a/tests/sidecar/test_batch.py
+++ b/tests/sidecar/test_batch.py
@@ -56,3 +56,17 @@
     puller._accept_item(nursery, ITEM)
     assert puller._unsent_outcomes[0].ran is Ran.NO
     assert not puller._runner.upstream.called_paths
+
+
+async def _send_events_without_end(_req):
+    yield b'data: {"choices":[{"delta":{"content":"a part"}}]}\n\n'
+
+
+async def test_item_whose_stream_has_no_end_event_fails():
+    """Such a stream may have been cut."""
+    runner = BatchRunner(
+        ScriptedUpstream(_send_events_without_end), Admission(2, 2)
+    )
+    outcome = await runner.run_item(ITEM)
+    assert outcome.code is ResultCode.UPSTREAM_FAILED
+    assert outcome.ran is Ran.UNKNOWN
