Relay other content on a streaming route as it arrives

Cause: such a response was buffered like a failed one.

Change: one with status 200 is passed on byte by byte; a cut of it after its first bytes breaks its caller's response off.

--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -72,6 +72,7 @@
 # is longer, so most retries find free slots
 MIN_RETRY_AFTER_S = 0.15
 
+HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 
 
@@ -322,6 +323,7 @@
         attempt: Attempt,
         channel: HttpChannel,
         response_head: ResponseHead,
+        max_buffered_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
     ) -> None:
         """Relay a response that is no stream, buffered up to a limit.
 
@@ -338,7 +340,7 @@
                 break
             parts.append(part)
             buffered_bytes += len(part)
-            if buffered_bytes > MAX_BUFFERED_RESPONSE_BYTES:
+            if buffered_bytes > max_buffered_bytes:
                 await response.send_head_once(response_head)
                 await response.send(b''.join(parts))
                 parts.clear()
@@ -378,7 +380,14 @@
                     ' to a resumption',
                     ran=Ran.YES,
                 )
-            await self._relay_buffered(attempt, channel, response_head)
+            # other content than events may be a stream too
+            is_success = response_head.status == HTTP_OK
+            await self._relay_buffered(
+                attempt,
+                channel,
+                response_head,
+                0 if is_success else MAX_BUFFERED_RESPONSE_BYTES,
+            )
             return
         # the length of a stream that resumes elsewhere is unknown
         caller_head = response_head.without_length()
--- a/briarrill/relay/streams.py
+++ b/briarrill/relay/streams.py
@@ -17,7 +17,7 @@
 def is_event_stream(head: ResponseHead) -> bool:
     """Whether a response on a streaming route is a stream of events.
 
-    One without a content type is; another type is a response in one piece.
+    One without a content type is.
     """
     content_type = find_header(head.headers, b'content-type') or EVENT_STREAM
     return head.status == HTTP_OK and content_type.lower().startswith(
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -329,8 +329,8 @@
     fleet, tmp_path
 ):
     """Its announcement reaches peers, and processes that start later."""
-    fleet.engine.behaviours = [respond_leaving(b'last')]
-    other = StandinEngine(respond_with(b'ok'))
+    fleet.engine.behaviours = [respond_leaving(encode_event(1))]
+    other = StandinEngine(respond_with(encode_event(1)))
     other_host = f'{fleet.network}.8'
     fleet.register_upstream('i-2', other_host)
     async with serve_callers(
--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -56,6 +56,14 @@
 
     async def send_request(self, path, body=b'', **headers):
         """Send one request; return status, headers and body."""
+        async with self.open_response(path, body, **headers) as opened:
+            head, channel = opened
+            response_body = await channel.read_full_body(10_000_000)
+        return head.status, dict(head.headers), response_body
+
+    @contextlib.asynccontextmanager
+    async def open_response(self, path, body=b'', **headers):
+        """Send one request; yield the response's head and its channel."""
         named = {'attempt_id': 'r1', 'deadline_ms': '3000', **headers}
         fields = [(b'host', ROUTE_HOST)]
         for name, text in named.items():
@@ -67,11 +75,9 @@
         channel = await connect(self.address, 1)
         try:
             async with channel.exchange(head, body):
-                response_head = await channel.read_head()
-                response_body = await channel.read_full_body(10_000_000)
+                yield await channel.read_head(), channel
         finally:
             channel.close()
-        return response_head.status, dict(response_head.headers), response_body
 
 
 async def _no_jobs(intent, body, conn):
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -229,6 +229,27 @@
     assert (status, relayed) == (200, body)
 
 
+async def test_other_content_on_a_streaming_route_is_relayed_as_it_arrives():
+    line = b'{"word": 1}\n'
+    goes_on = trio.Event()
+
+    async def send_lines(req, conn):
+        content_type = (b'content-type', b'application/x-ndjson')
+        await conn.send_head(200, (content_type,))
+        await conn.send_body(line)
+        await goes_on.wait()
+        await conn.send_body(line)
+        await conn.send_end()
+
+    async with (
+        run_front_end([STREAM], StandinEngine(send_lines)) as setup,
+        setup.open_response(STREAM.prefix) as (_, channel),
+    ):
+        assert await channel.read_body() == line
+        goes_on.set()
+        assert await channel.read_full_body(100) == line
+
+
 async def test_json_does_not_follow_the_events_of_a_cut_stream():
     first = StandinEngine(stream_events(5, cut_after=2))
     engines = first, _json_response(b'{"choices": []}')
