Notice a reset while a sidecar sends a request

What callers saw: a part of a plain service's response as a complete one, if it had neither a length nor chunks and was reset while the request was still being sent.

The HTTP client sends the whole request first, suppresses an error of that and then reads the response; the kernel had reported the reset already, so the reading saw a closed connection.

Change: the client's trace tells that the sending failed. Then a body needs a length or chunks to be whole.

--- a/briarrill/sidecar/upstreams/base.py
+++ b/briarrill/sidecar/upstreams/base.py
@@ -3,6 +3,7 @@
 import abc
 import contextlib
 from collections.abc import AsyncIterator
+from typing import Any
 
 import attrs
 import httpx
@@ -14,12 +15,25 @@
 )
 from ...result_codes import Ran
 
-__all__ = ('Upstream', 'UpstreamRequest', 'UpstreamResponse')
+__all__ = (
+    'Upstream',
+    'UpstreamRequest',
+    'UpstreamResponse',
+    'has_framed_body',
+)
 
 HTTP_BAD_REQUEST = 400
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_SERVER_ERROR = 500
 
+# events of httpx's trace extension
+_FAILED_SEND_EVENTS = frozenset(
+    (
+        'http11.send_request_headers.failed',
+        'http11.send_request_body.failed',
+    )
+)
+
 # part of an upstream's error body that is shown to the caller
 MAX_ERROR_BODY_BYTES = 500
 
@@ -36,6 +50,21 @@
     content_type: str = 'application/json'
 
 
+@attrs.define
+class _SendObserver:
+    """Records whether the connection failed while a request was sent.
+
+    The HTTP client then still reads a response, without the error.
+    """
+
+    has_failed: bool = False
+
+    async def trace(self, event_name: str, _details: Any) -> None:
+        """Receive an event of the HTTP client's trace extension."""
+        if event_name in _FAILED_SEND_EVENTS:
+            self.has_failed = True
+
+
 @attrs.define
 class UpstreamResponse:
     """An HTTP response of the upstream.
@@ -50,6 +79,12 @@
     tokens: int = 0
 
 
+def has_framed_body(http_response: httpx.Response) -> bool:
+    """Whether a length or chunks, not a close, end the response's body."""
+    headers = http_response.headers
+    return 'content-length' in headers or 'transfer-encoding' in headers
+
+
 class Upstream(abc.ABC):
     """The model engine or service that a sidecar sends requests to.
 
@@ -110,18 +145,33 @@
         :raises BadRequestError: the request cannot be sent over HTTP.
         :raises httpx.HTTPError: the upstream failed.
         """
-        http_response = await self.client.send(
-            self._build_request(req), stream=True
-        )
+        observer = _SendObserver()
+        http_req = self._build_request(req)
+        http_req.extensions['trace'] = observer.trace
+        http_response = await self.client.send(http_req, stream=True)
         try:
             yield UpstreamResponse(
                 http_status=http_response.status_code,
                 content_type=http_response.headers.get('content-type', ''),
-                chunks=self.iter_chunks(http_response),
+                chunks=self._checked_chunks(http_response, observer),
             )
         finally:
             await http_response.aclose()
 
+    async def _checked_chunks(
+        self, http_response: httpx.Response, observer: _SendObserver
+    ) -> AsyncIterator[bytes]:
+        """Yield the chunks; a reset does not end an unframed body.
+
+        :raises httpx.HTTPError: the body was cut.
+        """
+        async for chunk in self.iter_chunks(http_response):
+            yield chunk
+        if observer.has_failed and not has_framed_body(http_response):
+            raise httpx.RemoteProtocolError(
+                'the connection was reset while the request was sent'
+            )
+
     def _build_request(self, req: UpstreamRequest) -> httpx.Request:
         """Build the HTTP request.
 
--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -7,7 +7,12 @@
 import httpx
 import msgspec
 
-from .base import Upstream, UpstreamRequest, UpstreamResponse
+from .base import (
+    Upstream,
+    UpstreamRequest,
+    UpstreamResponse,
+    has_framed_body,
+)
 
 __all__ = ('EVENT_SEPARATOR', 'EngineUpstream')
 
@@ -111,10 +116,10 @@
 
     :raises httpx.RemoteProtocolError: it is not.
     """
-    headers = http_response.headers
-    is_framed = 'content-length' in headers or 'transfer-encoding' in headers
-    is_json = headers.get('content-type', '').startswith(JSON_TYPE)
-    if is_framed or not is_json:
+    content_type = http_response.headers.get('content-type', '')
+    if has_framed_body(http_response) or not content_type.startswith(
+        JSON_TYPE
+    ):
         return
     try:
         msgspec.json.decode(body, type=msgspec.Raw)
