Judge a rejection and an item's error by its head

What callers saw: 502 instead of a retry, if an upstream rejected a request and its response was cut after the head; a request could also wait past its deadline for a rejection's body. An item that failed with such errors was run again without an end to its attempts.

The head alone says that a request did not run, or which error it got; the body was read first.

Change: the relay does not read the body of a rejection, whose connection it closes anyway. A cut body of an item's error only keeps its connection from being used again.

--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -147,8 +147,14 @@
     async def _read_error(
         self, response_head: ResponseHead, channel: HttpChannel
     ) -> RunEnd:
-        """Map an error response to the end of a run."""
-        with _wait_limit(FIRST_EVENT_TIMEOUT_S):
+        """Map an error response to the end of a run.
+
+        Its head decides; the body is read only to reuse the connection.
+        """
+        with (
+            contextlib.suppress(UpstreamLostError),
+            _wait_limit(FIRST_EVENT_TIMEOUT_S),
+        ):
             await channel.read_full_body(MAX_ERROR_BODY_BYTES)
         if self.protocol.reports_not_executed(response_head):
             return RunEnd.REFUSED
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -280,7 +280,6 @@
                 if self._protocol.reports_leaving(response_head):
                     self._upstreams.mark_leaving(upstream.incarnation)
                 if self._protocol.reports_not_executed(response_head):
-                    await channel.read_full_body(MAX_BUFFERED_RESPONSE_BYTES)
                     raise OverloadedError(
                         'upstream rejected the request with status'
                         f' {response_head.status}'
--- a/tests/item_runs/test_cut_items.py
+++ b/tests/item_runs/test_cut_items.py
@@ -17,7 +17,7 @@
     encode_event,
     stream_events,
 )
-from tests.raw_engine import cut_at_every_byte, every_end
+from tests.raw_engine import RawEngine, cut_at_every_byte, every_end
 from tests.relay.front_end_setup import route
 from tests.serving import serve_standin
 
@@ -65,3 +65,21 @@
                 runner, progress, StandinEngine(stream_events(3)), network
             )
             assert _output(progress) == OUTPUT, cut
+
+
+@pytest.mark.parametrize('reset', [False, True])
+@pytest.mark.parametrize(
+    ('status', 'header', 'expected_end'),
+    [
+        (422, b'', RunEnd.IMPOSSIBLE),
+        (500, b'', RunEnd.FAILED),
+        (503, b'briarrill-not-executed: 1\r\n', RunEnd.REFUSED),
+    ],
+)
+async def test_error_counts_also_if_its_body_is_cut(
+    runner, network, status, header, expected_end, reset
+):
+    head = b'HTTP/1.1 %d Error\r\ncontent-length: 4\r\n%b\r\n'
+    progress = ItemProgress('j1', StoredItem('x1', '/p/x', {}, b'', 1))
+    engine = RawEngine(head % (status, header), reset)
+    assert await _run(runner, progress, engine, network) is expected_end
--- a/tests/relay/test_cut_responses.py
+++ b/tests/relay/test_cut_responses.py
@@ -4,6 +4,7 @@
 used up by connections that were closed a short time ago.
 """
 
+import pytest
 import trio
 
 from briarrill.errors import UpstreamLostError
@@ -13,7 +14,7 @@
     respond_with,
     stream_events,
 )
-from tests.raw_engine import cut_at_every_byte, every_end
+from tests.raw_engine import RawEngine, cut_at_every_byte, every_end
 from tests.relay.front_end_setup import (
     IDEMPOTENT,
     NON_IDEMPOTENT,
@@ -138,3 +139,19 @@
         head, _, body = raw.partition(b'\r\n\r\n')
         if b' 200 ' in head and not _is_short(head, body):
             assert cut.may_look_like_complete_stream, cut
+
+
+REJECTION_HEAD = b'HTTP/1.1 503 Busy\r\nbriarrill-not-executed: 1\r\n'
+
+
+@pytest.mark.parametrize('reset', [False, True])
+@pytest.mark.parametrize(
+    'framing', [b'content-length: 4\r\n', b'transfer-encoding: chunked\r\n']
+)
+async def test_rejection_is_retried_also_if_its_body_is_cut(
+    network, framing, reset
+):
+    """Its head says that the request did not run."""
+    engine = RawEngine(REJECTION_HEAD + framing + b'\r\n', reset)
+    second = StandinEngine(respond_with(WHOLE_BODY))
+    assert await _relay(network, NON_IDEMPOTENT, engine, second) == WHOLE_BODY
