Log the shared prompt parts of attempts that fail

Cause: no log line told which parts a prompt had, so logs could not tell upstreams that end under one kind of prompt from those that end for another reason.

Change: request:attempt-failed and item:run-failed name the shared parts of the prompt; the adapter reads them from the request's head.

Result: tests of the adapter pass; no decision uses the parts yet.

--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -60,6 +60,8 @@
     :param service: service whose upstreams may run it.
     :param deadline_s: monotonic time by which a response is due.
     :param last_event_id: event after which the stream resumes.
+    :param prompt_parts: identifiers of the parts that its prompt shares with
+        other requests, in order.
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     body: bytes
     deadline_s: float
     last_event_id: int | None = None
+    prompt_parts: tuple[str, ...] = ()
 
 
 class RelayProtocol(abc.ABC):
@@ -89,6 +92,13 @@
         :raises BadRequestError: a header is missing or malformed.
         """
 
+    @abc.abstractmethod
+    def prompt_parts(self, head: RequestHead) -> tuple[str, ...]:
+        """Return identifiers of the prompt's shared parts, in order.
+
+        A request without a prompt has none.
+        """
+
     @abc.abstractmethod
     def upstream_request(
         self, call: Call, upstream: RegisteredUpstream, time_left_s: float
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -64,6 +64,7 @@
         """Run an item, resuming after its last event."""
         if progress.is_complete:
             return RunEnd.COMPLETED
+        call = self._make_call(progress, route, host, upstream)
         try:
             channel = await self._pool.acquire(
                 upstream.incarnation, upstream.address
@@ -71,15 +72,14 @@
         except PeerUnreachableError as exc:
             self._pool.close_server(upstream.incarnation)
             self.silence.mark_suspect(upstream.upstream_id)
-            _log_run_failure(progress, upstream, exc)
+            _log_run_failure(progress, call, upstream, exc)
             return RunEnd.REFUSED
-        call = self._make_call(progress, route, host, upstream)
         progress.begin_run()
         try:
             end = await self._exchange(progress, call, upstream, channel)
         except UpstreamLostError as exc:
             channel.close()
-            _log_run_failure(progress, upstream, exc)
+            _log_run_failure(progress, call, upstream, exc)
             return RunEnd.CUT
         except BaseException:
             channel.close()
@@ -94,14 +94,16 @@
         host: str,
         upstream: RegisteredUpstream,
     ) -> Call:
+        head = self.protocol.item_head(host, progress.stored)
         return Call(
             request_id=progress.stored.item_id,
             route=route,
             service=upstream.service,
-            head=self.protocol.item_head(host, progress.stored),
+            head=head,
             body=progress.stored.body,
             deadline_s=math.inf,
             last_event_id=progress.last_event_id,
+            prompt_parts=self.protocol.prompt_parts(head),
         )
 
     async def _exchange(
@@ -197,6 +199,7 @@
 
 def _log_run_failure(
     progress: ItemProgress,
+    call: Call,
     upstream: RegisteredUpstream,
     exc: BriarrillError,
 ) -> None:
@@ -207,4 +210,5 @@
         upstream=upstream.upstream_id,
         event=progress.last_event_id,
         reason=exc.message,
+        prompt_parts=call.prompt_parts,
     )
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -1,5 +1,6 @@
 """briarrill.platform.relay_protocol: reads and writes heads of messages."""
 
+import itertools
 import math
 from urllib.parse import parse_qs, unquote
 
@@ -29,6 +30,7 @@
 _NOT_EXECUTED = b'briarrill-not-executed'
 _SERVER_LEAVING = b'server-leaving'
 _WAIT_MS = b'briarrill-wait-ms'
+_PROMPT_PREFIX = b'briarrill-prompt-prefix'
 _LAST_EVENT_ID = b'last-event-id'
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
@@ -43,6 +45,9 @@
 
 _MS_PER_S = 1000
 
+# prompts have two or three parts
+_MAX_PROMPT_PARTS = 16
+
 # upper limit of the wait for a first result that a caller requests
 _MAX_RESULT_WAIT_MS = 1000
 
@@ -96,6 +101,20 @@
             last_event_id=_last_event_id(head),
         )
 
+    def prompt_parts(self, head: RequestHead) -> tuple[str, ...]:
+        """Return the IDs of the prompt's parts but the last, in order.
+
+        The last part is the request's or the session's own.
+        """
+        listed = find_header(head.headers, _PROMPT_PREFIX)
+        if listed is None:
+            return ()
+        parts = listed.split(b',')
+        parts.pop()
+        part_ids = (part.partition(b':')[0].strip() for part in parts)
+        decoded = (part_id.decode(_CHARSET) for part_id in part_ids)
+        return tuple(itertools.islice(decoded, _MAX_PROMPT_PARTS))
+
     def upstream_request(
         self, call: Call, upstream: RegisteredUpstream, time_left_s: float
     ) -> RequestHead:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -437,6 +437,7 @@
             reason=exc.message,
             ran=exc.ran.value,
             event=response.last_event_id,
+            prompt_parts=call.prompt_parts,
         )
         time_left_s = call.deadline_s - time.monotonic()
         if time_left_s <= 0:
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -177,6 +177,7 @@
             body=body,
             deadline_s=arrived_at + (remaining_s or math.inf),
             last_event_id=intent.last_event_id,
+            prompt_parts=self.protocol.prompt_parts(head),
         )
 
     async def _send_error(
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -38,6 +38,27 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('listed', 'expected'),
+    [
+        ('5c1e07a2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        (' a:1, b:2,own', ('a', 'b')),
+        ('own:250', ()),
+        ('', ()),
+    ],
+)
+def test_prompt_parts_are_all_but_the_last(listed, expected):
+    head = _head('POST', '/streaming/a', briarrill_prompt_prefix=listed)
+    assert PROTOCOL.prompt_parts(head) == expected
+
+
+def test_prompt_parts_are_bounded_and_optional():
+    listed = ','.join(f'p{number}:1' for number in range(99))
+    head = _head('POST', '/streaming/a', briarrill_prompt_prefix=listed)
+    assert len(PROTOCOL.prompt_parts(head)) == 16
+    assert PROTOCOL.prompt_parts(_head('POST', '/streaming/a')) == ()
+
+
 @pytest.mark.parametrize(
     ('method', 'target', 'kind'),
     [
