--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,19 +1,12 @@
 """Tests of entry and batch processes against stand-in store and upstreams."""
 
-import base64
-import contextlib
 import json
-import os
 import signal
-import subprocess
-import sys
 
-import attrs
 import pytest
 import trio
 
 from briarrill.transport.http_callers import serve_callers
-from briarrill.transport.http_channel import connect
 from briarrill.transport.http_messages import RequestHead
 from standins.platform_engine import (
     StandinEngine,
@@ -23,169 +16,19 @@
     stream_events,
 )
 from standins.platform_store import StandinStore
-
-STORE_PORT = 8142
-FRONT_PORT = 8144
-READY_PORT = 8140
-PEER_PORT = 7660
+from tests.platform.platform_fleet import (
+    FRONT_PORT,
+    STORE_PORT,
+    Fleet,
+    register_upstream,
+    send_request_to,
+    start_process,
+    store_routes,
+    wait_ready,
+)
 
 EXPECTED_OUTPUT = '\n'.join(f'word-{number}' for number in range(1, 6))
 
-ROUTES = {
-    'version': 3,
-    'routes': [
-        {
-            'name': 'online',
-            'host': 'h',
-            'prefix': '/online/',
-            'kind': 'streaming',
-            'timeout_ms': 5000,
-            'target_latency_ms': 300,
-            'service': 'llm',
-            'max_attempts': 1,
-        },
-        {
-            'name': 'jobs',
-            'host': 'h',
-            'prefix': '/jobs/',
-            'kind': 'batch',
-            'timeout_ms': 5000,
-            'target_latency_ms': 400,
-            'completion_target_ms': 18000,
-            'keep_s': 60,
-            'max_queued_tokens': 1000,
-            'max_attempts': 2,
-            'service': 'llm',
-        },
-    ],
-}
-
-
-@attrs.define
-class Fleet:
-    """A running entry and batch process with stand-in store and engine."""
-
-    network: str
-    store: StandinStore
-    engine: StandinEngine
-    processes: dict
-
-    async def send_request(self, method, target, body=b'', **headers):
-        """Send a request to the entry; return status and body."""
-        fields = {'host': 'h', 'briarrill-attempt-id': 'r1'}
-        fields.update(
-            (name.replace('_', '-'), text) for name, text in headers.items()
-        )
-        fields['content-length'] = str(len(body))
-        head = RequestHead(
-            method.encode(),
-            target.encode(),
-            tuple(
-                (key.encode(), text.encode()) for key, text in fields.items()
-            ),
-        )
-        return await _send_request(
-            (f'{self.network}.2', FRONT_PORT), head, body
-        )
-
-    async def read_results(self, job_id, count):
-        """Read results until a job has this many; return the body."""
-        while True:
-            status, body = await self.send_request(
-                'GET', f'/lots/{job_id}?after=0', briarrill_wait_ms='500'
-            )
-            page = json.loads(body) if status == 200 else {'results': []}
-            if len(page['results']) >= count:
-                return page
-            await trio.sleep(0.05)
-
-    def register_upstream(self, upstream_id, host):
-        """Register a further upstream on a host."""
-        _register_upstream(self.store, upstream_id, host)
-
-    async def submit(self, job_id, count, tokens=10):
-        """Submit a job of ``count`` items; return the status."""
-        items = [
-            {
-                'id': f'{job_id}-{number}',
-                'path': f'/jobs/{number}',
-                'headers': {'Briarrill-Model': 'm'},
-                'body': base64.b64encode(b'prompt').decode(),
-                'tokens': tokens,
-            }
-            for number in range(count)
-        ]
-        status, _ = await self.send_request(
-            'POST',
-            '/jobs/',
-            json.dumps({'items': items}).encode(),
-            briarrill_attempt_id=job_id,
-        )
-        return status
-
-
-async def _send_request(address, head, body=b''):
-    channel = await connect(address, 1)
-    try:
-        async with channel.exchange(head, body):
-            response_head = await channel.read_head()
-            return response_head.status, await channel.read_full_body(
-                1_000_000
-            )
-    finally:
-        channel.close()
-
-
-def _settings_text(network, host, name):
-    return f"""
-node_name = "{name}"
-ip = "{host}"
-zone = "a"
-internal_port_range = [{PEER_PORT}, {PEER_PORT + 9}]
-seed_nodes = ["{network}.2:9999"]
-[listen_addrs]
-front_http = "{host}:{FRONT_PORT}"
-ready = "{host}:{READY_PORT}"
-[contract_params]
-grace_s = 6
-[platform]
-address = "{network}.1:{STORE_PORT}"
-"""
-
-
-async def _start_process(network, folder, program, number):
-    host = f'{network}.{number}'
-    name = f'{program}-{number}'
-    path = folder / f'{name}.toml'
-    path.write_text(_settings_text(network, host, name), encoding='utf-8')
-    return await trio.lowlevel.open_process(
-        [sys.executable, '-m', 'briarrill.platform', program],
-        env={**os.environ, 'BRIARRILL_CONFIG': str(path)},
-        stdout=subprocess.DEVNULL,
-    )
-
-
-def _register_upstream(store, upstream_id, host):
-    registration = {
-        'service': 'llm',
-        'address': f'{host}:8080',
-        'zone': 'a',
-        'slots': 4,
-        'state': 'ready',
-        'born': 1_700_000_000_000,
-    }
-    store.put(f'servers/{upstream_id}', json.dumps(registration).encode())
-
-
-async def _wait_ready(host):
-    head = RequestHead(b'GET', b'/ready', ((b'host', b'h'),))
-    while True:
-        with contextlib.suppress(Exception):
-            status, _ = await _send_request((host, READY_PORT), head)
-            if status == 200:
-                return
-        await trio.sleep(0.05)
-
 
 @pytest.fixture
 async def fleet(network, tmp_path):
@@ -193,8 +36,8 @@
         StandinStore(),
         StandinEngine(stream_events(5, pause_s=0.01)),
     )
-    store.put('op/config', json.dumps(ROUTES).encode())
-    _register_upstream(store, 'i-1', f'{network}.9')
+    store_routes(store)
+    register_upstream(store, 'i-1', f'{network}.9')
     async with (
         serve_callers(
             (f'{network}.1', STORE_PORT), store.caller_limits, store.serve
@@ -204,12 +47,12 @@
         ),
     ):
         processes = {
-            'entry': await _start_process(network, tmp_path, 'entry', 2),
-            'batch': await _start_process(network, tmp_path, 'batch', 3),
+            'entry': await start_process(network, tmp_path, 'entry', 2),
+            'batch': await start_process(network, tmp_path, 'batch', 3),
         }
         try:
             with trio.fail_after(40):
-                await _wait_ready(f'{network}.2')
+                await wait_ready(f'{network}.2')
                 yield Fleet(network, store, engine, processes)
         finally:
             for process in processes.values():
@@ -312,16 +155,16 @@
 async def test_entry_started_in_store_outage_syncs_from_peers(fleet, tmp_path):
     fleet.store.error_status = 503
     host = f'{fleet.network}.4'
-    process = await _start_process(fleet.network, tmp_path, 'entry', 4)
+    process = await start_process(fleet.network, tmp_path, 'entry', 4)
     fleet.processes['second'] = process
-    await _wait_ready(host)
+    await wait_ready(host)
     address = (host, FRONT_PORT)
     head = RequestHead(
         b'POST',
         b'/online/x',
         ((b'host', b'h'), (b'briarrill-attempt-id', b'r2')),
     )
-    status, _ = await _send_request(address, head)
+    status, _ = await send_request_to(address, head)
     assert status == 200
 
 
@@ -343,15 +186,15 @@
         for _ in range(10):
             await fleet.send_request('POST', '/online/x', b'prompt')
         assert len(fleet.engine.requests) == 1
-        process = await _start_process(fleet.network, tmp_path, 'entry', 4)
+        process = await start_process(fleet.network, tmp_path, 'entry', 4)
         fleet.processes['second'] = process
-        await _wait_ready(f'{fleet.network}.4')
+        await wait_ready(f'{fleet.network}.4')
         head = RequestHead(
             b'POST',
             b'/online/x',
             ((b'host', b'h'), (b'briarrill-attempt-id', b'r2')),
         )
         for _ in range(10):
-            await _send_request((f'{fleet.network}.4', FRONT_PORT), head)
+            await send_request_to((f'{fleet.network}.4', FRONT_PORT), head)
         assert len(fleet.engine.requests) == 1
         assert len(other.requests) > 20
