Quarantine prompt parts under which upstreams end

What callers saw: streams cut and 502, again and again: requests with one prompt part ended one upstream after another, and each end also cut the streams of other callers there.

Cause: each failed attempt was judged alone. Ejection judges the upstream and retry limits the request; nothing kept what an upstream ran when it ended, so no process could see that many ended under the same part.

Load reports carry crashes, answers, refutations and quarantined parts, so that restarted processes know them too. First tries, retries, resumptions and items check the quarantine before each attempt.

--- /dev/null
+++ b/briarrill/coordination/upstream_ends.py
@@ -0,0 +1,324 @@
+"""briarrill.coordination.upstream_ends: find upstreams that ended.
+
+A response that breaks off does not tell whether its upstream ended, or only
+one connection. So a new connection is tried after it. The prompts that the
+upstream may have begun to answer are the evidence of its crash.
+"""
+
+import collections
+import contextlib
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+import trio
+from eliot import log_message
+
+from ..errors import (
+    DeadlineExceededError,
+    PeerUnreachableError,
+    UpstreamLostError,
+)
+from ..metrics import QUARANTINED_PARTS, UPSTREAM_CRASHES
+from ..protocol.load_reports import LoadReport, UpstreamCrash, short_hash
+from ..transport.http_channel import connect
+from ..transport.http_messages import BodyFraming, ResponseHead
+from .prompt_crashes import PromptQuarantine
+from .upstream_table import RegisteredUpstream, UpstreamTable
+
+__all__ = ('PromptRun', 'UpstreamEnds')
+
+# time from a broken response to the check of its upstream: a process that
+# ends closes its connections and its listening socket in any order
+CHECK_DELAY_S = 0.1
+
+# a live upstream accepts a connection within one or two round trips
+CHECK_TIMEOUT_S = 0.25
+
+# interval of the decisions on prompt parts and of the checks of registrations;
+# longer while no crash is known
+POLL_INTERVAL_S = 0.1
+IDLE_POLL_INTERVAL_S = 0.5
+
+# time for which the prompt of a broken response counts as in flight: the
+# registration of a silent upstream expires within it
+BROKEN_RUN_RETENTION_S = 5.0
+
+# a prompt that ends its upstream does so before the answer has gone on for
+# this time
+MAX_ANSWERED_S = 1.0
+
+# broken responses remembered for one upstream
+MAX_BROKEN_RUNS = 256
+
+HTTP_OK = 200
+
+
+@attrs.define(eq=False)
+class PromptRun:
+    """A request in flight at an upstream.
+
+    :param prompt_parts: identifiers of the prompt's shared parts, in order.
+    :param is_answered: whether the upstream answered the prompt as a whole.
+    :param is_end_unmarked: whether only the close of the connection marks
+        the end of the answer.
+    """
+
+    prompt_parts: tuple[str, ...]
+    is_answered: bool = False
+    is_end_unmarked: bool = False
+    _first_bytes_at: float | None = None
+    _last_bytes_at: float = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether bytes of the answer's body were received."""
+        return self._first_bytes_at is not None
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the prompt may have ended the upstream."""
+        if self._first_bytes_at is None:
+            return True
+        return self._last_bytes_at - self._first_bytes_at < MAX_ANSWERED_S
+
+    def record_bytes(self) -> None:
+        """Record bytes of the answer's body."""
+        self._last_bytes_at = time.monotonic()
+        if self._first_bytes_at is None:
+            self._first_bytes_at = self._last_bytes_at
+
+    def record_end(self, head: ResponseHead) -> None:
+        """Record that the whole response was received."""
+        if head.status == HTTP_OK:
+            self.is_answered = True
+            self.is_end_unmarked = head.body_framing is BodyFraming.CLOSE
+
+
+@attrs.define(eq=False)
+class _UpstreamRuns:
+    """Requests at one incarnation of an upstream.
+
+    :param broken: requests without a whole answer, and when they ended.
+    :param unmarked: answers that may have been cut without a sign of it.
+    :param is_checking: whether a check runs or is about to start.
+    :param has_departed: whether its registration ended, but not its process.
+    :param has_ended: whether its crash is recorded.
+    """
+
+    upstream: RegisteredUpstream
+    running: set[PromptRun] = attrs.field(factory=set)
+    broken: collections.deque[tuple[float, PromptRun]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_BROKEN_RUNS)
+    )
+    unmarked: collections.deque[PromptRun] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_BROKEN_RUNS)
+    )
+    is_checking: bool = False
+    has_departed: bool = False
+    has_ended: bool = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is left to observe."""
+        return not (self.running or self.broken or self.is_checking)
+
+    def add_broken(self, run: PromptRun) -> None:
+        """Add a request that has ended without a whole answer."""
+        self.broken.append((time.monotonic(), run))
+
+    def forget_old(self, oldest: float) -> None:
+        """Remove the requests that ended before a time."""
+        while self.broken and self.broken[0][0] < oldest:
+            self.broken.popleft()
+
+    def crash(self) -> UpstreamCrash:
+        """Return the crash with the prompts that may have caused it."""
+        runs = {*self.running, *self.unmarked}
+        runs.update(run for _, run in self.broken)
+        prompts = [run.prompt_parts for run in runs if run.is_suspect]
+        first_parts = {parts[0] for parts in prompts}
+        all_parts = {part for parts in prompts for part in parts}
+        return UpstreamCrash(
+            incarnation=short_hash(self.upstream.incarnation),
+            first_parts=tuple(map(short_hash, first_parts)),
+            other_parts=tuple(map(short_hash, all_parts - first_parts)),
+        )
+
+
+class UpstreamEnds:
+    """Observes requests at upstreams and records crashes and answers.
+
+    :param upstreams: registered upstreams; one that leaves by plan has not
+        crashed.
+    :param quarantine: gets the observations.
+    :param on_change: called when there is news for other processes.
+    """
+
+    def __init__(
+        self,
+        upstreams: UpstreamTable,
+        quarantine: PromptQuarantine,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Start without requests."""
+        self.quarantine = quarantine
+        self._upstreams = upstreams
+        self._on_change = on_change
+        self._runs: dict[str, _UpstreamRuns] = {}
+        self._due: list[_UpstreamRuns] = []
+        self._wake = trio.Event()
+
+    @contextlib.contextmanager
+    def track(
+        self, upstream: RegisteredUpstream, prompt_parts: tuple[str, ...]
+    ) -> Iterator[PromptRun]:
+        """Observe one request; an exception tells how its response ended."""
+        run = PromptRun(prompt_parts)
+        incarnation = upstream.incarnation
+        if not prompt_parts or self.quarantine.has_crashed(incarnation):
+            yield run
+            return
+        runs = self._runs.setdefault(incarnation, _UpstreamRuns(upstream))
+        runs.running.add(run)
+        try:
+            yield run
+        except (UpstreamLostError, DeadlineExceededError):
+            runs.add_broken(run)
+            self._check_unless_cleared(runs, run)
+            raise
+        except trio.Cancelled:
+            if not run.has_begun:
+                runs.add_broken(run)
+            raise
+        finally:
+            runs.running.discard(run)
+        if run.is_end_unmarked:
+            runs.unmarked.append(run)
+            self._check_unless_cleared(runs, run)
+        elif run.is_answered:
+            self.quarantine.record_answer(prompt_parts)
+
+    def record_response(self, upstream: RegisteredUpstream) -> None:
+        """Record that an upstream has sent the head of a response."""
+        self.quarantine.record_response(upstream.incarnation)
+
+    def record_unreachable(self, upstream: RegisteredUpstream) -> None:
+        """Record that an upstream accepted no connection."""
+        runs = self._runs.get(upstream.incarnation)
+        if runs is not None:
+            self._start_check(runs)
+
+    def receive_report(self, report: LoadReport) -> None:
+        """Apply a peer's report."""
+        self.quarantine.apply_report(report)
+        if report.crashes or report.quarantined:
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Check upstreams and update the quarantine until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._wake = trio.Event()
+                due, self._due = self._due, []
+                for runs in due:
+                    nursery.start_soon(self._check, runs)
+                self._check_registrations()
+                self._update_quarantine()
+                pause_s = (
+                    POLL_INTERVAL_S
+                    if self.quarantine.is_active
+                    else IDLE_POLL_INTERVAL_S
+                )
+                with trio.move_on_after(pause_s):
+                    await self._wake.wait()
+
+    def _check_unless_cleared(
+        self, runs: _UpstreamRuns, run: PromptRun
+    ) -> None:
+        """Start a check if a crash would count against the prompt."""
+        if not self.quarantine.is_cleared(run.prompt_parts):
+            self._start_check(runs)
+
+    def _start_check(self, runs: _UpstreamRuns) -> None:
+        """Start a check unless one runs or the upstream leaves by plan."""
+        if runs.is_checking or runs.has_ended or runs.has_departed:
+            return
+        if self._upstreams.is_leaving(runs.upstream.incarnation):
+            return
+        runs.is_checking = True
+        self._due.append(runs)
+        self._wake.set()
+
+    async def _check(self, runs: _UpstreamRuns) -> None:
+        """Try a connection to an upstream that may have ended."""
+        unmarked = list(runs.unmarked)
+        await trio.sleep(CHECK_DELAY_S)
+        try:
+            channel = await connect(runs.upstream.address, CHECK_TIMEOUT_S)
+        except PeerUnreachableError as exc:
+            self._record_crash(runs, exc.message)
+            return
+        finally:
+            runs.is_checking = False
+        channel.close()
+        runs.has_departed = not self._is_registered(runs.upstream)
+        for run in unmarked:
+            runs.unmarked.remove(run)
+            self.quarantine.record_answer(run.prompt_parts)
+        if runs.unmarked:
+            self._start_check(runs)
+
+    def _check_registrations(self) -> None:
+        """Check upstreams whose registration has ended or was replaced."""
+        if not self._runs:
+            return
+        incarnations = {
+            upstream.address: upstream.incarnation
+            for upstream in self._upstreams.registered_upstreams
+        }
+        oldest = time.monotonic() - BROKEN_RUN_RETENTION_S
+        for incarnation, runs in list(self._runs.items()):
+            runs.forget_old(oldest)
+            current = incarnations.get(runs.upstream.address)
+            if runs.is_idle:
+                self._runs.pop(incarnation)
+            elif current is None:
+                self._start_check(runs)
+            elif current != incarnation:
+                self._record_crash(runs, f'its address belongs to {current}')
+
+    def _is_registered(self, upstream: RegisteredUpstream) -> bool:
+        current = self._upstreams.find(upstream.upstream_id)
+        return (
+            current is not None and current.incarnation == upstream.incarnation
+        )
+
+    def _record_crash(self, runs: _UpstreamRuns, reason: str) -> None:
+        """Record the crash of an upstream and its prompts, if it had any."""
+        crash = runs.crash()
+        runs.has_ended = True
+        self._runs.pop(runs.upstream.incarnation, None)
+        if not (crash.first_parts or crash.other_parts):
+            return
+        UPSTREAM_CRASHES.inc()
+        log_message(
+            'upstream:crashed',
+            upstream=runs.upstream.upstream_id,
+            reason=reason,
+            first_parts=crash.first_parts,
+            other_parts=crash.other_parts,
+        )
+        self.quarantine.record_crash(crash)
+        self._on_change()
+
+    def _update_quarantine(self) -> None:
+        """Quarantine the parts at fault and log the evidence."""
+        for quarantined in self.quarantine.update():
+            log_message(
+                'prompt-part:quarantined',
+                part=quarantined.part,
+                crashes=quarantined.incarnations,
+            )
+            self._on_change()
+        QUARANTINED_PARTS.set(self.quarantine.quarantined_count)
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -81,6 +81,17 @@
             and upstream.incarnation not in self._leaving_since
         ]
 
+    def is_leaving(self, incarnation: str) -> bool:
+        """Tell whether an incarnation is draining or announced its departure.
+
+        False for one that is not registered.
+        """
+        return incarnation in self._leaving_since or any(
+            upstream.is_draining
+            for upstream in self.registered_upstreams
+            if upstream.incarnation == incarnation
+        )
+
     @property
     def leaving_incarnations(self) -> tuple[str, ...]:
         """Return the registered incarnations that are known to leave."""
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -224,6 +224,12 @@
     code = ResultCode.NOT_READY
 
 
+class PromptQuarantinedError(CapacityError):
+    """Several upstreams ended while they ran a part of the prompt."""
+
+    code = ResultCode.PROMPT_QUARANTINED
+
+
 class ExecutionError(BriarrillError):
     """The request was sent to an upstream and did not succeed."""
 
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -13,8 +13,10 @@
 from ..coordination.routes import Route
 from ..coordination.silence import SilenceDetector
 from ..coordination.start_delays import StartDelays
+from ..coordination.upstream_ends import PromptRun, UpstreamEnds
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import BriarrillError, PeerUnreachableError, UpstreamLostError
+from ..state.stored_jobs import StoredItem
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import ResponseHead
 from .item import ItemProgress, RunEnd
@@ -44,16 +46,26 @@
     :param silence: records when each upstream sent bytes.
     :param delays: records each upstream's time to the first byte.
     :param upstreams: records which upstreams announce their departure.
+    :param ends: observes the items to find prompts that end upstreams.
     """
 
     protocol: RelayProtocol
     silence: SilenceDetector
     delays: StartDelays
     upstreams: UpstreamTable
+    ends: UpstreamEnds
     _pool: ChannelPool = attrs.field(
         factory=lambda: ChannelPool(CONNECT_TIMEOUT_S), init=False
     )
 
+    def is_quarantined(self, stored: StoredItem) -> bool:
+        """Tell whether no upstream gets an item because of its prompt."""
+        quarantine = self.ends.quarantine
+        if not quarantine.quarantined_count:
+            return False
+        head = self.protocol.item_head('', stored)
+        return quarantine.time_left_s(self.protocol.prompt_parts(head)) > 0
+
     async def run(
         self,
         progress: ItemProgress,
@@ -64,6 +76,8 @@
         """Run an item, resuming after its last event."""
         if progress.is_complete:
             return RunEnd.COMPLETED
+        if self.is_quarantined(progress.stored):
+            return RunEnd.REFUSED
         call = self._make_call(progress, route, host, upstream)
         try:
             channel = await self._pool.acquire(
@@ -72,11 +86,15 @@
         except PeerUnreachableError as exc:
             self._pool.close_server(upstream.incarnation)
             self.silence.mark_suspect(upstream.upstream_id)
+            self.ends.record_unreachable(upstream)
             _log_run_failure(progress, call, upstream, exc)
             return RunEnd.REFUSED
         progress.begin_run()
         try:
-            end = await self._exchange(progress, call, upstream, channel)
+            with self.ends.track(upstream, call.prompt_parts) as run:
+                end = await self._exchange(
+                    progress, call, upstream, channel, run
+                )
         except UpstreamLostError as exc:
             channel.close()
             _log_run_failure(progress, call, upstream, exc)
@@ -112,6 +130,7 @@
         call: Call,
         upstream: RegisteredUpstream,
         channel: HttpChannel,
+        run: PromptRun,
     ) -> RunEnd:
         """Send the request and read the response.
 
@@ -128,6 +147,7 @@
                             call, received
                         )
                     )
+                self.ends.record_response(upstream)
                 if self.protocol.reports_leaving(response_head):
                     self.upstreams.mark_leaving(upstream.incarnation)
                 if response_head.status == _HTTP_OK:
@@ -137,6 +157,7 @@
             with self.silence.track_stream(upstream.upstream_id):
                 async for part in _read_stream(call.route, channel):
                     self.silence.record_bytes(upstream.upstream_id)
+                    run.record_bytes()
                     progress.add_stream_bytes(part)
             check_stream_end(
                 call.request_id,
@@ -144,6 +165,7 @@
                 response_head,
                 progress.tracker,
             )
+            run.record_end(response_head)
         return RunEnd.COMPLETED
 
     async def _read_error(
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -249,8 +249,8 @@
     ) -> Callable[[TrackedJob, str], ItemProgress | None]:
         """Return a lookup of the progress of items that may start.
 
-        It returns nothing for items that are finished, run at any process
-        or were handed over to a peer.
+        It returns nothing for items that are finished, run at any process,
+        were handed over to a peer, or have a quarantined prompt.
         """
         active_hashes = {
             *self._load.peer_load.item_hashes,
@@ -268,6 +268,8 @@
             key = (tracked.job_id, item_id)
             if self._handover.was_handed_over(key):
                 return None
+            if self._runner.is_quarantined(tracked.items[item_id]):
+                return None
             progress = self._suspended.get(key)
             return progress or ItemProgress(key[0], tracked.items[item_id])
 
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -17,10 +17,12 @@
     'LOG_LINES_DROPPED',
     'MALFORMED_MESSAGES',
     'PREEMPTED',
+    'QUARANTINED_PARTS',
     'REFUSED',
     'RESUMED',
     'RETRIED',
     'STALE_MESSAGES',
+    'UPSTREAM_CRASHES',
 )
 
 ALLOWANCE_CALLS = Counter(
@@ -76,6 +78,15 @@
     ' closed.',
     ('position',),
 )
+UPSTREAM_CRASHES = Counter(
+    'briarrill_upstream_crashes',
+    'Upstreams that ended while they ran prompts of this process.',
+)
+QUARANTINED_PARTS = Gauge(
+    'briarrill_quarantined_prompt_parts',
+    'Prompt parts that are not sent to upstreams, since several ended with'
+    ' them.',
+)
 LOG_LINES_DROPPED = Counter(
     'briarrill_log_lines_dropped',
     'Log lines that were dropped.',
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -51,6 +51,7 @@
             parts.load.silence,
             parts.load.delays,
             parts.upstreams,
+            parts.ends,
         )
         scheduler = Scheduler(jobs, slots, handover, runner, committer)
         _connect_reports(parts, scheduler)
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -74,7 +74,12 @@
     rng = random.Random()
     protocol = PlatformRelayProtocol()
     forwarder = Forwarder(
-        protocol, parts.upstreams, parts.load, parts.cfg.failure_domain, rng
+        protocol,
+        parts.upstreams,
+        parts.load,
+        parts.ends,
+        parts.cfg.failure_domain,
+        rng,
     )
     jobs = JobTable(parts.store)
     parts.own_keys.add('', jobs)
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -14,8 +14,10 @@
 from ..coordination.hedged_writes import WRITE_PATH, HedgedWrites
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.mirror import Mirror, MirrorListener
+from ..coordination.prompt_crashes import PromptQuarantine
 from ..coordination.registration import hold_registration
 from ..coordination.state_transfer import PeerResource, StateTransfer
+from ..coordination.upstream_ends import UpstreamEnds
 from ..coordination.upstream_table import RETURN_GRACE_S, UpstreamTable
 from ..protocol.load_reports import LoadReport
 from ..readiness import Readiness
@@ -101,6 +103,7 @@
     load: LoadExchange
     routing_configuration: RoutingConfigurationHolder
     upstreams: UpstreamTable
+    ends: UpstreamEnds
     readiness: Readiness
     mirrors: dict[str, Mirror]
     operator_keys: KeyRouter
@@ -111,9 +114,9 @@
     resources: dict[str, PeerResource] = attrs.field(factory=dict)
 
     def complete_report(self, report: LoadReport) -> LoadReport:
-        """Add role, drain state and mirror state to a load report."""
+        """Add role, drain state, crashes and mirror state to a load report."""
         return attrs.evolve(
-            report,
+            self.ends.quarantine.complete_report(report),
             failure_domain=self.cfg.failure_domain,
             runs_batch=self.runs_batch,
             is_leaving=self.readiness.is_draining,
@@ -215,12 +218,14 @@
     routing_configuration = RoutingConfigurationHolder(load.schedule_report)
     operator_keys.add(OPERATOR_PREFIX, routing_configuration)
     own_keys.add(MEMBERS_PREFIX, _MemberKeys(load))
+    ends = UpstreamEnds(upstreams, PromptQuarantine(), load.schedule_report)
     parts = ProcessParts(
         cfg=cfg,
         store=store,
         load=load,
         routing_configuration=routing_configuration,
         upstreams=upstreams,
+        ends=ends,
         readiness=Readiness(),
         mirrors=mirrors,
         operator_keys=operator_keys,
@@ -229,7 +234,7 @@
         writes=HedgedWrites(store, load, cfg.peer_port),
         jobs_source=jobs_source,
     )
-    load.on_report.append(parts.record_peer_state)
+    load.on_report.extend((parts.record_peer_state, ends.receive_report))
     return parts
 
 
@@ -267,6 +272,7 @@
         trio.open_nursery() as nursery,
     ):
         nursery.start_soon(parts.load.run)
+        nursery.start_soon(parts.ends.run)
         nursery.start_soon(transfer.run)
         for mirror in parts.mirrors.values():
             nursery.start_soon(mirror.run)
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -23,6 +23,7 @@
 from ..coordination.retries import RetryBudgets
 from ..coordination.routes import RouteKind
 from ..coordination.service_times import ServiceTimes
+from ..coordination.upstream_ends import PromptRun, UpstreamEnds
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import (
     BriarrillError,
@@ -33,6 +34,7 @@
     OutcomeUnknownError,
     OverloadedError,
     PeerUnreachableError,
+    PromptQuarantinedError,
     UpstreamFailedError,
     UpstreamLostError,
 )
@@ -79,6 +81,7 @@
 class Forwarder:
     """Chooses upstreams for requests and relays their responses.
 
+    :param ends: observes the requests to find prompts that end upstreams.
     :param failure_domain: this process's; its upstreams are preferred.
     """
 
@@ -87,6 +90,7 @@
         protocol: RelayProtocol,
         upstreams: UpstreamTable,
         load: LoadExchange,
+        ends: UpstreamEnds,
         failure_domain: str,
         rng: random.Random,
     ) -> None:
@@ -94,6 +98,7 @@
         self._protocol = protocol
         self._upstreams = upstreams
         self._load = load
+        self._ends = ends
         self._failure_domain = failure_domain
         self._rng = rng
         self._pool = ChannelPool(CONNECT_TIMEOUT_S)
@@ -124,6 +129,7 @@
         """Attempt the call until a response is relayed or retries end."""
         while True:
             upstream = await self._choose_upstream(call, progress)
+            self._check_prompt(call, progress)
             try:
                 await self._run_attempt(call, upstream, response, progress)
             except BriarrillError as exc:
@@ -212,6 +218,20 @@
                 retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
             )
 
+    def _check_prompt(self, call: Call, progress: CallProgress) -> None:
+        """Check that no part of the prompt is quarantined.
+
+        :raises PromptQuarantinedError: one is, and no attempt has run.
+        :raises OutcomeUnknownError: one is, and an attempt may have run.
+        """
+        time_left_s = self._ends.quarantine.time_left_s(call.prompt_parts)
+        if not time_left_s:
+            return
+        message = 'several upstreams ended while they ran a part of the prompt'
+        if progress.ran is Ran.NO:
+            raise PromptQuarantinedError(message, retry_after_s=time_left_s)
+        raise OutcomeUnknownError(message, ran=progress.ran)
+
     async def _run_attempt(
         self,
         call: Call,
@@ -230,7 +250,8 @@
         with self._placer.placed(upstream):
             channel = await self._connect(upstream)
             try:
-                await self._exchange(attempt, upstream, channel)
+                with self._ends.track(upstream, call.prompt_parts) as run:
+                    await self._exchange(attempt, upstream, channel, run)
             except BaseException:
                 channel.close()
                 raise
@@ -249,6 +270,7 @@
         except PeerUnreachableError:
             self._pool.close_server(upstream.incarnation)
             self._load.silence.mark_suspect(upstream.upstream_id)
+            self._ends.record_unreachable(upstream)
             raise
 
     async def _exchange(
@@ -256,6 +278,7 @@
         attempt: Attempt,
         upstream: RegisteredUpstream,
         channel: HttpChannel,
+        run: PromptRun,
     ) -> None:
         """Send the request on a connection and relay the response.
 
@@ -277,6 +300,7 @@
                 response_head = await self._read_head(
                     attempt, upstream, channel
                 )
+                self._ends.record_response(upstream)
                 if self._protocol.reports_leaving(response_head):
                     self._upstreams.mark_leaving(upstream.incarnation)
                 if self._protocol.reports_not_executed(response_head):
@@ -291,10 +315,11 @@
             if call.route.kind is RouteKind.STREAMING:
                 with self._load.silence.track_stream(upstream.upstream_id):
                     await self._relay_stream(
-                        attempt, upstream, channel, response_head
+                        attempt, upstream, channel, response_head, run
                     )
             else:
                 await self._relay_buffered(attempt, channel, response_head)
+            run.record_end(response_head)
         self._service_times_of(call.service).add(time.monotonic() - began_at)
 
     async def _read_head(
@@ -363,6 +388,7 @@
         upstream: RegisteredUpstream,
         channel: HttpChannel,
         response_head: ResponseHead,
+        run: PromptRun,
     ) -> None:
         """Relay the events of a stream as they arrive.
 
@@ -394,6 +420,7 @@
         tracker = EventTracker()
         while (part := await read_stream_part(attempt, channel)) is not None:
             self._load.silence.record_bytes(upstream.upstream_id)
+            run.record_bytes()
             tracker.add_bytes(part)
             if attempt.call.route.resumable:
                 await send_new_events(
@@ -471,16 +498,10 @@
             < MIN_RETRY_TIME_OBJECTIVES * call.route.latency_objective_s
         ):
             return False
-        if progress.possible_runs and not self._is_retryable(call, response):
+        if progress.possible_runs and not _is_retryable(call, response):
             return False
         return self._budgets.try_spend_retry(call.route.name)
 
-    def _is_retryable(self, call: Call, response: Response) -> bool:
-        """Whether the call may run again, or its stream be resumed."""
-        if call.route.resumable:
-            return not response.has_begun or response.last_event_id is not None
-        return call.route.is_idempotent and not response.has_begun
-
     def _record_failure(
         self, call: Call, upstream: RegisteredUpstream, exc: BriarrillError
     ) -> None:
@@ -513,3 +534,10 @@
     def _service_times_of(self, service: str) -> ServiceTimes:
         """Return the service times of a service, created on first use."""
         return self._service_times.setdefault(service, ServiceTimes())
+
+
+def _is_retryable(call: Call, response: Response) -> bool:
+    """Whether the call may run again, or its stream be resumed."""
+    if call.route.resumable:
+        return not response.has_begun or response.last_event_id is not None
+    return call.route.is_idempotent and not response.has_begun
--- a/briarrill/result_codes.py
+++ b/briarrill/result_codes.py
@@ -45,6 +45,7 @@
     DEADLINE_UNREACHABLE = 303
     STORE_FULL = 304
     NOT_READY = 305
+    PROMPT_QUARANTINED = 306
 
     # execution at an upstream
     UPSTREAM_FAILED = 400
--- /dev/null
+++ b/tests/coordination/test_upstream_ends.py
@@ -0,0 +1,243 @@
+"""Tests of telling the end of an upstream from that of one response."""
+
+import contextlib
+
+import attrs
+import pytest
+import trio
+
+from briarrill.coordination import upstream_ends
+from briarrill.coordination.prompt_crashes import PromptQuarantine
+from briarrill.coordination.upstream_ends import PromptRun, UpstreamEnds
+from briarrill.coordination.upstream_table import (
+    RegisteredUpstream,
+    UpstreamTable,
+)
+from briarrill.errors import (
+    DeadlineExceededError,
+    OverloadedError,
+    UpstreamLostError,
+)
+from briarrill.protocol.load_reports import LoadReport, short_hash
+from briarrill.transport.http_messages import ResponseHead
+from standins.platform_engine import StandinEngine, stream_events
+from tests.serving import free_port, serve_standin
+
+PARTS = ('first', 'shared')
+
+FRAMED = ResponseHead(200, ((b'content-length', b'1'),))
+UNFRAMED = ResponseHead(200, ())
+
+
+@attrs.define
+class Observed:
+    """The observer of upstreams, and its upstream."""
+
+    ends: UpstreamEnds
+    table: UpstreamTable
+    upstream: RegisteredUpstream
+    changes: list = attrs.field(factory=list)
+
+    @property
+    def crashes(self):
+        return self.ends.quarantine.complete_report(
+            LoadReport('me', 'h', 1, 1)
+        ).crashes
+
+    def fail(self, error=UpstreamLostError, parts=PARTS):
+        with contextlib.suppress(error), self.ends.track(self.upstream, parts):
+            raise error('cut')
+
+    async def settle(self):
+        """Wait until the checks have ended, and some time more."""
+        while self.ends._due or any(
+            runs.is_checking for runs in self.ends._runs.values()
+        ):
+            await trio.sleep(0.01)
+        await trio.sleep(0.05)
+
+
+@pytest.fixture
+async def observe():
+    """Return a function that observes an upstream at an address."""
+    async with trio.open_nursery() as nursery:
+
+        def make(address):
+            table = UpstreamTable(lambda: True)
+            upstream = RegisteredUpstream(
+                'i-1', 'llm', address, 'a', 1, incarnation='i-1/1'
+            )
+            table.register(upstream)
+            changes = []
+            ends = UpstreamEnds(
+                table, PromptQuarantine(), lambda: changes.append(1)
+            )
+            nursery.start_soon(ends.run)
+            return Observed(ends, table, upstream, changes)
+
+        yield make
+        nursery.cancel_scope.cancel()
+
+
+async def test_refused_connection_after_a_cut_response_is_a_crash(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    observed.fail()
+    await observed.settle()
+    (crash,) = observed.crashes
+    assert crash.incarnation == short_hash('i-1/1')
+    assert crash.first_parts == (short_hash('first'),)
+    assert crash.other_parts == (short_hash('shared'),)
+    assert observed.changes
+
+
+@pytest.mark.parametrize('error', [UpstreamLostError, DeadlineExceededError])
+async def test_cut_response_of_a_live_upstream_accuses_nobody(observe, error):
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        for _ in range(10):
+            observed.fail(error)
+            await observed.settle()
+        assert not observed.crashes
+
+
+async def test_rejection_is_no_sign_of_a_crash(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    observed.fail(OverloadedError)
+    await observed.settle()
+    assert not observed.crashes
+
+
+@pytest.mark.parametrize('announces', [False, True])
+async def test_upstream_that_leaves_by_plan_accuses_nobody(observe, announces):
+    observed = observe(('127.0.0.1', free_port()))
+    if announces:
+        observed.table.mark_leaving('i-1/1')
+    else:
+        observed.table.register(
+            attrs.evolve(observed.upstream, is_draining=True)
+        )
+    observed.fail()
+    await observed.settle()
+    assert not observed.crashes
+
+
+async def test_upstream_that_serves_on_without_registration_accuses_nobody(
+    observe,
+):
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        with observed.ends.track(observed.upstream, PARTS):
+            observed.table.unregister('i-1')
+            while not observed.ends._runs['i-1/1'].has_departed:
+                await trio.sleep(0.02)
+    observed.fail()
+    await observed.settle()
+    assert not observed.crashes
+
+
+async def test_silent_upstream_with_a_successor_has_ended(observe):
+    """Its prompts are known though nothing was ever received from it."""
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        with observed.ends.track(observed.upstream, PARTS):
+            successor = attrs.evolve(
+                observed.upstream, upstream_id='i-2', incarnation='i-2/2'
+            )
+            observed.table.unregister('i-1')
+            observed.table.register(successor)
+            with trio.fail_after(5):
+                while not observed.crashes:
+                    await trio.sleep(0.02)
+
+
+async def test_same_id_with_another_incarnation_is_another_upstream(observe):
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        with observed.ends.track(observed.upstream, PARTS):
+            observed.table.register(
+                attrs.evolve(observed.upstream, incarnation='i-1/2')
+            )
+            with trio.fail_after(5):
+                while not observed.crashes:
+                    await trio.sleep(0.02)
+        assert observed.crashes[0].incarnation == short_hash('i-1/1')
+
+
+async def test_requests_after_a_known_crash_are_no_evidence(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    observed.fail()
+    await observed.settle()
+    observed.fail(parts=('first', 'later'))
+    await observed.settle()
+    (crash,) = observed.crashes
+    assert crash.other_parts == (short_hash('shared'),)
+
+
+async def test_refused_connection_makes_waiting_prompts_evidence(observe):
+    """The connections of an upstream without power are not closed."""
+    observed = observe(('127.0.0.1', free_port()))
+    with observed.ends.track(observed.upstream, PARTS):
+        observed.ends.record_unreachable(observed.upstream)
+        await observed.settle()
+        assert observed.crashes
+
+
+async def test_prompt_whose_answer_went_on_is_not_suspected(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(upstream_ends.time, 'monotonic', lambda: now)
+    run = PromptRun(PARTS)
+    run.record_bytes()
+    now += upstream_ends.MAX_ANSWERED_S - 0.01
+    run.record_bytes()
+    assert run.is_suspect
+    now += 0.02
+    run.record_bytes()
+    assert not run.is_suspect
+
+
+async def test_whole_answer_clears_its_parts(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    with observed.ends.track(observed.upstream, PARTS) as run:
+        run.record_end(FRAMED)
+    assert observed.ends.quarantine.is_cleared(PARTS)
+    observed.fail()
+    await observed.settle()
+    assert not observed.crashes
+
+
+async def test_error_of_an_upstream_clears_nothing(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    with observed.ends.track(observed.upstream, PARTS) as run:
+        run.record_end(ResponseHead(500, FRAMED.headers))
+    assert not observed.ends.quarantine.is_cleared(PARTS)
+
+
+async def test_answer_ended_by_close_clears_only_if_its_upstream_lives(
+    observe,
+):
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        with observed.ends.track(observed.upstream, PARTS) as run:
+            run.record_end(UNFRAMED)
+        assert not observed.ends.quarantine.is_cleared(PARTS)
+        await observed.settle()
+        assert observed.ends.quarantine.is_cleared(PARTS)
+    with observed.ends.track(observed.upstream, ('bad',)) as last:
+        last.record_end(UNFRAMED)
+    await observed.settle()
+    assert not observed.ends.quarantine.is_cleared(('bad',))
+    assert observed.crashes[0].first_parts == (short_hash('bad'),)
+
+
+async def test_ended_requests_are_forgotten(observe):
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        for number in range(2 * upstream_ends.MAX_BROKEN_RUNS):
+            observed.fail(parts=('first', f'part{number}'))
+        runs = observed.ends._runs['i-1/1']
+        assert len(runs.broken) == upstream_ends.MAX_BROKEN_RUNS
+        runs.forget_old(trio.current_time() + 1e9)
+        await observed.settle()
+        with trio.fail_after(5):
+            while observed.ends._runs:
+                await trio.sleep(0.05)
--- a/tests/item_runs/test_cut_items.py
+++ b/tests/item_runs/test_cut_items.py
@@ -3,7 +3,9 @@
 import pytest
 
 from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.prompt_crashes import PromptQuarantine
 from briarrill.coordination.routes import RouteKind
+from briarrill.coordination.upstream_ends import UpstreamEnds
 from briarrill.coordination.upstream_table import (
     RegisteredUpstream,
     UpstreamTable,
@@ -29,11 +31,10 @@
 @pytest.fixture
 def runner():
     load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
+    upstreams = UpstreamTable(lambda: True)
+    ends = UpstreamEnds(upstreams, PromptQuarantine(), load.schedule_report)
     return ItemRunner(
-        PlatformRelayProtocol(),
-        load.silence,
-        load.delays,
-        UpstreamTable(lambda: True),
+        PlatformRelayProtocol(), load.silence, load.delays, upstreams, ends
     )
 
 
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -9,7 +9,9 @@
 from briarrill.coordination.batch_shares import is_preferred_runner
 from briarrill.coordination.job_table import JobTable
 from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.prompt_crashes import PromptQuarantine
 from briarrill.coordination.routes import RouteKind, RouteTable
+from briarrill.coordination.upstream_ends import UpstreamEnds
 from briarrill.coordination.upstream_table import (
     RegisteredUpstream,
     UpstreamTable,
@@ -18,6 +20,7 @@
 from briarrill.item_runs import scheduler as scheduler_module
 from briarrill.item_runs import slots as slots_module
 from briarrill.item_runs.handover import Handover
+from briarrill.item_runs.item import ItemProgress, RunEnd
 from briarrill.item_runs.item_runner import ItemRunner
 from briarrill.item_runs.result_commits import Committer
 from briarrill.item_runs.scheduler import Scheduler
@@ -55,10 +58,12 @@
             'me', '127.0.0.1', 0, (), lambda report: report
         )
         upstreams = UpstreamTable(lambda: True)
-        upstreams.register(
-            RegisteredUpstream('i-1', 'llm', address, 'a', UPSTREAM_SLOTS)
+        self.upstream = RegisteredUpstream(
+            'i-1', 'llm', address, 'a', UPSTREAM_SLOTS
         )
+        upstreams.register(self.upstream)
         self.is_connected = True
+        self.quarantine = PromptQuarantine()
         self.slots = FreeSlots(
             'me', upstreams, self.load, lambda: self.is_connected
         )
@@ -72,6 +77,9 @@
                 self.load.silence,
                 self.load.delays,
                 upstreams,
+                UpstreamEnds(
+                    upstreams, self.quarantine, self.load.schedule_report
+                ),
             ),
             self.committer,
         )
@@ -79,8 +87,20 @@
 
     async def submit(self, count, **fields):
         """Store a job on the batch route."""
-        job = make_job(count=count, submitted_at=fields.pop('at', NOW_UNIX_S))
-        job = attrs.evolve(job, route=BATCH_ROUTE.name, host=BATCH_ROUTE.host)
+        job = make_job(
+            fields.pop('job_id', 'j1'),
+            count,
+            submitted_at=fields.pop('at', NOW_UNIX_S),
+        )
+        headers = {'Briarrill-Prompt-Prefix': fields.pop('prompt', 'own:1')}
+        job = attrs.evolve(
+            job,
+            route=BATCH_ROUTE.name,
+            host=BATCH_ROUTE.host,
+            items=tuple(
+                attrs.evolve(stored, headers=headers) for stored in job.items
+            ),
+        )
         await self.service.transact(job_creation_changes(job, 1_000_000))
         return self.jobs.add(job)
 
@@ -452,3 +472,54 @@
         setup.scheduler.wake()
         await trio.sleep(0.3)
     assert len(searches) <= UPSTREAM_SLOTS + 1
+
+
+def _quarantine(setup, part):
+    """Quarantine a part, as three upstreams that ended with it cause."""
+    peer = LoadReport('peer', 'h', 1, 1, quarantined={short_hash(part): 600})
+    setup.quarantine.apply_report(peer)
+
+
+async def test_item_with_a_quarantined_prompt_waits_until_it_is_answered(
+    run_scheduler,
+):
+    async with run_scheduler(stream_events(2)) as (setup, engine):
+        _quarantine(setup, 'bad')
+        held = await setup.submit(1, prompt='first:5,bad:5,own:1')
+        other = await setup.submit(
+            1, job_id='j2', prompt='first:5,sound:5,own:1'
+        )
+        await _wait_until(lambda: not other.is_open)
+        await trio.sleep(0.3)
+        assert held.is_open
+        assert len(engine.requests) == 1
+        setup.quarantine.record_answer(('bad',))
+        await _wait_until(lambda: not held.is_open)
+    assert held.results[0].state is ItemState.COMPLETED
+
+
+async def test_item_with_a_quarantined_prompt_expires_with_its_job(
+    run_scheduler,
+):
+    async with run_scheduler(stream_events(2)) as (setup, engine):
+        _quarantine(setup, 'bad')
+        tracked = await setup.submit(
+            1, prompt='bad:5,own:1', at=NOW_UNIX_S - 1000
+        )
+        await _wait_until(lambda: not tracked.is_open)
+        assert not engine.requests
+    assert tracked.results[0].state is ItemState.ERRORED
+
+
+async def test_item_is_held_back_between_its_claim_and_its_run(run_scheduler):
+    async with run_scheduler(stream_events(2)) as (setup, engine):
+        _quarantine(setup, 'bad')
+        job = make_job(count=1)
+        stored = attrs.evolve(
+            job.items[0], headers={'Briarrill-Prompt-Prefix': 'bad:5,own:1'}
+        )
+        end = await setup.scheduler._runner.run(
+            ItemProgress('j1', stored), BATCH_ROUTE, 'h', setup.upstream
+        )
+        assert end is RunEnd.REFUSED
+        assert not engine.requests
--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -7,12 +7,14 @@
 import trio
 
 from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.prompt_crashes import PromptQuarantine
 from briarrill.coordination.routes import (
     Route,
     RouteKind,
     RouteTable,
     Target,
 )
+from briarrill.coordination.upstream_ends import UpstreamEnds
 from briarrill.coordination.upstream_table import (
     RegisteredUpstream,
     UpstreamTable,
@@ -53,6 +55,7 @@
     address: tuple
     upstreams: UpstreamTable
     load: LoadExchange
+    ends: UpstreamEnds
 
     async def send_request(self, path, body=b'', **headers):
         """Send one request; return status, headers and body."""
@@ -101,7 +104,10 @@
     upstreams = UpstreamTable(lambda: True)
     load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
     protocol = PlatformRelayProtocol()
-    forwarder = Forwarder(protocol, upstreams, load, 'a', random.Random(1))
+    ends = UpstreamEnds(upstreams, PromptQuarantine(), load.schedule_report)
+    forwarder = Forwarder(
+        protocol, upstreams, load, ends, 'a', random.Random(1)
+    )
     table = RouteTable(1, tuple(routes))
     front = FrontEnd(
         protocol=protocol,
@@ -132,8 +138,11 @@
         await stack.enter_async_context(
             serve_callers(address, CallerLimits, front.serve)
         )
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        nursery.start_soon(ends.run)
         with trio.fail_after(20):
-            yield FrontEndSetup(front, address, upstreams, load)
+            yield FrontEndSetup(front, address, upstreams, load, ends)
+        nursery.cancel_scope.cancel()
 
 
 STREAM = route(RouteKind.STREAMING, max_attempts=1)
