--- a/bench/online/preemption.py
+++ b/bench/online/preemption.py
@@ -11,6 +11,7 @@
 from briarrill.coordination.admission import Admission
 from briarrill.protocol.messages import BatchItem
 from briarrill.sidecar.batch import BatchRunner
+from briarrill.sidecar.engine_ends import EngineEnds
 from briarrill.sidecar.upstreams import EngineUpstream, UpstreamRequest
 
 from .baselines import TimedAdmission, TimedSharedQueue
@@ -58,7 +59,9 @@
 async def _run_bursts(
     upstream: EngineUpstream, admission: Admission, bursts: int
 ) -> None:
-    runner = BatchRunner(upstream, admission)
+    runner = BatchRunner(
+        upstream, admission, EngineEnds('s', upstream.client.base_url)
+    )
     async with trio.open_nursery() as nursery:
         for _ in range(SLOTS + 2):
             nursery.start_soon(_run_items, runner)
--- a/bench/online/rig.py
+++ b/bench/online/rig.py
@@ -13,6 +13,7 @@
 import msgspec
 import trio
 
+from briarrill.coordination.prompt_crashes import PromptQuarantine
 from briarrill.coordination.retries import RetryBudgets
 from briarrill.coordination.routing import TwoChoicesPolicy
 from briarrill.entry.dispatch import Dispatcher
@@ -137,7 +138,11 @@
                     await trio.sleep(0.05)
             rng = random.Random(seed)
             dispatcher = Dispatcher(
-                upstreams, TwoChoicesPolicy(rng), RetryBudgets(), rng
+                upstreams,
+                TwoChoicesPolicy(rng),
+                RetryBudgets(),
+                rng,
+                PromptQuarantine(),
             )
             yield Rig(dispatcher, processes)
             nursery.cancel_scope.cancel()
@@ -180,4 +185,4 @@
         roles=(Role.UPSTREAM,),
         pool='drafting',
     )
-    return UpstreamLink(instance, PORT, own)
+    return UpstreamLink(instance, PORT, own, lambda _news: None)
--- a/bench/online/sidecars.py
+++ b/bench/online/sidecars.py
@@ -89,7 +89,9 @@
 
     async def run_batch(self) -> None:
         """Run batch items without end, more than there are slots."""
-        runner = BatchRunner(self.batch, self.server.admission)
+        runner = BatchRunner(
+            self.batch, self.server.admission, self.server.ends
+        )
         async with trio.open_nursery() as nursery:
             for _ in range(self.plan.slots + EXTRA_BATCH_ITEMS):
                 nursery.start_soon(_run_items, runner)
--- a/briarrill/batch/item_dispatcher.py
+++ b/briarrill/batch/item_dispatcher.py
@@ -7,8 +7,10 @@
 import trio
 from eliot import log_message
 
+from ..coordination.upstream_ends import UpstreamEnds
 from ..errors import PeerUnreachableError
 from ..metrics import DUPLICATES, MALFORMED_MESSAGES
+from ..protocol.callers_api import prompt_parts
 from ..protocol.codec import decode_or_none, encode
 from ..protocol.messages import (
     Assign,
@@ -18,8 +20,10 @@
     Pull,
     Revoke,
 )
+from ..result_codes import ResultCode
 from ..transport.zmq_socket import ZmqSocket
 from .item_sources import ItemSource, ItemSources
+from .outcomes import quarantined_outcome
 
 __all__ = ('ItemDispatcher',)
 
@@ -81,10 +85,14 @@
 
     :param socket: bound router.
     :param sources: jobs to choose items from.
+    :param ends: learns from the sidecars which prompts end engines.
     """
 
-    def __init__(self, socket: ZmqSocket, sources: ItemSources) -> None:
+    def __init__(
+        self, socket: ZmqSocket, sources: ItemSources, ends: UpstreamEnds
+    ) -> None:
         """Start without sidecars."""
+        self._ends = ends
         self._socket = socket
         self._sources = sources
         self._pullers: dict[str, _Puller] = {}
@@ -128,6 +136,7 @@
         """Receive messages until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._remove_silent_periodically)
+            nursery.start_soon(self._ends.run)
             while True:
                 peer, *frames = await self._socket.receive()
                 message = decode_or_none(frames)
@@ -170,6 +179,7 @@
             self._by_peer[peer] = puller
         puller.pull = pull
         puller.timeout_started_at = time.monotonic()
+        self._ends.receive_news(pull.prompt_news)
         self._assign_to(puller)
 
     def _handle_outcome(self, peer: bytes, outcome: ItemOutcome) -> None:
@@ -182,6 +192,7 @@
             batch_item = puller.outstanding.pop(key, None)
             if batch_item is not None:
                 self._sources.remove_in_flight(batch_item)
+                self._record_answer(batch_item, outcome)
         source = self._sources.find(outcome.job)
         if source is None:
             DUPLICATES.inc()
@@ -198,6 +209,8 @@
             )
             if batch_item is None:
                 break
+            if self._is_refused(batch_item, puller.pull.process):
+                continue
             puller.outstanding[batch_item.job, batch_item.index] = batch_item
             assigned.append(batch_item)
         if assigned and was_idle:
@@ -207,6 +220,27 @@
         if assigned:
             self._send_assign(puller, assigned)
 
+    def _is_refused(self, batch_item: BatchItem, sidecar: str) -> bool:
+        """Refuse an item whose prompt is quarantined.
+
+        It counts as a failed attempt, so that the item ends in time.
+        """
+        parts = prompt_parts(batch_item.body)
+        if not self._ends.quarantine.time_left_s(parts):
+            return False
+        self._sources.remove_in_flight(batch_item)
+        source = self._sources.find(batch_item.job)
+        if source is not None:
+            source.record_outcome(quarantined_outcome(batch_item), sidecar)
+        return True
+
+    def _record_answer(
+        self, batch_item: BatchItem, outcome: ItemOutcome
+    ) -> None:
+        """Record that an engine completed an item."""
+        if outcome.code is ResultCode.OK:
+            self._ends.quarantine.record_answer(prompt_parts(batch_item.body))
+
     def _send_assign(
         self, puller: _Puller, assigned: Iterable[BatchItem]
     ) -> None:
--- a/briarrill/batch/outcomes.py
+++ b/briarrill/batch/outcomes.py
@@ -3,7 +3,12 @@
 from ..protocol.messages import BatchItem, ItemOutcome
 from ..result_codes import Ran, ResultCode
 
-__all__ = ('MAX_SIDECAR_LOSSES', 'is_retryable', 'sidecars_lost_outcome')
+__all__ = (
+    'MAX_SIDECAR_LOSSES',
+    'is_retryable',
+    'quarantined_outcome',
+    'sidecars_lost_outcome',
+)
 
 # an item ends with an error line after this many sidecars were lost with it
 MAX_SIDECAR_LOSSES = 10
@@ -27,3 +32,16 @@
         ran=Ran.UNKNOWN,
         message=f'{MAX_SIDECAR_LOSSES} sidecars were lost with the item',
     )
+
+
+def quarantined_outcome(batch_item: BatchItem) -> ItemOutcome:
+    """Return the outcome of an item whose prompt no engine gets."""
+    return ItemOutcome(
+        job=batch_item.job,
+        index=batch_item.index,
+        epoch=batch_item.epoch,
+        attempt=batch_item.attempt,
+        code=ResultCode.PROMPT_QUARANTINED,
+        ran=Ran.NO,
+        message='several engines ended while they ran a part of the prompt',
+    )
--- a/briarrill/batch/service.py
+++ b/briarrill/batch/service.py
@@ -9,6 +9,7 @@
 
 from ..control import Control
 from ..coordination.leases import Lease, hold_lease
+from ..coordination.upstream_ends import observe_prompt_news
 from ..errors import BriarrillError, DrainingError
 from ..protocol.messages import (
     CancelJob,
@@ -67,7 +68,9 @@
                 control=control,
                 store=store,
                 segment_replicas=_make_segment_replicas(cfg, control),
-                dispatcher=ItemDispatcher(socket, sources),
+                dispatcher=ItemDispatcher(
+                    socket, sources, observe_prompt_news()
+                ),
                 finder=JobFinder(
                     store, control.membership, caller, cfg.ports.batch_store
                 ),
--- a/briarrill/coordination/prompt_crashes.py
+++ b/briarrill/coordination/prompt_crashes.py
@@ -3,8 +3,8 @@
 A prompt can crash every upstream that runs it. Requests that share the part
 at fault are told from the others that were in flight by two rules: the part
 was in flight at several upstreams that ended, and no upstream has answered a
-request with it. Such a part is quarantined. Load reports carry crashes,
-answers and quarantined parts to all processes.
+request with it. Such a part is quarantined. Processes exchange crashes,
+answers and quarantined parts as news.
 """
 
 import collections
@@ -15,9 +15,10 @@
 
 import attrs
 
-from ..protocol.load_reports import LoadReport, UpstreamCrash, short_hash
+from ..protocol.load_reports import short_hash
+from ..protocol.prompt_news import PromptNews, UpstreamCrash
 
-__all__ = ('PromptQuarantine', 'QuarantinedPart')
+__all__ = ('QUARANTINE_S', 'PromptQuarantine', 'QuarantinedPart')
 
 # upstreams that must have ended with a part in flight; more for the first part
 # of prompts, which most requests of a route share
@@ -39,7 +40,7 @@
 # a response read sooner after a crash may have been received before it
 MIN_ALIVE_DELAY_S = 0.1
 
-# time for which news are part of each load report; some reports are lost
+# time for which a crash is part of the news; some messages are lost
 REPORT_S = 10.0
 
 # time for which the repeated news of a crash that did not happen are ignored
@@ -55,7 +56,7 @@
 MAX_ANSWERED_PARTS = 4096
 MAX_QUARANTINED_PARTS = 64
 
-# crashes in one load report, the newest ones, which bounds its size
+# crashes in the news, the newest ones, which bounds their size
 MAX_REPORTED_CRASHES = 16
 
 
@@ -167,11 +168,17 @@
     """Decides which prompt parts may not be sent to upstreams.
 
     :param clock: monotonic clock.
+    :param report_s: time for which a crash is part of the news.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        report_s: float = REPORT_S,
+    ) -> None:
         """Start without crashes, answers and quarantined parts."""
         self._clock = clock
+        self._report_s = report_s
         self._crashes: dict[int, _Crash] = {}
         self._answers = _Answers()
         self._quarantined: dict[int, _Quarantine] = {}
@@ -247,10 +254,10 @@
                 quarantined.append(QuarantinedPart(part, tuple(span.evidence)))
         return quarantined
 
-    def complete_report(self, report: LoadReport) -> LoadReport:
-        """Add crashes, answers and quarantined parts to a load report."""
+    def news(self) -> PromptNews | None:
+        """Return recent observations and all quarantined parts, if any."""
         if not self.is_active:
-            return report
+            return None
         now = self._clock()
         newest = itertools.islice(
             reversed(self._crashes.items()), MAX_REPORTED_CRASHES
@@ -258,13 +265,12 @@
         recent = {
             incarnation: crash
             for incarnation, crash in newest
-            if now - (crash.refuted_at or crash.known_at) < REPORT_S
+            if now - (crash.refuted_at or crash.known_at) < self._report_s
         }
         suspected_at = dict(self._contested)
         for crash in recent.values():
             suspected_at.update(crash.parts)
-        return attrs.evolve(
-            report,
+        return PromptNews(
             crashes=tuple(
                 _encode_crash(incarnation, crash)
                 for incarnation, crash in recent.items()
@@ -282,18 +288,18 @@
             },
         )
 
-    def apply_report(self, report: LoadReport) -> None:
+    def apply_news(self, news: PromptNews) -> None:
         """Apply what a peer observed and decided."""
         now = self._clock()
-        for crash in report.crashes:
+        for crash in news.crashes:
             self._add_crash(crash)
-        for incarnation in report.alive:
+        for incarnation in news.alive:
             known = self._crashes.get(incarnation)
             if known is not None:
                 known.refute(now)
-        for part, age_s in report.answered.items():
+        for part, age_s in news.answered.items():
             self._add_answer(part, now - age_s)
-        self._apply_quarantined(report.quarantined, now)
+        self._apply_quarantined(news.quarantined, now)
 
     def _apply_quarantined(
         self, seconds_left: Mapping[int, int], now: float
--- a/briarrill/coordination/upstream_ends.py
+++ b/briarrill/coordination/upstream_ends.py
@@ -20,13 +20,13 @@
     UpstreamLostError,
 )
 from ..metrics import QUARANTINED_PARTS, UPSTREAM_CRASHES
-from ..protocol.load_reports import LoadReport, UpstreamCrash, short_hash
+from ..protocol.load_reports import short_hash
+from ..protocol.prompt_news import PromptNews, UpstreamCrash
 from ..transport.http_channel import connect
-from ..transport.http_messages import BodyFraming, ResponseHead
 from .prompt_crashes import PromptQuarantine
 from .upstream_table import RegisteredUpstream, UpstreamTable
 
-__all__ = ('PromptRun', 'UpstreamEnds')
+__all__ = ('PromptRun', 'UpstreamEnds', 'observe_prompt_news')
 
 # time from a broken response to the check of its upstream: a process that
 # ends closes its connections and its listening socket in any order
@@ -53,6 +53,8 @@
 
 HTTP_OK = 200
 
+LOST_ERRORS = (UpstreamLostError, DeadlineExceededError)
+
 
 @attrs.define(eq=False)
 class PromptRun:
@@ -88,11 +90,13 @@
         if self._first_bytes_at is None:
             self._first_bytes_at = self._last_bytes_at
 
-    def record_end(self, head: ResponseHead) -> None:
-        """Record that the whole response was received."""
-        if head.status == HTTP_OK:
-            self.is_answered = True
-            self.is_end_unmarked = head.body_framing is BodyFraming.CLOSE
+    def record_end(self, status: int, *, is_marked: bool) -> None:
+        """Record that the whole response was received.
+
+        :param is_marked: whether more than a close marks its end.
+        """
+        self.is_answered = status == HTTP_OK
+        self.is_end_unmarked = self.is_answered and not is_marked
 
 
 @attrs.define(eq=False)
@@ -153,6 +157,7 @@
         crashed.
     :param quarantine: gets the observations.
     :param on_change: called when there is news for other processes.
+    :param lost_errors: errors of a response that was broken off.
     """
 
     def __init__(
@@ -160,8 +165,10 @@
         upstreams: UpstreamTable,
         quarantine: PromptQuarantine,
         on_change: Callable[[], None],
+        lost_errors: tuple[type[Exception], ...] = LOST_ERRORS,
     ) -> None:
         """Start without requests."""
+        self._lost_errors = lost_errors
         self.quarantine = quarantine
         self._upstreams = upstreams
         self._on_change = on_change
@@ -183,7 +190,7 @@
         runs.running.add(run)
         try:
             yield run
-        except (UpstreamLostError, DeadlineExceededError):
+        except self._lost_errors:
             runs.add_broken(run)
             self._check_unless_cleared(runs, run)
             raise
@@ -209,10 +216,10 @@
         if runs is not None:
             self._start_check(runs)
 
-    def receive_report(self, report: LoadReport) -> None:
-        """Apply a peer's report."""
-        self.quarantine.apply_report(report)
-        if report.crashes or report.quarantined:
+    def receive_news(self, news: PromptNews | None) -> None:
+        """Apply a peer's news, if it has any."""
+        if news is not None:
+            self.quarantine.apply_news(news)
             self._wake.set()
 
     async def run(self) -> None:
@@ -322,3 +329,10 @@
             )
             self._on_change()
         QUARANTINED_PARTS.set(self.quarantine.quarantined_count)
+
+
+def observe_prompt_news() -> UpstreamEnds:
+    """Return an observer without upstreams, which gets all news from peers."""
+    return UpstreamEnds(
+        UpstreamTable(lambda: True), PromptQuarantine(), lambda: None
+    )
--- a/briarrill/entry/calls.py
+++ b/briarrill/entry/calls.py
@@ -27,6 +27,7 @@
     :param target: name of the model or service.
     :param prefix_key: equal for requests that share a prompt prefix.
     :param deadline_s: deadline by the monotonic clock.
+    :param prompt_parts: digests of the messages that it may share with others.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     deadline_s: float
     content_type: str = 'application/json'
     prefix_key: str = ''
+    prompt_parts: tuple[str, ...] = ()
     trace: str = ''
 
 
--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -3,12 +3,13 @@
 import contextlib
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 import trio
 
 from ..coordination.ejection import Ejector
+from ..coordination.prompt_crashes import PromptQuarantine
 from ..coordination.retries import RetryBudgets
 from ..coordination.routing import RoutingPolicy
 from ..errors import (
@@ -20,6 +21,7 @@
     InternalError,
     NoUpstreamError,
     OutcomeUnknownError,
+    PromptQuarantinedError,
     UpstreamFailedError,
     UpstreamLostError,
 )
@@ -46,11 +48,13 @@
     :param first_chunk: the chunk not read yet; ``None`` after the read or if
         the response has no chunks.
     :param deadline_s: deadline of the request, by the monotonic clock.
+    :param on_whole: called at the end of a complete response.
     """
 
     call: OnlineCall
     first_chunk: bytes | None
     deadline_s: float
+    on_whole: Callable[[], None]
 
     @property
     def finish(self) -> Finish:
@@ -82,7 +86,10 @@
         if self.first_chunk is not None:
             chunk, self.first_chunk = self.first_chunk, None
             return chunk
-        return await _next_chunk_before(self.call, self.deadline_s)
+        next_chunk = await _next_chunk_before(self.call, self.deadline_s)
+        if next_chunk is None:
+            self.on_whole()
+        return next_chunk
 
     def close(self) -> None:
         """Cancel the request at the upstream unless it has ended."""
@@ -99,6 +106,7 @@
     :param budgets: limit the retries of each contract.
     :param rng: decides whether an upstream gets a request while its share of
         the traffic increases again after an ejection.
+    :param quarantine: decides which prompts may be sent.
     """
 
     def __init__(
@@ -107,8 +115,10 @@
         policy: RoutingPolicy,
         budgets: RetryBudgets,
         rng: random.Random,
+        quarantine: PromptQuarantine,
     ) -> None:
         """Create a dispatcher without recorded failures."""
+        self._quarantine = quarantine
         self._ejectors: dict[str, Ejector] = {}
         self._upstreams = upstreams
         self._policy = policy
@@ -134,7 +144,16 @@
     async def _start_attempt(
         self, req: OnlineRequest, attempts: '_AttemptHistory'
     ) -> StartedResponse:
-        """Send one attempt and wait for its first chunk or end."""
+        """Send one attempt and wait for its first chunk or end.
+
+        :raises PromptQuarantinedError: no upstream gets the prompt.
+        """
+        time_left_s = self._quarantine.time_left_s(req.prompt_parts)
+        if time_left_s:
+            raise PromptQuarantinedError(
+                'several upstreams ended while they ran a part of the prompt',
+                retry_after_s=time_left_s,
+            )
         link = self._choose_link(req, attempts.tried_upstreams)
         attempts.tried_upstreams.add(link.name)
         call = link.submit(req, attempts.failed_count)
@@ -144,7 +163,15 @@
         except BaseException:
             call.cancel()
             raise
-        return StartedResponse(call, first_chunk, req.deadline_s)
+        response = StartedResponse(
+            call,
+            first_chunk,
+            req.deadline_s,
+            lambda: self._quarantine.record_answer(req.prompt_parts),
+        )
+        if first_chunk is None:
+            response.on_whole()
+        return response
 
     @contextlib.contextmanager
     def _record_health(self, target: str, upstream: str) -> Iterator[None]:
@@ -245,7 +272,11 @@
 _RAN_PRECEDENCE = (Ran.NO, Ran.UNKNOWN, Ran.YES)
 
 _NON_RETRYABLE_CODES = frozenset(
-    (ResultCode.DEADLINE_EXCEEDED, ResultCode.NO_UPSTREAM)
+    (
+        ResultCode.DEADLINE_EXCEEDED,
+        ResultCode.NO_UPSTREAM,
+        ResultCode.PROMPT_QUARANTINED,
+    )
 )
 
 
--- a/briarrill/entry/links.py
+++ b/briarrill/entry/links.py
@@ -1,6 +1,7 @@
 """briarrill.entry.links: sessions of an entry with sidecars."""
 
 import time
+from collections.abc import Callable
 
 import trio
 from eliot import log_message
@@ -23,6 +24,7 @@
     Submit,
     Welcome,
 )
+from ..protocol.prompt_news import PromptNews
 from ..state.settings import InstanceSettings
 from ..transport.instance_list import Instance
 from ..transport.zmq_socket import ZmqSocket, open_dealer
@@ -43,12 +45,18 @@
     :param instance: instance on which the sidecar runs.
     :param port: the sidecar's port for online requests.
     :param entry_instance: instance of this entry.
+    :param receive_news: gets what the sidecar tells of prompts.
     """
 
     def __init__(
-        self, instance: Instance, port: int, entry_instance: InstanceSettings
+        self,
+        instance: Instance,
+        port: int,
+        entry_instance: InstanceSettings,
+        receive_news: Callable[[PromptNews | None], None],
     ) -> None:
         """Create a link without a session."""
+        self._receive_news = receive_news
         self.instance = instance
         self._port = port
         self.models: tuple[str, ...] = ()
@@ -213,6 +221,7 @@
         self.service = message.service
         self._draining = message.draining
         self._peer_clock.update(message.clock_s)
+        self._receive_news(message.prompt_news)
 
     def _send_cancel(self, key: CallKey) -> None:
         self._send(CancelCall(request_id=key[0], attempt=key[1]))
--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -14,7 +14,11 @@
 from quart_trio import QuartTrio
 
 from ..errors import BadRequestError, BriarrillError, ForbiddenError
-from ..protocol.callers_api import error_response_body, parse_completion
+from ..protocol.callers_api import (
+    error_response_body,
+    parse_completion,
+    prompt_parts,
+)
 from ..tracing import open_action
 from ..transport.http_connection import request_exit_stack
 from .context import Caller, EntryContext, read_body
@@ -144,6 +148,11 @@
         # routes a repeated request to the sidecar that has its identifier
         prefix_key=idempotency_id
         or xxhash.xxh3_64_hexdigest(body[:PREFIX_KEY_BYTES]),
+        prompt_parts=(
+            ()
+            if request.path.startswith(SERVICES_PATH)
+            else prompt_parts(body)
+        ),
     )
 
 
--- a/briarrill/entry/service.py
+++ b/briarrill/entry/service.py
@@ -6,8 +6,10 @@
 import trio
 
 from ..control import Control
+from ..coordination.prompt_crashes import PromptQuarantine
 from ..coordination.retries import RetryBudgets
 from ..coordination.routing import BoundedAffinityPolicy
+from ..coordination.upstream_ends import observe_prompt_news
 from ..protocol.rpc import open_rpc_pool
 from ..readiness import Readiness
 from ..runtime import open_platform, wait_for_stop_signal
@@ -46,11 +48,15 @@
             readiness=Readiness(),
             caller=caller,
         )
-        upstreams = UpstreamSet(control.membership, cfg.instance, cfg.ports)
-        ctx = _make_context(cfg, control, upstreams)
+        ends = observe_prompt_news()
+        upstreams = UpstreamSet(
+            control.membership, cfg.instance, cfg.ports, ends.receive_news
+        )
+        ctx = _make_context(cfg, control, upstreams, ends.quarantine)
         app = make_app(ctx, nursery)
         await control.start(nursery, cfg.platform.instance_poll_s)
         nursery.start_soon(upstreams.run)
+        nursery.start_soon(ends.run)
         nursery.start_soon(ctx.limits.run)
         nursery.start_soon(_begin_drain_on_signal, control)
         nursery.start_soon(_mark_ready, control)
@@ -97,7 +103,10 @@
 
 
 def _make_context(
-    cfg: EntrySettings, control: Control, upstreams: UpstreamSet
+    cfg: EntrySettings,
+    control: Control,
+    upstreams: UpstreamSet,
+    quarantine: PromptQuarantine,
 ) -> EntryContext:
     """Assemble the services that the routes share."""
     rng = random.Random()
@@ -105,7 +114,11 @@
         cfg=cfg,
         control=control,
         dispatcher=Dispatcher(
-            upstreams, BoundedAffinityPolicy(rng), RetryBudgets(), rng
+            upstreams,
+            BoundedAffinityPolicy(rng),
+            RetryBudgets(),
+            rng,
+            quarantine,
         ),
         limits=ContractLimits(cfg.instance.name, FleetLender(control)),
         segment_replicas=SegmentReplicas(
--- a/briarrill/entry/upstreams.py
+++ b/briarrill/entry/upstreams.py
@@ -1,9 +1,11 @@
 """briarrill.entry.upstreams: the upstreams that an entry connects to."""
 
 import collections
+from collections.abc import Callable
 
 import trio
 
+from ..protocol.prompt_news import PromptNews
 from ..state.membership import Membership
 from ..state.rendezvous import choose_across_domains
 from ..state.settings import InstanceSettings, PortSettings
@@ -25,6 +27,7 @@
 
     :param entry_instance: instance of this entry; its name determines the
         subset.
+    :param receive_news: gets what sidecars tell of prompts.
     """
 
     def __init__(
@@ -32,8 +35,10 @@
         membership: Membership,
         entry_instance: InstanceSettings,
         ports: PortSettings,
+        receive_news: Callable[[PromptNews | None], None],
     ) -> None:
         """Create a set without links."""
+        self._receive_news = receive_news
         self._membership = membership
         self._entry_instance = entry_instance
         self._ports = ports
@@ -69,7 +74,10 @@
     async def _run_link(self, link_key: str, instance: Instance) -> None:
         """Run a link until its upstream is unused."""
         link = UpstreamLink(
-            instance, self._ports.sidecar_online, self._entry_instance
+            instance,
+            self._ports.sidecar_online,
+            self._entry_instance,
+            self._receive_news,
         )
         self._links[link_key] = link
         async with trio.open_nursery() as nursery:
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -165,7 +165,9 @@
                 response_head,
                 progress.tracker,
             )
-            run.record_end(response_head)
+            run.record_end(
+                response_head.status, is_marked=response_head.is_end_marked
+            )
         return RunEnd.COMPLETED
 
     async def _read_error(
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -116,7 +116,8 @@
     def complete_report(self, report: LoadReport) -> LoadReport:
         """Add role, drain state, crashes and mirror state to a load report."""
         return attrs.evolve(
-            self.ends.quarantine.complete_report(report),
+            report,
+            prompt_news=self.ends.quarantine.news(),
             failure_domain=self.cfg.failure_domain,
             runs_batch=self.runs_batch,
             is_leaving=self.readiness.is_draining,
@@ -165,7 +166,8 @@
         return peers[follower].host if follower in peers else None
 
     def record_peer_state(self, report: LoadReport) -> None:
-        """Record a peer's newest revisions and the departures it knows."""
+        """Record a peer's revisions, and what it knows of upstreams."""
+        self.ends.receive_news(report.prompt_news)
         for incarnation in report.leaving:
             self.upstreams.mark_leaving(incarnation)
         for prefix in report.connected:
@@ -234,7 +236,7 @@
         writes=HedgedWrites(store, load, cfg.peer_port),
         jobs_source=jobs_source,
     )
-    load.on_report.extend((parts.record_peer_state, ends.receive_report))
+    load.on_report.append(parts.record_peer_state)
     return parts
 
 
--- a/briarrill/protocol/callers_api.py
+++ b/briarrill/protocol/callers_api.py
@@ -1,9 +1,11 @@
 """briarrill.protocol.callers_api: data formats of the callers' JSON API."""
 
+import itertools
 from typing import Any
 
 import attrs
 import msgspec
+import xxhash
 
 from ..errors import BadRequestError, BriarrillError, InvalidLinesError
 
@@ -14,6 +16,7 @@
     'error_response_body',
     'parse_completion',
     'parse_input_line',
+    'prompt_parts',
     'result_line',
 )
 
@@ -49,6 +52,17 @@
         return parse_completion(bytes(self.body)).model
 
 
+@attrs.frozen
+class _Prompt:
+    """The messages of a chat completion request, undecoded."""
+
+    messages: tuple[msgspec.Raw, ...] = ()
+
+
+# shared messages that are told apart; further ones are ignored
+_MAX_PROMPT_PARTS = 16
+
+_PROMPT_DECODER = msgspec.json.Decoder(_Prompt)
 _COMPLETION_DECODER = msgspec.json.Decoder(CompletionHead)
 _INPUT_LINE_DECODER = msgspec.json.Decoder(InputLine)
 
@@ -65,6 +79,19 @@
         raise BadRequestError(f'request body: {exc}') from exc
 
 
+def prompt_parts(body: bytes) -> tuple[str, ...]:
+    """Return digests of the messages that a prompt may share with others.
+
+    These are all but the last one, in order; none for other requests.
+    """
+    try:
+        messages = _PROMPT_DECODER.decode(body).messages
+    except msgspec.MsgspecError:
+        return ()
+    shared = itertools.islice(messages[:-1], _MAX_PROMPT_PARTS)
+    return tuple(map(xxhash.xxh3_64_hexdigest, map(bytes, shared)))
+
+
 def parse_input_line(line: bytes) -> InputLine:
     """Decode one line of a batch input file.
 
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -11,14 +11,9 @@
 import xxhash
 
 from ..errors import MalformedMessageError
+from .prompt_news import PromptNews
 
-__all__ = (
-    'LoadReport',
-    'UpstreamCrash',
-    'decode_report',
-    'encode_report',
-    'short_hash',
-)
+__all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_hash')
 
 PROTOCOL_VERSION = 4
 
@@ -26,21 +21,6 @@
 MAX_CACHED_HASHES = 8192
 
 
-@attrs.frozen
-class UpstreamCrash:
-    """An upstream that ended while it may have begun to answer prompts.
-
-    :param incarnation: hash of the upstream's incarnation.
-    :param first_parts: hashes of the first parts of these prompts.
-    :param other_parts: hashes of the other parts that they share with other
-        requests.
-    """
-
-    incarnation: int
-    first_parts: tuple[int, ...] = ()
-    other_parts: tuple[int, ...] = ()
-
-
 @attrs.frozen
 class LoadReport:
     """Work in flight of a process, and its view of upstreams, peers and keys.
@@ -64,12 +44,8 @@
     :param revisions: newest revision received, by key prefix.
     :param connected: key prefixes whose changes arrive, none if the
         key-value service does not reply to the process.
-    :param crashes: upstreams that the process recently found to have ended.
-    :param alive: hashes of incarnations that it found to be alive instead.
-    :param answered: seconds since an answer to a prompt with a part that is
-        suspected to crash upstreams, by the part's hash.
-    :param quarantined: seconds for which a part of prompts is not sent to
-        upstreams, by its hash.
+    :param prompt_news: what the process tells of prompts that crash upstreams,
+        none mostly.
     """
 
     process: str
@@ -90,10 +66,7 @@
     leaving: tuple[str, ...] = ()
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
-    crashes: tuple[UpstreamCrash, ...] = ()
-    alive: tuple[int, ...] = ()
-    answered: dict[int, int] = attrs.field(factory=dict)
-    quarantined: dict[int, int] = attrs.field(factory=dict)
+    prompt_news: PromptNews | None = None
     version: int = PROTOCOL_VERSION
 
 
--- a/briarrill/protocol/messages/batch.py
+++ b/briarrill/protocol/messages/batch.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ...result_codes import Ran, ResultCode
+from ..prompt_news import PromptNews
 from .base import Message
 
 __all__ = (
@@ -55,6 +56,7 @@
     service: str = ''
     held: int = 0
     next_in_s: float = 1.0
+    prompt_news: PromptNews | None = None
 
 
 @attrs.frozen
--- a/briarrill/protocol/messages/session.py
+++ b/briarrill/protocol/messages/session.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ..prompt_news import PromptNews
 from .base import Message
 
 __all__ = ('PROTOCOL_VERSION', 'Heartbeat', 'Hello', 'LoadReport', 'Welcome')
@@ -42,6 +43,7 @@
     models: tuple[str, ...] = ()
     service: str = ''
     draining: bool = False
+    prompt_news: PromptNews | None = None
 
 
 @attrs.frozen
@@ -54,3 +56,4 @@
     models: tuple[str, ...] = ()
     service: str = ''
     draining: bool = False
+    prompt_news: PromptNews | None = None
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -319,7 +319,9 @@
                     )
             else:
                 await self._relay_buffered(attempt, channel, response_head)
-            run.record_end(response_head)
+            run.record_end(
+                response_head.status, is_marked=response_head.is_end_marked
+            )
         self._service_times_of(call.service).add(time.monotonic() - began_at)
 
     async def _read_head(
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -24,6 +24,7 @@
 from ..result_codes import Ran, ResultCode
 from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket, open_dealer
+from .engine_ends import EngineEnds
 from .online import SidecarIdentity
 from .resumable_completion import ResumableCompletion
 from .unfinished_items import UnfinishedItem, UnfinishedItems
@@ -59,6 +60,7 @@
 
     upstream: Upstream
     admission: Admission
+    ends: EngineEnds
 
     async def run_item(self, batch_item: BatchItem) -> ItemOutcome:
         """Run one item; return its outcome, also if the upstream failed."""
@@ -109,15 +111,20 @@
         req = UpstreamRequest(
             'POST', batch_item.url, completion.next_request_body()
         )
-        async with self.upstream.send(req) as response:
-            if response.http_status != HTTP_OK:
-                return _error_status_outcome(batch_item, response.http_status)
-            async for events in response.chunks:
-                completion.add_events(events)
-        if not completion.has_ended:
-            raise httpx.RemoteProtocolError(
-                'the response to an item has no end event'
-            )
+        with self.ends.track(batch_item.body) as run:
+            async with self.upstream.send(req) as response:
+                if response.http_status != HTTP_OK:
+                    return _error_status_outcome(
+                        batch_item, response.http_status
+                    )
+                async for events in response.chunks:
+                    run.record_bytes()
+                    completion.add_events(events)
+            if not completion.has_ended:
+                raise httpx.RemoteProtocolError(
+                    'the response to an item has no end event'
+                )
+            run.record_end(response.http_status, is_marked=True)
         return _make_outcome(
             batch_item,
             code=ResultCode.OK,
@@ -298,6 +305,7 @@
                 service=self._identity.service,
                 held=self.unfinished_count,
                 next_in_s=self._pull_interval_s(),
+                prompt_news=self._runner.ends.news,
             )
         )
 
--- a/briarrill/sidecar/entry_sessions.py
+++ b/briarrill/sidecar/entry_sessions.py
@@ -9,6 +9,7 @@
 from ..errors import PeerBusyError, PeerUnreachableError, SlowReaderError
 from ..protocol.codec import encode
 from ..protocol.messages import Heartbeat, LoadReport, Message, Welcome
+from ..protocol.prompt_news import PromptNews
 from ..result_codes import Ran
 from ..transport.zmq_socket import ZmqSocket
 
@@ -39,6 +40,7 @@
     load: LoadReport
     models: tuple[str, ...] = ()
     draining: bool = False
+    prompt_news: PromptNews | None = None
 
 
 class EntrySessions:
@@ -72,6 +74,7 @@
             models=state.models,
             service=self._identity.service,
             draining=state.draining,
+            prompt_news=state.prompt_news,
         )
         self._send_unless_busy(peer, message)
 
@@ -86,6 +89,7 @@
                 models=state.models,
                 service=self._identity.service,
                 draining=state.draining,
+                prompt_news=state.prompt_news,
             )
             if not self._send_unless_busy(peer, heartbeat):
                 unreachable.append(peer)
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 
 from ..coordination.admission import Admission
+from ..coordination.upstream_ends import PromptRun
 from ..errors import (
     BriarrillError,
     DeadlineExceededError,
@@ -36,6 +37,7 @@
 from ..result_codes import Ran
 from ..tracing import continue_trace
 from ..transport.zmq_socket import ZmqSocket
+from .engine_ends import EngineEnds
 from .entry_sessions import EntrySessions, SidecarIdentity, SidecarState
 from .online_call import CallKey, OnlineCall
 from .recent_ids import RecentIds
@@ -75,6 +77,7 @@
         self._readiness = readiness
         self._calls: dict[CallKey, OnlineCall] = {}
         self._recent_ids = RecentIds()
+        self.ends = EngineEnds(identity.process, upstream.client.base_url)
 
     @property
     def in_flight(self) -> int:
@@ -94,6 +97,7 @@
         """Receive messages until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_heartbeats)
+            nursery.start_soon(self.ends.run)
             while True:
                 peer, *frames = await self._socket.receive()
                 message = decode_or_none(frames)
@@ -110,6 +114,7 @@
             load=self.load(),
             models=self.models,
             draining=self._readiness.is_draining,
+            prompt_news=self.ends.news,
         )
 
     def _handle_message(
@@ -275,16 +280,16 @@
         """
         submit = call.submit
         call.ran = Ran.UNKNOWN
+        req = UpstreamRequest(
+            method=submit.method,
+            path=submit.path,
+            body=submit.body,
+            content_type=submit.content_type,
+        )
         try:
-            async with self._upstream.send(
-                UpstreamRequest(
-                    method=submit.method,
-                    path=submit.path,
-                    body=submit.body,
-                    content_type=submit.content_type,
-                )
-            ) as response:
-                await self._relay_response(call, response)
+            with self.ends.track(submit.body) as run:
+                async with self._upstream.send(req) as response:
+                    await self._relay_response(call, response, run)
         except httpx.ConnectError as exc:
             call.ran = Ran.NO
             raise UpstreamFailedError(
@@ -298,7 +303,7 @@
             ) from exc
 
     async def _relay_response(
-        self, call: OnlineCall, response: UpstreamResponse
+        self, call: OnlineCall, response: UpstreamResponse, run: PromptRun
     ) -> None:
         """Send the chunks of the response to the entry as they arrive."""
         await self._upstream.raise_for_error(response)
@@ -306,5 +311,7 @@
         call.http_status = response.http_status
         call.content_type = response.content_type
         async for body in response.chunks:
+            run.record_bytes()
             await self._sessions.send(call.peer, call.make_chunk(body))
         call.tokens = response.tokens
+        run.record_end(response.http_status, is_marked=True)
--- a/briarrill/sidecar/service.py
+++ b/briarrill/sidecar/service.py
@@ -152,7 +152,9 @@
 
     async def _run_pullers(self) -> None:
         """Run one puller for each listed batch process."""
-        runner = BatchRunner(self.upstream, self.server.admission)
+        runner = BatchRunner(
+            self.upstream, self.server.admission, self.server.ends
+        )
         async with trio.open_nursery() as nursery:
             while True:
                 for instance in self.control.membership.live_instances(
--- a/briarrill/transport/http_messages.py
+++ b/briarrill/transport/http_messages.py
@@ -80,6 +80,11 @@
             return BodyFraming.LENGTH
         return BodyFraming.CLOSE
 
+    @property
+    def is_end_marked(self) -> bool:
+        """Whether more than the close of the connection ends the body."""
+        return self.body_framing is not BodyFraming.CLOSE
+
     def without_length(self) -> 'ResponseHead':
         """Return the head of a response whose length is unknown."""
         return attrs.evolve(
--- a/tests/batch/batch_fleet.py
+++ b/tests/batch/batch_fleet.py
@@ -12,8 +12,6 @@
 import attrs
 import trio
 
-from briarrill.batch.item_dispatcher import ItemDispatcher
-from briarrill.batch.item_sources import ItemSources
 from briarrill.batch.job_finder import JobFinder, new_process_name
 from briarrill.batch.job_store import JobStore
 from briarrill.batch.service import BatchProcess, _ContractLookup
@@ -26,7 +24,7 @@
 from briarrill.protocol.rpc import open_rpc_pool
 from briarrill.readiness import Readiness
 from briarrill.runtime import Platform
-from briarrill.sidecar.batch import BatchPuller, BatchRunner
+from briarrill.sidecar.batch import BatchPuller
 from briarrill.sidecar.online import SidecarIdentity
 from briarrill.sidecar.unfinished_items import UnfinishedItems
 from briarrill.state.contracts import Configuration, Contract, Model
@@ -51,8 +49,10 @@
     FakeKeyValueState,
     FakeUpstream,
     expected_words,
+    make_item_dispatcher,
     wait_ports_free,
 )
+from tests.sidecar.sidecar_setup import make_batch_runner
 
 CONTRACT = 'kinship'
 DEFAULT_PORTS = PortSettings()
@@ -317,8 +317,8 @@
                         port=DEFAULT_PORTS.batch_store,
                         replica_count=self.copies,
                     ),
-                    dispatcher=ItemDispatcher(
-                        router, ItemSources(_ContractLookup(control).find)
+                    dispatcher=make_item_dispatcher(
+                        router, _ContractLookup(control).find
                     ),
                     finder=JobFinder(
                         store,
@@ -338,7 +338,9 @@
         member.ended.set()
 
     async def _run_sidecar(self, number, task_status=None):
-        runner = BatchRunner(FakeUpstream(self), Admission(self.slots, 0))
+        runner = make_batch_runner(
+            FakeUpstream(self), Admission(self.slots, 0)
+        )
         unfinished_items = UnfinishedItems()
         async with trio.open_nursery() as nursery:
             for instance in self.instances:
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -6,9 +6,13 @@
 import time
 
 import attrs
+import httpx
 import trio
 import xxhash
 
+from briarrill.batch.item_dispatcher import ItemDispatcher
+from briarrill.batch.item_sources import ItemSources
+from briarrill.coordination.upstream_ends import observe_prompt_news
 from briarrill.errors import PlatformUnavailableError, WriteUnknownError
 from briarrill.sidecar.upstreams import Upstream, UpstreamResponse
 from briarrill.transport.key_value import KeyValue, KeyValueService
@@ -148,7 +152,7 @@
     """Streams expected_words of a prompt; fails for failing prompts."""
 
     def __init__(self, fleet):
-        super().__init__(None)
+        super().__init__(httpx.AsyncClient())
         self.fleet = fleet
 
     async def fetch_models(self):
@@ -200,3 +204,10 @@
             probe.bind((host, port))
             return True
     return False
+
+
+def make_item_dispatcher(router, find_contract):
+    """Return a dispatcher without jobs and sidecars."""
+    return ItemDispatcher(
+        router, ItemSources(find_contract), observe_prompt_news()
+    )
--- a/tests/batch/test_idle_pulls.py
+++ b/tests/batch/test_idle_pulls.py
@@ -4,6 +4,8 @@
 
 from briarrill.batch.item_dispatcher import PULLER_TIMEOUT_S, ItemDispatcher
 from briarrill.batch.item_sources import ItemSource, ItemSources
+from briarrill.coordination.admission import Admission
+from briarrill.coordination.upstream_ends import observe_prompt_news
 from briarrill.protocol.codec import decode, encode
 from briarrill.protocol.messages import Assign, BatchItem, Pull
 from briarrill.readiness import Readiness
@@ -11,6 +13,7 @@
 from briarrill.sidecar.online import SidecarIdentity
 from briarrill.sidecar.unfinished_items import UnfinishedItems
 from briarrill.state.contracts import Contract
+from tests.sidecar.sidecar_setup import ScriptedUpstream, make_batch_runner
 
 BATCH_PROCESS_COUNT = 350
 PEER = b'peer'
@@ -65,7 +68,9 @@
 def dispatcher():
     contract = Contract(api_key_sha256=())
     return ItemDispatcher(
-        _RecordingSocket(), ItemSources(lambda _name: contract)
+        _RecordingSocket(),
+        ItemSources(lambda _name: contract),
+        observe_prompt_news(),
     )
 
 
@@ -78,7 +83,7 @@
     """Return the pull of an idle sidecar with so many batch processes."""
     puller = BatchPuller(
         SidecarIdentity('sidecar'),
-        None,
+        make_batch_runner(ScriptedUpstream(), Admission(2, 2)),
         Readiness(),
         'owner',
         UnfinishedItems(),
--- a/tests/coordination/test_prompt_crashes.py
+++ b/tests/coordination/test_prompt_crashes.py
@@ -12,11 +12,11 @@
 from briarrill.coordination.prompt_crashes import PromptQuarantine
 from briarrill.protocol.load_reports import (
     LoadReport,
-    UpstreamCrash,
     decode_report,
     encode_report,
     short_hash,
 )
+from briarrill.protocol.prompt_news import UpstreamCrash
 
 # bounds of the deployments
 CONTACT_S = 3.0
@@ -68,14 +68,15 @@
         self.sequence += 1
         for name, process in self.processes.items():
             raw = encode_report(
-                process.complete_report(
-                    LoadReport(name, 'h', 1, self.sequence)
+                LoadReport(
+                    name, 'h', 1, self.sequence, prompt_news=process.news()
                 )
             )
             assert len(raw) < MAX_REPORT_BYTES
-            for other in self.processes:
+            news = decode_report(raw).prompt_news
+            for other in self.processes if news else ():
                 if other != name and not {name, other} & set(cut_off):
-                    self.processes[other].apply_report(decode_report(raw))
+                    self.processes[other].apply_news(news)
 
     def pass_time(self, seconds, *cut_off):
         """Let time pass, with reports and decisions."""
@@ -365,13 +366,10 @@
     )
 
 
-def test_report_without_crashes_grows_by_a_few_bytes():
-    report = LoadReport('a', 'h', 1, 1)
+def test_report_without_crashes_grows_by_one_byte():
     process = PromptQuarantine(int)
     process.record_answer(('first', 'shared'))
-    assert process.complete_report(report) is report
-    empty = (report.crashes, report.alive, report.answered, report.quarantined)
-    assert empty == ((), (), {}, {})
+    assert process.news() is None
 
 
 _PROMPTS = st.lists(
--- a/tests/coordination/test_upstream_ends.py
+++ b/tests/coordination/test_upstream_ends.py
@@ -18,16 +18,12 @@
     OverloadedError,
     UpstreamLostError,
 )
-from briarrill.protocol.load_reports import LoadReport, short_hash
-from briarrill.transport.http_messages import ResponseHead
+from briarrill.protocol.load_reports import short_hash
 from standins.platform_engine import StandinEngine, stream_events
 from tests.serving import free_port, serve_standin
 
 PARTS = ('first', 'shared')
 
-FRAMED = ResponseHead(200, ((b'content-length', b'1'),))
-UNFRAMED = ResponseHead(200, ())
-
 
 @attrs.define
 class Observed:
@@ -40,9 +36,8 @@
 
     @property
     def crashes(self):
-        return self.ends.quarantine.complete_report(
-            LoadReport('me', 'h', 1, 1)
-        ).crashes
+        news = self.ends.quarantine.news()
+        return news.crashes if news else ()
 
     def fail(self, error=UpstreamLostError, parts=PARTS):
         with contextlib.suppress(error), self.ends.track(self.upstream, parts):
@@ -198,7 +193,7 @@
 async def test_whole_answer_clears_its_parts(observe):
     observed = observe(('127.0.0.1', free_port()))
     with observed.ends.track(observed.upstream, PARTS) as run:
-        run.record_end(FRAMED)
+        run.record_end(200, is_marked=True)
     assert observed.ends.quarantine.is_cleared(PARTS)
     observed.fail()
     await observed.settle()
@@ -208,7 +203,7 @@
 async def test_error_of_an_upstream_clears_nothing(observe):
     observed = observe(('127.0.0.1', free_port()))
     with observed.ends.track(observed.upstream, PARTS) as run:
-        run.record_end(ResponseHead(500, FRAMED.headers))
+        run.record_end(500, is_marked=True)
     assert not observed.ends.quarantine.is_cleared(PARTS)
 
 
@@ -218,12 +213,12 @@
     async with serve_standin(StandinEngine(stream_events(1))) as address:
         observed = observe(address)
         with observed.ends.track(observed.upstream, PARTS) as run:
-            run.record_end(UNFRAMED)
+            run.record_end(200, is_marked=False)
         assert not observed.ends.quarantine.is_cleared(PARTS)
         await observed.settle()
         assert observed.ends.quarantine.is_cleared(PARTS)
     with observed.ends.track(observed.upstream, ('bad',)) as last:
-        last.record_end(UNFRAMED)
+        last.record_end(200, is_marked=False)
     await observed.settle()
     assert not observed.ends.quarantine.is_cleared(('bad',))
     assert observed.crashes[0].first_parts == (short_hash('bad'),)
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -12,6 +12,7 @@
 
 from briarrill.coordination.retries import RetryBudgets
 from briarrill.coordination.routing import TwoChoicesPolicy
+from briarrill.coordination.upstream_ends import observe_prompt_news
 from briarrill.entry.calls import OnlineRequest
 from briarrill.entry.dispatch import Dispatcher
 from briarrill.entry.upstreams import UpstreamSet
@@ -141,10 +142,15 @@
         tuple(instances or (_instance(sidecar) for sidecar in sidecars))
     )
     own = InstanceSettings('entry-1', '127.0.0.1', 'hobart-a', 'lutruwita')
-    upstreams = UpstreamSet(membership, own, PORTS)
+    ends = observe_prompt_news()
+    upstreams = UpstreamSet(membership, own, PORTS, ends.receive_news)
     rng = random.Random(SEED)
     dispatcher = Dispatcher(
-        upstreams, TwoChoicesPolicy(rng), budgets or RetryBudgets(), rng
+        upstreams,
+        TwoChoicesPolicy(rng),
+        budgets or RetryBudgets(),
+        rng,
+        ends.quarantine,
     )
     cancel_scopes = {}
     async with trio.open_nursery() as nursery:
@@ -153,6 +159,7 @@
                 _run_cancellable, sidecar
             )
         nursery.start_soon(upstreams.run)
+        nursery.start_soon(ends.run)
         with trio.fail_after(10):
             while not _have_all_reported(upstreams.serving('m'), sidecars):
                 await trio.sleep(0.01)
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -85,7 +85,9 @@
     runners = tuple(_runner(number) for number in range(RUNNER_COUNT))
     membership = Membership(runners)
     own = InstanceSettings('entry-1', '127.0.0.1', 'domain-0', 'lutruwita')
-    upstreams = UpstreamSet(membership, own, PortSettings())
+    upstreams = UpstreamSet(
+        membership, own, PortSettings(), lambda _news: None
+    )
     for _ in range(100):
         upstreams.serving('m')
     assert len(calls) == 1
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -27,6 +27,7 @@
 from briarrill.item_runs.slots import FreeSlots
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
 from briarrill.protocol.load_reports import LoadReport, short_hash
+from briarrill.protocol.prompt_news import PromptNews
 from briarrill.state.keys import ROOT_PREFIX
 from briarrill.state.stored_jobs import ItemState, job_creation_changes
 from standins.memory_key_value import MemoryKeyValue
@@ -476,8 +477,9 @@
 
 def _quarantine(setup, part):
     """Quarantine a part, as three upstreams that ended with it cause."""
-    peer = LoadReport('peer', 'h', 1, 1, quarantined={short_hash(part): 600})
-    setup.quarantine.apply_report(peer)
+    setup.quarantine.apply_news(
+        PromptNews(quarantined={short_hash(part): 600})
+    )
 
 
 async def test_item_with_a_quarantined_prompt_waits_until_it_is_answered(
--- a/tests/sidecar/sidecar_setup.py
+++ b/tests/sidecar/sidecar_setup.py
@@ -10,6 +10,8 @@
 from briarrill.coordination.admission import Admission
 from briarrill.entry.links import OnlineRequest, UpstreamLink
 from briarrill.readiness import Readiness
+from briarrill.sidecar.batch import BatchRunner
+from briarrill.sidecar.engine_ends import EngineEnds
 from briarrill.sidecar.online import OnlineServer, SidecarIdentity
 from briarrill.sidecar.upstreams import Upstream, UpstreamResponse
 from briarrill.state.settings import InstanceSettings
@@ -78,13 +80,15 @@
 
 
 @contextlib.asynccontextmanager
-async def open_sidecar(host, upstream, *, is_running=True, slots=2, queue=8):
+async def open_sidecar(
+    host, upstream, *, is_running=True, slots=2, queue=8, name='upstream-0'
+):
     """Bind a sidecar's online server; run it until exit if asked to."""
     readiness = Readiness()
     with open_router(host, PORT) as socket:
         server = OnlineServer(
             socket,
-            SidecarIdentity('upstream-0'),
+            SidecarIdentity(name),
             upstream,
             Admission(slots, queue),
             readiness,
@@ -97,6 +101,11 @@
             nursery.cancel_scope.cancel()
 
 
+def make_batch_runner(upstream, admission):
+    ends = EngineEnds('upstream-0', upstream.client.base_url)
+    return BatchRunner(upstream, admission, ends)
+
+
 def make_link(host, name='entry-0'):
     own = InstanceSettings(name, f'{host}0', 'hobart-a', 'lutruwita')
     instance = Instance(
@@ -107,7 +116,7 @@
         roles=(Role.UPSTREAM,),
         pool='drafting',
     )
-    return UpstreamLink(instance, PORT, own)
+    return UpstreamLink(instance, PORT, own, lambda _news: None)
 
 
 def make_request(request_id='r1', *, idempotent=True, time_left_s=30.0, **kw):
--- a/tests/sidecar/test_batch.py
+++ b/tests/sidecar/test_batch.py
@@ -7,10 +7,10 @@
 from briarrill.protocol.messages import BatchItem
 from briarrill.readiness import Readiness
 from briarrill.result_codes import Ran, ResultCode
-from briarrill.sidecar.batch import BatchPuller, BatchRunner
+from briarrill.sidecar.batch import BatchPuller
 from briarrill.sidecar.online import SidecarIdentity
 from briarrill.sidecar.unfinished_items import UnfinishedItems
-from tests.sidecar.sidecar_setup import ScriptedUpstream
+from tests.sidecar.sidecar_setup import ScriptedUpstream, make_batch_runner
 
 ITEM = BatchItem(
     job='job',
@@ -29,7 +29,7 @@
     upstream.make_chunks = upstream.send_endless_chunks
     return BatchPuller(
         SidecarIdentity('side-0', 'llm'),
-        BatchRunner(upstream, Admission(2, 2)),
+        make_batch_runner(upstream, Admission(2, 2)),
         Readiness(),
         'batch-0',
         UnfinishedItems(),
@@ -64,7 +64,7 @@
 
 async def test_item_whose_stream_has_no_end_event_fails():
     """Such a stream may have been cut."""
-    runner = BatchRunner(
+    runner = make_batch_runner(
         ScriptedUpstream(_send_events_without_end), Admission(2, 2)
     )
     outcome = await runner.run_item(ITEM)
--- a/tests/sidecar/test_preemption.py
+++ b/tests/sidecar/test_preemption.py
@@ -10,9 +10,9 @@
 from briarrill.coordination.admission import Admission
 from briarrill.protocol.messages import BatchItem
 from briarrill.result_codes import ResultCode
-from briarrill.sidecar.batch import BatchRunner
 from briarrill.sidecar.upstreams import Upstream, UpstreamResponse
 from standins.engine import EngineModel, stream_chat
+from tests.sidecar.sidecar_setup import make_batch_runner
 
 SEED = 7
 TOKEN_COUNT = 80
@@ -56,7 +56,7 @@
 
 async def _run_items(upstream, admission):
     """Run four items; return their texts and token counts by index."""
-    runner = BatchRunner(upstream, admission)
+    runner = make_batch_runner(upstream, admission)
     completions = {}
 
     async def run(index):
--- a/tests/sidecar/test_service.py
+++ b/tests/sidecar/test_service.py
@@ -14,6 +14,7 @@
     Policy,
     encode_configuration,
 )
+from tests.sidecar.sidecar_setup import ScriptedUpstream
 
 
 @attrs.define
@@ -47,7 +48,7 @@
     control = _Control(readiness)
     admission = Admission(slots=8, queue=4)
     server = OnlineServer(
-        None, SidecarIdentity('u'), None, admission, readiness
+        None, SidecarIdentity('u'), ScriptedUpstream(), admission, readiness
     )
     sidecar = _Sidecar(None, control, None, server)
     nursery.start_soon(sidecar._apply_policy)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -11,6 +11,7 @@
 from briarrill.batch.item_dispatcher import ItemDispatcher
 from briarrill.batch.item_sources import ItemSources
 from briarrill.coordination.admission import Admission
+from briarrill.coordination.upstream_ends import observe_prompt_news
 from briarrill.entry.links import UpstreamLink
 from briarrill.errors import PeerUnreachableError
 from briarrill.metrics import MALFORMED_MESSAGES
@@ -37,6 +38,7 @@
 from briarrill.tracing import continue_trace
 from briarrill.transport.instance_list import Instance, Role
 from briarrill.transport.zmq_socket import open_dealer, open_router
+from tests.sidecar.sidecar_setup import ScriptedUpstream, make_batch_runner
 
 PORT = 7191
 SEED = 5
@@ -141,7 +143,11 @@
 ):
     with open_router(*address) as router, open_dealer(*address) as peer:
         server = OnlineServer(
-            router, SidecarIdentity('p'), None, Admission(2, 2), Readiness()
+            router,
+            SidecarIdentity('p'),
+            ScriptedUpstream(),
+            Admission(2, 2),
+            Readiness(),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(server.run)
@@ -158,7 +164,9 @@
 ):
     with open_router(*address) as router, open_dealer(*address) as peer:
         dispatcher = ItemDispatcher(
-            router, ItemSources(lambda _name: Contract(()))
+            router,
+            ItemSources(lambda _name: Contract(())),
+            observe_prompt_news(),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(dispatcher.run)
@@ -175,7 +183,7 @@
     with open_router(*address) as router:
         puller = BatchPuller(
             SidecarIdentity('p'),
-            _Runner(),
+            make_batch_runner(ScriptedUpstream(), Admission(2, 2)),
             Readiness(),
             'owner',
             UnfinishedItems(),
@@ -190,14 +198,12 @@
             nursery.cancel_scope.cancel()
 
 
-class _Runner:
-    admission = Admission(2, 2)
-
-
 async def test_entry_link_becomes_usable_after_malformed_messages(address):
     with open_router(*address) as router:
         instance = Instance('u', address[0], 'a', 'r', (Role.UPSTREAM,))
-        link = UpstreamLink(instance, PORT, ENTRY_INSTANCE)
+        link = UpstreamLink(
+            instance, PORT, ENTRY_INSTANCE, observe_prompt_news().receive_news
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.run)
             peer = (await router.receive())[0]
