Do not reuse a connection for the next run of the same item

What callers saw: an item counted as failed more often than upstreams had failed it, if an upstream sent its error a second time, late.

Cause: a late response is told by the identifier that upstreams echo. Two runs of an item have the same one, so on a connection that is used again the copy of the first run's response is taken for that of the second.

Change: the pool gives no connection to a request whose identifier is that of the connection's last request.

Evidence: test_late_second_response_is_not_that_of_the_next_run failed (FAILED, FAILED) and passes.

--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -81,7 +81,7 @@
         call = self._make_call(progress, route, host, upstream)
         try:
             channel = await self._pool.acquire(
-                upstream.incarnation, upstream.address
+                upstream.incarnation, upstream.address, call.request_id
             )
         except PeerUnreachableError as exc:
             self._pool.close_server(upstream.incarnation)
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -248,7 +248,7 @@
         is_last = progress.possible_runs + 1 >= call.route.max_attempts
         attempt = Attempt(call, response, is_last)
         with self._placer.placed(upstream):
-            channel = await self._connect(upstream)
+            channel = await self._connect(upstream, call.request_id)
             try:
                 with self._ends.track(upstream, call.prompt_parts) as run:
                     await self._exchange(attempt, upstream, channel, run)
@@ -257,7 +257,9 @@
                 raise
             self._pool.release(upstream.incarnation, channel)
 
-    async def _connect(self, upstream: RegisteredUpstream) -> HttpChannel:
+    async def _connect(
+        self, upstream: RegisteredUpstream, request_id: str
+    ) -> HttpChannel:
         """Acquire a pooled connection or open a new one.
 
         :raises PeerUnreachableError: the upstream accepted no connection; it
@@ -265,7 +267,7 @@
         """
         try:
             return await self._pool.acquire(
-                upstream.incarnation, upstream.address
+                upstream.incarnation, upstream.address, request_id
             )
         except PeerUnreachableError:
             self._pool.close_server(upstream.incarnation)
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -83,10 +83,13 @@
     """Client side of one connection to a server; the caller closes it.
 
     :param sock: connected socket.
+    :ivar last_request_id: identifier of the last request, which a late copy
+        of its response has too.
     """
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
         """Wrap the socket without a request in flight."""
+        self.last_request_id = ''
         self._sock = sock
         self._parser = h11.Connection(h11.CLIENT)
         self._request: tuple[h11.Request, bytes] | None = None
@@ -308,21 +311,21 @@
     _idle: dict[str, list[HttpChannel]] = attrs.field(factory=dict)
 
     async def acquire(
-        self, server: str, address: tuple[str, int]
+        self, server: str, address: tuple[str, int], request_id: str = ''
     ) -> HttpChannel:
         """Return a usable idle channel of a server, or a new one.
 
         :param server: key of one incarnation of a server.
+        :param request_id: identifier of the next request, if it has one. No
+            channel is used whose last request has the same one.
         :raises PeerUnreachableError: the connection failed or timed out; no
             request was sent.
         """
-        idle = self._idle.get(server, [])
-        while idle:
-            channel = idle.pop()
-            if channel.is_usable:
-                return channel
-            channel.close()
-        return await connect(address, self.connect_timeout_s)
+        channel = self._pop_usable(self._idle.get(server, []), request_id)
+        if channel is None:
+            channel = await connect(address, self.connect_timeout_s)
+        channel.last_request_id = request_id
+        return channel
 
     def release(self, server: str, channel: HttpChannel) -> None:
         """Return a channel to the pool.
@@ -345,3 +348,20 @@
         """Close all idle channels; those in use are not in the pool."""
         for server in list(self._idle):
             self.close_server(server)
+
+    def _pop_usable(
+        self, idle: list[HttpChannel], request_id: str
+    ) -> HttpChannel | None:
+        """Return the newest usable channel; close those that are not."""
+        repeated: list[HttpChannel] = []
+        found = None
+        while idle and found is None:
+            channel = idle.pop()
+            if request_id and channel.last_request_id == request_id:
+                repeated.append(channel)
+            elif channel.is_usable:
+                found = channel
+            else:
+                channel.close()
+        idle.extend(repeated)
+        return found
--- a/tests/item_runs/test_cut_items.py
+++ b/tests/item_runs/test_cut_items.py
@@ -1,5 +1,7 @@
 """Runs of items whose streams are cut at every byte, in every framing."""
 
+import types
+
 import pytest
 
 from briarrill.coordination.load_exchange import LoadExchange
@@ -14,16 +16,24 @@
 from briarrill.item_runs.item_runner import ItemRunner
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
 from briarrill.state.stored_jobs import ItemState, StoredItem
+from briarrill.transport.http_callers import CallerLimits
+from briarrill.transport.http_messages import BodyFraming
 from standins.platform_engine import (
     StandinEngine,
     encode_event,
     stream_events,
 )
-from tests.raw_engine import RawEngine, cut_at_every_byte, every_end
+from tests.raw_engine import (
+    RawEngine,
+    cut_at_every_byte,
+    encode_response,
+    every_end,
+)
 from tests.relay.front_end_setup import route
 from tests.serving import serve_standin
 
 EVENTS = (encode_event(1), encode_event(2), encode_event(3))
+WHOLE_RESPONSE = encode_response(EVENTS, BodyFraming.LENGTH)
 OUTPUT = 'word-1\nword-2\nword-3'
 BATCH_ROUTE = route(RouteKind.BATCH)
 
@@ -84,3 +94,34 @@
     progress = ItemProgress('j1', StoredItem('x1', '/p/x', {}, b'', 1))
     engine = RawEngine(head % (status, header), reset)
     assert await _run(runner, progress, engine, network) is expected_end
+
+
+async def test_late_second_response_is_not_that_of_the_next_run(
+    runner, network
+):
+    """Both runs have the item's identifier, so the response does not tell."""
+    progress = ItemProgress('j1', StoredItem('x1', '/p/x', {}, b'', 1))
+    connections = []
+
+    async def serve(conn):
+        connections.append(conn)
+        is_first = len(connections) == 1
+        while (head := await conn.read_request_head()) is not None:
+            await conn.read_body(head)
+            if is_first:
+                await conn.send_response(
+                    500, ((b'briarrill-attempt-id', b'x1'),), b'x'
+                )
+            else:
+                await conn._send(WHOLE_RESPONSE)
+                return
+
+    engine = types.SimpleNamespace(serve=serve, caller_limits=CallerLimits)
+    async with serve_standin(engine, (f'{network}.1', 8080)) as address:
+        upstream = RegisteredUpstream('i-0', 'llm', address, 'a', 1)
+        ends = [
+            await runner.run(progress, BATCH_ROUTE, 'h.example', upstream)
+            for _ in range(2)
+        ]
+    assert ends == [RunEnd.FAILED, RunEnd.COMPLETED]
+    assert _output(progress) == OUTPUT
