End relayed responses and runs of items that have no end

What callers saw: a stream whose upstream sent a byte now and then without completing an event was never left for another upstream; a run of an item never ended, and held its slot, or filled the memory with numbered events.

Cause: each limit counted from the last bytes, not from the last event, and nothing limited the output of an item, the heads before a response or the events without content. Splitting events searched and copied all buffered bytes for each part, so small parts took time with the square of their number.

Change: EventWait limits the time spent reading since the last event with content; only reading counts, so a slow caller does not make an upstream look stalled. The output of an item, the bytes of a run after its last new event and the heads of a response are limited. The splitter searches each byte once.

A slow caller and slow sound streams are kept.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -17,6 +17,18 @@
 __all__ = ('ItemProgress', 'ProgressRecord', 'RunEnd', 'RunningItem')
 
 
+# far above the output of an item; an upstream that sends events without end
+# must not fill the memory
+MAX_OUTPUT_BYTES = 8_000_000
+
+# bytes of a run after its last new event; a resumed run may repeat events
+# that an earlier one received
+MAX_UNNUMBERED_BYTES = 1_048_576
+
+# memory that an event takes besides its data
+BYTES_PER_LINE = 64
+
+
 @attrs.frozen
 class ProgressRecord:
     """Progress of an item as it is sent to a peer or saved on disk.
@@ -74,6 +86,8 @@
     is_complete: bool = False
     last_event_id: int | None = None
     _lines: list[bytes] = attrs.field(factory=list)
+    _output_bytes: int = 0
+    _unnumbered_bytes: int = 0
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     tracker: EventTracker = attrs.field(factory=EventTracker, init=False)
 
@@ -101,6 +115,7 @@
         """Replace the progress by a snapshot of a peer or a checkpoint."""
         self.last_event_id = record.last_event_id
         self._lines = list(record.lines)
+        self._output_bytes = sum(map(len, self._lines))
         self.failures = record.failures
         self.ran_s = record.ran_s
         self.is_complete = record.is_whole
@@ -108,16 +123,29 @@
     def begin_run(self) -> None:
         """Discard the incomplete event at the end of the last run."""
         self._splitter = EventSplitter()
+        self._unnumbered_bytes = 0
         self.tracker = EventTracker()
 
-    def add_stream_bytes(self, part: bytes) -> None:
+    def add_stream_bytes(self, part: bytes) -> bool:
         """Add bytes of the current run's stream.
 
-        :raises UpstreamLostError: there is a gap between two events.
+        :return: whether they completed an event that no earlier run sent.
+        :raises UpstreamLostError: there is a gap between two events, the
+            output is too long, or no numbered event comes.
         """
         self.tracker.add_bytes(part)
+        last_event_id = self.last_event_id
         for event in self._splitter.add_bytes(part):
             self._add_event(event)
+        if self.last_event_id != last_event_id:
+            self._unnumbered_bytes = 0
+            return True
+        self._unnumbered_bytes += len(part)
+        if self._unnumbered_bytes > MAX_UNNUMBERED_BYTES:
+            raise UpstreamLostError(
+                f'{self._unnumbered_bytes} bytes without a new event'
+            )
+        return False
 
     def result(self, state: ItemState) -> StoredResult:
         """Return the result to commit; only completed items have output."""
@@ -143,6 +171,18 @@
                 )
         self.last_event_id = event.event_id
         self._lines.append(event.data)
+        self._output_bytes += len(event.data) + BYTES_PER_LINE
+        if self._output_bytes > MAX_OUTPUT_BYTES:
+            self._discard_output()
+            raise UpstreamLostError(
+                f'the output of the item is over {MAX_OUTPUT_BYTES} bytes'
+            )
+
+    def _discard_output(self) -> None:
+        """Have the next run begin at the start."""
+        self.last_event_id = None
+        self._lines.clear()
+        self._output_bytes = 0
 
 
 @attrs.define(eq=False)
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -8,6 +8,7 @@
 import trio
 from eliot import log_message
 
+from ..coordination.event_wait import EventWait
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end
 from ..coordination.routes import Route
@@ -155,10 +156,14 @@
             if response_head.status != _HTTP_OK:
                 return await self._read_error(response_head, channel)
             with self.silence.track_stream(upstream.upstream_id):
-                async for part in _read_stream(call.route, channel):
+                event_wait = EventWait(FIRST_EVENT_TIMEOUT_S)
+                async for part in _read_stream(event_wait, channel):
                     self.silence.record_bytes(upstream.upstream_id)
                     run.record_bytes()
-                    progress.add_stream_bytes(part)
+                    if progress.add_stream_bytes(part):
+                        event_wait.restart(
+                            EVENT_TIMEOUT_GAPS * call.route.max_event_gap_s
+                        )
             check_stream_end(
                 call.request_id,
                 upstream.upstream_id,
@@ -205,20 +210,18 @@
 
 
 async def _read_stream(
-    route: Route, channel: HttpChannel
+    event_wait: EventWait, channel: HttpChannel
 ) -> AsyncIterator[bytes]:
     """Yield the bytes of a stream as they arrive.
 
     :raises UpstreamLostError: the connection broke or the stream stalled.
     """
-    timeout_s = FIRST_EVENT_TIMEOUT_S
     while True:
-        with _wait_limit(timeout_s):
+        with _wait_limit(event_wait.remaining_s), event_wait.reading():
             part = await channel.read_body()
         if part is None:
             return
         yield part
-        timeout_s = EVENT_TIMEOUT_GAPS * route.max_event_gap_s
 
 
 def _log_run_failure(
--- a/briarrill/protocol/event_stream.py
+++ b/briarrill/protocol/event_stream.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import re
 
 import attrs
 
@@ -24,6 +25,7 @@
 # events with CR LF
 _EVENT_ENDS = (b'\n\n', b'\n\r\n', b'\r\r')
 _LONGEST_EVENT_END = max(map(len, _EVENT_ENDS))
+_EVENT_END = re.compile(b'|'.join(map(re.escape, _EVENT_ENDS)))
 
 _ID_FIELD = b'id'
 _DATA_FIELD = b'data'
@@ -42,6 +44,11 @@
     event_id: int | None
     data: bytes
 
+    @property
+    def has_content(self) -> bool:
+        """Whether the event is more than a comment that keeps it alive."""
+        return self.event_id is not None or bool(self.data)
+
 
 class StreamPosition(enum.Enum):
     """Where a byte stream stands relative to its events."""
@@ -85,11 +92,15 @@
 
 
 class EventSplitter:
-    """Splits a byte stream into complete events."""
+    """Splits a byte stream into complete events.
+
+    Each byte is searched once, whatever the sizes of the parts.
+    """
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._incomplete = b''
+        self._incomplete = bytearray()
+        self._search_from = 0
 
     def add_bytes(self, part: bytes) -> list[ServerSentEvent]:
         """Append bytes to the buffer; remove and return complete events.
@@ -97,30 +108,27 @@
         :raises UpstreamLostError: an incomplete event exceeds
             MAX_EVENT_BYTES.
         """
-        buffered = self._incomplete + part
+        self._incomplete += part
         events = []
-        while (end := _find_event_end(buffered)) > 0:
-            events.append(_parse_event(buffered[:end]))
-            buffered = buffered[end:]
-        if len(buffered) > MAX_EVENT_BYTES:
+        start = 0
+        while match := _EVENT_END.search(self._incomplete, self._search_from):
+            raw = bytes(self._incomplete[start : match.end()])
+            events.append(_parse_event(raw))
+            start = match.end()
+            self._search_from = start
+        if start:
+            self._incomplete = self._incomplete[start:]
+        size = len(self._incomplete)
+        if size > MAX_EVENT_BYTES:
             raise UpstreamLostError(
-                f'event of {len(buffered)} bytes without an end; '
+                f'event of {size} bytes without an end; '
                 f'at most {MAX_EVENT_BYTES} are allowed'
             )
-        self._incomplete = buffered
+        # an end may have begun in the last bytes
+        self._search_from = max(0, size - _LONGEST_EVENT_END + 1)
         return events
 
 
-def _find_event_end(buffered: bytes) -> int:
-    """Return the position after the first empty line, 0 if there is none."""
-    ends = [
-        position + len(separator)
-        for separator in _EVENT_ENDS
-        if (position := buffered.find(separator)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _parse_event(raw: bytes) -> ServerSentEvent:
     """Parse the id and data fields; ignore all other fields."""
     event_id = None
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -13,6 +13,7 @@
 from eliot import log_message
 
 from ..coordination.ejection import Ejector
+from ..coordination.event_wait import EventWait
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.placement import (
     UpstreamCandidate,
@@ -359,32 +360,46 @@
             response is stored for the caller.
         """
         response = attempt.response
-        parts: list[bytes] = []
-        buffered_bytes = 0
-        while True:
-            with time_limit(attempt.response_timeout_s, attempt.call):
-                part = await channel.read_body()
-            if part is None:
-                break
-            parts.append(part)
-            buffered_bytes += len(part)
-            if buffered_bytes > max_buffered_bytes:
+        buffered = bytearray()
+        part_wait = EventWait(attempt.response_timeout_s)
+        while (
+            part := await read_stream_part(attempt, channel, part_wait)
+        ) is not None:
+            buffered += part
+            if response_head.status < HTTP_SERVER_ERROR:
+                part_wait.restart(attempt.response_timeout_s)
+            if response.has_begun or len(buffered) > max_buffered_bytes:
                 await response.send_head_once(response_head)
-                await response.send(b''.join(parts))
-                parts.clear()
-        if (
-            response_head.status >= HTTP_SERVER_ERROR
-            and not response.has_begun
-        ):
-            response.store_failure(response_head, b''.join(parts))
+                await response.send(bytes(buffered))
+                buffered.clear()
+        await _end_buffered(response, response_head, bytes(buffered))
+
+    async def _relay_other_content(
+        self,
+        attempt: Attempt,
+        channel: HttpChannel,
+        response_head: ResponseHead,
+    ) -> None:
+        """Relay a response on a streaming route that has no events.
+
+        :raises UpstreamFailedError: it is an error, or the response to a
+            resumption.
+        """
+        if attempt.response.has_begun:
+            # its body must not follow the events that were sent
             raise UpstreamFailedError(
-                f'answered {response_head.status}',
+                f'answered {response_head.status} without events'
+                ' to a resumption',
                 ran=Ran.YES,
             )
-        if response.has_begun:
-            await response.finish(b''.join(parts))
-        else:
-            await response.send_complete(response_head, b''.join(parts))
+        # other content than events may be a stream too
+        is_success = response_head.status == HTTP_OK
+        await self._relay_buffered(
+            attempt,
+            channel,
+            response_head,
+            0 if is_success else MAX_BUFFERED_RESPONSE_BYTES,
+        )
 
     async def _relay_stream(
         self,
@@ -400,36 +415,26 @@
         :raises UpstreamFailedError: a resumption got a response that is no
             stream.
         """
-        response = attempt.response
         if not is_event_stream(response_head):
-            if response.has_begun:
-                # its body must not follow the events that were sent
-                raise UpstreamFailedError(
-                    f'answered {response_head.status} without events'
-                    ' to a resumption',
-                    ran=Ran.YES,
-                )
-            # other content than events may be a stream too
-            is_success = response_head.status == HTTP_OK
-            await self._relay_buffered(
-                attempt,
-                channel,
-                response_head,
-                0 if is_success else MAX_BUFFERED_RESPONSE_BYTES,
-            )
+            await self._relay_other_content(attempt, channel, response_head)
             return
+        response = attempt.response
         # the length of a stream that resumes elsewhere is unknown
         caller_head = response_head.without_length()
         splitter = EventSplitter()
         tracker = EventTracker()
-        while (part := await read_stream_part(attempt, channel)) is not None:
+        event_wait = EventWait(attempt.event_timeout_s)
+        while (
+            part := await read_stream_part(attempt, channel, event_wait)
+        ) is not None:
             self._load.silence.record_bytes(upstream.upstream_id)
             run.record_bytes()
             tracker.add_bytes(part)
             if attempt.call.route.resumable:
-                await send_new_events(
+                if await send_new_events(
                     splitter.add_bytes(part), caller_head, response
-                )
+                ):
+                    event_wait.restart(attempt.event_timeout_s)
             else:
                 await response.send_head_once(caller_head)
                 await response.send(part)
@@ -459,7 +464,8 @@
         if may_have_run:
             progress.ran = exc.ran
         progress.failed_upstreams.add(upstream.upstream_id)
-        self._record_failure(call, upstream, exc)
+        if not isinstance(exc, CapacityError):
+            self._ejector_of(call.service).record_failure(upstream.upstream_id)
         log_message(
             'request:attempt-failed',
             request_id=call.request_id,
@@ -506,13 +512,6 @@
             return False
         return self._budgets.try_spend_retry(call.route.name)
 
-    def _record_failure(
-        self, call: Call, upstream: RegisteredUpstream, exc: BriarrillError
-    ) -> None:
-        """Report a failure to the ejector; rejections do not count."""
-        if not isinstance(exc, CapacityError):
-            self._ejector_of(call.service).record_failure(upstream.upstream_id)
-
     def _caller_error(
         self, progress: CallProgress, exc: BriarrillError
     ) -> BriarrillError:
@@ -545,3 +544,22 @@
     if call.route.resumable:
         return not response.has_begun or response.last_event_id is not None
     return call.route.is_idempotent and not response.has_begun
+
+
+async def _end_buffered(
+    response: Response, response_head: ResponseHead, rest: bytes
+) -> None:
+    """Send what is left of a response that is no stream.
+
+    :raises UpstreamFailedError: the status is 500 or higher; the response is
+        stored for the caller.
+    """
+    if response.has_begun:
+        await response.finish(rest)
+    elif response_head.status < HTTP_SERVER_ERROR:
+        await response.send_complete(response_head, rest)
+    else:
+        response.store_failure(response_head, rest)
+        raise UpstreamFailedError(
+            f'answered {response_head.status}', ran=Ran.YES
+        )
--- a/briarrill/relay/streams.py
+++ b/briarrill/relay/streams.py
@@ -1,5 +1,6 @@
 """briarrill.relay.streams: relays an upstream's event stream to a caller."""
 
+from ..coordination.event_wait import EventWait
 from ..errors import UpstreamLostError
 from ..protocol.event_stream import ServerSentEvent
 from ..transport.http_channel import HttpChannel
@@ -26,15 +27,18 @@
 
 
 async def read_stream_part(
-    attempt: Attempt, channel: HttpChannel
+    attempt: Attempt, channel: HttpChannel, event_wait: EventWait
 ) -> bytes | None:
     """Return the next bytes of a stream, nothing at its end.
 
     :raises DeadlineExceededError: the call's deadline passed.
-    :raises UpstreamLostError: no event came within the timeout.
+    :raises UpstreamLostError: no event came within the limit of the wait.
     """
     part: bytes | None = None
-    with time_limit(attempt.event_timeout_s, attempt.call):
+    with (
+        time_limit(event_wait.remaining_s, attempt.call),
+        event_wait.reading(),
+    ):
         part = await channel.read_body()
     return part
 
@@ -43,12 +47,16 @@
     events: list[ServerSentEvent],
     response_head: ResponseHead,
     response: Response,
-) -> None:
-    """Send the events that the caller has not received."""
+) -> bool:
+    """Send the events that the caller has not received.
+
+    :return: whether any of them has an identifier or data.
+    """
     unsent = _unsent_events(events, response.last_event_id)
     if unsent:
         await response.send_head_once(response_head)
         await response.send_events(unsent)
+    return any(event.has_content for event in unsent)
 
 
 def _unsent_events(
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -44,6 +44,10 @@
 # idle timeout of a channel whose server sends no Keep-Alive timeout
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 
+# heads that are read for one response: interim ones, and those of late
+# responses to earlier requests
+MAX_HEADS = 32
+
 # idle channels per server
 MAX_IDLE_CHANNELS = 32
 
@@ -157,7 +161,7 @@
         :raises UpstreamLostError: the connection ended, or the bytes are not
             a valid response.
         """
-        while True:
+        for _ in range(MAX_HEADS):
             event = await self._next_event()
             if not isinstance(event, h11.Response):
                 continue
@@ -166,6 +170,9 @@
                 self._set_idle_timeout(head)
                 return head
             await self._discard_late_response()
+        raise UpstreamLostError(
+            f'none of {MAX_HEADS} response heads is that of the response'
+        )
 
     async def read_body(self) -> bytes | None:
         """Return the next bytes of the body, or None at its end.
--- /dev/null
+++ b/tests/relay/test_endless_responses.py
@@ -0,0 +1,116 @@
+"""Upstreams that send bytes without end to the relay."""
+
+import attrs
+import pytest
+import trio
+
+from briarrill.errors import UpstreamLostError
+from standins.platform_engine import (
+    StandinEngine,
+    encode_event,
+    stream_events,
+)
+from tests.endless_engine import (
+    ENDLESS_RESPONSES,
+    MAX_SENT_BYTES,
+    EndlessEngine,
+    dribbling_engine,
+    every_endless_response,
+)
+from tests.relay.front_end_setup import (
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    RESUMABLE_STREAM,
+    STREAM,
+    run_front_end,
+)
+
+ROUTES = (STREAM, RESUMABLE_STREAM, IDEMPOTENT, NON_IDEMPOTENT)
+
+# the caller's deadline, and when its connection must be over
+DEADLINE_MS = '600'
+MAX_WAIT_S = 5
+
+GAP_S = 0.05
+
+# what a caller may have received a part of, so that no other response follows
+RELAYED = {'JSON', 'comments', 'events'}
+
+
+async def _ask(setup, route, **headers):
+    """Return status and length of a response; a length of 0 if it is cut."""
+    async with setup.open_response(route.prefix, **headers) as opened:
+        head, channel = opened
+        length = 0
+        try:
+            while (part := await channel.read_body()) is not None:
+                length += len(part)
+        except UpstreamLostError:
+            return head.status, 0
+    return head.status, length
+
+
+@every_endless_response
+@pytest.mark.parametrize('route', ROUTES)
+@pytest.mark.parametrize('make_engine', [EndlessEngine, dribbling_engine])
+async def test_response_without_end_ends_by_the_deadline(
+    network, kind, route, make_engine
+):
+    engine = make_engine(kind)
+    async with run_front_end([route], engine, network=network) as setup:
+        with trio.fail_after(MAX_WAIT_S):
+            status, length = await _ask(setup, route, deadline_ms=DEADLINE_MS)
+            assert status != 200 or not length
+            while not engine.is_cut:
+                await trio.sleep(0.01)
+    assert engine.sent_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('kind', sorted(ENDLESS_RESPONSES.keys() - RELAYED))
+async def test_stream_without_end_goes_on_elsewhere(network, kind):
+    """Bytes that hold no event do not count as progress."""
+    route = attrs.evolve(RESUMABLE_STREAM, max_event_gap_s=GAP_S)
+    endless = dribbling_engine(kind)
+    second = StandinEngine(stream_events(3))
+    async with run_front_end(
+        [route], endless, second, network=network
+    ) as setup:
+        with trio.fail_after(MAX_WAIT_S):
+            status, _, body = await setup.send_request(route.prefix)
+    assert status == 200
+    assert body == b''.join(map(encode_event, (1, 2, 3)))
+
+
+async def test_slow_caller_does_not_make_a_stream_look_stalled(network):
+    """The relay reads no event while its caller takes none."""
+    route = attrs.evolve(RESUMABLE_STREAM, max_event_gap_s=GAP_S)
+    event = b'id: %d\ndata: ' + b'x' * 200_000 + b'\n\n'
+    events = b''.join(event % number for number in range(1, 60))
+
+    async def respond(req, conn):
+        await conn.send_head(200, ())
+        await conn.send_body(events)
+        await conn.send_end()
+
+    first = StandinEngine(respond)
+    async with (
+        run_front_end([route], first, network=network) as setup,
+        setup.open_response(route.prefix, deadline_ms='20000') as opened,
+    ):
+        await trio.sleep(8 * GAP_S)
+        body = await opened[1].read_full_body(100_000_000)
+    assert body == events
+    assert len(first.requests) == 1
+
+
+async def test_slow_but_sound_stream_is_not_cut(network):
+    """Each event comes after less than the largest gap that is allowed."""
+    route = attrs.evolve(RESUMABLE_STREAM, max_event_gap_s=0.4)
+    first = StandinEngine(stream_events(8, pause_s=0.3))
+    second = StandinEngine(stream_events(8))
+    async with run_front_end([route], first, second, network=network) as setup:
+        status, _, body = await setup.send_request(
+            route.prefix, deadline_ms='10000'
+        )
+    assert (status, body.count(b'data')) == (200, 8)
+    assert not second.requests
