Limit the size and time of replies of services and engines

What callers saw: nothing yet. A key-value service, instance list or engine of briarrill's own interface that sends bytes without end would have filled the memory of the process that reads it, or held it for ever; so would an engine under a batch item, which has no deadline.

Cause: the HTTP client's timeouts limit the wait for the next bytes, and its bodies and lines have no limit of size.

Change: transport/bounded_http.py reads replies, bodies and lines with limits; the etcd client, the instance list and the engine client use it.

--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -13,7 +13,12 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from ..errors import BadRequestError, BriarrillError, ForbiddenError
+from ..errors import (
+    BadRequestError,
+    BriarrillError,
+    ForbiddenError,
+    UpstreamFailedError,
+)
 from ..protocol.callers_api import (
     error_response_body,
     parse_completion,
@@ -30,6 +35,9 @@
 # leading bytes of a request body that are hashed to its prefix key
 PREFIX_KEY_BYTES = 512
 
+# largest response that is returned in one piece
+MAX_RESPONSE_BYTES = 64_000_000
+
 EVENT_STREAM = 'text/event-stream'
 
 SERVICES_PATH = '/services/'
@@ -214,13 +222,20 @@
 
 
 async def _buffered_response(response: StartedResponse) -> Response:
-    """Read the whole upstream response and return it at once."""
-    parts = []
+    """Read the whole upstream response and return it at once.
+
+    :raises UpstreamFailedError: it is over ``MAX_RESPONSE_BYTES``.
+    """
+    body = bytearray()
     while (chunk := await response.next_chunk()) is not None:
-        parts.append(chunk)
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise UpstreamFailedError(
+                f'the response is over {MAX_RESPONSE_BYTES} bytes'
+            )
     finish = response.finish
     return Response(
-        b''.join(parts),
+        bytes(body),
         status=finish.http_status,
         content_type=finish.content_type,
     )
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -27,6 +27,7 @@
 from .engine_ends import EngineEnds
 from .online import SidecarIdentity
 from .resumable_completion import ResumableCompletion
+from .stall_limits import iter_in_time, open_in_time
 from .unfinished_items import UnfinishedItem, UnfinishedItems
 from .upstreams import Upstream, UpstreamRequest
 from .upstreams.base import HTTP_SERVER_ERROR, HTTP_TOO_MANY_REQUESTS
@@ -112,12 +113,12 @@
             'POST', batch_item.url, completion.next_request_body()
         )
         with self.ends.track(batch_item.body) as run:
-            async with self.upstream.send(req) as response:
+            async with open_in_time(self.upstream.send(req)) as response:
                 if response.http_status != HTTP_OK:
                     return _error_status_outcome(
                         batch_item, response.http_status
                     )
-                async for events in response.chunks:
+                async for events in iter_in_time(response.chunks):
                     run.record_bytes()
                     completion.add_events(events)
             if not completion.has_ended:
--- a/briarrill/sidecar/resumable_completion.py
+++ b/briarrill/sidecar/resumable_completion.py
@@ -13,6 +13,10 @@
 
 __all__ = ('ResumableCompletion',)
 
+# far above a completion; an engine that generates without end must not fill
+# the memory
+MAX_TEXT_CHARACTERS = 8_000_000
+
 _EVENT_PREFIX = 'data: '
 _STREAM_END_PAYLOAD = '[DONE]'
 
@@ -54,13 +58,20 @@
         return json.dumps(request).encode()
 
     def add_events(self, events: bytes) -> None:
-        """Append the text of complete server-sent events."""
+        """Append the text of complete server-sent events.
+
+        :raises ValueError: an event is malformed, or the text is too long.
+        """
         for line in events.decode().splitlines():
             payload = line.removeprefix(_EVENT_PREFIX)
             self.has_ended = self.has_ended or payload == _STREAM_END_PAYLOAD
             if payload in {line, _STREAM_END_PAYLOAD}:
                 continue
             self._add_event(json.loads(payload))
+        if len(self.text) > MAX_TEXT_CHARACTERS:
+            raise ValueError(
+                f'completion is over {MAX_TEXT_CHARACTERS} characters'
+            )
 
     def response_body(self) -> bytes:
         """Return the completion as the body of an unstreamed response."""
--- a/briarrill/sidecar/upstreams/base.py
+++ b/briarrill/sidecar/upstreams/base.py
@@ -79,6 +79,20 @@
     tokens: int = 0
 
 
+async def _read_error_body(response: UpstreamResponse) -> str:
+    """Read the part of an error body that is shown to the caller.
+
+    Its status counts also if the body is cut.
+    """
+    shown = b''
+    with contextlib.suppress(httpx.HTTPError):
+        async for chunk in response.chunks:
+            shown += chunk
+            if len(shown) >= MAX_ERROR_BODY_BYTES:
+                break
+    return shown[:MAX_ERROR_BODY_BYTES].decode(errors='replace').strip()
+
+
 def has_framed_body(http_response: httpx.Response) -> bool:
     """Whether a length or chunks, not a close, end the response's body."""
     headers = http_response.headers
@@ -114,11 +128,8 @@
         status = response.http_status
         if self.relays_errors or status < HTTP_BAD_REQUEST:
             return
-        parts = [chunk async for chunk in response.chunks]
-        error_body = b''.join(parts)[:MAX_ERROR_BODY_BYTES].decode(
-            errors='replace'
-        )
-        message = f'the upstream responded with {status}: {error_body.strip()}'
+        error_body = await _read_error_body(response)
+        message = f'the upstream responded with {status}: {error_body}'
         if status == HTTP_TOO_MANY_REQUESTS:
             raise OverloadedError(
                 message, retry_after_s=OVERLOADED_RETRY_AFTER_S
--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -7,6 +7,7 @@
 import httpx
 import msgspec
 
+from ...transport.bounded_http import read_body, request
 from .base import (
     Upstream,
     UpstreamRequest,
@@ -26,6 +27,13 @@
 
 _EVENT_PREFIX = b'data: '
 
+MODELS_TIMEOUT_S = 5.0
+MAX_MODELS_BYTES = 1_000_000
+
+# largest JSON response and event; they hold some hundred kilobytes
+MAX_JSON_BYTES = 32_000_000
+MAX_EVENT_BYTES = 1_048_576
+
 
 @attrs.frozen
 class _Usage:
@@ -67,7 +75,13 @@
 
         :raises httpx.HTTPError: the engine failed.
         """
-        http_response = await self.client.get('/v1/models')
+        http_response = await request(
+            self.client,
+            'GET',
+            '/v1/models',
+            timeout_s=MODELS_TIMEOUT_S,
+            max_bytes=MAX_MODELS_BYTES,
+        )
         http_response.raise_for_status()
         return tuple(model['id'] for model in http_response.json()['data'])
 
@@ -93,7 +107,7 @@
         if not http_response.headers.get('content-type', '').startswith(
             EVENT_STREAM
         ):
-            body = await http_response.aread()
+            body = await read_body(http_response, MAX_JSON_BYTES)
             _check_unframed_json(http_response, body)
             yield body
             return
@@ -105,6 +119,10 @@
             if separator:
                 has_ended = complete.endswith(STREAM_END_EVENT)
                 yield complete + separator
+            if len(pending) > MAX_EVENT_BYTES:
+                raise httpx.RemoteProtocolError(
+                    f'event of over {MAX_EVENT_BYTES} bytes without an end'
+                )
         if pending or not has_ended:
             raise httpx.RemoteProtocolError(
                 'the event stream was cut before its end event'
--- /dev/null
+++ b/briarrill/transport/bounded_http.py
@@ -0,0 +1,124 @@
+"""briarrill.transport.bounded_http: HTTP replies bounded in size and time.
+
+The HTTP client's own timeouts limit the wait for the next bytes only, so a
+reply of single bytes or without an end would be read for ever.
+"""
+
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+from typing import Any
+
+import httpx
+import trio
+
+__all__ = ('iter_lines', 'open_stream', 'read_body', 'request')
+
+# headers that no longer describe a body that was read
+_TRANSFER_HEADERS = ('content-encoding', 'content-length', 'transfer-encoding')
+
+
+async def request(
+    client: httpx.AsyncClient,
+    method: str,
+    path: str,
+    *,
+    timeout_s: float,
+    max_bytes: int,
+    **options: Any,
+) -> httpx.Response:
+    """Make a call and return its whole reply.
+
+    :param options: passed to the client's ``build_request``.
+    :raises httpx.HTTPError: the call failed, took longer than ``timeout_s``
+        in all, or its reply is over ``max_bytes``.
+    """
+    http_req = client.build_request(method, path, timeout=timeout_s, **options)
+    with _time_limit(timeout_s, http_req):
+        async with open_stream(client, http_req) as reply:
+            body = await read_body(reply, max_bytes)
+    headers = [
+        (name, text)
+        for name, text in reply.headers.items()
+        if name not in _TRANSFER_HEADERS
+    ]
+    return httpx.Response(
+        reply.status_code, headers=headers, content=body, request=http_req
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_stream(
+    client: httpx.AsyncClient,
+    http_req: httpx.Request,
+    head_timeout_s: float | None = None,
+) -> AsyncIterator[httpx.Response]:
+    """Send a request; yield the reply once its head was read.
+
+    :param head_timeout_s: limit of the time until then, none by default.
+    :raises httpx.HTTPError: the call failed or the head took longer.
+    """
+    with _time_limit(head_timeout_s, http_req):
+        reply = await client.send(http_req, stream=True)
+    try:
+        yield reply
+    finally:
+        await reply.aclose()
+
+
+async def read_body(reply: httpx.Response, max_bytes: int) -> bytes:
+    """Read the whole body of a reply.
+
+    :raises httpx.HTTPError: it was cut, or is over ``max_bytes``.
+    """
+    body = bytearray()
+    async for part in reply.aiter_bytes():
+        body += part
+        if len(body) > max_bytes:
+            raise httpx.RemoteProtocolError(
+                f'reply body is over {max_bytes} bytes', request=reply.request
+            )
+    return bytes(body)
+
+
+async def iter_lines(
+    reply: httpx.Response, max_bytes: int
+) -> AsyncIterator[bytes]:
+    """Yield the lines of a reply as they arrive, without their ends.
+
+    :raises httpx.HTTPError: the reply was cut, or a line is over
+        ``max_bytes``.
+    """
+    pending = bytearray()
+    async for part in reply.aiter_bytes():
+        *ends, rest = part.split(b'\n')
+        for end in ends:
+            yield bytes(pending + end)
+            pending.clear()
+        pending += rest
+        if len(pending) > max_bytes:
+            raise httpx.RemoteProtocolError(
+                f'line of a reply is over {max_bytes} bytes',
+                request=reply.request,
+            )
+    if pending:
+        yield bytes(pending)
+
+
+@contextlib.contextmanager
+def _time_limit(
+    timeout_s: float | None, http_req: httpx.Request
+) -> Iterator[None]:
+    """Limit a wait.
+
+    :raises httpx.ReadTimeout: it took longer.
+    """
+    if timeout_s is None:
+        yield
+        return
+    try:
+        with trio.fail_after(timeout_s):
+            yield
+    except trio.TooSlowError as exc:
+        raise httpx.ReadTimeout(
+            f'no whole reply within {timeout_s} s', request=http_req
+        ) from exc
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -9,6 +9,7 @@
 
 from ..errors import PlatformUnavailableError, WriteUnknownError
 from ..metrics import KEY_VALUE_CALLS
+from .bounded_http import iter_lines, open_stream, request
 from .key_value import (
     ChangeStream,
     KeyChange,
@@ -22,6 +23,9 @@
 
 CALL_TIMEOUT_S = 2.0
 
+# all keys under a prefix, or a watch message
+MAX_REPLY_BYTES = 64_000_000
+
 # a write whose reply was lost is repeated: its revision comparison lets only
 # one attempt take effect, also if the first one arrives late
 WRITE_ATTEMPTS = 3
@@ -152,14 +156,19 @@
 
     async def _stream_lines(
         self, path: str, body: dict[str, Any]
-    ) -> AsyncIterator[str]:
+    ) -> AsyncIterator[bytes]:
         """Call the gateway; yield the lines of its streamed reply."""
-        timeout = httpx.Timeout(CALL_TIMEOUT_S, read=None)
-        async with self._client.stream(
-            'POST', path, json=body, timeout=timeout
+        http_req = self._client.build_request(
+            'POST',
+            path,
+            json=body,
+            timeout=httpx.Timeout(CALL_TIMEOUT_S, read=None),
+        )
+        async with open_stream(
+            self._client, http_req, CALL_TIMEOUT_S
         ) as reply:
             reply.raise_for_status()
-            async for line in reply.aiter_lines():
+            async for line in iter_lines(reply, MAX_REPLY_BYTES):
                 yield line
 
     async def _read_range(self, body: dict[str, Any]) -> list[KeyValue]:
@@ -216,11 +225,18 @@
         :raises ValueError: the reply is not JSON.
         """
         KEY_VALUE_CALLS.labels(path.removeprefix('/v3/')).inc()
-        reply = await self._client.post(
-            path, json=body, timeout=CALL_TIMEOUT_S
+        reply = await request(
+            self._client,
+            'POST',
+            path,
+            json=body,
+            timeout_s=CALL_TIMEOUT_S,
+            max_bytes=MAX_REPLY_BYTES,
         )
         reply.raise_for_status()
-        decoded: dict[str, Any] = reply.json()
+        decoded = reply.json()
+        if not isinstance(decoded, dict):
+            raise ValueError(f'reply is no object: {decoded!r}')
         return decoded
 
 
--- a/briarrill/transport/instance_list.py
+++ b/briarrill/transport/instance_list.py
@@ -7,11 +7,15 @@
 import msgspec
 
 from ..errors import PlatformUnavailableError
+from .bounded_http import request
 
 __all__ = ('Instance', 'InstanceList', 'InstanceState', 'Role')
 
 CALL_TIMEOUT_S = 2.0
 
+# an instance takes some hundred bytes
+MAX_REPLY_BYTES = 16_000_000
+
 
 class Role(enum.StrEnum):
     """Kind of process that runs on an instance."""
@@ -65,8 +69,13 @@
         """
         request_headers = {'If-None-Match': self._etag} if self._etag else {}
         try:
-            reply = await self._client.get(
-                '/instances', headers=request_headers, timeout=CALL_TIMEOUT_S
+            reply = await request(
+                self._client,
+                'GET',
+                '/instances',
+                headers=request_headers,
+                timeout_s=CALL_TIMEOUT_S,
+                max_bytes=MAX_REPLY_BYTES,
             )
             if reply.status_code != httpx.codes.NOT_MODIFIED:
                 self._store_reply(reply.raise_for_status())
