Answer each request that arrives during a planned stop

What callers saw: a request sent as an instance ended its drain could be cut off without an answer: its connection was in the queue of the listening socket or waited for its next request.

Cause: the drain ended with the last active request, while connections were still accepted and others open; the exit cancelled them all. An idle connection was closed also if a request had just arrived on it.

Change: after the last active request the connections that were made are accepted, the listening socket is closed, and the drain waits until each connection has ended. An idle connection with unread bytes is read first.

--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -46,13 +46,13 @@
                 cfg.callers,
                 lambda: parts.routing_configuration.caller_limits,
                 front.serve,
-            ),
+            ) as stop_accepting,
             trio.open_nursery() as nursery,
         ):
             nursery.start_soon(watch_signals, parts.readiness)
             nursery.start_soon(_start_when_synced, parts)
             await parts.readiness.drain_begun.wait()
-            await drain_front_end(front, cfg.grace_s)
+            await drain_front_end(front, cfg.grace_s, stop_accepting)
             nursery.cancel_scope.cancel()
 
 
--- a/briarrill/relay/drain.py
+++ b/briarrill/relay/drain.py
@@ -1,5 +1,7 @@
 """briarrill.relay.drain: stops the callers' front end gracefully."""
 
+from collections.abc import Callable
+
 import trio
 from eliot import log_message
 
@@ -20,10 +22,14 @@
 RESPONSE_FLUSH_S = 0.05
 
 
-async def drain_front_end(front: FrontEnd, grace_s: float) -> None:
+async def drain_front_end(
+    front: FrontEnd, grace_s: float, stop_accepting: Callable[[], None]
+) -> None:
     """Serve until the balancer has removed this instance, then finish.
 
-    Requests in progress may end; new ones are rejected.
+    Requests in progress may end; new ones are rejected until the last one
+    has ended. Then no more connections are accepted, and those that are open
+    end after the request that is arriving on them.
 
     :param grace_s: time until the process is killed.
     """
@@ -33,5 +39,11 @@
         front.close_idle()
         while front.active_requests:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
+        stop_accepting()
+        # connections that were just accepted have not begun to wait yet
+        await trio.sleep(DRAIN_POLL_INTERVAL_S)
+        while front.has_connections:
+            front.close_idle()
+            await trio.sleep(DRAIN_POLL_INTERVAL_S)
         await trio.sleep(RESPONSE_FLUSH_S)
     log_message('drain:ended', cut_off=front.active_requests)
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -53,6 +53,11 @@
     active_requests: int = 0
     _connections: set[CallerConnection] = attrs.field(factory=set, init=False)
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any caller's connection is open."""
+        return bool(self._connections)
+
     def close_idle(self) -> None:
         """Close the connections that have no request in progress."""
         for conn in self._connections:
--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -251,13 +251,18 @@
         """Return whether a byte arrived before the idle timeout."""
         idle = trio.move_on_after(limits.idle_timeout_s)
         self._idle_scope = idle
+        received = b''
         try:
             with idle:
                 received = await self._sock.recv(MAX_RECEIVE_BYTES)
         except OSError:
             return False
         if idle.cancelled_caught:
-            return False
+            if not self._sock.is_readable():
+                return False
+            # a request arrived at the moment at which the wait ended
+            with contextlib.suppress(OSError):
+                received = await self._sock.recv(MAX_RECEIVE_BYTES)
         self._parser.receive_data(received)
         return bool(received)
 
@@ -326,6 +331,14 @@
                 continue
             nursery.start_soon(self._serve_socket, accepted)
 
+    def accept_queued(self, raw: socket.socket, nursery: trio.Nursery) -> None:
+        """Serve the connections that wait to be accepted, without waiting.
+
+        :param raw: the listening socket, not blocking.
+        """
+        while (accepted := _accept_now(raw)) is not None:
+            nursery.start_soon(self._serve_socket, accepted)
+
     async def _serve_socket(self, sock: trio.socket.SocketType) -> None:
         with sock:
             _set_socket_options(sock)
@@ -337,6 +350,16 @@
                 await self.serve_connection(conn)
 
 
+def _accept_now(raw: socket.socket) -> trio.socket.SocketType | None:
+    """Accept a connection that waits for it, if there is one."""
+    try:
+        accepted, _ = raw.accept()
+    except OSError:
+        return None
+    accepted.setblocking(False)
+    return trio.socket.from_stdlib_socket(accepted)
+
+
 @contextlib.contextmanager
 def _reset_if_cut(
     conn: CallerConnection, sock: trio.socket.SocketType
@@ -371,10 +394,12 @@
     """Accept and serve callers until exit, which cancels open connections.
 
     :param serve_connection: coroutine that serves one connection.
-    :returns: a function that closes the listening socket.
+    :returns: a function that accepts the connections that have been made
+        and closes the listening socket.
     """
-    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock = trio.socket.from_stdlib_socket(raw)
     with sock:
         await sock.bind(address)
         sock.listen(LISTEN_BACKLOG)
@@ -387,6 +412,7 @@
 
             def stop_accepting() -> None:
                 accepts.cancel_scope.cancel()
+                listener.accept_queued(raw, nursery)
                 sock.close()
 
             yield stop_accepting
--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -56,6 +57,7 @@
     upstreams: UpstreamTable
     load: LoadExchange
     ends: UpstreamEnds
+    stop_accepting: Callable[[], None]
 
     async def send_request(self, path, body=b'', **headers):
         """Send one request; return status, headers and body."""
@@ -135,13 +137,15 @@
                 )
             )
         address = _address(network, 0)
-        await stack.enter_async_context(
+        stop_accepting = await stack.enter_async_context(
             serve_callers(address, CallerLimits, front.serve)
         )
         nursery = await stack.enter_async_context(trio.open_nursery())
         nursery.start_soon(ends.run)
         with trio.fail_after(20):
-            yield FrontEndSetup(front, address, upstreams, load, ends)
+            yield FrontEndSetup(
+                front, address, upstreams, load, ends, stop_accepting
+            )
         nursery.cancel_scope.cancel()
 
 
--- a/tests/relay/test_front_end.py
+++ b/tests/relay/test_front_end.py
@@ -92,7 +92,9 @@
             await trio.sleep(0.01)
         setup.front.readiness.begin_drain()
         nursery.start_soon(send_request, 'in notice', setup)
-        nursery.start_soon(drain_front_end, setup.front, 8)
+        nursery.start_soon(
+            drain_front_end, setup.front, 8, setup.stop_accepting
+        )
         await trio.sleep(0.2)
         await send_request('after', setup)
         while 'in notice' not in responses or 'before' not in responses:
@@ -110,7 +112,9 @@
         await trio.sleep(0.05)
         setup.front.readiness.begin_drain()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(drain_front_end, setup.front, 8)
+            nursery.start_soon(
+                drain_front_end, setup.front, 8, setup.stop_accepting
+            )
             with trio.move_on_after(0.1) as early:
                 await stream_.receive_some()
             assert early.cancelled_caught
--- a/tests/transport/test_http_callers.py
+++ b/tests/transport/test_http_callers.py
@@ -125,13 +125,13 @@
 async def test_listening_socket_is_closed_at_exit(monkeypatch):
     """The garbage collector may close it long after the next server binds."""
     opened = []
-    open_socket = trio.socket.socket
+    open_socket = trio.socket.from_stdlib_socket
 
     def record_socket(*args):
         opened.append(open_socket(*args))
         return opened[-1]
 
-    monkeypatch.setattr(trio.socket, 'socket', record_socket)
+    monkeypatch.setattr(trio.socket, 'from_stdlib_socket', record_socket)
     address = ('127.0.0.1', free_port())
     async with serve_callers(address, CallerLimits, Echo().serve):
         assert opened[0].fileno() >= 0
