Keep a process alive when a connection's task fails

What callers saw: an unexpected error while one request was served would have ended the whole process, with all its other requests.

Cause: the tasks of connections share a nursery, which an exception cancels.

Change: the task of a connection logs such an error as connection:failed with the end of its traceback, counts it in briarrill_unexpected_errors_total, and ends alone.

Evidence: test_unexpected_error_of_a_connection_ends_only_that_one failed for three kinds of errors and passes.

--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -22,6 +22,7 @@
     'RESUMED',
     'RETRIED',
     'STALE_MESSAGES',
+    'UNEXPECTED_ERRORS',
     'UPSTREAM_CRASHES',
 )
 
@@ -78,6 +79,10 @@
     ' closed.',
     ('position',),
 )
+UNEXPECTED_ERRORS = Counter(
+    'briarrill_unexpected_errors',
+    'Errors that ended the task of one connection or run; each is a defect.',
+)
 UPSTREAM_CRASHES = Counter(
     'briarrill_upstream_crashes',
     'Upstreams that ended while they ran prompts of this process.',
--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -21,6 +21,7 @@
     TooLargeError,
 )
 from .http_messages import Headers, RequestHead, find_header
+from .task_errors import log_unexpected_errors
 
 __all__ = (
     'CallerLimits',
@@ -344,6 +345,7 @@
             _set_socket_options(sock)
             conn = CallerConnection(sock, self.limits)
             with (
+                log_unexpected_errors('connection:failed'),
                 contextlib.suppress(CallerGoneError),
                 _reset_if_cut(conn, sock),
             ):
--- a/tests/transport/test_http_callers.py
+++ b/tests/transport/test_http_callers.py
@@ -136,3 +136,25 @@
     async with serve_callers(address, CallerLimits, Echo().serve):
         assert opened[0].fileno() >= 0
     assert opened[0].fileno() < 0
+
+
+@pytest.mark.parametrize(
+    'error', [ValueError('x'), KeyError('x'), ExceptionGroup('g', [OSError()])]
+)
+async def test_unexpected_error_of_a_connection_ends_only_that_one(error):
+    async def serve(conn):
+        head = await conn.read_request_head()
+        if head.path == '/bad':
+            raise error
+        await conn.send_response(200, (), b'')
+
+    address = ('127.0.0.1', free_port())
+    async with serve_callers(address, CallerLimits, serve):
+        for path, expected in ((b'/bad', b''), (b'/good', b'HTTP/1.1 200')):
+            with trio.fail_after(5):
+                stream = await trio.open_tcp_stream(*address)
+                await stream.send_all(
+                    b'GET %b HTTP/1.1\r\nhost: h\r\n\r\n' % path
+                )
+                assert (await stream.receive_some()).startswith(expected)
+                await stream.aclose()
