Drop a peer's state that is older than what the mirror received

What callers saw: nothing yet. A process that starts while the store is away fetches its keys from a peer. If the store came back during the fetch, the reply undid newer changes: a server that had left, or routes that had been withdrawn, were in use again until the next change of the same keys.

Cause: the reply was applied without a look at what the mirror had received meanwhile; a removed key leaves nothing behind whose revision could tell.

Change: the reply is dropped if the mirror is connected or has another revision than the one that was asked for.

Evidence: test_fetched_state_does_not_undo_newer_changes failed and passes.

--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -111,19 +111,22 @@
     async def _fetch_newer(self, prefix: str, mirror: Mirror) -> None:
         """Apply the changes of the peer with the newest revision.
 
-        Nothing happens if no peer is ahead; a failure is only logged.
+        Nothing happens if no peer is ahead; a failure is only logged. The
+        peer's keys are dropped if the mirror received others meanwhile: they
+        would undo newer changes.
         """
+        own_revision = mirror.revision
         hosts_by_revision = {
             report.revisions.get(prefix, 0): report.host
             for report in self.load.peers.reachable
         }
         newest_revision = max(hosts_by_revision, default=0)
-        if newest_revision <= mirror.revision:
+        if newest_revision <= own_revision:
             return
         try:
             with trio.fail_after(FETCH_TIMEOUT_S):
                 changes = await self._fetch(
-                    hosts_by_revision[newest_revision], prefix, mirror.revision
+                    hosts_by_revision[newest_revision], prefix, own_revision
                 )
         except (BriarrillError, ValueError, trio.TooSlowError) as exc:
             log_message(
@@ -132,6 +135,8 @@
                 reason=repr(exc),
             )
             return
+        if mirror.is_connected or mirror.revision != own_revision:
+            return
         mirror.apply_changes(changes)
         log_message(
             'state:fetched',
--- a/tests/coordination/test_state_transfer.py
+++ b/tests/coordination/test_state_transfer.py
@@ -8,7 +8,7 @@
 from briarrill.coordination.state_transfer import StateTransfer
 from briarrill.protocol.load_reports import LoadReport
 from briarrill.transport.http_callers import serve_callers
-from briarrill.transport.key_value import KeyChange
+from briarrill.transport.key_value import KeyChange, WatchEvent
 from standins.memory_key_value import MemoryKeyValue
 from tests.coordination.test_mirror import RecordingListener
 from tests.serving import free_port
@@ -61,3 +61,33 @@
             await own_mirror.synced.wait()
         nursery.cancel_scope.cancel()
     assert recorded.keys == {'op/x': b'one'}
+
+
+class _ServiceDuringFetch:
+    """Applies newer changes to a mirror while it fetches a peer's state."""
+
+    def __init__(self, mirror):
+        self.mirror = mirror
+
+    async def fetch(self, *_args):
+        stale = self.mirror.changes_after(0)
+        self.mirror._apply_event(WatchEvent('servers/left', None, 9))
+        self.mirror._apply_event(WatchEvent('servers/new', b'new', 10))
+        return stale
+
+
+async def test_fetched_state_does_not_undo_newer_changes(network, monkeypatch):
+    """A server that left during the fetch must not be used again."""
+    recorded = RecordingListener()
+    mirror = Mirror(MemoryKeyValue(), 'servers/', recorded, stores_bodies=True)
+    mirror._apply_event(WatchEvent('servers/left', b'old', 8))
+    load = _exchange('new', f'{network}.2')
+    load.receive_report(
+        LoadReport('old', f'{network}.1', 1, 1, revisions={'servers/': 11})
+    )
+    transfer = StateTransfer({'servers/': mirror}, load, free_port())
+    monkeypatch.setattr(
+        StateTransfer, '_fetch', _ServiceDuringFetch(mirror).fetch
+    )
+    await transfer._fetch_newer('servers/', mirror)
+    assert recorded.keys == {'servers/new': b'new'}
