Send each request to an engine or service on a connection of its own

What callers saw: on briarrill's own interface a caller got the response to another caller's request, if an engine or service sent a response a second time once its connection carried the next request.

Cause: the sidecar's HTTP client keeps connections open, and such responses carry no identifier that would tell them apart.

Change: each request asks for the connection to be closed after its response.

Evidence: test_late_second_response_reaches_no_other_call failed for both kinds ([{n:1}] instead of [{n:2}]) and passes.

--- a/briarrill/sidecar/upstreams/base.py
+++ b/briarrill/sidecar/upstreams/base.py
@@ -34,6 +34,10 @@
     )
 )
 
+# a late copy of a response has no identifier, so the next request on the same
+# connection would get it
+ONE_REQUEST = {'connection': 'close'}
+
 # part of an upstream's error body that is shown to the caller
 MAX_ERROR_BODY_BYTES = 500
 
@@ -193,7 +197,7 @@
                 req.method,
                 req.path,
                 content=req.body,
-                headers={'content-type': req.content_type},
+                headers={'content-type': req.content_type, **ONE_REQUEST},
             )
         except (httpx.InvalidURL, UnicodeError) as exc:
             raise BadRequestError(
--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -9,6 +9,7 @@
 
 from ...transport.bounded_http import read_body, request
 from .base import (
+    ONE_REQUEST,
     Upstream,
     UpstreamRequest,
     UpstreamResponse,
@@ -79,6 +80,7 @@
             self.client,
             'GET',
             '/v1/models',
+            headers=ONE_REQUEST,
             timeout_s=MODELS_TIMEOUT_S,
             max_bytes=MAX_MODELS_BYTES,
         )
--- a/tests/sidecar/test_upstream_faults.py
+++ b/tests/sidecar/test_upstream_faults.py
@@ -13,6 +13,9 @@
 
 UPSTREAM_PORT = 9101
 
+# body of make_request
+REQUEST_BODY = b'{}'
+
 RESPONSE_WITH_CUT_BODY = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nok'
 
 
@@ -156,3 +159,38 @@
     reply = await client.get('http://engine/')
     with pytest.raises(httpx.RemoteProtocolError):
         await _read_chunks(upstream.iter_chunks(reply))
+
+
+@pytest.mark.parametrize('kind', [EngineUpstream, ServiceUpstream])
+async def test_late_second_response_reaches_no_other_call(network, kind):
+    """The copy arrives once the connection carries the next request."""
+    requests = []
+
+    async def handle_connection(stream):
+        # the sidecar may close the connection first
+        with contextlib.suppress(trio.BrokenResourceError):
+            await send_twice(stream)
+
+    async def send_twice(stream):
+        async with stream:
+            received = b''
+            previous = b''
+            while part := await stream.receive_some():
+                received += part
+                if not received.endswith(REQUEST_BODY):
+                    continue
+                received = b''
+                requests.append(part)
+                body = b'{"n":%d}' % len(requests)
+                await stream.send_all(previous)
+                previous = (
+                    b'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
+                    b'content-length: %d\r\n\r\n%b' % (len(body), body)
+                )
+                await stream.send_all(previous)
+
+    async with _open_upstream(network, kind, handle_connection) as (_, link):
+        for number in range(1, 4):
+            req = make_request(f'r{number}')
+            chunks, _ = await read_all(link.submit(req, 0))
+            assert chunks == [b'{"n":%d}' % number]
