Log quarantines that peers decided, and refuse nothing after their end

Cause: found by reading the change again. A quarantine whose time was over, but not yet removed, refused prompts with a negative time to return. The check of an upstream could raise ValueError if more than 256 answers without a length or chunks came meanwhile, which would have ended the process. An upstream that announced its departure while it was checked counted as crashed. What a peer had decided was in force without a line in the log.

Change: the time left is never negative; checked answers are removed without that assumption; the announcement is asked for again after the check; the update returns parts that a peer's decision added, so they are logged.

--- a/briarrill/coordination/prompt_crashes.py
+++ b/briarrill/coordination/prompt_crashes.py
@@ -65,7 +65,8 @@
     """A part that was just quarantined, with the evidence.
 
     :param part: hash of the part's identifier.
-    :param incarnations: hashes of the upstreams that ended with it.
+    :param incarnations: hashes of the upstreams that ended with it; few or
+        none if a peer decided.
     """
 
     part: int
@@ -184,6 +185,7 @@
         self._quarantined: dict[int, _Quarantine] = {}
         self._contested: dict[int, float] = {}
         self._withdrawn: dict[int, float] = {}
+        self._added: list[QuarantinedPart] = []
 
     @property
     def is_active(self) -> bool:
@@ -208,7 +210,7 @@
         spans = (
             self._quarantined.get(short_hash(part)) for part in prompt_parts
         )
-        return max((span.until - now for span in spans if span), default=0)
+        return max((0, *(span.until - now for span in spans if span)))
 
     def has_crashed(self, incarnation: str) -> bool:
         """Tell whether an upstream is known to have ended."""
@@ -243,16 +245,19 @@
             crash.refute(now)
 
     def update(self) -> list[QuarantinedPart]:
-        """Forget what is old; quarantine and return the parts at fault."""
+        """Forget what is old; quarantine the parts at fault.
+
+        :return: the parts that were quarantined since the last update, also
+            by the decision of a peer.
+        """
         now = self._clock()
         self._forget_old(now)
         self._withdraw_refuted(now)
-        quarantined: list[QuarantinedPart] = []
         while parts := self._worst_parts(now):
             for part in parts:
-                span = self._add_quarantine(part, now, now + QUARANTINE_S)
-                quarantined.append(QuarantinedPart(part, tuple(span.evidence)))
-        return quarantined
+                self._add_quarantine(part, now, now + QUARANTINE_S)
+        added, self._added = self._added, []
+        return added
 
     def news(self) -> PromptNews | None:
         """Return recent observations and all quarantined parts, if any."""
@@ -336,15 +341,15 @@
         if span and answered_at > span.since - ANSWER_VALIDITY_S:
             self._quarantined.pop(part)
 
-    def _add_quarantine(
-        self, part: int, now: float, until: float
-    ) -> _Quarantine:
+    def _add_quarantine(self, part: int, now: float, until: float) -> None:
         """Quarantine a part, or extend its quarantine."""
+        is_new = part not in self._quarantined
         span = self._quarantined.setdefault(part, _Quarantine(now, until))
         span.until = max(span.until, until)
         span.evidence |= _crashed_with(part, self._crashes)
+        if is_new:
+            self._added.append(QuarantinedPart(part, tuple(span.evidence)))
         _remove_oldest(self._quarantined, MAX_QUARANTINED_PARTS)
-        return span
 
     def _withdraw_refuted(self, now: float) -> None:
         """End the quarantine of parts whose crashes did not happen."""
--- a/briarrill/coordination/upstream_ends.py
+++ b/briarrill/coordination/upstream_ends.py
@@ -8,7 +8,7 @@
 import collections
 import contextlib
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 import attrs
 import trio
@@ -136,6 +136,12 @@
         while self.broken and self.broken[0][0] < oldest:
             self.broken.popleft()
 
+    def forget_unmarked(self, checked: Collection[PromptRun]) -> None:
+        """Remove answers whose upstream was found to be alive."""
+        remaining = [run for run in self.unmarked if run not in checked]
+        self.unmarked.clear()
+        self.unmarked.extend(remaining)
+
     def crash(self) -> UpstreamCrash:
         """Return the crash with the prompts that may have caused it."""
         runs = {*self.running, *self.unmarked}
@@ -259,19 +265,20 @@
 
     async def _check(self, runs: _UpstreamRuns) -> None:
         """Try a connection to an upstream that may have ended."""
-        unmarked = list(runs.unmarked)
+        unmarked = set(runs.unmarked)
         await trio.sleep(CHECK_DELAY_S)
         try:
             channel = await connect(runs.upstream.address, CHECK_TIMEOUT_S)
         except PeerUnreachableError as exc:
-            self._record_crash(runs, exc.message)
+            if not self._upstreams.is_leaving(runs.upstream.incarnation):
+                self._record_crash(runs, exc.message)
             return
         finally:
             runs.is_checking = False
         channel.close()
         runs.has_departed = not self._is_registered(runs.upstream)
+        runs.forget_unmarked(unmarked)
         for run in unmarked:
-            runs.unmarked.remove(run)
             self.quarantine.record_answer(run.prompt_parts)
         if runs.unmarked:
             self._start_check(runs)
--- a/tests/coordination/test_prompt_crashes.py
+++ b/tests/coordination/test_prompt_crashes.py
@@ -350,6 +350,29 @@
         assert not process.is_active
 
 
+def test_ended_quarantine_refuses_nothing_before_the_next_update():
+    fleet = Fleet(names=('a',))
+    for number in range(3):
+        fleet.crash('a', f'i{number}', ('first', 'bad'))
+    fleet.pass_time(2)
+    assert fleet.refusing('bad') == 'a'
+    fleet.now += prompt_crashes.QUARANTINE_S
+    assert fleet.processes['a'].time_left_s(('bad',)) == 0
+
+
+def test_part_that_a_peer_quarantined_is_told_once_by_the_update():
+    fleet = Fleet(names=('a', 'b'))
+    for number in range(3):
+        fleet.crash('a', f'i{number}', ('first', 'bad'))
+    fleet.now += prompt_crashes.SETTLING_S + 1
+    fleet.processes['a'].update()
+    fleet.restart('b')
+    fleet.exchange()
+    (added,) = fleet.processes['b'].update()
+    assert added.part == short_hash('bad')
+    assert not fleet.processes['b'].update()
+
+
 def test_memory_and_reports_are_bounded():
     fleet = Fleet()
     for number in range(500):
--- a/tests/coordination/test_upstream_ends.py
+++ b/tests/coordination/test_upstream_ends.py
@@ -236,3 +236,31 @@
         with trio.fail_after(5):
             while observed.ends._runs:
                 await trio.sleep(0.05)
+
+
+async def test_more_unmarked_answers_than_are_remembered_end_nothing(observe):
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        for number in range(2 * upstream_ends.MAX_BROKEN_RUNS):
+            parts = ('first', f'part{number}')
+            with observed.ends.track(observed.upstream, parts) as run:
+                run.record_end(200, is_marked=False)
+            if number == upstream_ends.MAX_BROKEN_RUNS:
+                await trio.sleep(upstream_ends.CHECK_DELAY_S / 2)
+        await observed.settle()
+        assert not observed.crashes
+        assert (
+            not observed.ends._runs
+            or not next(iter(observed.ends._runs.values())).unmarked
+        )
+
+
+async def test_upstream_that_announces_its_departure_late_accuses_nobody(
+    observe,
+):
+    """The announcement may come with another response, after the break."""
+    observed = observe(('127.0.0.1', free_port()))
+    observed.fail()
+    observed.table.mark_leaving('i-1/1')
+    await observed.settle()
+    assert not observed.crashes
