Number the networks of more than 256 tests in a worker

All 69 are that: names like 127.101.326.1.

Change: the count is carried into the second number, in steps of 32 workers.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,10 @@
 )
 hypothesis.settings.load_profile('repeatable')
 
+# workers with networks of their own, and networks in one second number
+MAX_WORKERS = 32
+NETWORKS_PER_NUMBER = 256
+
 _network_numbers = itertools.count()
 
 
@@ -40,7 +44,6 @@
 def network() -> str:
     """Return a loopback /24 prefix, such as ``127.100.0``, of its own."""
     worker = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
-    worker_number = int(worker.removeprefix('gw'))
-    return (
-        f'127.{FIRST_NETWORK_NUMBER + worker_number}.{next(_network_numbers)}'
-    )
+    second = FIRST_NETWORK_NUMBER + int(worker.removeprefix('gw'))
+    carry, third = divmod(next(_network_numbers), NETWORKS_PER_NUMBER)
+    return f'127.{second + carry * MAX_WORKERS}.{third}'
