Test that an item handed over with a quarantined prompt is held back

Change: a test; no change of the code.

With no quarantine such an item starts at once, as the older tests of the file show.

--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -33,6 +33,7 @@
 from standins.memory_key_value import MemoryKeyValue
 from standins.platform_engine import (
     StandinEngine,
+    encode_event,
     reject_unexecuted,
     respond_with,
     stream_events,
@@ -525,3 +526,22 @@
         )
         assert end is RunEnd.REFUSED
         assert not engine.requests
+
+
+async def test_item_that_was_handed_over_here_is_held_back_too(run_scheduler):
+    """It has progress from its run at another process."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        _quarantine(setup, 'bad')
+        job = make_job(count=1)
+        stored = attrs.evolve(
+            job.items[0], headers={'Briarrill-Prompt-Prefix': 'bad:5,own:1'}
+        )
+        progress = ItemProgress('j1', stored)
+        progress.add_stream_bytes(encode_event(1))
+        setup.scheduler._suspended[progress.key] = progress
+        tracked = await setup.submit(1, prompt='bad:5,own:1')
+        await trio.sleep(0.4)
+        assert not engine.requests
+        setup.quarantine.record_answer(('bad',))
+        await _wait_until(lambda: not tracked.is_open)
+        assert engine.requests[0].header(b'last-event-id') == b'1'
