Pace the endless stand-in where the relay passes its bytes on

Trace: the stand-in stops after 200 MB and closes; on this machine it had sent them after 0.32 to 0.46 s, before the deadline of 0.6 s, so the relay had no connection left to cut and the test waited for a cut until its limit. The relay did what it should; the test took the speed of the machine for granted.

Change: kinds that are relayed until the deadline get an engine that pauses 2 ms between two parts, at most 40 MB/s, so that it can't reach its end within the 5 s that the test waits. All checks stay; the other kinds are sent unpaced.

--- a/tests/endless_engine.py
+++ b/tests/endless_engine.py
@@ -84,6 +84,15 @@
         return CallerLimits()
 
 
+def paced_engine(kind: str) -> EndlessEngine:
+    """Return an engine that sends at most 40 MB/s.
+
+    A response that is relayed until its caller's deadline then ends by it
+    and not by ``MAX_SENT_BYTES``, however fast the machine is.
+    """
+    return EndlessEngine(kind, pause_s=0.002)
+
+
 def dribbling_engine(kind: str) -> EndlessEngine:
     """Return an engine that sends a few bytes now and then."""
     return EndlessEngine(kind, pause_s=0.02, repeat=1)
--- a/tests/relay/test_endless_responses.py
+++ b/tests/relay/test_endless_responses.py
@@ -17,6 +17,7 @@
     EndlessEngine,
     dribbling_engine,
     every_endless_response,
+    paced_engine,
 )
 from tests.relay.front_end_setup import (
     IDEMPOTENT,
@@ -69,7 +70,8 @@
 async def test_response_without_end_ends_by_the_deadline(
     network, kind, route, make_engine
 ):
-    engine = make_engine(kind)
+    is_paced = make_engine is EndlessEngine and kind in RELAYED
+    engine = paced_engine(kind) if is_paced else make_engine(kind)
     async with run_front_end([route], engine, network=network) as setup:
         with trio.fail_after(MAX_WAIT_S):
             received = await _ask(setup, route)
