Tell peers which upstreams' registrations were removed

Cause: an upstream may leave without the state `draining`; then the removal of its registration is all that tells of it. A process that the store rejects, or that is cut off from it, cannot tell a removal from a registration that expired with the store, and kept the upstream until 2.5 s after its own reconnection, which itself takes up to 1 s. The contact time, after which nothing may be sent there, is 3 s. The processes that the store served all along knew of the removal in milliseconds and did not say so. Class: a grace for one fault that is longer than the bound of another.

Change: load reports list the registrations whose removal the sender saw, for 15 s, at most 32; a process drops an upstream whose registration it misses when a peer says so. The word counts for 1 s, only for a missing registration, and is withdrawn when the upstream registers again. The grace after an outage of the store is 2.4 s (a heartbeat interval of 1.2 s twice) and the longest pause before a reconnection 0.5 s, together below the contact time. The log tells of missing registrations and of who ended the wait.

Evidence: on the code before, the two tests of departures in test_process_parts fail; the test of an upstream that lapsed with the store passes before and after.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -32,7 +32,7 @@
 # pauses between attempts while the service is unreachable; they double, and
 # each is multiplied by a random factor that spreads the processes
 FIRST_RETRY_PAUSE_S = 0.1
-MAX_RETRY_PAUSE_S = 1.0
+MAX_RETRY_PAUSE_S = 0.5
 MIN_JITTER_FACTOR = 0.5
 
 # time within which a change that a peer has received must also reach this
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -2,11 +2,14 @@
 
 Upstreams register in the key-value service under leases. A registration that
 expired during an outage of the service remains in use until the service has
-been reachable for some time, so that live upstreams can register again.
+been reachable for some time, so that live upstreams can register again. A
+peer that followed the service all along knows which registrations were
+removed for good; its word ends the wait.
 """
 
+import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 from eliot import log_message
@@ -14,13 +17,24 @@
 __all__ = ('RegisteredUpstream', 'UpstreamTable')
 
 # time within which a live upstream registers again after an outage of the
-# service: a heartbeat interval of the largest deployments, and a margin
-RETURN_GRACE_S = 2.5
+# service: its heartbeat interval of 1.2 s twice. With the longest pause of a
+# mirror before it reconnects it is shorter than the contact time of 3 s, after
+# which nothing may be sent to an upstream that had left
+RETURN_GRACE_S = 2.4
 
 # time for which the announced departure of an upstream that is not registered
 # is remembered; it may register again after an outage
 DEPARTURE_RETENTION_S = 60.0
 
+# time for which peers are told of a removed registration; longer than most
+# times for which a peer is cut off, and the most that one report lists
+REMOVAL_REPORT_S = 15.0
+MAX_REPORTED_REMOVALS = 32
+
+# validity of a peer's word that a registration was removed; peers repeat it in
+# each report, and withdraw it when the upstream registers again
+PEER_WORD_VALIDITY_S = 1.0
+
 
 @attrs.frozen
 class RegisteredUpstream:
@@ -46,8 +60,8 @@
     """Registered upstreams by identifier.
 
     :param is_service_stable: tells whether the key-value service has been
-        reachable for ``RETURN_GRACE_S``, so that a missing registration means
-        a lost upstream.
+        followed for long enough that a missing registration means a lost
+        upstream.
     """
 
     def __init__(self, is_service_stable: Callable[[], bool]) -> None:
@@ -56,6 +70,8 @@
         self._upstreams: dict[str, RegisteredUpstream] = {}
         self._missing: set[str] = set()
         self._leaving_since: dict[str, float] = {}
+        self._removed_at: dict[str, float] = {}
+        self._removed_by_peers_at: dict[str, float] = {}
 
     @property
     def registered_upstreams(self) -> tuple[RegisteredUpstream, ...]:
@@ -76,11 +92,21 @@
         return [
             upstream
             for upstream in self.registered_upstreams
-            if upstream.service == service
-            and not upstream.is_draining
-            and upstream.incarnation not in self._leaving_since
+            if upstream.service == service and self._is_accepting(upstream)
         ]
 
+    def still_accepts(self, upstream: RegisteredUpstream) -> bool:
+        """Tell whether an upstream that was chosen earlier may get a request.
+
+        It may not if it announced its departure, restarted or is gone.
+        """
+        current = self.find(upstream.upstream_id)
+        return (
+            current is not None
+            and current.incarnation == upstream.incarnation
+            and self._is_accepting(current)
+        )
+
     def is_leaving(self, incarnation: str) -> bool:
         """Tell whether an incarnation is draining or announced its departure.
 
@@ -103,11 +129,33 @@
             if upstream.incarnation in self._leaving_since
         )
 
+    @property
+    def removed_incarnations(self) -> tuple[str, ...]:
+        """Return the incarnations whose registration was removed of late.
+
+        Those that a peer told of are not among them, so that its word does
+        not come back to it.
+        """
+        oldest = time.monotonic() - REMOVAL_REPORT_S
+        recent = [name for name, at in self._removed_at.items() if at > oldest]
+        return tuple(recent[-MAX_REPORTED_REMOVALS:])
+
+    def record_peer_removals(self, incarnations: Iterable[str]) -> None:
+        """Record removals of registrations that a peer followed."""
+        now = time.monotonic()
+        oldest = now - PEER_WORD_VALIDITY_S
+        self._removed_by_peers_at = {
+            name: at
+            for name, at in self._removed_by_peers_at.items()
+            if at > oldest
+        }
+        self._removed_by_peers_at.update(dict.fromkeys(incarnations, now))
+
     def mark_leaving(self, incarnation: str) -> None:
         """Record that an incarnation of an upstream announced its departure.
 
         Its registration may say so later, or not before the key-value service
-        is reachable again.
+        is reachable again. A departure that was announced is final.
         """
         if incarnation in self._leaving_since:
             return
@@ -120,6 +168,7 @@
         previous = self._upstreams.get(upstream.upstream_id)
         self._upstreams[upstream.upstream_id] = upstream
         self._missing.discard(upstream.upstream_id)
+        self._removed_at.pop(upstream.incarnation, None)
         if previous != upstream:
             log_message(
                 'upstream:registered',
@@ -133,18 +182,50 @@
 
         During an outage of the service it is only marked as missing.
         """
-        if upstream_id in self._upstreams:
-            self._missing.add(upstream_id)
-            self._remove_missing()
+        if upstream_id not in self._upstreams:
+            return
+        self._missing.add(upstream_id)
+        self._remove_missing()
+        if upstream_id in self._missing:
+            log_message('upstream:missing', upstream=upstream_id)
+
+    def _is_accepting(self, upstream: RegisteredUpstream) -> bool:
+        """Whether neither state nor own word tells of a departure."""
+        return (
+            not upstream.is_draining
+            and upstream.incarnation not in self._leaving_since
+        )
 
     def _remove_missing(self) -> None:
         """Remove missing upstreams unless an outage may be the cause."""
-        if not self._missing or not self._is_service_stable():
+        if not self._missing:
             return
-        for upstream_id in self._missing:
-            self._upstreams.pop(upstream_id, None)
-            log_message('upstream:gone', upstream=upstream_id)
-        self._missing.clear()
+        is_stable = self._is_service_stable()
+        for upstream_id in list(self._missing):
+            incarnation = self._upstreams[upstream_id].incarnation
+            if is_stable:
+                self._record_removal(incarnation)
+            elif not self._is_removed_by_peers(incarnation):
+                continue
+            self._missing.discard(upstream_id)
+            self._upstreams.pop(upstream_id)
+            log_message(
+                'upstream:gone', upstream=upstream_id, by_peer=not is_stable
+            )
+
+    def _record_removal(self, incarnation: str) -> None:
+        """Remember a removal for the peers, and forget old ones."""
+        now = time.monotonic()
+        oldest = now - REMOVAL_REPORT_S
+        self._removed_at = {
+            name: at for name, at in self._removed_at.items() if at > oldest
+        }
+        self._removed_at[incarnation] = now
+
+    def _is_removed_by_peers(self, incarnation: str) -> bool:
+        """Whether a peer has just told of a removal that it followed."""
+        told_at = self._removed_by_peers_at.get(incarnation, -math.inf)
+        return time.monotonic() - told_at <= PEER_WORD_VALIDITY_S
 
     def _forget_old_departures(self) -> None:
         """Remove old announcements of upstreams that are not registered."""
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -122,6 +122,7 @@
             runs_batch=self.runs_batch,
             is_leaving=self.readiness.is_draining,
             leaving=self.upstreams.leaving_incarnations,
+            removed=self.upstreams.removed_incarnations,
             revisions={
                 prefix: mirror.revision
                 for prefix, mirror in self.mirrors.items()
@@ -170,6 +171,7 @@
         self.ends.receive_news(report.prompt_news)
         for incarnation in report.leaving:
             self.upstreams.mark_leaving(incarnation)
+        self.upstreams.record_peer_removals(report.removed)
         for prefix in report.connected:
             mirror = self.mirrors.get(prefix)
             if mirror is not None:
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -15,7 +15,7 @@
 
 __all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_hash')
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 
 # hashes of items and processes that are kept for their next use
 MAX_CACHED_HASHES = 8192
@@ -41,6 +41,8 @@
     :param suspects: upstreams that stopped responding.
     :param delays: seconds to the first bytes, by slow upstream.
     :param leaving: incarnations of upstreams that announced their departure.
+    :param removed: incarnations of upstreams whose registration was removed
+        of late.
     :param revisions: newest revision received, by key prefix.
     :param connected: key prefixes whose changes arrive, none if the
         key-value service does not reply to the process.
@@ -64,6 +66,7 @@
     suspects: tuple[str, ...] = ()
     delays: dict[str, float] = attrs.field(factory=dict)
     leaving: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     prompt_news: PromptNews | None = None
--- a/tests/coordination/test_upstream_table.py
+++ b/tests/coordination/test_upstream_table.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from briarrill.coordination import upstream_table
+from briarrill.coordination import mirror, upstream_table
 from briarrill.coordination.upstream_table import (
     RegisteredUpstream,
     UpstreamTable,
@@ -86,3 +86,66 @@
         now += 1
         table.mark_leaving(f'gone/{number}')
     assert len(table._leaving_since) <= 62
+
+
+def test_upstream_removed_before_a_reconnection_is_gone_by_a_peers_word():
+    table, service = _table()
+    table.register(attrs.evolve(UPSTREAM, incarnation='i-1/7'))
+    service.is_stable = False
+    table.unregister('i-1')
+    assert table.find('i-1') is not None
+    table.record_peer_removals(('i-1/7',))
+    assert table.accepting_upstreams('llm') == []
+    assert table.find('i-1') is None
+
+
+def test_peers_word_of_a_removal_does_not_affect_a_listed_upstream():
+    table, service = _table()
+    upstream = attrs.evolve(UPSTREAM, incarnation='i-1/7')
+    table.register(upstream)
+    service.is_stable = False
+    table.record_peer_removals(('i-1/7',))
+    assert table.accepting_upstreams('llm') == [upstream]
+
+
+def test_old_word_of_a_removal_does_not_remove_an_upstream(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(upstream_table.time, 'monotonic', lambda: now)
+    table, service = _table()
+    table.register(attrs.evolve(UPSTREAM, incarnation='i-1/7'))
+    table.record_peer_removals(('i-1/7',))
+    now += 1.1
+    service.is_stable = False
+    table.unregister('i-1')
+    assert table.find('i-1') is not None
+
+
+def test_removals_are_told_until_the_upstream_registers_again(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(upstream_table.time, 'monotonic', lambda: now)
+    table, _ = _table()
+    upstream = attrs.evolve(UPSTREAM, incarnation='i-1/7')
+    table.register(upstream)
+    table.unregister('i-1')
+    assert table.removed_incarnations == ('i-1/7',)
+    table.register(upstream)
+    assert table.removed_incarnations == ()
+    table.unregister('i-1')
+    now += 16
+    assert table.removed_incarnations == ()
+
+
+def test_peers_word_is_not_passed_on():
+    table, service = _table()
+    table.register(attrs.evolve(UPSTREAM, incarnation='i-1/7'))
+    service.is_stable = False
+    table.unregister('i-1')
+    table.record_peer_removals(('i-1/7',))
+    assert table.find('i-1') is None
+    assert table.removed_incarnations == ()
+
+
+def test_grace_and_reconnection_end_before_an_instance_is_in_touch():
+    # the shortest contact time of a deployment, 3 s
+    longest_s = upstream_table.RETURN_GRACE_S + mirror.MAX_RETRY_PAUSE_S
+    assert longest_s < 3
--- /dev/null
+++ b/tests/platform/test_process_parts.py
@@ -0,0 +1,127 @@
+"""Tests of what the shared parts of two processes tell each other."""
+
+import contextlib
+import json
+
+import attrs
+
+from briarrill.coordination.mirror import MirrorChanges
+from briarrill.platform.process_parts import open_parts
+from briarrill.platform.settings import PlatformInstance
+from briarrill.platform.upstreams import REGISTRATIONS_PREFIX
+from briarrill.transport.key_value import KeyValue, WatchEvent
+
+REGISTRATION = json.dumps(
+    {
+        'service': 'llm',
+        'address': '10.1.0.9:8080',
+        'zone': 'a',
+        'slots': 4,
+        'state': 'ready',
+        'born': 1_700_000_000_000,
+    }
+).encode()
+KEY = f'{REGISTRATIONS_PREFIX}i-1'
+
+INSTANCE = PlatformInstance(
+    name='edge-1',
+    host='10.1.0.2',
+    failure_domain='a',
+    store=('10.1.0.1', 1),
+    peer_port=7660,
+    seeds=(),
+    callers=None,
+    ready=None,
+    max_value_bytes=1_000_000,
+    data_dir=None,
+    grace_s=8,
+    retention_s=120,
+)
+
+
+class Process:
+    """The parts of a process whose store is played by the test."""
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.registrations = parts.mirrors[REGISTRATIONS_PREFIX]
+
+    def connect(self, revision):
+        self.registrations._advance_to(revision)
+
+    def disconnect(self):
+        self.registrations._mark_disconnected('rejected')
+
+    def receive(self, body, revision):
+        self.registrations._apply_event(WatchEvent(KEY, body, revision))
+
+    def fetch_from(self, other, revision):
+        self.registrations.apply_changes(
+            other.registrations.changes_after(revision)
+        )
+
+    def hear(self, other):
+        self.parts.load.receive_report(other.parts.load.make_report())
+
+    @property
+    def accepting_ids(self):
+        return [
+            upstream.upstream_id
+            for upstream in self.parts.upstreams.accepting_upstreams('llm')
+        ]
+
+
+@contextlib.asynccontextmanager
+async def two_processes(clock):
+    """Yield an entry and a batch process that follow one upstream."""
+    batch = attrs.evolve(INSTANCE, name='storage-1', host='10.1.0.3')
+    async with (
+        open_parts(INSTANCE, runs_batch=False) as entry_parts,
+        open_parts(batch, runs_batch=True) as batch_parts,
+    ):
+        processes = Process(entry_parts), Process(batch_parts)
+        for process in processes:
+            process.receive(REGISTRATION, 5)
+            process.connect(5)
+        clock.now += 10
+        yield processes
+
+
+async def test_departure_while_the_store_rejects_an_entry_reaches_it(clock):
+    async with two_processes(clock) as (entry, batch):
+        entry.disconnect()
+        batch.receive(None, 6)
+        entry.fetch_from(batch, 5)
+        entry.hear(batch)
+        assert entry.accepting_ids == []
+
+
+async def test_departure_during_a_cut_is_known_at_the_reconnection(clock):
+    async with two_processes(clock) as (entry, batch):
+        entry.disconnect()
+        clock.now += 3
+        batch.receive(None, 6)
+        entry.receive(None, 6)
+        entry.connect(6)
+        entry.hear(batch)
+        assert entry.accepting_ids == []
+
+
+async def test_upstream_that_lapsed_with_the_store_stays_in_use(clock):
+    async with two_processes(clock) as (entry, batch):
+        for process in (entry, batch):
+            process.disconnect()
+        clock.now += 4
+        for process in (entry, batch):
+            process.registrations.apply_changes(MirrorChanges((), ()))
+            process.connect(7)
+        entry.hear(batch)
+        clock.now += 2
+        entry.hear(batch)
+        assert entry.accepting_ids == ['i-1']
+        entry.registrations.apply_changes(
+            MirrorChanges((KEY,), (KeyValue(KEY, REGISTRATION, 8),))
+        )
+        clock.now += 10
+        entry.hear(batch)
+        assert entry.accepting_ids == ['i-1']
