Keep an upstream that was seen draining out of use

Cause: the table held the newest registration only. And a peer's word covered announcements in responses, not the state. Class: a final state that an older message can undo.

Change: the first `draining` of an incarnation is recorded like an announced departure, which is final until the upstream restarts and which load reports pass on.

Evidence: the two new tests fail on the code before.

--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -169,6 +169,9 @@
         self._upstreams[upstream.upstream_id] = upstream
         self._missing.discard(upstream.upstream_id)
         self._removed_at.pop(upstream.incarnation, None)
+        if upstream.is_draining and upstream.incarnation:
+            # a heartbeat sent earlier may arrive later and say otherwise
+            self.mark_leaving(upstream.incarnation)
         if previous != upstream:
             log_message(
                 'upstream:registered',
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -40,7 +40,8 @@
         here directly.
     :param suspects: upstreams that stopped responding.
     :param delays: seconds to the first bytes, by slow upstream.
-    :param leaving: incarnations of upstreams that announced their departure.
+    :param leaving: incarnations of upstreams that announced their departure,
+        by their state or in a response.
     :param removed: incarnations of upstreams whose registration was removed
         of late.
     :param revisions: newest revision received, by key prefix.
--- a/tests/coordination/test_upstream_table.py
+++ b/tests/coordination/test_upstream_table.py
@@ -149,3 +149,14 @@
     # the shortest contact time of a deployment, 3 s
     longest_s = upstream_table.RETURN_GRACE_S + mirror.MAX_RETRY_PAUSE_S
     assert longest_s < 3
+
+
+def test_late_ready_state_does_not_undo_a_draining_state():
+    table, _ = _table()
+    ready = attrs.evolve(UPSTREAM, incarnation='i-1/7')
+    table.register(attrs.evolve(ready, is_draining=True))
+    table.register(ready)
+    assert table.accepting_upstreams('llm') == []
+    restarted = attrs.evolve(UPSTREAM, incarnation='i-1/8')
+    table.register(restarted)
+    assert table.accepting_upstreams('llm') == [restarted]
--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -125,3 +125,14 @@
         clock.now += 10
         entry.hear(batch)
         assert entry.accepting_ids == ['i-1']
+
+
+async def test_state_draining_of_a_peer_outlives_a_late_ready_state(clock):
+    async with two_processes(clock) as (entry, batch):
+        draining = REGISTRATION.replace(b'ready', b'draining')
+        entry.disconnect()
+        batch.receive(draining, 6)
+        entry.hear(batch)
+        assert entry.accepting_ids == []
+        entry.receive(REGISTRATION, 7)
+        assert entry.accepting_ids == []
