Look at an upstream again right before a request is sent to it

Cause: between the choice of an upstream and the send lie a probe of its owner, a connection (up to 0.25 s) and, for items, a claim or a fetch from a peer (up to 0.3 s); nothing looked at the upstream again. And a request whose upstream was removed while it was chosen got 503 although others accepted requests. Class: a check that is separated from its use.

Change: relayed requests (first attempts, retries and resumptions) and items (new, resumed and handed over) check the table after the connection; a request chooses again without using up an attempt or its retry budget, an item waits for its next run. The upstream's tests register their upstream now.

Evidence: 12 of the 13 new cases fail on the code before (one upstream that leaves by its state, its own word or its removal; three kinds of routes; items with and without progress).

--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -45,6 +45,7 @@
     'TooLargeError',
     'UnauthenticatedError',
     'UpstreamFailedError',
+    'UpstreamLeftError',
     'UpstreamLostError',
     'VersionConflictError',
     'WriteUnknownError',
@@ -205,6 +206,10 @@
     code = ResultCode.NO_UPSTREAM
 
 
+class UpstreamLeftError(NoUpstreamError):
+    """The chosen upstream left before the request was sent to it."""
+
+
 class DeadlineUnreachableError(CapacityError):
     """The request cannot finish before its deadline."""
 
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -80,15 +80,8 @@
         if self.is_quarantined(progress.stored):
             return RunEnd.REFUSED
         call = self._make_call(progress, route, host, upstream)
-        try:
-            channel = await self._pool.acquire(
-                upstream.incarnation, upstream.address, call.request_id
-            )
-        except PeerUnreachableError as exc:
-            self._pool.close_server(upstream.incarnation)
-            self.silence.mark_suspect(upstream.upstream_id)
-            self.ends.record_unreachable(upstream)
-            _log_run_failure(progress, call, upstream, exc)
+        channel = await self._connect(progress, call, upstream)
+        if channel is None:
             return RunEnd.REFUSED
         progress.begin_run()
         try:
@@ -106,6 +99,25 @@
         self._pool.release(upstream.incarnation, channel)
         return end
 
+    async def _connect(
+        self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
+    ) -> HttpChannel | None:
+        """Return a connection, none if the upstream is unreachable or left."""
+        try:
+            channel = await self._pool.acquire(
+                upstream.incarnation, upstream.address, call.request_id
+            )
+        except PeerUnreachableError as exc:
+            self._pool.close_server(upstream.incarnation)
+            self.silence.mark_suspect(upstream.upstream_id)
+            self.ends.record_unreachable(upstream)
+            _log_run_failure(progress, call, upstream, exc)
+            return None
+        if self.upstreams.still_accepts(upstream):
+            return channel
+        channel.close()
+        return None
+
     def _make_call(
         self,
         progress: ItemProgress,
--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -11,11 +11,19 @@
 
 from ..coordination.placement import UpstreamCandidate
 from ..coordination.relay_protocol import Call
-from ..errors import DeadlineExceededError, UpstreamLostError
+from ..errors import (
+    BriarrillError,
+    DeadlineExceededError,
+    OutcomeUnknownError,
+    OverloadedError,
+    UpstreamFailedError,
+    UpstreamLostError,
+)
 from ..result_codes import Ran
 from .response import Response
 
 __all__ = (
+    'MIN_RETRY_AFTER_S',
     'Attempt',
     'CallProgress',
     'log_caller_left',
@@ -26,6 +34,10 @@
 # upstreams tried for one call, including those that rejected it
 MAX_TRIED_UPSTREAMS = 4
 
+# shortest Retry-After of a rejection; the shortest gap between two load peaks
+# is longer, so most retries find free slots
+MIN_RETRY_AFTER_S = 0.15
+
 # time without bytes after which a retryable request moves to another upstream:
 # multiple of the latency objective for a response, and of the largest gap
 # between events for a resumable stream
@@ -54,6 +66,22 @@
         """Whether the limit of tried upstreams is reached."""
         return len(self.failed_upstreams) >= MAX_TRIED_UPSTREAMS
 
+    def caller_error(self, exc: BriarrillError) -> BriarrillError:
+        """Convert an attempt's error into the error for the caller.
+
+        A rejection is returned only if no attempt may have run.
+        """
+        if self.ran is Ran.NO:
+            if exc.ran is Ran.NO:
+                return OverloadedError(
+                    exc.message,
+                    retry_after_s=exc.retry_after_s or MIN_RETRY_AFTER_S,
+                )
+            return exc
+        if isinstance(exc, DeadlineExceededError | UpstreamFailedError):
+            return exc
+        return OutcomeUnknownError(exc.message, ran=self.ran)
+
 
 @attrs.frozen
 class Attempt:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -5,6 +5,7 @@
 resumable stream continues after the last event that the caller received.
 """
 
+import contextlib
 import random
 import time
 
@@ -37,6 +38,7 @@
     PeerUnreachableError,
     PromptQuarantinedError,
     UpstreamFailedError,
+    UpstreamLeftError,
     UpstreamLostError,
 )
 from ..metrics import RESUMED, RETRIED
@@ -45,6 +47,7 @@
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import ResponseHead
 from .attempts import (
+    MIN_RETRY_AFTER_S,
     Attempt,
     CallProgress,
     log_caller_left,
@@ -71,10 +74,6 @@
 # route's latency objective
 START_TOLERANCE_OBJECTIVES = 0.3
 
-# shortest Retry-After of a rejection; the shortest gap between two load peaks
-# is longer, so most retries find free slots
-MIN_RETRY_AFTER_S = 0.15
-
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 
@@ -128,28 +127,43 @@
         self, call: Call, response: Response, progress: CallProgress
     ) -> None:
         """Attempt the call until a response is relayed or retries end."""
-        while True:
-            upstream = await self._choose_upstream(call, progress)
-            self._check_prompt(call, progress)
-            try:
-                await self._run_attempt(call, upstream, response, progress)
-            except BriarrillError as exc:
-                self._handle_failure(call, upstream, response, progress, exc)
-            else:
-                return
+        is_done = False
+        while not is_done:
+            # one that left is no longer among the candidates
+            with contextlib.suppress(UpstreamLeftError):
+                is_done = await self._attempt_once(call, response, progress)
+
+    async def _attempt_once(
+        self, call: Call, response: Response, progress: CallProgress
+    ) -> bool:
+        """Attempt the call once; return whether a response was relayed.
+
+        :raises UpstreamLeftError: the upstream left before the send.
+        :raises BriarrillError: no further attempt is allowed.
+        """
+        upstream = await self._choose_upstream(call, progress)
+        self._check_prompt(call, progress)
+        try:
+            await self._run_attempt(call, upstream, response, progress)
+        except UpstreamLeftError:
+            raise
+        except BriarrillError as exc:
+            self._handle_failure(call, upstream, response, progress, exc)
+            return False
+        return True
 
     async def _choose_upstream(
         self, call: Call, progress: CallProgress
     ) -> RegisteredUpstream:
         """Choose the upstream of the next attempt.
 
+        :raises UpstreamLeftError: the chosen one left meanwhile.
         :raises BriarrillError: no upstream accepts requests, or the
             deadline cannot be met.
         """
         candidates = self._untried_candidates(call, progress)
         if not candidates:
-            raise self._caller_error(
-                progress,
+            raise progress.caller_error(
                 NoUpstreamError(
                     f'no upstream of {call.service} accepts requests',
                     retry_after_s=MIN_RETRY_AFTER_S,
@@ -169,9 +183,9 @@
         if candidate.free_slots <= 0:
             self._load.schedule_urgent_report()
         upstream = self._upstreams.find(candidate.name)
-        if upstream is None:
-            raise NoUpstreamError(
-                f'upstream {candidate.name!r} is no longer registered'
+        if upstream is None or not self._upstreams.still_accepts(upstream):
+            raise UpstreamLeftError(
+                f'upstream {candidate.name!r} left while it was chosen'
             )
         return upstream
 
@@ -242,14 +256,20 @@
     ) -> None:
         """Send the request to one upstream and relay the response.
 
+        :raises UpstreamLeftError: it left meanwhile; nothing was sent.
         :raises BriarrillError: the response is not complete; ``ran`` says
             whether the upstream ran the request.
         """
-        progress.attempts += 1
-        is_last = progress.possible_runs + 1 >= call.route.max_attempts
-        attempt = Attempt(call, response, is_last)
         with self._placer.placed(upstream):
             channel = await self._connect(upstream, call.request_id)
+            if not self._upstreams.still_accepts(upstream):
+                channel.close()
+                raise UpstreamLeftError(
+                    f'upstream {upstream.upstream_id!r} left before the send'
+                )
+            progress.attempts += 1
+            is_last = progress.possible_runs + 1 >= call.route.max_attempts
+            attempt = Attempt(call, response, is_last)
             try:
                 with self._ends.track(upstream, call.prompt_parts) as run:
                     await self._exchange(attempt, upstream, channel, run)
@@ -478,14 +498,13 @@
         )
         time_left_s = call.deadline_s - time.monotonic()
         if time_left_s <= 0:
-            raise self._caller_error(
-                progress,
+            raise progress.caller_error(
                 DeadlineExceededError(
                     'deadline passed after a failed attempt'
                 ),
             )
         if not self._may_retry(call, response, progress, time_left_s):
-            raise self._caller_error(progress, exc)
+            raise progress.caller_error(exc)
         RETRIED.inc()
         if response.has_begun:
             RESUMED.inc()
@@ -512,24 +531,6 @@
             return False
         return self._budgets.try_spend_retry(call.route.name)
 
-    def _caller_error(
-        self, progress: CallProgress, exc: BriarrillError
-    ) -> BriarrillError:
-        """Convert an attempt's error into the error for the caller.
-
-        A rejection is returned only if no attempt may have run.
-        """
-        if progress.ran is Ran.NO:
-            if exc.ran is Ran.NO:
-                return OverloadedError(
-                    exc.message,
-                    retry_after_s=exc.retry_after_s or MIN_RETRY_AFTER_S,
-                )
-            return exc
-        if isinstance(exc, DeadlineExceededError | UpstreamFailedError):
-            return exc
-        return OutcomeUnknownError(exc.message, ran=progress.ran)
-
     def _ejector_of(self, service: str) -> Ejector:
         """Return the ejector of a service, created on first use."""
         return self._ejectors.setdefault(service, Ejector(self._rng))
--- a/tests/item_runs/test_cut_items.py
+++ b/tests/item_runs/test_cut_items.py
@@ -52,6 +52,7 @@
     """Run an item at an upstream; return how the run ended."""
     async with serve_standin(engine, (f'{network}.1', 8080)) as address:
         upstream = RegisteredUpstream('i-0', 'llm', address, 'a', 1)
+        runner.upstreams.register(upstream)
         return await runner.run(progress, BATCH_ROUTE, 'h.example', upstream)
 
 
@@ -119,6 +120,7 @@
     engine = types.SimpleNamespace(serve=serve, caller_limits=CallerLimits)
     async with serve_standin(engine, (f'{network}.1', 8080)) as address:
         upstream = RegisteredUpstream('i-0', 'llm', address, 'a', 1)
+        runner.upstreams.register(upstream)
         ends = [
             await runner.run(progress, BATCH_ROUTE, 'h.example', upstream)
             for _ in range(2)
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -30,6 +30,7 @@
 from briarrill.protocol.prompt_news import PromptNews
 from briarrill.state.keys import ROOT_PREFIX
 from briarrill.state.stored_jobs import ItemState, job_creation_changes
+from briarrill.transport import http_channel
 from standins.memory_key_value import MemoryKeyValue
 from standins.platform_engine import (
     StandinEngine,
@@ -545,3 +546,28 @@
         setup.quarantine.record_answer(('bad',))
         await _wait_until(lambda: not tracked.is_open)
         assert engine.requests[0].header(b'last-event-id') == b'1'
+
+
+@pytest.mark.parametrize('has_progress', [False, True])
+async def test_upstream_that_leaves_during_the_connection_gets_no_item(
+    run_scheduler, monkeypatch, has_progress
+):
+    """Neither a new item nor one that was handed over."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        upstreams = setup.scheduler._runner.upstreams
+        connect = http_channel.connect
+
+        async def connect_as_it_leaves(address, timeout_s):
+            upstreams.register(attrs.evolve(setup.upstream, is_draining=True))
+            return await connect(address, timeout_s)
+
+        monkeypatch.setattr(http_channel, 'connect', connect_as_it_leaves)
+        progress = ItemProgress('j1', make_job(count=1).items[0])
+        if has_progress:
+            progress.add_stream_bytes(encode_event(1))
+        end = await setup.scheduler._runner.run(
+            progress, BATCH_ROUTE, 'h', setup.upstream
+        )
+        assert end is RunEnd.REFUSED
+        assert progress.has_progress == has_progress
+        assert not engine.requests
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -8,6 +8,9 @@
 from eliot import add_destinations, remove_destination
 
 from briarrill.errors import UpstreamLostError
+from briarrill.relay import placer
+from briarrill.transport import http_channel
+from briarrill.transport.http_channel import connect
 from standins.platform_engine import (
     StandinEngine,
     encode_event,
@@ -413,3 +416,74 @@
             assert answered == 200
         assert setup.upstreams.leaving_incarnations == ('i-0',)
     assert len(first.requests) == 1
+
+
+DEPARTURES = {
+    'own word': lambda table, upstream: table.mark_leaving(
+        upstream.incarnation
+    ),
+    'state': lambda table, upstream: table.register(
+        attrs.evolve(upstream, is_draining=True)
+    ),
+    'removal': lambda table, upstream: table.unregister(upstream.upstream_id),
+}
+
+
+@pytest.mark.parametrize('departure', DEPARTURES)
+@pytest.mark.parametrize('route', [NON_IDEMPOTENT, STREAM, RESUMABLE_STREAM])
+async def test_upstream_that_leaves_during_the_connection_gets_no_request(
+    monkeypatch, departure, route
+):
+    first = StandinEngine(stream_events(2))
+    second = StandinEngine(stream_events(2))
+    async with run_front_end([route], first, second) as setup:
+        chosen = setup.upstreams.find('i-0')
+
+        async def connect_as_it_leaves(address, timeout_s):
+            channel = await connect(address, timeout_s)
+            if address == chosen.address:
+                DEPARTURES[departure](setup.upstreams, chosen)
+            return channel
+
+        monkeypatch.setattr(http_channel, 'connect', connect_as_it_leaves)
+        status, _, _ = await setup.send_request(route.prefix)
+    assert status == 200
+    assert not first.requests
+    assert len(second.requests) == 1
+
+
+async def test_upstream_that_leaves_while_it_is_chosen_is_replaced(
+    monkeypatch,
+):
+    first = StandinEngine(respond_with(b'first'))
+    second = StandinEngine(respond_with(b'second'))
+    async with run_front_end([NON_IDEMPOTENT], first, second) as setup:
+        choose = placer.Placer.choose
+
+        async def choose_as_it_leaves(*args, **kwargs):
+            candidate = await choose(*args, **kwargs)
+            setup.upstreams.unregister('i-0')
+            return candidate
+
+        monkeypatch.setattr(placer.Placer, 'choose', choose_as_it_leaves)
+        status, _, body = await setup.send_request(NON_IDEMPOTENT.prefix)
+    assert (status, body) == (200, b'second')
+    assert not first.requests
+
+
+async def test_last_upstream_that_leaves_while_it_is_chosen_is_a_rejection(
+    monkeypatch,
+):
+    engine = StandinEngine(respond_with(b'first'))
+    async with run_front_end([NON_IDEMPOTENT], engine) as setup:
+        chosen = setup.upstreams.find('i-0')
+
+        async def connect_as_it_leaves(address, timeout_s):
+            setup.upstreams.mark_leaving(chosen.incarnation)
+            return await connect(address, timeout_s)
+
+        monkeypatch.setattr(http_channel, 'connect', connect_as_it_leaves)
+        status, headers, _ = await setup.send_request(NON_IDEMPOTENT.prefix)
+    assert status == 503
+    assert b'retry-after' in headers
+    assert not engine.requests
