Take late replies of the store as the end of an outage

Callers saw: with a store that is silent for some seconds while leases run out, all upstreams were dropped at once when it returned, and requests were refused until they registered again, within a second.

Cause: only failed calls counted as an outage. A watch that waits all along is answered when the store returns, with the removal of each registration that expired meanwhile, and no call fails. With the word of peers on removals one such process would tell all others. Class: an outage that no error shows.

Change: the client records when each reply is due (0.5 s, beside the wait of a watch) and probes the store when nothing was answered for 0.8 s (a stale read at a tenth of the price). While a reply is late, and for the grace after it, a missing registration may only have expired. The shortest silence in which a live upstream's lease runs out is 2.4 s.

Evidence: the new test in test_process_parts fails on the code before.

--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -186,7 +186,9 @@
     mirrors: dict[str, Mirror] = {}
 
     def is_stable() -> bool:
-        return mirrors[REGISTRATIONS_PREFIX].is_stable(RETURN_GRACE_S)
+        return not store.replies.was_late(RETURN_GRACE_S) and mirrors[
+            REGISTRATIONS_PREFIX
+        ].is_stable(RETURN_GRACE_S)
 
     upstreams = UpstreamTable(is_stable)
     mirrors[OPERATOR_PREFIX] = Mirror(
@@ -275,6 +277,7 @@
         hold_registration(parts.store, member_key(cfg.name), cfg.host),
         trio.open_nursery() as nursery,
     ):
+        nursery.start_soon(parts.store.probe_periodically)
         nursery.start_soon(parts.load.run)
         nursery.start_soon(parts.ends.run)
         nursery.start_soon(transfer.run)
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -1,7 +1,9 @@
 """briarrill.platform.store: client of the platform's key-value store."""
 
 import base64
+import contextlib
 import itertools
+import time
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any, TypeVar
@@ -11,6 +13,7 @@
 import msgspec
 import trio
 
+from ..coordination.reply_monitor import ReplyMonitor
 from ..errors import (
     BriarrillError,
     PeerUnreachableError,
@@ -38,6 +41,18 @@
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
 
+# time after which a reply counts as late: several times the latency of a slow
+# store, 0.25 s, and a fraction of the 2.4 s of silence after which the leases
+# of live upstreams may expire
+LATE_REPLY_S = 0.5
+
+# interval of the probes that show whether the store replies while nothing else
+# is called; with the time above far shorter than those 2.4 s
+PROBE_INTERVAL_S = 0.8
+
+# a key that does not exist; reading it is the cheapest call
+PROBE_KEY = 'briarrill-probe'
+
 # longest wait of one watch call; a dead connection that reports no error is
 # detected within this time plus the call timeout
 MAX_WATCH_WAIT_S = 4.0
@@ -136,6 +151,7 @@
     """Client of the platform's metadata store over HTTP.
 
     :param address: IP address and port of the store.
+    :ivar replies: times of the replies.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
@@ -144,6 +160,7 @@
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._pool = ChannelPool(CONNECT_TIMEOUT_S)
         self._failed_calls = 0
+        self.replies = ReplyMonitor()
 
     @property
     def is_reachable(self) -> bool:
@@ -244,6 +261,21 @@
             yield WatchProgress(revision)
             await trio.sleep(min_interval_s if reply.events else 0)
 
+    async def probe_periodically(self) -> None:
+        """Make a cheap call whenever no reply came for some time.
+
+        Watches wait for seconds, so without it a short outage would not show.
+        """
+        while True:
+            silent_s = time.monotonic() - self.replies.replied_at
+            if silent_s < PROBE_INTERVAL_S:
+                await trio.sleep(PROBE_INTERVAL_S - silent_s)
+                continue
+            with contextlib.suppress(PlatformUnavailableError):
+                await self._get('/kv-key', key=PROBE_KEY, allow_stale='1')
+                continue
+            await trio.sleep(PROBE_INTERVAL_S)
+
     def close(self) -> None:
         """Close the pooled connections."""
         self._pool.close()
@@ -373,8 +405,9 @@
         if body:
             headers.append((b'content-type', b'application/json'))
         head = RequestHead(method.encode(), target.encode(), tuple(headers))
+        due_s = timeout_s - CALL_TIMEOUT_S + LATE_REPLY_S
         try:
-            with trio.fail_after(timeout_s):
+            with self.replies.call(due_s), trio.fail_after(timeout_s):
                 raw = await self._exchange(head, body)
         except (BriarrillError, trio.TooSlowError):
             self._failed_calls += 1
--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -4,12 +4,19 @@
 import json
 
 import attrs
+import trio
 
 from briarrill.coordination.mirror import MirrorChanges
-from briarrill.platform.process_parts import open_parts
+from briarrill.platform import store as store_module
+from briarrill.platform.process_parts import (
+    open_parts,
+    run_background_tasks,
+)
 from briarrill.platform.settings import PlatformInstance
 from briarrill.platform.upstreams import REGISTRATIONS_PREFIX
 from briarrill.transport.key_value import KeyValue, WatchEvent
+from standins.platform_store import StandinStore
+from tests.serving import serve_standin
 
 REGISTRATION = json.dumps(
     {
@@ -136,3 +143,34 @@
         assert entry.accepting_ids == []
         entry.receive(REGISTRATION, 7)
         assert entry.accepting_ids == []
+
+
+async def test_upstream_that_lapsed_while_the_store_was_silent_stays_in_use(
+    network, monkeypatch
+):
+    """The watch that waited all along delivers the removal at the end."""
+    monkeypatch.setattr(store_module, 'PROBE_INTERVAL_S', 0.05, raising=False)
+    monkeypatch.setattr(store_module, 'LATE_REPLY_S', 0.1, raising=False)
+    store = StandinStore()
+    store.put(KEY, REGISTRATION)
+    address = f'{network}.1', 8142
+    host = f'{network}.2'
+    cfg = attrs.evolve(INSTANCE, host=host, store=address)
+    async with (
+        serve_standin(store, address),
+        open_parts(cfg, runs_batch=False) as parts,
+        run_background_tasks(parts),
+    ):
+        process = Process(parts)
+        with trio.fail_after(10):
+            while process.accepting_ids != ['i-1']:
+                await trio.sleep(0.01)
+        # long ago, so that the removal is not taken for that of an outage
+        process.registrations.connected_since -= 100
+        store.silent = True
+        await trio.sleep(0.4)
+        store.remove(KEY)
+        with trio.fail_after(10):
+            while process.registrations.revision < store.revision:
+                await trio.sleep(0.01)
+        assert process.accepting_ids == ['i-1']
