Do not take back a registration from a peer that missed its removal

A peer that had the registration but not yet its removal put the upstream back into use, and the removal, older than the process's position, was never delivered again. Class: an older state that undoes a newer one.

Change: entries of a peer whose last change is not above this mirror's position are dropped, as the mirror has all changes up to there.

Evidence: the new test fails on the code before.

--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -137,7 +137,14 @@
             return
         if mirror.is_connected or mirror.revision != own_revision:
             return
-        mirror.apply_changes(changes)
+        # up to its position the mirror has all changes; what is new to it
+        # among older ones was removed since
+        newer = tuple(
+            entry
+            for entry in changes.changed
+            if entry.mod_revision > mirror.position
+        )
+        mirror.apply_changes(MirrorChanges(changes.keys, newer))
         log_message(
             'state:fetched',
             peer=hosts_by_revision[newest_revision],
--- a/tests/coordination/test_state_transfer.py
+++ b/tests/coordination/test_state_transfer.py
@@ -8,7 +8,12 @@
 from briarrill.coordination.state_transfer import StateTransfer
 from briarrill.protocol.load_reports import LoadReport
 from briarrill.transport.http_callers import serve_callers
-from briarrill.transport.key_value import KeyChange, WatchEvent
+from briarrill.transport.key_value import (
+    KeyChange,
+    KeySnapshot,
+    KeyValue,
+    WatchEvent,
+)
 from standins.memory_key_value import MemoryKeyValue
 from tests.coordination.test_mirror import RecordingListener
 from tests.serving import free_port
@@ -91,3 +96,37 @@
     )
     await transfer._fetch_newer('servers/', mirror)
     assert recorded.keys == {'servers/new': b'new'}
+
+
+async def test_state_of_a_peer_does_not_bring_back_what_was_removed_since(
+    network, monkeypatch
+):
+    """The peer is behind: it has the registration but not its removal."""
+    recorded, peer = (
+        RecordingListener(),
+        Mirror(
+            MemoryKeyValue(),
+            'servers/',
+            RecordingListener(),
+            stores_bodies=True,
+        ),
+    )
+    peer._apply_event(WatchEvent('servers/left', b'ready', 6))
+    mirror = Mirror(MemoryKeyValue(), 'servers/', recorded, stores_bodies=True)
+    mirror._apply_snapshot(
+        KeySnapshot((KeyValue('servers/other', b'ready', 5),), 7)
+    )
+    peer._apply_event(WatchEvent('servers/other', b'ready', 5))
+    mirror._mark_disconnected('cut')
+    load = _exchange('new', f'{network}.2')
+    load.receive_report(
+        LoadReport('old', f'{network}.1', 1, 1, revisions={'servers/': 6})
+    )
+    transfer = StateTransfer({'servers/': mirror}, load, free_port())
+
+    async def fetch(self, host, prefix, revision):
+        return peer.changes_after(revision)
+
+    monkeypatch.setattr(StateTransfer, '_fetch', fetch)
+    await transfer._fetch_newer('servers/', mirror)
+    assert recorded.keys == {'servers/other': b'ready'}
