Keep the request limits that upstreams name, over all processes

Cause: the header was read nowhere. Class: each process decides alone about what all share; a limit read by each process on its own would have been sent once by each of them.

Change: responses of all kinds record the limit, by incarnation; changes reach the peers with the load reports. A request or item to a limited upstream needs a permit of the limit's owner, a batch process chosen by rendezvous hashing among those that are heard; one datagram each way, 20 ms at most. The owner decides without I/O (coordination/grants.py): it gives each request its moment at the rate that was named, and items only what online requests leave. A request that finds no place goes elsewhere, first to upstreams without a limit; if all are limited it waits for half its objective at most, or is rejected at once with the time after which a place is expected. Owners tell their peers of their grants and count those of the others; one that does not hear all registered processes grants only its share. A limit that can't be read changes nothing; a restart or a response without a limit ends it.

--- a/briarrill/coordination/ejection.py
+++ b/briarrill/coordination/ejection.py
@@ -91,14 +91,18 @@
 
     :param rng: decides which requests a returning upstream gets.
     :param clock: monotonic clock.
+    :param is_comparable: tells whether the others' times to first chunk may
+        be compared with that of an upstream; by default with all.
     """
 
     def __init__(
         self,
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        is_comparable: Callable[[str], bool] = bool,
     ) -> None:
         """Start without tracked upstreams."""
+        self._is_comparable = is_comparable
         self._rng = rng
         self._clock = clock
         self._health: dict[str, _Health] = {}
@@ -166,7 +170,9 @@
         other_means_s = [
             other.first_chunk_s
             for other_name, other in self._health.items()
-            if other_name != name and other.samples >= MIN_SAMPLES
+            if other_name != name
+            and other.samples >= MIN_SAMPLES
+            and self._is_comparable(other_name)
         ]
         if not other_means_s or health.first_chunk_s < MIN_SLOW_FIRST_CHUNK_S:
             return False
--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -19,9 +19,13 @@
 from ..metrics import MALFORMED_MESSAGES
 from ..protocol.load_probes import decode_probe, is_probe
 from ..protocol.load_reports import LoadReport, decode_report, encode_report
+from ..protocol.permits import decode_permit, is_permit
 from ..transport.task_errors import log_unexpected_errors
+from .expected_replies import ExpectedReplies
+from .limit_sharing import LimitSharing, heard_share
 from .load_prober import LoadProber
 from .peer_reports import PeerLoad, PeerReports
+from .permit_exchange import PermitExchange
 from .report_sender import ReportSender, report_pause_s
 from .silence import SilenceDetector
 from .start_delays import StartDelays
@@ -94,7 +98,25 @@
         self._incarnation = time.time_ns()
         self._sequence = 0
         self._sock: socket.socket | None = None
-        self.prober = LoadProber(self._send, self.online, self.batch)
+        self._expected_replies = ExpectedReplies()
+        self.prober = LoadProber(
+            self._send, self.online, self.batch, self._expected_replies
+        )
+        self._permits = PermitExchange(
+            self._send,
+            lambda request: self.limits.decide(request),
+            self._expected_replies,
+        )
+        self.limits = LimitSharing(
+            process,
+            reports=lambda: self.live_reports,
+            own_report=lambda: self.complete_report(
+                LoadReport(process, host, self._incarnation, 0)
+            ),
+            share=lambda: heard_share(self._members, self.live_reports),
+            exchange=self._permits,
+            on_grant=self.schedule_report,
+        )
         self._sender = ReportSender(
             port,
             self.make_report,
@@ -188,7 +210,7 @@
                     await trio.lowlevel.wait_readable(sock)
                     self._receive_all(sock)
                     with trio.move_on_after(self._receive_pause_s):
-                        await self.prober.wait_for_round()
+                        await self._expected_replies.wait()
 
     def report_to(self, host: str) -> None:
         """Send the current report to one peer at once."""
@@ -207,6 +229,7 @@
         if is_new:
             # a new peer must not act before it knows this process's load
             self.schedule_urgent_report()
+        self.limits.receive_report(report)
         for listener in self.on_report:
             listener(report)
 
@@ -224,6 +247,7 @@
                 unheard=self.peers.unheard_hashes,
                 suspects=self.silence.suspects,
                 delays=self.delays.recent_delays_s,
+                limit_news=self.limits.news(),
             )
         )
 
@@ -252,6 +276,9 @@
             if is_probe(raw):
                 self.prober.receive(decode_probe(raw), sender)
                 return
+            if is_permit(raw):
+                self._permits.receive(decode_permit(raw), sender)
+                return
             report = decode_report(raw)
         except MalformedMessageError as exc:
             MALFORMED_MESSAGES.inc()
--- a/briarrill/coordination/load_prober.py
+++ b/briarrill/coordination/load_prober.py
@@ -12,6 +12,7 @@
 import trio
 
 from ..protocol.load_probes import LoadProbe, ProbeReply, encode_probe
+from .expected_replies import ExpectedReplies
 
 __all__ = ('LoadProber',)
 
@@ -46,20 +47,17 @@
     :param send: sends a datagram to a host.
     :param online: returns the online requests at an upstream.
     :param batch: returns the batch items at an upstream.
+    :param expected: told while replies are expected.
     """
 
     send: Callable[[bytes, str], None]
     online: Callable[[str], int]
     batch: Callable[[str], int]
+    expected: ExpectedReplies = attrs.field(factory=ExpectedReplies)
     _numbers: 'itertools.count[int]' = attrs.field(
         factory=itertools.count, init=False
     )
     _rounds: dict[int, _Round] = attrs.field(factory=dict, init=False)
-    _round_began: trio.Event = attrs.field(factory=trio.Event, init=False)
-
-    async def wait_for_round(self) -> None:
-        """Wait until replies are expected."""
-        await self._round_began.wait()
 
     async def probe(self, hosts: Mapping[str, str]) -> dict[str, ProbeReply]:
         """Return the replies that arrive within the timeout.
@@ -71,16 +69,16 @@
         number = next(self._numbers)
         current = _Round(len(hosts))
         self._rounds[number] = current
-        self._round_began.set()
         try:
             for upstream_id, host in hosts.items():
                 self.send(encode_probe(LoadProbe(number, upstream_id)), host)
-            with trio.move_on_after(PROBE_TIMEOUT_S):
+            with (
+                self.expected.expecting(),
+                trio.move_on_after(PROBE_TIMEOUT_S),
+            ):
                 await current.is_complete.wait()
         finally:
             self._rounds.pop(number)
-            if not self._rounds:
-                self._round_began = trio.Event()
         return current.replies
 
     def receive(self, message: LoadProbe | ProbeReply, host: str) -> None:
--- a/briarrill/coordination/placement.py
+++ b/briarrill/coordination/placement.py
@@ -25,6 +25,7 @@
     'choose_candidate',
     'estimate_unreported',
     'expected_wait_s',
+    'placeable_candidates',
     'sample_candidates',
 )
 
@@ -49,6 +50,8 @@
     :param is_local: it is in this process's failure domain.
     :param is_suspect: it is suspected to be unresponsive.
     :param delay_s: recent time to first bytes, 0 when normal.
+    :param blocked_s: time for which its request limit leaves no place.
+    :param is_limited: it named a request limit.
     """
 
     name: str
@@ -58,6 +61,8 @@
     is_local: bool = False
     is_suspect: bool = False
     delay_s: float = 0
+    blocked_s: float = 0
+    is_limited: bool = False
 
     @property
     def load(self) -> float:
@@ -70,6 +75,21 @@
         return self.slots - self.online - self.batch
 
 
+def placeable_candidates(
+    candidates: Sequence[UpstreamCandidate], *, skips_limited: bool
+) -> list[UpstreamCandidate]:
+    """Return the upstreams whose limits may leave a place now.
+
+    :param skips_limited: return only those without a limit.
+    """
+    return [
+        candidate
+        for candidate in candidates
+        if not candidate.blocked_s
+        and not (skips_limited and candidate.is_limited)
+    ]
+
+
 def choose_candidate(
     candidates: Sequence[UpstreamCandidate],
     rng: random.Random,
--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -124,6 +124,15 @@
     def reports_leaving(self, head: ResponseHead) -> bool:
         """Tell whether a response announces that its upstream will stop."""
 
+    @abc.abstractmethod
+    def request_limit_per_s(self, head: ResponseHead) -> float | None:
+        """Return the requests per second that an upstream takes from all.
+
+        None if the response names no limit.
+
+        :raises MalformedMessageError: it names one that cannot be read.
+        """
+
     @abc.abstractmethod
     def response_headers(self, head: ResponseHead) -> Headers:
         """Build the caller's headers from those of an upstream's response."""
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -44,6 +44,7 @@
     'TokenRateError',
     'TooLargeError',
     'UnauthenticatedError',
+    'UpstreamBusyError',
     'UpstreamFailedError',
     'UpstreamLeftError',
     'UpstreamLostError',
@@ -206,6 +207,10 @@
     code = ResultCode.NO_UPSTREAM
 
 
+class UpstreamBusyError(OverloadedError):
+    """The chosen upstream is at its request limit; others may take it."""
+
+
 class UpstreamLeftError(NoUpstreamError):
     """The chosen upstream left before the request was sent to it."""
 
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from ..coordination.event_wait import EventWait
+from ..coordination.limit_sharing import LimitSharing
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end
 from ..coordination.routes import Route
@@ -48,6 +49,7 @@
     :param delays: records each upstream's time to the first byte.
     :param upstreams: records which upstreams announce their departure.
     :param ends: observes the items to find prompts that end upstreams.
+    :param limits: keeps the request limits of upstreams.
     """
 
     protocol: RelayProtocol
@@ -55,6 +57,7 @@
     delays: StartDelays
     upstreams: UpstreamTable
     ends: UpstreamEnds
+    limits: LimitSharing
     _pool: ChannelPool = attrs.field(
         factory=lambda: ChannelPool(CONNECT_TIMEOUT_S), init=False
     )
@@ -102,7 +105,15 @@
     async def _connect(
         self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
     ) -> HttpChannel | None:
-        """Return a connection, none if the upstream is unreachable or left."""
+        """Return a connection for an item that the upstream may get now.
+
+        :return: none if the upstream is unreachable, left or is at its limit.
+        """
+        grant = await self.limits.acquire(
+            upstream.incarnation, max_wait_s=0, is_batch=True
+        )
+        if not grant.is_granted:
+            return None
         try:
             channel = await self._pool.acquire(
                 upstream.incarnation, upstream.address, call.request_id
@@ -161,6 +172,9 @@
                         )
                     )
                 self.ends.record_response(upstream)
+                self.limits.record_response(
+                    self.protocol, upstream.incarnation, response_head
+                )
                 if self.protocol.reports_leaving(response_head):
                     self.upstreams.mark_leaving(upstream.incarnation)
                 if response_head.status == _HTTP_OK:
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -127,7 +127,7 @@
     def _free_slots(self, route: Route) -> dict[str, int]:
         """Return free slots of the owned upstreams of a route, by ID.
 
-        Suspect upstreams are excluded.
+        Suspect upstreams and those at their request limit are excluded.
         """
         free: dict[str, int] = {}
         processes = tuple(self.processes())
@@ -140,10 +140,14 @@
             )
             for upstream in accepting:
                 name = upstream.upstream_id
-                if name in own and not self.load.is_suspect(name):
+                if name in own and self._takes_items(upstream):
                     free[name] = self._free_slots_at(upstream)
         return free
 
+    def _takes_items(self, upstream: RegisteredUpstream) -> bool:
+        blocked_s = self.load.limits.limits.blocked_s(upstream.incarnation)
+        return not blocked_s and not self.load.is_suspect(upstream.upstream_id)
+
     def _free_slots_at(self, upstream: RegisteredUpstream) -> int:
         """Return how many more items may start at an upstream."""
         name = upstream.upstream_id
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -52,6 +52,7 @@
             parts.load.delays,
             parts.upstreams,
             parts.ends,
+            parts.load.limits,
         )
         scheduler = Scheduler(jobs, slots, handover, runner, committer)
         _connect_reports(parts, scheduler)
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -12,7 +12,12 @@
 )
 from ..coordination.routes import Route, RouteKind, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream
-from ..errors import BadRequestError, BriarrillError, NotFoundError
+from ..errors import (
+    BadRequestError,
+    BriarrillError,
+    MalformedMessageError,
+    NotFoundError,
+)
 from ..state.stored_jobs import StoredItem
 from ..transport.http_messages import (
     Headers,
@@ -29,6 +34,7 @@
 _EXPECT_INSTANCE = b'briarrill-expect-instance'
 _NOT_EXECUTED = b'briarrill-not-executed'
 _SERVER_LEAVING = b'server-leaving'
+_SERVER_LIMIT = b'server-limit'
 _WAIT_MS = b'briarrill-wait-ms'
 _PROMPT_PREFIX = b'briarrill-prompt-prefix'
 _LAST_EVENT_ID = b'last-event-id'
@@ -171,6 +177,22 @@
         """Whether the response announces the departure of its upstream."""
         return find_header(head.headers, _SERVER_LEAVING) is not None
 
+    def request_limit_per_s(self, head: ResponseHead) -> float | None:
+        """Return the requests per second that the upstream takes, if named.
+
+        :raises MalformedMessageError: the header holds no such number.
+        """
+        raw = find_header(head.headers, _SERVER_LIMIT)
+        if raw is None:
+            return None
+        try:
+            limit_per_s = float(raw)
+        except ValueError as exc:
+            raise MalformedMessageError(f'limit {raw!r}') from exc
+        if not math.isfinite(limit_per_s) or limit_per_s < 0:
+            raise MalformedMessageError(f'limit {raw!r}')
+        return limit_per_s
+
     def response_headers(self, head: ResponseHead) -> Headers:
         """Return the end-to-end headers of an upstream's response."""
         return end_to_end_headers(head.headers, _NO_HEADERS)
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -11,11 +11,12 @@
 import xxhash
 
 from ..errors import MalformedMessageError
+from .limit_news import LimitNews
 from .prompt_news import PromptNews
 
 __all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_hash')
 
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 
 # hashes of items and processes that are kept for their next use
 MAX_CACHED_HASHES = 8192
@@ -49,6 +50,7 @@
         key-value service does not reply to the process.
     :param prompt_news: what the process tells of prompts that crash upstreams,
         none mostly.
+    :param limit_news: what the process tells of request limits, none mostly.
     """
 
     process: str
@@ -71,6 +73,7 @@
     revisions: dict[str, int] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     prompt_news: PromptNews | None = None
+    limit_news: LimitNews | None = None
     version: int = PROTOCOL_VERSION
 
 
--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -53,6 +53,8 @@
     :param possible_runs: attempts that ran or may have run.
     :param ran: whether any attempt ran.
     :param candidate: the last chosen upstream, with its load at that time.
+    :param refused_permits: refusals by owners of limits since the last
+        attempt.
     """
 
     failed_upstreams: set[str] = attrs.field(factory=set)
@@ -60,6 +62,7 @@
     attempts: int = 0
     ran: Ran = Ran.NO
     candidate: UpstreamCandidate | None = None
+    refused_permits: int = 0
 
     @property
     def is_exhausted(self) -> bool:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -6,8 +6,10 @@
 """
 
 import contextlib
+import functools
 import random
 import time
+from operator import attrgetter
 
 import attrs
 import trio
@@ -19,6 +21,7 @@
 from ..coordination.placement import (
     UpstreamCandidate,
     expected_wait_s,
+    placeable_candidates,
 )
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end
@@ -37,6 +40,7 @@
     OverloadedError,
     PeerUnreachableError,
     PromptQuarantinedError,
+    UpstreamBusyError,
     UpstreamFailedError,
     UpstreamLeftError,
     UpstreamLostError,
@@ -54,6 +58,7 @@
     log_if_response_late,
     time_limit,
 )
+from .permits import MAX_REFUSALS, acquire_permit, has_no_limit
 from .placer import Placer
 from .response import Response
 from .streams import is_event_stream, read_stream_part, send_new_events
@@ -129,8 +134,9 @@
         """Attempt the call until a response is relayed or retries end."""
         is_done = False
         while not is_done:
-            # one that left is no longer among the candidates
-            with contextlib.suppress(UpstreamLeftError):
+            # one that left is no longer among the candidates, nor is one
+            # that is at its limit for the time being
+            with contextlib.suppress(UpstreamLeftError, UpstreamBusyError):
                 is_done = await self._attempt_once(call, response, progress)
 
     async def _attempt_once(
@@ -167,10 +173,13 @@
                 NoUpstreamError(
                     f'no upstream of {call.service} accepts requests',
                     retry_after_s=MIN_RETRY_AFTER_S,
-                ),
+                )
             )
+        pool = placeable_candidates(
+            candidates, skips_limited=progress.refused_permits >= MAX_REFUSALS
+        )
         candidate = await self._placer.choose(
-            candidates,
+            pool or [min(candidates, key=attrgetter('blocked_s'))],
             call.service,
             tolerance_s=START_TOLERANCE_OBJECTIVES
             * call.route.latency_objective_s,
@@ -187,6 +196,9 @@
             raise UpstreamLeftError(
                 f'upstream {candidate.name!r} left while it was chosen'
             )
+        await acquire_permit(
+            self._load.limits, call, upstream, progress, may_wait=not pool
+        )
         return upstream
 
     def _untried_candidates(
@@ -206,6 +218,7 @@
         self, upstream: RegisteredUpstream
     ) -> UpstreamCandidate:
         """Return an upstream with its load as known to this process."""
+        limits = self._load.limits.limits
         return UpstreamCandidate(
             name=upstream.upstream_id,
             slots=upstream.slots,
@@ -214,6 +227,8 @@
             is_local=upstream.failure_domain == self._failure_domain,
             is_suspect=self._load.is_suspect(upstream.upstream_id),
             delay_s=self._load.delay_s(upstream.upstream_id),
+            blocked_s=limits.blocked_s(upstream.incarnation),
+            is_limited=limits.rate_per_s(upstream.incarnation) is not None,
         )
 
     def _check_deadline_reachable(
@@ -324,6 +339,9 @@
                     attempt, upstream, channel
                 )
                 self._ends.record_response(upstream)
+                self._load.limits.record_response(
+                    self._protocol, upstream.incarnation, response_head
+                )
                 if self._protocol.reports_leaving(response_head):
                     self._upstreams.mark_leaving(upstream.incarnation)
                 if self._protocol.reports_not_executed(response_head):
@@ -533,7 +551,12 @@
 
     def _ejector_of(self, service: str) -> Ejector:
         """Return the ejector of a service, created on first use."""
-        return self._ejectors.setdefault(service, Ejector(self._rng))
+        is_comparable = functools.partial(
+            has_no_limit, self._upstreams, self._load.limits.limits
+        )
+        return self._ejectors.setdefault(
+            service, Ejector(self._rng, is_comparable=is_comparable)
+        )
 
     def _service_times_of(self, service: str) -> ServiceTimes:
         """Return the service times of a service, created on first use."""
--- a/tests/item_runs/test_cut_items.py
+++ b/tests/item_runs/test_cut_items.py
@@ -44,7 +44,12 @@
     upstreams = UpstreamTable(lambda: True)
     ends = UpstreamEnds(upstreams, PromptQuarantine(), load.schedule_report)
     return ItemRunner(
-        PlatformRelayProtocol(), load.silence, load.delays, upstreams, ends
+        PlatformRelayProtocol(),
+        load.silence,
+        load.delays,
+        upstreams,
+        ends,
+        load.limits,
     )
 
 
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -83,6 +83,7 @@
                 UpstreamEnds(
                     upstreams, self.quarantine, self.load.schedule_report
                 ),
+                self.load.limits,
             ),
             self.committer,
         )
@@ -571,3 +572,16 @@
         assert end is RunEnd.REFUSED
         assert progress.has_progress == has_progress
         assert not engine.requests
+
+
+async def test_items_do_not_pass_a_limit(run_scheduler):
+    """Of many items that would fit, few start while online requests wait."""
+    limit = ((b'server-limit', b'2.5'),)
+    async with run_scheduler(respond_with(b'', 503, limit)) as (setup, engine):
+        await setup.submit(10)
+        await _wait_until(lambda: engine.requests)
+        before = len(engine.requests)
+        await trio.sleep(1.0)
+    assert before <= UPSTREAM_SLOTS
+    # what the limit allows in the time, and what it lets follow at once
+    assert len(engine.requests) - before <= 2.5 + 3
