Let a renewal of a lease wait for one in progress

Two renewals of an expired lease at once each granted a new one and wrote its key; the later found the key changed and took the other's write for that of another process (LeaseLostError).

Change: renewals of a lease wait for each other.

Evidence: the new test, two renewals at once, fails on the code before with LeaseLostError.

--- a/briarrill/coordination/leases.py
+++ b/briarrill/coordination/leases.py
@@ -51,6 +51,7 @@
         self._holder = process
         self._ttl_s = ttl_s
         self._valid_until = 0.0
+        self._renewal = trio.Lock()
 
     @property
     def is_valid(self) -> bool:
@@ -94,8 +95,15 @@
     async def _renew(self) -> None:
         """Renew once, or request a new lease if the service has ended it.
 
+        A renewal waits for one that is in progress: two grants at once would
+        each take the other's write for that of another process.
+
         :raises BriarrillError: the lease was neither renewed nor granted.
         """
+        async with self._renewal:
+            await self._renew_or_grant()
+
+    async def _renew_or_grant(self) -> None:
         requested_at = time.monotonic()
         ttl_s = 0
         if self.lease_id:
--- a/tests/coordination/test_leases.py
+++ b/tests/coordination/test_leases.py
@@ -4,6 +4,7 @@
 import trio
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
+from trio import testing
 
 from briarrill.coordination.leases import TTL_MARGIN_SHARE, Lease
 from briarrill.errors import BriarrillError, LeaseLostError
@@ -14,6 +15,14 @@
 CLOCK = 'briarrill.coordination.leases.time.monotonic'
 
 
+class SlowService(MemoryKeyValue):
+    """Lets other tasks run before each reply."""
+
+    async def read(self, key):
+        await testing.wait_all_tasks_blocked()
+        return await super().read(key)
+
+
 @pytest.fixture
 def clock(monkeypatch):
     """Return the holder's clock in seconds, as a list of one number."""
@@ -32,6 +41,20 @@
         lease.check()
 
 
+async def test_two_renewals_at_once_leave_one_valid_lease():
+    """The second one must not lose the key to the first."""
+    service = SlowService()
+    lease = Lease(service, 'batch-0', TTL_S)
+    await lease._renew()
+    service.expire_lease(lease.lease_id)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lease._renew)
+        nursery.start_soon(lease._renew)
+    lease.check()
+    key = await service.read(lease_key('batch-0'))
+    assert key.body == str(lease.lease_id).encode()
+
+
 async def test_check_with_an_earlier_epoch_fails_after_a_new_grant(clock):
     service = MemoryKeyValue()
     lease = Lease(service, 'batch-0', TTL_S)
