Pass the role of a limit's owner as one question

Cause: read as a newcomer: the sharing of limits got a whole load report to learn whether the process may own a limit.

--- a/briarrill/coordination/limit_sharing.py
+++ b/briarrill/coordination/limit_sharing.py
@@ -39,8 +39,7 @@
     process: str,
     reports: Iterable[LoadReport],
     *,
-    runs_batch: bool,
-    is_leaving: bool,
+    is_preferred: bool,
 ) -> str:
     """Return the name of the process that decides about a limit.
 
@@ -48,12 +47,12 @@
 
     :param process: name of this process.
     :param reports: newest reports of the live peers.
-    :param runs_batch: whether this process runs batch items.
-    :param is_leaving: whether this process is draining.
+    :param is_preferred: whether this process runs batch items and is not
+        draining.
     """
     staying = [report for report in reports if not report.is_leaving]
     names = [report.process for report in staying if report.runs_batch]
-    if runs_batch and not is_leaving:
+    if is_preferred:
         names.append(process)
     if not names:
         names = [process, *(report.process for report in staying)]
@@ -80,7 +79,8 @@
 
     :param process: name of this process.
     :param reports: returns the newest reports of the live peers, by name.
-    :param own_report: returns this process's role and drain state.
+    :param is_preferred: tells whether this process runs batch items and is
+        not draining.
     :param share: returns the share of the fleet that this process hears.
     :param exchange: asks other owners.
     :param on_grant: called after each grant to a request.
@@ -88,7 +88,7 @@
 
     process: str
     reports: Callable[[], Mapping[str, LoadReport]]
-    own_report: Callable[[], LoadReport]
+    is_preferred: Callable[[], bool]
     share: Callable[[], float]
     exchange: PermitExchange
     on_grant: Callable[[], None]
@@ -170,13 +170,11 @@
         is_batch: bool,
     ) -> Grant:
         reports = self.reports()
-        own = self.own_report()
         owner = choose_owner(
             incarnation,
             self.process,
             reports.values(),
-            runs_batch=own.runs_batch,
-            is_leaving=own.is_leaving,
+            is_preferred=self.is_preferred(),
         )
         if owner == self.process:
             return self._decide(
--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -110,8 +110,8 @@
         self.limits = LimitSharing(
             process,
             reports=lambda: self.live_reports,
-            own_report=lambda: self.complete_report(
-                LoadReport(process, host, self._incarnation, 0)
+            is_preferred=lambda: _may_own_limits(
+                complete_report(LoadReport(process, host, 0, 0))
             ),
             share=lambda: heard_share(self._members, self.live_reports),
             exchange=self._permits,
@@ -302,6 +302,11 @@
         return targets
 
 
+def _may_own_limits(own: LoadReport) -> bool:
+    """Whether a process runs batch items and is not draining."""
+    return own.runs_batch and not own.is_leaving
+
+
 def _decrement(counter: collections.Counter[str], name: str) -> None:
     counter[name] -= 1
     if not counter[name]:
--- a/tests/coordination/test_limit_sharing.py
+++ b/tests/coordination/test_limit_sharing.py
@@ -27,17 +27,15 @@
     )
 
 
-def _owner(process, reports, *, runs_batch=False, is_leaving=False):
-    return choose_owner(
-        'i/1', process, reports, runs_batch=runs_batch, is_leaving=is_leaving
-    )
+def _owner(process, reports, *, is_preferred=False):
+    return choose_owner('i/1', process, reports, is_preferred=is_preferred)
 
 
 def test_all_processes_choose_the_same_batch_process():
     batch = [_report(f'b{number}', runs_batch=True) for number in range(5)]
     entries = [_report(f'e{number}') for number in range(9)]
     owners = {
-        _owner(one.process, [*batch, *entries], runs_batch=one.runs_batch)
+        _owner(one.process, [*batch, *entries], is_preferred=one.runs_batch)
         for one in (*batch, *entries)
     }
     assert len(owners) == 1
@@ -51,7 +49,7 @@
     leaving = _report(first, runs_batch=True, is_leaving=True)
     second = _owner('e', [leaving, *rest])
     assert second != first
-    assert _owner(first, rest, runs_batch=True, is_leaving=True) == second
+    assert _owner(first, rest) == second
 
 
 def test_entries_decide_where_no_batch_process_is_heard():
