Let streams that broke off wait longer for a place under a limit

Cause: a stream that has begun and finds all upstreams at their limits broke off after half its latency objective, though its caller waits for seconds.

Change: a resumption waits up to four of its route's largest event gaps, as long as the relay itself waits for an event.

Evidence: the new test fails on the code before.

--- a/briarrill/relay/permits.py
+++ b/briarrill/relay/permits.py
@@ -13,6 +13,10 @@
 # latency objective
 PERMIT_WAIT_OBJECTIVES = 0.5
 
+# the same for a stream that has begun, which would break off otherwise;
+# multiple of its route's largest gap between events
+RESUMPTION_WAIT_GAPS = 4.0
+
 #: Refusals by owners of limits after which a request goes to an upstream that
 #: has no limit.
 MAX_REFUSALS = 3
@@ -33,6 +37,8 @@
     :raises BriarrillError: there is none, and no upstream may take it.
     """
     wait_s = PERMIT_WAIT_OBJECTIVES * call.route.latency_objective_s
+    if progress.possible_runs and call.route.resumable:
+        wait_s = max(wait_s, RESUMPTION_WAIT_GAPS * call.route.max_event_gap_s)
     grant = await sharing.acquire(
         upstream.incarnation, max_wait_s=wait_s if may_wait else 0
     )
--- a/tests/relay/test_request_limits.py
+++ b/tests/relay/test_request_limits.py
@@ -93,6 +93,18 @@
     assert granted == {'i-1': 1}
 
 
+async def test_stream_that_broke_off_waits_for_a_place_to_go_on():
+    cut = StandinEngine(cut_with_limit())
+    resumed = StandinEngine(stream_events(3))
+    async with run_front_end([RESUMABLE_STREAM], cut, resumed) as setup:
+        sharing = setup.load.limits
+        sharing.limits.record_response('i-1', 2.5)
+        # the place that is free now is taken; the next one comes after 0.4 s
+        await sharing.acquire('i-1', max_wait_s=0)
+        status, _, body = await setup.send_request(RESUMABLE_STREAM.prefix)
+    assert (status, body.count(b'data')) == (200, 3)
+
+
 async def test_full_share_is_back_after_the_end_of_a_limit():
     first = StandinEngine(limited(), respond_with(b''))
     async with run_front_end([NON_IDEMPOTENT], first) as setup:
