Have a test wait for the watch that it is about

A stall of over 0.6 s could also let the probe restart the watch.

Change: the test waits until the store has the watch, and its probe stays unanswered. Its neighbour may take 4 s in place of 2 s, still less than the 5.5 s that a watch takes by itself. The checks are the same.

Evidence: with the packages as before the test fails on its check, as it did; it passes on this code.

--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -94,6 +94,18 @@
         yield processes
 
 
+class RecordingStore(StandinStore):
+    """Records the prefixes that are watched."""
+
+    def __init__(self):
+        super().__init__()
+        self.watched = set()
+
+    async def _watch(self, fields):
+        self.watched.add(fields['prefix'])
+        return await super()._watch(fields)
+
+
 class SilentConnectionsStore(StandinStore):
     """A store whose open connections can go silent for good."""
 
@@ -197,7 +209,8 @@
     async with connected_process(network, store) as process:
         store.silence_open_connections()
         store.put(KEY, REGISTRATION.replace(b'ready', b'draining'))
-        with trio.fail_after(2):
+        # less than a watch takes to notice it, 5.5 s
+        with trio.fail_after(4):
             while process.accepting_ids:
                 await trio.sleep(0.01)
 
@@ -208,9 +221,14 @@
     """The watch that waited all along delivers the removal at the end."""
     monkeypatch.setattr(store_module, 'PROBE_INTERVAL_S', 0.05, raising=False)
     monkeypatch.setattr(store_module, 'LATE_REPLY_S', 0.1, raising=False)
-    store = StandinStore()
+    # the probe must not restart the watch before it is answered
+    monkeypatch.setattr(store_module, 'PROBE_TIMEOUT_S', 60, raising=False)
+    store = RecordingStore()
     store.put(KEY, REGISTRATION)
     async with connected_process(network, store) as process:
+        with trio.fail_after(10):
+            while REGISTRATIONS_PREFIX not in store.watched:
+                await trio.sleep(0.01)
         store.silent = True
         await trio.sleep(0.4)
         store.remove(KEY)
