Name a request that comes again in the log of failed attempts

Cause: the log could not tell a request that crashes upstreams and comes again from several requests that share a prompt part, as each attempt has an identifier of its own.

Change: a key of caller, method, target and body, the same for each attempt, stands in `request:attempt-failed`. The adapter says who the caller is: the host, since each customer has hosts of its own, and credentials if any.

--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -62,6 +62,8 @@
     :param last_event_id: event after which the stream resumes.
     :param prompt_parts: identifiers of the parts that its prompt shares with
         other requests, in order.
+    :param request_key: the same for each attempt at one request of a caller;
+        0 for items.
     """
 
     request_id: str
@@ -72,6 +74,7 @@
     deadline_s: float
     last_event_id: int | None = None
     prompt_parts: tuple[str, ...] = ()
+    request_key: int = 0
 
 
 class RelayProtocol(abc.ABC):
@@ -92,6 +95,10 @@
         :raises BadRequestError: a header is missing or malformed.
         """
 
+    @abc.abstractmethod
+    def caller(self, head: RequestHead) -> str:
+        """Return what identifies the caller of a request."""
+
     @abc.abstractmethod
     def prompt_parts(self, head: RequestHead) -> tuple[str, ...]:
         """Return identifiers of the prompt's shared parts, in order.
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -39,6 +39,8 @@
 _PROMPT_PREFIX = b'briarrill-prompt-prefix'
 _LAST_EVENT_ID = b'last-event-id'
 _CONTENT_LENGTH = b'content-length'
+_HOST = b'host'
+_AUTHORIZATION = b'authorization'
 _TRANSFER_ENCODING = b'transfer-encoding'
 
 _JOBS_PATH = '/lots/'
@@ -107,6 +109,15 @@
             last_event_id=_last_event_id(head),
         )
 
+    def caller(self, head: RequestHead) -> str:
+        """Return the host and the credentials, if any.
+
+        Each customer has hosts of its own.
+        """
+        host = find_header(head.headers, _HOST) or b''
+        credentials = find_header(head.headers, _AUTHORIZATION) or b''
+        return b'\n'.join((host.lower(), credentials)).decode(_CHARSET)
+
     def prompt_parts(self, head: RequestHead) -> tuple[str, ...]:
         """Return the IDs of the prompt's parts but the last, in order.
 
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -513,6 +513,7 @@
             ran=exc.ran.value,
             event=response.last_event_id,
             prompt_parts=call.prompt_parts,
+            request_key=call.request_key,
         )
         time_left_s = call.deadline_s - time.monotonic()
         if time_left_s <= 0:
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -19,6 +19,7 @@
 from ..coordination.routes import RouteTable
 from ..errors import BriarrillError, DrainingError, NotReadyError
 from ..metrics import CANCELLED, REFUSED
+from ..protocol.request_keys import request_key
 from ..readiness import Readiness
 from ..transport.http_callers import CallerConnection
 from ..transport.http_messages import RequestHead
@@ -183,6 +184,9 @@
             deadline_s=arrived_at + (remaining_s or math.inf),
             last_event_id=intent.last_event_id,
             prompt_parts=self.protocol.prompt_parts(head),
+            request_key=request_key(
+                self.protocol.caller(head), head.method, head.target, body
+            ),
         )
 
     async def _send_error(
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -178,3 +178,15 @@
         'next_token': 3,
         'results': [{'id': 'e', 'state': 'completed', 'output': 'x\ny'}],
     }
+
+
+def test_callers_differ_by_host_or_credentials():
+    heads = [
+        _head('POST', '/streaming/a', briarrill_deadline_ms='5'),
+        _head('POST', '/streaming/a', authorization='Bearer one'),
+        _head('POST', '/streaming/a', authorization='Bearer two'),
+        _head('POST', '/streaming/a', host='other.example'),
+    ]
+    assert len({PROTOCOL.caller(head) for head in heads}) == 4
+    again = _head('GET', '/b', host='H.example', briarrill_attempt_id='r2')
+    assert PROTOCOL.caller(again) == PROTOCOL.caller(heads[0])
