--- a/tests/platform/crashing_engine.py
+++ b/tests/platform/crashing_engine.py
@@ -1,6 +1,7 @@
-"""A stand-in upstream that ends whenever it runs a prompt with some part."""
+"""A stand-in upstream that ends whenever it runs certain requests."""
 
 import enum
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -40,6 +41,17 @@
     SILENT = 'silent'
 
 
+def has_part(part: bytes) -> Callable[[ReceivedRequest], bool]:
+    """Return a check for a prompt part that is not the last one."""
+
+    def check(req: ReceivedRequest) -> bool:
+        listed = req.header(b'briarrill-prompt-prefix') or b''
+        shared = [part.partition(b':')[0] for part in listed.split(b',')]
+        return part in shared[:-1]
+
+    return check
+
+
 _UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n'
 
 
@@ -48,17 +60,19 @@
     """Runs one upstream after another at one address.
 
     :param store: where each upstream registers, under an ID of its own.
-    :param part: prompt part, not the last, under which upstreams end.
+    :param is_fatal: tells under which requests upstreams end.
+    :param keeps_id: whether the next upstream has the same identifier.
     :param crashes: upstreams that ended so far.
-    :param reached: requests with the part that reached an upstream.
+    :param reached: fatal requests that reached an upstream.
     :param served: other requests that were received.
     """
 
     store: StandinStore
     name: str
     host: str
-    part: bytes
+    is_fatal: Callable[[ReceivedRequest], bool]
     end: End
+    keeps_id: bool = False
     crashes: int = 0
     reached: int = 0
     served: int = 0
@@ -66,14 +80,17 @@
     async def run(self) -> None:
         """Start upstreams until cancelled, each after the last has ended."""
         while True:
-            upstream_id = f'{self.name}-{self.crashes}'
+            start = 0 if self.keeps_id else self.crashes
+            upstream_id = f'{self.name}-{start}'
             async with trio.open_nursery() as nursery:
                 address = (self.host, ENGINE_PORT)
                 engine = StandinEngine(self._respond)
                 async with serve_callers(
                     address, engine.caller_limits, engine.serve
                 ):
-                    register_upstream(self.store, upstream_id, self.host)
+                    register_upstream(
+                        self.store, upstream_id, self.host, self.crashes
+                    )
                     await self._wait_crash(self.crashes)
                     if self.end is End.SILENT:
                         await trio.sleep(DOWN_S)
@@ -89,9 +106,7 @@
         self, req: ReceivedRequest, conn: CallerConnection
     ) -> None:
         """Stream an answer, or end under the request."""
-        listed = req.header(b'briarrill-prompt-prefix') or b''
-        shared = [part.partition(b':')[0] for part in listed.split(b',')[:-1]]
-        if self.part not in shared:
+        if not self.is_fatal(req):
             self.served += 1
             await stream_events(3, pause_s=0.01)(req, conn)
             return
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -159,14 +159,14 @@
     store.put('op/config', json.dumps(ROUTES).encode())
 
 
-def register_upstream(store, upstream_id, host):
+def register_upstream(store, upstream_id, host, start=0):
     registration = {
         'service': 'llm',
         'address': f'{host}:8080',
         'zone': 'a',
         'slots': 4,
         'state': 'ready',
-        'born': 1_700_000_000_000,
+        'born': 1_700_000_000_000 + start,
     }
     store.put(f'servers/{upstream_id}', json.dumps(registration).encode())
 
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -10,7 +10,7 @@
 from briarrill.transport.http_callers import serve_callers
 from briarrill.transport.http_messages import RequestHead
 from standins.platform_store import StandinStore
-from tests.platform.crashing_engine import CrashingEngine, End
+from tests.platform.crashing_engine import CrashingEngine, End, has_part
 from tests.platform.platform_fleet import (
     FRONT_PORT,
     STORE_PORT,
@@ -88,7 +88,13 @@
     store = StandinStore()
     store_routes(store)
     engines = [
-        CrashingEngine(store, f'i{number}', f'{network}.{number}', b'bad', end)
+        CrashingEngine(
+            store,
+            f'i{number}',
+            f'{network}.{number}',
+            has_part(b'bad'),
+            end,
+        )
         for number in range(10, 10 + ENGINES)
     ]
     processes = {}
