Hold back requests that crash each upstream that runs them

Callers saw: 502 for their requests, again and again, as one request, repeated under new identifiers, ended one upstream after the other; 503 while all upstreams of a service were down.

Cause: the quarantine judged parts of prompts. A request without a prompt had no part, so it was not observed at all; of one with a prompt, the parts that others share were cleared by their answers, and its last part was never looked at. Class: what comes again was recognized by too little of it.

Change: each attempt at one request has the same key (caller, method, path, body). A request in flight at three ended upstreams, without an answer in the last minute, is quarantined on all processes, restarted ones too. Two requests that were in flight at the same ends cannot be told apart; from the second end on such a request runs at one upstream at a time, not beside another suspected one, so the next end tells. From the third end on it is held back until all processes have told what they know. Ends under one request count once against the parts of prompts. The check stands before each first try, retry and resumption, and again right before the send; on the own interface entries decide and sidecars observe. Items have no key.

--- a/briarrill/coordination/prompt_crashes.py
+++ b/briarrill/coordination/prompt_crashes.py
@@ -1,42 +1,49 @@
-"""briarrill.coordination.prompt_crashes: find prompt parts that end upstreams.
+"""briarrill.coordination.prompt_crashes: find prompts that end upstreams.
 
 A prompt can crash every upstream that runs it. Requests that share the part
 at fault are told from the others that were in flight by two rules: the part
 was in flight at several upstreams that ended, and no upstream has answered a
-request with it. Such a part is quarantined. Processes exchange crashes,
-answers and quarantined parts as news.
+request with it. Such a part is quarantined. So is a whole request that comes
+again after several upstreams ended under it. Processes exchange crashes,
+answers and quarantined parts and requests as news.
 """
 
 import collections
 import itertools
 import time
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
 
 import attrs
 
+from ..errors import PromptQuarantinedError, RequestQuarantinedError
 from ..protocol.load_reports import short_hash
 from ..protocol.prompt_news import PromptNews, UpstreamCrash
-
-__all__ = ('QUARANTINE_S', 'PromptQuarantine', 'QuarantinedPart')
-
-# upstreams that must have ended with a part in flight; more for the first part
-# of prompts, which most requests of a route share
-MIN_CRASHES = 3
+from ..protocol.request_keys import is_request_key
+from .crash_records import (
+    ANSWER_VALIDITY_S,
+    Answers,
+    CrashRecord,
+    QuarantineSpan,
+    remove_oldest,
+)
+from .request_blame import MIN_CRASHES
+from .request_crashes import RequestCrashes
+
+__all__ = (
+    'QUARANTINE_S',
+    'PromptQuarantine',
+    'QuarantinedPart',
+    'check_quarantine',
+)
+
+# upstreams that must have ended with a first part in flight, which most
+# requests of a route share
 MIN_CRASHES_OF_FIRST_PART = 5
 
 # time for which a part stays quarantined after the last crash with it, and
 # for which a crash counts
 QUARANTINE_S = 600.0
 
-# time after an answer in which crashes do not count against its parts: many
-# upstreams can end within the duration of one answer
-ANSWER_VALIDITY_S = 60.0
-
-# time from the first news of a crash until it counts, in which peers report
-# answers and responses: three intervals between their reports
-SETTLING_S = 1.3
-
 # a response read sooner after a crash may have been received before it
 MIN_ALIVE_DELAY_S = 0.1
 
@@ -52,9 +59,8 @@
 
 # limits on what is remembered; the oldest entries are removed first
 MAX_CRASHES = 64
-MAX_PARTS_PER_CRASH = 32
 MAX_ANSWERED_PARTS = 4096
-MAX_QUARANTINED_PARTS = 64
+MAX_QUARANTINED = 128
 
 # crashes in the news, the newest ones, which bounds their size
 MAX_REPORTED_CRASHES = 16
@@ -62,9 +68,9 @@
 
 @attrs.frozen
 class QuarantinedPart:
-    """A part that was just quarantined, with the evidence.
+    """A part or request that was just quarantined, with the evidence.
 
-    :param part: hash of the part's identifier.
+    :param part: hash of the part's identifier, or key of the request.
     :param incarnations: hashes of the upstreams that ended with it; few or
         none if a peer decided.
     """
@@ -73,103 +79,12 @@
     incarnations: tuple[int, ...]
 
 
-@attrs.define
-class _Answers:
-    """Time of the last answer to a prompt with each part."""
-
-    _answered_at: dict[int, float] = attrs.field(factory=dict)
-
-    def add(self, part: int, answered_at: float) -> None:
-        """Add an answer; the parts answered longest ago are forgotten."""
-        last_at = self._answered_at.pop(part, answered_at)
-        self._answered_at[part] = max(last_at, answered_at)
-        _remove_oldest(self._answered_at, MAX_ANSWERED_PARTS)
-
-    def clear(self, part: int, crashed_at: float) -> bool:
-        """Tell whether a crash does not count against a part."""
-        answered_at = self._answered_at.get(part)
-        if answered_at is None:
-            return False
-        return answered_at > crashed_at - ANSWER_VALIDITY_S
-
-    def ages_s(
-        self, suspected_at: Mapping[int, float], now: float
-    ) -> dict[int, int]:
-        """Return the age of the answers that clear suspected parts."""
-        return {
-            part: int(now - self._answered_at[part])
-            for part, since in suspected_at.items()
-            if self.clear(part, since)
-        }
-
-
-@attrs.define
-class _Crash:
-    """An upstream that ended, as known from all observers.
-
-    :param known_at: time of the first news.
-    :param parts: time of the first news of each part in flight.
-    :param first_parts: those that were the first of their prompt.
-    :param is_own: whether this process observed it.
-    :param refuted_at: time at which the upstream was found to be alive.
-    """
-
-    known_at: float
-    parts: dict[int, float] = attrs.field(factory=dict)
-    first_parts: set[int] = attrs.field(factory=set)
-    is_own: bool = False
-    refuted_at: float | None = None
-
-    def add(self, crash: UpstreamCrash, now: float) -> None:
-        """Add the parts that an observer had in flight."""
-        for part in (*crash.other_parts, *crash.first_parts):
-            if len(self.parts) < MAX_PARTS_PER_CRASH:
-                self.parts.setdefault(part, now)
-        self.first_parts.update(self.parts.keys() & crash.first_parts)
-
-    def suspects(self, now: float, answers: _Answers) -> list[int]:
-        """Return the parts against which the crash counts."""
-        return [
-            part
-            for part, known_at in self.parts.items()
-            if now - known_at >= SETTLING_S
-            and not answers.clear(part, known_at)
-        ]
-
-    def refute(self, now: float) -> None:
-        """Have the crash count no longer."""
-        if self.refuted_at is None:
-            self.refuted_at = now
-
-
-@attrs.define
-class _Quarantine:
-    """Time span of a part's quarantine.
-
-    :param evidence: hashes of the upstreams that ended with the part, as far
-        as this process knows.
-    """
-
-    since: float
-    until: float
-    evidence: set[int] = attrs.field(factory=set)
-
-    def is_refuted(self, crashes: Mapping[int, _Crash]) -> bool:
-        """Remove refuted crashes from the evidence; tell if too few remain."""
-        refuted = {
-            incarnation
-            for incarnation in self.evidence & crashes.keys()
-            if crashes[incarnation].refuted_at is not None
-        }
-        self.evidence -= refuted
-        return bool(refuted) and len(self.evidence) < MIN_CRASHES
-
-
 class PromptQuarantine:
-    """Decides which prompt parts may not be sent to upstreams.
+    """Decides which prompts and requests may not be sent to upstreams.
 
     :param clock: monotonic clock.
     :param report_s: time for which a crash is part of the news.
+    :ivar requests: decides on whole requests.
     """
 
     def __init__(
@@ -180,9 +95,10 @@
         """Start without crashes, answers and quarantined parts."""
         self._clock = clock
         self._report_s = report_s
-        self._crashes: dict[int, _Crash] = {}
-        self._answers = _Answers()
-        self._quarantined: dict[int, _Quarantine] = {}
+        self._crashes: dict[int, CrashRecord] = {}
+        self._answers = Answers(MAX_ANSWERED_PARTS)
+        self._quarantined: dict[int, QuarantineSpan] = {}
+        self.requests = RequestCrashes(clock, self._crashes, self._quarantined)
         self._contested: dict[int, float] = {}
         self._withdrawn: dict[int, float] = {}
         self._added: list[QuarantinedPart] = []
@@ -199,7 +115,7 @@
 
     @property
     def quarantined_count(self) -> int:
-        """Return the number of quarantined parts."""
+        """Return the number of quarantined parts and requests."""
         return len(self._quarantined)
 
     def time_left_s(self, prompt_parts: Iterable[str]) -> float:
@@ -217,18 +133,32 @@
         crash = self._crashes.get(short_hash(incarnation))
         return crash is not None and crash.refuted_at is None
 
-    def is_cleared(self, prompt_parts: Iterable[str]) -> bool:
-        """Tell whether a crash now would count against none of the parts."""
+    def is_cleared(
+        self, prompt_parts: Iterable[str], request: int = 0
+    ) -> bool:
+        """Tell whether a crash now would count against nothing of these.
+
+        :param request: key of the request, 0 for an item.
+        """
         now = self._clock()
+        if request and not self.requests.answers.clear(request, now):
+            return False
         return all(
             self._answers.clear(short_hash(part), now) for part in prompt_parts
         )
 
-    def record_answer(self, prompt_parts: Iterable[str]) -> None:
-        """Record that an upstream answered a prompt as a whole."""
+    def record_answer(
+        self, prompt_parts: Iterable[str], request: int = 0
+    ) -> None:
+        """Record that an upstream answered a request as a whole.
+
+        :param request: key of the request, 0 for an item.
+        """
         now = self._clock()
         for part in prompt_parts:
             self._add_answer(short_hash(part), now)
+        if request:
+            self._add_answer(request, now)
 
     def record_crash(self, crash: UpstreamCrash) -> None:
         """Record an upstream that ended, as this process observed it."""
@@ -245,14 +175,16 @@
             crash.refute(now)
 
     def update(self) -> list[QuarantinedPart]:
-        """Forget what is old; quarantine the parts at fault.
+        """Forget what is old; quarantine the parts and requests at fault.
 
-        :return: the parts that were quarantined since the last update, also
-            by the decision of a peer.
+        :return: the parts and requests that were quarantined since the last
+            update, also by the decision of a peer.
         """
         now = self._clock()
         self._forget_old(now)
         self._withdraw_refuted(now)
+        for request in self.requests.at_fault(now):
+            self._add_quarantine(request, now, now + QUARANTINE_S)
         while parts := self._worst_parts(now):
             for part in parts:
                 self._add_quarantine(part, now, now + QUARANTINE_S)
@@ -275,6 +207,7 @@
         suspected_at = dict(self._contested)
         for crash in recent.values():
             suspected_at.update(crash.parts)
+            suspected_at.update(crash.requests)
         return PromptNews(
             crashes=tuple(
                 _encode_crash(incarnation, crash)
@@ -286,11 +219,15 @@
                 for incarnation, crash in recent.items()
                 if crash.refuted_at is not None
             ),
-            answered=self._answers.ages_s(suspected_at, now),
+            answered={
+                **self._answers.ages_s(suspected_at, now),
+                **self.requests.answers.ages_s(suspected_at, now),
+            },
             quarantined={
                 part: int(span.until - now)
                 for part, span in self._quarantined.items()
             },
+            suspects=self.requests.runs.own_suspects,
         )
 
     def apply_news(self, news: PromptNews) -> None:
@@ -305,51 +242,59 @@
         for part, age_s in news.answered.items():
             self._add_answer(part, now - age_s)
         self._apply_quarantined(news.quarantined, now)
+        self.requests.runs.record_peer_runs(news.suspects)
 
     def _apply_quarantined(
         self, seconds_left: Mapping[int, int], now: float
     ) -> None:
-        """Adopt a peer's quarantine of parts without a recent answer."""
+        """Adopt a peer's quarantine of what has no recent answer."""
         for part in seconds_left.keys() - self._withdrawn.keys():
             until = now + min(seconds_left[part], QUARANTINE_S)
-            span = self._quarantined.get(part, _Quarantine(now, now))
-            if self._answers.clear(part, now):
+            span = self._quarantined.get(part, QuarantineSpan(now, now))
+            if self._answers_of(part).clear(part, now):
                 self._contested[part] = now
             elif until - span.until > MIN_EXTENSION_S:
                 self._add_quarantine(part, now, until)
 
-    def _add_crash(self, crash: UpstreamCrash) -> _Crash:
-        """Return the stored crash of an upstream with new parts added.
+    def _add_crash(self, crash: UpstreamCrash) -> CrashRecord:
+        """Return the stored crash of an upstream with the news added.
 
         News of a refuted crash change nothing.
         """
         now = self._clock()
-        known = self._crashes.setdefault(crash.incarnation, _Crash(now))
+        known = self._crashes.setdefault(crash.incarnation, CrashRecord(now))
         if known.refuted_at is None:
             known.add(crash, now)
-            for part in self._quarantined.keys() & known.parts.keys():
+            in_flight = known.parts.keys() | known.requests.keys()
+            for part in self._quarantined.keys() & in_flight:
                 span = self._quarantined[part]
                 span.until = max(span.until, known.known_at + QUARANTINE_S)
                 span.evidence.add(crash.incarnation)
-        _remove_oldest(self._crashes, MAX_CRASHES)
+        remove_oldest(self._crashes, MAX_CRASHES)
         return known
 
     def _add_answer(self, part: int, answered_at: float) -> None:
         """Record an answer as the newest one; end a quarantine it refutes."""
-        self._answers.add(part, answered_at)
+        self._answers_of(part).add(part, answered_at)
         span = self._quarantined.get(part)
         if span and answered_at > span.since - ANSWER_VALIDITY_S:
             self._quarantined.pop(part)
 
+    def _answers_of(self, part: int) -> Answers:
+        """Return the answers to requests or to parts."""
+        if is_request_key(part):
+            return self.requests.answers
+        return self._answers
+
     def _add_quarantine(self, part: int, now: float, until: float) -> None:
-        """Quarantine a part, or extend its quarantine."""
+        """Quarantine a part or request, or extend its quarantine."""
         is_new = part not in self._quarantined
-        span = self._quarantined.setdefault(part, _Quarantine(now, until))
+        span = self._quarantined.setdefault(part, QuarantineSpan(now, until))
         span.until = max(span.until, until)
         span.evidence |= _crashed_with(part, self._crashes)
         if is_new:
             self._added.append(QuarantinedPart(part, tuple(span.evidence)))
-        _remove_oldest(self._quarantined, MAX_QUARANTINED_PARTS)
+        remove_oldest(self._quarantined, MAX_QUARANTINED)
 
     def _withdraw_refuted(self, now: float) -> None:
         """End the quarantine of parts whose crashes did not happen."""
@@ -362,16 +307,23 @@
         """Return the parts in flight at most of the unexplained crashes.
 
         None if they are too few. A first part is at fault only if no other
-        part is.
+        part is. Crashes under one request count once, as it may be at fault
+        itself.
         """
-        counts: collections.Counter[int] = collections.Counter()
+        causes: dict[int, set[int]] = collections.defaultdict(set)
         first_parts: set[int] = set()
-        for crash in self._crashes.values():
+        repeated = self.requests.repeated()
+        for incarnation, crash in self._crashes.items():
             is_explained = not self._quarantined.keys().isdisjoint(crash.parts)
             if is_explained or crash.refuted_at is not None:
                 continue
             first_parts |= crash.first_parts
-            counts.update(crash.suspects(now, self._answers))
+            cause = max(repeated & crash.requests.keys(), default=incarnation)
+            for part in crash.suspects(now, self._answers):
+                causes[part].add(cause)
+        counts = collections.Counter(
+            {part: len(distinct) for part, distinct in causes.items()}
+        )
         first_counts = collections.Counter(
             {part: counts.pop(part) for part in first_parts & counts.keys()}
         )
@@ -394,20 +346,42 @@
         _remove_before(self._withdrawn, now - QUARANTINE_S)
 
 
-def _crashed_with(part: int, crashes: Mapping[int, _Crash]) -> set[int]:
-    """Return the upstreams that ended with a part in flight."""
+def check_quarantine(
+    quarantine: PromptQuarantine, prompt_parts: Iterable[str], request: int
+) -> None:
+    """Check that neither a request nor a part of its prompt is held back.
+
+    :param request: key of the request, 0 for an item.
+    :raises QuarantinedError: it is.
+    """
+    time_left_s = quarantine.time_left_s(prompt_parts)
+    if time_left_s:
+        raise PromptQuarantinedError(
+            'several upstreams ended while they ran a part of the prompt',
+            retry_after_s=time_left_s,
+        )
+    hold = quarantine.requests.hold(request)
+    if hold is not None:
+        raise RequestQuarantinedError(hold.reason, retry_after_s=hold.seconds)
+
+
+def _crashed_with(part: int, crashes: Mapping[int, CrashRecord]) -> set[int]:
+    """Return the upstreams that ended with a part or request in flight."""
     return {
         incarnation
         for incarnation, crash in crashes.items()
-        if part in crash.parts and crash.refuted_at is None
+        if (part in crash.parts or part in crash.requests)
+        and crash.refuted_at is None
     }
 
 
-def _encode_crash(incarnation: int, crash: _Crash) -> UpstreamCrash:
+def _encode_crash(incarnation: int, crash: CrashRecord) -> UpstreamCrash:
     """Return a crash as it is reported to peers."""
     others = crash.parts.keys() - crash.first_parts
     first_parts = crash.parts.keys() & crash.first_parts
-    return UpstreamCrash(incarnation, tuple(first_parts), tuple(others))
+    return UpstreamCrash(
+        incarnation, tuple(first_parts), tuple(others), tuple(crash.requests)
+    )
 
 
 def _most_frequent(
@@ -424,8 +398,3 @@
     for part, added_at in list(times.items()):
         if added_at < oldest:
             times.pop(part)
-
-
-def _remove_oldest(entries: dict[int, Any], max_count: int) -> None:
-    while len(entries) > max_count:
-        entries.pop(next(iter(entries)))
--- a/briarrill/coordination/upstream_ends.py
+++ b/briarrill/coordination/upstream_ends.py
@@ -22,6 +22,7 @@
 from ..metrics import QUARANTINED_PARTS, UPSTREAM_CRASHES
 from ..protocol.load_reports import short_hash
 from ..protocol.prompt_news import PromptNews, UpstreamCrash
+from ..protocol.request_keys import is_request_key
 from ..transport.http_channel import connect
 from .prompt_crashes import PromptQuarantine
 from .upstream_table import RegisteredUpstream, UpstreamTable
@@ -52,6 +53,7 @@
 MAX_BROKEN_RUNS = 256
 
 HTTP_OK = 200
+HTTP_MULTIPLE_CHOICES = 300
 
 LOST_ERRORS = (UpstreamLostError, DeadlineExceededError)
 
@@ -61,12 +63,14 @@
     """A request in flight at an upstream.
 
     :param prompt_parts: identifiers of the prompt's shared parts, in order.
-    :param is_answered: whether the upstream answered the prompt as a whole.
+    :param request_key: key of the request, 0 for an item.
+    :param is_answered: whether the upstream answered the request as a whole.
     :param is_end_unmarked: whether only the close of the connection marks
         the end of the answer.
     """
 
     prompt_parts: tuple[str, ...]
+    request_key: int = 0
     is_answered: bool = False
     is_end_unmarked: bool = False
     _first_bytes_at: float | None = None
@@ -95,7 +99,7 @@
 
         :param is_marked: whether more than a close marks its end.
         """
-        self.is_answered = status == HTTP_OK
+        self.is_answered = HTTP_OK <= status < HTTP_MULTIPLE_CHOICES
         self.is_end_unmarked = self.is_answered and not is_marked
 
 
@@ -143,16 +147,20 @@
         self.unmarked.extend(remaining)
 
     def crash(self) -> UpstreamCrash:
-        """Return the crash with the prompts that may have caused it."""
+        """Return the crash with the requests that may have caused it."""
         runs = {*self.running, *self.unmarked}
         runs.update(run for _, run in self.broken)
-        prompts = [run.prompt_parts for run in runs if run.is_suspect]
+        suspects = [run for run in runs if run.is_suspect]
+        prompts = [run.prompt_parts for run in suspects if run.prompt_parts]
         first_parts = {parts[0] for parts in prompts}
         all_parts = {part for parts in prompts for part in parts}
         return UpstreamCrash(
             incarnation=short_hash(self.upstream.incarnation),
             first_parts=tuple(map(short_hash, first_parts)),
             other_parts=tuple(map(short_hash, all_parts - first_parts)),
+            requests=tuple(
+                {run.request_key for run in suspects if run.request_key}
+            ),
         )
 
 
@@ -184,33 +192,25 @@
 
     @contextlib.contextmanager
     def track(
-        self, upstream: RegisteredUpstream, prompt_parts: tuple[str, ...]
+        self,
+        upstream: RegisteredUpstream,
+        prompt_parts: tuple[str, ...],
+        request_key: int = 0,
     ) -> Iterator[PromptRun]:
-        """Observe one request; an exception tells how its response ended."""
-        run = PromptRun(prompt_parts)
-        incarnation = upstream.incarnation
-        if not prompt_parts or self.quarantine.has_crashed(incarnation):
+        """Observe one request; an exception tells how its response ended.
+
+        :param request_key: key of the request, 0 for an item.
+        """
+        run = PromptRun(prompt_parts, request_key)
+        if not (prompt_parts or request_key):
             yield run
             return
-        runs = self._runs.setdefault(incarnation, _UpstreamRuns(upstream))
-        runs.running.add(run)
-        try:
-            yield run
-        except self._lost_errors:
-            runs.add_broken(run)
-            self._check_unless_cleared(runs, run)
-            raise
-        except trio.Cancelled:
-            if not run.has_begun:
-                runs.add_broken(run)
-            raise
-        finally:
-            runs.running.discard(run)
-        if run.is_end_unmarked:
-            runs.unmarked.append(run)
-            self._check_unless_cleared(runs, run)
-        elif run.is_answered:
-            self.quarantine.record_answer(prompt_parts)
+        with self._count_run(upstream.incarnation, run):
+            if self.quarantine.has_crashed(upstream.incarnation):
+                yield run
+                return
+            with self._observe(upstream, run):
+                yield run
 
     def record_response(self, upstream: RegisteredUpstream) -> None:
         """Record that an upstream has sent the head of a response."""
@@ -246,11 +246,52 @@
                 with trio.move_on_after(pause_s):
                     await self._wake.wait()
 
+    @contextlib.contextmanager
+    def _count_run(self, incarnation: str, run: PromptRun) -> Iterator[None]:
+        """Count a request as in flight; tell peers of a suspected one."""
+        if not run.request_key:
+            yield
+            return
+        requests = self.quarantine.requests
+        counted = requests.runs.counted(
+            short_hash(incarnation), run.request_key
+        )
+        with counted:
+            if requests.is_suspect(run.request_key):
+                self._on_change()
+            yield
+
+    @contextlib.contextmanager
+    def _observe(
+        self, upstream: RegisteredUpstream, run: PromptRun
+    ) -> Iterator[None]:
+        """Keep a request as evidence of a crash, or record its answer."""
+        incarnation = upstream.incarnation
+        runs = self._runs.setdefault(incarnation, _UpstreamRuns(upstream))
+        runs.running.add(run)
+        try:
+            yield
+        except self._lost_errors:
+            runs.add_broken(run)
+            self._check_unless_cleared(runs, run)
+            raise
+        except trio.Cancelled:
+            if not run.has_begun:
+                runs.add_broken(run)
+            raise
+        finally:
+            runs.running.discard(run)
+        if run.is_end_unmarked:
+            runs.unmarked.append(run)
+            self._check_unless_cleared(runs, run)
+        elif run.is_answered:
+            self.quarantine.record_answer(run.prompt_parts, run.request_key)
+
     def _check_unless_cleared(
         self, runs: _UpstreamRuns, run: PromptRun
     ) -> None:
         """Start a check if a crash would count against the prompt."""
-        if not self.quarantine.is_cleared(run.prompt_parts):
+        if not self.quarantine.is_cleared(run.prompt_parts, run.request_key):
             self._start_check(runs)
 
     def _start_check(self, runs: _UpstreamRuns) -> None:
@@ -279,7 +320,7 @@
         runs.has_departed = not self._is_registered(runs.upstream)
         runs.forget_unmarked(unmarked)
         for run in unmarked:
-            self.quarantine.record_answer(run.prompt_parts)
+            self.quarantine.record_answer(run.prompt_parts, run.request_key)
         if runs.unmarked:
             self._start_check(runs)
 
@@ -313,7 +354,7 @@
         crash = runs.crash()
         runs.has_ended = True
         self._runs.pop(runs.upstream.incarnation, None)
-        if not (crash.first_parts or crash.other_parts):
+        if not (crash.first_parts or crash.requests):
             return
         UPSTREAM_CRASHES.inc()
         log_message(
@@ -322,15 +363,18 @@
             reason=reason,
             first_parts=crash.first_parts,
             other_parts=crash.other_parts,
+            requests=crash.requests,
         )
         self.quarantine.record_crash(crash)
         self._on_change()
 
     def _update_quarantine(self) -> None:
-        """Quarantine the parts at fault and log the evidence."""
+        """Quarantine what is at fault and log the evidence."""
         for quarantined in self.quarantine.update():
             log_message(
-                'prompt-part:quarantined',
+                'request:quarantined'
+                if is_request_key(quarantined.part)
+                else 'prompt-part:quarantined',
                 part=quarantined.part,
                 crashes=quarantined.incarnations,
             )
--- a/briarrill/entry/calls.py
+++ b/briarrill/entry/calls.py
@@ -28,6 +28,7 @@
     :param prefix_key: equal for requests that share a prompt prefix.
     :param deadline_s: deadline by the monotonic clock.
     :param prompt_parts: digests of the messages that it may share with others.
+    :param request_key: the same for each attempt at one request of a caller.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     content_type: str = 'application/json'
     prefix_key: str = ''
     prompt_parts: tuple[str, ...] = ()
+    request_key: int = 0
     trace: str = ''
 
 
--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -9,7 +9,7 @@
 import trio
 
 from ..coordination.ejection import Ejector
-from ..coordination.prompt_crashes import PromptQuarantine
+from ..coordination.prompt_crashes import PromptQuarantine, check_quarantine
 from ..coordination.retries import RetryBudgets
 from ..coordination.routing import RoutingPolicy
 from ..errors import (
@@ -21,7 +21,6 @@
     InternalError,
     NoUpstreamError,
     OutcomeUnknownError,
-    PromptQuarantinedError,
     UpstreamFailedError,
     UpstreamLostError,
 )
@@ -146,14 +145,9 @@
     ) -> StartedResponse:
         """Send one attempt and wait for its first chunk or end.
 
-        :raises PromptQuarantinedError: no upstream gets the prompt.
+        :raises QuarantinedError: no upstream gets the request.
         """
-        time_left_s = self._quarantine.time_left_s(req.prompt_parts)
-        if time_left_s:
-            raise PromptQuarantinedError(
-                'several upstreams ended while they ran a part of the prompt',
-                retry_after_s=time_left_s,
-            )
+        check_quarantine(self._quarantine, req.prompt_parts, req.request_key)
         link = self._choose_link(req, attempts.tried_upstreams)
         attempts.tried_upstreams.add(link.name)
         call = link.submit(req, attempts.failed_count)
@@ -167,7 +161,9 @@
             call,
             first_chunk,
             req.deadline_s,
-            lambda: self._quarantine.record_answer(req.prompt_parts),
+            lambda: self._quarantine.record_answer(
+                req.prompt_parts, req.request_key
+            ),
         )
         if first_chunk is None:
             response.on_whole()
@@ -276,6 +272,7 @@
         ResultCode.DEADLINE_EXCEEDED,
         ResultCode.NO_UPSTREAM,
         ResultCode.PROMPT_QUARANTINED,
+        ResultCode.REQUEST_QUARANTINED,
     )
 )
 
--- a/briarrill/entry/links.py
+++ b/briarrill/entry/links.py
@@ -145,6 +145,7 @@
             time_left_s=req.deadline_s - time.monotonic(),
             content_type=req.content_type,
             trace=req.trace,
+            request_key=req.request_key,
         )
 
     async def _maintain_session(self) -> None:
--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -24,6 +24,7 @@
     parse_completion,
     prompt_parts,
 )
+from ..protocol.request_keys import request_key
 from ..tracing import open_action
 from ..transport.http_connection import request_exit_stack
 from .context import Caller, EntryContext, read_body
@@ -141,6 +142,7 @@
 ) -> OnlineRequest:
     """Build the dispatcher's request from the current HTTP request."""
     query = request.query_string.decode()
+    full_path = f'{path}?{query}' if query else path
     is_idempotent = _is_idempotent(ctx, target, path)
     idempotency_id = '' if is_idempotent else _idempotency_id(caller)
     return OnlineRequest(
@@ -148,7 +150,7 @@
         contract=caller.name,
         target=target,
         method=request.method,
-        path=f'{path}?{query}' if query else path,
+        path=full_path,
         body=body,
         idempotent=is_idempotent,
         deadline_s=time.monotonic() + ctx.cfg.request_timeout_s,
@@ -161,6 +163,12 @@
             if request.path.startswith(SERVICES_PATH)
             else prompt_parts(body)
         ),
+        request_key=request_key(
+            f'{caller.name}/{target}',
+            request.method.encode(),
+            full_path.encode(),
+            body,
+        ),
     )
 
 
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -234,12 +234,22 @@
     code = ResultCode.NOT_READY
 
 
-class PromptQuarantinedError(CapacityError):
+class QuarantinedError(CapacityError):
+    """A request is held back, since upstreams ended while they ran it."""
+
+
+class PromptQuarantinedError(QuarantinedError):
     """Several upstreams ended while they ran a part of the prompt."""
 
     code = ResultCode.PROMPT_QUARANTINED
 
 
+class RequestQuarantinedError(QuarantinedError):
+    """Several upstreams ended while they ran the same request."""
+
+    code = ResultCode.REQUEST_QUARANTINED
+
+
 class ExecutionError(BriarrillError):
     """The request was sent to an upstream and did not succeed."""
 
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -16,7 +16,7 @@
 
 __all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_hash')
 
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 
 # hashes of items and processes that are kept for their next use
 MAX_CACHED_HASHES = 8192
--- a/briarrill/protocol/messages/online.py
+++ b/briarrill/protocol/messages/online.py
@@ -16,6 +16,7 @@
     :param peer_clock_s: receiver's clock that the sender last received.
     :param peer_clock_age_s: seconds since the sender received that clock.
     :param time_left_s: seconds until the deadline.
+    :param request_key: the same for each attempt at one request of a caller.
     :param trace: eliot task identifier that the receiver continues.
     """
 
@@ -32,6 +33,7 @@
     time_left_s: float
     content_type: str = 'application/json'
     trace: str = ''
+    request_key: int = 0
 
 
 @attrs.frozen
--- a/briarrill/protocol/prompt_news.py
+++ b/briarrill/protocol/prompt_news.py
@@ -1,4 +1,8 @@
-"""briarrill.protocol.prompt_news: what processes tell of crashing prompts."""
+"""briarrill.protocol.prompt_news: what processes tell of crashes and causes.
+
+A cause is a part of prompts, named by its hash, or a whole request, named by
+its key.
+"""
 
 import attrs
 
@@ -13,11 +17,13 @@
     :param first_parts: hashes of the first parts of these prompts.
     :param other_parts: hashes of the other parts that they share with other
         requests.
+    :param requests: keys of the requests.
     """
 
     incarnation: int
     first_parts: tuple[int, ...] = ()
     other_parts: tuple[int, ...] = ()
+    requests: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -26,13 +32,16 @@
 
     :param crashes: upstreams that the process found to have ended.
     :param alive: hashes of incarnations that it found to be alive instead.
-    :param answered: seconds since an answer to a prompt with a part that is
-        suspected to crash upstreams, by the part's hash.
-    :param quarantined: seconds for which a part of prompts is not sent to
-        upstreams, by its hash.
+    :param answered: seconds since an answer to a suspected request or to a
+        prompt with a suspected part, by its key or hash.
+    :param quarantined: seconds for which a request or a part of prompts is
+        not sent to upstreams, by its key or hash.
+    :param suspects: hashes of incarnations with the keys of the suspected
+        requests that the process has in flight there.
     """
 
     crashes: tuple[UpstreamCrash, ...] = ()
     alive: tuple[int, ...] = ()
     answered: dict[int, int] = attrs.field(factory=dict)
     quarantined: dict[int, int] = attrs.field(factory=dict)
+    suspects: tuple[tuple[int, int], ...] = ()
--- a/briarrill/protocol/request_keys.py
+++ b/briarrill/protocol/request_keys.py
@@ -2,20 +2,27 @@
 
 import hashlib
 
-__all__ = ('request_key',)
+__all__ = ('is_request_key', 'request_key')
 
 KEY_BYTES = 8
 
+# the highest bit tells keys of requests from 32-bit hashes of prompt parts
+MIN_REQUEST_KEY = 0x8000000000000000
+
 
 def request_key(caller: str, method: bytes, target: bytes, body: bytes) -> int:
-    """Return a 64-bit key, the same for each attempt at one request.
+    """Return a 64-bit number, the same for each attempt at one request.
 
     :param caller: identifies who sent the request.
     :param target: path and query.
-    :return: positive number; 0 stands for no request elsewhere.
     """
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
     for field in (caller.encode(), method, target, body):
         digest.update(len(field).to_bytes(KEY_BYTES))
         digest.update(field)
-    return int.from_bytes(digest.digest()) or 1
+    return int.from_bytes(digest.digest()) | MIN_REQUEST_KEY
+
+
+def is_request_key(key: int) -> bool:
+    """Tell the key of a request from the hash of a prompt part."""
+    return key >= MIN_REQUEST_KEY
--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -16,6 +16,7 @@
     DeadlineExceededError,
     OutcomeUnknownError,
     OverloadedError,
+    QuarantinedError,
     UpstreamFailedError,
     UpstreamLostError,
 )
@@ -85,6 +86,12 @@
             return exc
         return OutcomeUnknownError(exc.message, ran=self.ran)
 
+    def quarantine_error(self, exc: QuarantinedError) -> BriarrillError:
+        """Return the caller's error for a request that is held back."""
+        if self.ran is Ran.NO:
+            return exc
+        return OutcomeUnknownError(exc.message, ran=self.ran)
+
 
 @attrs.frozen
 class Attempt:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -23,6 +23,7 @@
     expected_wait_s,
     placeable_candidates,
 )
+from ..coordination.prompt_crashes import check_quarantine
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end
 from ..coordination.retries import RetryBudgets
@@ -36,10 +37,9 @@
     DeadlineExceededError,
     DeadlineUnreachableError,
     NoUpstreamError,
-    OutcomeUnknownError,
     OverloadedError,
     PeerUnreachableError,
-    PromptQuarantinedError,
+    QuarantinedError,
     UpstreamBusyError,
     UpstreamFailedError,
     UpstreamLeftError,
@@ -126,6 +126,8 @@
         except trio.Cancelled:
             log_caller_left(call, response, progress, began_at)
             raise
+        except QuarantinedError as exc:
+            raise progress.quarantine_error(exc) from exc
         log_if_response_late(call, response, progress, began_at)
 
     async def _attempt_until_done(
@@ -147,11 +149,13 @@
         :raises UpstreamLeftError: the upstream left before the send.
         :raises BriarrillError: no further attempt is allowed.
         """
+        check_quarantine(
+            self._ends.quarantine, call.prompt_parts, call.request_key
+        )
         upstream = await self._choose_upstream(call, progress)
-        self._check_prompt(call, progress)
         try:
             await self._run_attempt(call, upstream, response, progress)
-        except UpstreamLeftError:
+        except (UpstreamLeftError, QuarantinedError):
             raise
         except BriarrillError as exc:
             self._handle_failure(call, upstream, response, progress, exc)
@@ -209,6 +213,9 @@
             self._make_candidate(upstream)
             for upstream in self._upstreams.accepting_upstreams(call.service)
             if upstream.upstream_id not in progress.failed_upstreams
+            and self._ends.quarantine.requests.may_run_at(
+                call.request_key, upstream.incarnation
+            )
         ]
         if not candidates:
             return []
@@ -248,20 +255,6 @@
                 retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
             )
 
-    def _check_prompt(self, call: Call, progress: CallProgress) -> None:
-        """Check that no part of the prompt is quarantined.
-
-        :raises PromptQuarantinedError: one is, and no attempt has run.
-        :raises OutcomeUnknownError: one is, and an attempt may have run.
-        """
-        time_left_s = self._ends.quarantine.time_left_s(call.prompt_parts)
-        if not time_left_s:
-            return
-        message = 'several upstreams ended while they ran a part of the prompt'
-        if progress.ran is Ran.NO:
-            raise PromptQuarantinedError(message, retry_after_s=time_left_s)
-        raise OutcomeUnknownError(message, ran=progress.ran)
-
     async def _run_attempt(
         self,
         call: Call,
@@ -277,22 +270,45 @@
         """
         with self._placer.placed(upstream):
             channel = await self._connect(upstream, call.request_id)
-            if not self._upstreams.still_accepts(upstream):
+            try:
+                self._check_before_send(call, upstream)
+            except BaseException:
                 channel.close()
-                raise UpstreamLeftError(
-                    f'upstream {upstream.upstream_id!r} left before the send'
-                )
+                raise
             progress.attempts += 1
             is_last = progress.possible_runs + 1 >= call.route.max_attempts
             attempt = Attempt(call, response, is_last)
             try:
-                with self._ends.track(upstream, call.prompt_parts) as run:
+                with self._ends.track(
+                    upstream, call.prompt_parts, call.request_key
+                ) as run:
                     await self._exchange(attempt, upstream, channel, run)
             except BaseException:
                 channel.close()
                 raise
             self._pool.release(upstream.incarnation, channel)
 
+    def _check_before_send(
+        self, call: Call, upstream: RegisteredUpstream
+    ) -> None:
+        """Check again what may have changed since the upstream was chosen.
+
+        :raises UpstreamLeftError: it left, or has another suspected request.
+        :raises QuarantinedError: the request is held back.
+        """
+        check_quarantine(
+            self._ends.quarantine, call.prompt_parts, call.request_key
+        )
+        if not (
+            self._upstreams.still_accepts(upstream)
+            and self._ends.quarantine.requests.may_run_at(
+                call.request_key, upstream.incarnation
+            )
+        ):
+            raise UpstreamLeftError(
+                f'upstream {upstream.upstream_id!r} left before the send'
+            )
+
     async def _connect(
         self, upstream: RegisteredUpstream, request_id: str
     ) -> HttpChannel:
--- a/briarrill/result_codes.py
+++ b/briarrill/result_codes.py
@@ -46,6 +46,7 @@
     STORE_FULL = 304
     NOT_READY = 305
     PROMPT_QUARANTINED = 306
+    REQUEST_QUARANTINED = 307
 
     # execution at an upstream
     UPSTREAM_FAILED = 400
--- a/briarrill/sidecar/engine_ends.py
+++ b/briarrill/sidecar/engine_ends.py
@@ -59,10 +59,13 @@
         return self._ends.quarantine.news()
 
     @contextlib.contextmanager
-    def track(self, request_body: bytes) -> Iterator[PromptRun]:
-        """Observe one request at the engine."""
+    def track(self, request_body: bytes, key: int = 0) -> Iterator[PromptRun]:
+        """Observe one request at the engine.
+
+        :param key: key of the request, 0 for an item.
+        """
         with self._ends.track(
-            self._upstream, prompt_parts(request_body)
+            self._upstream, prompt_parts(request_body), key
         ) as run:
             yield run
 
--- a/briarrill/sidecar/online.py
+++ b/briarrill/sidecar/online.py
@@ -287,7 +287,7 @@
             content_type=submit.content_type,
         )
         try:
-            with self.ends.track(submit.body) as run:
+            with self.ends.track(submit.body, submit.request_key) as run:
                 async with self._upstream.send(req) as response:
                     await self._relay_response(call, response, run)
         except httpx.ConnectError as exc:
--- a/tests/coordination/test_prompt_crashes.py
+++ b/tests/coordination/test_prompt_crashes.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briarrill.coordination import prompt_crashes
+from briarrill.coordination import crash_records, prompt_crashes
 from briarrill.coordination.prompt_crashes import PromptQuarantine
 from briarrill.protocol.load_reports import (
     LoadReport,
@@ -364,7 +364,7 @@
     fleet = Fleet(names=('a', 'b'))
     for number in range(3):
         fleet.crash('a', f'i{number}', ('first', 'bad'))
-    fleet.now += prompt_crashes.SETTLING_S + 1
+    fleet.now += crash_records.SETTLING_S + 1
     fleet.processes['a'].update()
     fleet.restart('b')
     fleet.exchange()
@@ -382,7 +382,7 @@
     fleet.pass_time(3)
     process = fleet.processes['a']
     assert len(process._crashes) <= prompt_crashes.MAX_CRASHES
-    assert len(process._quarantined) <= prompt_crashes.MAX_QUARANTINED_PARTS
+    assert len(process._quarantined) <= prompt_crashes.MAX_QUARANTINED
     assert (
         len(fleet.processes['b']._answers._answered_at)
         <= prompt_crashes.MAX_ANSWERED_PARTS
--- a/tests/coordination/test_upstream_ends.py
+++ b/tests/coordination/test_upstream_ends.py
@@ -19,11 +19,16 @@
     UpstreamLostError,
 )
 from briarrill.protocol.load_reports import short_hash
+from briarrill.protocol.prompt_news import UpstreamCrash
+from briarrill.protocol.request_keys import request_key
 from standins.platform_engine import StandinEngine, stream_events
 from tests.serving import free_port, serve_standin
 
 PARTS = ('first', 'shared')
 
+REQUEST = request_key('caller', b'GET', b'/x', b'')
+OTHER_REQUEST = request_key('caller', b'GET', b'/y', b'')
+
 
 @attrs.define
 class Observed:
@@ -264,3 +269,48 @@
     observed.table.mark_leaving('i-1/1')
     await observed.settle()
     assert not observed.crashes
+
+
+async def test_plain_request_without_parts_is_evidence_of_a_crash(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    with (
+        contextlib.suppress(UpstreamLostError),
+        observed.ends.track(observed.upstream, (), REQUEST),
+        observed.ends.track(observed.upstream, (), OTHER_REQUEST),
+    ):
+        raise UpstreamLostError('cut')
+    await observed.settle()
+    assert [set(crash.requests) for crash in observed.crashes] == [
+        {REQUEST, OTHER_REQUEST}
+    ]
+    assert observed.crashes[0].first_parts == ()
+
+
+async def test_item_in_flight_at_a_crash_is_no_request(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    observed.fail()
+    await observed.settle()
+    assert [crash.requests for crash in observed.crashes] == [()]
+
+
+async def test_whole_answer_clears_its_request(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    with observed.ends.track(observed.upstream, (), REQUEST) as run:
+        run.record_end(201, is_marked=True)
+    assert observed.ends.quarantine.is_cleared((), REQUEST)
+    assert not observed.ends.quarantine.is_cleared((), OTHER_REQUEST)
+
+
+async def test_suspected_request_is_told_to_peers_when_it_is_sent(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    quarantine = observed.ends.quarantine
+    for incarnation in range(2):
+        quarantine.record_crash(
+            UpstreamCrash(incarnation, requests=(REQUEST,))
+        )
+    assert observed.changes == []
+    with observed.ends.track(observed.upstream, (), REQUEST):
+        assert observed.changes == [1]
+        sent = quarantine.news().suspects
+        assert sent == ((short_hash('i-1/1'), REQUEST),)
+    assert quarantine.news().suspects == ()
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -12,6 +12,7 @@
 from briarrill.transport.http_callers import serve_callers
 from briarrill.transport.http_messages import RequestHead
 from standins.platform_store import StandinStore
+from tests.platform import platform_fleet
 from tests.platform.crashing_engine import CrashingEngine, End
 from tests.platform.platform_fleet import (
     FRONT_PORT,
@@ -38,22 +39,25 @@
     'idempotent': {'kind': 'idempotent', 'max_attempts': 3},
     'once': {'kind': 'non_idempotent', 'max_attempts': 3},
 }
-ROUTES = {
-    'version': 3,
-    'routes': [
-        {
-            'name': f'{name}-{host}',
-            'host': host,
-            'prefix': f'/{name}/',
-            'timeout_ms': 5000,
-            'target_latency_ms': 300,
-            'service': 'llm',
-            **kind,
-        }
-        for host in ('h', 'other')
-        for name, kind in KINDS.items()
-    ],
-}
+CALLER_ROUTES = [
+    {
+        'name': f'{name}-{host}',
+        'host': host,
+        'prefix': f'/{name}/',
+        'timeout_ms': 5000,
+        'target_latency_ms': 300,
+        'service': 'llm',
+        **kind,
+    }
+    for host in ('h', 'other')
+    for name, kind in KINDS.items()
+]
+JOB_ROUTES = [
+    route
+    for route in platform_fleet.ROUTES['routes']
+    if route['kind'] == 'batch'
+]
+ROUTES = {'version': 3, 'routes': CALLER_ROUTES + JOB_ROUTES}
 
 # plain requests have no prompt
 STREAM_PREFIXES = (b'/stream/', b'/resumable/')
@@ -104,6 +108,14 @@
             await trio.sleep(REQUEST_PAUSE_S)
 
 
+def _is_fatal(req):
+    return (
+        req.body == BAD_BODY
+        and req.header(b'host') == b'h'
+        and req.head.path.endswith('/x')
+    )
+
+
 @contextlib.asynccontextmanager
 async def crashing_fleet(network, folder, end, *, keeps_id):
     """Run the processes and the upstreams until exit."""
@@ -114,9 +126,7 @@
             store,
             f'i{number}',
             f'{network}.{number}',
-            lambda req: req.body == BAD_BODY
-            and req.header(b'host') == b'h'
-            and req.head.path.endswith('/x'),
+            _is_fatal,
             end,
             keeps_id,
         )
@@ -171,3 +181,44 @@
             assert await crashing.ask(number, other_path, BAD_BODY) == 200
             assert await crashing.ask(number, path, BAD_BODY, b'other') == 200
         assert crashing.reached == reached
+
+
+async def test_entry_that_starts_again_learns_of_the_request(
+    network, tmp_path
+):
+    path = b'/idempotent/x'
+    async with crashing_fleet(
+        network, tmp_path, End.BEFORE_HEAD, keeps_id=False
+    ) as crashing:
+        processes = crashing.fleet.processes
+        with trio.fail_after(30):
+            await crashing.refuse_in_a_row(path)
+        processes['entry-2'].kill()
+        await processes['entry-2'].wait()
+        processes['entry-2'] = await start_process(
+            network, tmp_path, 'entry', 2
+        )
+        with trio.fail_after(30):
+            await wait_ready(f'{network}.2')
+            await crashing.refuse_in_a_row(path)
+        reached = crashing.reached
+        assert await crashing.ask(2, path, BAD_BODY) == 503
+        assert await crashing.ask(2, path, SOUND_BODY) == 200
+        assert crashing.reached == reached
+
+
+async def test_items_in_flight_at_crashes_are_done(network, tmp_path):
+    async with crashing_fleet(
+        network, tmp_path, End.INSIDE_ANSWER, keeps_id=False
+    ) as crashing:
+        with trio.fail_after(40):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(crashing.refuse_in_a_row, b'/stream/x')
+                for number in range(5):
+                    job_id = f'job{number}'
+                    assert await crashing.fleet.submit(job_id, 8) == 202
+                    await trio.sleep(REQUEST_PAUSE_S)
+            for number in range(5):
+                page = await crashing.fleet.read_results(f'job{number}', 8)
+                states = [result['state'] for result in page['results']]
+                assert states == ['completed'] * 8
--- a/tests/sidecar/test_engine_ends.py
+++ b/tests/sidecar/test_engine_ends.py
@@ -1,6 +1,7 @@
 """Engines that end under prompts with one message, behind sidecars."""
 
 import contextlib
+import itertools
 import json
 import random
 import types
@@ -18,9 +19,14 @@
 from briarrill.coordination.upstream_ends import observe_prompt_news
 from briarrill.entry.dispatch import Dispatcher
 from briarrill.entry.links import UpstreamLink
-from briarrill.errors import BriarrillError, PromptQuarantinedError
+from briarrill.errors import (
+    BriarrillError,
+    PromptQuarantinedError,
+    RequestQuarantinedError,
+)
 from briarrill.protocol.callers_api import prompt_parts
 from briarrill.protocol.messages import BatchItem, Pull
+from briarrill.protocol.request_keys import request_key
 from briarrill.result_codes import Ran, ResultCode
 from briarrill.sidecar.batch import BatchRunner
 from briarrill.sidecar.upstreams import EngineUpstream
@@ -244,6 +250,47 @@
             assert await fleet.ask(restarted, 'system', 'sound') is None
 
 
+async def test_request_that_ends_engines_is_refused_but_its_parts_are_not(
+    network,
+):
+    async with (
+        open_fleet(network) as fleet,
+        fleet.open_entry() as first,
+        fleet.open_entry() as second,
+    ):
+        # the message at fault is the request's own, no shared one
+        body = body_of('system', 'shared', 'bad')
+        req = attrs.evolve(
+            make_request('fatal', idempotent=False),
+            body=body,
+            prompt_parts=prompt_parts(body),
+            request_key=request_key('kinship', b'POST', b'/', body),
+        )
+        for number in itertools.count():
+            reached = fleet.reached
+            with pytest.raises(BriarrillError) as raised:
+                again = attrs.evolve(req, request_id=f'fatal-{number}')
+                await first.dispatch(again)
+            if isinstance(raised.value, RequestQuarantinedError):
+                break
+            await trio.sleep(0.1)
+        assert raised.value.ran is Ran.NO
+        assert fleet.reached == reached
+        await wait_until(
+            lambda: second._quarantine.requests.hold(req.request_key)
+        )
+        async with fleet.open_entry() as restarted:
+            await wait_until(
+                lambda: restarted._quarantine.requests.hold(req.request_key)
+            )
+            for dispatcher in (first, second, restarted):
+                with pytest.raises(RequestQuarantinedError):
+                    await dispatcher.dispatch(req)
+                error = await fleet.ask(dispatcher, 'system', 'shared')
+                assert error is None
+        assert fleet.reached == reached
+
+
 async def test_connections_cut_by_live_engines_accuse_no_message(network):
     async with (
         open_fleet(network, resets=True) as fleet,
