Name upstreams' versions and resumed attempts in the log

Cause: the log could not tell whether a stream went on at another version, nor on which way: no line named the version of an upstream, or the attempt that a caller takes up.

Change: the registration's version and the caller's `Resumes` are read. `upstream:registered`, `request:attempt-failed` and `item:run-failed` name the version, and the second one the attempt that began the stream.

Result: a test of the adapter; no decision changes.

--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -40,6 +40,8 @@
     :param position: position of the first result to read.
     :param wait_s: how long to wait for a first result.
     :param last_event_id: event after which the stream resumes.
+    :param resumed_id: identifier of the attempt that began this stream, empty
+        for none.
     """
 
     kind: IntentKind
@@ -51,6 +53,7 @@
     position: int = 0
     wait_s: float = 0
     last_event_id: int | None = None
+    resumed_id: str = ''
 
 
 @attrs.frozen
@@ -60,6 +63,8 @@
     :param service: service whose upstreams may run it.
     :param deadline_s: monotonic time by which a response is due.
     :param last_event_id: event after which the stream resumes.
+    :param resumed_id: identifier of the attempt that began this stream, empty
+        for none.
     :param prompt_parts: identifiers of the parts that its prompt shares with
         other requests, in order.
     :param request_key: the same for each attempt at one request of a caller;
@@ -73,6 +78,7 @@
     body: bytes
     deadline_s: float
     last_event_id: int | None = None
+    resumed_id: str = ''
     prompt_parts: tuple[str, ...] = ()
     request_key: int = 0
 
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -45,6 +45,7 @@
     :param slots: requests that it runs at the same time.
     :param is_draining: it accepts no new requests.
     :param incarnation: identifier that changes at each restart.
+    :param version: of its software, empty if it names none.
     """
 
     upstream_id: str
@@ -54,6 +55,7 @@
     slots: int
     is_draining: bool = False
     incarnation: str = ''
+    version: str = ''
 
 
 class UpstreamTable:
@@ -177,6 +179,7 @@
                 'upstream:registered',
                 upstream=upstream.upstream_id,
                 draining=upstream.is_draining,
+                version=upstream.version,
                 known=previous is not None,
             )
 
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -261,6 +261,7 @@
         job=progress.job_id,
         request_id=progress.stored.item_id,
         upstream=upstream.upstream_id,
+        version=upstream.version,
         event=progress.last_event_id,
         reason=exc.message,
         prompt_parts=call.prompt_parts,
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -38,6 +38,7 @@
 _WAIT_MS = b'briarrill-wait-ms'
 _PROMPT_PREFIX = b'briarrill-prompt-prefix'
 _LAST_EVENT_ID = b'last-event-id'
+_RESUMES = b'resumes'
 _CONTENT_LENGTH = b'content-length'
 _HOST = b'host'
 _AUTHORIZATION = b'authorization'
@@ -107,6 +108,7 @@
             / _MS_PER_S,
             job_id=job_id,
             last_event_id=_last_event_id(head),
+            resumed_id=_resumed_id(head),
         )
 
     def caller(self, head: RequestHead) -> str:
@@ -326,6 +328,12 @@
     return int(raw)
 
 
+def _resumed_id(head: RequestHead) -> str:
+    """Return the ID of the attempt that began a stream, empty for none."""
+    raw = find_header(head.headers, _RESUMES)
+    return '' if raw is None else raw.decode(_CHARSET)
+
+
 def _has_body(head: RequestHead) -> bool:
     """Whether the headers announce a body, possibly empty."""
     return any(
--- a/briarrill/platform/upstreams.py
+++ b/briarrill/platform/upstreams.py
@@ -24,6 +24,7 @@
 class _Registration:
     """Registration that an upstream writes to the store.
 
+    :param version: version of the upstream's software.
     :param born: start of the upstream's process, Unix milliseconds.
     """
 
@@ -32,6 +33,7 @@
     zone: str
     slots: int
     state: Literal['ready', 'draining']
+    version: str = ''
     born: int = 0
 
 
@@ -83,4 +85,5 @@
         slots=registration.slots,
         is_draining=registration.state == 'draining',
         incarnation=f'{upstream_id}/{registration.born}',
+        version=registration.version,
     )
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -524,6 +524,8 @@
             'request:attempt-failed',
             request_id=call.request_id,
             upstream=upstream.upstream_id,
+            version=upstream.version,
+            resumes=call.resumed_id,
             attempt=progress.attempts,
             reason=exc.message,
             ran=exc.ran.value,
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -183,6 +183,7 @@
             body=body,
             deadline_s=arrived_at + (remaining_s or math.inf),
             last_event_id=intent.last_event_id,
+            resumed_id=intent.resumed_id,
             prompt_parts=self.protocol.prompt_parts(head),
             request_key=request_key(
                 self.protocol.caller(head), head.method, head.target, body
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -190,3 +190,16 @@
     assert len({PROTOCOL.caller(head) for head in heads}) == 4
     again = _head('GET', '/b', host='H.example', briarrill_attempt_id='r2')
     assert PROTOCOL.caller(again) == PROTOCOL.caller(heads[0])
+
+
+def test_attempt_that_began_a_stream_is_read():
+    head = _head('POST', '/streaming/a', resumes='r0', last_event_id='4')
+    head = RequestHead(
+        head.method,
+        head.target,
+        tuple((name.replace(b'_', b'-'), text) for name, text in head.headers),
+    )
+    intent = PROTOCOL.read_intent(head, ROUTES)
+    assert (intent.resumed_id, intent.last_event_id) == ('r0', 4)
+    fresh = PROTOCOL.read_intent(_head('POST', '/streaming/a'), ROUTES)
+    assert fresh.resumed_id == ''
