Test that streams go on at the version that began them

Change: two entries, two batch processes and six upstreams of two versions whose events hold their version. Streams go on within an answer; at another entry after the caller left, or the first entry was killed or frozen; items go on at their next run.

--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -159,11 +159,12 @@
     store.put('op/config', json.dumps(ROUTES).encode())
 
 
-def register_upstream(store, upstream_id, host, start=0):
+def register_upstream(store, upstream_id, host, start=0, version='v1'):
     registration = {
         'service': 'llm',
         'address': f'{host}:8080',
         'zone': 'a',
+        'version': version,
         'slots': 4,
         'state': 'ready',
         'born': 1_700_000_000_000 + start,
