Let streams go on only at the software version that began them

Callers saw: one answer, or several tries of one stream, with events of two software versions of a back end; the answer looked whole.

Cause: nothing compared versions. A registration names its version and no code read it, so each way on took any upstream: within an answer, a caller's next try, a handed-over item, an item's next run. Class: what a continuation must match was not part of its state.

Change: the version that brought the first event is part of an answer and of an item's progress, handed over and saved with it. An upstream may be started again under its identifier at another version before that is known, so each new connection of a resumable route or an item asks once for the process's start; one that differs from the registration is of unknown version until it registers again. A stream whose version is not known goes on only if no other version served lately and the store is followed; else it is refused at once. An item of whose version nothing is left here begins anew.

Item tests that add events without a run now begin one first, as the scheduler does.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -20,10 +20,12 @@
 from ..protocol.load_probes import decode_probe, is_probe
 from ..protocol.load_reports import LoadReport, decode_report, encode_report
 from ..protocol.permits import decode_permit, is_permit
+from ..protocol.stream_origins import decode_origin, is_origin
 from ..transport.task_errors import log_unexpected_errors
 from .expected_replies import ExpectedReplies
 from .limit_sharing import LimitSharing, heard_share
 from .load_prober import LoadProber
+from .origin_sharing import OriginSharing
 from .peer_reports import PeerLoad, PeerReports
 from .permit_exchange import PermitExchange
 from .report_sender import ReportSender, report_pause_s
@@ -117,6 +119,12 @@
             exchange=self._permits,
             on_grant=self.schedule_report,
         )
+        self.origins = OriginSharing(
+            process,
+            reports=lambda: self.live_reports,
+            send=self._send,
+            expected=self._expected_replies,
+        )
         self._sender = ReportSender(
             port,
             self.make_report,
@@ -279,6 +287,9 @@
             if is_permit(raw):
                 self._permits.receive(decode_permit(raw), sender)
                 return
+            if is_origin(raw):
+                self.origins.receive(decode_origin(raw), sender)
+                return
             report = decode_report(raw)
         except MalformedMessageError as exc:
             MALFORMED_MESSAGES.inc()
--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -129,6 +129,22 @@
     def matches_call(self, call: Call, head: ResponseHead) -> bool:
         """Tell whether a response belongs to a call, not to an earlier one."""
 
+    @abc.abstractmethod
+    def status_request(
+        self, upstream: RegisteredUpstream
+    ) -> RequestHead | None:
+        """Build a request for an upstream's state.
+
+        None if its registration does not tell processes apart.
+        """
+
+    @abc.abstractmethod
+    def is_status_of(self, upstream: RegisteredUpstream, body: bytes) -> bool:
+        """Tell whether a state is that of the process that registered.
+
+        One that does not tell is.
+        """
+
     @abc.abstractmethod
     def reports_not_executed(self, head: ResponseHead) -> bool:
         """Tell whether a response reports that the request was not run."""
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -14,6 +14,8 @@
 import attrs
 from eliot import log_message
 
+from .upstream_versions import UpstreamVersions
+
 __all__ = ('RegisteredUpstream', 'UpstreamTable')
 
 # time within which a live upstream registers again after an outage of the
@@ -64,6 +66,7 @@
     :param is_service_stable: tells whether the key-value service has been
         followed for long enough that a missing registration means a lost
         upstream.
+    :ivar versions: which versions served lately.
     """
 
     def __init__(self, is_service_stable: Callable[[], bool]) -> None:
@@ -72,6 +75,7 @@
         self._upstreams: dict[str, RegisteredUpstream] = {}
         self._missing: set[str] = set()
         self._leaving_since: dict[str, float] = {}
+        self.versions = UpstreamVersions()
         self._removed_at: dict[str, float] = {}
         self._removed_by_peers_at: dict[str, float] = {}
 
@@ -109,6 +113,24 @@
             and self._is_accepting(current)
         )
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the registrations of all upstreams are known."""
+        return self._is_service_stable()
+
+    def recent_versions(self, service: str) -> set[str]:
+        """Return the versions at which upstreams serve or served lately."""
+        return self.versions.left_lately(service).union(
+            upstream.version
+            for upstream in self.registered_upstreams
+            if upstream.service == service
+        )
+
+    def may_resume(self, upstream: RegisteredUpstream, version: str) -> bool:
+        """Tell whether an upstream may go on with a stream of a version."""
+        is_replaced = self.versions.is_replaced(upstream.incarnation)
+        return upstream.version == version and not is_replaced
+
     def is_leaving(self, incarnation: str) -> bool:
         """Tell whether an incarnation is draining or announced its departure.
 
@@ -168,6 +190,8 @@
     def register(self, upstream: RegisteredUpstream) -> None:
         """Add or replace a registration."""
         previous = self._upstreams.get(upstream.upstream_id)
+        if previous is not None:
+            self.versions.record_departure(previous.service, previous.version)
         self._upstreams[upstream.upstream_id] = upstream
         self._missing.discard(upstream.upstream_id)
         self._removed_at.pop(upstream.incarnation, None)
@@ -214,7 +238,8 @@
             elif not self._is_removed_by_peers(incarnation):
                 continue
             self._missing.discard(upstream_id)
-            self._upstreams.pop(upstream_id)
+            upstream = self._upstreams.pop(upstream_id)
+            self.versions.record_departure(upstream.service, upstream.version)
             log_message(
                 'upstream:gone', upstream=upstream_id, by_peer=not is_stable
             )
--- /dev/null
+++ b/briarrill/coordination/upstream_versions.py
@@ -0,0 +1,66 @@
+"""briarrill.coordination.upstream_versions: software versions of upstreams."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+
+__all__ = ('UpstreamVersions',)
+
+# time for which a version that no upstream has any more counts as one that
+# served lately; streams that it began last several seconds
+VERSION_RETENTION_S = 60.0
+
+# replaced incarnations that are remembered; the oldest are forgotten first
+MAX_REPLACED = 4096
+
+
+@attrs.define
+class UpstreamVersions:
+    """Versions that served lately, and processes whose version is unknown.
+
+    :param clock: monotonic clock.
+    """
+
+    _clock: Callable[[], float] = time.monotonic
+    _left_at: dict[tuple[str, str], float] = attrs.field(
+        factory=dict, init=False
+    )
+    _replaced: dict[str, None] = attrs.field(factory=dict, init=False)
+
+    def record_departure(self, service: str, version: str) -> None:
+        """Record that an upstream of a service and version left."""
+        now = self._clock()
+        oldest = now - VERSION_RETENTION_S
+        self._left_at = {
+            name: left_at
+            for name, left_at in self._left_at.items()
+            if left_at > oldest
+        }
+        self._left_at[(service, version)] = now
+
+    def left_lately(self, service: str) -> set[str]:
+        """Return the versions of a service's upstreams that left lately."""
+        oldest = self._clock() - VERSION_RETENTION_S
+        return {
+            version
+            for (name, version), left_at in self._left_at.items()
+            if name == service and left_at > oldest
+        }
+
+    def mark_replaced(self, incarnation: str) -> None:
+        """Record that another process answers in place of an incarnation.
+
+        Its version is unknown until it registers.
+        """
+        if incarnation in self._replaced:
+            return
+        self._replaced[incarnation] = None
+        if len(self._replaced) > MAX_REPLACED:
+            self._replaced.pop(next(iter(self._replaced)))
+        log_message('upstream:replaced', incarnation=incarnation)
+
+    def is_replaced(self, incarnation: str) -> bool:
+        """Tell whether another process answers in place of an incarnation."""
+        return incarnation in self._replaced
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -36,6 +36,8 @@
     :param lines: data of the events received so far.
     :param ran_s: time for which the item has occupied slots.
     :param is_whole: whether the output is complete.
+    :param version: software version of the upstreams that wrote the lines,
+        None if it is not known.
     """
 
     last_event_id: int | None
@@ -43,6 +45,7 @@
     failures: int
     ran_s: float
     is_whole: bool = False
+    version: str | None = None
 
 
 class RunEnd(enum.Enum):
@@ -74,6 +77,8 @@
     :param ran_s: time for which the item has occupied slots.
     :param avoided_upstream: upstream that last rejected, cut or failed a run.
     :param is_complete: whether the output is complete.
+    :param version: software version of the upstreams that wrote the output,
+        None if it is not known.
     :ivar tracker: position of the current run's stream.
     """
 
@@ -85,6 +90,7 @@
     avoided_upstream: str = ''
     is_complete: bool = False
     last_event_id: int | None = None
+    version: str | None = None
     _lines: list[bytes] = attrs.field(factory=list)
     _output_bytes: int = 0
     _unnumbered_bytes: int = 0
@@ -109,6 +115,7 @@
             failures=self.failures,
             ran_s=self.ran_s,
             is_whole=self.is_complete,
+            version=self.version,
         )
 
     def load_record(self, record: ProgressRecord) -> None:
@@ -119,9 +126,25 @@
         self.failures = record.failures
         self.ran_s = record.ran_s
         self.is_complete = record.is_whole
+        self.version = record.version
 
-    def begin_run(self) -> None:
-        """Discard the incomplete event at the end of the last run."""
+    @property
+    def has_output(self) -> bool:
+        """Whether a run has received events."""
+        return self.last_event_id is not None
+
+    def restart(self) -> None:
+        """Discard the output, so that the next run begins at the start."""
+        self._discard_output()
+        self.version = None
+
+    def begin_run(self, version: str | None) -> None:
+        """Discard the incomplete event at the end of the last run.
+
+        :param version: software version of the run's upstream, None if it is
+            not known; that of the output if there is any.
+        """
+        self.version = version
         self._splitter = EventSplitter()
         self._unnumbered_bytes = 0
         self.tracker = EventTracker()
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from ..coordination.event_wait import EventWait
+from ..coordination.incarnation_check import is_registered_process
 from ..coordination.limit_sharing import LimitSharing
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end
@@ -83,10 +84,11 @@
         if self.is_quarantined(progress.stored):
             return RunEnd.REFUSED
         call = self._make_call(progress, route, host, upstream)
-        channel = await self._connect(progress, call, upstream)
-        if channel is None:
+        connected = await self._connect(progress, call, upstream)
+        if connected is None:
             return RunEnd.REFUSED
-        progress.begin_run()
+        channel, version = connected
+        progress.begin_run(version)
         try:
             with self.ends.track(upstream, call.prompt_parts) as run:
                 end = await self._exchange(
@@ -104,10 +106,12 @@
 
     async def _connect(
         self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
-    ) -> HttpChannel | None:
+    ) -> tuple[HttpChannel, str | None] | None:
         """Return a connection for an item that the upstream may get now.
 
-        :return: none if the upstream is unreachable, left or is at its limit.
+        :return: with the upstream's version, None if that is not known; none
+            if the upstream is unreachable, left, is at its limit, or may not
+            go on with the item.
         """
         grant = await self.limits.acquire(
             upstream.incarnation, max_wait_s=0, is_batch=True
@@ -118,14 +122,23 @@
             channel = await self._pool.acquire(
                 upstream.incarnation, upstream.address, call.request_id
             )
+            is_registered = await is_registered_process(
+                self.protocol, channel, upstream
+            )
         except PeerUnreachableError as exc:
             self._pool.close_server(upstream.incarnation)
             self.silence.mark_suspect(upstream.upstream_id)
             self.ends.record_unreachable(upstream)
             _log_run_failure(progress, call, upstream, exc)
             return None
-        if self.upstreams.still_accepts(upstream):
-            return channel
+        if not is_registered:
+            self.upstreams.versions.mark_replaced(upstream.incarnation)
+        may_run = not progress.has_output or (
+            progress.version is not None
+            and self.upstreams.may_resume(upstream, progress.version)
+        )
+        if may_run and self.upstreams.still_accepts(upstream):
+            return channel, upstream.version if is_registered else None
         channel.close()
         return None
 
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -232,11 +232,19 @@
     ) -> bool:
         """Start an item; return whether an upstream had a free slot."""
         progress = candidate.progress
+        route = candidate.route
+        if progress.has_output and not self._slots.may_go_on(
+            route, progress.version
+        ):
+            progress.restart()
         upstream = self._slots.choose_upstream(
-            candidate.route, progress.avoided_upstream
+            route,
+            progress.avoided_upstream,
+            progress.version if progress.has_output else None,
         )
         if upstream is None:
-            return False
+            # other items may run at upstreams of other versions
+            return progress.has_output
         running = RunningItem(progress, candidate.route, upstream.upstream_id)
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -110,13 +110,15 @@
         return any(self._free_slots(route).values())
 
     def choose_upstream(
-        self, route: Route, avoided_upstream: str
+        self, route: Route, avoided_upstream: str, version: str | None = None
     ) -> RegisteredUpstream | None:
         """Return the upstream with the most free slots, if any are free.
 
         :param avoided_upstream: chosen only if there is no other.
+        :param version: software version that the upstream must have, None for
+            any.
         """
-        free = self._free_slots(route)
+        free = self._free_slots(route, version)
         if len(free) > 1:
             free.pop(avoided_upstream, None)
         name = max(free, key=lambda upstream_id: free[upstream_id], default='')
@@ -124,25 +126,48 @@
             return None
         return self.upstreams.find(name)
 
-    def _free_slots(self, route: Route) -> dict[str, int]:
-        """Return free slots of the owned upstreams of a route, by ID.
+    def may_go_on(self, route: Route, version: str | None) -> bool:
+        """Tell whether output of a version may go on at an owned upstream.
 
-        Suspect upstreams and those at their request limit are excluded.
+        It may as well if this process owns none.
         """
-        free: dict[str, int] = {}
+        owned = self._owned_upstreams(route)
+        return version is not None and (
+            not owned
+            or any(self.upstreams.may_resume(one, version) for one in owned)
+        )
+
+    def _owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
+        """Return the upstreams that this process owns for a route's items."""
         processes = tuple(self.processes())
+        owned: list[RegisteredUpstream] = []
         for target in route.targets:
             accepting = self.upstreams.accepting_upstreams(target.service)
-            own = own_upstreams(
+            names = own_upstreams(
                 self.process,
                 processes,
                 tuple(upstream.upstream_id for upstream in accepting),
             )
-            for upstream in accepting:
-                name = upstream.upstream_id
-                if name in own and self._takes_items(upstream):
-                    free[name] = self._free_slots_at(upstream)
-        return free
+            owned.extend(one for one in accepting if one.upstream_id in names)
+        return owned
+
+    def _free_slots(
+        self, route: Route, version: str | None = None
+    ) -> dict[str, int]:
+        """Return free slots of the owned upstreams of a route, by ID.
+
+        Suspect upstreams and those at their request limit are excluded.
+
+        :param version: software version of the upstreams, None for any.
+        """
+        return {
+            upstream.upstream_id: self._free_slots_at(upstream)
+            for upstream in self._owned_upstreams(route)
+            if self._takes_items(upstream)
+            and (
+                version is None or self.upstreams.may_resume(upstream, version)
+            )
+        }
 
     def _takes_items(self, upstream: RegisteredUpstream) -> bool:
         blocked_s = self.load.limits.limits.blocked_s(upstream.incarnation)
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -226,6 +226,7 @@
             BATCH_RECEIVE_PAUSE_S if runs_batch else ENTRY_RECEIVE_PAUSE_S
         ),
     )
+    load.origins.failure_domain = cfg.failure_domain
     routing_configuration = RoutingConfigurationHolder(load.schedule_report)
     operator_keys.add(OPERATOR_PREFIX, routing_configuration)
     own_keys.add(MEMBERS_PREFIX, _MemberKeys(load))
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -4,6 +4,9 @@
 import math
 from urllib.parse import parse_qs, unquote
 
+import attrs
+import msgspec
+
 from ..coordination.relay_protocol import (
     Call,
     Intent,
@@ -44,6 +47,7 @@
 _AUTHORIZATION = b'authorization'
 _TRANSFER_ENCODING = b'transfer-encoding'
 
+_REPORT_TARGET = b'/report'
 _JOBS_PATH = '/lots/'
 _ITEMS_PATH = '/items/'
 
@@ -67,6 +71,19 @@
 _NO_HEADERS: frozenset[bytes] = frozenset()
 
 
+@attrs.frozen
+class _Report:
+    """What an upstream says of itself.
+
+    :param born: start of its process, Unix milliseconds.
+    """
+
+    born: int = 0
+
+
+_REPORT_DECODER = msgspec.json.Decoder(_Report)
+
+
 class PlatformRelayProtocol(RelayProtocol):
     """Reads and writes message heads with the platform's headers."""
 
@@ -180,6 +197,30 @@
         echoed = find_header(head.headers, _ATTEMPT_ID)
         return echoed in {None, call.request_id.encode()}
 
+    def status_request(
+        self, upstream: RegisteredUpstream
+    ) -> RequestHead | None:
+        """Return a request for an upstream's report.
+
+        None if its registration does not name its start.
+        """
+        if _registered_start(upstream) is None:
+            return None
+        host, port = upstream.address
+        headers = ((_HOST, f'{host}:{port}'.encode()),)
+        return RequestHead(b'GET', _REPORT_TARGET, headers)
+
+    def is_status_of(self, upstream: RegisteredUpstream, body: bytes) -> bool:
+        """Tell whether a report names the start of the registered process.
+
+        One that names none does.
+        """
+        try:
+            born = _REPORT_DECODER.decode(body).born
+        except msgspec.MsgspecError:
+            return True
+        return born in {0, _registered_start(upstream)}
+
     def reports_not_executed(self, head: ResponseHead) -> bool:
         """Whether the response states that the request was not executed."""
         if head.status == _HTTP_MISDIRECTED:
@@ -219,6 +260,12 @@
         return headers
 
 
+def _registered_start(upstream: RegisteredUpstream) -> int | None:
+    """Return the start that a registration names, Unix milliseconds."""
+    start = upstream.incarnation.rpartition('/')[2]
+    return int(start) if start.isdigit() and int(start) else None
+
+
 def _read_job_request(head: RequestHead, route: Route, rest: str) -> Intent:
     """Read a request to end a job or to read its results.
 
--- a/briarrill/protocol/request_keys.py
+++ b/briarrill/protocol/request_keys.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-__all__ = ('is_request_key', 'request_key')
+__all__ = ('is_request_key', 'request_key', 'stream_key')
 
 KEY_BYTES = 8
 
@@ -23,6 +23,15 @@
     return int.from_bytes(digest.digest()) | MIN_REQUEST_KEY
 
 
+def stream_key(caller: str, request_id: str) -> int:
+    """Return a 64-bit number for the stream that an attempt began.
+
+    :param caller: identifies who sent the attempt.
+    :param request_id: the caller's identifier of the attempt.
+    """
+    return request_key(caller, b'', request_id.encode(), b'')
+
+
 def is_request_key(key: int) -> bool:
     """Tell the key of a request from the hash of a prompt part."""
     return key >= MIN_REQUEST_KEY
--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -20,6 +20,7 @@
     UpstreamFailedError,
     UpstreamLostError,
 )
+from ..protocol.stream_origins import StreamOrigin
 from ..result_codes import Ran
 from .response import Response
 
@@ -98,11 +99,13 @@
     """One attempt of a call.
 
     :param is_last: whether no retry is allowed if this attempt runs.
+    :param origin: what begins a stream if this attempt brings its first event.
     """
 
     call: Call
     response: Response
     is_last: bool
+    origin: StreamOrigin
 
     @property
     def response_timeout_s(self) -> float:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -61,6 +61,7 @@
 from .permits import MAX_REFUSALS, acquire_permit, has_no_limit
 from .placer import Placer
 from .response import Response
+from .stream_places import StreamPlaces
 from .streams import is_event_stream, read_stream_part, send_new_events
 
 __all__ = ('Forwarder',)
@@ -111,6 +112,7 @@
         self._service_times: dict[str, ServiceTimes] = {}
         self._budgets = RetryBudgets()
         self._placer = Placer(upstreams, load, rng)
+        self._streams = StreamPlaces(protocol, upstreams, load.origins)
 
     async def forward(self, call: Call, response: Response) -> None:
         """Forward a call and relay the upstream's response to the caller.
@@ -121,6 +123,7 @@
         progress = CallProgress()
         began_at = time.monotonic()
         self._budgets.record_request(call.route.name)
+        response.origin = await self._streams.origin_of(call)
         try:
             await self._attempt_until_done(call, response, progress)
         except trio.Cancelled:
@@ -152,7 +155,7 @@
         check_quarantine(
             self._ends.quarantine, call.prompt_parts, call.request_key
         )
-        upstream = await self._choose_upstream(call, progress)
+        upstream = await self._choose_upstream(call, response, progress)
         try:
             await self._run_attempt(call, upstream, response, progress)
         except (UpstreamLeftError, QuarantinedError):
@@ -163,7 +166,7 @@
         return True
 
     async def _choose_upstream(
-        self, call: Call, progress: CallProgress
+        self, call: Call, response: Response, progress: CallProgress
     ) -> RegisteredUpstream:
         """Choose the upstream of the next attempt.
 
@@ -171,14 +174,10 @@
         :raises BriarrillError: no upstream accepts requests, or the
             deadline cannot be met.
         """
-        candidates = self._untried_candidates(call, progress)
-        if not candidates:
-            raise progress.caller_error(
-                NoUpstreamError(
-                    f'no upstream of {call.service} accepts requests',
-                    retry_after_s=MIN_RETRY_AFTER_S,
-                )
-            )
+        try:
+            candidates = self._untried_candidates(call, response, progress)
+        except NoUpstreamError as exc:
+            raise progress.caller_error(exc) from exc
         pool = placeable_candidates(
             candidates, skips_limited=progress.refused_permits >= MAX_REFUSALS
         )
@@ -206,19 +205,25 @@
         return upstream
 
     def _untried_candidates(
-        self, call: Call, progress: CallProgress
+        self, call: Call, response: Response, progress: CallProgress
     ) -> list[UpstreamCandidate]:
-        """Return the untried upstreams that are eligible."""
+        """Return the untried upstreams that are eligible.
+
+        :raises NoUpstreamError: there is none.
+        """
         candidates = [
             self._make_candidate(upstream)
-            for upstream in self._upstreams.accepting_upstreams(call.service)
+            for upstream in self._streams.eligible(call, response)
             if upstream.upstream_id not in progress.failed_upstreams
             and self._ends.quarantine.requests.may_run_at(
                 call.request_key, upstream.incarnation
             )
         ]
         if not candidates:
-            return []
+            raise NoUpstreamError(
+                f'no other upstream of {call.service} accepts requests',
+                retry_after_s=MIN_RETRY_AFTER_S,
+            )
         return self._ejector_of(call.service).eligible(candidates)
 
     def _make_candidate(
@@ -271,13 +276,16 @@
         with self._placer.placed(upstream):
             channel = await self._connect(upstream, call.request_id)
             try:
+                origin = await self._streams.check(
+                    call, response, upstream, channel
+                )
                 self._check_before_send(call, upstream)
             except BaseException:
                 channel.close()
                 raise
             progress.attempts += 1
             is_last = progress.possible_runs + 1 >= call.route.max_attempts
-            attempt = Attempt(call, response, is_last)
+            attempt = Attempt(call, response, is_last, origin)
             try:
                 with self._ends.track(
                     upstream, call.prompt_parts, call.request_key
@@ -485,9 +493,10 @@
             run.record_bytes()
             tracker.add_bytes(part)
             if attempt.call.route.resumable:
-                if await send_new_events(
-                    splitter.add_bytes(part), caller_head, response
-                ):
+                events = splitter.add_bytes(part)
+                if events:
+                    self._streams.begin(attempt.call, response, attempt.origin)
+                if await send_new_events(events, caller_head, response):
                     event_wait.restart(attempt.event_timeout_s)
             else:
                 await response.send_head_once(caller_head)
--- a/briarrill/relay/response.py
+++ b/briarrill/relay/response.py
@@ -5,6 +5,7 @@
 
 from ..coordination.relay_protocol import RelayProtocol
 from ..protocol.event_stream import ServerSentEvent
+from ..protocol.stream_origins import StreamOrigin
 from ..transport.http_callers import CallerConnection
 from ..transport.http_messages import BodyFraming, Headers, ResponseHead
 
@@ -18,6 +19,7 @@
     can be retried at another upstream.
 
     :param last_event_id: last event that the caller received, if any.
+    :ivar origin: what began the stream, none before its first event.
     :ivar first_bytes_at: time of the first bytes sent, by the monotonic
         clock, if any were sent.
     """
@@ -30,6 +32,7 @@
     ) -> None:
         """Prepare a response of which nothing is sent."""
         self.last_event_id = last_event_id
+        self.origin: StreamOrigin | None = None
         self._conn = conn
         self._protocol = protocol
         self.first_bytes_at: float | None = None
--- /dev/null
+++ b/briarrill/relay/stream_places.py
@@ -0,0 +1,122 @@
+"""briarrill.relay.stream_places: find where a stream may go on."""
+
+import attrs
+
+from ..coordination.incarnation_check import is_registered_process
+from ..coordination.origin_sharing import OriginSharing
+from ..coordination.relay_protocol import Call, RelayProtocol
+from ..coordination.stream_versions import infer_origin
+from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
+from ..errors import NoUpstreamError, UpstreamLeftError
+from ..protocol.request_keys import stream_key
+from ..protocol.stream_origins import StreamOrigin
+from ..transport.http_channel import HttpChannel
+from .attempts import MIN_RETRY_AFTER_S
+from .response import Response
+
+__all__ = ('StreamPlaces',)
+
+
+@attrs.define
+class StreamPlaces:
+    """Finds the upstreams that may go on with streams.
+
+    Only streams of resumable routes go on.
+    """
+
+    protocol: RelayProtocol
+    upstreams: UpstreamTable
+    sharing: OriginSharing
+
+    async def origin_of(self, call: Call) -> StreamOrigin | None:
+        """Return what began the stream that a caller takes up.
+
+        None if the caller takes none up.
+        """
+        is_new = call.last_event_id is None and not call.resumed_id
+        if is_new or not call.route.resumable:
+            return None
+        known = None
+        if call.resumed_id:
+            known = await self.sharing.find(
+                stream_key(self.protocol.caller(call.head), call.resumed_id)
+            )
+        return infer_origin(
+            known,
+            self.upstreams.recent_versions(call.service),
+            is_complete=self.upstreams.is_current,
+        )
+
+    def eligible(
+        self, call: Call, response: Response
+    ) -> list[RegisteredUpstream]:
+        """Return the upstreams that accept a call and may go on with it.
+
+        :raises NoUpstreamError: there is none.
+        """
+        accepting = self.upstreams.accepting_upstreams(call.service)
+        if response.origin is not None:
+            accepting = [
+                upstream
+                for upstream in accepting
+                if self._may_resume(upstream, response)
+            ]
+        if accepting:
+            return accepting
+        raise NoUpstreamError(
+            _reason(call.service, response), retry_after_s=MIN_RETRY_AFTER_S
+        )
+
+    async def check(
+        self,
+        call: Call,
+        response: Response,
+        upstream: RegisteredUpstream,
+        channel: HttpChannel,
+    ) -> StreamOrigin:
+        """Check who is behind a connection; return what it would begin.
+
+        :raises UpstreamLeftError: a stream may not go on there.
+        :raises PeerUnreachableError: the connection cannot be used.
+        """
+        if not call.route.resumable:
+            return StreamOrigin(upstream.version)
+        if await is_registered_process(self.protocol, channel, upstream):
+            return StreamOrigin(upstream.version)
+        self.upstreams.versions.mark_replaced(upstream.incarnation)
+        if response.origin is not None:
+            channel.close()
+            raise UpstreamLeftError(
+                f'another process answers as {upstream.upstream_id!r}'
+            )
+        return StreamOrigin(None)
+
+    def begin(
+        self, call: Call, response: Response, origin: StreamOrigin
+    ) -> None:
+        """Record what begins a stream, before its first event is sent."""
+        if response.origin is None:
+            response.origin = origin
+            caller = self.protocol.caller(call.head)
+            self.sharing.tell(stream_key(caller, call.request_id), origin)
+
+    def _may_resume(
+        self, upstream: RegisteredUpstream, response: Response
+    ) -> bool:
+        """Tell whether a stream that has begun may go on at an upstream."""
+        origin = response.origin
+        if origin is None or origin.version is None:
+            return False
+        return self.upstreams.may_resume(upstream, origin.version)
+
+
+def _reason(service: str, response: Response) -> str:
+    """Return why no upstream may run a call."""
+    if response.origin is None:
+        return f'no upstream of {service} accepts requests'
+    if response.origin.version is None:
+        return 'the version that began the stream is not known'
+    return (
+        f'no upstream of {service} with the version that began the stream,'
+        f' {response.origin.version!r}, accepts requests'
+    )
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -89,11 +89,14 @@
     :param sock: connected socket.
     :ivar last_request_id: identifier of the last request, which a late copy
         of its response has too.
+    :ivar is_registered_process: whether the expected process is behind the
+        connection; None until that was checked.
     """
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
         """Wrap the socket without a request in flight."""
         self.last_request_id = ''
+        self.is_registered_process: bool | None = None
         self._sock = sock
         self._parser = h11.Connection(h11.CLIENT)
         self._request: tuple[h11.Request, bytes] | None = None
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -32,6 +32,9 @@
     'stream_events',
 )
 
+REPORT_TARGET = b'/report'
+HTTP_OK = 200
+
 # response header of the upstream that must reach the caller unchanged
 SEAL_HEADER = (b'briarrill-response-seal', b'3e1b.07')
 
@@ -113,12 +116,19 @@
 
     :ivar requests: requests received so far.
     :ivar behaviours: behaviours of the next requests, in order.
+    :ivar reports: whether requests for a report are answered, and not passed
+        to the script.
     :ivar disconnects: number of requests whose client disconnected before the
         response was complete.
     """
 
-    def __init__(self, *behaviours: Behaviour) -> None:
-        """Set the script; the first request gets the first behaviour."""
+    def __init__(self, *behaviours: Behaviour, born: int = 0) -> None:
+        """Set the script; the first request gets the first behaviour.
+
+        :param born: start that its reports name, 0 for none.
+        """
+        self.born = born
+        self.reports = True
         self.behaviours = list(behaviours)
         self.requests: list[ReceivedRequest] = []
         self.disconnects = 0
@@ -127,6 +137,10 @@
         """Serve one connection until it is closed or cut."""
         while (head := await conn.read_request_head()) is not None:
             req = ReceivedRequest(head, await conn.read_body(head))
+            if head.target == REPORT_TARGET and self.reports:
+                report = f'{{"born": {self.born}}}'.encode()
+                await conn.send_response(HTTP_OK, (), report)
+                continue
             self.requests.append(req)
             respond = self.behaviours[0]
             if len(self.behaviours) > 1:
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -140,7 +140,7 @@
 def test_begin_run_discards_incomplete_event():
     progress = _make_progress(events=2)
     progress.add_stream_bytes(encode_event(3)[:6])
-    progress.begin_run()
+    progress.begin_run(None)
     progress.add_stream_bytes(encode_event(3))
     output = progress.result(ItemState.COMPLETED).output
     assert output == 'word-1\nword-2\nword-3'
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -462,9 +462,9 @@
     searches = []
     choose_upstream = FreeSlots.choose_upstream
 
-    def count_search(slots, route, avoided_upstream):
+    def count_search(slots, route, *args):
         searches.append(route)
-        return choose_upstream(slots, route, avoided_upstream)
+        return choose_upstream(slots, route, *args)
 
     monkeypatch.setattr(FreeSlots, 'choose_upstream', count_search)
     async with run_scheduler(stream_events(1000, pause_s=0.02)) as (
@@ -539,6 +539,7 @@
             job.items[0], headers={'Briarrill-Prompt-Prefix': 'bad:5,own:1'}
         )
         progress = ItemProgress('j1', stored)
+        progress.begin_run(setup.upstream.version)
         progress.add_stream_bytes(encode_event(1))
         setup.scheduler._suspended[progress.key] = progress
         tracked = await setup.submit(1, prompt='bad:5,own:1')
@@ -565,6 +566,7 @@
         monkeypatch.setattr(http_channel, 'connect', connect_as_it_leaves)
         progress = ItemProgress('j1', make_job(count=1).items[0])
         if has_progress:
+            progress.begin_run(setup.upstream.version)
             progress.add_stream_bytes(encode_event(1))
         end = await setup.scheduler._runner.run(
             progress, BATCH_ROUTE, 'h', setup.upstream
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import os
-import subprocess
 import sys
 
 import attrs
@@ -20,6 +19,8 @@
 READY_PORT = 8140
 PEER_PORT = 7660
 
+BORN_MS = 1_700_000_000_000
+
 ROUTES = {
     'version': 3,
     'routes': [
@@ -147,11 +148,12 @@
     name = f'{program}-{number}'
     path = folder / f'{name}.toml'
     path.write_text(_settings_text(network, host, name), encoding='utf-8')
-    return await trio.lowlevel.open_process(
-        [sys.executable, '-m', 'briarrill.platform', program],
-        env={**os.environ, 'BRIARRILL_CONFIG': str(path)},
-        stdout=subprocess.DEVNULL,
-    )
+    with (folder / f'{name}.log').open('ab') as log_file:
+        return await trio.lowlevel.open_process(
+            [sys.executable, '-m', 'briarrill.platform', program],
+            env={**os.environ, 'BRIARRILL_CONFIG': str(path)},
+            stdout=log_file,
+        )
 
 
 def store_routes(store):
@@ -167,7 +169,7 @@
         'version': version,
         'slots': 4,
         'state': 'ready',
-        'born': 1_700_000_000_000 + start,
+        'born': BORN_MS + start,
     }
     store.put(f'servers/{upstream_id}', json.dumps(registration).encode())
 
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -111,7 +111,8 @@
             version = VERSIONS[number % len(VERSIONS)]
             host = f'{network}.{10 + number}'
             engine = StandinEngine(
-                VersionedEngine(version, is_cutting).respond
+                VersionedEngine(version, is_cutting).respond,
+                born=platform_fleet.BORN_MS,
             )
             await stack.enter_async_context(
                 serve_callers(
--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -72,7 +72,8 @@
         named = {'attempt_id': 'r1', 'deadline_ms': '3000', **headers}
         fields = [(b'host', ROUTE_HOST)]
         for name, text in named.items():
-            prefix = '' if name.startswith('last') else 'briarrill-'
+            is_standard = name in {'last_event_id', 'resumes'}
+            prefix = '' if is_standard else 'briarrill-'
             field = f'{prefix}{name}'.replace('_', '-')
             fields.append((field.encode(), text.encode()))
         fields.append((b'content-length', str(len(body)).encode()))
--- /dev/null
+++ b/tests/relay/test_stream_places.py
@@ -0,0 +1,165 @@
+"""Streams that go on only at the software version that began them."""
+
+import attrs
+import pytest
+
+from briarrill.errors import UpstreamLostError
+from briarrill.protocol.request_keys import stream_key
+from briarrill.protocol.stream_origins import StreamOrigin
+from standins.platform_engine import StandinEngine, stream_events
+from tests.relay.front_end_setup import (
+    RESUMABLE_STREAM,
+    ROUTE_HOST,
+    STREAM,
+    run_front_end,
+)
+
+PATH = RESUMABLE_STREAM.prefix
+BEGUN = stream_key(f'{ROUTE_HOST.decode()}\n', 'began')
+
+
+def _register(setup, number, version, start=7):
+    """Register an upstream again, at a version and with a start."""
+    previous = setup.upstreams.find(f'i-{number}')
+    setup.upstreams.register(
+        attrs.evolve(
+            previous,
+            version=version,
+            incarnation=f'i-{number}/{start}',
+        )
+    )
+
+
+async def test_cut_stream_goes_on_at_its_version_though_others_are_free():
+    engines = [
+        StandinEngine(stream_events(6, cut_after=2), born=7),
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        for number, version in enumerate(('v1', 'v2', 'v1')):
+            _register(setup, number, version)
+        status, _, body = await setup.send_request(PATH)
+    assert (status, body.count(b'id: ')) == (200, 6)
+    assert [len(engine.requests) for engine in engines] == [1, 0, 1]
+
+
+async def test_cut_stream_ends_if_none_of_its_version_is_left():
+    engines = [
+        StandinEngine(stream_events(6, cut_after=2), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        _register(setup, 0, 'v1')
+        _register(setup, 1, 'v2')
+        with pytest.raises(UpstreamLostError):
+            await setup.send_request(PATH)
+    assert not engines[1].requests
+
+
+async def test_stream_does_not_go_on_at_a_process_that_took_an_id_over():
+    engines = [
+        StandinEngine(stream_events(6, cut_after=2), born=7),
+        StandinEngine(stream_events(6), born=8),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        for number in range(3):
+            _register(setup, number, 'v1')
+        status, _, body = await setup.send_request(PATH)
+        assert (status, body.count(b'id: ')) == (200, 6)
+        assert not engines[1].requests
+        assert len(engines[2].requests) == 1
+        # known again once it has registered
+        _register(setup, 1, 'v2', start=8)
+        second = setup.upstreams.find('i-1')
+        assert setup.upstreams.may_resume(second, 'v2')
+
+
+async def test_stream_that_a_process_of_unknown_version_began_ends():
+    engines = [
+        StandinEngine(stream_events(6, cut_after=2), born=8),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        _register(setup, 0, 'v1')
+        _register(setup, 1, 'v1')
+        with pytest.raises(UpstreamLostError):
+            await setup.send_request(PATH, attempt_id='began')
+        origin = await setup.load.origins.find(BEGUN)
+        assert origin == StreamOrigin(None)
+    assert not engines[1].requests
+
+
+@pytest.mark.parametrize('began', ['v1', 'v2'])
+async def test_caller_takes_up_a_stream_at_its_version(began):
+    engines = [
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    versions = ['v1', 'v2']
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        for number, version in enumerate(versions):
+            _register(setup, number, version)
+        setup.load.origins.origins.record(BEGUN, StreamOrigin(began))
+        status, _, body = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+        assert (status, body.count(b'id: ')) == (200, 4)
+    reached = [len(engine.requests) for engine in engines]
+    assert reached[versions.index(began)] == 1
+    assert sum(reached) == 1
+
+
+async def test_stream_of_unknown_version_is_refused_beside_two_versions():
+    engines = [
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        _register(setup, 0, 'v1')
+        _register(setup, 1, 'v2')
+        status, headers, body = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+        assert status == 503
+        assert b'is not known' in body
+        assert b'retry-after' in headers
+        # new streams begin
+        status, _, _ = await setup.send_request(PATH)
+        assert status == 200
+
+
+async def test_stream_whose_version_has_left_is_refused_at_once():
+    engine = StandinEngine(stream_events(6), born=7)
+    async with run_front_end([RESUMABLE_STREAM], engine) as setup:
+        _register(setup, 0, 'v2')
+        setup.load.origins.origins.record(BEGUN, StreamOrigin('v1'))
+        status, _, body = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+    assert status == 503
+    assert b"'v1'" in body
+    assert not engine.requests
+
+
+async def test_with_one_version_an_unknown_stream_goes_on():
+    engine = StandinEngine(stream_events(6), born=7)
+    async with run_front_end([RESUMABLE_STREAM], engine) as setup:
+        status, _, body = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+    assert (status, body.count(b'id: ')) == (200, 4)
+
+
+async def test_streams_that_may_not_be_resumed_are_not_remembered():
+    engine = StandinEngine(stream_events(3), born=7)
+    async with run_front_end([STREAM], engine) as setup:
+        _register(setup, 0, 'v1')
+        engine.reports = False
+        status, _, _ = await setup.send_request(
+            STREAM.prefix, attempt_id='began'
+        )
+        assert status == 200
+        assert await setup.load.origins.find(BEGUN) is None
+    assert len(engine.requests) == 1
