Have a test of resumed streams wait until the entries are in touch

The log shows the first stream passed on by an entry that had not heard a peer yet, so it told none, and the other entry refused it as unknown.

Change: the test first has a stream of one entry go on at the other.

--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Streams that go on while upstreams of two software versions serve."""
 
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -199,11 +200,28 @@
     assert all(len(stream.versions) == 1 for stream in streams)
 
 
+async def wait_in_touch(fleet):
+    """Wait until a stream of one entry goes on at the other."""
+    status = None
+    for number in itertools.count():
+        if status == 200:
+            return
+        probe = Stream(f'probe{number}')
+        async with open_stream(fleet, 2, probe, f'{probe.name}-1') as opened:
+            probe.received += await opened[1].read_body()
+        async with open_stream(
+            fleet, 4, probe, f'{probe.name}-2', f'{probe.name}-1'
+        ) as opened:
+            status = opened[0]
+
+
 @pytest.mark.parametrize('interrupt', [_leave, _kill, _freeze])
 async def test_stream_goes_on_at_another_entry_at_the_version_that_began_it(
     network, tmp_path, interrupt
 ):
     async with versioned_fleet(network, tmp_path, is_cutting=False) as fleet:
+        with trio.fail_after(30):
+            await wait_in_touch(fleet)
         streams = [Stream(f's{number}') for number in range(STREAMS)]
         async with contextlib.AsyncExitStack() as stack:
             for stream in streams:
