Let removals take effect while watches are cut again and again

Cause: the grace for registrations that lapsed with the store counted from the last reconnection, which each cut set anew. Class: a bound that a repeated harmless event extends.

Change: only a second without the store counts as an outage. A watch that is continued sooner has missed nothing, and no live lease ends within a second.

Result: of four new tests two fail on the code before: a removal was never applied, and a lapsed upstream was never given up, while watches were cut every 0.7 s. The other two are the reverse: upstreams that lapsed with the store stay in use for the 2 s in which they return, also while watches are cut. Tests on virtual time; not played on a deployment.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -41,6 +41,11 @@
 
 LAG_CHECK_INTERVAL_S = 0.1
 
+# time without the service that counts as an outage. A watch that is cut and
+# continued sooner has missed nothing, and no live lease ends within it: leases
+# last three intervals of 1.2 s between their renewals
+MIN_OUTAGE_S = 1.0
+
 # recent changes that a mirror offers to peers that follow it
 MAX_RECENT_CHANGES = 8192
 
@@ -72,8 +77,8 @@
     :ivar advanced: set, and replaced, when the position advances.
     :ivar synced: set after all keys were received once.
     :ivar is_connected: whether the watch on the service works.
-    :ivar connected_since: monotonic time of the last connection to the
-        service.
+    :ivar connected_since: monotonic time at which the last outage of the
+        service ended.
 
     :param listener: called once for each change.
     :param min_interval_s: shortest time between two watches, default 0;
@@ -96,6 +101,7 @@
         self.synced = trio.Event()
         self.is_connected = False
         self.connected_since = time.monotonic()
+        self._disconnected_at = -math.inf
         self._service = service
         self._prefix = prefix
         self._listener = listener
@@ -247,7 +253,9 @@
         self._resume_revision = revision
         self._synced_revision = max(self._synced_revision, revision)
         if not self.is_connected:
-            self.connected_since = time.monotonic()
+            now = time.monotonic()
+            if now - self._disconnected_at > MIN_OUTAGE_S:
+                self.connected_since = now
             log_message(
                 'mirror:synced', prefix=self._prefix, keys=len(self._revisions)
             )
@@ -283,6 +291,7 @@
 
     def _mark_disconnected(self, reason: str) -> None:
         if self.is_connected:
+            self._disconnected_at = time.monotonic()
             log_message('mirror:lost', prefix=self._prefix, reason=reason)
         self.is_connected = False
 
--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -30,6 +30,16 @@
 ).encode()
 KEY = f'{REGISTRATIONS_PREFIX}i-1'
 
+# bounds of the deployments: time for which an upstream that left serves on,
+# after which all must know, and in which upstreams that lapsed are back
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+RETURN_S = 2.0
+
+# time for which the store serves each watch, and until it is continued
+WATCH_S = 0.7
+CUT_S = 0.1
+
 INSTANCE = PlatformInstance(
     name='edge-1',
     host='10.1.0.2',
@@ -187,6 +197,69 @@
         assert entry.accepting_ids == ['i-1']
 
 
+def _cut_watch(process, clock, revision):
+    """Cut the watch of a process, which it continues at once."""
+    process.disconnect()
+    clock.now += CUT_S
+    process.connect(revision)
+
+
+async def test_removal_takes_effect_while_watches_are_cut_again_and_again(
+    clock,
+):
+    async with two_processes(clock) as (entry, _):
+        for _ in range(3):
+            clock.now += WATCH_S
+            _cut_watch(entry, clock, 5)
+        entry.receive(None, 6)
+        removed_at = clock.now
+        while entry.accepting_ids:
+            clock.now += WATCH_S
+            _cut_watch(entry, clock, 6)
+            assert clock.now - removed_at < DRAIN_S
+
+
+async def test_removal_during_a_cut_takes_effect_at_its_end(clock):
+    async with two_processes(clock) as (entry, _):
+        entry.disconnect()
+        clock.now += CUT_S
+        entry.receive(None, 6)
+        entry.connect(6)
+        assert entry.accepting_ids == []
+
+
+async def test_lapsed_upstream_stays_in_use_while_watches_are_cut(clock):
+    """The store was away, and cuts watches again and again afterwards."""
+    async with two_processes(clock) as (entry, _):
+        entry.disconnect()
+        clock.now += 4
+        entry.registrations.apply_changes(MirrorChanges((), ()))
+        entry.connect(7)
+        returned_at = clock.now
+        while clock.now - returned_at + WATCH_S + CUT_S < RETURN_S:
+            clock.now += WATCH_S
+            _cut_watch(entry, clock, 7)
+            assert entry.accepting_ids == ['i-1']
+        entry.receive(REGISTRATION, 8)
+        for _ in range(10):
+            clock.now += WATCH_S
+            _cut_watch(entry, clock, 8)
+            assert entry.accepting_ids == ['i-1']
+
+
+async def test_lapsed_upstream_that_does_not_return_is_given_up(clock):
+    async with two_processes(clock) as (entry, _):
+        entry.disconnect()
+        clock.now += 4
+        entry.registrations.apply_changes(MirrorChanges((), ()))
+        entry.connect(7)
+        returned_at = clock.now
+        while entry.accepting_ids:
+            clock.now += WATCH_S
+            _cut_watch(entry, clock, 7)
+            assert clock.now - returned_at < CONTACT_S + WATCH_S
+
+
 async def test_state_draining_of_a_peer_outlives_a_late_ready_state(clock):
     async with two_processes(clock) as (entry, batch):
         draining = REGISTRATION.replace(b'ready', b'draining')
