--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -118,13 +118,14 @@
         """Whether the registrations of all upstreams are known."""
         return self._is_service_stable()
 
-    def recent_versions(self, service: str) -> set[str]:
-        """Return the versions at which upstreams serve or served lately."""
-        return self.versions.left_lately(service).union(
-            upstream.version
-            for upstream in self.registered_upstreams
-            if upstream.service == service
-        )
+    def mark_replaced(self, incarnation: str) -> None:
+        """Record that another process answers in place of an incarnation.
+
+        Its version is unknown until it registers.
+        """
+        if not self.versions.is_replaced(incarnation):
+            self.versions.mark_replaced(incarnation)
+            log_message('upstream:replaced', incarnation=incarnation)
 
     def may_resume(self, upstream: RegisteredUpstream, version: str) -> bool:
         """Tell whether an upstream may go on with a stream of a version."""
--- a/briarrill/coordination/upstream_versions.py
+++ b/briarrill/coordination/upstream_versions.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import attrs
-from eliot import log_message
 
 __all__ = ('UpstreamVersions',)
 
@@ -50,16 +49,10 @@
         }
 
     def mark_replaced(self, incarnation: str) -> None:
-        """Record that another process answers in place of an incarnation.
-
-        Its version is unknown until it registers.
-        """
-        if incarnation in self._replaced:
-            return
+        """Record that another process answers in place of an incarnation."""
         self._replaced[incarnation] = None
         if len(self._replaced) > MAX_REPLACED:
             self._replaced.pop(next(iter(self._replaced)))
-        log_message('upstream:replaced', incarnation=incarnation)
 
     def is_replaced(self, incarnation: str) -> bool:
         """Tell whether another process answers in place of an incarnation."""
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -132,7 +132,7 @@
             _log_run_failure(progress, call, upstream, exc)
             return None
         if not is_registered:
-            self.upstreams.versions.mark_replaced(upstream.incarnation)
+            self.upstreams.mark_replaced(upstream.incarnation)
         may_run = not progress.has_output or (
             progress.version is not None
             and self.upstreams.may_resume(upstream, progress.version)
--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -43,7 +43,7 @@
             )
         return infer_origin(
             known,
-            self.upstreams.recent_versions(call.service),
+            self._recent_versions(call.service),
             is_complete=self.upstreams.is_current,
         )
 
@@ -83,7 +83,7 @@
             return StreamOrigin(upstream.version)
         if await is_registered_process(self.protocol, channel, upstream):
             return StreamOrigin(upstream.version)
-        self.upstreams.versions.mark_replaced(upstream.incarnation)
+        self.upstreams.mark_replaced(upstream.incarnation)
         if response.origin is not None:
             channel.close()
             raise UpstreamLeftError(
@@ -100,6 +100,14 @@
             caller = self.protocol.caller(call.head)
             self.sharing.tell(stream_key(caller, call.request_id), origin)
 
+    def _recent_versions(self, service: str) -> set[str]:
+        """Return the versions at which upstreams serve or served lately."""
+        return self.upstreams.versions.left_lately(service).union(
+            upstream.version
+            for upstream in self.upstreams.registered_upstreams
+            if upstream.service == service
+        )
+
     def _may_resume(
         self, upstream: RegisteredUpstream, response: Response
     ) -> bool:
--- a/tests/coordination/test_stream_versions.py
+++ b/tests/coordination/test_stream_versions.py
@@ -8,11 +8,6 @@
     StreamOrigins,
     infer_origin,
 )
-from briarrill.coordination.upstream_versions import (
-    MAX_REPLACED,
-    VERSION_RETENTION_S,
-    UpstreamVersions,
-)
 from briarrill.protocol.stream_origins import StreamOrigin
 
 V1 = StreamOrigin('v1')
@@ -73,22 +68,3 @@
 ):
     found = infer_origin(known, versions, is_complete=is_complete)
     assert found == expected
-
-
-def test_version_that_left_counts_for_the_time_of_a_stream(clock):
-    versions = UpstreamVersions(lambda: clock[0])
-    versions.record_departure('llm', 'v1')
-    versions.record_departure('other', 'v9')
-    assert versions.left_lately('llm') == {'v1'}
-    clock[0] += VERSION_RETENTION_S
-    assert versions.left_lately('llm') == set()
-    versions.record_departure('llm', 'v2')
-    assert len(versions._left_at) == 1
-
-
-def test_number_of_replaced_processes_is_bounded():
-    versions = UpstreamVersions()
-    for number in range(MAX_REPLACED + 1):
-        versions.mark_replaced(f'i/{number}')
-    assert not versions.is_replaced('i/0')
-    assert versions.is_replaced(f'i/{MAX_REPLACED}')
--- a/tests/item_runs/test_item_versions.py
+++ b/tests/item_runs/test_item_versions.py
@@ -153,5 +153,5 @@
     slots.own_items['i-1'] = 4
     assert slots.choose_upstream(BATCH_ROUTE, '', 'v2') is None
     assert slots.may_go_on(BATCH_ROUTE, 'v2')
-    upstreams.versions.mark_replaced('i-1/7')
+    upstreams.mark_replaced('i-1/7')
     assert not slots.may_go_on(BATCH_ROUTE, 'v2')
--- a/tests/platform/crashing_engine.py
+++ b/tests/platform/crashing_engine.py
@@ -1,7 +1,9 @@
 """A stand-in upstream that ends whenever it runs certain requests."""
 
+import contextlib
 import enum
-from collections.abc import Callable
+import pathlib
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import attrs
 import trio
@@ -19,14 +21,56 @@
     stream_events,
 )
 from standins.platform_store import StandinStore
-from tests.platform.platform_fleet import register_upstream
+from tests.platform.platform_fleet import (
+    STORE_PORT,
+    Fleet,
+    register_upstream,
+    start_process,
+    wait_ready,
+)
 
 ENGINE_PORT = 8080
 
+# last numbers of the entries' addresses
+ENTRY_HOSTS = (2, 4)
+
 # time from an end to the next start
 DOWN_S = 0.3
 
 
+@contextlib.asynccontextmanager
+async def run_engines_and_processes(
+    network: str,
+    folder: pathlib.Path,
+    store: StandinStore,
+    engines: Sequence['CrashingEngine'],
+) -> AsyncIterator[Fleet]:
+    """Run two entries, a batch process and upstreams until exit."""
+    processes: dict[str, trio.Process] = {}
+    async with (
+        serve_callers(
+            (f'{network}.1', STORE_PORT), store.caller_limits, store.serve
+        ),
+        trio.open_nursery() as nursery,
+    ):
+        for engine in engines:
+            nursery.start_soon(engine.run)
+        try:
+            for program, number in (('entry', 2), ('batch', 3), ('entry', 4)):
+                processes[f'{program}-{number}'] = await start_process(
+                    network, folder, program, number
+                )
+            with trio.fail_after(60):
+                for number in ENTRY_HOSTS:
+                    await wait_ready(f'{network}.{number}')
+            yield Fleet(network, store, None, processes)
+        finally:
+            for process in processes.values():
+                process.kill()
+                await process.wait()
+            nursery.cancel_scope.cancel()
+
+
 class End(enum.Enum):
     """How an upstream ends under a request.
 
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -7,22 +7,23 @@
 import trio
 
 from briarrill.errors import BriarrillError
-from briarrill.transport.http_callers import serve_callers
 from briarrill.transport.http_messages import RequestHead
 from standins.platform_store import StandinStore
-from tests.platform.crashing_engine import CrashingEngine, End, has_part
+from tests.platform.crashing_engine import (
+    ENTRY_HOSTS,
+    CrashingEngine,
+    End,
+    has_part,
+    run_engines_and_processes,
+)
 from tests.platform.platform_fleet import (
     FRONT_PORT,
-    STORE_PORT,
     Fleet,
     send_request_to,
-    start_process,
     store_routes,
-    wait_ready,
 )
 
 ENGINES = 8
-ENTRY_HOSTS = (2, 4)
 REQUEST_PAUSE_S = 0.08
 
 # requests in a row, at each entry, that reach no upstream
@@ -97,30 +98,10 @@
         )
         for number in range(10, 10 + ENGINES)
     ]
-    processes = {}
-    async with (
-        serve_callers(
-            (f'{network}.1', STORE_PORT), store.caller_limits, store.serve
-        ),
-        trio.open_nursery() as nursery,
-    ):
-        for engine in engines:
-            nursery.start_soon(engine.run)
-        try:
-            for program, number in (('entry', 2), ('batch', 3), ('entry', 4)):
-                processes[f'{program}-{number}'] = await start_process(
-                    network, folder, program, number
-                )
-            with trio.fail_after(60):
-                for number in ENTRY_HOSTS:
-                    await wait_ready(f'{network}.{number}')
-                fleet = Fleet(network, store, None, processes)
-                yield CrashingFleet(fleet, engines)
-        finally:
-            for process in processes.values():
-                process.kill()
-                await process.wait()
-            nursery.cancel_scope.cancel()
+    async with run_engines_and_processes(
+        network, folder, store, engines
+    ) as fleet:
+        yield CrashingFleet(fleet, engines)
 
 
 @pytest.mark.parametrize('end', End)
