Close a connection whose question for its process is given up

Cause: found by reading. A preempted item left its connection open while the upstream was asked for its start; the collector closed it later.

Change: the question closes the connection on any failure.

Result: the new test fails on the code before (the upstream sees no close in 5 s).

--- a/briarrill/coordination/incarnation_check.py
+++ b/briarrill/coordination/incarnation_check.py
@@ -30,7 +30,7 @@
     """Tell whether the process that registered is behind a connection.
 
     An upstream that does not tell is taken as registered. The result is
-    remembered with the connection.
+    remembered with the connection, which is closed if the question fails.
 
     :raises PeerUnreachableError: the connection cannot be used; no request
         was sent.
@@ -51,6 +51,9 @@
             raise PeerUnreachableError(
                 f'{upstream.address}: no reply of the upstream: {exc!r}'
             ) from exc
+        except BaseException:
+            channel.close()
+            raise
         channel.is_registered_process = is_match
     return channel.is_registered_process
 
--- a/tests/coordination/test_incarnation_check.py
+++ b/tests/coordination/test_incarnation_check.py
@@ -1,6 +1,7 @@
 """Tests of asking who is behind a connection."""
 
 import pytest
+import trio
 
 from briarrill.coordination.incarnation_check import is_registered_process
 from briarrill.coordination.upstream_table import RegisteredUpstream
@@ -46,6 +47,21 @@
         channel.close()
 
 
+async def test_connection_is_closed_if_its_user_gives_up():
+    async def stay_silent(_req, _conn):
+        await trio.sleep_forever()
+
+    engine = StandinEngine(stay_silent)
+    engine.reports = False
+    async with serve_standin(engine, ('127.0.0.1', free_port())) as address:
+        channel = await connect(address, 1)
+        with trio.move_on_after(0.05):
+            await is_registered_process(PROTOCOL, channel, _upstream(address))
+        with trio.fail_after(5):
+            while not engine.disconnects:
+                await trio.sleep(0.01)
+
+
 async def test_connection_that_breaks_before_a_reply_carries_no_request():
     async def break_off(_req, _conn):
         raise ConnectionResetError
