Log reads of a job from the key-value service

The log of missing results could not tell a job that was read in part from one that was read whole and is old. An entry now logs each read of a job, how long it took and why it failed. A read that its caller gives up is logged too, without a failure.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -1,10 +1,14 @@
 """briarrill.coordination.job_table: local table of the stored jobs."""
 
+import contextlib
+import time
+from collections.abc import Iterator
+
 import attrs
 import trio
 from eliot import log_message
 
-from ..errors import InternalError
+from ..errors import InternalError, PlatformUnavailableError
 from ..state.keys import (
     JOB_BODIES_PREFIX,
     JOB_ENDS_PREFIX,
@@ -175,14 +179,18 @@
         :return: the job, or none if it is not stored.
         :raises PlatformUnavailableError: the service did not respond.
         """
-        for prefix in (job_body_prefix(job_id), job_results_prefix(job_id)):
-            for entry in await self._service.read_prefix(prefix):
-                self.apply_key(entry.key, entry.body)
-        tracked = self.find(job_id)
-        if tracked is not None and not tracked.is_ended:
-            end_marker = await self._service.read(job_end_key(job_id))
-            if end_marker is not None:
-                tracked.mark_ended()
+        with _log_read(job_id):
+            for prefix in (
+                job_body_prefix(job_id),
+                job_results_prefix(job_id),
+            ):
+                for entry in await self._service.read_prefix(prefix):
+                    self.apply_key(entry.key, entry.body)
+            tracked = self.find(job_id)
+            if tracked is not None and not tracked.is_ended:
+                end_marker = await self._service.read(job_end_key(job_id))
+                if end_marker is not None:
+                    tracked.mark_ended()
         return tracked
 
     async def read_results(self, tracked: TrackedJob) -> None:
@@ -193,7 +201,8 @@
         prefix = job_results_prefix(tracked.job_id)
         count = len(tracked.results)
         last_known = numbered_key(prefix, count - 1) if count else ''
-        entries = await self._service.read_prefix(prefix, after=last_known)
+        with _log_read(tracked.job_id):
+            entries = await self._service.read_prefix(prefix, after=last_known)
         for entry in entries:
             self.apply_key(entry.key, entry.body)
 
@@ -220,6 +229,25 @@
         self.changed = trio.Event()
 
 
+@contextlib.contextmanager
+def _log_read(job_id: str) -> Iterator[None]:
+    """Log the read of a job inside the ``with`` block, or why it failed."""
+    began_at = time.monotonic()
+    reason = None
+    try:
+        yield
+    except PlatformUnavailableError as exc:
+        reason = exc.message
+        raise
+    finally:
+        log_message(
+            'job:read',
+            job=job_id,
+            took_s=round(time.monotonic() - began_at, 3),
+            failure=reason,
+        )
+
+
 def _split_key(key: str) -> tuple[str, str]:
     """Return a job key's prefix and rest, empty strings for other keys."""
     for key_prefix in (JOB_BODIES_PREFIX, JOB_RESULTS_PREFIX, JOB_ENDS_PREFIX):
