Test that results which were read are never missing

At one entry: a read of the results that fails or is slow, a submission that comes again, an end that cannot be read, a job that was read before its results, with and without an end, and a reader that waits meanwhile. A mirror that does not follow the service says that it is not behind.

The store's stand-in can reject single calls.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs
@@ -20,6 +21,9 @@
 
 JsonResponse = tuple[int, dict[str, Any]]
 
+#: Tells by its name and fields whether a call is rejected.
+RejectsCall = Callable[[str, dict[str, str]], bool]
+
 CALLER_LIMITS = CallerLimits(max_body_bytes=16_000_000)
 
 
@@ -37,6 +41,7 @@
 
     :ivar calls: first path segment of each received call, in order.
     :ivar error_status: HTTP status of every response; 0 serves the calls.
+    :ivar rejects: tells which calls get status 503; default none.
     :ivar lose_replies: number of following transactions that are applied
         while the connection closes without a response.
     :ivar delay_writes: number of following transactions that are queued for
@@ -53,6 +58,7 @@
         self.events: list[dict[str, Any]] = []
         self.calls: list[str] = []
         self.error_status = 0
+        self.rejects: RejectsCall = _rejects_none
         self.lose_replies = 0
         self.delay_writes = 0
         self.silent = False
@@ -78,8 +84,11 @@
             self.calls.append(call)
             if self.silent:
                 await trio.sleep_forever()
-            if self.error_status:
-                await conn.send_response(self.error_status, (), b'{}')
+            status = self.error_status
+            if self.rejects(call, fields):
+                status = HTTPStatus.SERVICE_UNAVAILABLE
+            if status:
+                await conn.send_response(status, (), b'{}')
                 continue
             argument = head.path.rpartition('/')[2]
             reply = await self._dispatch(call, argument, fields, body)
@@ -233,3 +242,7 @@
     def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
+
+
+def _rejects_none(call: str, fields: dict[str, str]) -> bool:
+    return False
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -232,3 +232,18 @@
         await trio.sleep(0.5)
         nursery.cancel_scope.cancel()
     assert service.snapshots == 1
+
+
+async def test_mirror_without_the_service_is_behind():
+    """Nothing tells it what it misses, not even a peer."""
+    service = MemoryKeyValue()
+    await service.transact([KeyChange('a/1', b'x')])
+    mirror = Mirror(service, 'a/', RecordingListener())
+    assert mirror.is_behind
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(mirror.run)
+        await mirror.synced.wait()
+        await _wait_until(lambda: not mirror.is_behind)
+        service.is_down = True
+        await _wait_until(lambda: mirror.is_behind)
+        nursery.cancel_scope.cancel()
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -1,9 +1,12 @@
 """Tests of job requests while the key-value service fails or loses replies."""
 
+import json
 import math
 
 import attrs
 import pytest
+import trio
+from trio.testing import wait_all_tasks_blocked
 
 from briarrill.coordination.hedged_writes import HedgedWrites
 from briarrill.coordination.job_table import JobTable
@@ -19,12 +22,14 @@
 )
 from briarrill.platform.job_messages import PlatformJobProtocol
 from briarrill.relay.job_calls import JobRequestHandler
+from briarrill.state.keys import job_end_key, job_results_prefix
 from briarrill.state.stored_jobs import (
     ItemState,
     StoredResult,
     job_creation_changes,
     result_creation_changes,
 )
+from briarrill.transport.key_value import KeyChange
 from standins.memory_key_value import MemoryKeyValue
 from tests.relay.front_end_setup import route
 from tests.state.test_stored_jobs import make_job
@@ -185,3 +190,209 @@
     with pytest.raises(BadRequestError):
         await EntryHandler(service)(IntentKind.SUBMIT_JOB, body, job_id=job_id)
     assert service.revision == 0
+
+
+class PartlyUnreadableService(MemoryKeyValue):
+    """Fails the reads of some keys, or delays them.
+
+    :ivar failing: prefixes whose reads fail.
+    :ivar slow: prefixes whose reads wait until ``released`` is set.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.failing = set()
+        self.slow = set()
+        self.released = trio.Event()
+
+    async def read(self, key):
+        await self._pass(key)
+        return await super().read(key)
+
+    async def read_prefix(self, prefix, *, after='', limit=0):
+        await self._pass(prefix)
+        return await super().read_prefix(prefix, after=after, limit=limit)
+
+    async def _pass(self, key):
+        if key in self.failing:
+            raise PlatformUnavailableError('injected fault', retry_after_s=1.0)
+        if key in self.slow:
+            await self.released.wait()
+
+
+RESULTS = job_results_prefix('j1')
+
+
+@pytest.fixture
+async def partly_unreadable():
+    """Return a service that holds a job with one of three results."""
+    service = PartlyUnreadableService()
+    await service.transact(job_creation_changes(make_job(), 1_000_000))
+    stored = [StoredResult('j1-0', ItemState.COMPLETED, 'x')]
+    await service.transact(result_creation_changes('j1', 0, stored))
+    return service
+
+
+def results_in(response):
+    """Return the results in a response with status 200."""
+    status, body = response
+    assert status == 200
+    return [result['id'] for result in json.loads(body)['results']]
+
+
+async def test_no_read_shows_a_job_whose_results_could_not_be_read(
+    partly_unreadable,
+):
+    entry = EntryHandler(partly_unreadable)
+    partly_unreadable.failing.add(RESULTS)
+    for _ in range(3):
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await entry(IntentKind.READ_RESULTS)
+        assert caught.value.retry_after_s
+    partly_unreadable.failing.clear()
+    assert results_in(await entry(IntentKind.READ_RESULTS)) == ['j1-0']
+
+
+async def test_readers_during_a_slow_read_get_its_results(partly_unreadable):
+    entry = EntryHandler(partly_unreadable)
+    partly_unreadable.slow.add(RESULTS)
+    pages = []
+
+    async def read_page():
+        pages.append(results_in(await entry(IntentKind.READ_RESULTS)))
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(read_page)
+                await wait_all_tasks_blocked()
+            assert not pages
+            calls_before = partly_unreadable.calls['range']
+            partly_unreadable.released.set()
+    assert pages == [['j1-0']] * 4
+    # one read of the job for all: record, results and end
+    assert partly_unreadable.calls['range'] - calls_before <= 3
+
+
+async def test_reader_that_leaves_does_not_end_the_read_of_others(
+    partly_unreadable,
+):
+    entry = EntryHandler(partly_unreadable)
+    partly_unreadable.slow.add(RESULTS)
+    pages = []
+
+    async def read_page():
+        pages.append(results_in(await entry(IntentKind.READ_RESULTS)))
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            leaving = trio.CancelScope()
+
+            async def leave():
+                with leaving:
+                    await read_page()
+
+            nursery.start_soon(leave)
+            await wait_all_tasks_blocked()
+            nursery.start_soon(read_page)
+            await wait_all_tasks_blocked()
+            leaving.cancel()
+            await wait_all_tasks_blocked()
+            partly_unreadable.released.set()
+    assert pages == [['j1-0']]
+
+
+async def test_repeated_submission_shows_no_job_whose_results_are_unread(
+    partly_unreadable,
+):
+    """The submission reads the job because the route's limit is reached."""
+    entry = EntryHandler(partly_unreadable)
+    entry.table.add(attrs.evolve(make_job('x'), route=BATCH_ROUTE.name))
+    entry.table.find('x').unfinished_tokens = 1000
+    partly_unreadable.failing.add(RESULTS)
+    with pytest.raises(PlatformUnavailableError):
+        await entry.submit(tokens=300)
+    with pytest.raises(PlatformUnavailableError):
+        await entry(IntentKind.READ_RESULTS)
+    partly_unreadable.failing.clear()
+    assert (await entry.submit(tokens=300))[0] == 202
+    assert results_in(await entry(IntentKind.READ_RESULTS)) == ['j1-0']
+
+
+async def test_job_whose_end_could_not_be_read_shows_no_body(
+    partly_unreadable,
+):
+    entry = EntryHandler(partly_unreadable)
+    await partly_unreadable.transact([KeyChange(job_end_key('j1'), b'1')])
+    partly_unreadable.failing.add(job_end_key('j1'))
+    for _ in range(2):
+        with pytest.raises(PlatformUnavailableError):
+            await entry(IntentKind.READ_ITEM, item_id='j1-1')
+    partly_unreadable.failing.clear()
+    with pytest.raises(NotFoundError):
+        await entry(IntentKind.READ_ITEM, item_id='j1-1')
+
+
+async def test_lagging_table_reads_the_results_of_an_ended_job(
+    partly_unreadable,
+):
+    entry = EntryHandler(partly_unreadable)
+    entry.table.add(make_job()).mark_ended()
+    entry.is_behind = True
+    assert results_in(await entry(IntentKind.READ_RESULTS)) == ['j1-0']
+
+
+async def test_lagging_table_that_cannot_read_rejects_the_request(
+    partly_unreadable,
+):
+    entry = EntryHandler(partly_unreadable)
+    entry.table.add(make_job())
+    entry.is_behind = True
+    partly_unreadable.failing.add(RESULTS)
+    with pytest.raises(PlatformUnavailableError) as caught:
+        await entry(IntentKind.READ_RESULTS)
+    assert caught.value.http_status == 503
+    assert caught.value.retry_after_s
+
+
+async def test_waiting_reader_gets_results_that_a_lagging_table_misses(
+    partly_unreadable, autojump_clock
+):
+    entry = EntryHandler(partly_unreadable)
+    entry.table.add(make_job())
+    await entry.table.read('j1')
+    pages = []
+
+    async def read_page():
+        response = await entry(IntentKind.READ_RESULTS, position=1, wait_s=1.0)
+        pages.append(results_in(response))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read_page)
+        await wait_all_tasks_blocked()
+        stored = [StoredResult('j1-1', ItemState.COMPLETED, 'y')]
+        await partly_unreadable.transact(
+            result_creation_changes('j1', 1, stored)
+        )
+        entry.is_behind = True
+    assert pages == [['j1-1']]
+
+
+async def test_readers_of_a_lagging_table_share_one_read(partly_unreadable):
+    entry = EntryHandler(partly_unreadable)
+    entry.table.add(make_job())
+    entry.is_behind = True
+    partly_unreadable.slow.add(RESULTS)
+    pages = []
+
+    async def read_page():
+        pages.append(results_in(await entry(IntentKind.READ_RESULTS)))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(read_page)
+        await wait_all_tasks_blocked()
+        calls_before = partly_unreadable.calls['range']
+        partly_unreadable.released.set()
+    assert pages == [['j1-0']] * 4
+    assert partly_unreadable.calls['range'] - calls_before <= 3
