Let a job enter the table of jobs only with all that is stored of it

Callers read a job at an entry that had just started and got no results, though another entry had returned some (LOST); a job that had been ended still gave its items' bodies.

Cause: a record was taken for whole while a part of it was unread. An entry that does not know a job makes three reads, for its record, its results and its end. The record entered the table with the first of them, so while the second was under way, or after it had failed, other readers found the job without results. Now the keys of all three reads are applied together, and a read that fails leaves nothing. Readers that come meanwhile share the read and its outcome (coordination/shared_reads.py); if the one that reads leaves, another takes over.

Ruled out for these: gaps in the results (positions are created one after the other).

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -27,9 +27,16 @@
 )
 from ..transport.key_value import KeyValueService
 from .mirror import MirrorListener
+from .shared_reads import SharedReads
 
 __all__ = ('JobTable', 'TrackedJob')
 
+# time for all reads of one job; callers wait that much longer than they allow
+READ_TIMEOUT_S = 1.5
+
+# Retry-After when a job could not be read
+UNREAD_RETRY_AFTER_S = 0.7
+
 
 @attrs.define(eq=False)
 class TrackedJob:
@@ -127,6 +134,7 @@
         """Start without jobs."""
         self.changed = trio.Event()
         self._service = service
+        self._reads = SharedReads()
         self._jobs: dict[str, TrackedJob] = {}
 
     @property
@@ -174,34 +182,54 @@
         self._notify()
 
     async def read(self, job_id: str) -> TrackedJob | None:
-        """Read a job and all its results from the service into the table.
+        """Read a job, all its results and its end from the service.
+
+        The job enters the table only together with them. Calls for one job
+        share a read.
 
         :return: the job, or none if it is not stored.
         :raises PlatformUnavailableError: the service did not respond.
         """
-        with _log_read(job_id):
-            for prefix in (
-                job_body_prefix(job_id),
-                job_results_prefix(job_id),
-            ):
-                for entry in await self._service.read_prefix(prefix):
-                    self.apply_key(entry.key, entry.body)
-            tracked = self.find(job_id)
-            if tracked is not None and not tracked.is_ended:
-                end_marker = await self._service.read(job_end_key(job_id))
-                if end_marker is not None:
-                    tracked.mark_ended()
-        return tracked
+        await self._reads.run(
+            job_body_prefix(job_id), lambda: self._read_whole(job_id)
+        )
+        return self.find(job_id)
 
     async def read_results(self, tracked: TrackedJob) -> None:
         """Read the results that a known job lacks from the service.
 
+        Calls for one job share a read.
+
         :raises PlatformUnavailableError: the service did not respond.
         """
+        await self._reads.run(
+            job_results_prefix(tracked.job_id),
+            lambda: self._read_further_results(tracked),
+        )
+
+    async def _read_whole(self, job_id: str) -> None:
+        """Read all keys of a job, then apply them at once."""
+        with _limit_read(job_id):
+            entries = [
+                entry
+                for prefix in (
+                    job_body_prefix(job_id),
+                    job_results_prefix(job_id),
+                )
+                for entry in await self._service.read_prefix(prefix)
+            ]
+            end_marker = await self._service.read(job_end_key(job_id))
+        if end_marker is not None:
+            entries.append(end_marker)
+        for entry in entries:
+            self.apply_key(entry.key, entry.body)
+
+    async def _read_further_results(self, tracked: TrackedJob) -> None:
+        """Read the results after the known ones."""
         prefix = job_results_prefix(tracked.job_id)
         count = len(tracked.results)
         last_known = numbered_key(prefix, count - 1) if count else ''
-        with _log_read(tracked.job_id):
+        with _limit_read(tracked.job_id):
             entries = await self._service.read_prefix(prefix, after=last_known)
         for entry in entries:
             self.apply_key(entry.key, entry.body)
@@ -230,21 +258,30 @@
 
 
 @contextlib.contextmanager
-def _log_read(job_id: str) -> Iterator[None]:
-    """Log the read of a job inside the ``with`` block, or why it failed."""
+def _limit_read(job_id: str) -> Iterator[None]:
+    """Limit the time of the read of a job inside the block, and log it.
+
+    :raises PlatformUnavailableError: it took longer.
+    """
     began_at = time.monotonic()
-    reason = None
+    failure = None
     try:
-        yield
+        with trio.fail_after(READ_TIMEOUT_S):
+            yield
+    except trio.TooSlowError as exc:
+        failure = f'not read within {READ_TIMEOUT_S} s'
+        raise PlatformUnavailableError(
+            f'job {job_id!r}: {failure}', retry_after_s=UNREAD_RETRY_AFTER_S
+        ) from exc
     except PlatformUnavailableError as exc:
-        reason = exc.message
+        failure = exc.message
         raise
     finally:
         log_message(
             'job:read',
             job=job_id,
             took_s=round(time.monotonic() - began_at, 3),
-            failure=reason,
+            failure=failure,
         )
 
 
