Count a mirror that does not follow the service as behind

Cause: a copy was taken for current without a source that keeps it so. Now it is behind whenever it does not follow the service. What an entry has read from the service itself counts as whole for 0.5 s, then it reads again before it answers "none", for an ended job too, whose results may still come; if that fails, the caller gets 503. A reader that waits checks again each 0.5 s, and at its end.

The price: while an entry does not follow the service, one read of its results per job and 0.5 s, however many readers wait.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -1,6 +1,7 @@
 """briarrill.coordination.job_table: local table of the stored jobs."""
 
 import contextlib
+import math
 import time
 from collections.abc import Iterator
 
@@ -47,6 +48,8 @@
     :param results: results in stored order, without gaps.
     :param finished_item_ids: identifiers of the items that have a result.
     :param unfinished_tokens: tokens of the items that have no result.
+    :param read_at: time at which the last read of all results from the
+        service began, on trio's clock.
     :param changed: set, and replaced, at each change.
     """
 
@@ -56,17 +59,25 @@
     results: list[StoredResult] = attrs.field(factory=list)
     finished_item_ids: set[str] = attrs.field(factory=set)
     unfinished_tokens: int = 0
+    read_at: float = -math.inf
     changed: trio.Event = attrs.field(factory=trio.Event)
     items: dict[str, StoredItem] = attrs.field(factory=dict)
     _record_parts: dict[str, bytes] = attrs.field(factory=dict)
     _early_results: dict[int, StoredResult] = attrs.field(factory=dict)
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether each item has a result, so that no further one can come."""
+        if self.job is None:
+            return False
+        return len(self.finished_item_ids) >= len(self.items)
+
     @property
     def is_open(self) -> bool:
         """Whether the job has items without a result and was not ended."""
         if self.job is None or self.is_ended:
             return False
-        return len(self.finished_item_ids) < len(self.items)
+        return not self.is_finished
 
     def add_job(self, job: StoredJob) -> None:
         """Add the job record unless it was added before."""
@@ -209,6 +220,7 @@
 
     async def _read_whole(self, job_id: str) -> None:
         """Read all keys of a job, then apply them at once."""
+        began_at = trio.current_time()
         with _limit_read(job_id):
             entries = [
                 entry
@@ -223,16 +235,21 @@
             entries.append(end_marker)
         for entry in entries:
             self.apply_key(entry.key, entry.body)
+        tracked = self.find(job_id)
+        if tracked is not None:
+            tracked.read_at = began_at
 
     async def _read_further_results(self, tracked: TrackedJob) -> None:
         """Read the results after the known ones."""
         prefix = job_results_prefix(tracked.job_id)
         count = len(tracked.results)
         last_known = numbered_key(prefix, count - 1) if count else ''
+        began_at = trio.current_time()
         with _limit_read(tracked.job_id):
             entries = await self._service.read_prefix(prefix, after=last_known)
         for entry in entries:
             self.apply_key(entry.key, entry.body)
+        tracked.read_at = began_at
 
     def _apply(
         self, key_prefix: str, job_id: str, number: str, body: bytes
--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -122,7 +122,13 @@
 
     @property
     def is_behind(self) -> bool:
-        """Whether this mirror lags behind its peers for over ``MAX_LAG_S``."""
+        """Whether others may know changes that this mirror lacks.
+
+        They may while it does not follow the service, and once it lags behind
+        its peers for over ``MAX_LAG_S``.
+        """
+        if not self.is_connected:
+            return True
         return time.monotonic() - self._behind_since > MAX_LAG_S
 
     @property
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -52,6 +52,11 @@
 # Retry-After while the key-value service is unavailable
 OUTAGE_RETRY_AFTER_S = 0.7
 
+# time for which results that were read from the service count as all that
+# there are, and interval at which a waiting reader checks that they do; half
+# of the time within which a result that one entry returned is readable at all
+RESULTS_VALIDITY_S = 0.5
+
 _HTTP_OK = 200
 _HTTP_ACCEPTED = 202
 
@@ -65,7 +70,7 @@
     """Serves job requests from the job table and the key-value service.
 
     :param max_value_bytes: largest value that the service accepts.
-    :param is_behind: whether the job table lags behind those of peers.
+    :param is_behind: whether the job table may lack what others know.
     """
 
     writes: HedgedWrites
@@ -209,22 +214,40 @@
         If there are none yet, wait for the requested time.
         """
         tracked = await self._find_job(intent.job_id)
-        missing = intent.position - len(tracked.results)
-        if missing > 0 or (missing == 0 and self._may_lack_results(tracked)):
-            # another entry may have returned more results to this caller
-            await self.jobs.read_results(tracked)
-        with trio.move_on_after(intent.wait_s):
-            while tracked.is_open and intent.position >= len(tracked.results):
-                await tracked.changed.wait()
+        await self._wait_for_results(tracked, intent.position, intent.wait_s)
         page = _leading_results(tracked.results[intent.position :])
         response = self.protocol.results_body(
             len(tracked.items), intent.position, page
         )
         await conn.send_response(_HTTP_OK, _JSON, response)
 
+    async def _wait_for_results(
+        self, tracked: TrackedJob, position: int, wait_s: float
+    ) -> None:
+        """Wait until there is a result at a position, or none can come.
+
+        :raises PlatformUnavailableError: whether there is one is not known.
+        """
+        give_up_at = trio.current_time() + wait_s
+        if position > len(tracked.results):
+            # another entry has returned more results to this caller
+            await self.jobs.read_results(tracked)
+        while position >= len(tracked.results):
+            if self._may_lack_results(tracked):
+                await self.jobs.read_results(tracked)
+            left_s = give_up_at - trio.current_time()
+            if left_s <= 0 or not tracked.is_open:
+                return
+            if position >= len(tracked.results):
+                with trio.move_on_after(min(left_s, RESULTS_VALIDITY_S)):
+                    await tracked.changed.wait()
+
     def _may_lack_results(self, tracked: TrackedJob) -> bool:
         """Whether other entries may know more results of a job."""
-        return tracked.is_open and self.is_behind()
+        if tracked.is_finished or not self.is_behind():
+            return False
+        age_s = trio.current_time() - tracked.read_at
+        return age_s >= RESULTS_VALIDITY_S
 
     async def _read_item(
         self, intent: Intent, body: bytes, conn: CallerConnection
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -21,6 +21,7 @@
     PlatformUnavailableError,
 )
 from briarrill.platform.job_messages import PlatformJobProtocol
+from briarrill.relay import job_calls
 from briarrill.relay.job_calls import JobRequestHandler
 from briarrill.state.keys import job_end_key, job_results_prefix
 from briarrill.state.stored_jobs import (
@@ -396,3 +397,18 @@
         partly_unreadable.released.set()
     assert pages == [['j1-0']] * 4
     assert partly_unreadable.calls['range'] - calls_before <= 3
+
+
+async def test_lagging_table_reads_a_job_again_after_the_validity(
+    partly_unreadable, autojump_clock
+):
+    entry = EntryHandler(partly_unreadable)
+    entry.is_behind = True
+    await entry(IntentKind.READ_RESULTS)
+    calls_before = partly_unreadable.calls['range']
+    for _ in range(3):
+        await entry(IntentKind.READ_RESULTS, position=1)
+    assert partly_unreadable.calls['range'] == calls_before
+    await trio.sleep(job_calls.RESULTS_VALIDITY_S)
+    await entry(IntentKind.READ_RESULTS, position=1)
+    assert partly_unreadable.calls['range'] == calls_before + 1
