--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -244,8 +244,18 @@
                 self._apply_event(change)
 
     def _apply_snapshot(self, snapshot: KeySnapshot) -> None:
-        keys = tuple(entry.key for entry in snapshot.entries)
-        self.apply_changes(MirrorChanges(keys, snapshot.entries))
+        """Apply a snapshot; keys that are newer than it are kept.
+
+        They came from a peer while it was read.
+        """
+        keys = [entry.key for entry in snapshot.entries]
+        if snapshot.revision:
+            keys.extend(
+                key
+                for key, revision in self._revisions.items()
+                if revision > snapshot.revision
+            )
+        self.apply_changes(MirrorChanges(tuple(keys), snapshot.entries))
         # deletions before the snapshot are not among the recent changes
         self._recent_since = max(self._recent_since, snapshot.revision)
         self._advance_to(snapshot.revision)
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -247,3 +247,15 @@
         service.is_down = True
         await _wait_until(lambda: mirror.is_behind)
         nursery.cancel_scope.cancel()
+
+
+def test_older_snapshot_does_not_remove_newer_keys():
+    """Pages are read one by one, so a snapshot is as old as its first."""
+    recorded = RecordingListener()
+    mirror = Mirror(MemoryKeyValue(), 'a/', recorded)
+    for key, revision in (('a/1', 3), ('a/2', 6)):
+        mirror._apply_event(WatchEvent(key, b'x', revision))
+    mirror._apply_snapshot(KeySnapshot((KeyValue('a/3', b'x', 4),), 5))
+    assert set(recorded.keys) == {'a/2', 'a/3'}
+    mirror._apply_event(WatchEvent('a/2', None, 7))
+    assert set(recorded.keys) == {'a/3'}
