Tell those who follow a peer that it does not follow the service

A process reads the changes of jobs from the follower of its domain. Each reply counted as progress, also while the follower itself had lost the service, until its next report said so; without peers that know more, an entry answered from such a copy that a job has no further results.

A reply now says whether its sender follows the service. If not, the receiver's mirror counts as behind until a poll, or the service itself, tells otherwise. A reply waits for a watch that was cut to go on, so that a short cut does not show.

Evidence: the test failed before (the member never counted as behind).

--- a/briarrill/coordination/feeds.py
+++ b/briarrill/coordination/feeds.py
@@ -14,7 +14,11 @@
 import trio
 from eliot import log_message
 
-from ..errors import BriarrillError, UpstreamLostError
+from ..errors import (
+    BriarrillError,
+    PlatformUnavailableError,
+    UpstreamLostError,
+)
 from ..transport.http_channel import ChannelPool
 from ..transport.key_value import (
     ChangeSource,
@@ -58,11 +62,13 @@
 
     :param snapshot: all keys, if older changes are no longer known.
     :param events: changes in order, if there is no snapshot.
+    :param is_current: whether the sender follows the service.
     """
 
     revision: int
     snapshot: KeySnapshot | None = None
     events: tuple[WatchEvent, ...] = ()
+    is_current: bool = True
 
 
 _REQUEST_DECODER = msgspec.msgpack.Decoder(FeedRequest)
@@ -81,7 +87,8 @@
     async def serve(self, body: bytes) -> bytes | None:
         """Return the reply to a poll, none if it is malformed.
 
-        The reply waits for a change for the time that the poll names.
+        The reply waits for a change, and for a cut watch to go on, for the
+        time that the poll names.
         """
         try:
             poll = _REQUEST_DECODER.decode(body)
@@ -90,7 +97,10 @@
             log_message('feed:malformed', reason=repr(exc))
             return None
         with trio.move_on_after(min(poll.wait_s, MAX_POLL_WAIT_S)):
-            while mirror.position <= poll.after_revision:
+            while (
+                mirror.position <= poll.after_revision
+                or not mirror.is_connected
+            ):
                 await mirror.advanced.wait()
         return msgspec.msgpack.encode(_make_reply(mirror, poll.after_revision))
 
@@ -99,8 +109,14 @@
     """Return the changes after a revision, or all keys."""
     events = mirror.events_after(after_revision)
     if events is None:
-        return FeedReply(mirror.position, snapshot=mirror.snapshot())
-    return FeedReply(mirror.position, events=events)
+        return FeedReply(
+            mirror.position,
+            snapshot=mirror.snapshot(),
+            is_current=mirror.is_connected,
+        )
+    return FeedReply(
+        mirror.position, events=events, is_current=mirror.is_connected
+    )
 
 
 @attrs.define
@@ -171,6 +187,9 @@
 
         After a failure, or if the caller gives up on the poll because this
         process lags behind its peers, the feed is suspended.
+
+        :raises PlatformUnavailableError: the follower replies, but does not
+            follow the service itself; its next report will say so, too.
         """
         try:
             with trio.fail_after(MAX_POLL_WAIT_S + POLL_TIMEOUT_S):
@@ -185,6 +204,10 @@
         except trio.Cancelled:
             self._suspend(host, prefix, 'cancelled')
             raise
+        if not reply.is_current:
+            raise PlatformUnavailableError(
+                f'follower {host} does not follow the service'
+            )
         progress = WatchProgress(max(position, reply.revision))
         if reply.snapshot is not None:
             return [reply.snapshot, progress]
--- a/tests/coordination/test_feeds.py
+++ b/tests/coordination/test_feeds.py
@@ -168,3 +168,22 @@
 
 async def test_malformed_poll_is_rejected():
     assert await FeedServer({}).serve(b'\xff') is None
+
+
+async def test_member_of_a_follower_without_the_service_is_behind(
+    setup, monkeypatch
+):
+    """The follower replies, but changes do not reach it."""
+    async with setup.serve_follower():
+        await setup.wait_for_feed()
+        await setup.write('j/1')
+        await setup.wait_for(['j/1'])
+        assert not setup.member.is_behind
+        monkeypatch.setattr(
+            setup.follower, '_follow_until_disconnected', _stall
+        )
+        setup.follower._mark_disconnected('cut off')
+        setup.follower._follow_scope.cancel()
+        with trio.fail_after(5):
+            while not setup.member.is_behind:
+                await trio.sleep(0.01)
