Accept no job against a limit before the stored jobs are known

Customers could have more unfinished tokens accepted than their limit (QUOTA) right after entries had started.

Cause: a count was taken for whole while the jobs it counts were unread. Until the table has had all jobs once, from the service or from a peer, a submission on a route with a limit now gets 503 with Retry-After; nothing is stored, and other entries may take it.

The setup of the handler's tests names the new parameter; no check changed.

--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -83,12 +83,14 @@
     )
     jobs = JobTable(parts.store)
     parts.own_keys.add('', jobs)
+    mirror = parts.mirrors[ROOT_PREFIX]
     job_handler = JobRequestHandler(
         parts.writes,
         jobs,
         PlatformJobProtocol(),
         parts.cfg.max_value_bytes,
-        is_behind=lambda: parts.mirrors[ROOT_PREFIX].is_behind,
+        is_behind=lambda: mirror.is_behind,
+        has_all_jobs=mirror.synced.is_set,
     )
     return FrontEnd(
         protocol=protocol,
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -19,6 +19,7 @@
     BadRequestError,
     BatchItemsLimitError,
     NotFoundError,
+    NotReadyError,
     OutcomeUnknownError,
     PlatformUnavailableError,
     WriteUnknownError,
@@ -71,6 +72,7 @@
 
     :param max_value_bytes: largest value that the service accepts.
     :param is_behind: whether the job table may lack what others know.
+    :param has_all_jobs: whether the table has had all jobs once.
     """
 
     writes: HedgedWrites
@@ -78,6 +80,7 @@
     protocol: JobProtocol
     max_value_bytes: int
     is_behind: Callable[[], bool]
+    has_all_jobs: Callable[[], bool]
     _reserved_tokens: dict[str, int] = attrs.field(factory=dict, init=False)
 
     async def serve(
@@ -111,6 +114,7 @@
         :raises BadRequestError: the body is no job, or its number of items
             is out of range.
         :raises BatchItemsLimitError: the route's token limit is reached.
+        :raises NotReadyError: it is not known whether the limit is reached.
         """
         submitted_items = self.protocol.read_items(body)
         if not 0 < len(submitted_items) <= MAX_JOB_ITEMS:
@@ -160,8 +164,14 @@
 
         :raises BatchItemsLimitError: the unfinished tokens would exceed the
             limit; ``retry_after_s`` is set.
+        :raises NotReadyError: the unfinished tokens are not known yet.
         """
         limit = route.max_unfinished_tokens
+        if limit and not self.has_all_jobs():
+            raise NotReadyError(
+                'the entry has not read the stored jobs yet',
+                retry_after_s=OUTAGE_RETRY_AFTER_S,
+            )
         unfinished_tokens = self.jobs.unfinished_tokens(route.name)
         unfinished_tokens += self._reserved_tokens.get(route.name, 0)
         if limit and unfinished_tokens + tokens > limit:
--- a/tests/platform/test_results_after_restart.py
+++ b/tests/platform/test_results_after_restart.py
@@ -1,4 +1,4 @@
-"""Results of jobs at processes that all start while reads are rejected."""
+"""Jobs at processes that all start while the store rejects reads."""
 
 import contextlib
 import itertools
@@ -28,6 +28,9 @@
 JOBS = tuple(f'j{number}' for number in range(4))
 ITEMS = 2
 
+# of a limit of 1000 tokens; another job of 200 exceeds it
+BIG_JOB_TOKENS = 900
+
 # reads of each job at each entry while the store rejects reads
 READS = 12
 
@@ -135,3 +138,32 @@
                 assert len((await read_page(fleet, number, job_id))[1]) == (
                     ITEMS
                 )
+
+
+async def test_limit_of_unfinished_tokens_holds_while_jobs_are_unread(
+    network, tmp_path
+):
+    """The jobs of before the restart count although no entry has them."""
+    store = StandinStore()
+    store_routes(store)
+    with trio.fail_after(60):
+        async with running_fleet(network, tmp_path, store) as (fleet, restart):
+            assert await fleet.submit('big', 1, tokens=BIG_JOB_TOKENS) == 202
+            store.rejects = lambda call, fields: (
+                fields.get('prefix') == ROOT_PREFIX
+            )
+            await restart()
+            statuses = {
+                await fleet.submit(f'more{number}', 1, tokens=200)
+                for number in range(READS)
+            }
+            assert statuses == {503}
+            assert await fleet.submit('big', 1, tokens=BIG_JOB_TOKENS) in {
+                202,
+                503,
+            }
+            store.rejects = lambda call, fields: False
+            while await fleet.submit('small', 1, tokens=50) == 503:
+                await trio.sleep(0.05)
+            assert await fleet.submit('more', 1, tokens=200) == 429
+            assert await fleet.submit('big', 1, tokens=BIG_JOB_TOKENS) == 202
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -17,6 +17,7 @@
     BadRequestError,
     BatchItemsLimitError,
     NotFoundError,
+    NotReadyError,
     OutcomeUnknownError,
     PlatformUnavailableError,
 )
@@ -61,8 +62,10 @@
             PlatformJobProtocol(),
             1_000_000,
             is_behind=lambda: self.is_behind,
+            has_all_jobs=lambda: self.has_all_jobs,
         )
         self.is_behind = False
+        self.has_all_jobs = True
 
     async def __call__(self, kind, body=b'', **fields):
         intent = Intent(kind, 'r', BATCH_ROUTE, math.inf, 'j1')
@@ -70,12 +73,14 @@
         await self._handler.serve(intent, body, self.conn)
         return self.conn.sent[-1]
 
-    async def submit(self, job_id='j1', tokens=10):
+    async def submit(self, job_id='j1', tokens=10, route=BATCH_ROUTE):
         body = (
             b'{"items":[{"id":"e","path":"/p","headers":{},"body":"",'
             b'"tokens":%d}]}' % tokens
         )
-        return await self(IntentKind.SUBMIT_JOB, body, job_id=job_id)
+        return await self(
+            IntentKind.SUBMIT_JOB, body, job_id=job_id, route=route
+        )
 
 
 @pytest.fixture
@@ -101,6 +106,24 @@
     assert (await second_entry.submit('j1', tokens=900))[0] == 202
 
 
+async def test_submission_waits_until_the_unfinished_tokens_are_known(service):
+    entry = EntryHandler(service)
+    entry.has_all_jobs = False
+    with pytest.raises(NotReadyError) as caught:
+        await entry.submit()
+    assert caught.value.retry_after_s
+    assert service.revision == 0
+    entry.has_all_jobs = True
+    assert (await entry.submit())[0] == 202
+
+
+async def test_route_without_limit_accepts_jobs_before_all_are_known(service):
+    entry = EntryHandler(service)
+    entry.has_all_jobs = False
+    unlimited = attrs.evolve(BATCH_ROUTE, max_unfinished_tokens=0)
+    assert (await entry.submit(route=unlimited))[0] == 202
+
+
 async def test_repeated_submission_succeeds_at_token_limit(service):
     first_entry, second_entry = EntryHandler(service), EntryHandler(service)
     await first_entry.submit(tokens=900)
