Fetch no state from peers while the service can be read

Entries with slow links had the stored jobs only 3.7 s after all processes had started again, with links that carried 1.4 to 1.9 MB each second. Beside its own reading of all keys, each of them fetched the whole state from a peer, gave that up after 1 s with nothing, and began again (`state:not-fetched` at 39.8, 41.1 and 42.4 s at one entry of the incident).

A process that starts during an outage fetches as before.

Evidence: the new test of the transfer cannot run on the code before, which has no such condition; the log of the incident shows the transfers. What it saves at the start is not measured yet.

--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -56,6 +56,10 @@
 # a key that does not exist; reading it is the cheapest call
 PROBE_KEY = 'briarrill-probe'
 
+# time since the last reply within which the store counts as serving; a page
+# of keys takes less than half of it on the slowest links
+SERVING_PERIOD_S = 1.0
+
 # longest wait of one watch call; a dead connection that reports no error is
 # detected within this time plus the call timeout
 MAX_WATCH_WAIT_S = 4.0
@@ -170,6 +174,15 @@
         """Whether the last calls were not all rejected or lost."""
         return self._failed_calls < UNREACHABLE_FAILED_CALLS
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the store has executed a call within the last second.
+
+        Reading all keys over a slow link takes longer, page by page.
+        """
+        silent_s = time.monotonic() - self.replies.replied_at
+        return self.is_reachable and silent_s < SERVING_PERIOD_S
+
     async def read(self, key: str) -> KeyValue | None:
         """Return a key with its value, or nothing if it does not exist."""
         raw = await self._get('/kv-key', key=key)
--- a/tests/coordination/test_state_transfer.py
+++ b/tests/coordination/test_state_transfer.py
@@ -130,3 +130,27 @@
     monkeypatch.setattr(StateTransfer, '_fetch', fetch)
     await transfer._fetch_newer('servers/', mirror)
     assert recorded.keys == {'servers/other': b'ready'}
+
+
+async def test_no_state_is_fetched_while_the_service_can_be_read(
+    network, monkeypatch, autojump_clock
+):
+    """It would share the link with the pages that the mirror reads."""
+    fetched = []
+    load = _exchange('new', f'{network}.2')
+    transfer = StateTransfer(
+        {'op/': Mirror(MemoryKeyValue(), 'op/', RecordingListener())},
+        load,
+        free_port(),
+        is_service_serving=lambda: trio.current_time() < serves_until,
+    )
+
+    async def fetch_newer(self, prefix, mirror):
+        fetched.append(trio.current_time())
+
+    monkeypatch.setattr(StateTransfer, '_fetch_newer', fetch_newer)
+    serves_until = trio.current_time() + 5
+    with trio.move_on_after(10):
+        await transfer.run()
+    assert fetched
+    assert min(fetched) >= serves_until
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -207,3 +207,19 @@
     async with contextlib.aclosing(client.follow_prefix(prefix)) as changes:
         async for _ in changes:
             await trio.lowlevel.checkpoint()
+
+
+async def test_store_serves_until_calls_fail_or_none_is_answered(clock):
+    async with store() as (client, standin):
+        assert not client.is_serving
+        await client.read('none')
+        assert client.is_serving
+        clock.now += store_module.SERVING_PERIOD_S
+        assert not client.is_serving
+        await client.read('none')
+        assert client.is_serving
+        standin.error_status = 503
+        for _ in range(2):
+            with pytest.raises(PlatformUnavailableError):
+                await client.read('none')
+        assert not client.is_serving
