--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -73,6 +73,11 @@
         await self._handler.serve(intent, body, self.conn)
         return self.conn.sent[-1]
 
+    def follow(self, mirror):
+        """Let a mirror tell whether the table is behind."""
+        self._handler.is_behind = lambda: mirror.is_behind
+        self._handler.has_all_jobs = mirror.synced.is_set
+
     async def submit(self, job_id='j1', tokens=10, route=BATCH_ROUTE):
         body = (
             b'{"items":[{"id":"e","path":"/p","headers":{},"body":"",'
