Ask a peer for unfinished tokens until the stored jobs are known

An entry refused all submissions on routes with a limit until it had read the stored jobs, seconds after a loss of power on a slow link, though processes with faster links knew the tokens by then.

Such an entry now asks up to two peers that follow the service, each for 0.1 s at most (coordination/token_counts.py), and adds the jobs that it has stored itself, which the peer may not have yet. Only if nobody knows, the caller gets 503. A process that has the jobs asks nobody.

The handler's tests name the new parameter; no check changed.

--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -3,7 +3,6 @@
 import trio
 from eliot import log_message
 
-from ..coordination.job_table import JobTable
 from ..item_runs.checkpoints import Checkpoints
 from ..item_runs.handover import HANDOVER_PATH, Handover
 from ..item_runs.item_runner import ItemRunner
@@ -35,8 +34,7 @@
 async def run_batch(cfg: PlatformInstance) -> None:
     """Run items until a stop signal, then drain."""
     async with open_parts(cfg, runs_batch=True) as parts:
-        jobs = JobTable(parts.store)
-        parts.own_keys.add('', jobs)
+        jobs = parts.make_job_table().jobs
         committer = Committer(parts.store, jobs)
         handover = Handover(cfg.name, parts.load, cfg.peer_port, {})
         parts.resources[HANDOVER_PATH] = handover.hand_over
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from ..coordination.job_table import JobTable
 from ..errors import SettingsError
 from ..relay.drain import drain_front_end
 from ..relay.forwarding import Forwarder
@@ -81,16 +80,15 @@
         parts.cfg.failure_domain,
         rng,
     )
-    jobs = JobTable(parts.store)
-    parts.own_keys.add('', jobs)
+    counts = parts.make_job_table()
     mirror = parts.mirrors[ROOT_PREFIX]
     job_handler = JobRequestHandler(
         parts.writes,
-        jobs,
+        counts.jobs,
         PlatformJobProtocol(),
         parts.cfg.max_value_bytes,
         is_behind=lambda: mirror.is_behind,
-        has_all_jobs=mirror.synced.is_set,
+        count_tokens=counts.count,
     )
     return FrontEnd(
         protocol=protocol,
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -1,6 +1,7 @@
 """briarrill.platform.process_parts: parts that all processes share."""
 
 import contextlib
+import random
 import signal
 from collections.abc import AsyncIterator
 
@@ -12,11 +13,13 @@
 from ..coordination.feeds import FEED_PATH, FeedServer, FeedSource
 from ..coordination.follower_choice import FollowerCandidate, choose_follower
 from ..coordination.hedged_writes import WRITE_PATH, HedgedWrites
+from ..coordination.job_table import JobTable
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.mirror import Mirror, MirrorListener
 from ..coordination.prompt_crashes import PromptQuarantine
 from ..coordination.registration import hold_registration
 from ..coordination.state_transfer import PeerResource, StateTransfer
+from ..coordination.token_counts import TOKEN_COUNTS_PATH, TokenCounts
 from ..coordination.upstream_ends import UpstreamEnds
 from ..coordination.upstream_table import RETURN_GRACE_S, UpstreamTable
 from ..protocol.load_reports import LoadReport
@@ -130,6 +133,20 @@
             connected=tuple(filter(self.is_connected, self.mirrors)),
         )
 
+    def make_job_table(self) -> TokenCounts:
+        """Create the table of jobs; return it with what counts its tokens."""
+        jobs = JobTable(self.store)
+        self.own_keys.add('', jobs)
+        counts = TokenCounts(
+            jobs,
+            self.mirrors[ROOT_PREFIX].synced.is_set,
+            self.load,
+            self.cfg.peer_port,
+            random.Random(),
+        )
+        self.resources[TOKEN_COUNTS_PATH] = counts.reply
+        return counts
+
     def is_connected(self, prefix: str) -> bool:
         """Whether a prefix's changes arrive and the store replies."""
         return self.store.is_reachable and self.mirrors[prefix].is_connected
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -72,7 +72,8 @@
 
     :param max_value_bytes: largest value that the service accepts.
     :param is_behind: whether the job table may lack what others know.
-    :param has_all_jobs: whether the table has had all jobs once.
+    :param count_tokens: returns the unfinished tokens of a route, none if
+        they are not known.
     """
 
     writes: HedgedWrites
@@ -80,7 +81,7 @@
     protocol: JobProtocol
     max_value_bytes: int
     is_behind: Callable[[], bool]
-    has_all_jobs: Callable[[], bool]
+    count_tokens: Callable[[str], Awaitable[int | None]]
     _reserved_tokens: dict[str, int] = attrs.field(factory=dict, init=False)
 
     async def serve(
@@ -131,7 +132,7 @@
         )
         tokens = sum(submitted.tokens for submitted in submitted_items)
         try:
-            self._check_token_limit(intent.route, tokens)
+            await self._check_token_limit(intent.route, tokens)
         except BatchItemsLimitError:
             # another entry may have stored the job a moment ago
             if await self.jobs.read(job.job_id) is None:
@@ -159,7 +160,7 @@
         if revision is not None:
             self.jobs.add(job)
 
-    def _check_token_limit(self, route: Route, tokens: int) -> None:
+    async def _check_token_limit(self, route: Route, tokens: int) -> None:
         """Check a job's tokens against the route's limit.
 
         :raises BatchItemsLimitError: the unfinished tokens would exceed the
@@ -167,14 +168,16 @@
         :raises NotReadyError: the unfinished tokens are not known yet.
         """
         limit = route.max_unfinished_tokens
-        if limit and not self.has_all_jobs():
+        if not limit:
+            return
+        unfinished_tokens = await self.count_tokens(route.name)
+        if unfinished_tokens is None:
             raise NotReadyError(
-                'the entry has not read the stored jobs yet',
+                'the unfinished tokens are not known yet',
                 retry_after_s=OUTAGE_RETRY_AFTER_S,
             )
-        unfinished_tokens = self.jobs.unfinished_tokens(route.name)
         unfinished_tokens += self._reserved_tokens.get(route.name, 0)
-        if limit and unfinished_tokens + tokens > limit:
+        if unfinished_tokens + tokens > limit:
             raise BatchItemsLimitError(
                 f'route {route.name!r}: {unfinished_tokens} of {limit} tokens'
                 ' unfinished,'
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -62,7 +62,7 @@
             PlatformJobProtocol(),
             1_000_000,
             is_behind=lambda: self.is_behind,
-            has_all_jobs=lambda: self.has_all_jobs,
+            count_tokens=self._count_tokens,
         )
         self.is_behind = False
         self.has_all_jobs = True
@@ -76,7 +76,6 @@
     def follow(self, mirror):
         """Let a mirror tell whether the table is behind."""
         self._handler.is_behind = lambda: mirror.is_behind
-        self._handler.has_all_jobs = mirror.synced.is_set
 
     async def submit(self, job_id='j1', tokens=10, route=BATCH_ROUTE):
         body = (
@@ -87,6 +86,11 @@
             IntentKind.SUBMIT_JOB, body, job_id=job_id, route=route
         )
 
+    async def _count_tokens(self, route):
+        return (
+            self.table.unfinished_tokens(route) if self.has_all_jobs else None
+        )
+
 
 @pytest.fixture
 def service():
