Count a version whose end shows only when a stream is taken up

Callers saw: after a loss of power one stream in twelve was joined from two versions though the entries had seen the old version's registrations: it left right after they were back.

Cause: the versions that left lately were read first and the registered upstreams second. Reading these removes upstreams that had been missing since before the store was followed for long enough, and records their version as one that left. So in the one reading that removes the last upstream of a version, the version was in neither set.

Evidence: test_version_whose_end_shows_at_the_take_up_has_served_lately failed before (200 instead of 503).

Fix: the registered upstreams are read first. Nothing else reads both.

--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -102,9 +102,11 @@
 
     def _recent_versions(self, service: str) -> set[str]:
         """Return the versions at which upstreams serve or served lately."""
+        # removes those that are missing, which then count as left
+        registered = self.upstreams.registered_upstreams
         return self.upstreams.versions.left_lately(service).union(
             upstream.version
-            for upstream in self.upstreams.registered_upstreams
+            for upstream in registered
             if upstream.service == service
         )
 
--- a/tests/relay/test_stream_places.py
+++ b/tests/relay/test_stream_places.py
@@ -3,6 +3,8 @@
 import attrs
 import pytest
 
+from briarrill.coordination.origin_sharing import OriginSharing
+from briarrill.coordination.upstream_versions import UpstreamVersions
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol.request_keys import stream_key
 from briarrill.protocol.stream_origins import StreamOrigin
@@ -130,6 +132,32 @@
         assert status == 200
 
 
+async def test_version_whose_end_shows_at_the_take_up_has_served_lately(
+    monkeypatch,
+):
+    engines = [
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        _register(setup, 0, 'v1')
+        _register(setup, 1, 'v2')
+        setup.upstreams.versions = UpstreamVersions()
+        is_stable = [False]
+        setup.upstreams._is_service_stable = lambda: is_stable[0]
+        setup.upstreams.unregister('i-0')
+
+        async def find(sharing, stream):
+            is_stable[0] = True
+
+        monkeypatch.setattr(OriginSharing, 'find', find)
+        status, _, body = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+    assert status == 503
+    assert b'is not known' in body
+
+
 async def test_stream_whose_version_has_left_is_refused_at_once():
     engine = StandinEngine(stream_events(6), born=7)
     async with run_front_end([RESUMABLE_STREAM], engine) as setup:
