Keep connections only to upstreams whose responses name their request

Callers saw: an earlier refusal, written again on a kept connection, as the answer to a request that the upstream ran; with items, the end or the text of another item.

Cause: `matches_call` believed a response that echoes no identifier, and the connection was kept after one. Class: a message without an identifier was matched to a request by its place on a connection.

Change: an upstream of which any response echoed no identifier gets a new connection for each request, so that a copy has no next request to answer. Where earlier responses did echo one, a response without it on a kept connection may be the answer or a copy: the connection is closed and the outcome is unknown, which is never 'not run'. Only idempotent requests and resumable streams go elsewhere then. Upstreams that echo nothing are relayed as before, a connection for each request. The matching is a class without I/O; relay and items share the connections. The log has a line for each response that is not believed.

Ruled out: to discard such a response and read on. To believe no response without an identifier: plain services send none.

--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -126,8 +126,8 @@
         """
 
     @abc.abstractmethod
-    def matches_call(self, call: Call, head: ResponseHead) -> bool:
-        """Tell whether a response belongs to a call, not to an earlier one."""
+    def echoed_id(self, head: ResponseHead) -> str | None:
+        """Return the identifier of the call that a response names, if any."""
 
     @abc.abstractmethod
     def status_request(
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -8,6 +8,7 @@
 import trio
 from eliot import log_message
 
+from ..coordination.call_channels import CallChannels
 from ..coordination.event_wait import EventWait
 from ..coordination.incarnation_check import is_registered_process
 from ..coordination.limit_sharing import LimitSharing
@@ -20,7 +21,7 @@
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import BriarrillError, PeerUnreachableError, UpstreamLostError
 from ..state.stored_jobs import StoredItem
-from ..transport.http_channel import ChannelPool, HttpChannel
+from ..transport.http_channel import HttpChannel
 from ..transport.http_messages import ResponseHead
 from .item import ItemProgress, RunEnd
 
@@ -59,9 +60,11 @@
     upstreams: UpstreamTable
     ends: UpstreamEnds
     limits: LimitSharing
-    _pool: ChannelPool = attrs.field(
-        factory=lambda: ChannelPool(CONNECT_TIMEOUT_S), init=False
-    )
+    _channels: CallChannels = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start without connections."""
+        self._channels = CallChannels(self.protocol, CONNECT_TIMEOUT_S)
 
     def is_quarantined(self, stored: StoredItem) -> bool:
         """Tell whether no upstream gets an item because of its prompt."""
@@ -101,7 +104,7 @@
         except BaseException:
             channel.close()
             raise
-        self._pool.release(upstream.incarnation, channel)
+        self._channels.release(upstream, channel)
         return end
 
     async def _connect(
@@ -119,14 +122,12 @@
         if not grant.is_granted:
             return None
         try:
-            channel = await self._pool.acquire(
-                upstream.incarnation, upstream.address, call.request_id
-            )
+            channel = await self._channels.acquire(upstream, call.request_id)
             is_registered = await is_registered_process(
                 self.protocol, channel, upstream
             )
         except PeerUnreachableError as exc:
-            self._pool.close_server(upstream.incarnation)
+            self._channels.close_idle(upstream)
             self.silence.mark_suspect(upstream.upstream_id)
             self.ends.record_unreachable(upstream)
             _log_run_failure(progress, call, upstream, exc)
@@ -179,10 +180,8 @@
                 upstream.upstream_id
             ) as record_first_bytes:
                 with _wait_limit(FIRST_EVENT_TIMEOUT_S):
-                    response_head = await channel.read_head(
-                        lambda received: self.protocol.matches_call(
-                            call, received
-                        )
+                    response_head = await self._channels.read_head(
+                        call, upstream, channel
                     )
                 self.ends.record_response(upstream, channel.opened_at)
                 self.limits.record_response(
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -192,10 +192,10 @@
         target = stored.path.encode(_CHARSET)
         return RequestHead(b'POST', target, (*own_headers, *other_headers))
 
-    def matches_call(self, call: Call, head: ResponseHead) -> bool:
-        """Whether a response's attempt ID, if any, is that of the call."""
+    def echoed_id(self, head: ResponseHead) -> str | None:
+        """Return a response's attempt ID, if it has one."""
         echoed = find_header(head.headers, _ATTEMPT_ID)
-        return echoed in {None, call.request_id.encode()}
+        return None if echoed is None else echoed.decode(_CHARSET)
 
     def status_request(
         self, upstream: RegisteredUpstream
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -9,12 +9,12 @@
 import functools
 import random
 import time
-from operator import attrgetter
 
 import attrs
 import trio
 from eliot import log_message
 
+from ..coordination.call_channels import CallChannels
 from ..coordination.ejection import Ejector
 from ..coordination.event_wait import EventWait
 from ..coordination.load_exchange import LoadExchange
@@ -48,7 +48,7 @@
 from ..metrics import RESUMED, RETRIED
 from ..protocol.event_stream import EventSplitter, EventTracker
 from ..result_codes import Ran
-from ..transport.http_channel import ChannelPool, HttpChannel
+from ..transport.http_channel import HttpChannel
 from ..transport.http_messages import ResponseHead
 from .attempts import (
     MIN_RETRY_AFTER_S,
@@ -107,7 +107,7 @@
         self._ends = ends
         self._failure_domain = failure_domain
         self._rng = rng
-        self._pool = ChannelPool(CONNECT_TIMEOUT_S)
+        self._channels = CallChannels(protocol, CONNECT_TIMEOUT_S)
         self._ejectors: dict[str, Ejector] = {}
         self._service_times: dict[str, ServiceTimes] = {}
         self._budgets = RetryBudgets()
@@ -182,7 +182,7 @@
             candidates, skips_limited=progress.refused_permits >= MAX_REFUSALS
         )
         candidate = await self._placer.choose(
-            pool or [min(candidates, key=attrgetter('blocked_s'))],
+            pool or [min(candidates, key=lambda one: one.blocked_s)],
             call.service,
             tolerance_s=START_TOLERANCE_OBJECTIVES
             * call.route.latency_objective_s,
@@ -294,7 +294,7 @@
             except BaseException:
                 channel.close()
                 raise
-            self._pool.release(upstream.incarnation, channel)
+            self._channels.release(upstream, channel)
 
     def _check_before_send(
         self, call: Call, upstream: RegisteredUpstream
@@ -326,11 +326,9 @@
             is marked as suspect.
         """
         try:
-            return await self._pool.acquire(
-                upstream.incarnation, upstream.address, request_id
-            )
+            return await self._channels.acquire(upstream, request_id)
         except PeerUnreachableError:
-            self._pool.close_server(upstream.incarnation)
+            self._channels.close_idle(upstream)
             self._load.silence.mark_suspect(upstream.upstream_id)
             self._ends.record_unreachable(upstream)
             raise
@@ -402,9 +400,7 @@
         call = attempt.call
         try:
             with time_limit(attempt.response_timeout_s, call):
-                return await channel.read_head(
-                    lambda head: self._protocol.matches_call(call, head)
-                )
+                return await self._channels.read_head(call, upstream, channel)
         except UpstreamLostError:
             self._load.silence.mark_suspect(upstream.upstream_id)
             raise
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -102,11 +102,17 @@
         self._sock = sock
         self._parser = h11.Connection(h11.CLIENT)
         self._request: tuple[h11.Request, bytes] | None = None
+        self._sent_requests = 0
         self._is_request_sent = True
         self._has_send_failed = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = time.monotonic()
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether a request was sent before the current one."""
+        return self._sent_requests > 1
+
     @property
     def is_reusable(self) -> bool:
         """Whether the last exchange ended and the connection stays open."""
@@ -218,6 +224,7 @@
             method=head.method, target=head.target, headers=list(head.headers)
         )
         self._request = (request, body)
+        self._sent_requests += 1
         return self._encode_current_request(self._parser)
 
     def _encode_current_request(self, parser: h11.Connection) -> bytes:
