Record in the store which versions of upstreams have served

Callers saw: after all entries, or all processes, lost power at once, streams that the old version had begun were answered 200 and went on at the new one.

Cause: which versions had served was kept in processes only. Restarted ones knew the registrations since their own start, and took one version for all. Class: what must outlive all processes was kept in processes.

Change: a key for each version of a service says that it has served. The first process by rendezvous hashing, of those that follow the store, creates it when it sees an upstream of a version without one, and deletes it once none was registered for 70 s; the next one does after a second more. A version with a key and no upstream counts for 60 s after a process began to follow the registrations, so also after an outage. A stream that no process remembers goes on only if registrations and own keys are both followed and name one version. No key of a service is deleted while another version of it has none. Decisions are in version_records.py, without input or output.

Ruled out: to refuse each unknown stream, which loses the reverse; to give a new version no streams before it is recorded, which holds up service while the store rejects writes. While a new version has no key, the one before still has its own, so two are known if the new one serves on.

--- /dev/null
+++ b/briarrill/coordination/recent_versions.py
@@ -0,0 +1,39 @@
+"""briarrill.coordination.recent_versions: versions that served lately.
+
+They are those of registered upstreams, those that this process saw leave, and
+those that are recorded.
+"""
+
+import itertools
+
+from .upstream_table import UpstreamTable
+from .version_records import ServedVersion
+
+__all__ = ('find_recent_versions', 'update_records')
+
+
+def find_recent_versions(upstreams: UpstreamTable, service: str) -> set[str]:
+    """Return the versions at which upstreams serve or served lately."""
+    # reading the upstreams may record that the last one of a version left
+    registered = {
+        upstream.version
+        for upstream in upstreams.registered_upstreams
+        if upstream.service == service
+    }
+    left = {
+        served.version
+        for served in upstreams.versions.left_lately
+        if served.service == service
+    }
+    return registered | left | upstreams.records.served_lately(service)
+
+
+def update_records(upstreams: UpstreamTable) -> None:
+    """Compare the records of versions with the upstreams."""
+    names = {
+        (upstream.service, upstream.version)
+        for upstream in upstreams.registered_upstreams
+    }
+    registered = set(itertools.starmap(ServedVersion, names))
+    seen_lately = registered | upstreams.versions.left_lately
+    upstreams.records.update(registered, seen_lately)
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -15,6 +15,7 @@
 from eliot import log_message
 
 from .upstream_versions import UpstreamVersions
+from .version_records import VersionRecords
 
 __all__ = ('RegisteredUpstream', 'UpstreamTable')
 
@@ -66,11 +67,17 @@
     :param is_service_stable: tells whether the key-value service has been
         followed for long enough that a missing registration means a lost
         upstream.
-    :ivar versions: which versions served lately.
+    :param records: versions that are recorded, default none.
+    :ivar versions: versions whose upstreams left lately.
     """
 
-    def __init__(self, is_service_stable: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        is_service_stable: Callable[[], bool],
+        records: VersionRecords | None = None,
+    ) -> None:
         """Start without upstreams."""
+        self.records = records or VersionRecords(is_service_stable)
         self._is_service_stable = is_service_stable
         self._upstreams: dict[str, RegisteredUpstream] = {}
         self._missing: set[str] = set()
@@ -114,9 +121,9 @@
         )
 
     @property
-    def is_current(self) -> bool:
-        """Whether the registrations of all upstreams are known."""
-        return self._is_service_stable()
+    def knows_recent_versions(self) -> bool:
+        """Whether all versions that served lately are known."""
+        return self._is_service_stable() and self.records.is_read()
 
     def mark_replaced(self, incarnation: str) -> None:
         """Record that another process answers in place of an incarnation.
--- a/briarrill/coordination/upstream_versions.py
+++ b/briarrill/coordination/upstream_versions.py
@@ -5,11 +5,9 @@
 
 import attrs
 
-__all__ = ('UpstreamVersions',)
+from .version_records import VERSION_RETENTION_S, ServedVersion
 
-# time for which a version that no upstream has any more counts as one that
-# served lately; streams that it began last several seconds
-VERSION_RETENTION_S = 60.0
+__all__ = ('UpstreamVersions',)
 
 # replaced incarnations that are remembered; the oldest are forgotten first
 MAX_REPLACED = 4096
@@ -23,7 +21,7 @@
     """
 
     _clock: Callable[[], float] = time.monotonic
-    _left_at: dict[tuple[str, str], float] = attrs.field(
+    _left_at: dict[ServedVersion, float] = attrs.field(
         factory=dict, init=False
     )
     _replaced: dict[str, None] = attrs.field(factory=dict, init=False)
@@ -33,19 +31,20 @@
         now = self._clock()
         oldest = now - VERSION_RETENTION_S
         self._left_at = {
-            name: left_at
-            for name, left_at in self._left_at.items()
+            served: left_at
+            for served, left_at in self._left_at.items()
             if left_at > oldest
         }
-        self._left_at[(service, version)] = now
+        self._left_at[ServedVersion(service, version)] = now
 
-    def left_lately(self, service: str) -> set[str]:
-        """Return the versions of a service's upstreams that left lately."""
+    @property
+    def left_lately(self) -> set[ServedVersion]:
+        """Return the versions of upstreams that left lately."""
         oldest = self._clock() - VERSION_RETENTION_S
         return {
-            version
-            for (name, version), left_at in self._left_at.items()
-            if name == service and left_at > oldest
+            served
+            for served, left_at in self._left_at.items()
+            if left_at > oldest
         }
 
     def mark_replaced(self, incarnation: str) -> None:
--- /dev/null
+++ b/briarrill/coordination/version_records.py
@@ -0,0 +1,149 @@
+"""briarrill.coordination.version_records: versions that are recorded.
+
+What a process has seen of upstreams ends with it. So that a version has
+served is also recorded with a key in the key-value service, until no upstream
+of it has been registered for a while.
+"""
+
+import time
+from collections.abc import Callable, Collection
+
+import attrs
+
+__all__ = (
+    'VERSION_RETENTION_S',
+    'RankOf',
+    'ServedVersion',
+    'VersionRecords',
+)
+
+# time for which a version that no upstream has any more counts as one that
+# served lately; streams that it began last several seconds
+VERSION_RETENTION_S = 60.0
+
+# time after which the record of such a version is deleted: longer than any
+# process counts it, so that none records it again
+RECORD_RETENTION_S = 70.0
+
+# time after the start, or an outage, until peers are heard and agree on which
+# process writes
+SETTLING_S = 1.0
+
+# time that the process before has to write, including the mirrors' interval
+RANK_DELAY_S = 1.0
+
+
+@attrs.frozen
+class ServedVersion:
+    """A software version of a service's upstreams.
+
+    :param version: empty if the upstreams name none.
+    """
+
+    service: str
+    version: str
+
+
+#: Returns the position of this process among those that may write a record.
+RankOf = Callable[[ServedVersion], int]
+
+
+@attrs.define
+class VersionRecords:
+    """Which versions are recorded, and which records to write or delete.
+
+    :param is_read: tells whether the records in the service are known.
+    :param followed_since: returns the monotonic time since which the
+        registrations of upstreams have been followed without an outage.
+    :param clock: monotonic clock.
+    """
+
+    is_read: Callable[[], bool]
+    followed_since: Callable[[], float] = float
+    _clock: Callable[[], float] = time.monotonic
+    _seen_at: dict[ServedVersion, float] = attrs.field(
+        factory=dict, init=False
+    )
+    _unrecorded_since: dict[ServedVersion, float] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def add(self, served: ServedVersion) -> None:
+        """Add a record that exists in the service."""
+        self._seen_at.setdefault(served, self._clock())
+        self._unrecorded_since.pop(served, None)
+
+    def discard(self, served: ServedVersion) -> None:
+        """Remove a record that no longer exists in the service."""
+        self._seen_at.pop(served, None)
+
+    def served_lately(self, service: str) -> set[str]:
+        """Return the recorded versions that may have served lately.
+
+        One of which this process has seen no upstream counts until it has
+        followed the registrations for long enough.
+        """
+        return {
+            served.version
+            for served in self._seen_at
+            if served.service == service
+            and self._absent_s(served) < VERSION_RETENTION_S
+        }
+
+    def update(
+        self,
+        registered: Collection[ServedVersion],
+        seen_lately: Collection[ServedVersion],
+    ) -> None:
+        """Compare the records with the versions of upstreams.
+
+        :param registered: versions of registered upstreams.
+        :param seen_lately: these, and those whose upstreams left lately.
+        """
+        now = self._clock()
+        for served in self._seen_at.keys() & registered:
+            self._seen_at[served] = now
+        wanted = set(seen_lately).difference(self._seen_at)
+        self._unrecorded_since = {
+            served: self._unrecorded_since.get(served, now)
+            for served in wanted
+        }
+
+    def due_creates(self, rank: RankOf) -> list[ServedVersion]:
+        """Return the versions that this process is to record now.
+
+        :param rank: returns the position of this process among those that
+            may write the record of a version.
+        """
+        now = self._clock()
+        settled_at = self.followed_since() + SETTLING_S
+        return [
+            served
+            for served, since in self._unrecorded_since.items()
+            if now >= settled_at and now - since >= rank(served) * RANK_DELAY_S
+        ]
+
+    def due_deletes(self, rank: RankOf) -> list[ServedVersion]:
+        """Return the versions whose records this process is to delete now.
+
+        While one version of a service cannot be recorded, the records of the
+        others stay: they show that more than one has served.
+
+        :param rank: as for :meth:`due_creates`.
+        """
+        incomplete = {served.service for served in self._unrecorded_since}
+        due_s = {
+            served: self._absent_s(served) - RECORD_RETENTION_S
+            for served in self._seen_at
+            if served.service not in incomplete
+        }
+        return [
+            served
+            for served, late_s in due_s.items()
+            if late_s >= 0 and late_s >= rank(served) * RANK_DELAY_S
+        ]
+
+    def _absent_s(self, served: ServedVersion) -> float:
+        """Return for how long no upstream of a version was registered."""
+        since = max(self._seen_at[served], self.followed_since())
+        return self._clock() - since
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -22,9 +22,16 @@
 from ..coordination.token_counts import TOKEN_COUNTS_PATH, TokenCounts
 from ..coordination.upstream_ends import UpstreamEnds
 from ..coordination.upstream_table import RETURN_GRACE_S, UpstreamTable
+from ..coordination.version_recorder import VersionRecorder
+from ..coordination.version_records import VersionRecords
 from ..protocol.load_reports import LoadReport
 from ..readiness import Readiness
-from ..state.keys import MEMBERS_PREFIX, ROOT_PREFIX, member_key
+from ..state.keys import (
+    MEMBERS_PREFIX,
+    ROOT_PREFIX,
+    UPSTREAM_VERSIONS_PREFIX,
+    member_key,
+)
 from ..transport.http_callers import (
     CallerConnection,
     CallerLimits,
@@ -151,6 +158,19 @@
         """Whether a prefix's changes arrive and the store replies."""
         return self.store.is_reachable and self.mirrors[prefix].is_connected
 
+    def may_follow(self) -> bool:
+        """Whether this process may act at the store for others."""
+        is_draining = self.readiness.is_draining
+        return self.is_connected(ROOT_PREFIX) and not is_draining
+
+    def following_peers(self) -> list[str]:
+        """Return the names of the live peers of which that holds."""
+        return [
+            report.process
+            for report in self.load.peers.reachable
+            if ROOT_PREFIX in report.connected and not report.is_leaving
+        ]
+
     def restart_watches(self) -> None:
         """Watch on new connections, since the present ones may be dead."""
         for mirror in self.mirrors.values():
@@ -179,10 +199,7 @@
         own = FollowerCandidate(
             name=self.cfg.name,
             failure_domain=domain,
-            is_able=(
-                self.is_connected(ROOT_PREFIX)
-                and not self.readiness.is_draining
-            ),
+            is_able=self.may_follow(),
             is_preferred=self.runs_batch,
         )
         follower = choose_follower(domain, [own, *candidates])
@@ -212,7 +229,15 @@
             REGISTRATIONS_PREFIX
         ].is_stable(RETURN_GRACE_S)
 
-    upstreams = UpstreamTable(is_stable)
+    upstreams = UpstreamTable(
+        is_stable,
+        VersionRecords(
+            is_read=lambda: mirrors[ROOT_PREFIX].is_connected,
+            followed_since=lambda: (
+                mirrors[REGISTRATIONS_PREFIX].connected_since
+            ),
+        ),
+    )
     mirrors[OPERATOR_PREFIX] = Mirror(
         store, OPERATOR_PREFIX, operator_keys, stores_bodies=True
     )
@@ -295,6 +320,14 @@
         },
         is_service_serving=lambda: parts.store.is_serving,
     )
+    recorder = VersionRecorder(
+        parts.store,
+        parts.upstreams,
+        cfg.name,
+        may_write=parts.may_follow,
+        other_writers=parts.following_peers,
+    )
+    parts.own_keys.add(UPSTREAM_VERSIONS_PREFIX, recorder)
     address = (cfg.host, cfg.peer_port)
     async with (
         serve_callers(address, transfer.caller_limits, transfer.serve),
@@ -307,6 +340,7 @@
         nursery.start_soon(parts.load.run)
         nursery.start_soon(parts.ends.run)
         nursery.start_soon(transfer.run)
+        nursery.start_soon(recorder.run)
         for mirror in parts.mirrors.values():
             nursery.start_soon(mirror.run)
         yield
--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -4,6 +4,7 @@
 
 from ..coordination.incarnation_check import is_registered_process
 from ..coordination.origin_sharing import OriginSharing
+from ..coordination.recent_versions import find_recent_versions
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.stream_versions import infer_origin
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
@@ -43,8 +44,8 @@
             )
         return infer_origin(
             known,
-            self._recent_versions(call.service),
-            is_complete=self.upstreams.is_current,
+            find_recent_versions(self.upstreams, call.service),
+            is_complete=self.upstreams.knows_recent_versions,
         )
 
     def eligible(
@@ -100,16 +101,6 @@
             caller = self.protocol.caller(call.head)
             self.sharing.tell(stream_key(caller, call.request_id), origin)
 
-    def _recent_versions(self, service: str) -> set[str]:
-        """Return the versions at which upstreams serve or served lately."""
-        # removes those that are missing, which then count as left
-        registered = self.upstreams.registered_upstreams
-        return self.upstreams.versions.left_lately(service).union(
-            upstream.version
-            for upstream in registered
-            if upstream.service == service
-        )
-
     def _may_resume(
         self, upstream: RegisteredUpstream, response: Response
     ) -> bool:
--- a/briarrill/state/keys.py
+++ b/briarrill/state/keys.py
@@ -1,5 +1,8 @@
 """briarrill.state.keys: keys and prefixes in the key-value service."""
 
+import hashlib
+from urllib.parse import quote
+
 __all__ = (
     'CONFIG_HEAD_KEY',
     'CONFIG_HISTORY_PREFIX',
@@ -12,6 +15,7 @@
     'MEMBERS_PREFIX',
     'OPEN_JOBS_PREFIX',
     'ROOT_PREFIX',
+    'UPSTREAM_VERSIONS_PREFIX',
     'config_version_key',
     'file_key',
     'job_body_prefix',
@@ -22,6 +26,7 @@
     'member_key',
     'numbered_key',
     'open_job_key',
+    'upstream_version_key',
 )
 
 ROOT_PREFIX = 'briarrill/'
@@ -35,6 +40,10 @@
 LEASES_PREFIX = f'{ROOT_PREFIX}leases/'
 MEMBERS_PREFIX = f'{ROOT_PREFIX}members/'
 OPEN_JOBS_PREFIX = f'{ROOT_PREFIX}open-jobs/'
+UPSTREAM_VERSIONS_PREFIX = f'{ROOT_PREFIX}upstream-versions/'
+
+# longest key that every key-value service takes
+MAX_KEY_BYTES = 200
 
 
 def config_version_key(version: int) -> str:
@@ -88,3 +97,14 @@
 def numbered_key(prefix: str, number: int) -> str:
     """Return the key of a numbered part; keys sort by the number."""
     return f'{prefix}{number:06d}'
+
+
+def upstream_version_key(service: str, version: str) -> str:
+    """Return the key that records that a version of a service has served.
+
+    A digest takes the place of names that are too long.
+    """
+    names = f'{quote(service, safe="")}/{quote(version, safe="")}'
+    if len(UPSTREAM_VERSIONS_PREFIX) + len(names) > MAX_KEY_BYTES:
+        names = hashlib.sha256(names.encode()).hexdigest()
+    return f'{UPSTREAM_VERSIONS_PREFIX}{names}'
--- a/tests/coordination/test_upstream_versions.py
+++ b/tests/coordination/test_upstream_versions.py
@@ -2,9 +2,15 @@
 
 from briarrill.coordination.upstream_versions import (
     MAX_REPLACED,
-    VERSION_RETENTION_S,
     UpstreamVersions,
 )
+from briarrill.coordination.version_records import (
+    VERSION_RETENTION_S,
+    ServedVersion,
+)
+
+V1 = ServedVersion('llm', 'v1')
+OTHER = ServedVersion('other', 'v9')
 
 
 def test_version_that_left_counts_for_the_time_of_a_stream():
@@ -12,9 +18,9 @@
     versions = UpstreamVersions(lambda: clock[0])
     versions.record_departure('llm', 'v1')
     versions.record_departure('other', 'v9')
-    assert versions.left_lately('llm') == {'v1'}
+    assert versions.left_lately == {V1, OTHER}
     clock[0] += VERSION_RETENTION_S
-    assert versions.left_lately('llm') == set()
+    assert versions.left_lately == set()
     versions.record_departure('llm', 'v2')
     assert len(versions._left_at) == 1
 
--- a/tests/platform/test_streams_after_power_loss.py
+++ b/tests/platform/test_streams_after_power_loss.py
@@ -45,13 +45,18 @@
     """A store that rejects calls whose prefix begins with a text.
 
     :ivar rejected: the text, none to serve all calls.
+    :ivar rejects_writes: whether it rejects all writes.
     """
 
     rejected = None
+    rejects_writes = False
 
     async def _dispatch(self, call, argument, fields, body):
         prefix = fields.get('prefix', '')
-        if self.rejected is not None and prefix.startswith(self.rejected):
+        is_rejected = self.rejected is not None and prefix.startswith(
+            self.rejected
+        )
+        if is_rejected or (self.rejects_writes and call == 'kv-txn'):
             return HTTPStatus.SERVICE_UNAVAILABLE, {}
         return await super()._dispatch(call, argument, fields, body)
 
@@ -211,6 +216,31 @@
     assert_unmixed(streams)
 
 
+async def test_streams_are_not_joined_if_the_new_version_was_not_recorded(
+    network, tmp_path
+):
+    store = RejectingStore()
+    async with versioned_fleet(
+        network, tmp_path, is_cutting=False, registered=('v1',), store=store
+    ) as fleet:
+        await wait_settled(fleet)
+        store.rejects_writes = True
+        arrive(fleet, 'v2')
+        await trio.sleep(SETTLING_S)
+        streams = await begin_streams(fleet)
+        assert {text for one in streams for text in one.versions} == {
+            'data: v1',
+            'data: v2',
+        }
+        outage = Outage(fleet, tmp_path)
+        await outage.kill()
+        leave(fleet, 'v1')
+        await outage.restart()
+        await outage.wait_ready()
+        await take_all_up(fleet, streams)
+    assert_unmixed(streams)
+
+
 @KILLED
 async def test_with_one_version_all_streams_go_on_after_a_loss_of_power(
     network, tmp_path, killed
--- a/tests/relay/test_stream_places.py
+++ b/tests/relay/test_stream_places.py
@@ -5,6 +5,7 @@
 
 from briarrill.coordination.origin_sharing import OriginSharing
 from briarrill.coordination.upstream_versions import UpstreamVersions
+from briarrill.coordination.version_records import ServedVersion
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol.request_keys import stream_key
 from briarrill.protocol.stream_origins import StreamOrigin
@@ -158,6 +159,38 @@
     assert b'is not known' in body
 
 
+async def test_version_that_is_recorded_has_served_lately():
+    engine = StandinEngine(stream_events(6), born=7)
+    async with run_front_end([RESUMABLE_STREAM], engine) as setup:
+        version = setup.upstreams.find('i-0').version
+        setup.upstreams.records.add(ServedVersion('llm', version))
+        setup.upstreams.records.add(ServedVersion('other', 'v9'))
+        status, _, _ = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+        assert status == 200
+        setup.upstreams.records.add(ServedVersion('llm', 'v1'))
+        status, _, body = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+    assert status == 503
+    assert b'is not known' in body
+
+
+async def test_unknown_stream_is_refused_while_the_records_are_unread():
+    engine = StandinEngine(stream_events(6), born=7)
+    async with run_front_end([RESUMABLE_STREAM], engine) as setup:
+        setup.upstreams.records.is_read = bool
+        status, _, body = await setup.send_request(
+            PATH, attempt_id='again', last_event_id='2', resumes='began'
+        )
+        assert status == 503
+        assert b'is not known' in body
+        # new streams begin
+        status, _, _ = await setup.send_request(PATH)
+    assert status == 200
+
+
 async def test_stream_whose_version_has_left_is_refused_at_once():
     engine = StandinEngine(stream_events(6), born=7)
     async with run_front_end([RESUMABLE_STREAM], engine) as setup:
