Break off streams whose upstream sends an error in place of events

Callers saw: the head or text of an error in the middle of a resumable stream, which ended as complete; items completed with a part of their text.

Cause: the splitter of events took any bytes up to an empty line for an event, and one without an identifier was passed on, or ignored by an item, whose stream then ended between two events. Items did not look at the content type of a success either; the relay did. Class: what came was not checked to be what was asked for.

Change: bytes without any field of an event (id, data, event, retry, a comment), or with a line that begins a response, end the stream as lost, so that it goes on elsewhere or is broken off. Fields of other names beside those are passed on as before. Items take a success of another content type for a lost run, as a relayed resumption does; it is no counted attempt.

Ruled out: to compare error texts; a check of each field's name, which would break streams with fields of their own. Streams that may not be resumed pass as bytes, unchanged.

--- a/briarrill/coordination/response_ends.py
+++ b/briarrill/coordination/response_ends.py
@@ -1,13 +1,28 @@
-"""briarrill.coordination.response_ends: check where streams end."""
+"""briarrill.coordination.response_ends: check that streams are whole."""
 
 from eliot import log_message
 
 from ..errors import UpstreamLostError
 from ..metrics import ENDED_BY_CLOSE
 from ..protocol.event_stream import EventTracker, StreamPosition
-from ..transport.http_messages import BodyFraming, ResponseHead
+from ..transport.http_messages import BodyFraming, ResponseHead, find_header
 
-__all__ = ('check_stream_end',)
+__all__ = ('check_stream_end', 'is_event_stream')
+
+HTTP_OK = 200
+
+EVENT_STREAM = b'text/event-stream'
+
+
+def is_event_stream(head: ResponseHead) -> bool:
+    """Whether a response on a streaming route is a stream of events.
+
+    One without a content type is.
+    """
+    content_type = find_header(head.headers, b'content-type') or EVENT_STREAM
+    return head.status == HTTP_OK and content_type.lower().startswith(
+        EVENT_STREAM
+    )
 
 
 def check_stream_end(
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -13,7 +13,7 @@
 from ..coordination.incarnation_check import is_registered_process
 from ..coordination.limit_sharing import LimitSharing
 from ..coordination.relay_protocol import Call, RelayProtocol
-from ..coordination.response_ends import check_stream_end
+from ..coordination.response_ends import check_stream_end, is_event_stream
 from ..coordination.routes import Route
 from ..coordination.silence import SilenceDetector
 from ..coordination.start_delays import StartDelays
@@ -193,6 +193,8 @@
                     record_first_bytes()
             if response_head.status != _HTTP_OK:
                 return await self._read_error(response_head, channel)
+            if not is_event_stream(response_head):
+                raise UpstreamLostError('answered 200 without events')
             with self.silence.track_stream(upstream.upstream_id):
                 event_wait = EventWait(FIRST_EVENT_TIMEOUT_S)
                 async for part in _read_stream(event_wait, channel):
--- a/briarrill/protocol/event_stream.py
+++ b/briarrill/protocol/event_stream.py
@@ -30,6 +30,15 @@
 _ID_FIELD = b'id'
 _DATA_FIELD = b'data'
 
+# a line with a colon at its start is a comment
+_COMMENT = b''
+_KNOWN_FIELDS = frozenset(
+    (_ID_FIELD, _DATA_FIELD, _COMMENT, b'event', b'retry')
+)
+
+# start of a response's first line
+_HTTP_VERSION = b'HTTP/1.'
+
 
 @attrs.frozen
 class ServerSentEvent:
@@ -106,7 +115,7 @@
         """Append bytes to the buffer; remove and return complete events.
 
         :raises UpstreamLostError: an incomplete event exceeds
-            MAX_EVENT_BYTES.
+            MAX_EVENT_BYTES, or the bytes are no event.
         """
         self._incomplete += part
         events = []
@@ -130,10 +139,16 @@
 
 
 def _parse_event(raw: bytes) -> ServerSentEvent:
-    """Parse the id and data fields; ignore all other fields."""
+    """Parse the id and data fields; ignore all other fields.
+
+    :raises UpstreamLostError: there is no field of an event, or the head of a
+        response.
+    """
     event_id = None
     parts = []
-    for line in raw.splitlines():
+    lines = [line for line in raw.splitlines() if line]
+    _check_fields(lines)
+    for line in lines:
         name, _, text = line.partition(b':')
         content = text.removeprefix(b' ')
         if name == _DATA_FIELD:
@@ -141,3 +156,15 @@
         elif name == _ID_FIELD and content.isdigit():
             event_id = int(content)
     return ServerSentEvent(raw, event_id, b'\n'.join(parts))
+
+
+def _check_fields(lines: list[bytes]) -> None:
+    """Check that lines are those of an event.
+
+    :raises UpstreamLostError: they are not.
+    """
+    names = {line.partition(b':')[0] for line in lines}
+    is_event = not names or not names.isdisjoint(_KNOWN_FIELDS)
+    has_head = any(line.startswith(_HTTP_VERSION) for line in lines)
+    if has_head or not is_event:
+        raise UpstreamLostError('the stream has bytes that are no event')
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -25,7 +25,7 @@
 )
 from ..coordination.prompt_crashes import check_quarantine
 from ..coordination.relay_protocol import Call, RelayProtocol
-from ..coordination.response_ends import check_stream_end
+from ..coordination.response_ends import check_stream_end, is_event_stream
 from ..coordination.retries import RetryBudgets
 from ..coordination.routes import RouteKind
 from ..coordination.service_times import ServiceTimes
@@ -62,7 +62,7 @@
 from .placer import Placer
 from .response import Response
 from .stream_places import StreamPlaces
-from .streams import is_event_stream, read_stream_part, send_new_events
+from .streams import read_stream_part, send_new_events
 
 __all__ = ('Forwarder',)
 
--- a/briarrill/relay/streams.py
+++ b/briarrill/relay/streams.py
@@ -4,26 +4,11 @@
 from ..errors import UpstreamLostError
 from ..protocol.event_stream import ServerSentEvent
 from ..transport.http_channel import HttpChannel
-from ..transport.http_messages import ResponseHead, find_header
+from ..transport.http_messages import ResponseHead
 from .attempts import Attempt, time_limit
 from .response import Response
 
-__all__ = ('is_event_stream', 'read_stream_part', 'send_new_events')
-
-HTTP_OK = 200
-
-EVENT_STREAM = b'text/event-stream'
-
-
-def is_event_stream(head: ResponseHead) -> bool:
-    """Whether a response on a streaming route is a stream of events.
-
-    One without a content type is.
-    """
-    content_type = find_header(head.headers, b'content-type') or EVENT_STREAM
-    return head.status == HTTP_OK and content_type.lower().startswith(
-        EVENT_STREAM
-    )
+__all__ = ('read_stream_part', 'send_new_events')
 
 
 async def read_stream_part(
