Fail an item whose engine reports an error in its stream

Callers saw: items completed with the text generated before the engine failed.

Cause: an event without choices adds no text, so an error event was passed over, and the end event after it completed the item.

Change: an event with `error` ends the run as UPSTREAM_FAILED, outcome unknown, as other malformed events do.

Ruled out: online streams; they relay the engine's error event to their caller, where it is the sign of the failure.

--- a/briarrill/sidecar/resumable_completion.py
+++ b/briarrill/sidecar/resumable_completion.py
@@ -60,7 +60,8 @@
     def add_events(self, events: bytes) -> None:
         """Append the text of complete server-sent events.
 
-        :raises ValueError: an event is malformed, or the text is too long.
+        :raises ValueError: an event is malformed or an error, or the text is
+            too long.
         """
         for line in events.decode().splitlines():
             payload = line.removeprefix(_EVENT_PREFIX)
@@ -111,7 +112,12 @@
         return fields
 
     def _add_event(self, event: dict[str, Any]) -> None:
-        """Append the text of one decoded event and read its usage."""
+        """Append the text of one decoded event and read its usage.
+
+        :raises ValueError: it is an error.
+        """
+        if event.get('error'):
+            raise ValueError(f'the engine failed: {event["error"]}')
         self.completion_id = self.completion_id or event.get('id', '')
         usage = event.get('usage')
         if usage and not self.prompt_tokens:
