Test that a response to an item's earlier run does not end its next run

Callers see: an item that is run again ends as its earlier run did, or is completed with that run's text, if the upstream writes the earlier response again. Both runs have the item's identifier; another item was run on the connection in between.

--- a/tests/item_runs/test_refusals_written_again.py
+++ b/tests/item_runs/test_refusals_written_again.py
@@ -107,3 +107,13 @@
                 when,
             )
             await _run_items(runner, network, engine, 'x1', 'x2', 'x3')
+
+
+@every_status
+async def test_refusal_of_an_earlier_run_does_not_end_the_next(
+    runner, network, status
+):
+    """Another item is run in between on the connection."""
+    refusal = encode_message(status, EARLIER_BODY, lines=(id_line('x1'),))
+    engine = RepeatingEngine('x1', refusal, copied_at='x1')
+    await _run_items(runner, network, engine, 'x1', 'x2', 'x1')
