Use no connection again for a request that it carried before

Callers saw: an item's next run end as an earlier run did.

Cause: a channel remembered the identifier of its last request only, so with another item in between the next run of the first got the same connection, where the copy of its earlier response echoes the right identifier. Class: a key that is not unique to what it identifies.

Change: a channel remembers all its requests and is closed after 1000, which bounds the memory.

Ruled out: a fixed number of last requests, which leaves the same gap.

--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -48,6 +48,9 @@
 # responses to earlier requests
 MAX_HEADS = 32
 
+# requests of one channel; bounds the identifiers that it remembers
+MAX_REQUESTS = 1000
+
 # idle channels per server
 MAX_IDLE_CHANNELS = 32
 
@@ -87,8 +90,8 @@
     """Client side of one connection to a server; the caller closes it.
 
     :param sock: connected socket.
-    :ivar last_request_id: identifier of the last request, which a late copy
-        of its response has too.
+    :ivar request_ids: identifiers of its requests, which late copies of their
+        responses have too.
     :ivar opened_at: monotonic time of the connection.
     :ivar is_registered_process: whether the expected process is behind the
         connection; None until that was checked.
@@ -96,7 +99,7 @@
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
         """Wrap the socket without a request in flight."""
-        self.last_request_id = ''
+        self.request_ids: set[str] = set()
         self.is_registered_process: bool | None = None
         self.opened_at = time.monotonic()
         self._sock = sock
@@ -120,6 +123,8 @@
         trailing_bytes, has_closed = self._parser.trailing_data
         if trailing_bytes or has_closed or not self._is_request_sent:
             return False
+        if len(self.request_ids) >= MAX_REQUESTS:
+            return False
         return states == (h11.DONE, h11.DONE)
 
     @property
@@ -336,14 +341,15 @@
 
         :param server: key of one incarnation of a server.
         :param request_id: identifier of the next request, if it has one. No
-            channel is used whose last request has the same one.
+            channel is used that carried one with the same.
         :raises PeerUnreachableError: the connection failed or timed out; no
             request was sent.
         """
         channel = self._pop_usable(self._idle.get(server, []), request_id)
         if channel is None:
             channel = await connect(address, self.connect_timeout_s)
-        channel.last_request_id = request_id
+        if request_id:
+            channel.request_ids.add(request_id)
         return channel
 
     def release(self, server: str, channel: HttpChannel) -> None:
@@ -376,7 +382,7 @@
         found = None
         while idle and found is None:
             channel = idle.pop()
-            if request_id and channel.last_request_id == request_id:
+            if request_id in channel.request_ids:
                 repeated.append(channel)
             elif channel.is_usable:
                 found = channel
