--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from briarrill.coordination.mirror import Mirror
 from briarrill.errors import PlatformUnavailableError, WriteUnknownError
 from briarrill.platform import store as store_module
 from briarrill.platform.store import PlatformStore
@@ -15,6 +16,7 @@
     WatchProgress,
 )
 from standins.platform_store import StandinStore
+from tests.coordination.test_mirror import RecordingListener
 from tests.serving import serve_standin
 
 
@@ -223,3 +225,32 @@
             with pytest.raises(PlatformUnavailableError):
                 await client.read('none')
         assert not client.is_serving
+
+
+async def test_mirror_is_behind_until_the_changes_since_the_first_page_came():
+    """A key of the first page may have changed while others were read."""
+    states = []
+
+    def record(call, fields):
+        if call == 'kv-range' and fields.get('after'):
+            standin.put('a/1', b'new')
+        if call == 'kv-watch':
+            states.append(
+                (mirror.is_behind, mirror.synced.is_set(), dict(recorded.keys))
+            )
+        return False
+
+    async with store() as (client, standin):
+        standin.page_size = 1
+        standin.put('a/1', b'old')
+        standin.put('a/2', b'x')
+        standin.rejects = record
+        recorded = RecordingListener()
+        mirror = Mirror(client, 'a/', recorded)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(mirror.run)
+            await mirror.synced.wait()
+            assert recorded.keys == {'a/1': b'new', 'a/2': b'x'}
+            assert not mirror.is_behind
+            nursery.cancel_scope.cancel()
+        assert states[0] == (True, False, {'a/1': b'old', 'a/2': b'x'})
