--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -182,10 +182,14 @@
         )
         return KeySnapshot(entries, self.position)
 
-    def apply_changes(self, changes: MirrorChanges) -> None:
+    def apply_changes(
+        self, changes: MirrorChanges, *, is_consistent: bool = True
+    ) -> None:
         """Apply the changes of a peer's mirror or of a snapshot.
 
         Keys that ``changes.keys`` does not list are removed.
+
+        :param is_consistent: whether the keys are those of one revision.
         """
         for key in set(self._revisions).difference(changes.keys):
             self._remove_key(key)
@@ -194,7 +198,8 @@
             self._apply_event(
                 WatchEvent(entry.key, entry.body, entry.mod_revision)
             )
-        self.synced.set()
+        if is_consistent:
+            self.synced.set()
 
     def restart(self) -> None:
         """Restart the watch, unless it waits for its first change."""
@@ -255,10 +260,18 @@
                 for key, revision in self._revisions.items()
                 if revision > snapshot.revision
             )
-        self.apply_changes(MirrorChanges(tuple(keys), snapshot.entries))
+        self.apply_changes(
+            MirrorChanges(tuple(keys), snapshot.entries),
+            is_consistent=snapshot.is_consistent,
+        )
         # deletions before the snapshot are not among the recent changes
         self._recent_since = max(self._recent_since, snapshot.revision)
-        self._advance_to(snapshot.revision)
+        if snapshot.is_consistent:
+            self._advance_to(snapshot.revision)
+            return
+        # it follows the service again once it has the changes since
+        self._resume_revision = snapshot.revision
+        self._mark_disconnected('changes since the snapshot are missing')
 
     def _advance_to(self, revision: int) -> None:
         """Record that all changes up to a revision were received.
@@ -276,6 +289,7 @@
                 'mirror:synced', prefix=self._prefix, keys=len(self._revisions)
             )
         self.is_connected = True
+        self.synced.set()
         self.advanced.set()
         self.advanced = trio.Event()
 
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -194,8 +194,8 @@
         self, prefix: str, *, after: str = '', limit: int = 0
     ) -> list[KeyValue]:
         """Return the keys under a prefix in order, up to the limit."""
-        entries, _ = await self._read_pages(prefix, after, limit)
-        return entries
+        snapshot = await self._read_pages(prefix, after, limit)
+        return list(snapshot.entries)
 
     async def transact(self, changes: Sequence[KeyChange]) -> int | None:
         """Apply all changes, or none if an expected revision does not match.
@@ -259,13 +259,15 @@
             has the history, a snapshot follows.
         """
         revision = after_revision
-        # the first call does not wait: its reply shows that the watch works
-        wait_s = 0.0
+        # the first call does not wait: its reply shows that the watch works,
+        # and brings the changes since the first page of a snapshot
+        wait_s: float = 0
         while True:
             if not revision:
-                entries, revision = await self._read_pages(prefix)
-                yield KeySnapshot(tuple(entries), revision)
-                wait_s = MAX_WATCH_WAIT_S
+                snapshot = await self._read_pages(prefix)
+                yield snapshot
+                revision = snapshot.revision
+                wait_s = 0
             reply = await self._read_changes(prefix, revision, wait_s)
             wait_s = MAX_WATCH_WAIT_S
             if reply is None:
@@ -309,7 +311,7 @@
 
     async def _read_pages(
         self, prefix: str, after: str = '', limit: int = 0
-    ) -> tuple[list[KeyValue], int]:
+    ) -> KeySnapshot:
         """Return keys and the revision after which to watch for changes.
 
         Pages are read at different revisions, so it is the first page's.
@@ -324,7 +326,11 @@
             if not reply.has_more or 0 < limit <= len(entries):
                 break
             after = entries[-1].key
-        return entries[: limit or None], first_revision
+        return KeySnapshot(
+            tuple(entries[: limit or None]),
+            first_revision,
+            is_consistent=reply.at == first_revision,
+        )
 
     async def _read_changes(
         self, prefix: str, revision: int, wait_s: float
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -67,10 +67,14 @@
 
     :param revision: last revision that the snapshot includes, default
         unknown.
+    :param is_consistent: whether the keys are those of one revision.
+        Otherwise keys may have changed while others were read, and the next
+        :class:`WatchProgress` follows at once.
     """
 
     entries: tuple[KeyValue, ...]
     revision: int = 0
+    is_consistent: bool = True
 
 
 #: What a followed prefix yields; it must be closed after use.
