Read several pages in the test of pages

The test set an attribute that the stand-in of the store does not have, so all keys came on one page. With pages of two keys it passes unchanged.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -46,7 +46,7 @@
 
 async def test_read_prefix_reads_all_pages_and_keeps_limit():
     async with store() as (client, standin):
-        standin.page = 2
+        standin.page_size = 2
         for number in range(5):
             standin.put(f'p/{number}', b'x')
         entries = await client.read_prefix('p/')
