--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -126,6 +126,14 @@
     assert (await entry.submit())[0] == 202
 
 
+async def test_stored_job_is_accepted_again_before_all_are_known(service):
+    assert (await EntryHandler(service).submit())[0] == 202
+    entry = EntryHandler(service)
+    entry.has_all_jobs = False
+    assert (await entry.submit())[0] == 202
+    assert service.revision == 1
+
+
 async def test_route_without_limit_accepts_jobs_before_all_are_known(service):
     entry = EntryHandler(service)
     entry.has_all_jobs = False
