Accept a stored job again at an entry that has not read the jobs

A repeated submission got 503, which promises that no part of the job runs, though the job was stored and ran. The entry now reads that job first, as it does at a limit that is reached. The test failed before and passes.

--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -133,8 +133,8 @@
         tokens = sum(submitted.tokens for submitted in submitted_items)
         try:
             await self._check_token_limit(intent.route, tokens)
-        except BatchItemsLimitError:
-            # another entry may have stored the job a moment ago
+        except (BatchItemsLimitError, NotReadyError):
+            # another entry may have stored the job
             if await self.jobs.read(job.job_id) is None:
                 raise
             return
