Show that probes on new connections leave dead watches in place

What callers saw: requests sent on to an upstream that is draining, for up to 5.5 s, when the open connections to the store go silent and none is idle at that moment. The contact time is 3 s.

The new test makes this certain: it waits until only the watches have calls in flight, closes the idle connections and silences the open ones.

--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import time
 
 import attrs
 import trio
@@ -14,6 +15,7 @@
 )
 from briarrill.platform.settings import PlatformInstance
 from briarrill.platform.upstreams import REGISTRATIONS_PREFIX
+from briarrill.state.keys import ROOT_PREFIX
 from briarrill.transport.key_value import KeyValue, WatchEvent
 from standins.platform_store import StandinStore
 from tests.serving import serve_standin
@@ -288,6 +290,40 @@
                 await trio.sleep(0.01)
 
 
+def _waits_for_watches_alone(process, store):
+    """Tell whether only watches wait, and none for an earlier change."""
+    due_at = process.parts.store.replies._due_at.values()
+    own_keys = process.parts.mirrors[ROOT_PREFIX]
+    return (
+        len(store.entries) == 2
+        and own_keys.position == store.revision
+        and len(due_at) == len(process.parts.mirrors)
+        and min(due_at) - time.monotonic() > 1
+    )
+
+
+async def test_departure_is_learned_though_probes_open_new_connections(
+    network, monkeypatch
+):
+    """No connection is idle when those of the watches go silent."""
+    monkeypatch.setattr(store_module, 'PROBE_INTERVAL_S', 0.05)
+    # a slow probe counts as answered
+    monkeypatch.setattr(store_module, 'PROBE_TIMEOUT_S', 60)
+    store = SilentConnectionsStore()
+    store.put(KEY, REGISTRATION)
+    async with connected_process(network, store) as process:
+        with trio.fail_after(10):
+            while not _waits_for_watches_alone(process, store):
+                await trio.sleep(0.001)
+        process.parts.store._pool.close()
+        store.silence_open_connections()
+        store.put(KEY, REGISTRATION.replace(b'ready', b'draining'))
+        # less than a watch takes to notice it, 5.5 s
+        with trio.fail_after(4):
+            while process.accepting_ids:
+                await trio.sleep(0.01)
+
+
 async def test_upstream_that_lapsed_while_the_store_was_silent_stays_in_use(
     network, monkeypatch
 ):
