Replace connections to the store that an answered probe does not vouch for

Cause: a probe was to show whether the watches' connections still work, and showed it only for its own. With none idle it opened a new one, which worked; its reply also put off the next probe. Class: evidence about one connection taken for evidence about others.

Change: a reply vouches for the open connections only if its own was open at the last reply that did (ReplyMonitor.verified_at). A probe that is answered on a newer one has the connections replaced, at most each 1.6 s, since each replacement costs two reads a watch. Probes keep a connection of their own, or borrow an idle one, so that this happens rarely: no call is added while connections work (test_probes_that_are_answered_replace_no_connection).

Changed test: test_departure_is_learned_though_open_connections_went_silent waits until the stand-in serves each open connection before it silences them.

Ruled out: shorter watches, which would notice any dead connection: 1.5 s instead of 4 s is 2.7 times the reads at full price, by reckoning; a probe costs a tenth.

--- a/briarrill/coordination/reply_monitor.py
+++ b/briarrill/coordination/reply_monitor.py
@@ -3,6 +3,9 @@
 A service that stops for some seconds may answer all waiting calls when it
 returns, so that no call fails. Then only the lateness of the replies shows
 that it was away.
+
+Open connections may also go silent while new ones work. A reply shows that
+none did only if its connection was already open at the last such reply.
 """
 
 import contextlib
@@ -21,9 +24,12 @@
 
     :ivar replied_at: monotonic time of the last reply, infinite in the past
         before the first.
+    :ivar verified_at: monotonic time of the last reply that shows that the
+        open connections work, infinite in the past before the first.
     """
 
     replied_at: float = -math.inf
+    verified_at: float = -math.inf
     _due_at: dict[int, float] = attrs.field(factory=dict, init=False)
     _next_call: int = attrs.field(default=0, init=False)
     _late_at: float = attrs.field(default=-math.inf, init=False)
@@ -43,6 +49,18 @@
             self._record_end(number)
         self.replied_at = time.monotonic()
 
+    def record_connection(self, opened_at: float) -> None:
+        """Record that a reply came on a connection.
+
+        :param opened_at: monotonic time at which it was opened.
+        """
+        if self.verified_at == -math.inf or opened_at <= self.verified_at:
+            self.verified_at = time.monotonic()
+
+    def forget_connections(self) -> None:
+        """Record that all connections are being replaced."""
+        self.verified_at = -math.inf
+
     def was_late(self, within_s: float) -> bool:
         """Tell whether a reply is late, or came late within a time."""
         now = time.monotonic()
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import itertools
+import math
 import time
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
@@ -56,14 +57,24 @@
 # a key that does not exist; reading it is the cheapest call
 PROBE_KEY = 'briarrill-probe'
 
-# time since the last reply within which the store counts as serving; a page
-# of keys takes less than half of it on the slowest links
+# time since the last reply within which the store counts as serving; longer
+# than the largest page of keys takes on a link of 15 Mbit/s
 SERVING_PERIOD_S = 1.0
 
+# name in the pool of the connection that is kept for probes; without it each
+# probe that finds no idle connection would have to replace all others
+PROBE_CHANNEL = 'probe'
+
 # longest wait of one watch call; a dead connection that reports no error is
 # detected within this time plus the call timeout
 MAX_WATCH_WAIT_S = 4.0
 
+# shortest time between two replacements of connections after a probe that was
+# answered on a new one: each costs two reads a watch, and a store may close
+# idle connections before the next probe; with the interval of probes shorter
+# than the contact time
+MIN_REPLACEMENT_INTERVAL_S = 1.6
+
 # a write whose reply was lost is retried; its condition prevents a second
 # effect, also when the first attempt is applied after the retry
 WRITE_ATTEMPTS = 2
@@ -167,6 +178,7 @@
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._pool = ChannelPool(CONNECT_TIMEOUT_S)
         self._failed_calls = 0
+        self._replaced_at = -math.inf
         self.replies = ReplyMonitor()
 
     @property
@@ -280,35 +292,54 @@
             await trio.sleep(min_interval_s if reply.events else 0)
 
     async def probe_periodically(self, on_silence: Callable[[], None]) -> None:
-        """Make a cheap call whenever no reply came for some time.
+        """Make a cheap call whenever no reply shows that connections work.
 
         Watches wait for seconds, so without it neither a short outage nor a
         dead connection would show.
 
-        :param on_silence: called when a probe gets no reply.
+        :param on_silence: called when the open connections may be dead.
         """
-        query = urlencode({'key': PROBE_KEY, 'allow_stale': 1})
         while True:
-            silent_s = time.monotonic() - self.replies.replied_at
+            silent_s = time.monotonic() - self.replies.verified_at
             if silent_s < PROBE_INTERVAL_S:
                 await trio.sleep(PROBE_INTERVAL_S - silent_s)
                 continue
-            try:
-                await self._call(
-                    'GET', f'/kv-key?{query}', b'', PROBE_TIMEOUT_S
-                )
-            except _StatusError:
-                await trio.sleep(PROBE_INTERVAL_S)
-            except (BriarrillError, trio.TooSlowError):
-                # idle connections may be as dead as this one
-                self._pool.close()
+            if await self._probe():
+                # idle connections may be as dead as those in use
+                self._pool.close_server(self._host.decode())
+                self.replies.forget_connections()
                 on_silence()
-                await trio.sleep(PROBE_INTERVAL_S)
+            await trio.sleep(PROBE_INTERVAL_S)
 
     def close(self) -> None:
         """Close the pooled connections."""
         self._pool.close()
 
+    async def _probe(self) -> bool:
+        """Make a cheap call; tell whether to replace the open connections."""
+        query = urlencode({'key': PROBE_KEY, 'allow_stale': 1})
+        started_at = time.monotonic()
+        try:
+            await self._call(
+                'GET',
+                f'/kv-key?{query}',
+                b'',
+                PROBE_TIMEOUT_S,
+                kept_channel=PROBE_CHANNEL,
+            )
+        except _StatusError:
+            return False
+        except (BriarrillError, trio.TooSlowError):
+            return True
+        if (
+            self.replies.verified_at >= started_at
+            or started_at - self._replaced_at < MIN_REPLACEMENT_INTERVAL_S
+        ):
+            return False
+        # the reply came on a connection that is newer than those in use
+        self._replaced_at = started_at
+        return True
+
     async def _read_pages(
         self, prefix: str, after: str = '', limit: int = 0
     ) -> KeySnapshot:
@@ -431,10 +462,12 @@
         timeout_s: float = CALL_TIMEOUT_S,
         *,
         wait_s: float = 0,
+        kept_channel: str | None = None,
     ) -> _RawReply:
         """Make one call.
 
         :param wait_s: time that the store may take in any case.
+        :param kept_channel: name of a channel that only such calls use.
         :raises _StatusError: the store rejected the call unexecuted.
         :raises UpstreamLostError: the connection broke; outcome unknown.
         :raises TooSlowError: the timeout passed; outcome unknown.
@@ -450,7 +483,7 @@
         due_s = wait_s + LATE_REPLY_S
         try:
             with self.replies.call(due_s), trio.fail_after(timeout_s):
-                raw = await self._exchange(head, body)
+                raw = await self._exchange(head, body, kept_channel)
         except (BriarrillError, trio.TooSlowError):
             self._failed_calls += 1
             raise
@@ -460,9 +493,13 @@
         self._failed_calls = 0
         return raw
 
-    async def _exchange(self, head: RequestHead, body: bytes) -> _RawReply:
+    async def _exchange(
+        self, head: RequestHead, body: bytes, kept_channel: str | None
+    ) -> _RawReply:
         """Send one request on a pooled connection and read the response."""
-        channel = await self._pool.acquire(self._host.decode(), self._address)
+        server = self._host.decode()
+        kept = kept_channel and self._pool.pop_idle(kept_channel)
+        channel = kept or await self._pool.acquire(server, self._address)
         try:
             async with channel.exchange(head, body):
                 response = await channel.read_head()
@@ -470,7 +507,8 @@
         except BaseException:
             channel.close()
             raise
-        self._pool.release(self._host.decode(), channel)
+        self.replies.record_connection(channel.opened_at)
+        self._pool.release(kept_channel or server, channel)
         return _RawReply(response.status, reply_body)
 
 
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -352,6 +352,10 @@
             channel.request_ids.add(request_id)
         return channel
 
+    def pop_idle(self, server: str) -> HttpChannel | None:
+        """Return a usable idle channel of a server, if there is one."""
+        return self._pop_usable(self._idle.get(server, []), '')
+
     def release(self, server: str, channel: HttpChannel) -> None:
         """Return a channel to the pool.
 
--- a/tests/coordination/test_reply_monitor.py
+++ b/tests/coordination/test_reply_monitor.py
@@ -46,3 +46,22 @@
         raise ValueError
     assert not replies.was_late(2)
     assert replies.replied_at < 0
+
+
+def test_reply_on_an_older_connection_verifies_the_open_ones(clock):
+    replies = ReplyMonitor()
+    replies.record_connection(opened_at=100)
+    clock.now += 1
+    replies.record_connection(opened_at=99)
+    assert replies.verified_at == 101
+
+
+def test_reply_on_a_newer_connection_verifies_nothing(clock):
+    replies = ReplyMonitor()
+    replies.record_connection(opened_at=100)
+    clock.now += 1
+    replies.record_connection(opened_at=100.5)
+    assert replies.verified_at == 100
+    replies.forget_connections()
+    replies.record_connection(opened_at=100.5)
+    assert replies.verified_at == 101
--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -6,6 +6,7 @@
 
 import attrs
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from briarrill.coordination.mirror import MirrorChanges
 from briarrill.platform import store as store_module
@@ -282,6 +283,8 @@
     store = SilentConnectionsStore()
     store.put(KEY, REGISTRATION)
     async with connected_process(network, store) as process:
+        # until the store serves each connection that is open
+        await wait_all_tasks_blocked()
         store.silence_open_connections()
         store.put(KEY, REGISTRATION.replace(b'ready', b'draining'))
         # less than a watch takes to notice it, 5.5 s
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -254,3 +254,55 @@
             assert not mirror.is_behind
             nursery.cancel_scope.cancel()
         assert states[0] == (True, False, {'a/1': b'old', 'a/2': b'x'})
+
+
+class ProbedStore(StandinStore):
+    """A store that can close each connection after its first response."""
+
+    def __init__(self):
+        super().__init__()
+        self.closes_connections = False
+
+    async def serve(self, conn):
+        if not self.closes_connections:
+            await super().serve(conn)
+            return
+        read_request_head = conn.read_request_head
+        heads = iter([await read_request_head()])
+
+        async def read_first():
+            return next(heads, None)
+
+        conn.read_request_head = read_first
+        await super().serve(conn)
+
+
+async def _count_replacements(standin, monkeypatch):
+    """Probe a store 20 times; return how often connections were replaced."""
+    monkeypatch.setattr(store_module, 'PROBE_INTERVAL_S', 0.01)
+    replaced = []
+    async with serve_standin(standin) as address:
+        client = PlatformStore(address)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    client.probe_periodically, lambda: replaced.append(None)
+                )
+                while standin.calls.count('kv-key') < 20:
+                    await trio.sleep(0.001)
+                nursery.cancel_scope.cancel()
+        client.close()
+    return len(replaced)
+
+
+async def test_probes_that_are_answered_replace_no_connection(monkeypatch):
+    assert not await _count_replacements(ProbedStore(), monkeypatch)
+
+
+async def test_store_that_closes_idle_connections_keeps_most_of_them(
+    monkeypatch,
+):
+    monkeypatch.setattr(store_module, 'MIN_REPLACEMENT_INTERVAL_S', 60)
+    standin = ProbedStore()
+    standin.closes_connections = True
+    assert await _count_replacements(standin, monkeypatch) == 1
