Show that an owner cut off from the service goes on beside the next one

What callers saw: items sent to engines by two owners. With one batch process cut off from the key-value service, another claims its job when the lease has expired, and the first goes on.

--- a/tests/batch/test_exactly_once.py
+++ b/tests/batch/test_exactly_once.py
@@ -6,14 +6,19 @@
 import trio
 
 from briarrill.errors import StoreFullError
-from briarrill.result_codes import Ran
+from briarrill.result_codes import Ran, ResultCode
+from briarrill.sidecar.batch import PREFETCH_ITEMS
 from briarrill.state.job_records import JobState
 from briarrill.state.segments import SegmentFolder
 from tests.batch.batch_fleet import open_batch_fleet
+from tests.batch.fakes import MODEL
 
 ITEM_COUNT = 120
 JOB_KEY = 'briarrill/jobs/kinship/job-1'
 
+# items that two sidecars of four slots each have at most
+MAX_ASSIGNED = 2 * (4 + PREFETCH_ITEMS)
+
 
 @pytest.mark.parametrize('seed', range(4))
 async def test_owner_killed_at_random_point_each_item_has_one_result(
@@ -128,6 +133,41 @@
         await fleet.check_results_complete(job)
 
 
+async def test_owner_cut_off_alone_assigns_no_item_once_revoked(
+    network, tmp_path
+):
+    """The others reach the service, so that one of them claims the job."""
+    async with open_batch_fleet(network, tmp_path) as fleet:
+        fleet.token_interval_s = 0.1
+        await fleet.create_job(ITEM_COUNT)
+        owner = await fleet.wait_job_owner()
+        runner = owner.batch.runners[JOB_KEY]
+        codes = _record_codes(runner)
+        await fleet.wait_items_started(10)
+        owner.client.is_disconnected = True
+        with trio.fail_after(20):
+            while ResultCode.CANCELLED not in codes:
+                await trio.sleep(0.002)
+        # the check of the record fails meanwhile
+        await trio.sleep(0.5)
+        assert runner.next_item((MODEL,), 'upstream-9') is None
+        assert codes.count(ResultCode.CANCELLED) <= MAX_ASSIGNED
+        await fleet.check_results_complete(await fleet.wait_job_final())
+
+
+def _record_codes(runner):
+    """Return a list that gets the result code of each outcome of a job."""
+    codes = []
+    record_outcome = runner.record_outcome
+
+    def record(outcome, sidecar):
+        codes.append(outcome.code)
+        record_outcome(outcome, sidecar)
+
+    runner.record_outcome = record
+    return codes
+
+
 async def test_process_with_segment_replicas_killed_job_completes(
     network, tmp_path
 ):
