Stop an owner that alone is cut off once another process owns its job

Cause: an owner that does not reach the service took it to be down for all, and so itself for the only owner. A CANCELLED outcome asked for a read of the record, which failed, and the items were assigned again. And sidecars learned the next owner's epoch only with its items, for which the first owner's left no slot. Class: a failure seen by one process taken for that of all.

Change: from an item that comes back cancelled until the record was read the owner assigns nothing; and a process that claims a job with an earlier owner tells all sidecars its epoch (JobClaimed), so that they start no older items. Runs in progress go on, as the new owner may assign them again. A sidecar that does not know the message counts it as malformed and behaves as before.

--- a/briarrill/batch/item_dispatcher.py
+++ b/briarrill/batch/item_dispatcher.py
@@ -16,6 +16,7 @@
     Assign,
     BatchItem,
     ItemOutcome,
+    JobClaimed,
     Message,
     Pull,
     Revoke,
@@ -97,6 +98,7 @@
         self._sources = sources
         self._pullers: dict[str, _Puller] = {}
         self._by_peer: dict[bytes, _Puller] = {}
+        self._claims: dict[str, JobClaimed] = {}
 
     def count_outstanding(self, job: str) -> int:
         """Return the number of a job's items assigned without an outcome."""
@@ -111,6 +113,17 @@
         self._sources.add(source)
         self.assign_to_all()
 
+    def announce_claim(self, job: str, epoch: int) -> None:
+        """Tell all sidecars that a job of another owner was claimed.
+
+        That owner may not know it, and its items may leave no slot for those
+        of this process, whose epoch would tell the sidecars too.
+        """
+        claim = JobClaimed(job, epoch)
+        self._claims[job] = claim
+        for puller in list(self._pullers.values()):
+            self._send(puller, claim)
+
     def remove_source(self, source: ItemSource, epoch: int | None) -> None:
         """Remove a job and revoke its items at all sidecars.
 
@@ -119,6 +132,7 @@
         """
         if self._sources.find(source.job) is source:
             self._sources.remove(source.job)
+            self._claims.pop(source.job, None)
         self.revoke(source.job, epoch)
 
     def revoke(self, job: str, epoch: int | None) -> None:
@@ -177,6 +191,8 @@
             puller = _Puller(peer, pull, time.monotonic())
             self._pullers[pull.process] = puller
             self._by_peer[peer] = puller
+            for claim in self._claims.values():
+                self._send(puller, claim)
         puller.pull = pull
         puller.timeout_started_at = time.monotonic()
         self._ends.receive_news(pull.prompt_news)
--- a/briarrill/batch/job_runner.py
+++ b/briarrill/batch/job_runner.py
@@ -28,6 +28,9 @@
 # failed attempts after which an item ends with an error line
 MAX_ITEM_ATTEMPTS = 3
 
+# epoch of a job's first owner
+FIRST_EPOCH = 1
+
 # poll interval for outstanding items of a job that is stopping
 OUTSTANDING_POLL_INTERVAL_S = 0.05
 
@@ -154,6 +157,8 @@
             action_type='job:run', job=record.job_id, epoch=record.epoch
         ) as action:
             self._action = action
+            if record.epoch > FIRST_EPOCH:
+                self._dispatcher.announce_claim(self.job, record.epoch)
             self._dispatcher.add_source(self)
             try:
                 await self._run_to_end()
--- a/briarrill/batch/ownership.py
+++ b/briarrill/batch/ownership.py
@@ -3,8 +3,9 @@
 The lease of the claim is checked by the monotonic clock right before each item
 is assigned, so a process that was suspended past its lease assigns nothing
 after it resumes. Once the lease has expired, only the key-value service knows
-the owner. If the service does not respond, no other process can claim the job,
-so this one continues; if it responds, the claim is renewed or lost.
+the owner. If the service responds, the claim is renewed or lost. If it does
+not, this process continues, until a sidecar stops one of its items: then the
+job was cancelled, or the service responds to another process, which owns it.
 """
 
 import trio
@@ -30,6 +31,7 @@
         self.job = job
         self._store = store
         self._is_service_down = False
+        self._is_contested = False
         self._check_requested = trio.Event()
 
     @property
@@ -37,12 +39,16 @@
         """Whether items of the job may be assigned now.
 
         True while the claim's lease is valid, or while the key-value service
-        is unavailable and the lease could not be verified.
+        is unavailable and the lease could not be verified; False from an item
+        that came back cancelled until the record was read.
         """
+        if self._is_contested:
+            return False
         return self._is_service_down or self._store.is_claim_valid(self.job)
 
     def request_record_check(self) -> None:
         """Schedule a read of the record after an item came back cancelled."""
+        self._is_contested = True
         self._check_requested.set()
 
     async def wait_until_cancelled(self) -> None:
@@ -53,10 +59,7 @@
         while self.job.record.state is not JobState.CANCELLING:
             with trio.move_on_after(LEASE_CHECK_INTERVAL_S):
                 await self._check_requested.wait()
-            if (
-                self._check_requested.is_set()
-                or not self._store.is_claim_valid(self.job)
-            ):
+            if self._is_contested or not self._store.is_claim_valid(self.job):
                 self._check_requested = trio.Event()
                 await self._check_ownership()
 
@@ -70,6 +73,7 @@
             self._mark_service_down(reason=exc.message)
         else:
             self._is_service_down = False
+            self._is_contested = self._check_requested.is_set()
 
     async def _refresh_or_renew_claim(self) -> None:
         """Renew the claim under a new lease, else read the record."""
--- a/briarrill/protocol/messages/batch.py
+++ b/briarrill/protocol/messages/batch.py
@@ -11,6 +11,7 @@
     'BatchItem',
     'CancelJob',
     'ItemOutcome',
+    'JobClaimed',
     'JobNotice',
     'Pull',
     'Revoke',
@@ -78,6 +79,19 @@
     epoch: int | None = None
 
 
+@attrs.frozen
+class JobClaimed(Message):
+    """Tells a sidecar that a job has a new owner.
+
+    Items that an earlier owner still assigns are not started.
+
+    :param epoch: the claim's.
+    """
+
+    job: str
+    epoch: int
+
+
 @attrs.frozen
 class ItemOutcome(Message):
     """Reports the outcome of one item's attempt.
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -16,6 +16,7 @@
     Assign,
     BatchItem,
     ItemOutcome,
+    JobClaimed,
     Message,
     Pull,
     Revoke,
@@ -233,6 +234,8 @@
             self._send_pull()
         elif isinstance(message, Revoke):
             self._unfinished_items.revoke(message.job, message.epoch)
+        elif isinstance(message, JobClaimed):
+            self._unfinished_items.record_claim(message.job, message.epoch)
         else:
             MALFORMED_MESSAGES.inc()
 
--- a/briarrill/sidecar/unfinished_items.py
+++ b/briarrill/sidecar/unfinished_items.py
@@ -113,13 +113,16 @@
                 unfinished.scope.cancel()
 
     def record_epoch(self, batch_item: BatchItem) -> None:
-        """Record the newest known epoch of the item's job."""
-        newest_epoch = self._newest_epochs.get(batch_item.job, 0)
-        _put_bounded(
-            self._newest_epochs,
-            batch_item.job,
-            max(newest_epoch, batch_item.epoch),
-        )
+        """Record the epoch of an item's job."""
+        self.record_claim(batch_item.job, batch_item.epoch)
+
+    def record_claim(self, job: str, epoch: int) -> None:
+        """Record the epoch of a claim; older items are not started any more.
+
+        Those that run go on, since the new owner may assign them again.
+        """
+        newest_epoch = self._newest_epochs.get(job, 0)
+        _put_bounded(self._newest_epochs, job, max(newest_epoch, epoch))
 
 
 def _item_key(batch_item: BatchItem) -> ItemKey:
