Show that halves without known members grant a whole limit each

An upstream with a limit would get twice as much.

assert sum(shares) <= 1 assert 2 <= 1 where 2 = sum([1, 1])

--- a/tests/coordination/test_limit_sharing.py
+++ b/tests/coordination/test_limit_sharing.py
@@ -162,3 +162,20 @@
     assert load.limits.limits.rate_per_s('i/1') == RATE_PER_S
     load.limits.record_response(protocol, 'i/1', ResponseHead(200, ()))
     assert load.limits.limits.rate_per_s('i/1') is None
+
+
+def test_halves_that_never_knew_each_other_share_a_limit():
+    """The store was away from the start, so that no members are known."""
+    hosts = tuple(f'10.1.0.{number}' for number in range(4))
+    shares = []
+    for half in (hosts[:2], hosts[2:]):
+        load = LoadExchange(half[0], half[0], 1, hosts, lambda report: report)
+        load.receive_report(LoadReport(half[1], half[1], 1, 1))
+        shares.append(load.limits.share())
+    assert sum(shares) <= 1
+
+
+def test_process_that_knows_the_members_ignores_seeds_that_left():
+    load = LoadExchange('e', '10.1.0.1', 1, ('10.1.0.9',), lambda _: None)
+    load.update_member('e', '10.1.0.1')
+    assert load.limits.share() == 1
