Share a limit by the seeds while no members are known

Cause: an empty list of members counted as a fleet of one. Class: nothing known taken for nothing there.

Change: until a first key of a member was received, the share that a process may grant is that of the seeds that it hears, itself included; all processes have the same seeds. A half that is and hears none counts as one process more. Once members are known, seeds that left the fleet don't count (test_process_that_knows_the_members_ignores_seeds_that_left).

Ruled out: granting nothing, as limited upstreams would stand idle whenever the store is away at a start; the processes ever heard, which two halves that never met do not have.

Runs: the test failed before (shares of 1 and 1) and passes; the tests of limits, grants, the load exchange, items and the placer are green.

--- a/briarrill/coordination/limit_sharing.py
+++ b/briarrill/coordination/limit_sharing.py
@@ -5,7 +5,7 @@
 its owner. All other requests are sent without a question.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 import trio
@@ -23,7 +23,7 @@
 from .relay_protocol import RelayProtocol
 from .request_limits import RequestLimits
 
-__all__ = ('LimitSharing', 'choose_owner', 'heard_share')
+__all__ = ('LimitSharing', 'choose_owner', 'heard_share', 'heard_seed_share')
 
 # bounds of the time for which an upstream gets no question after a refusal; a
 # place may become free sooner than the owner expected
@@ -73,6 +73,25 @@
     return (1 + heard) / (1 + len(members))
 
 
+def heard_seed_share(
+    host: str, seeds: Collection[str], live_hosts: Collection[str]
+) -> float:
+    """Return the share of the fleet that a process hears, by the seeds alone.
+
+    All processes have the same seeds. One that is and hears none of them
+    counts as one process beside them.
+
+    :param host: of this process.
+    :param seeds: hosts that processes ask for the others.
+    :param live_hosts: those whose reports come.
+    """
+    expected = set(seeds)
+    if not expected:
+        return 1
+    heard = expected.intersection((host, *live_hosts))
+    return len(heard) / len(expected) or 1 / (1 + len(expected))
+
+
 @attrs.define
 class LimitSharing:
     """Asks for permits, and decides about limits that this process owns.
--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -23,7 +23,7 @@
 from ..protocol.stream_origins import decode_origin, is_origin
 from ..transport.task_errors import log_unexpected_errors
 from .expected_replies import ExpectedReplies
-from .limit_sharing import LimitSharing, heard_share
+from .limit_sharing import LimitSharing, heard_seed_share, heard_share
 from .load_prober import LoadProber
 from .origin_sharing import OriginSharing
 from .peer_reports import PeerLoad, PeerReports
@@ -96,6 +96,7 @@
         self.complete_report = complete_report
         self._receive_pause_s = receive_pause_s
         self._members: dict[str, str] = {}
+        self._knows_members = False
         self.peers = PeerReports(process)
         self._incarnation = time.time_ns()
         self._sequence = 0
@@ -115,7 +116,15 @@
             is_preferred=lambda: _may_own_limits(
                 complete_report(LoadReport(process, host, 0, 0))
             ),
-            share=lambda: heard_share(self._members, self.live_reports),
+            share=lambda: (
+                heard_share(self._members, self.live_reports)
+                if self._knows_members
+                else heard_seed_share(
+                    host,
+                    seeds,
+                    [report.host for report in self.live_reports.values()],
+                )
+            ),
             exchange=self._permits,
             on_grant=self.schedule_report,
         )
@@ -186,6 +195,7 @@
 
     def update_member(self, name: str, host: str | None) -> None:
         """Add a registered process, or remove it if ``host`` is none."""
+        self._knows_members = True
         if host is None:
             self._members.pop(name, None)
             self.peers.update_member(name, is_registered=False)
