Let a failed call of a mirror decide whether peers are asked for state

The time since the last reply also counted rejections.

Now the mirror itself says whether one of its calls has failed since it was last connected, and only then the state of a peer is fetched. A first reading that goes on page by page fetches nothing.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -77,6 +77,8 @@
     :ivar advanced: set, and replaced, when the position advances.
     :ivar synced: set after all keys were received once.
     :ivar is_connected: whether the watch on the service works.
+    :ivar has_failed: whether a call to the service has failed since it last
+        was connected.
     :ivar connected_since: monotonic time at which the last outage of the
         service ended.
 
@@ -100,6 +102,7 @@
         self.advanced = trio.Event()
         self.synced = trio.Event()
         self.is_connected = False
+        self.has_failed = False
         self.connected_since = time.monotonic()
         self._disconnected_at = -math.inf
         self._service = service
@@ -229,6 +232,7 @@
             try:
                 await self._follow()
             except PlatformUnavailableError as exc:
+                self.has_failed = True
                 self._mark_disconnected(exc.message)
                 await trio.sleep(
                     pause_s * random.uniform(MIN_JITTER_FACTOR, 1)
@@ -289,6 +293,7 @@
                 'mirror:synced', prefix=self._prefix, keys=len(self._revisions)
             )
         self.is_connected = True
+        self.has_failed = False
         self.synced.set()
         self.advanced.set()
         self.advanced = trio.Event()
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -59,8 +59,6 @@
     :param port: TCP port, the same on all instances.
     :param resources: callbacks for other state, by path prefix.
     :param request_handlers: callbacks for peers' requests, by path.
-    :param is_service_serving: whether mirrors can read the service; then
-        they need no state of peers, which would only share their link.
     """
 
     mirrors: dict[str, Mirror]
@@ -68,7 +66,6 @@
     port: int
     resources: dict[str, PeerResource] = attrs.field(factory=dict)
     request_handlers: dict[str, PeerRequestHandler] = attrs.field(factory=dict)
-    is_service_serving: Callable[[], bool] = bool
 
     async def serve(self, conn: CallerConnection) -> None:
         """Serve a peer's requests on one connection.
@@ -92,11 +89,15 @@
         return CallerLimits(max_body_bytes=MAX_STATE_BYTES)
 
     async def run(self) -> None:
-        """Fetch state for disconnected mirrors, until cancelled."""
+        """Fetch state for disconnected mirrors, until cancelled.
+
+        A mirror that reads the service without a failure needs none; it would
+        only share the link with what the mirror reads.
+        """
         await trio.sleep(STARTUP_GRACE_S)
         while True:
             for prefix, mirror in self.mirrors.items():
-                if not (mirror.is_connected or self.is_service_serving()):
+                if mirror.has_failed:
                     await self._fetch_newer(prefix, mirror)
             await trio.sleep(MIRROR_CHECK_INTERVAL_S)
 
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -318,7 +318,6 @@
             WRITE_PATH: parts.writes.apply_peer_write,
             FEED_PATH: FeedServer(parts.mirrors).serve,
         },
-        is_service_serving=lambda: parts.store.is_serving,
     )
     recorder = VersionRecorder(
         parts.store,
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -57,10 +57,6 @@
 # a key that does not exist; reading it is the cheapest call
 PROBE_KEY = 'briarrill-probe'
 
-# time since the last reply within which the store counts as serving; longer
-# than the largest page of keys takes on a link of 15 Mbit/s
-SERVING_PERIOD_S = 1.0
-
 # name in the pool of the connection that is kept for probes; without it each
 # probe that finds no idle connection would have to replace all others
 PROBE_CHANNEL = 'probe'
@@ -186,15 +182,6 @@
         """Whether the last calls were not all rejected or lost."""
         return self._failed_calls < UNREACHABLE_FAILED_CALLS
 
-    @property
-    def is_serving(self) -> bool:
-        """Whether the store has executed a call within the last second.
-
-        Reading all keys over a slow link takes longer, page by page.
-        """
-        silent_s = time.monotonic() - self.replies.replied_at
-        return self.is_reachable and silent_s < SERVING_PERIOD_S
-
     async def read(self, key: str) -> KeyValue | None:
         """Return a key with its value, or nothing if it does not exist."""
         raw = await self._get('/kv-key', key=key)
