Report only revisions up to which a mirror lacks no change

It told peers that revision, so the state of a partial mirror could be fetched in place of a whole one, remove newer keys of the receiver, and mark it as synced; and it fetched nothing from peers that were ahead of its first page.

A mirror now reports, and compares with peers, the revision up to which it lacks nothing. Keys that are newer than a peer's state stay.

Evidence: with the property returning the newest revision, as before, the new test fails: the mirror has its own newest key and none of the peer's.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -121,6 +121,7 @@
         self._synced_revision = 0
         self._resume_revision = 0
         self._awaits_first_change = False
+        self._is_partial = False
         self._behind_since = math.inf
 
     @property
@@ -139,6 +140,14 @@
         """Return the revision up to which all changes were received."""
         return self._resume_revision
 
+    @property
+    def complete_revision(self) -> int:
+        """Return the newest revision up to which no change is missing.
+
+        Later pages of a snapshot hold newer changes, but not all of them.
+        """
+        return self._resume_revision if self._is_partial else self.revision
+
     def is_stable(self, after_s: float) -> bool:
         """Tell whether the service has been followed for ``after_s``."""
         since_s = time.monotonic() - self.connected_since
@@ -186,21 +195,30 @@
         return KeySnapshot(entries, self.position)
 
     def apply_changes(
-        self, changes: MirrorChanges, *, is_consistent: bool = True
+        self,
+        changes: MirrorChanges,
+        revision: int = 0,
+        *,
+        is_consistent: bool = True,
     ) -> None:
         """Apply the changes of a peer's mirror or of a snapshot.
 
-        Keys that ``changes.keys`` does not list are removed.
+        Keys that ``changes.keys`` does not list are removed, unless they are
+        newer than it.
 
+        :param revision: of ``changes.keys``, 0 if it is not known.
         :param is_consistent: whether the keys are those of one revision.
         """
         for key in set(self._revisions).difference(changes.keys):
-            self._remove_key(key)
-            _notify(self._listener, key, None)
+            if not revision or self._revisions[key] <= revision:
+                self._revisions.pop(key)
+                self._bodies.pop(key, None)
+                _notify(self._listener, key, None)
         for entry in changes.changed:
             self._apply_event(
                 WatchEvent(entry.key, entry.body, entry.mod_revision)
             )
+        self._is_partial = not is_consistent
         if is_consistent:
             self.synced.set()
 
@@ -253,19 +271,11 @@
                 self._apply_event(change)
 
     def _apply_snapshot(self, snapshot: KeySnapshot) -> None:
-        """Apply a snapshot; keys that are newer than it are kept.
-
-        They came from a peer while it was read.
-        """
-        keys = [entry.key for entry in snapshot.entries]
-        if snapshot.revision:
-            keys.extend(
-                key
-                for key, revision in self._revisions.items()
-                if revision > snapshot.revision
-            )
+        """Apply a snapshot; a peer may have sent newer keys meanwhile."""
+        keys = tuple(entry.key for entry in snapshot.entries)
         self.apply_changes(
-            MirrorChanges(tuple(keys), snapshot.entries),
+            MirrorChanges(keys, snapshot.entries),
+            snapshot.revision,
             is_consistent=snapshot.is_consistent,
         )
         # deletions before the snapshot are not among the recent changes
@@ -294,6 +304,7 @@
             )
         self.is_connected = True
         self.has_failed = False
+        self._is_partial = False
         self.synced.set()
         self.advanced.set()
         self.advanced = trio.Event()
@@ -305,7 +316,8 @@
             return
         self._record_recent(event)
         if event.body is None:
-            self._remove_key(event.key)
+            self._revisions.pop(event.key, None)
+            self._bodies.pop(event.key, None)
         else:
             self._revisions[event.key] = event.mod_revision
             if self._stores_bodies:
@@ -320,10 +332,6 @@
             )
         self._recent_changes.append((event.mod_revision, event.key))
 
-    def _remove_key(self, key: str) -> None:
-        self._revisions.pop(key, None)
-        self._bodies.pop(key, None)
-
     def _mark_disconnected(self, reason: str) -> None:
         if self.is_connected:
             self._disconnected_at = time.monotonic()
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -119,7 +119,7 @@
         peer's keys are dropped if the mirror received others meanwhile: they
         would undo newer changes.
         """
-        own_revision = mirror.revision
+        own_revision = mirror.complete_revision
         hosts_by_revision = {
             report.revisions.get(prefix, 0): report.host
             for report in self.load.peers.reachable
@@ -139,7 +139,7 @@
                 reason=repr(exc),
             )
             return
-        if mirror.is_connected or mirror.revision != own_revision:
+        if mirror.is_connected or mirror.complete_revision != own_revision:
             return
         # up to its position the mirror has all changes; what is new to it
         # among older ones was removed since
@@ -148,7 +148,9 @@
             for entry in changes.changed
             if entry.mod_revision > mirror.position
         )
-        mirror.apply_changes(MirrorChanges(changes.keys, newer))
+        mirror.apply_changes(
+            MirrorChanges(changes.keys, newer), newest_revision
+        )
         log_message(
             'state:fetched',
             peer=hosts_by_revision[newest_revision],
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -134,7 +134,7 @@
             leaving=self.upstreams.leaving_incarnations,
             removed=self.upstreams.removed_incarnations,
             revisions={
-                prefix: mirror.revision
+                prefix: mirror.complete_revision
                 for prefix, mirror in self.mirrors.items()
             },
             connected=tuple(filter(self.is_connected, self.mirrors)),
--- a/tests/coordination/test_state_transfer.py
+++ b/tests/coordination/test_state_transfer.py
@@ -163,3 +163,36 @@
         nursery.cancel_scope.cancel()
     assert fetched
     assert min(fetched) >= fails_at
+
+
+async def test_state_of_a_peer_fills_what_a_snapshot_of_pages_lacks(
+    network, monkeypatch
+):
+    """Its last page is newer than the peer, its first is older."""
+    service, recorded = MemoryKeyValue(), RecordingListener()
+    peer = Mirror(service, '', RecordingListener(), stores_bodies=True)
+    for key, revision in (('a', 4), ('b', 5)):
+        peer._apply_event(WatchEvent(key, b'peer', revision))
+    mirror = Mirror(service, '', recorded, stores_bodies=True)
+    mirror._apply_snapshot(
+        KeySnapshot((KeyValue('c', b'own', 7),), 3, is_consistent=False)
+    )
+    assert mirror.complete_revision == 3
+    load = _exchange('new', f'{network}.2')
+    load.receive_report(
+        LoadReport(
+            'old',
+            f'{network}.1',
+            1,
+            1,
+            revisions={'': peer.complete_revision},
+        )
+    )
+    transfer = StateTransfer({'': mirror}, load, free_port())
+
+    async def fetch(self, host, prefix, revision):
+        return peer.changes_after(revision)
+
+    monkeypatch.setattr(StateTransfer, '_fetch', fetch)
+    await transfer._fetch_newer('', mirror)
+    assert recorded.keys == {'a': b'peer', 'b': b'peer', 'c': b'own'}
