Count a reader's wait for results from its arrival

Found by the review: an entry that had to read the job first, up to 1.5 s, then waited the whole time that its caller had named for results, and could read them once more. Callers leave 1.5 s after that time, so they left without an answer. The wait now begins with the request.

Evidence: with a read of 0.7 s and a wait of 1 s the answer came after 1.7 s before, and after 1 s now (virtual time).

--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -226,8 +226,9 @@
 
         If there are none yet, wait for the requested time.
         """
+        give_up_at = trio.current_time() + intent.wait_s
         tracked = await self._find_job(intent.job_id)
-        await self._wait_for_results(tracked, intent.position, intent.wait_s)
+        await self._wait_for_results(tracked, intent.position, give_up_at)
         page = _leading_results(tracked.results[intent.position :])
         response = self.protocol.results_body(
             len(tracked.items), intent.position, page
@@ -235,13 +236,13 @@
         await conn.send_response(_HTTP_OK, _JSON, response)
 
     async def _wait_for_results(
-        self, tracked: TrackedJob, position: int, wait_s: float
+        self, tracked: TrackedJob, position: int, give_up_at: float
     ) -> None:
         """Wait until there is a result at a position, or none can come.
 
+        :param give_up_at: time on trio's clock at which the wait ends.
         :raises PlatformUnavailableError: whether there is one is not known.
         """
-        give_up_at = trio.current_time() + wait_s
         if position > len(tracked.results):
             # another entry has returned more results to this caller
             await self.jobs.read_results(tracked)
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -452,3 +452,20 @@
     await trio.sleep(job_calls.RESULTS_VALIDITY_S)
     await entry(IntentKind.READ_RESULTS, position=1)
     assert partly_unreadable.calls['range'] == calls_before + 1
+
+
+async def test_wait_for_results_counts_from_the_arrival_of_the_request(
+    partly_unreadable, autojump_clock
+):
+    entry = EntryHandler(partly_unreadable)
+    partly_unreadable.slow.add(RESULTS)
+    arrived_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+
+        async def release():
+            await trio.sleep(0.7)
+            partly_unreadable.released.set()
+
+        nursery.start_soon(release)
+        await entry(IntentKind.READ_RESULTS, position=1, wait_s=1.0)
+    assert trio.current_time() - arrived_at == pytest.approx(1.0)
