--- /dev/null
+++ b/tests/coordination/test_recent_versions.py
@@ -0,0 +1,53 @@
+"""Versions that served lately, from each of the sources that tell of them."""
+
+import attrs
+
+from briarrill.coordination.recent_versions import (
+    find_recent_versions,
+    update_records,
+)
+from briarrill.coordination.upstream_table import (
+    RegisteredUpstream,
+    UpstreamTable,
+)
+from briarrill.coordination.version_records import (
+    ServedVersion,
+    VersionRecords,
+)
+
+UPSTREAM = RegisteredUpstream(
+    'i-1', 'llm', ('10.0.0.1', 80), 'a', 8, version='v1'
+)
+
+
+def make_table():
+    table = UpstreamTable(lambda: True, VersionRecords(lambda: True))
+    table.register(UPSTREAM)
+    return table
+
+
+def test_registered_left_and_recorded_versions_served_lately():
+    table = make_table()
+    table.register(attrs.evolve(UPSTREAM, upstream_id='i-2', version='v2'))
+    table.unregister('i-2')
+    table.records.add(ServedVersion('llm', 'v3'))
+    assert find_recent_versions(table, 'llm') == {'v1', 'v2', 'v3'}
+
+
+def test_versions_of_other_services_are_not_among_them():
+    table = make_table()
+    table.register(
+        attrs.evolve(UPSTREAM, upstream_id='i-2', service='other', version='x')
+    )
+    table.records.add(ServedVersion('other', 'y'))
+    assert find_recent_versions(table, 'llm') == {'v1'}
+
+
+def test_versions_without_a_record_are_to_be_recorded():
+    table = make_table()
+    table.register(attrs.evolve(UPSTREAM, upstream_id='i-2', version='v2'))
+    table.records.add(ServedVersion('llm', 'v1'))
+    update_records(table)
+    assert table.records.due_creates(lambda served: 0) == [
+        ServedVersion('llm', 'v2')
+    ]
