Wait in tests of silent connections for what a start writes and watches

It now waits for all three.

The stand-in now records only watches that wait, which is what the test's text says.

Bounds and checks are as before.

--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -108,14 +108,15 @@
 
 
 class RecordingStore(StandinStore):
-    """Records the prefixes that are watched."""
+    """Records the prefixes of the watches that wait."""
 
     def __init__(self):
         super().__init__()
         self.watched = set()
 
     async def _watch(self, fields):
-        self.watched.add(fields['prefix'])
+        if int(fields['wait_ms']):
+            self.watched.add(fields['prefix'])
         return await super()._watch(fields)
 
 
@@ -297,8 +298,9 @@
     """Tell whether only watches wait, and none for an earlier change."""
     due_at = process.parts.store.replies._due_at.values()
     own_keys = process.parts.mirrors[ROOT_PREFIX]
+    # those of the upstream, the process and, written last, the version
     return (
-        len(store.entries) == 2
+        len(store.entries) == 3
         and own_keys.position == store.revision
         and len(due_at) == len(process.parts.mirrors)
         and min(due_at) - time.monotonic() > 1
