Choose stand-in upstreams by load alone in tests of the relay

Cause: run_front_end promises that the first upstream has the least load. The front end also weighs how long upstreams take to their first bytes. One that takes 0.1 s more than 0.3 of the route's objective of 0.3 s comes behind the other. If the test process pauses that long during the first request, the one to be refused goes to the second upstream, and the copy is never written.

Evidence: with a pause of 0.2 s in the answer to the first request the test fails with the same traceback, each time at the same place.

Change: the start delays of the set-up have a clock that stands still, so that only load counts. No check and no bound is changed; the delays have tests of their own.

--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -15,6 +15,7 @@
     RouteTable,
     Target,
 )
+from briarrill.coordination.start_delays import StartDelays
 from briarrill.coordination.upstream_ends import UpstreamEnds
 from briarrill.coordination.upstream_table import (
     RegisteredUpstream,
@@ -106,6 +107,8 @@
     """
     upstreams = UpstreamTable(lambda: True)
     load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
+    # a pause of the test process would make an upstream count as late
+    load.delays = StartDelays(clock=float)
     protocol = PlatformRelayProtocol()
     ends = UpstreamEnds(upstreams, PromptQuarantine(), load.schedule_report)
     forwarder = Forwarder(
