Show that a removed upstream stays in use while outages follow each other

What callers would see: requests go to an upstream that has left, as long as the store fails for over a second every two seconds.

Cause: a registration that is missing is given up once the store was followed for 2.4 s without an outage. Each outage begins that time anew.

The reverse passes: one that lapsed with the store stays in use for the first 2 s in which the store was followed, and goes on when it registers again.

--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -43,6 +43,9 @@
 WATCH_S = 0.7
 CUT_S = 0.1
 
+# time without the store that counts as an outage
+OUTAGE_S = 1.2
+
 INSTANCE = PlatformInstance(
     name='edge-1',
     host='10.1.0.2',
@@ -223,6 +226,45 @@
             assert clock.now - removed_at < DRAIN_S
 
 
+async def test_removal_takes_effect_though_the_store_fails_again_and_again(
+    clock,
+):
+    async with two_processes(clock) as (entry, _):
+        entry.disconnect()
+        clock.now += OUTAGE_S
+        entry.connect(5)
+        entry.receive(None, 6)
+        followed_s = 0
+        while entry.accepting_ids:
+            entry.disconnect()
+            clock.now += OUTAGE_S
+            entry.connect(6)
+            clock.now += WATCH_S
+            followed_s += WATCH_S
+            assert followed_s < 2 * CONTACT_S
+
+
+async def test_upstream_that_lapsed_returns_though_the_store_fails_again(
+    clock,
+):
+    async with two_processes(clock) as (entry, _):
+        entry.disconnect()
+        clock.now += 4
+        entry.receive(None, 6)
+        entry.connect(6)
+        followed_s = 0
+        while followed_s < RETURN_S:
+            clock.now += WATCH_S
+            followed_s += WATCH_S
+            entry.disconnect()
+            clock.now += OUTAGE_S
+            entry.connect(6)
+            assert entry.accepting_ids == ['i-1']
+        entry.receive(REGISTRATION, 7)
+        clock.now += 20
+        assert entry.accepting_ids == ['i-1']
+
+
 async def test_removal_during_a_cut_takes_effect_at_its_end(clock):
     async with two_processes(clock) as (entry, _):
         entry.disconnect()
