Give up a removed upstream though the store fails again and again

Cause: the time that a missing registration is waited for was counted from the last outage, so it never ended while outages followed each other. Class: a deadline that each disturbance sets anew.

Change: beside 2.4 s without an outage, 4.8 s in pieces end the wait: time in which the watch worked since the upstream is missing. An upstream beats each 1.2 s and needs two beats to return, each perhaps in a piece of its own. Times in which a reply of the store was late are taken off, since a watch seems to work until its silence is noticed. Peers are told of such a removal as of any other.

Ruled out: 2.4 s in pieces, as upstreams that lapsed with the store may not have returned by then, and all of them would be given up at once; a bound in wall time, which would end in the outage itself.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -26,6 +26,7 @@
     WatchProgress,
 )
 from ..transport.task_errors import log_unexpected_errors
+from .followed_time import FollowedTime
 
 __all__ = ('Mirror', 'MirrorChanges', 'MirrorListener')
 
@@ -79,6 +80,7 @@
     :ivar is_connected: whether the watch on the service works.
     :ivar has_failed: whether a call to the service has failed since it last
         was connected.
+    :ivar followed: time during which the watch worked.
     :ivar connected_since: monotonic time at which the last outage of the
         service ended.
 
@@ -104,6 +106,7 @@
         self.is_connected = False
         self.has_failed = False
         self.connected_since = time.monotonic()
+        self.followed = FollowedTime()
         self._disconnected_at = -math.inf
         self._service = service
         self._prefix = prefix
@@ -303,6 +306,7 @@
                 'mirror:synced', prefix=self._prefix, keys=len(self._revisions)
             )
         self.is_connected = True
+        self.followed.start()
         self.has_failed = False
         self._is_partial = False
         self.synced.set()
@@ -335,6 +339,7 @@
     def _mark_disconnected(self, reason: str) -> None:
         if self.is_connected:
             self._disconnected_at = time.monotonic()
+            self.followed.stop()
             log_message('mirror:lost', prefix=self._prefix, reason=reason)
         self.is_connected = False
 
--- a/briarrill/coordination/reply_monitor.py
+++ b/briarrill/coordination/reply_monitor.py
@@ -33,6 +33,15 @@
     _due_at: dict[int, float] = attrs.field(factory=dict, init=False)
     _next_call: int = attrs.field(default=0, init=False)
     _late_at: float = attrs.field(default=-math.inf, init=False)
+    _late_before_s: float = attrs.field(default=0, init=False)
+
+    @property
+    def late_s(self) -> float:
+        """Return for how long a reply has been late in total."""
+        now = time.monotonic()
+        first_due_at = min(self._due_at.values(), default=now)
+        late_s = max(0, now - max(first_due_at, self._late_at))
+        return self._late_before_s + late_s
 
     @contextlib.contextmanager
     def call(self, due_s: float) -> Iterator[None]:
@@ -71,5 +80,7 @@
     def _record_end(self, number: int) -> None:
         """Record whether a call that ends now was late."""
         now = time.monotonic()
+        late_s = self.late_s
         if now > self._due_at.pop(number):
+            self._late_before_s = late_s
             self._late_at = now
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -2,9 +2,10 @@
 
 Upstreams register in the key-value service under leases. A registration that
 expired during an outage of the service remains in use until the service has
-been reachable for some time, so that live upstreams can register again. A
-peer that followed the service all along knows which registrations were
-removed for good; its word ends the wait.
+been reachable for some time, so that live upstreams can register again. If the
+service fails again and again, a longer time in pieces counts as well. A peer
+that followed the service all along knows which registrations were removed for
+good; its word ends the wait.
 """
 
 import math
@@ -25,6 +26,11 @@
 # which nothing may be sent to an upstream that had left
 RETURN_GRACE_S = 2.4
 
+# time in pieces, between outages of the service, after which an upstream that
+# did not register again is given up too: it may need a piece of its own for
+# each of its two heartbeats
+MAX_GRACE_S = 2 * RETURN_GRACE_S
+
 # time for which the announced departure of an upstream that is not registered
 # is remembered; it may register again after an outage
 DEPARTURE_RETENTION_S = 60.0
@@ -68,6 +74,8 @@
         followed for long enough that a missing registration means a lost
         upstream.
     :param records: versions that are recorded, default none.
+    :param followed_s: returns for how long the service has been followed in
+        total, default no time.
     :ivar versions: versions whose upstreams left lately.
     """
 
@@ -75,12 +83,14 @@
         self,
         is_service_stable: Callable[[], bool],
         records: VersionRecords | None = None,
+        followed_s: Callable[[], float] = float,
     ) -> None:
         """Start without upstreams."""
         self.records = records or VersionRecords(is_service_stable)
         self._is_service_stable = is_service_stable
+        self._followed_s = followed_s
         self._upstreams: dict[str, RegisteredUpstream] = {}
-        self._missing: set[str] = set()
+        self._missing: dict[str, float] = {}
         self._leaving_since: dict[str, float] = {}
         self.versions = UpstreamVersions()
         self._removed_at: dict[str, float] = {}
@@ -201,7 +211,7 @@
         if previous is not None:
             self.versions.record_departure(previous.service, previous.version)
         self._upstreams[upstream.upstream_id] = upstream
-        self._missing.discard(upstream.upstream_id)
+        self._missing.pop(upstream.upstream_id, None)
         self._removed_at.pop(upstream.incarnation, None)
         if upstream.is_draining and upstream.incarnation:
             # a heartbeat sent earlier may arrive later and say otherwise
@@ -222,7 +232,7 @@
         """
         if upstream_id not in self._upstreams:
             return
-        self._missing.add(upstream_id)
+        self._missing.setdefault(upstream_id, self._followed_s())
         self._remove_missing()
         if upstream_id in self._missing:
             log_message('upstream:missing', upstream=upstream_id)
@@ -239,17 +249,19 @@
         if not self._missing:
             return
         is_stable = self._is_service_stable()
-        for upstream_id in list(self._missing):
+        latest = self._followed_s() - MAX_GRACE_S
+        for upstream_id, missing_since in list(self._missing.items()):
             incarnation = self._upstreams[upstream_id].incarnation
-            if is_stable:
+            is_lost = is_stable or missing_since <= latest
+            if is_lost:
                 self._record_removal(incarnation)
             elif not self._is_removed_by_peers(incarnation):
                 continue
-            self._missing.discard(upstream_id)
+            self._missing.pop(upstream_id)
             upstream = self._upstreams.pop(upstream_id)
             self.versions.record_departure(upstream.service, upstream.version)
             log_message(
-                'upstream:gone', upstream=upstream_id, by_peer=not is_stable
+                'upstream:gone', upstream=upstream_id, by_peer=not is_lost
             )
 
     def _record_removal(self, incarnation: str) -> None:
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -237,6 +237,11 @@
                 mirrors[REGISTRATIONS_PREFIX].connected_since
             ),
         ),
+        # a watch is connected until its silence is noticed
+        followed_s=lambda: (
+            mirrors[REGISTRATIONS_PREFIX].followed.total_s
+            - store.replies.late_s
+        ),
     )
     mirrors[OPERATOR_PREFIX] = Mirror(
         store, OPERATOR_PREFIX, operator_keys, stores_bodies=True
--- a/tests/coordination/test_reply_monitor.py
+++ b/tests/coordination/test_reply_monitor.py
@@ -40,6 +40,26 @@
     assert not replies.was_late(2)
 
 
+def test_late_times_of_calls_that_overlap_count_once(clock):
+    replies = ReplyMonitor()
+    with replies.call(2):
+        with replies.call(1):
+            clock.now += 3
+            assert replies.late_s == 2
+        clock.now += 1
+        assert replies.late_s == 3
+    clock.now += 5
+    assert replies.late_s == 3
+
+
+def test_reply_in_time_adds_no_late_time(clock):
+    replies = ReplyMonitor()
+    with replies.call(1):
+        clock.now += 1
+    clock.now += 5
+    assert replies.late_s == 0
+
+
 def test_failed_call_is_no_reply(clock):
     replies = ReplyMonitor()
     with pytest.raises(ValueError), replies.call(0.5):
--- a/tests/platform/test_process_parts.py
+++ b/tests/platform/test_process_parts.py
@@ -265,6 +265,22 @@
         assert entry.accepting_ids == ['i-1']
 
 
+async def test_upstream_that_lapsed_is_kept_while_the_store_is_silent(clock):
+    """The watch seems to work until the silence of the store is noticed."""
+    async with two_processes(clock) as (entry, _):
+        entry.disconnect()
+        clock.now += 4
+        entry.receive(None, 6)
+        entry.connect(6)
+        clock.now += 0.1
+        with entry.parts.store.replies.call(0.5):
+            clock.now += 6
+            assert entry.accepting_ids == ['i-1']
+        entry.receive(REGISTRATION, 7)
+        clock.now += 20
+        assert entry.accepting_ids == ['i-1']
+
+
 async def test_removal_during_a_cut_takes_effect_at_its_end(clock):
     async with two_processes(clock) as (entry, _):
         entry.disconnect()
