Relay no unmarked refusal after an attempt that may have run

Callers saw: 'not run, try again' (408, 429, 503), with the Retry-After and the seal of the second upstream, of an idempotent request or resumable stream that an upstream before it may have run; in the other order too, an unmarked 503 before a lost attempt.

Cause: only marked refusals were weighed against earlier attempts. An unmarked one was relayed like any other response, and a stored 503 was sent whatever came of the attempts after it. Class: one upstream's word was passed on for all of the attempts.

Change: after an attempt that may have run and was not itself answered so, a response with such a status is a failed attempt with unknown outcome. It goes to a further upstream or ends as 502 without Retry-After, or as the earlier 500. A stored 503 is dropped once another attempt may have run. Where all upstreams answered with such a status, the last is relayed as before: it is what each said of its own attempt. Which statuses promise is the platform's matter.

Ruled out: a 502 for each unmarked refusal. Where only one upstream got the request, the refusal is its own word, and plain services send no marks.

--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -149,6 +149,13 @@
     def reports_not_executed(self, head: ResponseHead) -> bool:
         """Tell whether a response reports that the request was not run."""
 
+    @abc.abstractmethod
+    def promises_not_executed(self, head: ResponseHead) -> bool:
+        """Tell whether its status tells a caller that its request never runs.
+
+        An upstream that sends the status may have run it all the same.
+        """
+
     @abc.abstractmethod
     def reports_leaving(self, head: ResponseHead) -> bool:
         """Tell whether a response announces that its upstream will stop."""
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -48,6 +48,7 @@
     'UpstreamFailedError',
     'UpstreamLeftError',
     'UpstreamLostError',
+    'UpstreamRefusedError',
     'VersionConflictError',
     'WriteUnknownError',
 )
@@ -263,6 +264,10 @@
     ran = Ran.YES
 
 
+class UpstreamRefusedError(UpstreamFailedError):
+    """Its status says that the request did not run, but no mark does."""
+
+
 class UpstreamLostError(ExecutionError):
     """The upstream or its sidecar was lost with the request in flight."""
 
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -56,6 +56,9 @@
 
 _HTTP_MISDIRECTED = 421
 
+# statuses that promise a caller that its request has not run and never will
+_PROMISING_STATUSES = frozenset((408, _HTTP_MISDIRECTED, 429, 503))
+
 _MS_PER_S = 1000
 
 # prompts have two or three parts
@@ -227,6 +230,10 @@
             return True
         return find_header(head.headers, _NOT_EXECUTED) is not None
 
+    def promises_not_executed(self, head: ResponseHead) -> bool:
+        """Whether the status promises callers that nothing was executed."""
+        return head.status in _PROMISING_STATUSES
+
     def reports_leaving(self, head: ResponseHead) -> bool:
         """Whether the response announces the departure of its upstream."""
         return find_header(head.headers, _SERVER_LEAVING) is not None
--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -53,6 +53,8 @@
 
     :param failed_upstreams: upstreams that rejected or failed an attempt.
     :param possible_runs: attempts that ran or may have run.
+    :param unrefused_runs: those of them whose upstreams did not say that they
+        ran nothing, as the status of a response without a mark says it.
     :param ran: whether any attempt ran.
     :param candidate: the last chosen upstream, with its load at that time.
     :param refused_permits: refusals by owners of limits since the last
@@ -61,6 +63,7 @@
 
     failed_upstreams: set[str] = attrs.field(factory=set)
     possible_runs: int = 0
+    unrefused_runs: int = 0
     attempts: int = 0
     ran: Ran = Ran.NO
     candidate: UpstreamCandidate | None = None
@@ -100,12 +103,15 @@
 
     :param is_last: whether no retry is allowed if this attempt runs.
     :param origin: what begins a stream if this attempt brings its first event.
+    :param may_be_refused: whether its response may tell the caller that the
+        request did not run, which is not so after an attempt that may have.
     """
 
     call: Call
     response: Response
     is_last: bool
     origin: StreamOrigin
+    may_be_refused: bool = True
 
     @property
     def response_timeout_s(self) -> float:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -44,6 +44,7 @@
     UpstreamFailedError,
     UpstreamLeftError,
     UpstreamLostError,
+    UpstreamRefusedError,
 )
 from ..metrics import RESUMED, RETRIED
 from ..protocol.event_stream import EventSplitter, EventTracker
@@ -285,7 +286,13 @@
                 raise
             progress.attempts += 1
             is_last = progress.possible_runs + 1 >= call.route.max_attempts
-            attempt = Attempt(call, response, is_last, origin)
+            attempt = Attempt(
+                call,
+                response,
+                is_last,
+                origin,
+                may_be_refused=not progress.unrefused_runs,
+            )
             try:
                 with self._ends.track(
                     upstream, call.prompt_parts, call.request_key
@@ -344,7 +351,8 @@
 
         :raises OverloadedError: the upstream did not run the request.
         :raises UpstreamLostError: the connection broke or stalled.
-        :raises UpstreamFailedError: the upstream responded with an error.
+        :raises UpstreamFailedError: the upstream responded with an error, or
+            with a refusal after an attempt that may have run.
         :raises DeadlineExceededError: the deadline passed.
         """
         began_at = time.monotonic()
@@ -366,11 +374,7 @@
                 )
                 if self._protocol.reports_leaving(response_head):
                     self._upstreams.mark_leaving(upstream.incarnation)
-                if self._protocol.reports_not_executed(response_head):
-                    raise OverloadedError(
-                        'upstream rejected the request with status'
-                        f' {response_head.status}'
-                    )
+                _check_refusal(self._protocol, attempt, response_head)
                 record_first_bytes()
             self._ejector_of(call.service).record_first_chunk(
                 upstream.upstream_id, time.monotonic() - began_at
@@ -520,6 +524,9 @@
         """
         may_have_run = exc.ran is not Ran.NO
         progress.possible_runs += may_have_run
+        if may_have_run and not isinstance(exc, UpstreamRefusedError):
+            progress.unrefused_runs += 1
+            response.drop_stored_refusal()
         if may_have_run:
             progress.ran = exc.ran
         progress.failed_upstreams.add(upstream.upstream_id)
@@ -594,6 +601,29 @@
     return call.route.is_idempotent and not response.has_begun
 
 
+def _check_refusal(
+    protocol: RelayProtocol, attempt: Attempt, response_head: ResponseHead
+) -> None:
+    """Check that a response may be relayed, whatever its status says.
+
+    :raises OverloadedError: the upstream did not run the request.
+    :raises UpstreamRefusedError: its status would tell the caller so, though
+        an earlier attempt may have run.
+    """
+    if protocol.reports_not_executed(response_head):
+        raise OverloadedError(
+            f'upstream rejected the request with status {response_head.status}'
+        )
+    if (
+        protocol.promises_not_executed(response_head)
+        and not attempt.may_be_refused
+    ):
+        raise UpstreamRefusedError(
+            f'answered {response_head.status} to a further attempt',
+            ran=Ran.UNKNOWN,
+        )
+
+
 async def _end_buffered(
     response: Response, response_head: ResponseHead, rest: bytes
 ) -> None:
@@ -608,6 +638,7 @@
         await response.send_complete(response_head, rest)
     else:
         response.store_failure(response_head, rest)
-        raise UpstreamFailedError(
-            f'answered {response_head.status}', ran=Ran.YES
-        )
+        message = f'answered {response_head.status}'
+        if response.has_stored_refusal:
+            raise UpstreamRefusedError(message)
+        raise UpstreamFailedError(message)
--- a/briarrill/relay/response.py
+++ b/briarrill/relay/response.py
@@ -43,6 +43,13 @@
         """Whether the caller may have received a part of the response."""
         return self._conn.has_sent_head
 
+    @property
+    def has_stored_refusal(self) -> bool:
+        """Whether the stored response says that the request did not run."""
+        return self._failure is not None and (
+            self._protocol.promises_not_executed(self._failure[0])
+        )
+
     async def send_head_once(self, head: ResponseHead) -> None:
         """Send the head unless one was sent.
 
@@ -80,6 +87,14 @@
         """Store an upstream's error response, to send if all retries fail."""
         self._failure = (head, body)
 
+    def drop_stored_refusal(self) -> None:
+        """Drop a stored response that says that the request did not run.
+
+        An upstream can say that of its own attempt only.
+        """
+        if self.has_stored_refusal:
+            self._failure = None
+
     async def send_stored_failure(self) -> bool:
         """Send the stored error response; return whether there was one."""
         if self._failure is None:
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -150,6 +150,15 @@
     assert not PROTOCOL.reports_not_executed(ResponseHead(503, ()))
 
 
+def test_only_some_statuses_promise_that_nothing_was_executed():
+    promising = [
+        status
+        for status in range(200, 600)
+        if PROTOCOL.promises_not_executed(ResponseHead(status, ()))
+    ]
+    assert promising == [408, 421, 429, 503]
+
+
 @pytest.mark.parametrize(
     'body',
     [
