Tell the reply of an upstream that is asked for its start from responses

Callers saw: the upstream's report, with status 200, in place of their stream, where the upstream wrote it twice before any of its responses had echoed an identifier. And attempts lost, though the upstream had answered, where a late response to an earlier request arrived while it was asked: that was read as the reply, and the reply as the response to the request. A process that had taken an identifier over could pass for the registered one that way.

Cause: the question and its reply are an exchange on the same connection, and both were matched by their place. Class: a message was matched to a request by its place on a connection.

Change: a response that echoes an identifier is not the reply and is discarded. Bytes after the reply close the connection before a request is sent. The connection remembers the head of the reply; a response to a call that names no request and has the same status and headers, but for date and length, has an unknown outcome, and the stream goes elsewhere.

Ruled out: to doubt all responses without an identifier after the question, which would end all streams of upstreams that echo nothing. To ask on a connection of its own: another process may be behind it.

--- a/briarrill/coordination/call_channels.py
+++ b/briarrill/coordination/call_channels.py
@@ -6,7 +6,7 @@
 from ..transport.http_channel import ChannelPool, HttpChannel
 from ..transport.http_messages import ResponseHead
 from .relay_protocol import Call, RelayProtocol
-from .response_matching import Match, ResponseMatcher
+from .response_matching import Match, ResponseMatcher, look_alike
 from .upstream_table import RegisteredUpstream
 
 __all__ = ('CallChannels',)
@@ -80,6 +80,10 @@
             echoed_id,
             upstream.incarnation,
             is_kept=channel.is_kept,
+            is_like_reply=(
+                channel.status_head is not None
+                and look_alike(head, channel.status_head)
+            ),
         )
         if found is Match.OWN:
             return True
--- a/briarrill/coordination/incarnation_check.py
+++ b/briarrill/coordination/incarnation_check.py
@@ -42,7 +42,7 @@
         is_match = True
         try:
             with trio.fail_after(CHECK_TIMEOUT_S):
-                body = await _read_status(channel, request)
+                body = await _read_status(protocol, channel, request)
                 is_match = body is None or protocol.is_status_of(
                     upstream, body
                 )
@@ -59,16 +59,24 @@
 
 
 async def _read_status(
-    channel: HttpChannel, request: RequestHead
+    protocol: RelayProtocol, channel: HttpChannel, request: RequestHead
 ) -> bytes | None:
     """Return the upstream's state, None if it tells none.
 
-    :raises UpstreamLostError: the connection broke or will be closed.
+    Late responses to earlier calls name their call, which the reply does not.
+
+    :raises UpstreamLostError: the connection broke or will be closed, or more
+        than the reply came.
     """
     async with channel.exchange(request, b''):
-        head = await channel.read_head()
+        head = await channel.read_head(
+            lambda received: not protocol.echoed_id(received)
+        )
         body = await channel.read_full_body(MAX_STATUS_BYTES)
     if not channel.is_reusable:
         raise UpstreamLostError('the connection closes after the reply')
     channel.reset_after_exchange()
+    if not channel.is_usable:
+        raise UpstreamLostError('bytes received after the reply')
+    channel.status_head = head
     return body if head.status == HTTP_OK else None
--- a/briarrill/coordination/response_matching.py
+++ b/briarrill/coordination/response_matching.py
@@ -4,14 +4,19 @@
 its connection is expected. The identifier that a response echoes tells them
 apart. So a connection is kept only while all responses of its upstream echo
 one. A response that does not, on a kept connection, may be the answer or a
-copy.
+copy. So may one that looks like the reply to the question who the upstream is.
 """
 
 import enum
 
 import attrs
 
-__all__ = ('Match', 'ResponseMatcher')
+from ..transport.http_messages import Headers, ResponseHead
+
+__all__ = ('Match', 'ResponseMatcher', 'look_alike')
+
+# headers that differ between two replies to the same question
+_VARYING_HEADERS = frozenset((b'content-length', b'date'))
 
 # incarnations remembered, above the number of upstreams that serve at a time
 MAX_INCARNATIONS = 4096
@@ -37,6 +42,21 @@
     has_omitted: bool = False
 
 
+def look_alike(first: ResponseHead, second: ResponseHead) -> bool:
+    """Tell whether two responses may be replies to the same question."""
+    return first.status == second.status and (
+        _stable_headers(first.headers) == _stable_headers(second.headers)
+    )
+
+
+def _stable_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the headers, those that vary without their values."""
+    return sorted(
+        (name, b'' if name in _VARYING_HEADERS else text)
+        for name, text in headers
+    )
+
+
 class ResponseMatcher:
     """Tells which responses belong to which requests."""
 
@@ -51,13 +71,18 @@
         incarnation: str,
         *,
         is_kept: bool,
+        is_like_reply: bool = False,
     ) -> Match:
         """Record a response; tell whether it belongs to a request.
 
         :param echoed_id: identifier that it echoes, if any.
         :param is_kept: whether its connection carried an earlier request.
+        :param is_like_reply: whether it looks like a reply on its connection
+            that was no response to a call.
         """
         echoes = self._echoes_of(incarnation)
+        if echoed_id is None and is_like_reply:
+            return Match.UNKNOWN
         if echoed_id is None:
             echoes.has_omitted = True
             is_doubtful = is_kept and echoes.has_echoed
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -95,12 +95,14 @@
     :ivar opened_at: monotonic time of the connection.
     :ivar is_registered_process: whether the expected process is behind the
         connection; None until that was checked.
+    :ivar status_head: head of the reply by which it was checked, if any.
     """
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
         """Wrap the socket without a request in flight."""
         self.request_ids: set[str] = set()
         self.is_registered_process: bool | None = None
+        self.status_head: ResponseHead | None = None
         self.opened_at = time.monotonic()
         self._sock = sock
         self._parser = h11.Connection(h11.CLIENT)
--- a/tests/coordination/test_incarnation_check.py
+++ b/tests/coordination/test_incarnation_check.py
@@ -9,6 +9,7 @@
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
 from briarrill.transport.http_channel import connect
 from standins.platform_engine import StandinEngine, respond_with
+from tests.repeating_engine import encode_message, id_line
 from tests.serving import free_port, serve_standin
 
 PROTOCOL = PlatformRelayProtocol()
@@ -72,3 +73,23 @@
         channel = await connect(address, 1)
         with pytest.raises(PeerUnreachableError):
             await is_registered_process(PROTOCOL, channel, _upstream(address))
+
+
+async def test_late_response_to_a_request_is_not_read_as_the_reply():
+    """Guards against another process that passes for the registered one."""
+
+    async def answer_late(req, conn):
+        if req.head.target == b'/report':
+            late = encode_message(200, b'late', lines=(id_line('r1'),))
+            await conn._send(late + encode_message(200, b'{"born": 6}'))
+            await trio.sleep_forever()
+
+    engine = StandinEngine(answer_late)
+    engine.reports = False
+    async with serve_standin(engine, ('127.0.0.1', free_port())) as address:
+        channel = await connect(address, 1)
+        found = await is_registered_process(
+            PROTOCOL, channel, _upstream(address, born=5)
+        )
+        assert not found
+        channel.close()
