Take no refusal of a call with chunks for 'not run'

Callers would see: `ran: no` of a request of which they, or the entry, had a part of the response; one that may run at most once was sent to another upstream if its refusal counted chunks that had not arrived.

Cause: the `ran` of the end of a call was believed whatever chunks came before it, and the loss of a chunk took it over. Class: one message was believed against another of the same call. No sidecar of ours sends such an end; it is shown with messages only.

Change: an end with chunks, by its count or ours, means that the call ran. A second end of a call, which was ignored before, has a test.

--- a/briarrill/entry/calls.py
+++ b/briarrill/entry/calls.py
@@ -88,8 +88,9 @@
         event = self._pending_finish or await self._next_event()
         if isinstance(event, Chunk):
             return self._join_buffered(event)
-        self._check_chunk_count(event)
-        self.finish = event
+        finish = self._correct_ran(event)
+        self._check_chunk_count(finish)
+        self.finish = finish
         return None
 
     def deliver(self, event: Chunk | Finish) -> None:
@@ -142,6 +143,12 @@
             self._pending_finish = event
         return b''.join(parts)
 
+    def _correct_ran(self, finish: Finish) -> Finish:
+        """Return an end that says that the call ran if chunks of it exist."""
+        if finish.chunks or self.received_chunks:
+            return attrs.evolve(finish, ran=Ran.YES)
+        return finish
+
     def _check_chunk_count(self, finish: Finish) -> None:
         """Check that all chunks of the response have arrived.
 
--- a/tests/entry/test_calls.py
+++ b/tests/entry/test_calls.py
@@ -6,7 +6,7 @@
 from briarrill.entry.calls import OnlineCall
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol.messages import Chunk, Finish
-from briarrill.result_codes import Ran
+from briarrill.result_codes import Ran, ResultCode
 
 
 @pytest.fixture
@@ -54,3 +54,41 @@
     with pytest.raises(UpstreamLostError) as error:
         await call.next_chunk()
     assert error.value.ran is Ran.YES
+
+
+@pytest.mark.parametrize('sent_chunks', [0, 1, 2])
+@pytest.mark.parametrize('received_chunks', [0, 1, 2])
+async def test_refusal_of_a_call_with_chunks_does_not_say_that_none_ran(
+    call, sent_chunks, received_chunks
+):
+    """Guards against a call that is sent again though it runs."""
+    _deliver_chunks(call, *[b'a'] * received_chunks)
+    call.deliver(
+        Finish(
+            'r',
+            0,
+            chunks=sent_chunks,
+            code=ResultCode.OVERLOADED,
+            ran=Ran.NO,
+        )
+    )
+    if received_chunks:
+        await call.next_chunk()
+    if sent_chunks != received_chunks:
+        with pytest.raises(UpstreamLostError) as error:
+            await call.next_chunk()
+        assert error.value.ran is Ran.YES
+        return
+    await call.next_chunk()
+    assert call.finish.ran is (Ran.YES if received_chunks else Ran.NO)
+
+
+async def test_first_finish_of_a_call_counts(call):
+    _deliver_chunks(call, b'a')
+    call.deliver(Finish('r', 0, chunks=1))
+    call.deliver(
+        Finish('r', 0, chunks=1, code=ResultCode.OVERLOADED, ran=Ran.NO)
+    )
+    assert await call.next_chunk() == b'a'
+    assert await call.next_chunk() is None
+    assert (call.finish.code, call.finish.ran) == (ResultCode.OK, Ran.YES)
