Test streams that begin before their version is recorded

Callers saw: streams answered 200 and whole whose events are of two versions, after all processes lost power in the first second of a fleet, or right after a new version came.

Cause: a version begins streams from its registration on, and is recorded 0.2 s later, at the first start 1.2 s. If its upstreams have left when the processes are back, nothing tells that it has served.

Change: two cases in which the streams begin together as soon as the entries are ready, or the new version is registered; all processes are killed at once, and one version leaves meanwhile.

--- a/tests/platform/test_streams_after_power_loss.py
+++ b/tests/platform/test_streams_after_power_loss.py
@@ -112,6 +112,23 @@
     return streams
 
 
+async def begin_streams_together(fleet):
+    """Begin streams at the same time; each caller leaves after its events."""
+    streams = [Stream(f's{number}') for number in range(STREAMS)]
+    async with trio.open_nursery() as nursery:
+        for stream, entry in zip(
+            streams, itertools.cycle(ENTRIES), strict=False
+        ):
+            nursery.start_soon(begin_stream, fleet, entry, stream)
+    return streams
+
+
+async def begin_stream(fleet, entry, stream):
+    async with open_stream(fleet, entry, stream, f'{stream.name}-1') as opened:
+        while stream.events < EVENTS_BEFORE_PAUSE:
+            stream.received += await opened[1].read_body()
+
+
 async def take_up(fleet, stream):
     """Take a stream up at one entry after another until it is whole."""
     for number in range(TRIES):
@@ -241,6 +258,38 @@
     assert_unmixed(streams)
 
 
+async def test_streams_are_not_joined_after_a_loss_of_power_at_the_first_start(
+    network, tmp_path
+):
+    async with versioned_fleet(network, tmp_path, is_cutting=False) as fleet:
+        streams = await begin_streams_together(fleet)
+        outage = Outage(fleet, tmp_path)
+        await outage.kill()
+        leave(fleet, 'v1')
+        await outage.restart()
+        await outage.wait_ready()
+        await take_all_up(fleet, streams)
+    assert_unmixed(streams)
+
+
+async def test_streams_are_not_joined_if_a_version_came_and_left_at_once(
+    network, tmp_path
+):
+    async with versioned_fleet(
+        network, tmp_path, is_cutting=False, registered=('v1',)
+    ) as fleet:
+        await wait_settled(fleet)
+        arrive(fleet, 'v2')
+        streams = await begin_streams_together(fleet)
+        outage = Outage(fleet, tmp_path)
+        await outage.kill()
+        leave(fleet, 'v2')
+        await outage.restart()
+        await outage.wait_ready()
+        await take_all_up(fleet, streams)
+    assert_unmixed(streams)
+
+
 @KILLED
 async def test_with_one_version_all_streams_go_on_after_a_loss_of_power(
     network, tmp_path, killed
