Begin resumable streams only at versions that are recorded

Callers saw: after a loss of power of all processes in the first second of a fleet, or of a new version, streams were answered 200 and went on at another version than the one that began them.

Cause: a version began streams from its registration on, but was recorded 0.2 s later, and 1.2 s after the first start of a fleet. A process that was started again found one version, registered or recorded, and took it for all.

Change: a version without a record is held for up to 1.5 s from its registration: it begins no resumable streams while upstreams of a recorded version accept. If no version of the service is recorded, which is so at the first start, such streams wait. Beside the record of an earlier version that accepts none it begins streams at once, since record and registration tell the two apart. Streams that go on, and all other requests, are not affected. Processes settle for 0.3 s instead of 1 s before they write, so that the first record comes 0.5 s after the start; more of them may try the same write, which is compared and refused.

Each of the three cases in test_stream_places.py fails with the change to the package taken away.

Ruled out: to refuse unknown streams after a start that finds no record, which refuses them at each first start with one version; to hold a version until it is recorded however long that takes, which holds up service while the store rejects writes.

--- a/briarrill/coordination/recent_versions.py
+++ b/briarrill/coordination/recent_versions.py
@@ -1,15 +1,17 @@
 """briarrill.coordination.recent_versions: versions that served lately.
 
 They are those of registered upstreams, those that this process saw leave, and
-those that are recorded.
+those that are recorded. A version that begins streams before it is recorded
+may leave and be known to nobody, so it waits for its record for a while.
 """
 
 import itertools
+from collections.abc import Sequence
 
-from .upstream_table import UpstreamTable
+from .upstream_table import RegisteredUpstream, UpstreamTable
 from .version_records import ServedVersion
 
-__all__ = ('find_recent_versions', 'update_records')
+__all__ = ('exclude_held', 'find_recent_versions', 'update_records')
 
 
 def find_recent_versions(upstreams: UpstreamTable, service: str) -> set[str]:
@@ -28,6 +30,22 @@
     return registered | left | upstreams.records.served_lately(service)
 
 
+def exclude_held(
+    upstreams: UpstreamTable, candidates: Sequence[RegisteredUpstream]
+) -> list[RegisteredUpstream]:
+    """Return the upstreams that may begin streams now.
+
+    Without others, upstreams of a version that has no record begin streams
+    beside a record of an earlier version: the two are told apart.
+    """
+    records = upstreams.records
+    return [
+        one
+        for one in candidates
+        if not records.is_held(ServedVersion(one.service, one.version))
+    ] or [one for one in candidates if records.has_any(one.service)]
+
+
 def update_records(upstreams: UpstreamTable) -> None:
     """Compare the records of versions with the upstreams."""
     names = {
--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -16,7 +16,7 @@
 from eliot import log_message
 
 from .upstream_versions import UpstreamVersions
-from .version_records import VersionRecords
+from .version_records import ServedVersion, VersionRecords
 
 __all__ = ('RegisteredUpstream', 'UpstreamTable')
 
@@ -210,6 +210,9 @@
         previous = self._upstreams.get(upstream.upstream_id)
         if previous is not None:
             self.versions.record_departure(previous.service, previous.version)
+        self.records.record_registration(
+            ServedVersion(upstream.service, upstream.version)
+        )
         self._upstreams[upstream.upstream_id] = upstream
         self._missing.pop(upstream.upstream_id, None)
         self._removed_at.pop(upstream.incarnation, None)
--- a/briarrill/coordination/version_records.py
+++ b/briarrill/coordination/version_records.py
@@ -11,6 +11,7 @@
 import attrs
 
 __all__ = (
+    'VERSION_HOLD_S',
     'VERSION_RETENTION_S',
     'RankOf',
     'ServedVersion',
@@ -25,9 +26,14 @@
 # process counts it, so that none records it again
 RECORD_RETENTION_S = 70.0
 
+# longest time for which a version without a record begins no streams. Callers
+# give up 2 s without a first event; service goes on if nothing can be recorded
+VERSION_HOLD_S = 1.5
+
 # time after the start, or an outage, until peers are heard and agree on which
-# process writes
-SETTLING_S = 1.0
+# process writes; a write by several does no harm, and versions that have no
+# record yet wait for it
+SETTLING_S = 0.3
 
 # time that the process before has to write, including the mirrors' interval
 RANK_DELAY_S = 1.0
@@ -55,11 +61,14 @@
     :param is_read: tells whether the records in the service are known.
     :param followed_since: returns the monotonic time since which the
         registrations of upstreams have been followed without an outage.
+    :param hold_s: time for which a version without a record begins no
+        streams that others may go on with, default none.
     :param clock: monotonic clock.
     """
 
     is_read: Callable[[], bool]
     followed_since: Callable[[], float] = float
+    hold_s: float = attrs.field(default=0, kw_only=True)
     _clock: Callable[[], float] = time.monotonic
     _seen_at: dict[ServedVersion, float] = attrs.field(
         factory=dict, init=False
@@ -68,6 +77,20 @@
         factory=dict, init=False
     )
 
+    def record_registration(self, served: ServedVersion) -> None:
+        """Record that an upstream of a version is registered."""
+        if served not in self._seen_at:
+            self._unrecorded_since.setdefault(served, self._clock())
+
+    def is_held(self, served: ServedVersion) -> bool:
+        """Tell whether a version begins no streams since it has no record."""
+        since = self._unrecorded_since.get(served)
+        return since is not None and self._clock() - since < self.hold_s
+
+    def has_any(self, service: str) -> bool:
+        """Tell whether any version of a service is recorded."""
+        return any(served.service == service for served in self._seen_at)
+
     def add(self, served: ServedVersion) -> None:
         """Add a record that exists in the service."""
         self._seen_at.setdefault(served, self._clock())
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -23,7 +23,7 @@
 from ..coordination.upstream_ends import UpstreamEnds
 from ..coordination.upstream_table import RETURN_GRACE_S, UpstreamTable
 from ..coordination.version_recorder import VersionRecorder
-from ..coordination.version_records import VersionRecords
+from ..coordination.version_records import VERSION_HOLD_S, VersionRecords
 from ..protocol.load_reports import LoadReport
 from ..readiness import Readiness
 from ..state.keys import (
@@ -236,6 +236,7 @@
             followed_since=lambda: (
                 mirrors[REGISTRATIONS_PREFIX].connected_since
             ),
+            hold_s=VERSION_HOLD_S,
         ),
         # a watch is connected until its silence is noticed
         followed_s=lambda: (
--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -1,10 +1,13 @@
 """briarrill.relay.stream_places: find where a stream may go on."""
 
+import time
+
 import attrs
+import trio
 
 from ..coordination.incarnation_check import is_registered_process
 from ..coordination.origin_sharing import OriginSharing
-from ..coordination.recent_versions import find_recent_versions
+from ..coordination.recent_versions import exclude_held, find_recent_versions
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.stream_versions import infer_origin
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
@@ -17,6 +20,10 @@
 
 __all__ = ('StreamPlaces',)
 
+# interval of checks whether a version is recorded; only the first streams of
+# a service wait
+HOLD_CHECK_INTERVAL_S = 0.05
+
 
 @attrs.define
 class StreamPlaces:
@@ -32,10 +39,13 @@
     async def origin_of(self, call: Call) -> StreamOrigin | None:
         """Return what began the stream that a caller takes up.
 
-        None if the caller takes none up.
+        None if the caller takes none up; a new one waits until an upstream
+        may begin it.
         """
-        is_new = call.last_event_id is None and not call.resumed_id
-        if is_new or not call.route.resumable:
+        if not call.route.resumable:
+            return None
+        if call.last_event_id is None and not call.resumed_id:
+            await self._wait_while_held(call)
             return None
         known = None
         if call.resumed_id:
@@ -62,6 +72,9 @@
                 for upstream in accepting
                 if self._may_resume(upstream, response)
             ]
+        elif call.route.resumable:
+            # the time to wait for records may end without one
+            accepting = exclude_held(self.upstreams, accepting) or accepting
         if accepting:
             return accepting
         raise NoUpstreamError(
@@ -101,6 +114,14 @@
             caller = self.protocol.caller(call.head)
             self.sharing.tell(stream_key(caller, call.request_id), origin)
 
+    async def _wait_while_held(self, call: Call) -> None:
+        """Wait for the first record of a service, for a short time at most."""
+        while time.monotonic() < call.deadline_s:
+            accepting = self.upstreams.accepting_upstreams(call.service)
+            if not accepting or exclude_held(self.upstreams, accepting):
+                return
+            await trio.sleep(HOLD_CHECK_INTERVAL_S)
+
     def _may_resume(
         self, upstream: RegisteredUpstream, response: Response
     ) -> bool:
--- a/tests/coordination/test_recent_versions.py
+++ b/tests/coordination/test_recent_versions.py
@@ -3,6 +3,7 @@
 import attrs
 
 from briarrill.coordination.recent_versions import (
+    exclude_held,
     find_recent_versions,
     update_records,
 )
@@ -51,3 +52,26 @@
     assert table.records.due_creates(lambda served: 0) == [
         ServedVersion('llm', 'v2')
     ]
+
+
+def test_version_begins_no_streams_beside_one_that_is_recorded():
+    table = make_table()
+    table.records.hold_s = 60
+    table.records.add(ServedVersion('llm', 'v1'))
+    second = attrs.evolve(UPSTREAM, upstream_id='i-2', version='v2')
+    table.register(second)
+    assert exclude_held(table, table.registered_upstreams) == [UPSTREAM]
+    # the record of the first one, which has left, tells the two apart
+    assert exclude_held(table, [second]) == [second]
+    table.records.add(ServedVersion('llm', 'v2'))
+    assert exclude_held(table, [UPSTREAM, second]) == [UPSTREAM, second]
+
+
+def test_no_version_begins_streams_before_the_first_record():
+    table = make_table()
+    table.records.hold_s = 60
+    assert exclude_held(table, [UPSTREAM]) == []
+    table.records.add(ServedVersion('other', 'v1'))
+    assert exclude_held(table, [UPSTREAM]) == []
+    table.records.add(ServedVersion('llm', 'v1'))
+    assert exclude_held(table, [UPSTREAM]) == [UPSTREAM]
--- a/tests/coordination/test_version_records.py
+++ b/tests/coordination/test_version_records.py
@@ -159,3 +159,36 @@
             deleted.append(served)
     assert deleted == versions[:3]
     assert setting.records.served_lately('llm') == {'v3'}
+
+
+def test_version_without_a_record_is_held_for_a_while(setting):
+    assert not setting.records.is_held(V1)
+    setting.records.hold_s = 1.5
+    setting.records.record_registration(V1)
+    setting.pass_time(1.25, V1)
+    assert setting.records.is_held(V1)
+    assert not setting.records.is_held(V2)
+    setting.pass_time(0.25, V1)
+    # nothing could be recorded, and service goes on
+    assert not setting.records.is_held(V1)
+    setting.records.record_registration(V1)
+    assert not setting.records.is_held(V1)
+
+
+def test_recorded_version_is_not_held(setting):
+    setting.records.hold_s = 1.5
+    setting.records.record_registration(V1)
+    setting.records.add(V1)
+    assert not setting.records.is_held(V1)
+    setting.records.record_registration(V1)
+    assert not setting.records.is_held(V1)
+    # it is recorded once more after its record has been deleted
+    setting.records.discard(V1)
+    setting.records.record_registration(V1)
+    assert setting.records.is_held(V1)
+
+
+def test_records_of_one_service_tell_nothing_of_another(setting):
+    setting.records.add(OTHER)
+    assert not setting.records.has_any('llm')
+    assert setting.records.has_any('other')
--- a/tests/relay/test_stream_places.py
+++ b/tests/relay/test_stream_places.py
@@ -1,5 +1,7 @@
 """Streams that go on only at the software version that began them."""
 
+import types
+
 import attrs
 import pytest
 
@@ -9,8 +11,10 @@
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol.request_keys import stream_key
 from briarrill.protocol.stream_origins import StreamOrigin
+from briarrill.relay import stream_places
 from standins.platform_engine import StandinEngine, stream_events
 from tests.relay.front_end_setup import (
+    IDEMPOTENT,
     RESUMABLE_STREAM,
     ROUTE_HOST,
     STREAM,
@@ -191,6 +195,62 @@
     assert status == 200
 
 
+async def test_stream_does_not_begin_at_a_version_without_a_record():
+    engines = [
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        records = setup.upstreams.records
+        records.hold_s = 60
+        _register(setup, 0, 'v1')
+        _register(setup, 1, 'v2')
+        records.add(ServedVersion('llm', 'v1'))
+        for _ in range(8):
+            status, _, _ = await setup.send_request(PATH)
+            assert status == 200
+        assert not engines[1].requests
+        # its record tells the two apart
+        records.add(ServedVersion('llm', 'v2'))
+        setup.upstreams.unregister('i-0')
+        status, _, _ = await setup.send_request(PATH)
+        assert status == 200
+
+
+@pytest.mark.parametrize('is_recorded', [True, False])
+async def test_first_stream_waits_for_the_record_of_its_version(
+    is_recorded, monkeypatch
+):
+    engine = StandinEngine(stream_events(6), born=7)
+    async with run_front_end([RESUMABLE_STREAM, IDEMPOTENT], engine) as setup:
+        records = setup.upstreams.records
+        records.hold_s = 60
+        _register(setup, 0, 'v1')
+        # nobody goes on with requests of other routes
+        status, _, _ = await setup.send_request(IDEMPOTENT.prefix)
+        assert status == 200
+        served = ServedVersion('llm', 'v1')
+        checks = []
+
+        async def wait(duration_s):
+            checks.append(records.is_held(served))
+            if len(checks) == 3:
+                assert len(engine.requests) == 1
+                if is_recorded:
+                    records.add(served)
+                else:
+                    # the time for it ends
+                    records.hold_s = 0
+
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                stream_places, 'trio', types.SimpleNamespace(sleep=wait)
+            )
+            status, _, body = await setup.send_request(PATH)
+    assert (status, body.count(b'id: ')) == (200, 6)
+    assert checks == [True] * 3
+
+
 async def test_stream_whose_version_has_left_is_refused_at_once():
     engine = StandinEngine(stream_events(6), born=7)
     async with run_front_end([RESUMABLE_STREAM], engine) as setup:
