Begin streams at once at a process that starts among others

What callers would see: an entry that starts while others run delays the first resumable streams by up to 1.5 s, if it reads the registrations before our own keys. On a slow link that takes seconds.

Cause: no record that was read was taken for no record that exists. So all versions counted as unrecorded, and were held. Class: nothing read taken for nothing there.

Change: a version is not held at a process that has not read the records while a live peer has: that one sees the same registrations and records their versions. If nobody has read them, which is so at the first start and after a loss of power of all, they are held as before.

How much longer streams waited before was not measured.

--- a/briarrill/coordination/version_records.py
+++ b/briarrill/coordination/version_records.py
@@ -61,6 +61,8 @@
     :param is_read: tells whether the records in the service are known.
     :param followed_since: returns the monotonic time since which the
         registrations of upstreams have been followed without an outage.
+    :param is_read_by_peers: tells whether live peers know the records, which
+        they then write.
     :param hold_s: time for which a version without a record begins no
         streams that others may go on with, default none.
     :param clock: monotonic clock.
@@ -68,6 +70,9 @@
 
     is_read: Callable[[], bool]
     followed_since: Callable[[], float] = float
+    is_read_by_peers: Callable[[], bool] = attrs.field(
+        default=bool, kw_only=True
+    )
     hold_s: float = attrs.field(default=0, kw_only=True)
     _clock: Callable[[], float] = time.monotonic
     _seen_at: dict[ServedVersion, float] = attrs.field(
@@ -83,7 +88,13 @@
             self._unrecorded_since.setdefault(served, self._clock())
 
     def is_held(self, served: ServedVersion) -> bool:
-        """Tell whether a version begins no streams since it has no record."""
+        """Tell whether a version begins no streams since it has no record.
+
+        A process that has just started among others does not wait until it
+        has read the records.
+        """
+        if not self.is_read() and self.is_read_by_peers():
+            return False
         since = self._unrecorded_since.get(served)
         return since is not None and self._clock() - since < self.hold_s
 
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -236,6 +236,7 @@
             followed_since=lambda: (
                 mirrors[REGISTRATIONS_PREFIX].connected_since
             ),
+            is_read_by_peers=lambda: bool(parts.following_peers()),
             hold_s=VERSION_HOLD_S,
         ),
         # a watch is connected until its silence is noticed
--- a/tests/coordination/test_version_records.py
+++ b/tests/coordination/test_version_records.py
@@ -175,6 +175,19 @@
     assert not setting.records.is_held(V1)
 
 
+@pytest.mark.parametrize('is_read', [False, True])
+@pytest.mark.parametrize('is_read_by_peers', [False, True])
+def test_process_that_starts_among_others_holds_no_version(
+    setting, is_read, is_read_by_peers
+):
+    setting.records.is_read = lambda: is_read
+    setting.records.is_read_by_peers = lambda: is_read_by_peers
+    setting.records.hold_s = 1.5
+    setting.records.record_registration(V1)
+    is_unread_here_alone = is_read_by_peers and not is_read
+    assert setting.records.is_held(V1) is not is_unread_here_alone
+
+
 def test_recorded_version_is_not_held(setting):
     setting.records.hold_s = 1.5
     setting.records.record_registration(V1)
