Read the records of versions before all own keys at the start

Callers saw, since versions wait for their records: after a start, a resumable stream could wait for up to 1.5 s until the process had read all of our own keys, which stored jobs make longer (read from the code, not measured).

Cause: the records come with all other own keys, and sort after the jobs.

Change: a process that starts reads the prefix of the records with a call of its own, again until it succeeds or all own keys are read. Unknown streams are still refused until all own keys are followed.

Evidence: test_streams_wait_for_no_other_keys_than_the_records does not end with the change taken away (stopped after 20 s) and passes with it.

--- a/briarrill/coordination/version_recorder.py
+++ b/briarrill/coordination/version_recorder.py
@@ -12,7 +12,7 @@
 from eliot import log_message
 
 from ..errors import BriarrillError
-from ..state.keys import upstream_version_key
+from ..state.keys import UPSTREAM_VERSIONS_PREFIX, upstream_version_key
 from ..state.rendezvous import rank_nodes
 from ..transport.key_value import KeyValueService
 from .mirror import MirrorListener
@@ -69,6 +69,7 @@
 
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
+        await self.read_records()
         pause_s = CHECK_INTERVAL_S
         while True:
             await trio.sleep(pause_s)
@@ -79,6 +80,21 @@
                     MAX_RETRY_PAUSE_S, max(MIN_RETRY_PAUSE_S, pause_s * 2)
                 )
 
+    async def read_records(self) -> None:
+        """Read the records before all own keys, which take long, are read."""
+        while not self.upstreams.records.is_read():
+            try:
+                entries = await self.service.read_prefix(
+                    UPSTREAM_VERSIONS_PREFIX
+                )
+            except BriarrillError as exc:
+                log_message('version:not-read', reason=exc.message)
+                await trio.sleep(CHECK_INTERVAL_S)
+                continue
+            for entry in entries:
+                self.apply_key(entry.key, entry.body)
+            return
+
     async def write_due(self) -> bool:
         """Write and delete the records that this process is to change.
 
--- a/tests/coordination/test_version_recorder.py
+++ b/tests/coordination/test_version_recorder.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 import pytest
+import trio
 
 from briarrill.coordination import mirror, version_records
 from briarrill.coordination.upstream_table import (
@@ -48,6 +49,20 @@
         return await super().transact(changes)
 
 
+@attrs.define
+class RejectedRead:
+    """A service that rejects the first read."""
+
+    service: MemoryKeyValue
+    reads: int = 0
+
+    async def read_prefix(self, prefix):
+        self.reads += 1
+        if self.reads == 1:
+            raise PlatformUnavailableError('rejected')
+        return await self.service.read_prefix(prefix)
+
+
 @attrs.define
 class Process:
     """The parts of one process that record versions."""
@@ -159,6 +174,36 @@
         assert process.table.records.served_lately('llm') == {'v2'}
 
 
+async def test_streams_wait_for_no_other_keys_than_the_records(clock):
+    service = MemoryKeyValue()
+    for process in _make_fleet(service):
+        await process.recorder.write_due()
+    process = Process('p0', RejectedRead(service))
+    process.table.records.is_read = bool
+    process.table.records.hold_s = 60
+    process.register('llm', 'v1')
+    served = ServedVersion('llm', 'v1')
+    assert process.table.records.is_held(served)
+    with trio.fail_after(30):
+        await _run_until_not_held(process, served)
+    assert process.service.reads == 2
+
+
+async def _run_until_not_held(process, served):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(process.recorder.run)
+        while process.table.records.is_held(served):
+            await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
+async def test_records_are_not_read_twice(clock):
+    service = MemoryKeyValue()
+    process = Process('p0', service)
+    await process.recorder.read_records()
+    assert not service.calls
+
+
 async def test_lost_reply_of_a_record_is_made_up_for(clock):
     service = MemoryKeyValue()
     service.lose_replies = 1
