Pause longer after each failed read of the records of versions

What operators would see: while the store is away at a start, each process reads the records of versions five times a second (read from the code of the commit before, not measured).

Change: the pauses double up to 8 s, as those after failed writes do.

Result: the tests of the recorder pass.

--- a/briarrill/coordination/version_recorder.py
+++ b/briarrill/coordination/version_recorder.py
@@ -82,6 +82,7 @@
 
     async def read_records(self) -> None:
         """Read the records before all own keys, which take long, are read."""
+        pause_s = CHECK_INTERVAL_S
         while not self.upstreams.records.is_read():
             try:
                 entries = await self.service.read_prefix(
@@ -89,7 +90,8 @@
                 )
             except BriarrillError as exc:
                 log_message('version:not-read', reason=exc.message)
-                await trio.sleep(CHECK_INTERVAL_S)
+                await trio.sleep(pause_s)
+                pause_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
                 continue
             for entry in entries:
                 self.apply_key(entry.key, entry.body)
