Take no late message of a left call for that of its repeat

Callers would see: a call that named itself with `Idempotency-Key`, sent again after its caller left, answered by a late message of the first one. A late refusal of the first counted as 'not run' of the second, which was sent again though its upstream had it.

Cause: messages are matched by request and attempt, and a repeat has both of the call before it. Class: a key that is not unique to what it identifies. A sidecar refuses a repeat that it has seen; it has not where it refused the first for its session, its shutdown or the deadline.

Evidence: test_late_refusal_of_a_request_that_was_left_answers_no_repeat failed before: the repeat was sent twice. Two more tests of refusals, once more, late and in another order, held before.

Only requests that may run once are remembered; others have an identifier of their own each time.

Ruled out: a number for each call in all messages between entry and sidecar, which would need both at the new version.

--- a/briarrill/entry/calls.py
+++ b/briarrill/entry/calls.py
@@ -52,10 +52,15 @@
     :param key: request identifier and attempt number.
     :param end: called with the key, and whether to cancel the request at
         the upstream.
+    :param left_until_s: deadline of a request that may not run again, by the
+        monotonic clock; none of others.
     """
 
-    def __init__(self, key: CallKey, end: EndCallback) -> None:
+    def __init__(
+        self, key: CallKey, end: EndCallback, left_until_s: float | None = None
+    ) -> None:
         """Create a call without received messages."""
+        self.left_until_s = left_until_s
         self.finish: Finish | None = None
         self.received_chunks = 0
         self._key = key
--- a/briarrill/entry/links.py
+++ b/briarrill/entry/links.py
@@ -29,6 +29,7 @@
 from ..transport.instance_list import Instance
 from ..transport.zmq_socket import ZmqSocket, open_dealer
 from .calls import CallKey, OnlineCall, OnlineRequest
+from .left_calls import LeftCalls
 
 __all__ = ('OnlineRequest', 'UpstreamLink')
 
@@ -68,6 +69,7 @@
         self._peer_clock = PeerClock()
         self.load_report = LoadReport()
         self._calls: dict[CallKey, OnlineCall] = {}
+        self._left_calls = LeftCalls()
 
     @property
     def name(self) -> str:
@@ -103,22 +105,26 @@
         """Send an attempt of a request to the sidecar.
 
         :raises NoUpstreamError: there is no session; nothing was sent.
+        :raises DuplicateError: the same attempt was left here before.
         :raises PeerUnreachableError: the peer is disconnected; nothing was
             sent.
         """
         if self._socket is None or not self._session:
             raise NoUpstreamError(f'no session with upstream {self.name!r}')
         key = (req.request_id, attempt)
-        call = OnlineCall(key, self.end_call)
+        self._left_calls.check(key)
+        call = OnlineCall(
+            key, self.end_call, None if req.idempotent else req.deadline_s
+        )
         self._socket.send(encode(self._submit_message(req, attempt)))
         self._calls[key] = call
         return call
 
     def end_call(self, key: CallKey, is_cancelled: bool) -> None:
         """Remove a call; cancel it at the upstream if ``is_cancelled``."""
-        if self._calls.pop(key, None) is None or not is_cancelled:
-            return
-        self._send_cancel(key)
+        call = self._calls.pop(key, None)
+        if call is not None and is_cancelled:
+            self._leave(key, call)
 
     async def run(self) -> None:
         """Keep the session and receive messages until cancelled."""
@@ -180,7 +186,7 @@
         for key, call in calls.items():
             call.mark_lost()
             # a sidecar that was only suspended must not finish these calls
-            self._send_cancel(key)
+            self._leave(key, call)
 
     def _handle_frames(self, frames: list[bytes]) -> None:
         message = decode_or_none(frames)
@@ -224,7 +230,10 @@
         self._peer_clock.update(message.clock_s)
         self._receive_news(message.prompt_news)
 
-    def _send_cancel(self, key: CallKey) -> None:
+    def _leave(self, key: CallKey, call: OnlineCall) -> None:
+        """Cancel a call at the upstream, which may have sent its end."""
+        if call.left_until_s is not None:
+            self._left_calls.add(key, call.left_until_s)
         self._send(CancelCall(request_id=key[0], attempt=key[1]))
 
     def _send(self, message: Message) -> None:
