Hold suspected prompt parts back until the decision on them

Callers saw: a prompt part tried ten times a second ended some eighteen upstreams before its quarantine; a first part twenty.

Cause: the decision waits for 1.3 s, in which answers are told, and parts were sent meanwhile. A suspected request was sent again while the upstream of its broken run was being checked.

Change: from the second end on a part runs at one upstream at a time and not beside another suspect, on all processes; from the third end on (a first part: the fifth) it is held back until the decision. One that another part explains as well goes on for one more end. A broken run counts as in flight until the check. A part that a newer end tells apart is spared by the decision.

No sound part was accused where parts had been answered. The two new tests of the relay fail on the code before.

--- a/briarrill/coordination/crash_records.py
+++ b/briarrill/coordination/crash_records.py
@@ -84,8 +84,12 @@
     is_own: bool = False
     refuted_at: float | None = None
 
-    def add(self, crash: UpstreamCrash, now: float) -> None:
-        """Add the parts and requests that an observer had in flight."""
+    def add(self, crash: UpstreamCrash, now: float) -> bool:
+        """Add the parts and requests that an observer had in flight.
+
+        :return: whether any of them is new.
+        """
+        known_count = self._cause_count()
         for part in (*crash.other_parts, *crash.first_parts):
             if len(self.parts) < MAX_PARTS_PER_CRASH:
                 self.parts.setdefault(part, now)
@@ -93,6 +97,17 @@
         for request in crash.requests:
             if len(self.requests) < MAX_REQUESTS_PER_CRASH:
                 self.requests.setdefault(request, now)
+        return self._cause_count() > known_count
+
+    def accuses(
+        self, cause: int, part_answers: Answers, request_answers: Answers
+    ) -> bool:
+        """Tell whether the crash counts against a part or request."""
+        known_at = self.requests.get(cause)
+        if known_at is not None:
+            return not request_answers.clear(cause, known_at)
+        known_at = self.parts.get(cause)
+        return known_at is not None and not part_answers.clear(cause, known_at)
 
     def suspects(self, now: float, answers: Answers) -> list[int]:
         """Return the parts against which the crash counts."""
@@ -116,6 +131,9 @@
         if self.refuted_at is None:
             self.refuted_at = now
 
+    def _cause_count(self) -> int:
+        return len(self.parts) + len(self.first_parts) + len(self.requests)
+
 
 @attrs.define
 class QuarantineSpan:
--- a/briarrill/coordination/prompt_crashes.py
+++ b/briarrill/coordination/prompt_crashes.py
@@ -4,14 +4,14 @@
 at fault are told from the others that were in flight by two rules: the part
 was in flight at several upstreams that ended, and no upstream has answered a
 request with it. Such a part is quarantined. So is a whole request that comes
-again after several upstreams ended under it. Processes exchange crashes,
-answers and quarantined parts and requests as news.
+again after several upstreams ended under it. Until the decision, suspected
+parts run at one upstream at a time and then at none. Processes exchange
+crashes, answers and quarantined parts and requests as news.
 """
 
-import collections
 import itertools
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
@@ -26,20 +26,18 @@
     QuarantineSpan,
     remove_oldest,
 )
-from .request_blame import MIN_CRASHES
+from .part_crashes import PartCrashes
 from .request_crashes import RequestCrashes
+from .suspect_runs import SuspectRuns
 
 __all__ = (
     'QUARANTINE_S',
     'PromptQuarantine',
     'QuarantinedPart',
     'check_quarantine',
+    'may_run_at',
 )
 
-# upstreams that must have ended with a first part in flight, which most
-# requests of a route share
-MIN_CRASHES_OF_FIRST_PART = 5
-
 # time for which a part stays quarantined after the last crash with it, and
 # for which a crash counts
 QUARANTINE_S = 600.0
@@ -88,7 +86,9 @@
 
     :param clock: monotonic clock.
     :param report_s: time for which a crash is part of the news.
+    :ivar runs: where suspected requests and parts are in flight.
     :ivar requests: decides on whole requests.
+    :ivar parts: decides on parts of prompts.
     """
 
     def __init__(
@@ -102,7 +102,19 @@
         self._crashes: dict[int, CrashRecord] = {}
         self._answers = Answers(MAX_ANSWERED_PARTS)
         self._quarantined: dict[int, QuarantineSpan] = {}
-        self.requests = RequestCrashes(clock, self._crashes, self._quarantined)
+        self.runs = SuspectRuns(
+            clock, lambda: self.requests.suspects() | self.parts.suspects
+        )
+        self.requests = RequestCrashes(
+            clock, self._crashes, self._quarantined, self.runs
+        )
+        self.parts = PartCrashes(
+            clock,
+            self._crashes,
+            self._quarantined,
+            self._answers,
+            self.requests,
+        )
         self._contested: dict[int, float] = {}
         self._withdrawn: dict[int, float] = {}
         self._added: list[QuarantinedPart] = []
@@ -184,6 +196,7 @@
         is_older = connected_at < crash.known_at - MAX_NEWS_DELAY_S
         if is_older and now - crash.known_at > MIN_ALIVE_DELAY_S:
             crash.refute(now)
+            self.parts.recount()
 
     def update(self) -> list[QuarantinedPart]:
         """Forget what is old; quarantine the parts and requests at fault.
@@ -196,7 +209,7 @@
         self._withdraw_refuted(now)
         for request in self.requests.at_fault(now):
             self._add_quarantine(request, now, now + QUARANTINE_S)
-        while parts := self._worst_parts(now):
+        while parts := self.parts.worst(now):
             for part in parts:
                 self._add_quarantine(part, now, now + QUARANTINE_S)
         added, self._added = self._added, []
@@ -238,7 +251,7 @@
                 part: int(span.until - now)
                 for part, span in self._quarantined.items()
             },
-            suspects=self.requests.runs.own_suspects,
+            suspects=self.runs.own_suspects,
         )
 
     def apply_news(self, news: PromptNews) -> None:
@@ -250,10 +263,11 @@
             known = self._crashes.get(incarnation)
             if known is not None:
                 known.refute(now)
+                self.parts.recount()
         for part, age_s in news.answered.items():
             self._add_answer(part, now - age_s)
         self._apply_quarantined(news.quarantined, now)
-        self.requests.runs.record_peer_runs(news.suspects)
+        self.runs.record_peer_runs(news.suspects)
 
     def _apply_quarantined(
         self, seconds_left: Mapping[int, int], now: float
@@ -275,7 +289,8 @@
         now = self._clock()
         known = self._crashes.setdefault(crash.incarnation, CrashRecord(now))
         if known.refuted_at is None:
-            known.add(crash, now)
+            if known.add(crash, now):
+                self.parts.recount()
             in_flight = known.parts.keys() | known.requests.keys()
             for part in self._quarantined.keys() & in_flight:
                 span = self._quarantined[part]
@@ -286,10 +301,12 @@
 
     def _add_answer(self, part: int, answered_at: float) -> None:
         """Record an answer as the newest one; end a quarantine it refutes."""
+        self.parts.expect_answer(part)
         self._answers_of(part).add(part, answered_at)
         span = self._quarantined.get(part)
         if span and answered_at > span.since - ANSWER_VALIDITY_S:
             self._quarantined.pop(part)
+            self.parts.recount()
 
     def _answers_of(self, part: int) -> Answers:
         """Return the answers to requests or to parts."""
@@ -304,6 +321,7 @@
         span.until = max(span.until, until)
         span.evidence |= _crashed_with(part, self._crashes)
         if is_new:
+            self.parts.recount()
             self._added.append(QuarantinedPart(part, tuple(span.evidence)))
         remove_oldest(self._quarantined, MAX_QUARANTINED)
 
@@ -312,36 +330,9 @@
         for part, span in list(self._quarantined.items()):
             if span.is_refuted(self._crashes):
                 self._quarantined.pop(part)
+                self.parts.recount()
                 self._withdrawn[part] = now
 
-    def _worst_parts(self, now: float) -> list[int]:
-        """Return the parts in flight at most of the unexplained crashes.
-
-        None if they are too few. A first part is at fault only if no other
-        part is. Crashes under one request count once, as it may be at fault
-        itself.
-        """
-        causes: dict[int, set[int]] = collections.defaultdict(set)
-        first_parts: set[int] = set()
-        repeated = self.requests.repeated()
-        for incarnation, crash in self._crashes.items():
-            is_explained = not self._quarantined.keys().isdisjoint(crash.parts)
-            if is_explained or crash.refuted_at is not None:
-                continue
-            first_parts |= crash.first_parts
-            cause = max(repeated & crash.requests.keys(), default=incarnation)
-            for part in crash.suspects(now, self._answers):
-                causes[part].add(cause)
-        counts = collections.Counter(
-            {part: len(distinct) for part, distinct in causes.items()}
-        )
-        first_counts = collections.Counter(
-            {part: counts.pop(part) for part in first_parts & counts.keys()}
-        )
-        return _most_frequent(counts, MIN_CRASHES) or _most_frequent(
-            first_counts, MIN_CRASHES_OF_FIRST_PART
-        )
-
     def _forget_old(self, now: float) -> None:
         """Remove old crashes, answers and ended quarantines."""
         for incarnation, crash in list(self._crashes.items()):
@@ -350,32 +341,48 @@
                 is_over = now - crash.refuted_at > REFUTATION_S
             if is_over:
                 self._crashes.pop(incarnation)
+                self.parts.recount()
         for part, span in list(self._quarantined.items()):
             if span.until <= now:
                 self._quarantined.pop(part)
+                self.parts.recount()
         _remove_before(self._contested, now - REPORT_S)
         _remove_before(self._withdrawn, now - QUARANTINE_S)
 
 
 def check_quarantine(
-    quarantine: PromptQuarantine, prompt_parts: Iterable[str], request: int
+    quarantine: PromptQuarantine, prompt_parts: Collection[str], request: int
 ) -> None:
     """Check that neither a request nor a part of its prompt is held back.
 
     :param request: key of the request, 0 for an item.
     :raises QuarantinedError: it is.
     """
-    time_left_s = quarantine.time_left_s(prompt_parts)
-    if time_left_s:
-        raise PromptQuarantinedError(
-            'several upstreams ended while they ran a part of the prompt',
-            retry_after_s=time_left_s,
-        )
+    hold = quarantine.parts.hold(prompt_parts)
+    if hold is not None:
+        raise PromptQuarantinedError(hold.reason, retry_after_s=hold.seconds)
     hold = quarantine.requests.hold(request)
     if hold is not None:
         raise RequestQuarantinedError(hold.reason, retry_after_s=hold.seconds)
 
 
+def may_run_at(
+    quarantine: PromptQuarantine,
+    prompt_parts: Collection[str],
+    request: int,
+    incarnation: str,
+) -> bool:
+    """Tell whether a request may be sent to an upstream.
+
+    A suspected one may not run beside another suspected one.
+
+    :param request: key of the request, 0 for an item.
+    """
+    return quarantine.requests.may_run_at(
+        request, incarnation
+    ) and quarantine.parts.may_run_at(prompt_parts, incarnation)
+
+
 def _crashed_with(part: int, crashes: Mapping[int, CrashRecord]) -> set[int]:
     """Return the upstreams that ended with a part or request in flight."""
     return {
@@ -395,16 +402,6 @@
     )
 
 
-def _most_frequent(
-    counts: collections.Counter[int], min_count: int
-) -> list[int]:
-    """Return the parts with the highest count, none if it is too low."""
-    highest = max(counts.values(), default=0)
-    if highest < min_count:
-        return []
-    return [part for part, count in counts.items() if count == highest]
-
-
 def _remove_before(times: dict[int, float], oldest: float) -> None:
     for part, added_at in list(times.items()):
         if added_at < oldest:
--- a/briarrill/coordination/request_crashes.py
+++ b/briarrill/coordination/request_crashes.py
@@ -19,7 +19,7 @@
 )
 from .suspect_runs import SuspectRuns
 
-__all__ = ('Hold', 'RequestCrashes')
+__all__ = ('DECISION_RETRY_S', 'Hold', 'RequestCrashes')
 
 MAX_ANSWERED_REQUESTS = 4096
 
@@ -48,8 +48,8 @@
     :param clock: monotonic clock.
     :param crashes: known crashes by the hash of the upstream's incarnation.
     :param quarantined: what is quarantined by now, requests and parts.
+    :param runs: where suspected requests are in flight.
     :ivar answers: answers to requests.
-    :ivar runs: where suspected requests are in flight.
     """
 
     def __init__(
@@ -57,10 +57,11 @@
         clock: Callable[[], float],
         crashes: Mapping[int, CrashRecord],
         quarantined: Mapping[int, QuarantineSpan],
+        runs: SuspectRuns,
     ) -> None:
         """Start without answers."""
         self.answers = Answers(MAX_ANSWERED_REQUESTS)
-        self.runs = SuspectRuns(clock, self.suspects)
+        self.runs = runs
         self._clock = clock
         self._crashes = crashes
         self._quarantined = quarantined
--- a/briarrill/coordination/suspect_runs.py
+++ b/briarrill/coordination/suspect_runs.py
@@ -1,4 +1,8 @@
-"""briarrill.coordination.suspect_runs: know where suspected requests run."""
+"""briarrill.coordination.suspect_runs: know where suspected requests run.
+
+What is said of a request holds for a part of prompts as well: it is in flight
+where a request with it is.
+"""
 
 import collections
 import contextlib
@@ -22,7 +26,8 @@
 class SuspectRuns:
     """Requests in flight here, and suspected ones in flight at peers.
 
-    A run is the hash of an upstream's incarnation and a request's key.
+    A run is the hash of an upstream's incarnation and a request's key, or the
+    hash of a prompt part.
 
     :param clock: monotonic clock.
     :param suspects: returns the requests that may end their upstreams.
--- a/briarrill/coordination/upstream_ends.py
+++ b/briarrill/coordination/upstream_ends.py
@@ -75,6 +75,7 @@
     is_end_unmarked: bool = False
     _first_bytes_at: float | None = None
     _last_bytes_at: float = 0
+    _on_cleared: Callable[[], None] | None = None
 
     @property
     def has_begun(self) -> bool:
@@ -88,11 +89,18 @@
             return True
         return self._last_bytes_at - self._first_bytes_at < MAX_ANSWERED_S
 
+    def call_when_cleared(self, on_cleared: Callable[[], None]) -> None:
+        """Call a function once the prompt is no longer suspect."""
+        self._on_cleared = on_cleared
+
     def record_bytes(self) -> None:
         """Record bytes of the answer's body."""
         self._last_bytes_at = time.monotonic()
         if self._first_bytes_at is None:
             self._first_bytes_at = self._last_bytes_at
+        if self._on_cleared is not None and not self.is_suspect:
+            self._on_cleared()
+            self._on_cleared = None
 
     def record_end(self, status: int, *, is_marked: bool) -> None:
         """Record that the whole response was received.
@@ -112,6 +120,7 @@
     :param is_checking: whether a check runs or is about to start.
     :param has_departed: whether its registration ended, but not its process.
     :param has_ended: whether its crash is recorded.
+    :param unchecked: has broken requests count as in flight until the check.
     """
 
     upstream: RegisteredUpstream
@@ -125,6 +134,14 @@
     is_checking: bool = False
     has_departed: bool = False
     has_ended: bool = False
+    unchecked: contextlib.ExitStack = attrs.field(factory=contextlib.ExitStack)
+
+    @property
+    def unchecked_runs(self) -> Collection[PromptRun]:
+        """Return the broken requests that a check is due for."""
+        if not self.is_checking:
+            return ()
+        return {run for _, run in self.broken if run.is_suspect}
 
     @property
     def is_idle(self) -> bool:
@@ -253,18 +270,31 @@
 
     @contextlib.contextmanager
     def _count_run(self, incarnation: str, run: PromptRun) -> Iterator[None]:
-        """Count a request as in flight; tell peers of a suspected one."""
-        if not run.request_key:
-            yield
-            return
-        requests = self.quarantine.requests
-        counted = requests.runs.counted(
-            short_hash(incarnation), run.request_key
-        )
-        with counted:
-            if requests.is_suspect(run.request_key):
+        """Count a request as in flight; tell peers of a suspected one.
+
+        It counts until its upstream is checked, if it broke off, and no longer
+        once its answer has gone on for so long that it is not suspected.
+        """
+        causes = set(map(short_hash, run.prompt_parts))
+        if run.request_key:
+            causes.add(run.request_key)
+        upstream = short_hash(incarnation)
+        with contextlib.ExitStack() as counted:
+            for cause in causes:
+                counted.enter_context(
+                    self.quarantine.runs.counted(upstream, cause)
+                )
+            run.call_when_cleared(counted.close)
+            if self.quarantine.parts.is_suspect(
+                run.prompt_parts
+            ) or self.quarantine.requests.is_suspect(run.request_key):
                 self._on_change()
-            yield
+            try:
+                yield
+            finally:
+                runs = self._runs.get(incarnation)
+                if runs is not None and run in runs.unchecked_runs:
+                    runs.unchecked.push(counted.pop_all())
 
     @contextlib.contextmanager
     def _observe(
@@ -321,6 +351,7 @@
             return
         finally:
             runs.is_checking = False
+            runs.unchecked.close()
         channel.close()
         runs.has_departed = not self._is_registered(runs.upstream)
         runs.forget_unmarked(unmarked)
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -12,6 +12,7 @@
 from ..coordination.event_wait import EventWait
 from ..coordination.incarnation_check import is_registered_process
 from ..coordination.limit_sharing import LimitSharing
+from ..coordination.prompt_crashes import may_run_at
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end, is_event_stream
 from ..coordination.routes import Route
@@ -69,10 +70,11 @@
     def is_quarantined(self, stored: StoredItem) -> bool:
         """Tell whether no upstream gets an item because of its prompt."""
         quarantine = self.ends.quarantine
-        if not quarantine.quarantined_count:
+        if not quarantine.parts.may_hold:
             return False
         head = self.protocol.item_head('', stored)
-        return quarantine.time_left_s(self.protocol.prompt_parts(head)) > 0
+        parts = self.protocol.prompt_parts(head)
+        return quarantine.parts.hold(parts) is not None
 
     async def run(
         self,
@@ -114,7 +116,8 @@
 
         :return: with the upstream's version, None if that is not known; none
             if the upstream is unreachable, left, is at its limit, or may not
-            go on with the item.
+            go on with the item, or if the prompt is suspected and in flight
+            by now.
         """
         grant = await self.limits.acquire(
             upstream.incarnation, max_wait_s=0, is_batch=True
@@ -138,11 +141,20 @@
             progress.version is not None
             and self.upstreams.may_resume(upstream, progress.version)
         )
+        may_run = may_run and self._may_prompt_run(progress, call, upstream)
         if may_run and self.upstreams.still_accepts(upstream):
             return channel, upstream.version if is_registered else None
         channel.close()
         return None
 
+    def _may_prompt_run(
+        self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
+    ) -> bool:
+        """Tell whether a prompt that may be suspected can be sent now."""
+        return not self.is_quarantined(progress.stored) and may_run_at(
+            self.ends.quarantine, call.prompt_parts, 0, upstream.incarnation
+        )
+
     def _make_call(
         self,
         progress: ItemProgress,
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -23,7 +23,7 @@
     expected_wait_s,
     placeable_candidates,
 )
-from ..coordination.prompt_crashes import check_quarantine
+from ..coordination.prompt_crashes import check_quarantine, may_run_at
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end, is_event_stream
 from ..coordination.retries import RetryBudgets
@@ -216,8 +216,11 @@
             self._make_candidate(upstream)
             for upstream in self._streams.eligible(call, response)
             if upstream.upstream_id not in progress.failed_upstreams
-            and self._ends.quarantine.requests.may_run_at(
-                call.request_key, upstream.incarnation
+            and may_run_at(
+                self._ends.quarantine,
+                call.prompt_parts,
+                call.request_key,
+                upstream.incarnation,
             )
         ]
         if not candidates:
@@ -316,8 +319,11 @@
         )
         if not (
             self._upstreams.still_accepts(upstream)
-            and self._ends.quarantine.requests.may_run_at(
-                call.request_key, upstream.incarnation
+            and may_run_at(
+                self._ends.quarantine,
+                call.prompt_parts,
+                call.request_key,
+                upstream.incarnation,
             )
         ):
             raise UpstreamLeftError(
--- a/tests/coordination/test_crashes_at_a_high_rate.py
+++ b/tests/coordination/test_crashes_at_a_high_rate.py
@@ -17,6 +17,7 @@
 from briarrill.coordination.prompt_crashes import (
     PromptQuarantine,
     check_quarantine,
+    may_run_at,
 )
 from briarrill.coordination.report_sender import (
     HEARTBEAT_INTERVAL_S,
@@ -42,6 +43,7 @@
 
 # bounds on the upstreams that end in all
 MAX_ENDS_AT_ONE_ENTRY = 5
+MAX_ENDS_AT_FOUR_ENTRIES = 6
 
 UPSTREAMS = 24
 TRY_PAUSE_S = 0.1
@@ -149,10 +151,9 @@
                 self._replay.record_quarantined(part)
             await trio.sleep(0.01)
 
-    def may_run_at(self, _parts, key, upstream):
-        return self.quarantine.requests.may_run_at(
-            key, upstream.registered.incarnation
-        )
+    def may_run_at(self, parts, key, upstream):
+        incarnation = upstream.registered.incarnation
+        return may_run_at(self.quarantine, parts, key, incarnation)
 
 
 @attrs.define(eq=False)
@@ -279,7 +280,7 @@
 
 
 @pytest.fixture
-async def replay(monkeypatch, autojump_clock):
+async def replay(monkeypatch):
     """Return a function that replays tries and returns what was seen."""
     monkeypatch.setattr(
         upstream_ends,
@@ -301,9 +302,33 @@
 @pytest.mark.parametrize('seed', range(3))
 @pytest.mark.parametrize('kind', TRIES)
 async def test_cause_tried_ten_times_a_second_ends_few_upstreams(
-    replay, seed, kind
+    replay, seed, kind, autojump_clock
 ):
     seen = await replay(seed, kind)
     assert seen.quarantined_at is not None
     assert not seen.accused
     assert len(seen.end_times) <= MAX_ENDS_AT_ONE_ENTRY
+    assert not seen.held
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('kind', TRIES)
+async def test_entries_that_hear_of_suspects_late_end_few_upstreams(
+    replay, seed, kind, autojump_clock
+):
+    seen = await replay(seed, kind, entries=4, end_delay_s=0.2)
+    assert seen.quarantined_at is not None
+    assert not seen.accused
+    assert len(seen.end_times) <= MAX_ENDS_AT_FOUR_ENTRIES
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('kind', TRIES)
+async def test_sound_parts_that_nothing_has_answered_yet_are_not_accused(
+    replay, seed, kind, autojump_clock
+):
+    seen = await replay(seed, kind, warm_up_s=0)
+    assert seen.quarantined_at is not None
+    assert not seen.accused
+    assert len(seen.end_times) <= MAX_ENDS_AT_ONE_ENTRY
+    assert seen.held < seen.sound / 50
--- a/tests/coordination/test_upstream_ends.py
+++ b/tests/coordination/test_upstream_ends.py
@@ -314,3 +314,64 @@
         sent = quarantine.news().suspects
         assert sent == ((short_hash('i-1/1'), REQUEST),)
     assert quarantine.news().suspects == ()
+
+
+def _suspect_shared_part(quarantine):
+    shared = short_hash('shared')
+    quarantine.record_answer(PARTS[:1])
+    for incarnation in range(2):
+        quarantine.record_crash(
+            UpstreamCrash(incarnation, other_parts=(shared,))
+        )
+    return shared
+
+
+async def test_suspected_part_is_told_to_peers_when_it_is_sent(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    quarantine = observed.ends.quarantine
+    shared = _suspect_shared_part(quarantine)
+    assert observed.changes == []
+    with observed.ends.track(observed.upstream, PARTS):
+        assert observed.changes == [1]
+        sent = quarantine.news().suspects
+        assert sent == ((short_hash('i-1/1'), shared),)
+    assert quarantine.news().suspects == ()
+
+
+async def test_broken_suspect_counts_as_in_flight_until_the_check(observe):
+    """Else another one is sent before the end of the first is known."""
+    observed = observe(('127.0.0.1', free_port()))
+    quarantine = observed.ends.quarantine
+    shared = _suspect_shared_part(quarantine)
+    observed.fail()
+    assert quarantine.runs.is_in_flight(shared)
+    await observed.settle()
+    assert len(observed.crashes) == 3
+    assert not quarantine.runs.is_in_flight(shared)
+
+
+async def test_broken_suspect_at_a_live_upstream_is_sent_again(observe):
+    async with serve_standin(StandinEngine(stream_events(1))) as address:
+        observed = observe(address)
+        quarantine = observed.ends.quarantine
+        _suspect_shared_part(quarantine)
+        observed.fail()
+        assert quarantine.parts.hold(PARTS) is not None
+        await observed.settle()
+        assert quarantine.parts.hold(PARTS) is None
+
+
+async def test_suspect_whose_answer_goes_on_holds_back_no_other(
+    observe, monkeypatch
+):
+    now = [0.0]
+    monkeypatch.setattr(upstream_ends.time, 'monotonic', lambda: now[0])
+    observed = observe(('127.0.0.1', free_port()))
+    quarantine = observed.ends.quarantine
+    _suspect_shared_part(quarantine)
+    with observed.ends.track(observed.upstream, PARTS) as run:
+        run.record_bytes()
+        assert quarantine.parts.hold(PARTS) is not None
+        now[0] += upstream_ends.MAX_ANSWERED_S
+        run.record_bytes()
+        assert quarantine.parts.hold(PARTS) is None
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -27,7 +27,7 @@
 from briarrill.item_runs.slots import FreeSlots
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
 from briarrill.protocol.load_reports import LoadReport, short_hash
-from briarrill.protocol.prompt_news import PromptNews
+from briarrill.protocol.prompt_news import PromptNews, UpstreamCrash
 from briarrill.state.keys import ROOT_PREFIX
 from briarrill.state.stored_jobs import ItemState, job_creation_changes
 from briarrill.transport import http_channel
@@ -503,6 +503,27 @@
     assert held.results[0].state is ItemState.COMPLETED
 
 
+async def test_item_with_a_suspected_prompt_waits_for_the_one_in_flight(
+    run_scheduler,
+):
+    async with run_scheduler(stream_events(2)) as (setup, engine):
+        bad = short_hash('bad')
+        setup.quarantine.apply_news(
+            PromptNews(
+                crashes=tuple(
+                    UpstreamCrash(number, other_parts=(bad,))
+                    for number in range(2)
+                )
+            )
+        )
+        with setup.quarantine.runs.counted(short_hash('elsewhere'), bad):
+            tracked = await setup.submit(2, prompt='first:5,bad:5,own:1')
+            await trio.sleep(0.3)
+            assert not engine.requests
+        await _wait_until(lambda: not tracked.is_open)
+    assert tracked.results[0].state is ItemState.COMPLETED
+
+
 async def test_item_with_a_quarantined_prompt_expires_with_its_job(
     run_scheduler,
 ):
--- a/tests/relay/test_quarantined_prompts.py
+++ b/tests/relay/test_quarantined_prompts.py
@@ -4,7 +4,7 @@
 
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol.load_reports import short_hash
-from briarrill.protocol.prompt_news import PromptNews
+from briarrill.protocol.prompt_news import PromptNews, UpstreamCrash
 from standins.platform_engine import (
     StandinEngine,
     encode_event,
@@ -81,3 +81,38 @@
                 RESUMABLE_STREAM.prefix, prompt_prefix=PROMPT
             )
     assert not second.requests
+
+
+def _suspected(*parts):
+    """Return the news of two crashes under parts, one of them in flight."""
+    hashes = tuple(map(short_hash, parts))
+    return PromptNews(
+        crashes=tuple(
+            UpstreamCrash(number, other_parts=hashes) for number in range(2)
+        ),
+        suspects=((short_hash('i-0'), hashes[-1]),),
+    )
+
+
+async def test_suspected_part_runs_once_at_a_time():
+    engine = StandinEngine(stream_events(3))
+    async with run_front_end([IDEMPOTENT], engine) as setup:
+        setup.ends.quarantine.apply_news(_suspected('bad'))
+        status, headers, body = await setup.send_request(
+            IDEMPOTENT.prefix, prompt_prefix=PROMPT
+        )
+    assert (status, body[:3]) == (503, b'306')
+    assert float(headers[b'retry-after']) < 1
+    assert not engine.requests
+
+
+async def test_suspected_part_avoids_the_upstream_of_another_one():
+    first = StandinEngine(stream_events(3))
+    second = StandinEngine(stream_events(3))
+    async with run_front_end([IDEMPOTENT], first, second) as setup:
+        setup.ends.quarantine.apply_news(_suspected('bad', 'elsewhere'))
+        status, _, _ = await setup.send_request(
+            IDEMPOTENT.prefix, prompt_prefix=PROMPT
+        )
+    assert status == 200
+    assert (len(first.requests), len(second.requests)) == (0, 1)
