Reject requests beside limits that would start late in a queue

Callers saw half of all streams start late while four of six upstreams named limits: what exceeded the limits queued at the other two, and whole queues were late. A first attempt now waits for a permit that comes soon; else it is rejected at once with a Retry-After, if its caller can repeat it in time.

--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -59,7 +59,7 @@
     log_if_response_late,
     time_limit,
 )
-from .permits import MAX_REFUSALS, acquire_permit, has_no_limit
+from .permits import MAX_REFUSALS, acquire_permit, has_no_limit, weigh_start
 from .placer import Placer
 from .response import Response
 from .stream_places import StreamPlaces
@@ -182,13 +182,20 @@
         pool = placeable_candidates(
             candidates, skips_limited=progress.refused_permits >= MAX_REFUSALS
         )
+        service_time_s = self._service_times_of(call.service).mean_s
         candidate = await self._placer.choose(
             pool or [min(candidates, key=lambda one: one.blocked_s)],
             call.service,
             tolerance_s=START_TOLERANCE_OBJECTIVES
             * call.route.latency_objective_s,
-            service_time_s=self._service_times_of(call.service).mean_s,
+            service_time_s=service_time_s,
         )
+        permit_wait_s = 0.0
+        # a stream that goes on must not pause for a repetition
+        if not progress.attempts and call.last_event_id is None:
+            candidate, permit_wait_s = weigh_start(
+                candidate, candidates, call, progress, service_time_s
+            )
         progress.candidate = candidate
         if not progress.attempts:
             self._check_deadline_reachable(call, candidate)
@@ -201,7 +208,12 @@
                 f'upstream {candidate.name!r} left while it was chosen'
             )
         await acquire_permit(
-            self._load.limits, call, upstream, progress, may_wait=not pool
+            self._load.limits,
+            call,
+            upstream,
+            progress,
+            may_wait=not pool,
+            permit_wait_s=permit_wait_s,
         )
         return upstream
 
--- a/briarrill/relay/permits.py
+++ b/briarrill/relay/permits.py
@@ -1,13 +1,18 @@
 """briarrill.relay.permits: places under the request limits of upstreams."""
 
+import time
+from collections.abc import Sequence
+
 from ..coordination.limit_sharing import LimitSharing
+from ..coordination.limited_starts import plan_start
+from ..coordination.placement import UpstreamCandidate
 from ..coordination.relay_protocol import Call
 from ..coordination.request_limits import RequestLimits
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import OverloadedError, UpstreamBusyError
 from .attempts import MIN_RETRY_AFTER_S, CallProgress
 
-__all__ = ('MAX_REFUSALS', 'acquire_permit', 'has_no_limit')
+__all__ = ('MAX_REFUSALS', 'acquire_permit', 'has_no_limit', 'weigh_start')
 
 # longest wait for a place under an upstream's limit; multiple of the route's
 # latency objective
@@ -22,6 +27,35 @@
 MAX_REFUSALS = 3
 
 
+def weigh_start(
+    chosen: UpstreamCandidate,
+    candidates: Sequence[UpstreamCandidate],
+    call: Call,
+    progress: CallProgress,
+    service_time_s: float,
+) -> tuple[UpstreamCandidate, float]:
+    """Return where a first attempt starts, and its wait for a permit.
+
+    :param chosen: where it starts soonest without such a wait.
+    :raises OverloadedError: it would start too late, and the caller can
+        repeat it in time.
+    """
+    plan = plan_start(
+        chosen,
+        candidates,
+        service_time_s=service_time_s,
+        latency_objective_s=call.route.latency_objective_s,
+        time_left_s=call.deadline_s - time.monotonic(),
+        skips_limited=progress.refused_permits >= MAX_REFUSALS,
+    )
+    if plan.retry_after_s is not None:
+        raise OverloadedError(
+            'all upstreams are at their request limits or queue requests',
+            retry_after_s=max(MIN_RETRY_AFTER_S, plan.retry_after_s),
+        )
+    return plan.candidate, plan.permit_wait_s
+
+
 async def acquire_permit(
     sharing: LimitSharing,
     call: Call,
@@ -29,10 +63,13 @@
     progress: CallProgress,
     *,
     may_wait: bool,
+    permit_wait_s: float = 0,
 ) -> None:
     """Get a permit for a request under its upstream's limit, if any.
 
     :param may_wait: whether no other upstream may take it at once.
+    :param permit_wait_s: how long it may wait although others may take it,
+        default not at all.
     :raises UpstreamBusyError: there is none now, but others may take it.
     :raises BriarrillError: there is none, and no upstream may take it.
     """
@@ -40,7 +77,7 @@
     if progress.possible_runs and call.route.resumable:
         wait_s = max(wait_s, RESUMPTION_WAIT_GAPS * call.route.max_event_gap_s)
     grant = await sharing.acquire(
-        upstream.incarnation, max_wait_s=wait_s if may_wait else 0
+        upstream.incarnation, max_wait_s=wait_s if may_wait else permit_wait_s
     )
     if grant.is_granted:
         progress.refused_permits = 0
--- a/tests/relay/test_request_limits.py
+++ b/tests/relay/test_request_limits.py
@@ -1,5 +1,8 @@
 """Tests of request limits that upstreams name in their responses."""
 
+import contextlib
+
+import attrs
 import pytest
 import trio
 
@@ -152,3 +155,62 @@
         await trio.sleep(0)
         ejector.record_first_chunk('i-0', 2.0)
         assert ejector._health['i-0'].ejections
+
+
+@contextlib.asynccontextmanager
+async def _run_queued_beside_limited(*behaviours):
+    """Serve an upstream with a long queue and one without a place left."""
+    engines = [StandinEngine(one) for one in behaviours]
+    route = attrs.evolve(RESUMABLE_STREAM, timeout_s=60.0)
+    async with run_front_end([route], *engines) as setup:
+        sharing = setup.load.limits
+        sharing.limits.record_response('i-1', 1.0)
+        sharing.limits.block('i-1', 60.0)
+        setup.load.in_flight.online['i-0'] = 40
+        setup.front.forwarder._service_times_of('llm').add(0.5)
+        yield setup, engines
+
+
+async def test_request_that_would_queue_too_long_beside_a_limit_is_rejected():
+    """It was sent to the queue and started late, like all behind it."""
+    async with _run_queued_beside_limited(
+        stream_events(3), stream_events(3)
+    ) as (setup, engines):
+        status, headers, _ = await setup.send_request(
+            RESUMABLE_STREAM.prefix, deadline_ms='60000'
+        )
+    assert status == 503
+    # 21 turns of 0.5 s at 20 slots, and one and a half of those that run then
+    assert float(headers[b'retry-after']) == pytest.approx(1.275, abs=0.001)
+    assert [len(engine.requests) for engine in engines] == [0, 0]
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [{'deadline_ms': '3000'}, {'deadline_ms': '60000', 'last_event_id': '1'}],
+    ids=['no time to repeat it', 'stream that goes on'],
+)
+async def test_request_that_should_not_come_again_is_not_rejected(headers):
+    async with _run_queued_beside_limited(
+        stream_events(3), stream_events(3)
+    ) as (setup, engines):
+        status, _, _ = await setup.send_request(
+            RESUMABLE_STREAM.prefix, **headers
+        )
+    assert status == 200
+    assert len(engines[0].requests) == 1
+
+
+async def test_request_waits_for_a_place_rather_than_in_a_long_queue():
+    async with _run_queued_beside_limited(
+        stream_events(3), stream_events(3)
+    ) as (setup, engines):
+        sharing = setup.load.limits
+        sharing.limits.record_response('i-1', 10.0)
+        await sharing.acquire('i-1', max_wait_s=0)
+        sharing.limits.block('i-1', 0.1)
+        status, _, _ = await setup.send_request(
+            RESUMABLE_STREAM.prefix, deadline_ms='60000'
+        )
+    assert status == 200
+    assert [len(engine.requests) for engine in engines] == [0, 1]
