Drop the state of a peer that has started again since its report

A process that cannot reach the store fetches the keys of the peer that reported the newest revision, and removes those that the peer lacks. A peer that had started again after that report had no keys, so all keys of the receiver were removed: registrations, jobs and their unfinished tokens. When the store was back, the receiver continued its watch at its old position, so that keys which did not change stayed missing.

A peer now sends the revision up to which it lacks no change with its keys, and the receiver ignores keys that are not newer than its own.

test_state_of_a_peer_that_started_again_removes_no_keys failed before: the mirror was left without keys.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -57,10 +57,13 @@
 
     :param keys: all existing keys; the receiver deletes the others.
     :param changed: keys with values that may be new to the receiver.
+    :param revision: up to which the sender lacks no change, none if it does
+        not say.
     """
 
     keys: tuple[str, ...]
     changed: tuple[KeyValue, ...]
+    revision: int | None = None
 
 
 class MirrorListener(abc.ABC):
@@ -167,7 +170,9 @@
             for key, body in self._bodies.items()
             if self._revisions[key] > revision
         ]
-        return MirrorChanges(tuple(self._bodies), tuple(changed))
+        return MirrorChanges(
+            tuple(self._bodies), tuple(changed), self.complete_revision
+        )
 
     def events_after(self, revision: int) -> tuple[WatchEvent, ...] | None:
         """Return the newest change of each key changed after a revision.
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -117,7 +117,8 @@
 
         Nothing happens if no peer is ahead; a failure is only logged. The
         peer's keys are dropped if the mirror received others meanwhile: they
-        would undo newer changes.
+        would undo newer changes. So are those of a peer that has started
+        again since its report and lacks keys itself.
         """
         own_revision = mirror.complete_revision
         hosts_by_revision = {
@@ -141,6 +142,11 @@
             return
         if mirror.is_connected or mirror.complete_revision != own_revision:
             return
+        revision = (
+            newest_revision if changes.revision is None else changes.revision
+        )
+        if revision <= own_revision:
+            return
         # up to its position the mirror has all changes; what is new to it
         # among older ones was removed since
         newer = tuple(
@@ -149,7 +155,7 @@
             if entry.mod_revision > mirror.position
         )
         mirror.apply_changes(
-            MirrorChanges(changes.keys, newer), newest_revision
+            MirrorChanges(changes.keys, newer, revision), revision
         )
         log_message(
             'state:fetched',
--- a/tests/coordination/test_state_transfer.py
+++ b/tests/coordination/test_state_transfer.py
@@ -196,3 +196,27 @@
     monkeypatch.setattr(StateTransfer, '_fetch', fetch)
     await transfer._fetch_newer('', mirror)
     assert recorded.keys == {'a': b'peer', 'b': b'peer', 'c': b'own'}
+
+
+async def test_state_of_a_peer_that_started_again_removes_no_keys(
+    network, monkeypatch
+):
+    """Its report is from before the start, its keys are from after it."""
+    recorded = RecordingListener()
+    mirror = Mirror(MemoryKeyValue(), 'servers/', recorded, stores_bodies=True)
+    mirror._apply_event(WatchEvent('servers/x', b'ready', 8))
+    load = _exchange('new', f'{network}.2')
+    load.receive_report(
+        LoadReport('old', f'{network}.1', 1, 1, revisions={'servers/': 11})
+    )
+    started_again = Mirror(
+        MemoryKeyValue(), 'servers/', RecordingListener(), stores_bodies=True
+    )
+    transfer = StateTransfer({'servers/': mirror}, load, free_port())
+
+    async def fetch(self, host, prefix, revision):
+        return started_again.changes_after(revision)
+
+    monkeypatch.setattr(StateTransfer, '_fetch', fetch)
+    await transfer._fetch_newer('servers/', mirror)
+    assert recorded.keys == {'servers/x': b'ready'}
