Count a mirror that connects late as behind by what peers reported before

An entry with a slow link that followed the store again could answer that a job has no results though another entry had returned some over a second earlier. With its arrival the mirror counted as current, and the time that peers' newer revisions were missing was counted from then on, so that it was behind 0.3 to 0.4 s later at the earliest. Nor did a reply that holds only a part of the changes leave it behind. Its own report could name a revision of which it lacked a deletion.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -123,23 +123,20 @@
         )
         self._recent_since = 0
         self._follow_scope = trio.CancelScope()
-        self._peer_revision = 0
-        self._synced_revision = 0
+        self._coverage = _Coverage()
         self._resume_revision = 0
         self._awaits_first_change = False
-        self._is_partial = False
-        self._behind_since = math.inf
 
     @property
     def is_behind(self) -> bool:
         """Whether others may know changes that this mirror lacks.
 
-        They may while it does not follow the service, and once it lags behind
-        its peers for over ``MAX_LAG_S``.
+        They may while it does not follow the service, and while it lacks what
+        a peer reported over ``MAX_LAG_S`` ago, also before it connected.
         """
         if not self.is_connected:
             return True
-        return time.monotonic() - self._behind_since > MAX_LAG_S
+        return time.monotonic() - self._coverage.missing_since > MAX_LAG_S
 
     @property
     def position(self) -> int:
@@ -152,7 +149,7 @@
 
         Later pages of a snapshot hold newer changes, but not all of them.
         """
-        return self._resume_revision if self._is_partial else self.revision
+        return min(self.revision, self._coverage.revision)
 
     def is_stable(self, after_s: float) -> bool:
         """Tell whether the service has been followed for ``after_s``."""
@@ -161,7 +158,7 @@
 
     def record_peer_revision(self, revision: int) -> None:
         """Record the revision of a peer's newest change."""
-        self._peer_revision = max(self._peer_revision, revision)
+        self._coverage.record_peer(revision)
 
     def changes_after(self, revision: int) -> MirrorChanges:
         """Return the changes that a mirror at a revision lacks."""
@@ -217,6 +214,7 @@
         :param revision: of ``changes.keys``, 0 if it is not known.
         :param is_consistent: whether the keys are those of one revision.
         """
+        newest = max((one.mod_revision for one in changes.changed), default=0)
         for key in set(self._revisions).difference(changes.keys):
             if not revision or self._revisions[key] <= revision:
                 self._revisions.pop(key)
@@ -224,9 +222,12 @@
                 _notify(self._listener, key, None)
         for entry in changes.changed:
             self._apply_event(
-                WatchEvent(entry.key, entry.body, entry.mod_revision)
+                WatchEvent(entry.key, entry.body, entry.mod_revision),
+                is_next=False,
             )
-        self._is_partial = not is_consistent
+        # a peer's newest change may be a deletion, which is not listed
+        self.revision = max(self.revision, changes.revision or 0)
+        self._coverage.cover(revision or newest)
         if is_consistent:
             self.synced.set()
 
@@ -302,7 +303,12 @@
         newest entry alone would leave the mirror behind its peers for ever.
         """
         self._resume_revision = revision
-        self._synced_revision = max(self._synced_revision, revision)
+        self.synced.set()
+        if revision:
+            self._coverage.cover(revision)
+        if 0 < revision < self.revision and not self.is_connected:
+            # it has later keys from a page or a peer, but not all of them
+            return
         if not self.is_connected:
             now = time.monotonic()
             if now - self._disconnected_at > MIN_OUTAGE_S:
@@ -313,13 +319,16 @@
         self.is_connected = True
         self.followed.start()
         self.has_failed = False
-        self._is_partial = False
-        self.synced.set()
         self.advanced.set()
         self.advanced = trio.Event()
 
-    def _apply_event(self, event: WatchEvent) -> None:
-        """Apply a change unless a newer one of its key was applied."""
+    def _apply_event(self, event: WatchEvent, *, is_next: bool = True) -> None:
+        """Apply a change unless a newer one of its key was applied.
+
+        :param is_next: whether all changes before it were applied.
+        """
+        if is_next and event.mod_revision > self._coverage.revision:
+            self._coverage.cover(event.mod_revision)
         self.revision = max(self.revision, event.mod_revision)
         if event.mod_revision <= self._revisions.get(event.key, 0):
             return
@@ -358,13 +367,10 @@
         while True:
             await trio.sleep(LAG_CHECK_INTERVAL_S)
             now = time.monotonic()
-            synced_revision = max(self._synced_revision, self.revision)
-            misses_changes = self._peer_revision > synced_revision
-            if not self.is_connected or not misses_changes:
-                self._behind_since = math.inf
-                continue
-            self._behind_since = min(self._behind_since, now)
-            behind_s = now - max(self._behind_since, restarted_at)
+            if not self.is_connected:
+                # what is missing may come with the first changes
+                restarted_at = now
+            behind_s = now - max(self._coverage.missing_since, restarted_at)
             if (
                 behind_s > MAX_LAG_S + self._min_interval_s
                 and not self._awaits_first_change
@@ -374,6 +380,45 @@
                 self.restart()
 
 
+class _Coverage:
+    """Revision up to which a mirror lacks no change, and what peers report.
+
+    :ivar revision: it may become lower: a snapshot that is older than a
+        peer's state brings back keys that were deleted since.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._missing: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+
+    @property
+    def missing_since(self) -> float:
+        """Return when the oldest missing one was reported, else infinity."""
+        return self._missing[0][0] if self._missing else math.inf
+
+    def cover(self, revision: int) -> None:
+        """Record up to which revision the mirror lacks no change."""
+        self.revision = revision
+        while self._missing and self._missing[0][1] <= revision:
+            self._missing.popleft()
+
+    def record_peer(self, revision: int) -> None:
+        """Record a revision that a peer reports now."""
+        reported_at, newest = -math.inf, self.revision
+        if self._missing:
+            reported_at, newest = self._missing[-1]
+        if revision <= newest:
+            return
+        now = time.monotonic()
+        if now - reported_at < LAG_CHECK_INTERVAL_S:
+            # counts as reported with the one before, so that few are kept
+            self._missing.pop()
+            now = reported_at
+        self._missing.append((now, revision))
+
+
 def _notify(listener: MirrorListener, key: str, body: bytes | None) -> None:
     """Pass a key on; one that its listener cannot take is skipped."""
     with log_unexpected_errors('mirror:key-failed'):
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -1,6 +1,10 @@
 """Tests of mirrors: changes, reconnects, lag behind peers and old values."""
 
+from types import SimpleNamespace
+
+import attrs
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from briarrill.coordination import mirror as mirror_module
 from briarrill.coordination.mirror import (
@@ -10,6 +14,7 @@
 )
 from briarrill.errors import PlatformUnavailableError
 from briarrill.transport.key_value import (
+    ChangeSource,
     KeyChange,
     KeySnapshot,
     KeyValue,
@@ -259,3 +264,74 @@
     assert set(recorded.keys) == {'a/2', 'a/3'}
     mirror._apply_event(WatchEvent('a/2', None, 7))
     assert set(recorded.keys) == {'a/3'}
+
+
+class ScriptedSource(ChangeSource):
+    """Yields what it is sent."""
+
+    def __init__(self):
+        self.send, self._receive = trio.open_memory_channel(10)
+
+    async def follow_prefix(self, prefix, min_interval_s=0, after_revision=0):
+        async for change in self._receive:
+            yield change
+
+
+async def test_mirror_that_connects_is_behind_until_it_has_what_peers_reported(
+    autojump_clock, monkeypatch
+):
+    """Its first changes are as old as a slow link made them."""
+    monkeypatch.setattr(
+        mirror_module, 'time', SimpleNamespace(monotonic=trio.current_time)
+    )
+    source = ScriptedSource()
+    mirror = Mirror(source, 'a/', RecordingListener())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(mirror.run)
+        first = KeySnapshot((KeyValue('a/1', b'x', 4),), 5)
+        source.send.send_nowait(attrs.evolve(first, is_consistent=False))
+        await trio.sleep(1)
+        mirror.record_peer_revision(9)
+        await trio.sleep(1)
+        source.send.send_nowait(WatchProgress(7))
+        for _ in range(5):
+            await trio.sleep(0.1)
+            assert mirror.is_behind
+        source.send.send_nowait(WatchEvent('a/2', b'y', 9))
+        source.send.send_nowait(WatchProgress(9))
+        await trio.sleep(0.01)
+        assert not mirror.is_behind
+        nursery.cancel_scope.cancel()
+
+
+async def test_mirror_with_a_part_of_the_changes_since_a_snapshot_is_behind():
+    """A reply to a watch need not hold all changes."""
+    source = ScriptedSource()
+    mirror = Mirror(source, 'a/', RecordingListener())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(mirror.run)
+        page = KeySnapshot((KeyValue('a/2', b'x', 8),), 5, is_consistent=False)
+        for change in (page, WatchEvent('a/1', b'y', 6), WatchProgress(6)):
+            source.send.send_nowait(change)
+        await wait_all_tasks_blocked()
+        assert mirror.is_behind
+        assert mirror.complete_revision == 6
+        source.send.send_nowait(WatchProgress(8))
+        await wait_all_tasks_blocked()
+        assert not mirror.is_behind
+        nursery.cancel_scope.cancel()
+
+
+def test_snapshot_that_is_older_than_a_peers_state_is_complete_up_to_itself():
+    """It brings back a key that was deleted since."""
+    mirror = Mirror(MemoryKeyValue(), 'a/', RecordingListener())
+    mirror.apply_changes(
+        MirrorChanges(('a/2',), (KeyValue('a/2', b'x', 8),), 9), 9
+    )
+    mirror._apply_snapshot(KeySnapshot((KeyValue('a/1', b'x', 4),), 5))
+    assert mirror.complete_revision == 5
+    assert mirror.is_behind
+    mirror._apply_event(WatchEvent('a/1', None, 7))
+    mirror._advance_to(9)
+    assert mirror.complete_revision == 9
+    assert not mirror.is_behind
