--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -9,11 +9,13 @@
 import trio
 from eliot import log_message
 
-from ..coordination.placement import UpstreamCandidate
+from ..coordination.placement import UpstreamCandidate, expected_wait_s
 from ..coordination.relay_protocol import Call
+from ..coordination.service_times import ServiceTimes
 from ..errors import (
     BriarrillError,
     DeadlineExceededError,
+    DeadlineUnreachableError,
     OutcomeUnknownError,
     OverloadedError,
     QuarantinedError,
@@ -28,6 +30,7 @@
     'MIN_RETRY_AFTER_S',
     'Attempt',
     'CallProgress',
+    'check_deadline_reachable',
     'log_caller_left',
     'log_if_response_late',
     'time_limit',
@@ -182,3 +185,20 @@
     raise UpstreamLostError(
         f'no bytes from the upstream for {timeout_s:.3f} s'
     )
+
+
+def check_deadline_reachable(
+    call: Call, candidate: UpstreamCandidate, times: ServiceTimes
+) -> None:
+    """Check that the first attempt can finish before the deadline.
+
+    :raises DeadlineUnreachableError: the expected wait is too long.
+    """
+    wait_s = expected_wait_s(candidate, times.mean_s)
+    time_left_s = call.deadline_s - time.monotonic()
+    if wait_s and wait_s + times.shortest_s > time_left_s:
+        raise DeadlineUnreachableError(
+            f'expected wait of {wait_s:.3f} s is too long'
+            f' for a deadline in {time_left_s:.3f} s',
+            retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+        )
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import functools
 import random
 import time
 
@@ -20,7 +19,6 @@
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.placement import (
     UpstreamCandidate,
-    expected_wait_s,
     placeable_candidates,
 )
 from ..coordination.prompt_crashes import check_quarantine, may_run_at
@@ -35,7 +33,6 @@
     BriarrillError,
     CapacityError,
     DeadlineExceededError,
-    DeadlineUnreachableError,
     NoUpstreamError,
     OverloadedError,
     PeerUnreachableError,
@@ -55,6 +52,7 @@
     MIN_RETRY_AFTER_S,
     Attempt,
     CallProgress,
+    check_deadline_reachable,
     log_caller_left,
     log_if_response_late,
     time_limit,
@@ -198,7 +196,9 @@
             )
         progress.candidate = candidate
         if not progress.attempts:
-            self._check_deadline_reachable(call, candidate)
+            check_deadline_reachable(
+                call, candidate, self._service_times_of(call.service)
+            )
         # peers preempt a batch item when they receive the report
         if candidate.free_slots <= 0:
             self._load.schedule_urgent_report()
@@ -259,23 +259,6 @@
             is_limited=limits.rate_per_s(upstream.incarnation) is not None,
         )
 
-    def _check_deadline_reachable(
-        self, call: Call, candidate: UpstreamCandidate
-    ) -> None:
-        """Check that the first attempt can finish before the deadline.
-
-        :raises DeadlineUnreachableError: the expected wait is too long.
-        """
-        times = self._service_times_of(call.service)
-        wait_s = expected_wait_s(candidate, times.mean_s)
-        time_left_s = call.deadline_s - time.monotonic()
-        if wait_s and wait_s + times.shortest_s > time_left_s:
-            raise DeadlineUnreachableError(
-                f'expected wait of {wait_s:.3f} s is too long'
-                f' for a deadline in {time_left_s:.3f} s',
-                retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
-            )
-
     async def _run_attempt(
         self,
         call: Call,
@@ -600,11 +583,14 @@
 
     def _ejector_of(self, service: str) -> Ejector:
         """Return the ejector of a service, created on first use."""
-        is_comparable = functools.partial(
-            has_no_limit, self._upstreams, self._load.limits.limits
-        )
         return self._ejectors.setdefault(
-            service, Ejector(self._rng, is_comparable=is_comparable)
+            service,
+            Ejector(
+                self._rng,
+                is_comparable=lambda upstream_id: has_no_limit(
+                    self._upstreams, self._load.limits.limits, upstream_id
+                ),
+            ),
         )
 
     def _service_times_of(self, service: str) -> ServiceTimes:
