Check once for each version whether it may begin streams

What callers would see: while an entry does not follow our own keys, as in an outage of the store, each new resumable stream and each of its retries costs the entry processor time that grows with upstreams times peers. No test or play showed it; it was read from the code.

Cause: whether a version is held was asked for each upstream, not for each version, and the reports of all peers were gone through first, also where the version is recorded.

Evidence: the test counts 20 questions for 20 upstreams of a recorded version before, none after, and one for a version without a record.

--- a/briarrill/coordination/recent_versions.py
+++ b/briarrill/coordination/recent_versions.py
@@ -39,10 +39,15 @@
     beside a record of an earlier version: the two are told apart.
     """
     records = upstreams.records
+    # many upstreams share few versions
+    names = {(one.service, one.version) for one in candidates}
+    held = {
+        served for served in names if records.is_held(ServedVersion(*served))
+    }
+    if not held:
+        return list(candidates)
     return [
-        one
-        for one in candidates
-        if not records.is_held(ServedVersion(one.service, one.version))
+        one for one in candidates if (one.service, one.version) not in held
     ] or [one for one in candidates if records.has_any(one.service)]
 
 
--- a/briarrill/coordination/version_records.py
+++ b/briarrill/coordination/version_records.py
@@ -93,10 +93,10 @@
         A process that has just started among others does not wait until it
         has read the records.
         """
-        if not self.is_read() and self.is_read_by_peers():
-            return False
         since = self._unrecorded_since.get(served)
-        return since is not None and self._clock() - since < self.hold_s
+        if since is None or self._clock() - since >= self.hold_s:
+            return False
+        return self.is_read() or not self.is_read_by_peers()
 
     def has_any(self, service: str) -> bool:
         """Tell whether any version of a service is recorded."""
--- a/tests/coordination/test_recent_versions.py
+++ b/tests/coordination/test_recent_versions.py
@@ -75,3 +75,27 @@
     assert exclude_held(table, [UPSTREAM]) == []
     table.records.add(ServedVersion('llm', 'v1'))
     assert exclude_held(table, [UPSTREAM]) == [UPSTREAM]
+
+
+def test_peers_are_asked_once_for_a_version_of_many_upstreams():
+    asked = []
+
+    def is_read_by_peers():
+        asked.append(None)
+        return True
+
+    table = make_table()
+    table.records.is_read = bool
+    table.records.is_read_by_peers = is_read_by_peers
+    table.records.hold_s = 60
+    table.records.add(ServedVersion('llm', 'v1'))
+    upstreams = [
+        attrs.evolve(UPSTREAM, upstream_id=f'i-{number}')
+        for number in range(20)
+    ]
+    assert exclude_held(table, upstreams) == upstreams
+    assert not asked
+    second = [attrs.evolve(one, version='v2') for one in upstreams]
+    table.register(second[0])
+    assert exclude_held(table, upstreams + second) == upstreams + second
+    assert len(asked) == 1
