Go on with a stream only at the service that began it

Callers would see: on a route with several targets, a stream taken up at another service than the one that began it, answered 200, if that one's version has the same name, or if no process remembers the stream; a refusal where its own service could have gone on; and after a move of the route a stream that goes on at the new service.

Cause: what began a stream was known by its version only. The target of a caller's next try is drawn anew, and versions are recorded by service. Class: what a continuation must match was not part of its state.

Change: the origin names service and version, at peers too. A stream that is taken up is sent to the service that began it if its route still has that target, else refused at once with 503. One that no process remembers goes on only if one version of one of the route's targets has served lately. On routes with one target nothing changes.

Evidence: four tests failed with the change to the package stashed: 200 instead of 503 after a move; 4 of 9 requests at the other target; 200 for all unknown streams beside two targets; and refusals beside a target without upstreams. In tests that name an origin, its service was added.

Result: the tests of where streams go on, of origins, their sharing and their datagrams, and of recent versions pass (68); those with whole processes of two versions and after a loss of power pass (22, two workers, one run).

What remains: which targets a route had before is not known after a restart of all processes, and the progress of an item names no service.

--- a/briarrill/coordination/origin_sharing.py
+++ b/briarrill/coordination/origin_sharing.py
@@ -52,7 +52,7 @@
         """Add a reply; one that knows, or the last one, ends the wait."""
         self.missing -= 1
         if reply.is_known:
-            self.origin = StreamOrigin(reply.version)
+            self.origin = StreamOrigin(reply.version, reply.service)
         if reply.is_known or not self.missing:
             self.is_done.set()
 
@@ -82,7 +82,9 @@
     def tell(self, stream: int, origin: StreamOrigin) -> None:
         """Record what began a stream, here and at a few peers."""
         self.origins.record(stream, origin)
-        raw = encode_origin(OriginNotice(stream, origin.version))
+        raw = encode_origin(
+            OriginNotice(stream, origin.version, origin.service)
+        )
         for host in self._hosts(stream, TOLD_PEERS):
             self.send(raw, host)
 
@@ -113,12 +115,16 @@
     ) -> None:
         """Record a peer's notice, answer its question or use its reply."""
         if isinstance(message, OriginNotice):
-            self.origins.record(message.stream, StreamOrigin(message.version))
+            self.origins.record(
+                message.stream, StreamOrigin(message.version, message.service)
+            )
             return
         if isinstance(message, OriginQuestion):
             origin = self.origins.find(message.stream)
-            version = None if origin is None else origin.version
-            reply = OriginReply(message.number, origin is not None, version)
+            told = origin or StreamOrigin(None)
+            reply = OriginReply(
+                message.number, origin is not None, told.version, told.service
+            )
             self.send(encode_origin(reply), host)
             return
         question = self._open.get(message.number)
--- a/briarrill/coordination/stream_versions.py
+++ b/briarrill/coordination/stream_versions.py
@@ -1,8 +1,9 @@
 """briarrill.coordination.stream_versions: where a stream may go on.
 
 What two versions of an upstream's software write does not fit together, and
-upstreams do not check it. So a stream goes on only at the version that began
-it, which is remembered for a while.
+upstreams do not check it; nor does what two services write. So a stream goes
+on only at the service and version that began it, which are remembered for a
+while.
 """
 
 import time
@@ -62,16 +63,19 @@
 
 
 def infer_origin(
-    known: StreamOrigin | None, versions: Collection[str], *, is_complete: bool
+    known: StreamOrigin | None,
+    candidates: Collection[StreamOrigin],
+    *,
+    is_complete: bool,
 ) -> StreamOrigin:
     """Return what began a stream that a caller takes up.
 
     :param known: what this process or a peer has recorded.
-    :param versions: versions that served lately.
+    :param candidates: versions of the route's services that served lately.
     :param is_complete: whether these are surely all versions.
     """
     if known is not None:
         return known
-    if is_complete and len(versions) == 1:
-        return StreamOrigin(next(iter(versions)))
+    if is_complete and len(candidates) == 1:
+        return next(iter(candidates))
     return StreamOrigin(None)
--- a/briarrill/protocol/stream_origins.py
+++ b/briarrill/protocol/stream_origins.py
@@ -28,9 +28,11 @@
 
     :param version: software version of its upstream, empty if upstreams name
         none; None if it could not be known.
+    :param service: service of that upstream.
     """
 
     version: str | None
+    service: str = ''
 
 
 @attrs.frozen
@@ -39,10 +41,12 @@
 
     :param stream: key of the stream.
     :param version: as in :class:`StreamOrigin`.
+    :param service: as in :class:`StreamOrigin`.
     """
 
     stream: int
     version: str | None
+    service: str = ''
 
 
 @attrs.frozen
@@ -62,11 +66,13 @@
 
     :param is_known: whether the peer knows what began the stream.
     :param version: as in :class:`StreamOrigin`.
+    :param service: as in :class:`StreamOrigin`.
     """
 
     number: int
     is_known: bool
     version: str | None
+    service: str = ''
 
 
 _OriginMessage = OriginNotice | OriginQuestion | OriginReply
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -123,6 +123,7 @@
         began_at = time.monotonic()
         self._budgets.record_request(call.route.name)
         response.origin = await self._streams.origin_of(call)
+        call = self._streams.call_at(call, response.origin)
         try:
             await self._attempt_until_done(call, response, progress)
         except trio.Cancelled:
--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -52,12 +52,27 @@
             known = await self.sharing.find(
                 stream_key(self.protocol.caller(call.head), call.resumed_id)
             )
+        candidates = {
+            StreamOrigin(version, target.service)
+            for target in call.route.targets
+            for version in find_recent_versions(self.upstreams, target.service)
+        }
         return infer_origin(
             known,
-            find_recent_versions(self.upstreams, call.service),
+            candidates,
             is_complete=self.upstreams.knows_recent_versions,
         )
 
+    def call_at(self, call: Call, origin: StreamOrigin | None) -> Call:
+        """Return a call for the service that began its stream.
+
+        Unchanged if the call's route has no such target any more.
+        """
+        services = {target.service for target in call.route.targets}
+        if origin is None or origin.service not in services:
+            return call
+        return attrs.evolve(call, service=origin.service)
+
     def eligible(
         self, call: Call, response: Response
     ) -> list[RegisteredUpstream]:
@@ -94,9 +109,9 @@
         :raises PeerUnreachableError: the connection cannot be used.
         """
         if not call.route.resumable:
-            return StreamOrigin(upstream.version)
+            return StreamOrigin(upstream.version, upstream.service)
         if await is_registered_process(self.protocol, channel, upstream):
-            return StreamOrigin(upstream.version)
+            return StreamOrigin(upstream.version, upstream.service)
         self.upstreams.mark_replaced(upstream.incarnation)
         if response.origin is not None:
             channel.close()
@@ -129,7 +144,10 @@
         origin = response.origin
         if origin is None or origin.version is None:
             return False
-        return self.upstreams.may_resume(upstream, origin.version)
+        return (
+            upstream.service == origin.service
+            and self.upstreams.may_resume(upstream, origin.version)
+        )
 
 
 def _reason(service: str, response: Response) -> str:
@@ -139,6 +157,7 @@
     if response.origin.version is None:
         return 'the version that began the stream is not known'
     return (
-        f'no upstream of {service} with the version that began the stream,'
-        f' {response.origin.version!r}, accepts requests'
+        f'no upstream of {service} accepts requests with the version that'
+        f' began the stream, {response.origin.version!r} of'
+        f' {response.origin.service!r}'
     )
--- a/tests/coordination/test_origin_sharing.py
+++ b/tests/coordination/test_origin_sharing.py
@@ -19,7 +19,7 @@
 from briarrill.protocol.load_reports import LoadReport
 from briarrill.protocol.stream_origins import StreamOrigin, decode_origin
 
-V1 = StreamOrigin('v1')
+V1 = StreamOrigin('v1', 'llm')
 
 DOMAINS = 3
 
@@ -155,7 +155,7 @@
             self._interrupt(network, entry)
             found = infer_origin(
                 await network.nodes[other].find(stream),
-                versions,
+                set(map(StreamOrigin, versions)),
                 is_complete=bool(self.rng.randrange(10)),
             )
             self.taken_up += 1
--- a/tests/coordination/test_stream_versions.py
+++ b/tests/coordination/test_stream_versions.py
@@ -66,5 +66,11 @@
 def test_origin_is_inferred_only_if_there_is_no_other_version(
     known, versions, is_complete, expected
 ):
-    found = infer_origin(known, versions, is_complete=is_complete)
+    candidates = set(map(StreamOrigin, versions))
+    found = infer_origin(known, candidates, is_complete=is_complete)
     assert found == expected
+
+
+def test_one_version_of_two_services_is_no_origin():
+    candidates = {StreamOrigin('v1', 'llm'), StreamOrigin('v1', 'other')}
+    assert infer_origin(None, candidates, is_complete=True) == UNKNOWN
--- a/tests/protocol/test_stream_origins.py
+++ b/tests/protocol/test_stream_origins.py
@@ -18,9 +18,11 @@
 
 MESSAGES = [
     OriginNotice(STREAM, 'v1.1'),
+    OriginNotice(STREAM, 'v1', 'llm'),
     OriginNotice(STREAM, None),
     OriginQuestion(3, STREAM),
     OriginReply(3, is_known=True, version='v1'),
+    OriginReply(3, is_known=True, version='v1', service='llm'),
     OriginReply(3, is_known=False, version=None),
 ]
 
--- a/tests/relay/test_stream_places.py
+++ b/tests/relay/test_stream_places.py
@@ -6,6 +6,7 @@
 import pytest
 
 from briarrill.coordination.origin_sharing import OriginSharing
+from briarrill.coordination.routes import RouteTable, Target
 from briarrill.coordination.upstream_versions import UpstreamVersions
 from briarrill.coordination.version_records import ServedVersion
 from briarrill.errors import UpstreamLostError
@@ -37,6 +38,27 @@
     )
 
 
+def _set_targets(setup, *targets):
+    """Give the route new targets."""
+    moved = attrs.evolve(RESUMABLE_STREAM, targets=targets)
+    table = RouteTable(2, (moved,))
+    setup.front.routes = lambda: table
+
+
+def _move_upstream(setup, number, service):
+    """Register an upstream for another service."""
+    previous = setup.upstreams.find(f'i-{number}')
+    setup.upstreams.register(attrs.evolve(previous, service=service))
+    setup.upstreams.versions = UpstreamVersions()
+
+
+async def _take_up(setup, number):
+    """Take up the stream that an attempt began."""
+    return await setup.send_request(
+        PATH, attempt_id=f'again{number}', last_event_id='2', resumes='began'
+    )
+
+
 async def test_cut_stream_goes_on_at_its_version_though_others_are_free():
     engines = [
         StandinEngine(stream_events(6, cut_after=2), born=7),
@@ -108,7 +130,7 @@
     async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
         for number, version in enumerate(versions):
             _register(setup, number, version)
-        setup.load.origins.origins.record(BEGUN, StreamOrigin(began))
+        setup.load.origins.origins.record(BEGUN, StreamOrigin(began, 'llm'))
         status, _, body = await setup.send_request(
             PATH, attempt_id='again', last_event_id='2', resumes='began'
         )
@@ -255,7 +277,7 @@
     engine = StandinEngine(stream_events(6), born=7)
     async with run_front_end([RESUMABLE_STREAM], engine) as setup:
         _register(setup, 0, 'v2')
-        setup.load.origins.origins.record(BEGUN, StreamOrigin('v1'))
+        setup.load.origins.origins.record(BEGUN, StreamOrigin('v1', 'llm'))
         status, _, body = await setup.send_request(
             PATH, attempt_id='again', last_event_id='2', resumes='began'
         )
@@ -264,6 +286,66 @@
     assert not engine.requests
 
 
+async def test_stream_of_a_route_that_moved_does_not_go_on_elsewhere():
+    engines = [
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        _move_upstream(setup, 1, 'other')
+        for number in range(2):
+            _register(setup, number, 'v1')
+        status, _, _ = await setup.send_request(PATH, attempt_id='began')
+        assert status == 200
+        _set_targets(setup, Target('other'))
+        status, _, body = await _take_up(setup, 1)
+        assert status == 503
+        assert b"'llm'" in body
+        # new streams begin
+        status, _, _ = await setup.send_request(PATH, attempt_id='new')
+        assert status == 200
+    assert [len(engine.requests) for engine in engines] == [1, 1]
+
+
+async def test_stream_goes_on_at_the_target_that_began_it():
+    engines = [
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        _move_upstream(setup, 1, 'other')
+        for number in range(2):
+            _register(setup, number, 'v1')
+        status, _, _ = await setup.send_request(PATH, attempt_id='began')
+        assert status == 200
+        _set_targets(setup, Target('other'), Target('llm'))
+        replies = [await _take_up(setup, number) for number in range(8)]
+    assert {status for status, _, _ in replies} == {200}
+    assert [len(engine.requests) for engine in engines] == [9, 0]
+
+
+async def test_unknown_stream_is_refused_if_several_targets_have_served():
+    engines = [
+        StandinEngine(stream_events(6), born=7),
+        StandinEngine(stream_events(6), born=7),
+    ]
+    async with run_front_end([RESUMABLE_STREAM], *engines) as setup:
+        _move_upstream(setup, 1, 'other')
+        _set_targets(setup, Target('other'), Target('llm'))
+        replies = [await _take_up(setup, number) for number in range(8)]
+    assert {status for status, _, _ in replies} == {503}
+    assert not engines[0].requests
+    assert not engines[1].requests
+
+
+async def test_unknown_stream_goes_on_at_the_one_target_that_has_served():
+    engine = StandinEngine(stream_events(6), born=7)
+    async with run_front_end([RESUMABLE_STREAM], engine) as setup:
+        _set_targets(setup, Target('other'), Target('llm'))
+        replies = [await _take_up(setup, number) for number in range(8)]
+    assert {status for status, _, _ in replies} == {200}
+
+
 async def test_with_one_version_an_unknown_stream_goes_on():
     engine = StandinEngine(stream_events(6), born=7)
     async with run_front_end([RESUMABLE_STREAM], engine) as setup:
