Take no content without events for an engine's stream

Callers saw: a body of JSON or HTML, or nothing, in place of the events of a streamed completion, and then the end of the stream, with neither the end event nor an error.

Cause: the sidecar relayed what an engine answered with 200, 204 or a 3xx, as the body of an unstreamed completion, though a stream had been asked for. Class: what came was not checked to be what was asked for.

Change: an engine's response to a request for a streamed completion has events or an error status; any other is a failed attempt with unknown outcome. Requests that ask for no stream, and those of other paths, get what the engine answers. Types of content are compared without regard to case.

Ruled out: to fail all responses with 3xx. An unstreamed one reaches its caller with its own status, which says that it is no completion.

--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -7,6 +7,8 @@
 import httpx
 import msgspec
 
+from ...errors import BadRequestError
+from ...protocol.callers_api import parse_completion
 from ...transport.bounded_http import read_body, request
 from .base import (
     ONE_REQUEST,
@@ -28,6 +30,11 @@
 
 _EVENT_PREFIX = b'data: '
 
+HTTP_BAD_REQUEST = 400
+
+# endpoints whose requests ask for a stream in their body
+STREAMING_PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
+
 MODELS_TIMEOUT_S = 5.0
 MAX_MODELS_BYTES = 1_000_000
 
@@ -91,8 +98,14 @@
     async def send(
         self, req: UpstreamRequest
     ) -> AsyncIterator[UpstreamResponse]:
-        """Send a request and count the tokens of its response."""
+        """Send a request and count the tokens of its response.
+
+        :raises BadRequestError: the request cannot be sent over HTTP.
+        :raises httpx.HTTPError: the engine failed, or answered a request for
+            a stream with other content.
+        """
         async with super().send(req) as response:
+            _check_is_stream(req, response)
             response.chunks = _count_tokens(response, response.chunks)
             yield response
 
@@ -106,9 +119,8 @@
         :raises httpx.RemoteProtocolError: the stream has no end event, or
             the JSON body was cut.
         """
-        if not http_response.headers.get('content-type', '').startswith(
-            EVENT_STREAM
-        ):
+        content_type = http_response.headers.get('content-type', '')
+        if not _is_event_stream(content_type):
             body = await read_body(http_response, MAX_JSON_BYTES)
             _check_unframed_json(http_response, body)
             yield body
@@ -131,6 +143,37 @@
             )
 
 
+def _check_is_stream(req: UpstreamRequest, response: UpstreamResponse) -> None:
+    """Check that a request for a stream got one, or an error status.
+
+    The caller was promised events that end with an end event.
+
+    :raises httpx.RemoteProtocolError: it got other content.
+    """
+    status = response.http_status
+    if status >= HTTP_BAD_REQUEST or not _asks_for_stream(req):
+        return
+    if not _is_event_stream(response.content_type):
+        raise httpx.RemoteProtocolError(
+            f'status {status} without events to a request for a stream'
+        )
+
+
+def _is_event_stream(content_type: str) -> bool:
+    """Tell whether content is server-sent events; case does not matter."""
+    return content_type.lower().startswith(EVENT_STREAM)
+
+
+def _asks_for_stream(req: UpstreamRequest) -> bool:
+    """Tell whether a request is one for a streamed completion."""
+    if req.path.partition('?')[0] not in STREAMING_PATHS:
+        return False
+    try:
+        return parse_completion(req.body).stream
+    except BadRequestError:
+        return False
+
+
 def _check_unframed_json(http_response: httpx.Response, body: bytes) -> None:
     """Check that JSON whose end only a close has marked is whole.
 
