Take no late reply to the process before for one to a new question

Callers would see: a stream that is taken up after its entry started again goes on at the version that began another stream; a request above a limit that its upstream named; a worse choice of the upstream.

Cause: questions to peers for permits, for loads and for what began a stream are matched to replies by their number, which began at 0 at each start of a process. A peer that was silent for a while answers the process before at the address of the next one, with a number that this one uses too. Class: an identifier was taken for unique that is not.

Not shown with whole processes.

Change: numbers begin at a random one below 2**62, which messages carry.

Ruled out: to compare senders as well. A question for a permit goes to one address, so its number names the sender; after a restart both addresses are the same as before.

--- a/briarrill/coordination/expected_replies.py
+++ b/briarrill/coordination/expected_replies.py
@@ -5,12 +5,26 @@
 """
 
 import contextlib
+import itertools
+import secrets
 from collections.abc import Iterator
 
 import attrs
 import trio
 
-__all__ = ('ExpectedReplies',)
+__all__ = ('ExpectedReplies', 'question_numbers')
+
+# the numbers stay below 2**63, the largest that messages carry
+FIRST_NUMBER_BITS = 62
+
+
+def question_numbers() -> Iterator[int]:
+    """Return numbers of questions that no other process has used.
+
+    A late reply to a question of the process before, at the same address,
+    must not answer one of this process.
+    """
+    return itertools.count(secrets.randbits(FIRST_NUMBER_BITS))
 
 
 @attrs.define
--- a/briarrill/coordination/load_prober.py
+++ b/briarrill/coordination/load_prober.py
@@ -5,14 +5,13 @@
 before a request is placed. Without a reply the reports decide.
 """
 
-import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 import trio
 
 from ..protocol.load_probes import LoadProbe, ProbeReply, encode_probe
-from .expected_replies import ExpectedReplies
+from .expected_replies import ExpectedReplies, question_numbers
 
 __all__ = ('LoadProber',)
 
@@ -54,9 +53,7 @@
     online: Callable[[str], int]
     batch: Callable[[str], int]
     expected: ExpectedReplies = attrs.field(factory=ExpectedReplies)
-    _numbers: 'itertools.count[int]' = attrs.field(
-        factory=itertools.count, init=False
-    )
+    _numbers: Iterator[int] = attrs.field(factory=question_numbers, init=False)
     _rounds: dict[int, _Round] = attrs.field(factory=dict, init=False)
 
     async def probe(self, hosts: Mapping[str, str]) -> dict[str, ProbeReply]:
--- a/briarrill/coordination/origin_sharing.py
+++ b/briarrill/coordination/origin_sharing.py
@@ -7,8 +7,7 @@
 """
 
 import collections
-import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 import trio
@@ -22,7 +21,7 @@
     encode_origin,
 )
 from ..state.rendezvous import choose_across_domains
-from .expected_replies import ExpectedReplies
+from .expected_replies import ExpectedReplies, question_numbers
 from .stream_versions import StreamOrigins
 
 __all__ = ('OriginSharing',)
@@ -74,9 +73,7 @@
     expected: ExpectedReplies = attrs.field(factory=ExpectedReplies)
     failure_domain: str = ''
     origins: StreamOrigins = attrs.field(factory=StreamOrigins)
-    _numbers: 'itertools.count[int]' = attrs.field(
-        factory=itertools.count, init=False
-    )
+    _numbers: Iterator[int] = attrs.field(factory=question_numbers, init=False)
     _open: dict[int, _Question] = attrs.field(factory=dict, init=False)
 
     def tell(self, stream: int, origin: StreamOrigin) -> None:
--- a/briarrill/coordination/permit_exchange.py
+++ b/briarrill/coordination/permit_exchange.py
@@ -1,13 +1,12 @@
 """briarrill.coordination.permit_exchange: ask peers for permits by UDP."""
 
-import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import trio
 
 from ..protocol.permits import PermitReply, PermitRequest, encode_permit
-from .expected_replies import ExpectedReplies
+from .expected_replies import ExpectedReplies, question_numbers
 
 __all__ = ('PermitExchange',)
 
@@ -36,9 +35,7 @@
     send: Callable[[bytes, str], None]
     decide: Callable[[PermitRequest], PermitReply]
     expected: ExpectedReplies
-    _numbers: 'itertools.count[int]' = attrs.field(
-        factory=itertools.count, init=False
-    )
+    _numbers: Iterator[int] = attrs.field(factory=question_numbers, init=False)
     _open: dict[int, _Question] = attrs.field(factory=dict, init=False)
 
     async def ask(
--- a/tests/coordination/test_load_prober.py
+++ b/tests/coordination/test_load_prober.py
@@ -53,6 +53,21 @@
     assert await prober.probe({}) == {}
 
 
+async def test_late_reply_to_the_process_before_tells_no_load(
+    autojump_clock,
+):
+    asked = []
+    before = _prober(lambda raw, host: asked.append(decode_probe(raw)))
+    assert await before.probe({'i-1': 'owner'}) == {}
+
+    def reply_late(_raw, host):
+        late = ProbeReply(asked[0].number, 'i-1', 1, 1)
+        restarted.receive(late, host)
+
+    restarted = _prober(reply_late)
+    assert await restarted.probe({'i-1': 'owner'}) == {}
+
+
 async def test_probe_is_answered_on_the_port_of_the_reports(network):
     port = 21_330
     first = LoadExchange('a', f'{network}.1', port, (), lambda one: one)
--- a/tests/coordination/test_origin_sharing.py
+++ b/tests/coordination/test_origin_sharing.py
@@ -17,7 +17,11 @@
 )
 from briarrill.coordination.stream_versions import infer_origin
 from briarrill.protocol.load_reports import LoadReport
-from briarrill.protocol.stream_origins import StreamOrigin, decode_origin
+from briarrill.protocol.stream_origins import (
+    OriginReply,
+    StreamOrigin,
+    decode_origin,
+)
 
 V1 = StreamOrigin('v1', 'llm')
 
@@ -134,6 +138,30 @@
         assert await network.nodes['p3'].find(1) is None
 
 
+async def test_late_reply_to_the_process_before_names_no_version(
+    autojump_clock,
+):
+    """A peer that fell silent answers a process that was killed meanwhile."""
+    reports = Network(2).reports_at('p0')
+    asked = []
+    before = OriginSharing(
+        'p0',
+        reports=lambda: reports,
+        send=lambda raw, host: asked.append(decode_origin(raw)),
+    )
+    for stream in range(3):
+        assert await before.find(stream) is None
+
+    def reply_late(_raw, host):
+        for question in asked:
+            late = OriginReply(question.number, is_known=True, version='v1')
+            restarted.receive(late, host)
+
+    restarted = OriginSharing('p0', reports=lambda: reports, send=reply_late)
+    for stream in range(3, 6):
+        assert await restarted.find(stream) is None
+
+
 @attrs.define
 class Replay:
     """A rolling release under entries that are interrupted."""
