Wait for no place at a suspected upstream

Callers would see: while limits hold and queues are long, requests sent to an upstream that does not answer, as it has the place that comes soonest.

Cause: the upstream to wait for was chosen by its limit alone, past the choice that leaves suspected upstreams out.

Evidence: the new test failed before: the candidate with is_suspect=True was planned beside a sound one.

Change: suspected upstreams are not waited for; the request is weighed as if they had no place. Its queue and delay there are still not looked at.

--- a/briarrill/coordination/limited_starts.py
+++ b/briarrill/coordination/limited_starts.py
@@ -70,8 +70,12 @@
     wait_s = expected_wait_s(chosen, service_time_s)
     if not limited or chosen.is_limited or wait_s <= longest_wait_s:
         return plan
-    soonest = min(limited, key=lambda one: one.blocked_s)
-    if not skips_limited and soonest.blocked_s <= min(wait_s, longest_wait_s):
+    soonest = min(
+        (one for one in limited if not (skips_limited or one.is_suspect)),
+        key=lambda one: one.blocked_s,
+        default=None,
+    )
+    if soonest and soonest.blocked_s <= min(wait_s, longest_wait_s):
         return StartPlan(soonest, permit_wait_s=longest_wait_s)
     retry_after_s = wait_s + RETRY_SERVICE_TIMES * service_time_s
     if retry_after_s > RETRY_TIME_SHARE * time_left_s:
--- a/tests/coordination/test_limited_starts.py
+++ b/tests/coordination/test_limited_starts.py
@@ -91,6 +91,15 @@
     assert planned.retry_after_s is None
 
 
+def test_request_waits_for_no_place_at_a_suspected_upstream():
+    """It may not answer at all."""
+    silent = attrs.evolve(limited(0), name='silent', is_suspect=True)
+    sound = limited(0.1)
+    assert plan(QUEUED, silent, sound).candidate is sound
+    assert plan(QUEUED, silent).candidate is QUEUED
+    assert plan(QUEUED, silent, time_left_s=4.9).candidate is QUEUED
+
+
 def test_request_that_would_start_late_anywhere_is_rejected():
     planned = plan(QUEUED, limited(0.3))
     # seven turns of a slot, and one and a half for those that run then
