Count unfinished tokens at a peer while the own table is old

Callers saw a route's limit of unfinished tokens exceeded: an entry whose watch was cut or silent, but whose writes reached the store (also through a peer), took new jobs on the count of its own old table.

It now counts while it lacks nothing but what is under 1 s old, as far as the mirror and the reports of peers tell. After that a peer is asked whose table is recent itself, and 503 is answered if none is. A watch that is cut and goes on sooner changes nothing.

A peer's count was added to that of the whole own table, which an old table would double; only jobs that this process stored in the last 1.5 s are added.

Evidence: three tests of tests/platform/test_token_counts.py failed on the code before (0 tokens counted instead of 300 with a cut and with a silent watch, 0 instead of "not known" while all watches are cut), on a clock that the test advances. The two others, of jobs that both know and of short cuts, hold on both.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -50,6 +50,7 @@
     :param unfinished_tokens: tokens of the items that have no result.
     :param read_at: time at which the last read of all results from the
         service began, on trio's clock.
+    :param stored_at: monotonic time at which this process stored the job.
     :param changed: set, and replaced, at each change.
     """
 
@@ -60,6 +61,7 @@
     finished_item_ids: set[str] = attrs.field(factory=set)
     unfinished_tokens: int = 0
     read_at: float = -math.inf
+    stored_at: float = -math.inf
     changed: trio.Event = attrs.field(factory=trio.Event)
     items: dict[str, StoredItem] = attrs.field(factory=dict)
     _record_parts: dict[str, bytes] = attrs.field(factory=dict)
@@ -158,17 +160,28 @@
         tracked = self._jobs.get(job_id)
         return tracked if tracked is not None and tracked.job else None
 
-    def unfinished_tokens(self, route: str) -> int:
-        """Return the tokens of a route's items that have no result."""
+    def unfinished_tokens(
+        self, route: str, *, stored_within_s: float = math.inf
+    ) -> int:
+        """Return the tokens of a route's items that have no result.
+
+        :param stored_within_s: count only jobs that this process has stored
+            within a time; default all jobs.
+        """
+        min_stored_at = time.monotonic() - stored_within_s
         return sum(
             tracked.unfinished_tokens
             for tracked in self._jobs.values()
-            if tracked.is_open and tracked.job and tracked.job.route == route
+            if tracked.is_open
+            and tracked.job
+            and tracked.job.route == route
+            and tracked.stored_at >= min_stored_at
         )
 
     def add(self, job: StoredJob) -> TrackedJob:
         """Add a job that this process has just stored."""
         tracked = self._get_or_create(job.job_id)
+        tracked.stored_at = time.monotonic()
         tracked.add_job(job)
         self._notify()
         return tracked
--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -138,6 +138,20 @@
             return True
         return time.monotonic() - self._coverage.missing_since > MAX_LAG_S
 
+    def is_recent(self, max_age_s: float) -> bool:
+        """Whether it has all changes but those of the last ``max_age_s``.
+
+        As far as it and its peers know; a cut watch that goes on sooner, or a
+        change that is on its way, does not matter.
+        """
+        if not self.synced.is_set():
+            return False
+        now = time.monotonic()
+        old_since = self._coverage.missing_since
+        if not self.is_connected:
+            old_since = min(old_since, self._disconnected_at)
+        return now - old_since <= max_age_s
+
     @property
     def position(self) -> int:
         """Return the revision up to which all changes were received."""
@@ -332,7 +346,8 @@
         self.revision = max(self.revision, event.mod_revision)
         if event.mod_revision <= self._revisions.get(event.key, 0):
             return
-        self._record_recent(event)
+        dropped_revision = _add_recent(self._recent_changes, event)
+        self._recent_since = max(self._recent_since, dropped_revision)
         if event.body is None:
             self._revisions.pop(event.key, None)
             self._bodies.pop(event.key, None)
@@ -342,14 +357,6 @@
                 self._bodies[event.key] = event.body
         _notify(self._listener, event.key, event.body)
 
-    def _record_recent(self, event: WatchEvent) -> None:
-        """Add a change to the recent ones; the oldest one may be dropped."""
-        if len(self._recent_changes) == MAX_RECENT_CHANGES:
-            self._recent_since = max(
-                self._recent_since, self._recent_changes[0][0]
-            )
-        self._recent_changes.append((event.mod_revision, event.key))
-
     def _mark_disconnected(self, reason: str) -> None:
         if self.is_connected:
             self._disconnected_at = time.monotonic()
@@ -419,6 +426,16 @@
         self._missing.append((now, revision))
 
 
+def _add_recent(
+    changes: collections.deque[tuple[int, str]], event: WatchEvent
+) -> int:
+    """Add a recent change; return the revision of one that it drops, or 0."""
+    is_full = len(changes) == changes.maxlen
+    dropped_revision = changes[0][0] if is_full else 0
+    changes.append((event.mod_revision, event.key))
+    return dropped_revision
+
+
 def _notify(listener: MirrorListener, key: str, body: bytes | None) -> None:
     """Pass a key on; one that its listener cannot take is skipped."""
     with log_unexpected_errors('mirror:key-failed'):
--- a/briarrill/coordination/token_counts.py
+++ b/briarrill/coordination/token_counts.py
@@ -1,7 +1,7 @@
 """briarrill.coordination.token_counts: unfinished tokens of each route.
 
-A process counts them in its own table of jobs. One that has started and has
-not read the stored jobs yet asks a peer that has.
+A process counts them in its own table of jobs. One whose table may be old,
+because it has started or its watch is cut, asks a peer whose table is not.
 """
 
 import random
@@ -18,7 +18,7 @@
 from .load_exchange import LoadExchange
 from .state_transfer import request_from_peer
 
-__all__ = ('TOKEN_COUNTS_PATH', 'TokenCounts')
+__all__ = ('MAX_COUNT_AGE_S', 'TOKEN_COUNTS_PATH', 'TokenCounts')
 
 TOKEN_COUNTS_PATH = '/unfinished-tokens/'
 
@@ -26,6 +26,14 @@
 # some hundred milliseconds
 REPLY_TIMEOUT_S = 0.1
 
+# greatest age of a table whose tokens are counted; the time after which jobs
+# that a caller was told of must be known at every process
+MAX_COUNT_AGE_S = 1.0
+
+# time for which a peer may lack a job that this process has stored: the age of
+# its table and, rounded up, the longest pause between two load reports
+PEER_LAG_S = 1.5
+
 # peers that are asked, one after the other
 MAX_ASKED_PEERS = 2
 
@@ -34,12 +42,13 @@
 class TokenCounts:
     """Counts the unfinished tokens of routes, here or at a peer.
 
-    :param has_all_jobs: whether the table has had all jobs once.
+    :param is_recent: whether the table has all jobs and results but those of
+        the last ``MAX_COUNT_AGE_S``.
     :param port: port at which all processes serve their peers.
     """
 
     jobs: JobTable
-    has_all_jobs: Callable[[], bool]
+    is_recent: Callable[[], bool]
     load: LoadExchange
     port: int
     rng: random.Random
@@ -50,13 +59,14 @@
         A peer may lack the jobs that this process has just stored, so they
         are added to its count.
         """
-        own = self.jobs.unfinished_tokens(route)
-        if self.has_all_jobs():
-            return own
+        if self.is_recent():
+            return self.jobs.unfinished_tokens(route)
         for host in self._hosts():
             tokens = await self._ask(host, route)
             if tokens is not None:
-                return tokens + own
+                return tokens + self.jobs.unfinished_tokens(
+                    route, stored_within_s=PEER_LAG_S
+                )
         return None
 
     def reply(self, path: str) -> bytes | None:
@@ -64,7 +74,7 @@
 
         :param path: name of the route, quoted.
         """
-        if not self.has_all_jobs():
+        if not self.is_recent():
             return None
         return str(self.jobs.unfinished_tokens(unquote(path))).encode()
 
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -19,7 +19,11 @@
 from ..coordination.prompt_crashes import PromptQuarantine
 from ..coordination.registration import hold_registration
 from ..coordination.state_transfer import PeerResource, StateTransfer
-from ..coordination.token_counts import TOKEN_COUNTS_PATH, TokenCounts
+from ..coordination.token_counts import (
+    MAX_COUNT_AGE_S,
+    TOKEN_COUNTS_PATH,
+    TokenCounts,
+)
 from ..coordination.upstream_ends import UpstreamEnds
 from ..coordination.upstream_table import RETURN_GRACE_S, UpstreamTable
 from ..coordination.version_recorder import VersionRecorder
@@ -144,9 +148,10 @@
         """Create the table of jobs; return it with what counts its tokens."""
         jobs = JobTable(self.store)
         self.own_keys.add('', jobs)
+        mirror = self.mirrors[ROOT_PREFIX]
         counts = TokenCounts(
             jobs,
-            self.mirrors[ROOT_PREFIX].synced.is_set,
+            lambda: mirror.is_recent(MAX_COUNT_AGE_S),
             self.load,
             self.cfg.peer_port,
             random.Random(),
