Show that streams of a version without a record are joined after a loss of power

Callers see: while the store takes none of our writes, a new version begins streams 1.5 s after its registration, unrecorded. If all processes then lose power and it has left when they are back, its streams are answered 200 and go on at the version before.

To hold such a version for longer holds up service while the store rejects writes; no fix was tried.

--- a/tests/platform/test_streams_after_power_loss.py
+++ b/tests/platform/test_streams_after_power_loss.py
@@ -258,6 +258,32 @@
     assert_unmixed(streams)
 
 
+async def test_streams_are_not_joined_if_a_version_left_without_a_record(
+    network, tmp_path
+):
+    store = RejectingStore()
+    async with versioned_fleet(
+        network, tmp_path, is_cutting=False, registered=('v1',), store=store
+    ) as fleet:
+        await wait_settled(fleet)
+        store.rejects_writes = True
+        arrive(fleet, 'v2')
+        await trio.sleep(SETTLING_S)
+        streams = await begin_streams(fleet)
+        assert {text for one in streams for text in one.versions} == {
+            'data: v1',
+            'data: v2',
+        }
+        outage = Outage(fleet, tmp_path)
+        await outage.kill()
+        leave(fleet, 'v2')
+        store.rejects_writes = False
+        await outage.restart()
+        await outage.wait_ready()
+        await take_all_up(fleet, streams)
+    assert_unmixed(streams)
+
+
 async def test_streams_are_not_joined_after_a_loss_of_power_at_the_first_start(
     network, tmp_path
 ):
