Let unrecorded versions begin no streams beside a recorded one

What callers saw: while the store took no writes, upstreams of a new version began resumable streams without a record 1.5 s after their registration. If all processes then lost power and the version had left when they were back, its streams went on at the other version.

Cause: the wait for the record ended after 1.5 s, also where a recorded version accepted the streams. The bound is there for the service to go on, which it does at the recorded version.

Now a version without a record begins none as long as a recorded one of its service accepts; without such a one the bound stands.

Still joined: streams of a version that began unrecorded because no recorded one accepted, if the version before it is back after the loss of power.

--- a/briarrill/coordination/recent_versions.py
+++ b/briarrill/coordination/recent_versions.py
@@ -2,7 +2,8 @@
 
 They are those of registered upstreams, those that this process saw leave, and
 those that are recorded. A version that begins streams before it is recorded
-may leave and be known to nobody, so it waits for its record for a while.
+may leave and be known to nobody, so it waits for its record: as long as a
+recorded version accepts streams, else for a short time.
 """
 
 import itertools
@@ -35,20 +36,30 @@
 ) -> list[RegisteredUpstream]:
     """Return the upstreams that may begin streams now.
 
-    Without others, upstreams of a version that has no record begin streams
+    Those of recorded versions if there are any, for as long as the others
+    have no record: nothing that outlives the processes would tell them apart.
+    Without them, upstreams of a version that has no record begin streams
     beside a record of an earlier version: the two are told apart.
     """
     records = upstreams.records
     # many upstreams share few versions
     names = {(one.service, one.version) for one in candidates}
+    unrecorded = {
+        served
+        for served in names
+        if records.lacks_record(ServedVersion(*served))
+    }
+    recorded = _without(candidates, unrecorded)
+    if recorded:
+        return recorded
     held = {
-        served for served in names if records.is_held(ServedVersion(*served))
+        served
+        for served in unrecorded
+        if records.is_held(ServedVersion(*served))
     }
-    if not held:
-        return list(candidates)
-    return [
-        one for one in candidates if (one.service, one.version) not in held
-    ] or [one for one in candidates if records.has_any(one.service)]
+    return _without(candidates, held) or [
+        one for one in candidates if records.has_any(one.service)
+    ]
 
 
 def update_records(upstreams: UpstreamTable) -> None:
@@ -60,3 +71,12 @@
     registered = set(itertools.starmap(ServedVersion, names))
     seen_lately = registered | upstreams.versions.left_lately
     upstreams.records.update(registered, seen_lately)
+
+
+def _without(
+    candidates: Sequence[RegisteredUpstream], names: set[tuple[str, str]]
+) -> list[RegisteredUpstream]:
+    """Return the upstreams whose service and version are not named."""
+    return [
+        one for one in candidates if (one.service, one.version) not in names
+    ]
--- a/briarrill/coordination/version_records.py
+++ b/briarrill/coordination/version_records.py
@@ -26,8 +26,9 @@
 # process counts it, so that none records it again
 RECORD_RETENTION_S = 70.0
 
-# longest time for which a version without a record begins no streams. Callers
-# give up 2 s without a first event; service goes on if nothing can be recorded
+# longest time for which a version without a record begins no streams while no
+# recorded one accepts any. Callers give up 2 s without a first event; service
+# goes on if nothing can be recorded
 VERSION_HOLD_S = 1.5
 
 # time after the start, or an outage, until peers are heard and agree on which
@@ -64,7 +65,8 @@
     :param is_read_by_peers: tells whether live peers know the records, which
         they then write.
     :param hold_s: time for which a version without a record begins no
-        streams that others may go on with, default none.
+        streams that others may go on with, though no recorded one accepts
+        any; with the default 0 records are not waited for at all.
     :param clock: monotonic clock.
     """
 
@@ -88,14 +90,20 @@
             self._unrecorded_since.setdefault(served, self._clock())
 
     def is_held(self, served: ServedVersion) -> bool:
-        """Tell whether a version begins no streams since it has no record.
-
-        A process that has just started among others does not wait until it
-        has read the records.
-        """
+        """Tell whether a version begins no streams since it has no record."""
         since = self._unrecorded_since.get(served)
         if since is None or self._clock() - since >= self.hold_s:
             return False
+        return self.lacks_record(served)
+
+    def lacks_record(self, served: ServedVersion) -> bool:
+        """Tell whether a version that is in use has no record yet.
+
+        A process that has just started among others does not know, and takes
+        it for recorded, until it has read the records.
+        """
+        if not self.hold_s or served not in self._unrecorded_since:
+            return False
         return self.is_read() or not self.is_read_by_peers()
 
     def has_any(self, service: str) -> bool:
--- a/tests/coordination/test_recent_versions.py
+++ b/tests/coordination/test_recent_versions.py
@@ -67,6 +67,34 @@
     assert exclude_held(table, [UPSTREAM, second]) == [UPSTREAM, second]
 
 
+def test_version_waits_for_its_record_as_long_as_a_recorded_one_accepts(
+    monkeypatch,
+):
+    table = make_table()
+    now = [500.0]
+    monkeypatch.setattr(table.records, '_clock', lambda: now[0])
+    table.records.hold_s = 1.5
+    table.records.add(ServedVersion('llm', 'v1'))
+    second = attrs.evolve(UPSTREAM, upstream_id='i-2', version='v2')
+    table.register(second)
+    now[0] += 600
+    assert exclude_held(table, [UPSTREAM, second]) == [UPSTREAM]
+    assert exclude_held(table, [second]) == [second]
+
+
+def test_versions_begin_streams_at_last_if_none_can_be_recorded(monkeypatch):
+    table = make_table()
+    now = [500.0]
+    monkeypatch.setattr(table.records, '_clock', lambda: now[0])
+    table.records.hold_s = 1.5
+    second = attrs.evolve(UPSTREAM, upstream_id='i-2', version='v2')
+    table.register(second)
+    update_records(table)
+    assert exclude_held(table, [UPSTREAM, second]) == []
+    now[0] += 600
+    assert exclude_held(table, [UPSTREAM, second]) == [UPSTREAM, second]
+
+
 def test_no_version_begins_streams_before_the_first_record():
     table = make_table()
     table.records.hold_s = 60
