Go on with an item only at the service that wrote its text

What a customer saw: an item of a job whose route had moved to another service went on there with the text that the service before had begun, if both named the same software version.

Cause: an item's progress named the version of its text and no service; streams have had both since. Class: what a continuation must match was not part of its state.

The progress holds what wrote it as one value, service and version, in memory, in hand-overs and in checkpoints. A record that names no service matches none, so a text that an earlier release hands over begins anew. UpstreamTable.may_go_on compares both for streams and for items.

test_next_run_goes_on_at_the_same_service_only failed before (the run at the other service was COMPLETED, its progress in memory and handed over) and passes.

--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -15,6 +15,7 @@
 import attrs
 from eliot import log_message
 
+from ..protocol.stream_origins import StreamOrigin
 from .upstream_versions import UpstreamVersions
 from .version_records import ServedVersion, VersionRecords
 
@@ -144,10 +145,13 @@
             self.versions.mark_replaced(incarnation)
             log_message('upstream:replaced', incarnation=incarnation)
 
-    def may_resume(self, upstream: RegisteredUpstream, version: str) -> bool:
-        """Tell whether an upstream may go on with a stream of a version."""
-        is_replaced = self.versions.is_replaced(upstream.incarnation)
-        return upstream.version == version and not is_replaced
+    def may_go_on(
+        self, upstream: RegisteredUpstream, origin: StreamOrigin
+    ) -> bool:
+        """Tell whether an upstream may go on with what an origin began."""
+        if self.versions.is_replaced(upstream.incarnation):
+            return False
+        return origin == StreamOrigin(upstream.version, upstream.service)
 
     def is_leaving(self, incarnation: str) -> bool:
         """Tell whether an incarnation is draining or announced its departure.
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -12,6 +12,7 @@
     EventTracker,
     ServerSentEvent,
 )
+from ..protocol.stream_origins import StreamOrigin
 from ..state.stored_jobs import ItemState, StoredItem, StoredResult
 
 __all__ = ('ItemProgress', 'ProgressRecord', 'RunEnd', 'RunningItem')
@@ -38,6 +39,7 @@
     :param is_whole: whether the output is complete.
     :param version: software version of the upstreams that wrote the lines,
         None if it is not known.
+    :param service: service of these upstreams.
     """
 
     last_event_id: int | None
@@ -46,6 +48,7 @@
     ran_s: float
     is_whole: bool = False
     version: str | None = None
+    service: str = ''
 
 
 class RunEnd(enum.Enum):
@@ -77,8 +80,7 @@
     :param ran_s: time for which the item has occupied slots.
     :param avoided_upstream: upstream that last rejected, cut or failed a run.
     :param is_complete: whether the output is complete.
-    :param version: software version of the upstreams that wrote the output,
-        None if it is not known.
+    :param origin: what wrote the output.
     :ivar tracker: position of the current run's stream.
     """
 
@@ -90,7 +92,7 @@
     avoided_upstream: str = ''
     is_complete: bool = False
     last_event_id: int | None = None
-    version: str | None = None
+    origin: StreamOrigin = StreamOrigin(None)
     _lines: list[bytes] = attrs.field(factory=list)
     _output_bytes: int = 0
     _unnumbered_bytes: int = 0
@@ -115,7 +117,8 @@
             failures=self.failures,
             ran_s=self.ran_s,
             is_whole=self.is_complete,
-            version=self.version,
+            version=self.origin.version,
+            service=self.origin.service,
         )
 
     def load_record(self, record: ProgressRecord) -> None:
@@ -126,7 +129,7 @@
         self.failures = record.failures
         self.ran_s = record.ran_s
         self.is_complete = record.is_whole
-        self.version = record.version
+        self.origin = StreamOrigin(record.version, record.service)
 
     @property
     def has_output(self) -> bool:
@@ -136,15 +139,14 @@
     def restart(self) -> None:
         """Discard the output, so that the next run begins at the start."""
         self._discard_output()
-        self.version = None
+        self.origin = StreamOrigin(None)
 
-    def begin_run(self, version: str | None) -> None:
+    def begin_run(self, origin: StreamOrigin) -> None:
         """Discard the incomplete event at the end of the last run.
 
-        :param version: software version of the run's upstream, None if it is
-            not known; that of the output if there is any.
+        :param origin: the run's upstream; that of the output if there is any.
         """
-        self.version = version
+        self.origin = origin
         self._splitter = EventSplitter()
         self._unnumbered_bytes = 0
         self.tracker = EventTracker()
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -21,6 +21,7 @@
 from ..coordination.upstream_ends import PromptRun, UpstreamEnds
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import BriarrillError, PeerUnreachableError, UpstreamLostError
+from ..protocol.stream_origins import StreamOrigin
 from ..state.stored_jobs import StoredItem
 from ..transport.http_channel import HttpChannel
 from ..transport.http_messages import ResponseHead
@@ -92,8 +93,8 @@
         connected = await self._connect(progress, call, upstream)
         if connected is None:
             return RunEnd.REFUSED
-        channel, version = connected
-        progress.begin_run(version)
+        channel, origin = connected
+        progress.begin_run(origin)
         try:
             with self.ends.track(upstream, call.prompt_parts) as run:
                 end = await self._exchange(
@@ -111,13 +112,12 @@
 
     async def _connect(
         self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
-    ) -> tuple[HttpChannel, str | None] | None:
+    ) -> tuple[HttpChannel, StreamOrigin] | None:
         """Return a connection for an item that the upstream may get now.
 
-        :return: with the upstream's version, None if that is not known; none
-            if the upstream is unreachable, left, is at its limit, or may not
-            go on with the item, or if the prompt is suspected and in flight
-            by now.
+        :return: with what a run there begins or goes on with; none if the
+            upstream is unreachable, left, is at its limit, or may not go on
+            with the item, or if the prompt is suspected and in flight by now.
         """
         grant = await self.limits.acquire(
             upstream.incarnation, max_wait_s=0, is_batch=True
@@ -137,13 +137,13 @@
             return None
         if not is_registered:
             self.upstreams.mark_replaced(upstream.incarnation)
-        may_run = not progress.has_output or (
-            progress.version is not None
-            and self.upstreams.may_resume(upstream, progress.version)
+        may_run = not progress.has_output or self.upstreams.may_go_on(
+            upstream, progress.origin
         )
         may_run = may_run and self._may_prompt_run(progress, call, upstream)
         if may_run and self.upstreams.still_accepts(upstream):
-            return channel, upstream.version if is_registered else None
+            version = upstream.version if is_registered else None
+            return channel, StreamOrigin(version, upstream.service)
         channel.close()
         return None
 
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -234,13 +234,13 @@
         progress = candidate.progress
         route = candidate.route
         if progress.has_output and not self._slots.may_go_on(
-            route, progress.version
+            route, progress.origin
         ):
             progress.restart()
         upstream = self._slots.choose_upstream(
             route,
             progress.avoided_upstream,
-            progress.version if progress.has_output else None,
+            progress.origin if progress.has_output else None,
         )
         if upstream is None:
             # other items may run at upstreams of other versions
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -14,6 +14,7 @@
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.routes import Route
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
+from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
 
 __all__ = ('FreeSlots',)
@@ -110,15 +111,17 @@
         return any(self._free_slots(route).values())
 
     def choose_upstream(
-        self, route: Route, avoided_upstream: str, version: str | None = None
+        self,
+        route: Route,
+        avoided_upstream: str,
+        origin: StreamOrigin | None = None,
     ) -> RegisteredUpstream | None:
         """Return the upstream with the most free slots, if any are free.
 
         :param avoided_upstream: chosen only if there is no other.
-        :param version: software version that the upstream must have, None for
-            any.
+        :param origin: output with which the upstream must go on, if any.
         """
-        free = self._free_slots(route, version)
+        free = self._free_slots(route, origin)
         if len(free) > 1:
             free.pop(avoided_upstream, None)
         name = max(free, key=lambda upstream_id: free[upstream_id], default='')
@@ -126,15 +129,15 @@
             return None
         return self.upstreams.find(name)
 
-    def may_go_on(self, route: Route, version: str | None) -> bool:
-        """Tell whether output of a version may go on at an owned upstream.
+    def may_go_on(self, route: Route, origin: StreamOrigin) -> bool:
+        """Tell whether output of an origin may go on at an owned upstream.
 
         It may as well if this process owns none.
         """
         owned = self._owned_upstreams(route)
-        return version is not None and (
+        return origin.version is not None and (
             not owned
-            or any(self.upstreams.may_resume(one, version) for one in owned)
+            or any(self.upstreams.may_go_on(one, origin) for one in owned)
         )
 
     def _owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
@@ -152,21 +155,19 @@
         return owned
 
     def _free_slots(
-        self, route: Route, version: str | None = None
+        self, route: Route, origin: StreamOrigin | None = None
     ) -> dict[str, int]:
         """Return free slots of the owned upstreams of a route, by ID.
 
         Suspect upstreams and those at their request limit are excluded.
 
-        :param version: software version of the upstreams, None for any.
+        :param origin: output with which they must go on, if any.
         """
         return {
             upstream.upstream_id: self._free_slots_at(upstream)
             for upstream in self._owned_upstreams(route)
             if self._takes_items(upstream)
-            and (
-                version is None or self.upstreams.may_resume(upstream, version)
-            )
+            and (origin is None or self.upstreams.may_go_on(upstream, origin))
         }
 
     def _takes_items(self, upstream: RegisteredUpstream) -> bool:
--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -85,7 +85,7 @@
             accepting = [
                 upstream
                 for upstream in accepting
-                if self._may_resume(upstream, response)
+                if self.upstreams.may_go_on(upstream, response.origin)
             ]
         elif call.route.resumable:
             # the time to wait for records may end without one
@@ -137,18 +137,6 @@
                 return
             await trio.sleep(HOLD_CHECK_INTERVAL_S)
 
-    def _may_resume(
-        self, upstream: RegisteredUpstream, response: Response
-    ) -> bool:
-        """Tell whether a stream that has begun may go on at an upstream."""
-        origin = response.origin
-        if origin is None or origin.version is None:
-            return False
-        return (
-            upstream.service == origin.service
-            and self.upstreams.may_resume(upstream, origin.version)
-        )
-
 
 def _reason(service: str, response: Response) -> str:
     """Return why no upstream may run a call."""
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -8,6 +8,7 @@
 from briarrill.item_runs.handover import HANDOVER_PATH, Handover
 from briarrill.item_runs.item import ItemProgress
 from briarrill.protocol.load_reports import LoadReport, short_hash
+from briarrill.protocol.stream_origins import StreamOrigin
 from briarrill.state.rendezvous import rank_nodes
 from briarrill.state.stored_jobs import ItemState
 from briarrill.transport.http_callers import serve_callers
@@ -140,7 +141,7 @@
 def test_begin_run_discards_incomplete_event():
     progress = _make_progress(events=2)
     progress.add_stream_bytes(encode_event(3)[:6])
-    progress.begin_run(None)
+    progress.begin_run(StreamOrigin(None))
     progress.add_stream_bytes(encode_event(3))
     output = progress.result(ItemState.COMPLETED).output
     assert output == 'word-1\nword-2\nword-3'
--- a/tests/item_runs/test_item_versions.py
+++ b/tests/item_runs/test_item_versions.py
@@ -16,6 +16,7 @@
 from briarrill.item_runs.item_runner import ItemRunner
 from briarrill.item_runs.slots import FreeSlots
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
+from briarrill.protocol.stream_origins import StreamOrigin
 from briarrill.state.stored_jobs import StoredItem
 from standins.platform_engine import StandinEngine, stream_events
 from tests.relay.front_end_setup import route
@@ -24,6 +25,9 @@
 BATCH_ROUTE = route(RouteKind.BATCH)
 ITEM = StoredItem('x1', '/p/x', {}, b'', 1)
 EVENTS = 4
+V1 = StreamOrigin('v1', 'llm')
+V2 = StreamOrigin('v2', 'llm')
+V3 = StreamOrigin('v3', 'llm')
 
 
 @pytest.fixture
@@ -49,12 +53,12 @@
         load.limits,
     )
 
-    async def run_at(progress, engine, version, start=7):
+    async def run_at(progress, engine, version, start=7, service='llm'):
         host = ('127.0.0.1', free_port())
         async with serve_standin(engine, host) as address:
             upstream = RegisteredUpstream(
                 'i-0',
-                'llm',
+                service,
                 address,
                 'a',
                 4,
@@ -86,13 +90,26 @@
     assert same.requests[0].header(b'last-event-id') == b'2'
 
 
+async def test_next_run_goes_on_at_the_same_service_only(run):
+    progress = ItemProgress('j1', ITEM)
+    assert await run(progress, _cutting(), 'v1') is RunEnd.CUT
+    raw = msgspec.msgpack.encode(progress.record())
+    received = ItemProgress('j1', ITEM)
+    received.load_record(msgspec.msgpack.decode(raw, type=ProgressRecord))
+    for moved in (progress, received):
+        other = _whole()
+        assert await run(moved, other, 'v1', service='new') is RunEnd.REFUSED
+        assert not other.requests
+        assert await run(moved, _whole(), 'v1') is RunEnd.COMPLETED
+
+
 async def test_item_that_was_handed_over_keeps_its_version(run):
     progress = ItemProgress('j1', ITEM)
     await run(progress, _cutting(), 'v1')
     raw = msgspec.msgpack.encode(progress.record())
     received = ItemProgress('j1', ITEM)
     received.load_record(msgspec.msgpack.decode(raw, type=ProgressRecord))
-    assert received.version == 'v1'
+    assert received.origin == V1
     assert await run(received, _whole(), 'v2') is RunEnd.REFUSED
     assert await run(received, _whole(), 'v1') is RunEnd.COMPLETED
 
@@ -102,7 +119,7 @@
     progress = ItemProgress('j1', ITEM)
     assert await run(progress, _cutting(born=8), 'v1') is RunEnd.CUT
     assert progress.has_output
-    assert progress.version is None
+    assert progress.origin.version is None
     assert await run(progress, _whole(), 'v1') is RunEnd.REFUSED
     progress.restart()
     again = _whole()
@@ -130,8 +147,8 @@
 def test_slots_of_the_version_of_an_output_are_found(load, upstreams):
     slots = FreeSlots('me', upstreams, load, lambda: True)
     # nothing is owned yet, so the output waits
-    assert slots.may_go_on(BATCH_ROUTE, 'v1')
-    assert not slots.may_go_on(BATCH_ROUTE, None)
+    assert slots.may_go_on(BATCH_ROUTE, V1)
+    assert not slots.may_go_on(BATCH_ROUTE, StreamOrigin(None))
     for number, version in enumerate(('v1', 'v2')):
         upstreams.register(
             RegisteredUpstream(
@@ -144,14 +161,15 @@
                 version=version,
             )
         )
-    assert slots.may_go_on(BATCH_ROUTE, 'v2')
-    assert not slots.may_go_on(BATCH_ROUTE, 'v3')
-    found = slots.choose_upstream(BATCH_ROUTE, '', 'v2')
+    assert slots.may_go_on(BATCH_ROUTE, V2)
+    assert not slots.may_go_on(BATCH_ROUTE, V3)
+    assert not slots.may_go_on(BATCH_ROUTE, StreamOrigin('v2', 'other'))
+    found = slots.choose_upstream(BATCH_ROUTE, '', V2)
     assert found.version == 'v2'
-    assert slots.choose_upstream(BATCH_ROUTE, '', 'v3') is None
+    assert slots.choose_upstream(BATCH_ROUTE, '', V3) is None
     # a busy upstream of the version keeps the output
     slots.own_items['i-1'] = 4
-    assert slots.choose_upstream(BATCH_ROUTE, '', 'v2') is None
-    assert slots.may_go_on(BATCH_ROUTE, 'v2')
+    assert slots.choose_upstream(BATCH_ROUTE, '', V2) is None
+    assert slots.may_go_on(BATCH_ROUTE, V2)
     upstreams.mark_replaced('i-1/7')
-    assert not slots.may_go_on(BATCH_ROUTE, 'v2')
+    assert not slots.may_go_on(BATCH_ROUTE, V2)
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -28,6 +28,7 @@
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
 from briarrill.protocol.load_reports import LoadReport, short_hash
 from briarrill.protocol.prompt_news import PromptNews, UpstreamCrash
+from briarrill.protocol.stream_origins import StreamOrigin
 from briarrill.state.keys import ROOT_PREFIX
 from briarrill.state.stored_jobs import ItemState, job_creation_changes
 from briarrill.transport import http_channel
@@ -560,7 +561,9 @@
             job.items[0], headers={'Briarrill-Prompt-Prefix': 'bad:5,own:1'}
         )
         progress = ItemProgress('j1', stored)
-        progress.begin_run(setup.upstream.version)
+        progress.begin_run(
+            StreamOrigin(setup.upstream.version, setup.upstream.service)
+        )
         progress.add_stream_bytes(encode_event(1))
         setup.scheduler._suspended[progress.key] = progress
         tracked = await setup.submit(1, prompt='bad:5,own:1')
@@ -587,7 +590,9 @@
         monkeypatch.setattr(http_channel, 'connect', connect_as_it_leaves)
         progress = ItemProgress('j1', make_job(count=1).items[0])
         if has_progress:
-            progress.begin_run(setup.upstream.version)
+            progress.begin_run(
+                StreamOrigin(setup.upstream.version, setup.upstream.service)
+            )
             progress.add_stream_bytes(encode_event(1))
         end = await setup.scheduler._runner.run(
             progress, BATCH_ROUTE, 'h', setup.upstream
--- a/tests/relay/test_stream_places.py
+++ b/tests/relay/test_stream_places.py
@@ -102,7 +102,7 @@
         # known again once it has registered
         _register(setup, 1, 'v2', start=8)
         second = setup.upstreams.find('i-1')
-        assert setup.upstreams.may_resume(second, 'v2')
+        assert setup.upstreams.may_go_on(second, StreamOrigin('v2', 'llm'))
 
 
 async def test_stream_that_a_process_of_unknown_version_began_ends():
