Pause briefly before a watch if the one before worked

What operators saw: a process whose watch is cut again and again, each after it had worked for a while, was without the store for up to 0.5 s after each cut; registrations, configurations and jobs came that much later.

Cause: the pause was reset only if the mirror was connected when an attempt ended, and a failure always marks it as disconnected first. So it grew with each failure and never became short again but by a restart of the watch.

The pauses are a class of their own now. A watch that worked for the longest pause or more makes the next pause short; one that was cut sooner counts as failed, so that a service that cuts each watch at once is called as rarely as before.

test_pause_before_a_watch_is_short_if_the_one_before_worked and the two cases of test_pause_grows_while_watches_fail_at_once failed before and pass, on virtual time; 31 tests of mirrors and feeds pass.

--- a/briarrill/coordination/mirror.py
+++ b/briarrill/coordination/mirror.py
@@ -255,19 +255,17 @@
         """Follow the keys and reconnect after failures, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._restart_when_behind)
-            pause_s = FIRST_RETRY_PAUSE_S
+            pauses = _RetryPauses()
             while True:
-                await self._follow_until_disconnected(pause_s)
-                pause_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
-                if self.is_connected:
-                    pause_s = FIRST_RETRY_PAUSE_S
+                await self._follow_until_disconnected(pauses)
 
-    async def _follow_until_disconnected(self, pause_s: float) -> None:
+    async def _follow_until_disconnected(self, pauses: '_RetryPauses') -> None:
         """Follow until the service fails or the watch is restarted.
 
-        :param pause_s: longest pause after a failure.
+        :param pauses: gives the longest pause after a failure.
         """
         scope = trio.CancelScope()
+        followed_before_s = self.followed.total_s
         self._follow_scope = scope
         with scope:
             try:
@@ -275,6 +273,9 @@
             except PlatformUnavailableError as exc:
                 self.has_failed = True
                 self._mark_disconnected(exc.message)
+                pause_s = pauses.next(
+                    self.followed.total_s - followed_before_s
+                )
                 await trio.sleep(
                     pause_s * random.uniform(MIN_JITTER_FACTOR, 1)
                 )
@@ -387,6 +388,25 @@
                 self.restart()
 
 
+class _RetryPauses:
+    """Longest pauses between attempts; they double until a watch works.
+
+    A watch that is cut sooner than after ``MAX_RETRY_PAUSE_S`` counts as
+    failed, so that a service that cuts each at once is not called in a loop.
+    """
+
+    def __init__(self) -> None:
+        self._next_s = FIRST_RETRY_PAUSE_S
+
+    def next(self, worked_s: float) -> float:
+        """Return the pause after a watch that worked for a time."""
+        if worked_s >= MAX_RETRY_PAUSE_S:
+            self._next_s = FIRST_RETRY_PAUSE_S
+        pause_s = self._next_s
+        self._next_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
+        return pause_s
+
+
 class _Coverage:
     """Revision up to which a mirror lacks no change, and what peers report.
 
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -1,13 +1,18 @@
 """Tests of mirrors: changes, reconnects, lag behind peers and old values."""
 
+import itertools
 from types import SimpleNamespace
 
 import attrs
+import pytest
 import trio
 from trio.testing import wait_all_tasks_blocked
 
+from briarrill.coordination import followed_time
 from briarrill.coordination import mirror as mirror_module
 from briarrill.coordination.mirror import (
+    FIRST_RETRY_PAUSE_S,
+    MAX_RETRY_PAUSE_S,
     Mirror,
     MirrorChanges,
     MirrorListener,
@@ -114,6 +119,74 @@
         nursery.cancel_scope.cancel()
 
 
+class CutWatchService(MemoryKeyValue):
+    """Cuts each watch after a time, and records when each began.
+
+    :ivar works_s: time for which the next watches work, 0 if they never do.
+    """
+
+    def __init__(self, works_s):
+        super().__init__()
+        self.works_s = works_s
+        self.began_at = []
+
+    async def follow_prefix(self, prefix, min_interval_s=0, after_revision=0):
+        self.began_at.append(trio.current_time())
+        if self.works_s:
+            yield WatchProgress(1)
+        await trio.sleep(self.works_s)
+        raise PlatformUnavailableError('the watch was cut')
+
+    def pauses_s(self):
+        """Return the pauses after all watches, for a constant time of work."""
+        return [
+            later - earlier - self.works_s
+            for earlier, later in itertools.pairwise(self.began_at)
+        ]
+
+
+@pytest.fixture
+def no_jitter(monkeypatch):
+    clock = SimpleNamespace(monotonic=trio.current_time)
+    monkeypatch.setattr(mirror_module, 'time', clock)
+    monkeypatch.setattr(followed_time, 'time', clock)
+    monkeypatch.setattr(mirror_module, 'MIN_JITTER_FACTOR', 1)
+
+
+async def test_pause_before_a_watch_is_short_if_the_one_before_worked(
+    autojump_clock, no_jitter
+):
+    service = CutWatchService(works_s=0.7)
+    with trio.move_on_after(10):
+        await Mirror(service, 'a/', RecordingListener()).run()
+    assert len(service.pauses_s()) > 10
+    assert max(service.pauses_s()) == pytest.approx(FIRST_RETRY_PAUSE_S)
+
+
+@pytest.mark.parametrize('works_s', [0, 0.01])
+async def test_pause_grows_while_watches_fail_at_once(
+    autojump_clock, no_jitter, works_s
+):
+    service = CutWatchService(works_s)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(Mirror(service, 'a/', RecordingListener()).run)
+        await trio.sleep(10)
+        assert service.pauses_s()[:4] == pytest.approx(
+            [
+                FIRST_RETRY_PAUSE_S,
+                2 * FIRST_RETRY_PAUSE_S,
+                4 * FIRST_RETRY_PAUSE_S,
+                MAX_RETRY_PAUSE_S,
+            ]
+        )
+        assert service.pauses_s()[-1] == pytest.approx(MAX_RETRY_PAUSE_S)
+        # once a watch has worked, the pause is short again
+        service.works_s = 1
+        await trio.sleep(10)
+        assert service.pauses_s()[-1] == pytest.approx(FIRST_RETRY_PAUSE_S)
+        nursery.cancel_scope.cancel()
+
+
 async def test_deletion_during_an_outage_is_reported_after_it():
     service, recorded = MemoryKeyValue(), RecordingListener()
     await service.transact([KeyChange('a/1', b'x'), KeyChange('a/2', b'y')])
