Go on with a drain once no more connections are accepted

Callers see: an entry that is stopped with a stream in progress and a connection on which nothing was sent does not end. It lives until the connection's idle timeout of 15 s, so the platform kills it after the grace time of 8 s; a request that is arriving on such a connection then gets no answer. A second SIGTERM or SIGHUP meanwhile ends it at once, as its receiver of signals is gone.

Cause: the tasks that accept connections ran in a nursery of the context manager `serve_callers`, whose cancel scope also holds the code inside the block. To stop accepting cancelled that scope, and with it the drain that had asked for it and all that follows; the nursery then took the cancellation for its own, so nothing was logged or raised. An entry never logged `drain:ended`.

The same hid the ends of tests in tests/relay/test_drain.py: what follows the drain in their blocks never ran. It runs now, unchanged, and passes.

Fix: the cancel scope is held by the task that accepts.

--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from functools import partial
 from typing import cast
 
 import attrs
@@ -320,8 +321,26 @@
     sock: trio.socket.SocketType
     limits: Callable[[], CallerLimits]
     serve_connection: Callable[[CallerConnection], Awaitable[None]]
+    _accepts: trio.CancelScope = attrs.field(
+        factory=trio.CancelScope, init=False
+    )
 
     async def run(self, nursery: trio.Nursery) -> None:
+        """Accept connections until ``stop``."""
+        with self._accepts:
+            await self._accept_all(nursery)
+
+    def stop(self, raw: socket.socket, nursery: trio.Nursery) -> None:
+        """Accept the connections that have been made, then close the socket.
+
+        :param raw: the listening socket, not blocking.
+        """
+        self._accepts.cancel()
+        while (accepted := _accept_now(raw)) is not None:
+            nursery.start_soon(self._serve_socket, accepted)
+        self.sock.close()
+
+    async def _accept_all(self, nursery: trio.Nursery) -> None:
         while True:
             try:
                 accepted, _ = await self.sock.accept()
@@ -332,14 +351,6 @@
                 continue
             nursery.start_soon(self._serve_socket, accepted)
 
-    def accept_queued(self, raw: socket.socket, nursery: trio.Nursery) -> None:
-        """Serve the connections that wait to be accepted, without waiting.
-
-        :param raw: the listening socket, not blocking.
-        """
-        while (accepted := _accept_now(raw)) is not None:
-            nursery.start_soon(self._serve_socket, accepted)
-
     async def _serve_socket(self, sock: trio.socket.SocketType) -> None:
         with sock:
             _set_socket_options(sock)
@@ -405,18 +416,8 @@
     with sock:
         await sock.bind(address)
         sock.listen(LISTEN_BACKLOG)
-        async with (
-            trio.open_nursery() as nursery,
-            trio.open_nursery() as accepts,
-        ):
+        async with trio.open_nursery() as nursery:
             listener = _Listener(sock, limits, serve_connection)
-            accepts.start_soon(listener.run, nursery)
-
-            def stop_accepting() -> None:
-                accepts.cancel_scope.cancel()
-                listener.accept_queued(raw, nursery)
-                sock.close()
-
-            yield stop_accepting
-            accepts.cancel_scope.cancel()
+            nursery.start_soon(listener.run, nursery)
+            yield partial(listener.stop, raw, nursery)
             nursery.cancel_scope.cancel()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -152,6 +152,29 @@
     assert len(keys) == 1
 
 
+async def test_entry_ends_though_a_connection_stays_idle(fleet, tmp_path):
+    """The connection is opened when others have been closed as idle."""
+    fleet.engine.behaviours = [
+        stream_events(60, pause_s=0.06),
+        stream_events(1),
+    ]
+    entry = fleet.processes['entry']
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.send_request, 'POST', '/online/x', b'')
+        while len(fleet.engine.requests) < 1:
+            await trio.sleep(0.01)
+        entry.send_signal(signal.SIGTERM)
+        status = 0
+        while status != 503:
+            await trio.sleep(0.05)
+            status, _ = await fleet.send_request('POST', '/online/y', b'')
+        with trio.socket.socket() as idle:
+            await idle.connect((f'{fleet.network}.2', FRONT_PORT))
+            assert await entry.wait() == 0
+    log = (tmp_path / 'entry-2.log').read_text(encoding='utf-8')
+    assert 'drain:ended' in log
+
+
 async def test_entry_started_in_store_outage_syncs_from_peers(fleet, tmp_path):
     fleet.store.error_status = 503
     host = f'{fleet.network}.4'
--- a/tests/transport/test_http_callers.py
+++ b/tests/transport/test_http_callers.py
@@ -105,6 +105,19 @@
     assert echo.statuses == []
 
 
+async def test_task_that_stops_accepting_goes_on():
+    goes_on = False
+    address = ('127.0.0.1', free_port())
+    async with serve_callers(address, CallerLimits, Echo().serve) as stop:
+        stop()
+        await trio.lowlevel.checkpoint()
+        with pytest.raises(OSError, match='failed'):
+            await trio.open_tcp_stream(*address)
+        goes_on = True
+    # a cancelled task would leave the block without an error
+    assert goes_on
+
+
 async def test_wait_disconnected_returns_when_caller_disconnects():
     disconnected = trio.Event()
 
