Announce the close in responses that begin in a drain

Callers see: a response that begins after SIGTERM, to a request that came before it, does not say `Connection: close`. Its caller keeps the connection, and may send its next request as the connection is closed as idle.

Cause: whether the response announces the close was decided as the request was read.

Fix: the start of the drain marks the connections that are open; requests that arrive later are marked as before.

Evidence: the test got no `connection` header before, and `close` with the fix; 25 of 25 tests of the drain, the front end and whole processes pass.

--- a/briarrill/relay/drain.py
+++ b/briarrill/relay/drain.py
@@ -33,6 +33,7 @@
 
     :param grace_s: time until the process is killed.
     """
+    front.announce_close()
     with trio.move_on_after(grace_s - CUT_OFF_MARGIN_S):
         await trio.sleep(BALANCER_NOTICE_S)
         front.readiness.reject_work()
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -59,6 +59,14 @@
         """Whether any caller's connection is open."""
         return bool(self._connections)
 
+    def announce_close(self) -> None:
+        """Announce the close in all responses that begin after this.
+
+        Responses to requests that arrive in a drain announce it anyway.
+        """
+        for conn in self._connections:
+            conn.closes_after_response = True
+
     def close_idle(self) -> None:
         """Close the connections that have no request in progress."""
         for conn in self._connections:
--- a/tests/relay/test_callers_that_stay.py
+++ b/tests/relay/test_callers_that_stay.py
@@ -7,6 +7,7 @@
 import h11
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from briarrill.relay import drain
 from briarrill.relay.drain import drain_front_end
@@ -194,3 +195,35 @@
         if not each.announces_close
     }
     assert unannounced.isdisjoint(callers.late_ids)
+
+
+async def test_response_that_begins_in_a_drain_announces_the_close():
+    """Else its caller uses the connection again as it is closed."""
+    respond = trio.Event()
+
+    async def respond_later(req, conn):
+        await respond.wait()
+        await _respond(req, conn)
+
+    responses = []
+
+    async def send_request(setup):
+        responses.append(await setup.send_request(IDEMPOTENT.prefix))
+
+    engine = StandinEngine(respond_later)
+    async with (
+        run_front_end(ROUTES, engine) as setup,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(send_request, setup)
+        while not engine.requests:
+            await trio.sleep(0.01)
+        setup.front.readiness.begin_drain()
+        nursery.start_soon(
+            drain_front_end, setup.front, GRACE_S, setup.stop_accepting
+        )
+        await wait_all_tasks_blocked()
+        respond.set()
+    ((status, headers, body),) = responses
+    assert (status, body) == (OK, RUN_BODY)
+    assert headers.get(b'connection') == b'close'
