Test the sharing of limits on virtual time

Six tests of questions for permits ran in real time: owners reply within 20 ms, and one allowed a tolerance of 0.1 s. They failed where the process was paused for 0.25 s. They go by trio's clock now, with the same sockets and what they assert unchanged but for that tolerance, which is gone: the time that is waited for is exact.

No code changes.

--- a/tests/coordination/test_limit_sharing.py
+++ b/tests/coordination/test_limit_sharing.py
@@ -1,11 +1,13 @@
 """Tests of the owners of limits, and of questions to them."""
 
 import contextlib
+import types
 
 import attrs
 import pytest
 import trio
 
+from briarrill.coordination import grants, peer_reports, request_limits
 from briarrill.coordination.limit_sharing import (
     NO_REPLY_BLOCK_S,
     choose_owner,
@@ -66,6 +68,14 @@
     assert heard_share(members, {}) == HALF / 2
 
 
+@pytest.fixture
+def virtual_time(monkeypatch):
+    """Have limits and reports go by the clock of trio."""
+    clock = types.SimpleNamespace(monotonic=trio.current_time)
+    for module in (grants, peer_reports, request_limits):
+        monkeypatch.setattr(module, 'time', clock)
+
+
 @contextlib.asynccontextmanager
 async def two_processes(network):
     """Yield an entry and a batch process that hear each other."""
@@ -89,7 +99,9 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_one_process_decides_for_both(network):
+async def test_one_process_decides_for_both(
+    network, autojump_clock, virtual_time
+):
     async with two_processes(network) as (entry, batch):
         entry.limits.record_response('i/1', RATE_PER_S)
         batch.limits.record_response('i/1', RATE_PER_S)
@@ -102,7 +114,9 @@
     assert entry.limits.blocked_s('i/1') > 0
 
 
-async def test_request_waits_for_its_turn(network):
+async def test_request_waits_for_its_turn(
+    network, autojump_clock, virtual_time
+):
     async with two_processes(network) as (entry, _):
         entry.limits.record_response('i/1', 20.0)
         await entry.acquire('i/1', max_wait_s=0)
@@ -111,14 +125,18 @@
     assert 0 < grant.delay_s <= 1 / 20.0
 
 
-async def test_upstream_without_a_limit_needs_no_permit(network):
+async def test_upstream_without_a_limit_needs_no_permit(
+    network, autojump_clock, virtual_time
+):
     async with two_processes(network) as (entry, batch):
         grants = [await entry.acquire('i/1', max_wait_s=0) for _ in range(50)]
     assert all(grant.is_granted for grant in grants)
     assert not batch.book.granted()
 
 
-async def test_limit_that_one_process_learned_reaches_the_other(network):
+async def test_limit_that_one_process_learned_reaches_the_other(
+    network, autojump_clock, virtual_time
+):
     async with two_processes(network) as (entry, batch):
         entry.limits.record_response('i/1', RATE_PER_S)
         while batch.limits.rate_per_s('i/1') is None:
@@ -128,7 +146,9 @@
             await trio.sleep(0.01)
 
 
-async def test_silent_owner_refuses_for_a_moment(network):
+async def test_silent_owner_refuses_for_a_moment(
+    network, autojump_clock, virtual_time
+):
     load = LoadExchange('e', f'{network}.1', 1, (), lambda report: report)
     load.receive_report(LoadReport('b', f'{network}.2', 1, 1, runs_batch=True))
     load.limits.limits.record_response('i/1', RATE_PER_S)
@@ -137,14 +157,16 @@
     assert 0 < load.limits.limits.blocked_s('i/1') <= NO_REPLY_BLOCK_S
 
 
-async def test_entry_that_hears_nobody_keeps_to_its_share(network):
+async def test_entry_that_hears_nobody_keeps_to_its_share(
+    network, autojump_clock, virtual_time
+):
     load = LoadExchange('e', f'{network}.1', 1, (), lambda report: report)
     for name in 'bcd':
         load.update_member(name, f'{network}.9')
     load.limits.limits.record_response('i/1', RATE_PER_S)
     assert (await load.limits.acquire('i/1', max_wait_s=0)).is_granted
     refused = await load.limits.acquire('i/1', max_wait_s=0)
-    assert refused.delay_s == pytest.approx(4 / RATE_PER_S, abs=0.1)
+    assert refused.delay_s == pytest.approx(4 / RATE_PER_S)
 
 
 @pytest.mark.parametrize(
