Count nested input as unreadable wherever it comes in

A record of an upstream version whose JSON holds an unknown field with thousands of nested lists ended every entry and batch process that read it, and again each time they started: the recorder reads these records in a task of its own. A registration of this kind was skipped with a traceback (mirror:key-failed), so that its upstream stayed in use with its old record. A reply of the store ended the task that follows its keys, and with it the process; a batch item's body or an engine's event ended the puller of the sidecar that ran it; a job or a request of a caller closed the connection without a response; a peer's nested message ended the reader of its socket.

Cause: msgspec and json raise RecursionError for input nested beyond the interpreter's recursion limit, which is no ValueError and no MsgspecError, and each of the some thirty call sites listed the errors that it knew of. One module, briarrill.decoding, now turns all ways in which bytes cannot be read (JSON, MessagePack, base64, compressed) into MalformedMessageError, and all call sites use it. The one for base64 also rejects text with other than ASCII characters (a ValueError, but no binascii.Error): in a submitted job it closed the connection without a response, now the job gets 400.

--- a/briarrill/batch/index_set.py
+++ b/briarrill/batch/index_set.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable
 from typing import Self
 
-from ..errors import InternalError
+from ..decoding import decompress
+from ..errors import InternalError, MalformedMessageError
 
 __all__ = ('IndexSet',)
 
@@ -81,9 +82,11 @@
 
 def _decompress(packed: bytes, size: int) -> bytes:
     try:
-        members = zlib.decompress(packed)
-    except zlib.error as exc:
-        raise InternalError(f'damaged map of finished items: {exc}') from exc
+        members = decompress(packed)
+    except MalformedMessageError as exc:
+        raise InternalError(
+            f'damaged map of finished items: {exc.message}'
+        ) from exc
     if len(members) != size:
         raise InternalError(
             f'map of finished items has {len(members)} entries, not {size}'
--- a/briarrill/coordination/configuration.py
+++ b/briarrill/coordination/configuration.py
@@ -8,11 +8,11 @@
 import time
 
 import attrs
-import msgspec
 import trio
 from eliot import log_message
 
-from ..errors import ConfigurationError, NotReadyError
+from ..decoding import json_decoder
+from ..errors import ConfigurationError, MalformedMessageError, NotReadyError
 from ..metrics import CONFIG_VERSION
 from ..protocol.messages import ConfigDigest, ConfigPush, Message, Ok
 from ..state.contracts import Configuration, decode_configuration
@@ -50,15 +50,20 @@
     body: bytes
 
 
+_RECORD_DECODER = json_decoder(ConfigRecord)
+
+
 def decode_config_record(raw: bytes) -> ConfigRecord:
     """Decode a stored record.
 
     :raises ConfigurationError: the record is malformed.
     """
     try:
-        return msgspec.json.decode(raw, type=ConfigRecord)
-    except msgspec.MsgspecError as exc:
-        raise ConfigurationError(f'configuration record: {exc}') from exc
+        return _RECORD_DECODER.decode(raw)
+    except MalformedMessageError as exc:
+        raise ConfigurationError(
+            f'configuration record: {exc.message}'
+        ) from exc
 
 
 class ConfigHolder:
--- a/briarrill/coordination/feeds.py
+++ b/briarrill/coordination/feeds.py
@@ -14,8 +14,10 @@
 import trio
 from eliot import log_message
 
+from ..decoding import msgpack_decoder
 from ..errors import (
     BriarrillError,
+    MalformedMessageError,
     PlatformUnavailableError,
     UpstreamLostError,
 )
@@ -71,8 +73,8 @@
     is_current: bool = True
 
 
-_REQUEST_DECODER = msgspec.msgpack.Decoder(FeedRequest)
-_REPLY_DECODER = msgspec.msgpack.Decoder(FeedReply)
+_REQUEST_DECODER = msgpack_decoder(FeedRequest)
+_REPLY_DECODER = msgpack_decoder(FeedReply)
 
 
 @attrs.define
@@ -93,7 +95,7 @@
         try:
             poll = _REQUEST_DECODER.decode(body)
             mirror = self.mirrors[poll.prefix]
-        except (msgspec.MsgspecError, KeyError) as exc:
+        except (MalformedMessageError, KeyError) as exc:
             log_message('feed:malformed', reason=repr(exc))
             return None
         with trio.move_on_after(min(poll.wait_s, MAX_POLL_WAIT_S)):
@@ -194,11 +196,7 @@
         try:
             with trio.fail_after(MAX_POLL_WAIT_S + POLL_TIMEOUT_S):
                 reply = await self._request(host, prefix, position)
-        except (
-            BriarrillError,
-            msgspec.MsgspecError,
-            trio.TooSlowError,
-        ) as exc:
+        except (BriarrillError, trio.TooSlowError) as exc:
             self._suspend(host, prefix, repr(exc))
             return []
         except trio.Cancelled:
@@ -223,8 +221,7 @@
     ) -> FeedReply:
         """Send one poll to a follower.
 
-        :raises BriarrillError: it did not reply.
-        :raises MsgspecError: the reply is malformed.
+        :raises BriarrillError: it did not reply, or its reply is malformed.
         """
         poll = FeedRequest(prefix, position, MAX_POLL_WAIT_S)
         address = (host, self.port)
--- a/briarrill/coordination/hedged_writes.py
+++ b/briarrill/coordination/hedged_writes.py
@@ -14,8 +14,10 @@
 import trio
 from eliot import log_message
 
+from ..decoding import msgpack_decoder
 from ..errors import (
     BriarrillError,
+    MalformedMessageError,
     PlatformUnavailableError,
     WriteUnknownError,
 )
@@ -38,7 +40,7 @@
 # prefixes of the keys that this process writes for a peer
 _PEER_KEY_PREFIXES = (JOB_BODIES_PREFIX, JOB_ENDS_PREFIX)
 
-_CHANGES_DECODER = msgspec.msgpack.Decoder(tuple[KeyChange, ...])
+_CHANGES_DECODER = msgpack_decoder(tuple[KeyChange, ...])
 
 
 @attrs.frozen
@@ -55,7 +57,7 @@
     may_be_made: bool = False
 
 
-_OUTCOME_DECODER = msgspec.msgpack.Decoder(_Outcome)
+_OUTCOME_DECODER = msgpack_decoder(_Outcome)
 
 
 @attrs.define
@@ -109,8 +111,8 @@
         """
         try:
             changes = _CHANGES_DECODER.decode(body)
-        except msgspec.MsgspecError as exc:
-            log_message('write:malformed', reason=str(exc))
+        except MalformedMessageError as exc:
+            log_message('write:malformed', reason=exc.message)
             return None
         refused = [
             change.key
@@ -148,7 +150,7 @@
                 )
             if raw is not None:
                 return _OUTCOME_DECODER.decode(raw)
-        except (BriarrillError, msgspec.MsgspecError) as exc:
+        except BriarrillError as exc:
             log_message('write:peer-failed', peer=host, reason=repr(exc))
         return _Outcome(may_be_made=True)
 
--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -12,6 +12,7 @@
 import trio
 from eliot import log_message
 
+from ..decoding import msgpack_decoder
 from ..errors import BriarrillError, UpstreamLostError
 from ..transport.http_callers import CallerConnection, CallerLimits
 from ..transport.http_channel import HttpChannel, connect
@@ -47,7 +48,7 @@
 #: Executes the request in a peer's body and returns the reply, if any.
 PeerRequestHandler = Callable[[bytes], Awaitable[bytes | None]]
 
-_CHANGES_DECODER = msgspec.msgpack.Decoder(MirrorChanges)
+_CHANGES_DECODER = msgpack_decoder(MirrorChanges)
 
 
 @attrs.define
@@ -133,7 +134,7 @@
                 changes = await self._fetch(
                     hosts_by_revision[newest_revision], prefix, own_revision
                 )
-        except (BriarrillError, ValueError, trio.TooSlowError) as exc:
+        except (BriarrillError, trio.TooSlowError) as exc:
             log_message(
                 'state:not-fetched',
                 peer=hosts_by_revision[newest_revision],
@@ -169,8 +170,8 @@
     ) -> MirrorChanges:
         """Fetch the changes after a revision from a peer.
 
-        :raises BriarrillError: the peer did not respond or has no state.
-        :raises ValueError: the response is malformed.
+        :raises BriarrillError: the peer did not respond, has no state, or its
+            response is malformed.
         """
         path = f'{_STATE_PATH}{prefix}?after={revision}'
         raw = await request_from_peer((host, self.port), path)
--- a/briarrill/coordination/version_recorder.py
+++ b/briarrill/coordination/version_recorder.py
@@ -11,7 +11,8 @@
 import trio
 from eliot import log_message
 
-from ..errors import BriarrillError
+from ..decoding import json_decoder
+from ..errors import BriarrillError, MalformedMessageError
 from ..state.keys import UPSTREAM_VERSIONS_PREFIX, upstream_version_key
 from ..state.rendezvous import rank_nodes
 from ..transport.key_value import KeyValueService
@@ -32,7 +33,7 @@
 
 _Change = Callable[[str, ServedVersion], Awaitable[None]]
 
-_DECODER = msgspec.json.Decoder(ServedVersion)
+_DECODER = json_decoder(ServedVersion)
 
 
 @attrs.define
@@ -62,8 +63,8 @@
             return
         try:
             served = _DECODER.decode(body)
-        except msgspec.MsgspecError as exc:
-            log_message('version:unreadable', key=key, reason=str(exc))
+        except MalformedMessageError as exc:
+            log_message('version:unreadable', key=key, reason=exc.message)
             return
         self._add(key, served)
 
--- a/briarrill/entry/batch_routes.py
+++ b/briarrill/entry/batch_routes.py
@@ -6,12 +6,16 @@
 from typing import Any
 
 import attrs
-import msgspec
 import xxhash
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from ..errors import BadRequestError, BatchItemsLimitError
+from ..decoding import json_decoder
+from ..errors import (
+    BadRequestError,
+    BatchItemsLimitError,
+    MalformedMessageError,
+)
 from ..protocol.callers_api import BATCH_ENDPOINTS
 from ..state.job_directory import JobDirectory
 from ..state.job_records import FileRecord, JobRecord, SegmentRef
@@ -39,6 +43,9 @@
     metadata: dict[str, str] | None = None
 
 
+_CREATE_DECODER = json_decoder(CreateBatch)
+
+
 def add_batch_routes(
     app: QuartTrio, ctx: EntryContext, jobs: JobDirectory
 ) -> None:
@@ -134,9 +141,9 @@
     :raises BadRequestError: a field is missing or has a wrong value.
     """
     try:
-        create_request = msgspec.json.decode(body, type=CreateBatch)
-    except msgspec.MsgspecError as exc:
-        raise BadRequestError(f'request body: {exc}') from exc
+        create_request = _CREATE_DECODER.decode(body)
+    except MalformedMessageError as exc:
+        raise BadRequestError(f'request body: {exc.message}') from exc
     if create_request.endpoint not in BATCH_ENDPOINTS:
         allowed = ', '.join(BATCH_ENDPOINTS)
         raise BadRequestError(f'endpoint: must be one of {allowed}')
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -382,7 +382,7 @@
 
 
 class MalformedMessageError(BriarrillError):
-    """A message between processes could not be decoded."""
+    """Bytes that another writer made could not be decoded."""
 
     code = ResultCode.MALFORMED_MESSAGE
     ran = Ran.NO
--- a/briarrill/item_runs/checkpoints.py
+++ b/briarrill/item_runs/checkpoints.py
@@ -13,6 +13,8 @@
 from eliot import log_message
 
 from ..coordination.job_table import JobTable
+from ..decoding import msgpack_decoder
+from ..errors import MalformedMessageError
 from ..state.checkpoint_file import CheckpointFile
 from .item import ItemProgress, ProgressRecord
 
@@ -27,9 +29,7 @@
 
 _Key = tuple[str, str]
 
-_RECORDS_DECODER = msgspec.msgpack.Decoder(
-    dict[str, dict[str, ProgressRecord]]
-)
+_RECORDS_DECODER = msgpack_decoder(dict[str, dict[str, ProgressRecord]])
 
 
 @attrs.define
@@ -72,9 +72,9 @@
             return
         try:
             by_job = _RECORDS_DECODER.decode(raw)
-        except msgspec.MsgspecError as exc:
+        except MalformedMessageError as exc:
             # another version of this program wrote the file
-            log_message('checkpoint:unreadable', reason=str(exc))
+            log_message('checkpoint:unreadable', reason=exc.message)
             return
         self._unrestored = {
             (job_id, item_id): record
--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -17,6 +17,7 @@
 from ..coordination.batch_shares import is_preferred_runner
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.state_transfer import request_from_peer
+from ..decoding import msgpack_decoder
 from ..errors import BriarrillError
 from ..protocol.load_reports import short_hash
 from ..state.rendezvous import rank_nodes
@@ -36,7 +37,7 @@
 # a live peer replies within one round trip
 FETCH_TIMEOUT_S = 0.3
 
-_RECORD_DECODER = msgspec.msgpack.Decoder(ProgressRecord)
+_RECORD_DECODER = msgpack_decoder(ProgressRecord)
 
 _Key = tuple[str, str]
 
@@ -150,11 +151,7 @@
             if raw is None:
                 return False
             record = _RECORD_DECODER.decode(raw)
-        except (
-            BriarrillError,
-            msgspec.MsgspecError,
-            trio.TooSlowError,
-        ) as exc:
+        except (BriarrillError, trio.TooSlowError) as exc:
             log_message('item:not-taken', request_id=item_id, why=repr(exc))
             return False
         progress.load_record(record)
--- a/briarrill/platform/configuration.py
+++ b/briarrill/platform/configuration.py
@@ -6,12 +6,13 @@
 from collections.abc import Callable
 
 import attrs
-import msgspec
 import trio
 from eliot import log_message
 
 from ..coordination.mirror import MirrorListener
 from ..coordination.routes import Route, RouteKind, RouteTable, Target
+from ..decoding import json_decoder
+from ..errors import MalformedMessageError
 from ..metrics import CONFIG_VERSION
 from ..transport.http_callers import CallerLimits
 
@@ -78,6 +79,9 @@
     limits: _Limits = _Limits()
 
 
+_DECODER = json_decoder(_Configuration)
+
+
 class RoutingConfigurationHolder(MirrorListener):
     """Keeps the newest routes and limits that this process has received.
 
@@ -108,11 +112,11 @@
         An invalid one is logged.
         """
         try:
-            decoded = msgspec.json.decode(body, type=_Configuration)
+            decoded = _DECODER.decode(body)
             routes = RouteTable(
                 decoded.version, tuple(map(_route, decoded.routes))
             )
-        except ValueError as exc:
+        except (MalformedMessageError, ValueError) as exc:
             log_message('configuration:unreadable', reason=str(exc))
             return
         if decoded.version <= self.version:
--- a/briarrill/platform/job_messages.py
+++ b/briarrill/platform/job_messages.py
@@ -1,14 +1,13 @@
 """briarrill.platform.job_messages: JSON bodies of requests about jobs."""
 
-import base64
-import binascii
 from collections.abc import Sequence
 
 import attrs
 import msgspec
 
 from ..coordination.relay_protocol import JobProtocol
-from ..errors import BadRequestError
+from ..decoding import decode_base64, json_decoder
+from ..errors import BadRequestError, MalformedMessageError
 from ..state.stored_jobs import StoredItem, StoredResult
 from ..transport.http_messages import check_request
 
@@ -51,7 +50,7 @@
     results: tuple[_WireResult, ...]
 
 
-_SUBMISSION = msgspec.json.Decoder(_Submission)
+_SUBMISSION = json_decoder(_Submission)
 
 
 class PlatformJobProtocol(JobProtocol):
@@ -64,8 +63,8 @@
         """
         try:
             return tuple(map(_stored, _SUBMISSION.decode(body).items))
-        except (msgspec.MsgspecError, binascii.Error) as exc:
-            raise BadRequestError(f'invalid job: {exc}') from exc
+        except MalformedMessageError as exc:
+            raise BadRequestError(f'invalid job: {exc.message}') from exc
 
     def results_body(
         self, total: int, position: int, page: Sequence[StoredResult]
@@ -95,6 +94,6 @@
         item_id=wire.id,
         path=wire.path,
         headers=wire.headers,
-        body=base64.b64decode(wire.body, validate=True),
+        body=decode_base64(wire.body),
         tokens=wire.tokens,
     )
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -5,7 +5,6 @@
 from urllib.parse import parse_qs, unquote
 
 import attrs
-import msgspec
 
 from ..coordination.relay_protocol import (
     Call,
@@ -15,6 +14,7 @@
 )
 from ..coordination.routes import Route, RouteKind, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream
+from ..decoding import json_decoder
 from ..errors import (
     BadRequestError,
     BriarrillError,
@@ -84,7 +84,7 @@
     born: int = 0
 
 
-_REPORT_DECODER = msgspec.json.Decoder(_Report)
+_REPORT_DECODER = json_decoder(_Report)
 
 
 class PlatformRelayProtocol(RelayProtocol):
@@ -220,7 +220,7 @@
         """
         try:
             born = _REPORT_DECODER.decode(body).born
-        except msgspec.MsgspecError:
+        except MalformedMessageError:
             return True
         return born in {0, _registered_start(upstream)}
 
--- a/briarrill/platform/retirement.py
+++ b/briarrill/platform/retirement.py
@@ -10,7 +10,8 @@
 from eliot import log_message
 
 from ..coordination.mirror import MirrorListener
-from ..errors import BriarrillError
+from ..decoding import json_decoder
+from ..errors import BriarrillError, MalformedMessageError
 from ..item_runs.scheduler import Scheduler
 from ..transport.key_value import KeyChange, KeyValueService
 
@@ -33,6 +34,9 @@
     duration_s: float = 0
 
 
+_REQUEST_DECODER = json_decoder(_Request)
+
+
 class Retirement(MirrorListener):
     """Drains this instance when the operator requests it.
 
@@ -54,9 +58,9 @@
         if key != f'{_REQUEST_PREFIX}{self._name}' or body is None:
             return
         try:
-            request = msgspec.json.decode(body, type=_Request)
-        except msgspec.MsgspecError as exc:
-            log_message('retirement:unreadable', reason=str(exc))
+            request = _REQUEST_DECODER.decode(body)
+        except MalformedMessageError as exc:
+            log_message('retirement:unreadable', reason=exc.message)
             return
         self._duration_s = request.duration_s
         self._requested.set()
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -14,8 +14,10 @@
 import trio
 
 from ..coordination.reply_monitor import ReplyMonitor
+from ..decoding import Decoder, json_decoder
 from ..errors import (
     BriarrillError,
+    MalformedMessageError,
     PeerUnreachableError,
     PlatformUnavailableError,
     UpstreamLostError,
@@ -145,6 +147,13 @@
     lease: int = NO_LEASE_OR_REVISION
 
 
+_ITEM_DECODER = json_decoder(_Item)
+_RANGE_DECODER = json_decoder(_RangeReply)
+_WATCH_DECODER = json_decoder(_WatchReply)
+_TXN_DECODER = json_decoder(_TxnReply)
+_LEASE_DECODER = json_decoder(_LeaseReply)
+
+
 @attrs.frozen
 class _RawReply:
     """Status and undecoded body of a response."""
@@ -187,7 +196,7 @@
         raw = await self._get('/kv-key', key=key)
         if raw.status == HTTPStatus.NOT_FOUND:
             return None
-        return _decode(raw, _Item).as_key_value()
+        return _decode(raw, _ITEM_DECODER).as_key_value()
 
     async def read_prefix(
         self, prefix: str, *, after: str = '', limit: int = 0
@@ -229,7 +238,7 @@
         """Create a lease and return its identifier."""
         body = msgspec.json.encode({'ttl_ms': ttl_s * _MS_PER_S})
         raw = await self._call_or_unavailable('POST', '/kv-lease', body)
-        return _decode(raw, _LeaseReply).lease
+        return _decode(raw, _LEASE_DECODER).lease
 
     async def keep_lease_alive(self, lease_id: int) -> int:
         """Renew a lease; return its time to live in s, 0 if it expired."""
@@ -238,7 +247,7 @@
         )
         if raw.status == HTTPStatus.NOT_FOUND:
             return 0
-        return _decode(raw, _LeaseReply).ttl_ms // _MS_PER_S
+        return _decode(raw, _LEASE_DECODER).ttl_ms // _MS_PER_S
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease, which deletes its keys."""
@@ -338,7 +347,7 @@
         first_revision = 0
         for page in itertools.count():
             raw = await self._get('/kv-range', prefix=prefix, after=after)
-            reply = _decode(raw, _RangeReply)
+            reply = _decode(raw, _RANGE_DECODER)
             first_revision = first_revision if page else reply.at
             entries.extend(item.as_key_value() for item in reply.items)
             if not reply.has_more or 0 < limit <= len(entries):
@@ -370,7 +379,7 @@
         )
         if raw.status == HTTPStatus.GONE:
             return None
-        return _decode(raw, _WatchReply)
+        return _decode(raw, _WATCH_DECODER)
 
     async def _call_transaction(self, body: bytes) -> int | None:
         """Make a conditional write; return its revision.
@@ -390,10 +399,10 @@
         if raw.status != HTTPStatus.OK:
             raise _unexpected_status(raw)
         try:
-            return msgspec.json.decode(raw.body, type=_TxnReply).revision
-        except msgspec.MsgspecError as exc:
+            return _TXN_DECODER.decode(raw.body).revision
+        except MalformedMessageError as exc:
             raise UpstreamLostError(
-                f'reply to a write cannot be read: {exc!r}'
+                f'reply to a write cannot be read: {exc.message}'
             ) from exc
 
     async def _resolve_conflict(
@@ -530,7 +539,7 @@
     }
 
 
-def _decode(raw: _RawReply, cls: type[_Reply]) -> _Reply:
+def _decode(raw: _RawReply, decoder: Decoder[_Reply]) -> _Reply:
     """Decode the body of a response with status 200.
 
     :raises PlatformUnavailableError: the status or the body is another one.
@@ -538,8 +547,8 @@
     if raw.status != HTTPStatus.OK:
         raise _unexpected_status(raw)
     try:
-        return msgspec.json.decode(raw.body, type=cls)
-    except msgspec.MsgspecError as exc:
+        return decoder.decode(raw.body)
+    except MalformedMessageError as exc:
         raise _unavailable(exc) from exc
 
 
--- a/briarrill/platform/upstreams.py
+++ b/briarrill/platform/upstreams.py
@@ -9,6 +9,8 @@
 
 from ..coordination.mirror import MirrorListener
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
+from ..decoding import json_decoder
+from ..errors import MalformedMessageError
 from ..transport.http_messages import check_request
 
 __all__ = ('REGISTRATIONS_PREFIX', 'Registrations')
@@ -39,6 +41,9 @@
     born: int = 0
 
 
+_DECODER = json_decoder(_Registration)
+
+
 class Registrations(MirrorListener):
     """Copies registrations from the store to the table of upstreams."""
 
@@ -71,10 +76,10 @@
 def _decode(upstream_id: str, body: bytes) -> RegisteredUpstream | None:
     """Decode a registration; log an unreadable one and return nothing."""
     try:
-        registration = msgspec.json.decode(body, type=_Registration)
+        registration = _DECODER.decode(body)
         address = _decode_address(registration.address)
         check_request('/', {'id': upstream_id})
-    except ValueError as exc:
+    except (MalformedMessageError, ValueError) as exc:
         log_message(
             'upstream:unreadable', upstream=upstream_id, reason=str(exc)
         )
--- a/briarrill/protocol/callers_api.py
+++ b/briarrill/protocol/callers_api.py
@@ -7,7 +7,13 @@
 import msgspec
 import xxhash
 
-from ..errors import BadRequestError, BriarrillError, InvalidLinesError
+from ..decoding import json_decoder
+from ..errors import (
+    BadRequestError,
+    BriarrillError,
+    InvalidLinesError,
+    MalformedMessageError,
+)
 
 __all__ = (
     'CompletionHead',
@@ -62,9 +68,9 @@
 # shared messages that are told apart; further ones are ignored
 _MAX_PROMPT_PARTS = 16
 
-_PROMPT_DECODER = msgspec.json.Decoder(_Prompt)
-_COMPLETION_DECODER = msgspec.json.Decoder(CompletionHead)
-_INPUT_LINE_DECODER = msgspec.json.Decoder(InputLine)
+_PROMPT_DECODER = json_decoder(_Prompt)
+_COMPLETION_DECODER = json_decoder(CompletionHead)
+_INPUT_LINE_DECODER = json_decoder(InputLine)
 
 
 def parse_completion(body: bytes) -> CompletionHead:
@@ -75,8 +81,8 @@
     """
     try:
         return _COMPLETION_DECODER.decode(body)
-    except msgspec.MsgspecError as exc:
-        raise BadRequestError(f'request body: {exc}') from exc
+    except MalformedMessageError as exc:
+        raise BadRequestError(f'request body: {exc.message}') from exc
 
 
 def prompt_parts(body: bytes) -> tuple[str, ...]:
@@ -86,7 +92,7 @@
     """
     try:
         messages = _PROMPT_DECODER.decode(body).messages
-    except msgspec.MsgspecError:
+    except MalformedMessageError:
         return ()
     shared = itertools.islice(messages[:-1], _MAX_PROMPT_PARTS)
     return tuple(map(xxhash.xxh3_64_hexdigest, map(bytes, shared)))
@@ -100,8 +106,8 @@
     """
     try:
         return _INPUT_LINE_DECODER.decode(line)
-    except msgspec.MsgspecError as exc:
-        raise InvalidLinesError(str(exc)) from exc
+    except MalformedMessageError as exc:
+        raise InvalidLinesError(exc.message) from exc
 
 
 def check_input_line(line: bytes) -> InputLine:
--- a/briarrill/protocol/codec.py
+++ b/briarrill/protocol/codec.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from ..decoding import msgpack_decoder
 from ..errors import (
     ERRORS_BY_CODE,
     BriarrillError,
@@ -30,7 +31,7 @@
     cls.__name__.encode(): cls for cls in Message.__subclasses__()
 }
 _DECODERS = {
-    name: msgspec.msgpack.Decoder(cls) for name, cls in _TYPES_BY_NAME.items()
+    name: msgpack_decoder(cls) for name, cls in _TYPES_BY_NAME.items()
 }
 # fields that must be finite, since times are computed from them
 _FLOAT_FIELDS_BY_TYPE = {
@@ -64,10 +65,7 @@
     decoder = _DECODERS.get(frames[0])
     if decoder is None:
         raise MalformedMessageError(f'unknown message type {frames[0]!r}')
-    try:
-        decoded: Message = decoder.decode(frames[1])
-    except msgspec.MsgspecError as exc:
-        raise MalformedMessageError(str(exc)) from exc
+    decoded: Message = decoder.decode(frames[1])
     for name in _FLOAT_FIELDS_BY_TYPE[type(decoded)]:
         if not math.isfinite(getattr(decoded, name)):
             raise MalformedMessageError(f'{name} must be finite')
--- a/briarrill/protocol/load_probes.py
+++ b/briarrill/protocol/load_probes.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from ..decoding import msgpack_decoder
 from ..errors import MalformedMessageError
 
 __all__ = (
@@ -46,7 +47,7 @@
     batch: int
 
 
-_FIELDS_DECODER = msgspec.msgpack.Decoder(list[int | str])
+_FIELDS_DECODER = msgpack_decoder(list[int | str])
 _CLASSES: dict[int, type[LoadProbe | ProbeReply]] = {
     len(attrs.fields(cls)): cls for cls in (LoadProbe, ProbeReply)
 }
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -5,11 +5,13 @@
 
 import functools
 from types import GenericAlias
+from typing import Any
 
 import attrs
 import msgspec
 import xxhash
 
+from ..decoding import Decoder
 from ..errors import MalformedMessageError
 from .limit_news import LimitNews
 from .prompt_news import PromptNews
@@ -90,7 +92,9 @@
 _FIELD_NAMES = tuple(field.name for field in attrs.fields(LoadReport))
 _FIELD_TYPES = tuple(field.type for field in attrs.fields(LoadReport))
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(GenericAlias(tuple, _FIELD_TYPES))
+_DECODER: Decoder[tuple[Any, ...]] = Decoder(
+    msgspec.msgpack.Decoder(GenericAlias(tuple, _FIELD_TYPES)).decode
+)
 
 
 def encode_report(report: LoadReport) -> bytes:
@@ -104,10 +108,7 @@
     :raises MalformedMessageError: the bytes are not a report, or it has
         another protocol version.
     """
-    try:
-        report = LoadReport(*_DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
-        raise MalformedMessageError(f'load report: {exc}') from exc
+    report = LoadReport(*_DECODER.decode(raw))
     if report.version != PROTOCOL_VERSION:
         raise MalformedMessageError(
             f'load report version {report.version}, not {PROTOCOL_VERSION}'
--- a/briarrill/protocol/permits.py
+++ b/briarrill/protocol/permits.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from ..decoding import msgpack_decoder
 from ..errors import MalformedMessageError
 
 __all__ = (
@@ -55,7 +56,7 @@
 _PermitMessage = PermitRequest | PermitReply
 
 _CLASSES: tuple[type[_PermitMessage], ...] = (PermitRequest, PermitReply)
-_FIELDS_DECODER = msgspec.msgpack.Decoder(list[int | float | str | bool])
+_FIELDS_DECODER = msgpack_decoder(list[int | float | str | bool])
 
 
 def is_permit(raw: bytes) -> bool:
--- a/briarrill/protocol/stream_origins.py
+++ b/briarrill/protocol/stream_origins.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from ..decoding import msgpack_decoder
 from ..errors import MalformedMessageError
 
 __all__ = (
@@ -82,7 +83,7 @@
     OriginQuestion,
     OriginReply,
 )
-_FIELDS_DECODER = msgspec.msgpack.Decoder(list[int | str | bool | None])
+_FIELDS_DECODER = msgpack_decoder(list[int | str | bool | None])
 
 
 def is_origin(raw: bytes) -> bool:
--- a/briarrill/sidecar/batch.py
+++ b/briarrill/sidecar/batch.py
@@ -9,7 +9,7 @@
 import trio
 
 from ..coordination.admission import Admission
-from ..errors import PeerUnreachableError
+from ..errors import MalformedMessageError, PeerUnreachableError
 from ..metrics import BATCH_ITEMS, DUPLICATES, MALFORMED_MESSAGES, RESUMED
 from ..protocol.codec import decode_or_none, encode
 from ..protocol.messages import (
@@ -56,7 +56,14 @@
 HTTP_OK = 200
 
 # raised for requests and events whose fields are not as documented
-_MALFORMED_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+_MALFORMED_ERRORS = (
+    AttributeError,
+    KeyError,
+    MalformedMessageError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 @attrs.frozen
--- a/briarrill/sidecar/resumable_completion.py
+++ b/briarrill/sidecar/resumable_completion.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from ..decoding import json_decoder
+
 __all__ = ('ResumableCompletion',)
 
 # far above a completion; an engine that generates without end must not fill
@@ -20,6 +22,8 @@
 _EVENT_PREFIX = 'data: '
 _STREAM_END_PAYLOAD = '[DONE]'
 
+_OBJECT_DECODER = json_decoder(dict[str, Any])
+
 
 @attrs.define
 class ResumableCompletion:
@@ -42,9 +46,9 @@
     def from_request_body(cls, body: bytes) -> Self:
         """Create a completion without text.
 
-        :raises ValueError: the body is not JSON.
+        :raises MalformedMessageError: the body is no JSON object.
         """
-        return cls(request=json.loads(body))
+        return cls(request=_OBJECT_DECODER.decode(body))
 
     def next_request_body(self) -> bytes:
         """Return the request body for the rest of the completion."""
@@ -60,6 +64,7 @@
     def add_events(self, events: bytes) -> None:
         """Append the text of complete server-sent events.
 
+        :raises MalformedMessageError: an event is no JSON object.
         :raises ValueError: an event is malformed or an error, or the text is
             too long.
         """
@@ -68,7 +73,7 @@
             self.has_ended = self.has_ended or payload == _STREAM_END_PAYLOAD
             if payload in {line, _STREAM_END_PAYLOAD}:
                 continue
-            self._add_event(json.loads(payload))
+            self._add_event(_OBJECT_DECODER.decode(payload.encode()))
         if len(self.text) > MAX_TEXT_CHARACTERS:
             raise ValueError(
                 f'completion is over {MAX_TEXT_CHARACTERS} characters'
--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -7,7 +7,8 @@
 import httpx
 import msgspec
 
-from ...errors import BadRequestError
+from ...decoding import json_decoder
+from ...errors import BadRequestError, MalformedMessageError
 from ...protocol.callers_api import parse_completion
 from ...transport.bounded_http import read_body, request
 from .base import (
@@ -66,7 +67,8 @@
     usage: _Usage | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Event)
+_DECODER = json_decoder(_Event)
+_ANY_DECODER = json_decoder(msgspec.Raw)
 
 
 class EngineUpstream(Upstream):
@@ -185,8 +187,8 @@
     ):
         return
     try:
-        msgspec.json.decode(body, type=msgspec.Raw)
-    except msgspec.MsgspecError as exc:
+        _ANY_DECODER.decode(body)
+    except MalformedMessageError as exc:
         raise httpx.RemoteProtocolError('the JSON body was cut') from exc
 
 
@@ -209,7 +211,7 @@
 def _decode_events(chunk: bytes) -> Iterator[_Event]:
     """Yield the events of a chunk; skip lines that are not events."""
     for line in chunk.splitlines():
-        with contextlib.suppress(msgspec.MsgspecError):
+        with contextlib.suppress(MalformedMessageError):
             yield _DECODER.decode(line.removeprefix(_EVENT_PREFIX))
 
 
--- a/briarrill/state/contracts.py
+++ b/briarrill/state/contracts.py
@@ -9,7 +9,8 @@
 import attrs
 import msgspec
 
-from ..errors import ConfigurationError, SettingsError
+from ..decoding import decompress, json_decoder
+from ..errors import ConfigurationError, MalformedMessageError, SettingsError
 from .structuring import structure
 
 __all__ = (
@@ -97,6 +98,9 @@
     policy: Policy = Policy()
 
 
+_DECODER = json_decoder(Configuration)
+
+
 def hash_api_key(api_key: str) -> str:
     """Return the SHA-256 of an API key as listed in a contract."""
     return hashlib.sha256(api_key.encode()).hexdigest()
@@ -113,9 +117,11 @@
     :raises ConfigurationError: the record is damaged or invalid.
     """
     try:
-        cfg = msgspec.json.decode(zlib.decompress(body), type=Configuration)
-    except (zlib.error, msgspec.MsgspecError) as exc:
-        raise ConfigurationError(f'configuration record: {exc}') from exc
+        cfg = _DECODER.decode(decompress(body))
+    except MalformedMessageError as exc:
+        raise ConfigurationError(
+            f'configuration record: {exc.message}'
+        ) from exc
     _check_configuration(cfg)
     return cfg
 
--- a/briarrill/state/job_records.py
+++ b/briarrill/state/job_records.py
@@ -13,7 +13,8 @@
 import attrs
 import msgspec
 
-from ..errors import InternalError
+from ..decoding import Decoder, decompress, json_decoder
+from ..errors import InternalError, MalformedMessageError
 
 __all__ = (
     'FileRecord',
@@ -143,6 +144,10 @@
         return sum(segment.failed for segment in self.results)
 
 
+_FILE_DECODER = json_decoder(FileRecord)
+_JOB_DECODER = json_decoder(JobRecord)
+
+
 def encode_record(record: FileRecord | JobRecord) -> bytes:
     """Encode a record as compressed JSON."""
     return zlib.compress(msgspec.json.encode(record), _COMPRESSION_LEVEL)
@@ -153,7 +158,7 @@
 
     :raises InternalError: the bytes are damaged.
     """
-    return _decode(body, JobRecord)
+    return _decode(body, _JOB_DECODER)
 
 
 def decode_file_record(body: bytes) -> FileRecord:
@@ -161,11 +166,11 @@
 
     :raises InternalError: the bytes are damaged.
     """
-    return _decode(body, FileRecord)
+    return _decode(body, _FILE_DECODER)
 
 
-def _decode(body: bytes, cls: type[_Record]) -> _Record:
+def _decode(body: bytes, decoder: Decoder[_Record]) -> _Record:
     try:
-        return msgspec.json.decode(zlib.decompress(body), type=cls)
-    except (zlib.error, msgspec.MsgspecError) as exc:
-        raise InternalError(f'damaged record: {exc}') from exc
+        return decoder.decode(decompress(body))
+    except MalformedMessageError as exc:
+        raise InternalError(f'damaged record: {exc.message}') from exc
--- a/briarrill/state/stored_jobs.py
+++ b/briarrill/state/stored_jobs.py
@@ -14,7 +14,8 @@
 import attrs
 import msgspec
 
-from ..errors import BadRequestError, InternalError
+from ..decoding import msgpack_decoder
+from ..errors import BadRequestError, InternalError, MalformedMessageError
 from ..transport.key_value import KeyChange
 from .keys import job_body_prefix, job_results_prefix, numbered_key
 
@@ -85,8 +86,8 @@
     output: str = ''
 
 
-_JOB_DECODER = msgspec.msgpack.Decoder(StoredJob)
-_RESULT_DECODER = msgspec.msgpack.Decoder(StoredResult)
+_JOB_DECODER = msgpack_decoder(StoredJob)
+_RESULT_DECODER = msgpack_decoder(StoredResult)
 
 
 def check_job_id(job_id: str) -> str:
@@ -132,8 +133,8 @@
     raw = b''.join(part[_PART_COUNT_BYTES:] for part in parts)
     try:
         return _JOB_DECODER.decode(raw)
-    except msgspec.MsgspecError as exc:
-        raise InternalError(f'damaged job: {exc}') from exc
+    except MalformedMessageError as exc:
+        raise InternalError(f'damaged job: {exc.message}') from exc
 
 
 def result_creation_changes(
@@ -158,5 +159,5 @@
     """
     try:
         return _RESULT_DECODER.decode(body)
-    except msgspec.MsgspecError as exc:
-        raise InternalError(f'damaged result: {exc}') from exc
+    except MalformedMessageError as exc:
+        raise InternalError(f'damaged result: {exc.message}') from exc
--- a/briarrill/timeline/reader.py
+++ b/briarrill/timeline/reader.py
@@ -1,16 +1,29 @@
 """briarrill.timeline.reader: reads the eliot logs of processes."""
 
 import gzip
-import json
 from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
 
+from ..decoding import json_decoder
+from ..errors import MalformedMessageError
+
 __all__ = ('Event', 'LogReport', 'read_events')
 
 GZIP_SUFFIX = '.gz'
 
+_DECODER = json_decoder(dict[str, Any])
+
+# raised for lines that are no eliot messages
+_PARSE_ERRORS = (
+    LookupError,
+    MalformedMessageError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
 _EVENT_KEYS = frozenset(
     (
         'action_status',
@@ -85,8 +98,8 @@
 def _add_line(report: LogReport, line: bytes) -> None:
     """Add the event of a line, or count the line as skipped."""
     try:
-        report.events.append(_parse_event(dict(json.loads(line))))
-    except (LookupError, TypeError, ValueError):
+        report.events.append(_parse_event(_DECODER.decode(line)))
+    except _PARSE_ERRORS:
         report.skipped += bool(line.strip())
 
 
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -2,13 +2,17 @@
 
 import base64
 import contextlib
-import json
 from collections.abc import AsyncIterator, Iterator, Sequence
 from typing import Any
 
 import httpx
 
-from ..errors import PlatformUnavailableError, WriteUnknownError
+from ..decoding import decode_base64, json_decoder
+from ..errors import (
+    MalformedMessageError,
+    PlatformUnavailableError,
+    WriteUnknownError,
+)
 from ..metrics import KEY_VALUE_CALLS
 from .bounded_http import iter_lines, open_stream, request
 from .key_value import (
@@ -53,8 +57,11 @@
     KeyError,
     TypeError,
     AttributeError,
+    MalformedMessageError,
 )
 
+_OBJECT_DECODER = json_decoder(dict[str, Any])
+
 
 def prefix_end(prefix: str) -> bytes:
     """Return the first key after all keys with this prefix."""
@@ -68,8 +75,8 @@
 
 def _decode_key_value(fields: dict[str, Any]) -> KeyValue:
     return KeyValue(
-        key=base64.b64decode(fields['key']).decode(),
-        body=base64.b64decode(fields.get('value', '')),
+        key=decode_base64(fields['key']).decode(),
+        body=decode_base64(fields.get('value', '')),
         mod_revision=int(fields['mod_revision']),
     )
 
@@ -161,7 +168,7 @@
             KEY_VALUE_CALLS.labels('watch').inc()
             async for line in self._stream_lines('/v3/watch', create):
                 for change in await self._decode_watch_message(
-                    json.loads(line), prefix
+                    _OBJECT_DECODER.decode(line), prefix
                 ):
                     yield change
         except _CALL_ERRORS as exc:
@@ -239,7 +246,7 @@
         """Call the gateway without converting errors.
 
         :raises httpx.HTTPError: the call failed or returned an error status.
-        :raises ValueError: the reply is not JSON.
+        :raises MalformedMessageError: the reply is no JSON object.
         """
         KEY_VALUE_CALLS.labels(path.removeprefix('/v3/')).inc()
         reply = await request(
@@ -251,10 +258,7 @@
             max_bytes=MAX_REPLY_BYTES,
         )
         reply.raise_for_status()
-        decoded = reply.json()
-        if not isinstance(decoded, dict):
-            raise ValueError(f'reply is no object: {decoded!r}')
-        return decoded
+        return _OBJECT_DECODER.decode(reply.content)
 
 
 @contextlib.contextmanager
--- a/briarrill/transport/instance_list.py
+++ b/briarrill/transport/instance_list.py
@@ -4,9 +4,9 @@
 
 import attrs
 import httpx
-import msgspec
 
-from ..errors import PlatformUnavailableError
+from ..decoding import json_decoder
+from ..errors import MalformedMessageError, PlatformUnavailableError
 from .bounded_http import request
 
 __all__ = ('Instance', 'InstanceList', 'InstanceState', 'Role')
@@ -49,6 +49,9 @@
     state: InstanceState = InstanceState.LIVE
 
 
+_INSTANCES_DECODER = json_decoder(tuple[Instance, ...])
+
+
 class InstanceList:
     """Client of the instance list, which lags behind the real instances.
 
@@ -79,13 +82,11 @@
             )
             if reply.status_code != httpx.codes.NOT_MODIFIED:
                 self._store_reply(reply.raise_for_status())
-        except (httpx.HTTPError, msgspec.MsgspecError) as exc:
+        except (httpx.HTTPError, MalformedMessageError) as exc:
             raise PlatformUnavailableError(f'instance list: {exc!r}') from exc
         return self._instances
 
     def _store_reply(self, reply: httpx.Response) -> None:
         """Store the instances and the entity tag of a reply."""
-        self._instances = msgspec.json.decode(
-            reply.content, type=tuple[Instance, ...]
-        )
+        self._instances = _INSTANCES_DECODER.decode(reply.content)
         self._etag = reply.headers.get('ETag', '')
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -6,7 +6,7 @@
 
 from briarrill.coordination.upstream_table import UpstreamTable
 from briarrill.platform.upstreams import Registrations
-from tests.odd_bodies import add_field
+from tests.odd_bodies import NESTED_JSON, UNREADABLE_JSON, add_field
 
 KEY = 'servers/i-1'
 
@@ -38,6 +38,7 @@
 
 
 ODD_BODIES = [
+    *UNREADABLE_JSON,
     _with('slots', b'0'),
     _with('slots', b'-1'),
     _with('slots', b'4.5'),
@@ -47,6 +48,7 @@
     _with('slots', b'9' * 25),
     _with('slots', b'9' * 400),
     _with('slots', b'9' * 5000),
+    _with('extra', NESTED_JSON),
 ]
 
 SOUND_BODIES = [
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -50,6 +50,13 @@
         PlatformJobProtocol().read_items(body)
 
 
+@pytest.mark.parametrize('text', ['b25', 'b25l!', '\u00fc'])
+def test_item_whose_body_is_no_base64_is_rejected_with_its_job(text):
+    body = json.dumps({'items': [{**ITEM, 'body': text}]}).encode()
+    with pytest.raises(BadRequestError, match='base64'):
+        PlatformJobProtocol().read_items(body)
+
+
 def test_item_with_headers_that_the_relay_replaces_is_accepted():
     headers = {'Content-Length': 'x', 'Transfer-Encoding': 'gzip', 'Te': 'x'}
     body = json.dumps({'items': [{**ITEM, 'headers': headers}]}).encode()
