Use no upstream whose registered address names no single host

A registration with the port 8_0, " 80", +80 or one in Arabic digits was taken for a sound one, since int reads all of these, and so was one at 0.0.0.0 (which connects to the entry's own machine), 255.255.255.255 or a multicast address. Requests were sent to whatever listened at an address that nobody had named.

Ports are now one to five ASCII digits, and the three kinds of address that name no single host are refused; loopback and private ones stay usable.

Before: the cases of test_odd_registration_names_no_upstream and test_odd_registration_in_place_of_a_sound_one_removes_it for these four ports and three addresses failed. The other ports and addresses passed before.

--- a/briarrill/platform/upstreams.py
+++ b/briarrill/platform/upstreams.py
@@ -1,6 +1,7 @@
 """briarrill.platform.upstreams: reads the upstreams' registrations."""
 
 import ipaddress
+import re
 from typing import Annotated, Literal
 
 import attrs
@@ -19,6 +20,9 @@
 REGISTRATIONS_PREFIX = 'servers/'
 
 _MAX_PORT = 65_535
+_PORT_PATTERN = re.compile('[0-9]{1,5}')
+
+_BROADCAST = ipaddress.IPv4Address('255.255.255.255')
 
 # several times what one server runs at the same time
 _MAX_SLOTS = 4096
@@ -64,13 +68,20 @@
 def _decode_address(address: str) -> tuple[str, int]:
     """Return the IP address and port.
 
-    :raises ValueError: the text is no such pair.
+    :raises ValueError: the text is no such pair, or names no single host.
     """
     host, _, port = address.rpartition(':')
-    number = int(port)
+    number = int(port) if _PORT_PATTERN.fullmatch(port) else 0
     if not 0 < number <= _MAX_PORT:
-        raise ValueError(f'port {number} is not between 1 and {_MAX_PORT}')
-    return str(ipaddress.IPv4Address(host)), number
+        raise ValueError(f'port {port!r} is not between 1 and {_MAX_PORT}')
+    ip_address = ipaddress.IPv4Address(host)
+    if (
+        ip_address.is_unspecified
+        or ip_address.is_multicast
+        or ip_address == _BROADCAST
+    ):
+        raise ValueError(f'address {host} names no single host')
+    return str(ip_address), number
 
 
 def _decode(upstream_id: str, body: bytes) -> RegisteredUpstream | None:
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -37,6 +37,10 @@
     )
 
 
+def _address(text):
+    return _with('address', json.dumps(text).encode())
+
+
 ODD_BODIES = [
     *UNREADABLE_JSON,
     _with('slots', b'0'),
@@ -48,9 +52,27 @@
     _with('slots', b'9' * 25),
     _with('slots', b'9' * 400),
     _with('slots', b'9' * 5000),
+    _address('127.0.0.1:0'),
+    _address('127.0.0.1:-1'),
+    _address('127.0.0.1:65536'),
+    _address('127.0.0.1:' + '9' * 5000),
+    _address('127.0.0.1:8_0'),
+    _address('127.0.0.1: 80'),
+    _address('127.0.0.1:+80'),
+    _address('127.0.0.1:\u0668\u0660'),
+    _address('127.0.0.1:'),
+    _address('127.0.0.1'),
+    _address('0.0.0.0:80'),
+    _address('255.255.255.255:80'),
+    _address('224.0.0.1:80'),
+    _address('::1:80'),
+    _address('host:80'),
+    _with('state', b'"gone"'),
+    _with('version', b'7'),
     _with('extra', NESTED_JSON),
 ]
 
+
 SOUND_BODIES = [
     json.dumps(SOUND).encode(),
     json.dumps(dict(reversed(SOUND.items())), indent=4).encode(),
