Use no upstream whose registration holds oversized texts

Versions, services, zones and IDs of 100,000 characters and starts of 4,000 digits counted as sound. They are copied into datagrams between processes, which hold 65,507 bytes at most and which are not sent, without an error, if they are larger.

Texts may now have 200 characters, as much as a key of the store, and a start is from 1970 to the end of the year 9999. The empty ID is refused too: it was sent as an empty header. Control characters in a version or zone stay sound.

Before: the cases of the texts, of starts of -1, 25 and 400 digits, and of the empty and the long ID failed in test_upstreams. The others passed before.

--- a/briarrill/platform/upstreams.py
+++ b/briarrill/platform/upstreams.py
@@ -24,9 +24,17 @@
 
 _BROADCAST = ipaddress.IPv4Address('255.255.255.255')
 
+# longest name that fits into a key of the store
+_MAX_NAME_LENGTH = 200
+
+# last millisecond of the year 9999, the end of all calendars in use
+_MAX_BORN_MS = 253_402_300_799_999
+
 # several times what one server runs at the same time
 _MAX_SLOTS = 4096
 
+_Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
+
 
 @attrs.frozen
 class _Registration:
@@ -36,13 +44,13 @@
     :param born: start of the upstream's process, Unix milliseconds.
     """
 
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: Literal['ready', 'draining']
-    version: str = ''
-    born: int = 0
+    version: _Name = ''
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_BORN_MS)] = 0
 
 
 _DECODER = json_decoder(_Registration)
@@ -84,12 +92,23 @@
     return str(ip_address), number
 
 
+def _check_id(upstream_id: str) -> None:
+    """Check that requests can name an upstream.
+
+    :raises ValueError: the ID is empty, too long for a key, or has characters
+        that headers do not allow.
+    """
+    if not 0 < len(upstream_id) <= _MAX_NAME_LENGTH:
+        raise ValueError(f'{len(upstream_id)} characters are no ID')
+    check_request('/', {'id': upstream_id})
+
+
 def _decode(upstream_id: str, body: bytes) -> RegisteredUpstream | None:
     """Decode a registration; log an unreadable one and return nothing."""
     try:
         registration = _DECODER.decode(body)
         address = _decode_address(registration.address)
-        check_request('/', {'id': upstream_id})
+        _check_id(upstream_id)
     except (MalformedMessageError, ValueError) as exc:
         log_message(
             'upstream:unreadable', upstream=upstream_id, reason=str(exc)
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -52,6 +52,9 @@
     _with('slots', b'9' * 25),
     _with('slots', b'9' * 400),
     _with('slots', b'9' * 5000),
+    _with('born', b'-1'),
+    _with('born', b'9' * 25),
+    _with('born', b'9' * 400),
     _address('127.0.0.1:0'),
     _address('127.0.0.1:-1'),
     _address('127.0.0.1:65536'),
@@ -67,12 +70,14 @@
     _address('224.0.0.1:80'),
     _address('::1:80'),
     _address('host:80'),
+    _with('version', json.dumps('v' * 100_000).encode()),
+    _with('service', json.dumps('s' * 100_000).encode()),
+    _with('zone', json.dumps('z' * 100_000).encode()),
     _with('state', b'"gone"'),
     _with('version', b'7'),
     _with('extra', NESTED_JSON),
 ]
 
-
 SOUND_BODIES = [
     json.dumps(SOUND).encode(),
     json.dumps(dict(reversed(SOUND.items())), indent=4).encode(),
@@ -109,3 +114,11 @@
     (upstream,) = table.registered_upstreams
     assert upstream.address == ('127.0.0.1', 80)
     assert upstream.slots in {4, 1024}
+
+
+@pytest.mark.parametrize(
+    'upstream_id', ['', 'i' * 201, 'i\n', 'i\0', 'i-\u20ac', ' ']
+)
+def test_registration_under_an_odd_key_names_no_upstream(upstream_id, table):
+    Registrations(table).apply_key(f'servers/{upstream_id}', SOUND_BODIES[0])
+    assert not table.registered_upstreams
