Leave one unreadable item of the store out of followed keys

An item whose value is no base64 raised binascii.Error or ValueError outside the code that converts errors, which ended the task that follows the keys and with it the process, again at each start. An item with a field of another type made the whole page or watch unreadable, so that no key was followed while it was there. A revision or position beyond 64 bits was taken over: processes report their positions to peers, and encoding such a report raises OverflowError ("can't serialize ints < -2**63 or > 2**64 - 1").

Followed pages and watches now decode each item on its own and log one that cannot be read (store:item-unreadable); it counts as if it were not there, and an event of this kind changes nothing. Direct reads fail instead, since their answer would not be complete: a job with such a result gets 503. Numbers in replies are from 0 to 2**63 - 1, and a reply that cannot be read as a whole is a failed call, as before; that includes nesting, which hides where an item ends. The types moved to a module of their own.

--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -14,7 +14,7 @@
 import trio
 
 from ..coordination.reply_monitor import ReplyMonitor
-from ..decoding import Decoder, json_decoder
+from ..decoding import Decoder
 from ..errors import (
     BriarrillError,
     MalformedMessageError,
@@ -32,9 +32,17 @@
     KeySnapshot,
     KeyValue,
     KeyValueService,
-    WatchEvent,
     WatchProgress,
 )
+from .store_replies import (
+    ITEM_DECODER,
+    LEASE_DECODER,
+    RANGE_DECODER,
+    TXN_DECODER,
+    WATCH_DECODER,
+    RangeReply,
+    WatchReply,
+)
 
 __all__ = ('PlatformStore',)
 
@@ -86,74 +94,11 @@
 
 OUTAGE_RETRY_AFTER_S = 1.0
 
-# wire form of no lease, and of the revision of a key that does not exist
-NO_LEASE_OR_REVISION = 0
-
 _MS_PER_S = 1000
 
 _Reply = TypeVar('_Reply')
 
 
-@attrs.frozen
-class _Item:
-    """A key in the store's JSON.
-
-    :param value: base64; empty in a tombstone.
-    :param revision: revision of the key's last change.
-    :param tombstone: whether the key was deleted.
-    """
-
-    key: str = ''
-    value: str = ''
-    revision: int = 0
-    tombstone: bool = False
-
-    def as_key_value(self) -> KeyValue:
-        body = base64.b64decode(self.value)
-        return KeyValue(self.key, body, self.revision)
-
-    def as_event(self) -> WatchEvent:
-        body = None if self.tombstone else base64.b64decode(self.value)
-        return WatchEvent(self.key, body, self.revision)
-
-
-@attrs.frozen
-class _RangeReply:
-    """A page of keys; ``at`` is the revision of the whole store."""
-
-    items: tuple[_Item, ...]
-    has_more: bool
-    at: int
-
-
-@attrs.frozen
-class _WatchReply:
-    """Changes since a revision, complete up to ``at``."""
-
-    events: tuple[_Item, ...]
-    at: int
-
-
-@attrs.frozen
-class _TxnReply:
-    revision: int
-
-
-@attrs.frozen
-class _LeaseReply:
-    """A granted or renewed lease."""
-
-    ttl_ms: int
-    lease: int = NO_LEASE_OR_REVISION
-
-
-_ITEM_DECODER = json_decoder(_Item)
-_RANGE_DECODER = json_decoder(_RangeReply)
-_WATCH_DECODER = json_decoder(_WatchReply)
-_TXN_DECODER = json_decoder(_TxnReply)
-_LEASE_DECODER = json_decoder(_LeaseReply)
-
-
 @attrs.frozen
 class _RawReply:
     """Status and undecoded body of a response."""
@@ -196,7 +141,11 @@
         raw = await self._get('/kv-key', key=key)
         if raw.status == HTTPStatus.NOT_FOUND:
             return None
-        return _decode(raw, _ITEM_DECODER).as_key_value()
+        item = _decode(raw, ITEM_DECODER)
+        try:
+            return item.as_key_value()
+        except MalformedMessageError as exc:
+            raise _unavailable(exc) from exc
 
     async def read_prefix(
         self, prefix: str, *, after: str = '', limit: int = 0
@@ -238,7 +187,7 @@
         """Create a lease and return its identifier."""
         body = msgspec.json.encode({'ttl_ms': ttl_s * _MS_PER_S})
         raw = await self._call_or_unavailable('POST', '/kv-lease', body)
-        return _decode(raw, _LEASE_DECODER).lease
+        return _decode(raw, LEASE_DECODER).lease
 
     async def keep_lease_alive(self, lease_id: int) -> int:
         """Renew a lease; return its time to live in s, 0 if it expired."""
@@ -247,7 +196,7 @@
         )
         if raw.status == HTTPStatus.NOT_FOUND:
             return 0
-        return _decode(raw, _LEASE_DECODER).ttl_ms // _MS_PER_S
+        return _decode(raw, LEASE_DECODER).ttl_ms // _MS_PER_S
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease, which deletes its keys."""
@@ -272,7 +221,9 @@
         wait_s: float = 0
         while True:
             if not revision:
-                snapshot = await self._read_pages(prefix)
+                snapshot = await self._read_pages(
+                    prefix, skips_unreadable=True
+                )
                 yield snapshot
                 revision = snapshot.revision
                 wait_s = 0
@@ -282,8 +233,8 @@
                 revision = 0
                 continue
             revision = reply.at
-            for event in reply.events:
-                yield event.as_event()
+            for event in reply.readable_events():
+                yield event
             yield WatchProgress(revision)
             await trio.sleep(min_interval_s if reply.events else 0)
 
@@ -337,22 +288,35 @@
         return True
 
     async def _read_pages(
-        self, prefix: str, after: str = '', limit: int = 0
+        self,
+        prefix: str,
+        after: str = '',
+        limit: int = 0,
+        *,
+        skips_unreadable: bool = False,
     ) -> KeySnapshot:
         """Return keys and the revision after which to watch for changes.
 
         Pages are read at different revisions, so it is the first page's.
+
+        :param skips_unreadable: leave out items that cannot be read instead
+            of failing.
         """
         entries: list[KeyValue] = []
         first_revision = 0
         for page in itertools.count():
             raw = await self._get('/kv-range', prefix=prefix, after=after)
-            reply = _decode(raw, _RANGE_DECODER)
+            reply = _decode(raw, RANGE_DECODER)
             first_revision = first_revision if page else reply.at
-            entries.extend(item.as_key_value() for item in reply.items)
+            page_entries = (
+                reply.readable_entries()
+                if skips_unreadable
+                else _all_entries(reply)
+            )
+            entries.extend(page_entries)
             if not reply.has_more or 0 < limit <= len(entries):
                 break
-            after = entries[-1].key
+            after = _last_key(page_entries)
         return KeySnapshot(
             tuple(entries[: limit or None]),
             first_revision,
@@ -361,7 +325,7 @@
 
     async def _read_changes(
         self, prefix: str, revision: int, wait_s: float
-    ) -> _WatchReply | None:
+    ) -> WatchReply | None:
         """Return the next changes, or nothing if the history is compacted."""
         query = urlencode(
             {
@@ -379,7 +343,7 @@
         )
         if raw.status == HTTPStatus.GONE:
             return None
-        return _decode(raw, _WATCH_DECODER)
+        return _decode(raw, WATCH_DECODER)
 
     async def _call_transaction(self, body: bytes) -> int | None:
         """Make a conditional write; return its revision.
@@ -399,7 +363,7 @@
         if raw.status != HTTPStatus.OK:
             raise _unexpected_status(raw)
         try:
-            return _TXN_DECODER.decode(raw.body).revision
+            return TXN_DECODER.decode(raw.body).revision
         except MalformedMessageError as exc:
             raise UpstreamLostError(
                 f'reply to a write cannot be read: {exc.message}'
@@ -552,6 +516,30 @@
         raise _unavailable(exc) from exc
 
 
+def _all_entries(reply: RangeReply) -> list[KeyValue]:
+    """Return the keys of a page.
+
+    :raises PlatformUnavailableError: an item cannot be read.
+    """
+    try:
+        return reply.all_entries()
+    except MalformedMessageError as exc:
+        raise _unavailable(exc) from exc
+
+
+def _last_key(entries: Sequence[KeyValue]) -> str:
+    """Return the last key of a page, after which the next one begins.
+
+    :raises PlatformUnavailableError: no item of the page can be read.
+    """
+    if not entries:
+        raise PlatformUnavailableError(
+            'no item of a page can be read',
+            retry_after_s=OUTAGE_RETRY_AFTER_S,
+        )
+    return entries[-1].key
+
+
 def _raise_if_not_written(
     exc: Exception, lost_reply: Exception | None
 ) -> None:
