Read whole numbers in headers, queries and events within 64 bits

A Keep-Alive header of an upstream (the store, a peer) with a timeout of 400 digits raised OverflowError, and one of 5,000 digits ValueError (the interpreter converts at most 4,300), when its response was read: the request ended without a response. The ID of an event with 5,000 digits ended its stream, and one of 20 to 4,300 digits could not be encoded for a checkpoint or a handover of its item. A caller's Last-Event-Id or position with so many digits, and a position such as "%C2%B2" (a digit for str.isdigit, but not for int), closed the connection without a response.

One function now reads such numbers: 1 to 19 ASCII digits, as many as fit into the 64 bits of messages to peers. Callers get 400 otherwise, while an odd Keep-Alive or event ID is ignored and its event relayed as it came.

Before: two cases of test_response_with_an_odd_idle_timeout_is_read, three of test_invalid_request_raises_error and test_id_of_many_digits_is_ignored failed with these errors. A Content-Length of so many digits was refused before, by h11. The revision in a peer's request for state used the same check as the position; it uses the function too, without a test of its own.

--- a/briarrill/coordination/state_transfer.py
+++ b/briarrill/coordination/state_transfer.py
@@ -12,7 +12,7 @@
 import trio
 from eliot import log_message
 
-from ..decoding import msgpack_decoder
+from ..decoding import find_whole_number, msgpack_decoder
 from ..errors import BriarrillError, UpstreamLostError
 from ..transport.http_callers import CallerConnection, CallerLimits
 from ..transport.http_channel import HttpChannel, connect
@@ -109,9 +109,10 @@
                 return resource(path.removeprefix(prefix))
         prefix, _, after = path.removeprefix(_STATE_PATH).partition('?after=')
         mirror = self.mirrors.get(prefix)
-        if mirror is None or not after.isdigit():
+        revision = find_whole_number(after.encode())
+        if mirror is None or revision is None:
             return None
-        return msgspec.msgpack.encode(mirror.changes_after(int(after)))
+        return msgspec.msgpack.encode(mirror.changes_after(revision))
 
     async def _fetch_newer(self, prefix: str, mirror: Mirror) -> None:
         """Apply the changes of the peer with the newest revision.
--- a/briarrill/decoding.py
+++ b/briarrill/decoding.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import re
 import zlib
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -17,6 +18,7 @@
     'Decoder',
     'decode_base64',
     'decompress',
+    'find_whole_number',
     'json_decoder',
     'msgpack_decoder',
 )
@@ -24,6 +26,9 @@
 # largest decompressed record; those of the largest jobs take some megabytes
 MAX_DECOMPRESSED_BYTES = 64_000_000
 
+# as many digits as fit into 64 bits, which messages to peers hold
+_WHOLE_NUMBER = re.compile(b'[0-9]{1,19}')
+
 # RecursionError: the decoders count nested levels and the caller's own stack
 # frames together, up to the interpreter's limit of 1,000
 _UNREADABLE = (
@@ -65,6 +70,14 @@
     return Decoder(msgspec.msgpack.Decoder(cls).decode)
 
 
+def find_whole_number(text: bytes) -> int | None:
+    """Return the number that ASCII digits give.
+
+    None for any other text, and for more digits than 19.
+    """
+    return int(text) if _WHOLE_NUMBER.fullmatch(text) else None
+
+
 def decode_base64(text: str) -> bytes:
     """Decode standard base64 with padding.
 
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -14,7 +14,7 @@
 )
 from ..coordination.routes import Route, RouteKind, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream
-from ..decoding import json_decoder
+from ..decoding import find_whole_number, json_decoder
 from ..errors import (
     BadRequestError,
     BriarrillError,
@@ -285,13 +285,14 @@
         return _make_job_intent(IntentKind.END_JOB, head, route, job_id)
     if head.method != b'GET':
         raise NotFoundError(f'method {head.method!r} is not allowed for jobs')
-    position = query.get('after', '0')
-    if not position.isdigit():
+    after = query.get('after', '0')
+    position = find_whole_number(after.encode())
+    if position is None:
         raise BadRequestError(
-            f'query parameter "after" must be a whole number, not {position!r}'
+            f'query parameter "after" must be a whole number, not {after!r}'
         )
     return _make_job_intent(
-        IntentKind.READ_RESULTS, head, route, job_id, position=int(position)
+        IntentKind.READ_RESULTS, head, route, job_id, position=position
     )
 
 
@@ -375,11 +376,12 @@
     raw = find_header(head.headers, _LAST_EVENT_ID)
     if raw is None:
         return None
-    if not raw.isdigit():
+    number = find_whole_number(raw)
+    if number is None:
         raise BadRequestError(
             f'header Last-Event-Id must be a whole number, not {raw!r}'
         )
-    return int(raw)
+    return number
 
 
 def _resumed_id(head: RequestHead) -> str:
--- a/briarrill/protocol/event_stream.py
+++ b/briarrill/protocol/event_stream.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ..decoding import find_whole_number
 from ..errors import UpstreamLostError
 
 __all__ = (
@@ -153,8 +154,9 @@
         content = text.removeprefix(b' ')
         if name == _DATA_FIELD:
             parts.append(content)
-        elif name == _ID_FIELD and content.isdigit():
-            event_id = int(content)
+        elif name == _ID_FIELD:
+            number = find_whole_number(content)
+            event_id = event_id if number is None else number
     return ServerSentEvent(raw, event_id, b'\n'.join(parts))
 
 
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from ..decoding import find_whole_number
 from ..errors import PeerUnreachableError, UpstreamLostError
 from .http_messages import RequestHead, ResponseHead, find_header
 from .task_errors import unwrap_single_error
@@ -321,9 +322,9 @@
         """Set the idle timeout from the server's ``Keep-Alive`` header."""
         keep_alive = find_header(head.headers, b'keep-alive') or b''
         _, _, text = keep_alive.partition(b'timeout=')
-        digits = text.split(b',')[0].strip()
-        if digits.isdigit():
-            self._idle_timeout_s = int(digits) * IDLE_TIMEOUT_FRACTION
+        timeout_s = find_whole_number(text.split(b',')[0].strip())
+        if timeout_s is not None:
+            self._idle_timeout_s = timeout_s * IDLE_TIMEOUT_FRACTION
 
 
 @attrs.define
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -25,6 +25,8 @@
 UPSTREAM = RegisteredUpstream('i-1', 'llm', ('10.0.0.1', 80), 'a', 8)
 PROTOCOL = PlatformRelayProtocol()
 
+MANY_DIGITS = '9' * 5000
+
 
 def _head(method, target, **headers):
     fields = {'host': 'h.example', 'briarrill-attempt-id': 'r1'}
@@ -88,6 +90,14 @@
     ('method', 'target', 'headers', 'error'),
     [
         ('GET', '/lots/j1?after=x', {}, BadRequestError),
+        ('GET', '/lots/j1?after=%C2%B2', {}, BadRequestError),
+        ('GET', f'/lots/j1?after={MANY_DIGITS}', {}, BadRequestError),
+        (
+            'POST',
+            '/streaming/',
+            {'last-event-id': MANY_DIGITS},
+            BadRequestError,
+        ),
         ('PUT', '/lots/j1', {}, NotFoundError),
         ('GET', '/batch/', {}, NotFoundError),
         ('POST', '/none/', {}, NotFoundError),
--- a/tests/protocol/test_event_stream.py
+++ b/tests/protocol/test_event_stream.py
@@ -73,3 +73,9 @@
             assert tracker.position is StreamPosition.BETWEEN_EVENTS
         else:
             assert tracker.position is StreamPosition.INSIDE_EVENT
+
+
+def test_id_of_many_digits_is_ignored():
+    raw = b'id: 7\nid: %b\ndata: x\n\n' % (b'9' * 5000)
+    (event,) = EventSplitter().add_bytes(raw)
+    assert (event.event_id, event.data, event.raw) == (7, b'x', raw)
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -10,6 +10,7 @@
 from briarrill.decoding import (
     decode_base64,
     decompress,
+    find_whole_number,
     json_decoder,
     msgpack_decoder,
 )
@@ -69,3 +70,23 @@
     monkeypatch.setattr(decoding, 'MAX_DECOMPRESSED_BYTES', 100)
     with pytest.raises(MalformedMessageError, match='over 100 bytes'):
         decompress(packed)
+
+
+@pytest.mark.parametrize(
+    ('text', 'number'),
+    [
+        (b'0', 0),
+        (b'007', 7),
+        (b'9' * 19, 10**19 - 1),
+        (b'9' * 20, None),
+        (b'9' * 5000, None),
+        (b'', None),
+        (b'-1', None),
+        (b'1_0', None),
+        (b' 1', None),
+        ('\u0661'.encode(), None),
+        ('\u00b2'.encode(), None),
+    ],
+)
+def test_only_some_ascii_digits_are_a_whole_number(text, number):
+    assert find_whole_number(text) == number
--- a/tests/transport/test_http_channel.py
+++ b/tests/transport/test_http_channel.py
@@ -49,6 +49,19 @@
     assert (head.status, body) == (200, b'ok')
 
 
+@pytest.mark.parametrize(
+    'text', [b'9' * 400, b'9' * 5000, b'-1', b'\xb2', b'']
+)
+async def test_response_with_an_odd_idle_timeout_is_read(text):
+    reply = b'HTTP/1.1 200 OK\r\nkeep-alive: timeout=%b\r\n' % text
+    reply += b'content-length: 2\r\n\r\nok'
+    async with raw_server(reply) as (address, _):
+        channel = await connect(address, 1)
+        _, body = await _request(channel)
+        assert body == b'ok'
+        channel.close()
+
+
 async def test_response_without_length_ends_at_connection_close():
     async with raw_server(b'HTTP/1.1 200 OK\r\n\r\nwhole') as (address, _):
         channel = await connect(address, 1)
