Skip a stored result whose key names no position

The key of a result ends with its position. One that ends otherwise raised ValueError where a job is read from the service for a caller, who got no response as long as the key was there; where keys are followed it was skipped with a traceback (mirror:key-failed). It is now unreadable like a result whose body is damaged: logged as job:unreadable and skipped.

Before: three of the five cases of test_result_at_an_odd_position_is_skipped failed ("", "x" and 5,000 digits; "-1" and "1_0" were read as -1 and 10, which did not show).

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -9,6 +9,7 @@
 import trio
 from eliot import log_message
 
+from ..decoding import find_whole_number
 from ..errors import InternalError, PlatformUnavailableError
 from ..state.keys import (
     JOB_BODIES_PREFIX,
@@ -271,7 +272,7 @@
         if key_prefix == JOB_BODIES_PREFIX:
             tracked.add_part(number, body)
         elif key_prefix == JOB_RESULTS_PREFIX:
-            tracked.add_result(int(number), decode_result(body))
+            tracked.add_result(_position(number), decode_result(body))
         elif key_prefix == JOB_ENDS_PREFIX:
             tracked.mark_ended()
 
@@ -287,6 +288,17 @@
         self.changed = trio.Event()
 
 
+def _position(number: str) -> int:
+    """Return a result's position from its key.
+
+    :raises InternalError: it is no number.
+    """
+    position = find_whole_number(number.encode())
+    if position is None:
+        raise InternalError(f'{number!r} is no position of a result')
+    return position
+
+
 @contextlib.contextmanager
 def _limit_read(job_id: str) -> Iterator[None]:
     """Limit the time of the read of a job inside the block, and log it.
--- a/tests/coordination/test_job_table.py
+++ b/tests/coordination/test_job_table.py
@@ -1,14 +1,22 @@
 """Tests of reading the results that a table of jobs lacks."""
 
+import pytest
+
 from briarrill.coordination.job_table import JobTable
 from briarrill.coordination.mirror import Mirror, MirrorChanges
+from briarrill.state.keys import job_results_prefix
 from briarrill.state.stored_jobs import (
     ItemState,
     StoredResult,
     job_creation_changes,
     result_creation_changes,
 )
-from briarrill.transport.key_value import KeySnapshot, KeyValue, WatchEvent
+from briarrill.transport.key_value import (
+    KeyChange,
+    KeySnapshot,
+    KeyValue,
+    WatchEvent,
+)
 from standins.memory_key_value import MemoryKeyValue
 from tests.state.test_stored_jobs import make_job
 
@@ -54,3 +62,18 @@
             WatchEvent(entry.key, entry.body, entry.mod_revision)
         )
     assert table.find('j1').results == stored
+
+
+@pytest.mark.parametrize('number', ['', 'x', '-1', '1_0', '9' * 5000])
+async def test_result_at_an_odd_position_is_skipped(number):
+    service = MemoryKeyValue()
+    table = JobTable(service)
+    result = StoredResult('j1-0', ItemState.COMPLETED)
+    changes = [
+        *job_creation_changes(make_job(), 1_000_000),
+        *result_creation_changes('j1', 0, [result]),
+    ]
+    odd_key = f'{job_results_prefix("j1")}{number}'
+    await service.transact([*changes, KeyChange(odd_key, changes[-1].body)])
+    tracked = await table.read('j1')
+    assert tracked.results == [result]
