Close a connection after the last response on it

Callers saw: a response to a request with HTTP/1.0 or `Connection: close` whose connection never closed. Where the close marks the end of the body (streamed completions and contents of files, for callers with HTTP/1.0) the response had no end; everywhere else the connection stayed open until the caller closed it, since the server's limit for idle connections no longer applied to it. It concerns our own interface and the operators' routes of all processes, not the relay.

Cause: at the end of a response hypercorn first tells the application that the request has ended, then closes the connection, both within the application's last `send`. Quart cancels its request, and with it that `send`, as soon as it is told, so the close was not reached. Class: cleanup that runs in a task which what is cleaned up may cancel.

Evidence: test_connection_closes_after_its_last_response failed in 4 of 4 cases before (TooSlowError after 20 s).

Change: the last message of a body is sent in a shielded scope. It is empty but for the last chunk, and hypercorn shields its writes itself, so a caller that does not read holds it no longer than before.

--- a/briarrill/transport/http_server.py
+++ b/briarrill/transport/http_server.py
@@ -48,6 +48,23 @@
 
 DEFAULT_TIMEOUTS = HttpTimeouts()
 
+# ASGI message with a part of a response's body
+_BODY_MESSAGE = 'http.response.body'
+
+_Send = Callable[[Any], Awaitable[None]]
+
+
+async def _send_whole_end(send: _Send, message: Any) -> None:
+    """Send an ASGI message; an application's cancel does not stop the last.
+
+    After the end of a response the server tells the application that the
+    request has ended, and then closes the connection if no other request may
+    follow. The framework cancels its sender when it is told.
+    """
+    is_end = message['type'] == _BODY_MESSAGE and not message.get('more_body')
+    with trio.CancelScope(shield=is_end):
+        await send(message)
+
 
 class _ActiveRequests:
     """ASGI wrapper that counts requests in flight.
@@ -66,7 +83,7 @@
             return
         self._in_flight += 1
         try:
-            await self._app(scope, receive, send)
+            await self._app(scope, receive, partial(_send_whole_end, send))
         finally:
             self._in_flight -= 1
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -22,6 +22,24 @@
     return app
 
 
+def _two_part_app():
+    app = QuartTrio('test')
+
+    @app.get('/whole')
+    async def whole():
+        return 'first second'
+
+    @app.get('/streamed')
+    async def streamed():
+        async def parts():
+            yield b'first'
+            yield b'second'
+
+        return parts()
+
+    return app
+
+
 async def _wait_listening(host):
     while True:
         try:
@@ -72,6 +90,31 @@
     assert texts == expected_texts
 
 
+@pytest.mark.parametrize(
+    ('version', 'header'), [('1.0', ''), ('1.1', 'Connection: close\r\n')]
+)
+@pytest.mark.parametrize('path', ['/whole', '/streamed'])
+async def test_connection_closes_after_its_last_response(
+    network, version, header, path
+):
+    """A caller with HTTP/1.0 would wait for ever for the end of a body."""
+    host = f'{network}.1'
+    request = f'GET {path} HTTP/{version}\r\nHost: h\r\n{header}\r\n'
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                serve_app, _two_part_app(), host, PORT, trio.sleep_forever
+            )
+            await _wait_listening(host)
+            async with await trio.open_tcp_stream(host, PORT) as stream:
+                await stream.send_all(request.encode())
+                received = b''.join([part async for part in stream])
+            nursery.cancel_scope.cancel()
+    assert received.startswith(b'HTTP/1.1 200')
+    assert b'first' in received
+    assert b'second' in received
+
+
 async def test_second_server_on_a_port_raises_os_error(network):
     host, app = f'{network}.1', QuartTrio('test')
     with pytest.raises(ExceptionGroup) as caught:
