Give the content of a file its length

Callers saw: with HTTP/1.0 (the default of some proxies in front of the entry), a 200 with the first segments of a file, or none, if a later one could not be read: a short body that looks complete. Callers with HTTP/1.1 see the cut, since the last chunk is missing.

Cause: the content was sent without a length, so only the close of the connection marked its end for a caller that knows no chunks, and the entry closes it after an error, too. The relay resets such connections.

Evidence: test_content_that_breaks_off_never_looks_complete failed before for both cut bodies with HTTP/1.0 (b'{"line":1}\n' and b'' were read as complete); those with HTTP/1.1 passed.

Change: the response has the sum of the segments' lengths. Each segment is checked against its checksum when it is read, so the sum is that of its bytes.

Looked for the same elsewhere: unstreamed responses have a length; streamed completions have an end event, and an error event if they are cut.

Result: test_file_content.py and test_caller_limits.py pass.

--- a/briarrill/entry/batch_routes.py
+++ b/briarrill/entry/batch_routes.py
@@ -74,9 +74,12 @@
     async def read_file(file_id: str) -> Response:
         caller = ctx.caller()
         record = await _find_file(jobs, caller, file_id)
-        return Response(
+        response = Response(
             _read_segments(ctx, record.segments), content_type=JSON_LINES
         )
+        # a caller without chunks would take a cut for the end
+        response.content_length = sum(ref.size for ref in record.segments)
+        return response
 
 
 def _add_job_routes(
