Infer what began a stream only from versions read after it was taken up

Callers saw an answer of 200 whose events came from two versions. An entry that was cut off from its peers and from the store, or whose watch of the registrations was silent while its reads worked, took a stream up that a new version had begun through another entry, and went on at the old version, the only one that it knew.

Cause: whether all versions are known was told by how long the watch had worked. A watch that no longer brings anything counts as working until a reply is late: 0.5 s after a probe that follows the last reply by 0.8 s, so about 1.3 s, and 4.5 s if only the connection of the watch is silent. Monotonic time also passes while a process stands still, so a process that goes on holds the same belief until it has read what waits at its sockets. No reply of any peer in 0.1 s counted like a reply that none knows the stream. Class: what a process last heard was taken for what is now.

A stream that is taken up began before, so its version registered before. The entry now reads the changes of the registrations after its own position, and the records of versions, with calls that begin after the stream was taken up; a reply shows every version that may have begun it, also one that registered and left again. Without a reply in 1 s, or if the store has discarded the changes, the version is unknown and callers get 503. A read that was already open is not shared: its reply may be as old as what the process believes.

Streams that a process or its peers remember cost nothing more. One that none remembers, while one version is known, costs two reads (a watch that does not wait and the page of records), for all such streams of 0.3 s together. With 350 entries, if all take up such streams at once, these are 700 reads, and up to 2,333 a second while they go on, which is above a store's 2,000 reads a second (worked out, not measured): a refused read is a 503 with a time to return.

--- a/briarrill/coordination/upstream_table.py
+++ b/briarrill/coordination/upstream_table.py
@@ -10,7 +10,7 @@
 
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 
 import attrs
 from eliot import log_message
@@ -46,6 +46,10 @@
 PEER_WORD_VALIDITY_S = 1.0
 
 
+#: Reads versions that served, from the key-value service; none if it fails.
+FindMissed = Callable[[], Awaitable[Collection[ServedVersion] | None]]
+
+
 @attrs.frozen
 class RegisteredUpstream:
     """The registration of an upstream.
@@ -68,6 +72,10 @@
     version: str = ''
 
 
+async def _miss_none() -> Collection[ServedVersion]:
+    return ()
+
+
 class UpstreamTable:
     """Registered upstreams by identifier.
 
@@ -77,6 +85,8 @@
     :param records: versions that are recorded, default none.
     :param followed_s: returns for how long the service has been followed in
         total, default no time.
+    :param find_missed: reads the versions that served and that this process
+        may lack, default none; returns None if they cannot be read.
     :ivar versions: versions whose upstreams left lately.
     """
 
@@ -85,8 +95,10 @@
         is_service_stable: Callable[[], bool],
         records: VersionRecords | None = None,
         followed_s: Callable[[], float] = float,
+        find_missed: FindMissed = _miss_none,
     ) -> None:
         """Start without upstreams."""
+        self.find_missed = find_missed
         self.records = records or VersionRecords(is_service_stable)
         self._is_service_stable = is_service_stable
         self._followed_s = followed_s
--- a/briarrill/coordination/version_recorder.py
+++ b/briarrill/coordination/version_recorder.py
@@ -11,11 +11,11 @@
 import trio
 from eliot import log_message
 
-from ..decoding import json_decoder
-from ..errors import BriarrillError, MalformedMessageError
+from ..errors import BriarrillError
 from ..state.keys import UPSTREAM_VERSIONS_PREFIX, upstream_version_key
 from ..state.rendezvous import rank_nodes
 from ..transport.key_value import KeyValueService
+from .latest_versions import decode_record
 from .mirror import MirrorListener
 from .recent_versions import update_records
 from .upstream_table import UpstreamTable
@@ -33,8 +33,6 @@
 
 _Change = Callable[[str, ServedVersion], Awaitable[None]]
 
-_DECODER = json_decoder(ServedVersion)
-
 
 @attrs.define
 class VersionRecorder(MirrorListener):
@@ -61,12 +59,9 @@
             if served is not None:
                 self.upstreams.records.discard(served)
             return
-        try:
-            served = _DECODER.decode(body)
-        except MalformedMessageError as exc:
-            log_message('version:unreadable', key=key, reason=exc.message)
-            return
-        self._add(key, served)
+        served = decode_record(key, body)
+        if served is not None:
+            self._add(key, served)
 
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
--- a/briarrill/coordination/version_records.py
+++ b/briarrill/coordination/version_records.py
@@ -110,6 +110,10 @@
         """Tell whether any version of a service is recorded."""
         return any(served.service == service for served in self._seen_at)
 
+    def is_recorded(self, served: ServedVersion) -> bool:
+        """Tell whether this process knows a record of a version."""
+        return served in self._seen_at
+
     def add(self, served: ServedVersion) -> None:
         """Add a record that exists in the service."""
         self._seen_at.setdefault(served, self._clock())
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -14,6 +14,7 @@
 from ..coordination.follower_choice import FollowerCandidate, choose_follower
 from ..coordination.hedged_writes import WRITE_PATH, HedgedWrites
 from ..coordination.job_table import JobTable
+from ..coordination.latest_versions import LatestVersions
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.mirror import Mirror, MirrorListener
 from ..coordination.prompt_crashes import PromptQuarantine
@@ -47,7 +48,7 @@
 )
 from .settings import PlatformInstance
 from .store import PlatformStore
-from .upstreams import REGISTRATIONS_PREFIX, Registrations
+from .upstreams import REGISTRATIONS_PREFIX, Registrations, decode_version
 
 __all__ = (
     'KeyRouter',
@@ -234,21 +235,28 @@
             REGISTRATIONS_PREFIX
         ].is_stable(RETURN_GRACE_S)
 
+    records = VersionRecords(
+        is_read=lambda: mirrors[ROOT_PREFIX].is_connected,
+        followed_since=lambda: mirrors[REGISTRATIONS_PREFIX].connected_since,
+        is_read_by_peers=lambda: bool(parts.following_peers()),
+        hold_s=VERSION_HOLD_S,
+    )
+    latest = LatestVersions(
+        store,
+        records,
+        REGISTRATIONS_PREFIX,
+        position=lambda: mirrors[REGISTRATIONS_PREFIX].position,
+        decode=decode_version,
+    )
     upstreams = UpstreamTable(
         is_stable,
-        VersionRecords(
-            is_read=lambda: mirrors[ROOT_PREFIX].is_connected,
-            followed_since=lambda: (
-                mirrors[REGISTRATIONS_PREFIX].connected_since
-            ),
-            is_read_by_peers=lambda: bool(parts.following_peers()),
-            hold_s=VERSION_HOLD_S,
-        ),
+        records,
         # a watch is connected until its silence is noticed
         followed_s=lambda: (
             mirrors[REGISTRATIONS_PREFIX].followed.total_s
             - store.replies.late_s
         ),
+        find_missed=latest.find_missed,
     )
     mirrors[OPERATOR_PREFIX] = Mirror(
         store, OPERATOR_PREFIX, operator_keys, stores_bodies=True
--- a/briarrill/platform/upstreams.py
+++ b/briarrill/platform/upstreams.py
@@ -10,11 +10,12 @@
 
 from ..coordination.mirror import MirrorListener
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
+from ..coordination.version_records import ServedVersion
 from ..decoding import json_decoder
 from ..errors import MalformedMessageError
 from ..transport.http_messages import check_request
 
-__all__ = ('REGISTRATIONS_PREFIX', 'Registrations')
+__all__ = ('REGISTRATIONS_PREFIX', 'Registrations', 'decode_version')
 
 #: Prefix of the keys that upstreams write; the upstream's ID follows it.
 REGISTRATIONS_PREFIX = 'servers/'
@@ -73,6 +74,14 @@
             self._table.register(upstream)
 
 
+def decode_version(key: str, body: bytes) -> ServedVersion | None:
+    """Return the version in a registration, none if it cannot be read."""
+    upstream = _decode(key.removeprefix(REGISTRATIONS_PREFIX), body)
+    if upstream is None:
+        return None
+    return ServedVersion(upstream.service, upstream.version)
+
+
 def _decode_address(address: str) -> tuple[str, int]:
     """Return the IP address and port.
 
--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -1,6 +1,7 @@
 """briarrill.relay.stream_places: find where a stream may go on."""
 
 import time
+from collections.abc import Collection
 
 import attrs
 import trio
@@ -11,6 +12,7 @@
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.stream_versions import infer_origin
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
+from ..coordination.version_records import ServedVersion
 from ..errors import NoUpstreamError, UpstreamLeftError
 from ..protocol.request_keys import stream_key
 from ..protocol.stream_origins import StreamOrigin
@@ -52,16 +54,14 @@
             known = await self.sharing.find(
                 stream_key(self.protocol.caller(call.head), call.resumed_id)
             )
-        candidates = {
-            StreamOrigin(version, target.service)
-            for target in call.route.targets
-            for version in find_recent_versions(self.upstreams, target.service)
-        }
-        return infer_origin(
-            known,
-            candidates,
-            is_complete=self.upstreams.knows_recent_versions,
-        )
+        inferred = self._infer(call, known, ())
+        if known is not None or inferred.version is None:
+            return inferred
+        # the process may have stood still, or lost its watch, until now
+        missed = await self.upstreams.find_missed()
+        if missed is None:
+            return StreamOrigin(None)
+        return self._infer(call, known, missed)
 
     def call_at(self, call: Call, origin: StreamOrigin | None) -> Call:
         """Return a call for the service that began its stream.
@@ -129,6 +129,33 @@
             caller = self.protocol.caller(call.head)
             self.sharing.tell(stream_key(caller, call.request_id), origin)
 
+    def _infer(
+        self,
+        call: Call,
+        known: StreamOrigin | None,
+        missed: Collection[ServedVersion],
+    ) -> StreamOrigin:
+        """Infer what began a stream.
+
+        :param missed: versions that served besides those that are followed.
+        """
+        services = {target.service for target in call.route.targets}
+        followed = {
+            StreamOrigin(version, service)
+            for service in services
+            for version in find_recent_versions(self.upstreams, service)
+        }
+        others = {
+            StreamOrigin(served.version, served.service)
+            for served in missed
+            if served.service in services
+        }
+        return infer_origin(
+            known,
+            followed | others,
+            is_complete=self.upstreams.knows_recent_versions,
+        )
+
     async def _wait_while_held(self, call: Call) -> None:
         """Wait for the first record of a service, for a short time at most."""
         while time.monotonic() < call.deadline_s:
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -126,12 +126,12 @@
         channel.close()
 
 
-def _settings_text(network, host, name):
+def _settings_text(host, name, network, store_host, peer_port):
     return f"""
 node_name = "{name}"
 ip = "{host}"
 zone = "a"
-internal_port_range = [{PEER_PORT}, {PEER_PORT + 9}]
+internal_port_range = [{peer_port}, {peer_port + 9}]
 seed_nodes = ["{network}.2:9999"]
 [listen_addrs]
 front_http = "{host}:{FRONT_PORT}"
@@ -139,15 +139,25 @@
 [contract_params]
 grace_s = 6
 [platform]
-address = "{network}.1:{STORE_PORT}"
+address = "{store_host}:{STORE_PORT}"
 """
 
 
-async def start_process(network, folder, program, number):
+async def start_process(
+    network, folder, program, number, store_host=None, peer_port=PEER_PORT
+):
+    """Start a process.
+
+    :param store_host: default the first of the network.
+    :param peer_port: one that reaches only peers that have the same.
+    """
     host = f'{network}.{number}'
     name = f'{program}-{number}'
     path = folder / f'{name}.toml'
-    path.write_text(_settings_text(network, host, name), encoding='utf-8')
+    text = _settings_text(
+        host, name, network, store_host or f'{network}.1', peer_port
+    )
+    path.write_text(text, encoding='utf-8')
     with (folder / f'{name}.log').open('ab') as log_file:
         return await trio.lowlevel.open_process(
             [sys.executable, '-m', 'briarrill.platform', program],
--- a/tests/relay/test_stream_places.py
+++ b/tests/relay/test_stream_places.py
@@ -355,6 +355,37 @@
     assert (status, body.count(b'id: ')) == (200, 4)
 
 
+@pytest.mark.parametrize(
+    ('missed', 'expected_status'),
+    [
+        (set(), 200),
+        ({ServedVersion('other', 'v2')}, 200),
+        ({ServedVersion('llm', 'v2')}, 503),
+        (None, 503),
+    ],
+    ids=['nothing', 'other-service', 'version', 'unreadable'],
+)
+async def test_unknown_stream_does_not_go_on_beside_a_version_that_was_missed(
+    missed, expected_status
+):
+    engine = StandinEngine(stream_events(6), born=7)
+
+    async def find_missed():
+        return missed
+
+    async with run_front_end([RESUMABLE_STREAM], engine) as setup:
+        setup.upstreams.find_missed = find_missed
+        status, _, _ = await _take_up(setup, 1)
+        assert status == expected_status
+        # new streams begin
+        status, _, _ = await setup.send_request(PATH)
+        assert status == 200
+        # and those of which it is known what began them go on
+        setup.load.origins.origins.record(BEGUN, StreamOrigin('', 'llm'))
+        status, _, _ = await _take_up(setup, 2)
+        assert status == 200
+
+
 async def test_streams_that_may_not_be_resumed_are_not_remembered():
     engine = StandinEngine(stream_events(3), born=7)
     async with run_front_end([STREAM], engine) as setup:
