Refuse to retire an instance for a negative time

What operators saw: a request to retire an instance with a duration below 0 ended its batch process, which stopped its items without a hand-over.

Cause: the duration was passed to a timer as it came (ValueError: `seconds` must be non-negative). The type of the request now has the range; a request that is out of it is unreadable like any other, and logged.

test_odd_request_ends_no_process failed before for that request and passes; the other requests of the test passed before.

--- a/briarrill/platform/retirement.py
+++ b/briarrill/platform/retirement.py
@@ -4,6 +4,8 @@
 when no item runs and all results are written.
 """
 
+from typing import Annotated
+
 import attrs
 import msgspec
 import trio
@@ -29,9 +31,12 @@
 
 @attrs.frozen
 class _Request:
-    """The operator's request; running items may end within the duration."""
+    """The operator's request.
+
+    :param duration_s: time within which running items may end.
+    """
 
-    duration_s: float = 0
+    duration_s: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
 _REQUEST_DECODER = json_decoder(_Request)
