--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -1,17 +1,23 @@
 """Tests of handover of items between processes, and of their claims."""
 
+import attrs
+import pytest
 import trio
 
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.coordination.state_transfer import StateTransfer
 from briarrill.item_runs import handover as handover_module
-from briarrill.item_runs.handover import HANDOVER_PATH, Handover
+from briarrill.item_runs.handover import (
+    FETCH_TIMEOUT_S,
+    HANDOVER_PATH,
+    Handover,
+)
 from briarrill.item_runs.item import ItemProgress
 from briarrill.protocol.load_reports import LoadReport, short_hash
 from briarrill.protocol.stream_origins import StreamOrigin
 from briarrill.state.rendezvous import rank_nodes
 from briarrill.state.stored_jobs import ItemState
-from briarrill.transport.http_callers import serve_callers
+from briarrill.transport.http_callers import CallerLimits, serve_callers
 from standins.platform_engine import encode_event
 from tests.serving import free_port
 from tests.state.test_stored_jobs import make_job
@@ -79,6 +85,41 @@
     assert source.suspended == {}
 
 
+@pytest.mark.parametrize(
+    'delay_s', [None, 2 * FETCH_TIMEOUT_S], ids=['lost', 'late']
+)
+async def test_item_whose_progress_does_not_arrive_begins_anew(
+    autojump_clock, delay_s
+):
+    """The sender removes it as it replies, and starts the item nowhere."""
+    port = free_port()
+    source = _make_handover(port)
+    progress = _make_progress(events=3)
+    source.suspended[progress.key] = progress
+
+    async def serve(conn):
+        head = await conn.read_request_head()
+        path = head.target.decode().removeprefix(HANDOVER_PATH)
+        raw = source.hand_over(path)
+        if delay_s is not None:
+            await trio.sleep(delay_s)
+            await conn.send_response(200, (), raw)
+
+    item_hash = short_hash(progress.stored.item_id)
+    giver, _ = _assigned_and_other_peer()
+    target = _make_handover(port, _make_report(giver, held=(item_hash,)))
+    fetched = _make_progress()
+    async with serve_callers(('127.0.0.1', port), CallerLimits, serve):
+        assert not await target.acquire(fetched)
+    assert not fetched.has_progress
+    assert source.suspended == {}
+    assert source.was_handed_over(progress.key)
+    # its next report does not name the item any more
+    target.load.receive_report(attrs.evolve(_make_report(giver), sequence=2))
+    assert await target.acquire(fetched)
+    assert not fetched.has_progress
+
+
 async def test_item_is_not_taken_with_a_malformed_record():
     """A peer of another version must not end this process."""
     port = free_port()
