Let unrecorded versions begin streams if the recorded ones are dead

What callers saw: while the store took no writes, upstreams of the recorded version that had died but were still registered held up a new version: each new resumable stream got 503 for as long as that lasted.

Cause: which versions may begin streams was decided among all that accept, before those that had been tried in vain or are suspect were left out.

The decision is made among the usable ones now. A recorded version whose upstreams are only full still holds others up: its streams wait in its queue, which is safe, and the store's writes come back.

--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -225,8 +225,8 @@
 
         :raises NoUpstreamError: there is none.
         """
-        candidates = [
-            self._make_candidate(upstream)
+        untried = {
+            upstream.upstream_id: upstream
             for upstream in self._streams.eligible(call, response)
             if upstream.upstream_id not in progress.failed_upstreams
             and may_run_at(
@@ -235,13 +235,23 @@
                 call.request_key,
                 upstream.incarnation,
             )
-        ]
-        if not candidates:
+        }
+        if not untried:
             raise NoUpstreamError(
                 f'no other upstream of {call.service} accepts requests',
                 retry_after_s=MIN_RETRY_AFTER_S,
             )
-        return self._ejector_of(call.service).eligible(candidates)
+        candidates = self._ejector_of(call.service).eligible(
+            [self._make_candidate(one) for one in untried.values()]
+        )
+        usable = [
+            untried[one.name] for one in candidates if not one.is_suspect
+        ]
+        held = {one.upstream_id for one in usable}.difference(
+            one.upstream_id
+            for one in self._streams.without_held(call, response, usable)
+        )
+        return [one for one in candidates if one.name not in held]
 
     def _make_candidate(
         self, upstream: RegisteredUpstream
--- a/briarrill/relay/stream_places.py
+++ b/briarrill/relay/stream_places.py
@@ -87,15 +87,28 @@
                 for upstream in accepting
                 if self.upstreams.may_go_on(upstream, response.origin)
             ]
-        elif call.route.resumable:
-            # the time to wait for records may end without one
-            accepting = exclude_held(self.upstreams, accepting) or accepting
         if accepting:
             return accepting
         raise NoUpstreamError(
             _reason(call.service, response), retry_after_s=MIN_RETRY_AFTER_S
         )
 
+    def without_held(
+        self,
+        call: Call,
+        response: Response,
+        usable: list[RegisteredUpstream],
+    ) -> list[RegisteredUpstream]:
+        """Return the upstreams that may begin or go on with a call now.
+
+        :param usable: eligible ones that are not known to be out of order;
+            one that cannot begin streams holds no other version up.
+        """
+        if response.origin is not None or not call.route.resumable:
+            return usable
+        # the time to wait for records may end without one
+        return exclude_held(self.upstreams, usable) or usable
+
     async def check(
         self,
         call: Call,
