Take an event whose number has too many digits for the end of its stream

What customers saw: an item of a job was completed without the text of an event whose number had 20 digits or more; a stream could be resumed before such an event, and show it twice.

A number of over 19 digits now ends the stream (UpstreamLostError), so that it goes on at another upstream or its item begins anew. Text that is no number still names none.

--- a/briarrill/protocol/event_stream.py
+++ b/briarrill/protocol/event_stream.py
@@ -142,8 +142,8 @@
 def _parse_event(raw: bytes) -> ServerSentEvent:
     """Parse the id and data fields; ignore all other fields.
 
-    :raises UpstreamLostError: there is no field of an event, or the head of a
-        response.
+    :raises UpstreamLostError: there is no field of an event, the head of a
+        response, or a number that cannot be read.
     """
     event_id = None
     parts = []
@@ -155,11 +155,23 @@
         if name == _DATA_FIELD:
             parts.append(content)
         elif name == _ID_FIELD:
-            number = find_whole_number(content)
-            event_id = event_id if number is None else number
+            event_id = _parse_number(content, event_id)
     return ServerSentEvent(raw, event_id, b'\n'.join(parts))
 
 
+def _parse_number(content: bytes, previous: int | None) -> int | None:
+    """Return the number of an event; other text than digits names none.
+
+    :param previous: the number that an earlier line names.
+    :raises UpstreamLostError: it has too many digits; taken for none, the
+        event would be left out where events are counted.
+    """
+    number = find_whole_number(content)
+    if number is None and content.isdigit():
+        raise UpstreamLostError(f'event number of {len(content)} digits')
+    return previous if number is None else number
+
+
 def _check_fields(lines: list[bytes]) -> None:
     """Check that lines are those of an event.
 
--- a/tests/protocol/test_event_stream.py
+++ b/tests/protocol/test_event_stream.py
@@ -75,7 +75,15 @@
             assert tracker.position is StreamPosition.INSIDE_EVENT
 
 
-def test_id_of_many_digits_is_ignored():
-    raw = b'id: 7\nid: %b\ndata: x\n\n' % (b'9' * 5000)
+@pytest.mark.parametrize('digits', [20, 5000])
+def test_number_of_many_digits_ends_the_stream(digits):
+    raw = b'id: 7\nid: %b\ndata: x\n\n' % (b'9' * digits)
+    with pytest.raises(UpstreamLostError):
+        EventSplitter().add_bytes(raw)
+
+
+@pytest.mark.parametrize('text', [b'', b'x', b'-1', '\u0661'.encode()])
+def test_text_that_is_no_number_is_ignored(text):
+    raw = b'id: 7\nid: %b\ndata: x\n\n' % text
     (event,) = EventSplitter().add_bytes(raw)
     assert (event.event_id, event.data, event.raw) == (7, b'x', raw)
