Read again before an item of the store is left out of followed keys

What callers saw: a result that one reply of the store held in damaged form was missing at that process until its restart: its job had no results, with 200.

An item counts as unreadable now if a second reply holds the same bytes; if the two differ in such items the call has failed and is made again after a pause. Costs nothing unless an item is unreadable, then one more read; replies are decoded once, as before.

What remains: an item that stays unreadable is left out, whatever it holds. An event of this kind leaves a registration in use, a page of this kind removes it.

--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -4,7 +4,8 @@
 import itertools
 import math
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from http import HTTPStatus
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -97,6 +98,7 @@
 _MS_PER_S = 1000
 
 _Reply = TypeVar('_Reply')
+_Listed = TypeVar('_Listed', RangeReply, WatchReply | None)
 
 
 @attrs.frozen
@@ -178,8 +180,8 @@
             ) as exc:
                 _raise_if_not_written(exc, lost_reply)
             else:
-                return revision or await self._resolve_conflict(
-                    changes[0], lost_reply
+                return revision or await _resolve_conflict(
+                    self, changes[0], lost_reply
                 )
         raise _write_unknown(changes[0], lost_reply)
 
@@ -227,13 +229,15 @@
                 yield snapshot
                 revision = snapshot.revision
                 wait_s = 0
-            reply = await self._read_changes(prefix, revision, wait_s)
+            reply = await _read_confirmed(
+                partial(self._read_changes, prefix, revision, wait_s)
+            )
             wait_s = MAX_WATCH_WAIT_S
             if reply is None:
                 revision = 0
                 continue
             revision = reply.at
-            for event in reply.readable_events():
+            for event in reply.listed.readable:
                 yield event
             yield WatchProgress(revision)
             await trio.sleep(min_interval_s if reply.events else 0)
@@ -305,14 +309,14 @@
         entries: list[KeyValue] = []
         first_revision = 0
         for page in itertools.count():
-            raw = await self._get('/kv-range', prefix=prefix, after=after)
-            reply = _decode(raw, RANGE_DECODER)
+            read_page = partial(self._read_page, prefix, after)
+            if skips_unreadable:
+                reply = await _read_confirmed(read_page)
+                page_entries = reply.listed.readable
+            else:
+                reply = await read_page()
+                page_entries = _all_entries(reply)
             first_revision = first_revision if page else reply.at
-            page_entries = (
-                reply.readable_entries()
-                if skips_unreadable
-                else _all_entries(reply)
-            )
             entries.extend(page_entries)
             if not reply.has_more or 0 < limit <= len(entries):
                 break
@@ -323,6 +327,11 @@
             is_consistent=reply.at == first_revision,
         )
 
+    async def _read_page(self, prefix: str, after: str) -> RangeReply:
+        """Return one page of keys."""
+        raw = await self._get('/kv-range', prefix=prefix, after=after)
+        return _decode(raw, RANGE_DECODER)
+
     async def _read_changes(
         self, prefix: str, revision: int, wait_s: float
     ) -> WatchReply | None:
@@ -369,22 +378,6 @@
                 f'reply to a write cannot be read: {exc.message}'
             ) from exc
 
-    async def _resolve_conflict(
-        self, change: KeyChange, lost_reply: Exception | None
-    ) -> int | None:
-        """Find out whether a conflict is with our own earlier attempt.
-
-        :returns: the revision of our own write, or nothing if another
-            writer changed the key.
-        :raises WriteUnknownError: the store did not respond.
-        """
-        if lost_reply is None:
-            return None
-        try:
-            return await self.resolve_lost_reply(change)
-        except PlatformUnavailableError as exc:
-            raise _write_unknown(change, lost_reply) from exc
-
     async def _get(self, path: str, **query: str) -> _RawReply:
         """Make a GET call; empty query parameters are left out."""
         named = {name: text for name, text in query.items() if text}
@@ -516,13 +509,50 @@
         raise _unavailable(exc) from exc
 
 
-def _all_entries(reply: RangeReply) -> list[KeyValue]:
+async def _resolve_conflict(
+    service: KeyValueService, change: KeyChange, lost_reply: Exception | None
+) -> int | None:
+    """Find out whether a conflict is with our own earlier attempt.
+
+    :returns: the revision of our own write, or nothing if another writer
+        changed the key.
+    :raises WriteUnknownError: the store did not respond.
+    """
+    if lost_reply is None:
+        return None
+    try:
+        return await service.resolve_lost_reply(change)
+    except PlatformUnavailableError as exc:
+        raise _write_unknown(change, lost_reply) from exc
+
+
+async def _read_confirmed(read: Callable[[], Awaitable[_Listed]]) -> _Listed:
+    """Read again if a reply has items that cannot be read.
+
+    One that cannot be read in a second reply either is unreadable where it is
+    stored; otherwise the reply was damaged, and the item may be a sound one.
+
+    :raises PlatformUnavailableError: the replies differ in these items.
+    """
+    first = await read()
+    if first is None or not first.listed.unreadable:
+        return first
+    second = await read()
+    if second is None or second.listed.unreadable <= first.listed.unreadable:
+        return second
+    raise PlatformUnavailableError(
+        'items that cannot be read differ between two replies',
+        retry_after_s=OUTAGE_RETRY_AFTER_S,
+    )
+
+
+def _all_entries(reply: RangeReply) -> tuple[KeyValue, ...]:
     """Return the keys of a page.
 
     :raises PlatformUnavailableError: an item cannot be read.
     """
     try:
-        return reply.all_entries()
+        return tuple(reply.all_entries())
     except MalformedMessageError as exc:
         raise _unavailable(exc) from exc
 
--- a/briarrill/platform/store_replies.py
+++ b/briarrill/platform/store_replies.py
@@ -1,7 +1,8 @@
 """briarrill.platform.store_replies: reads the JSON of the store's replies."""
 
-from collections.abc import Callable, Iterator, Sequence
-from typing import Annotated, TypeVar
+from collections.abc import Callable, Sequence
+from functools import cached_property
+from typing import Annotated, Generic, TypeVar
 
 import attrs
 import msgspec
@@ -18,6 +19,7 @@
     'TXN_DECODER',
     'WATCH_DECODER',
     'RangeReply',
+    'ReadItems',
     'WatchReply',
 )
 
@@ -65,6 +67,18 @@
 ITEM_DECODER = json_decoder(Item)
 
 
+@attrs.frozen
+class ReadItems(Generic[_Converted]):
+    """Items of a reply.
+
+    :param readable: the decoded ones, in order.
+    :param unreadable: the bytes of the others.
+    """
+
+    readable: tuple[_Converted, ...]
+    unreadable: frozenset[bytes]
+
+
 @attrs.frozen
 class RangeReply:
     """A page of keys, undecoded; ``at`` is the revision of the whole store."""
@@ -80,9 +94,10 @@
         """
         return [ITEM_DECODER.decode(raw).as_key_value() for raw in self.items]
 
-    def readable_entries(self) -> list[KeyValue]:
-        """Return the keys of the page without items that cannot be read."""
-        return list(_readable(self.items, Item.as_key_value))
+    @cached_property
+    def listed(self) -> ReadItems[KeyValue]:
+        """Return the keys of the page, and the items that cannot be read."""
+        return _read(self.items, Item.as_key_value)
 
 
 @attrs.frozen
@@ -92,9 +107,10 @@
     events: tuple[msgspec.Raw, ...]
     at: Number
 
-    def readable_events(self) -> list[WatchEvent]:
-        """Return the changes without those that cannot be read."""
-        return list(_readable(self.events, Item.as_event))
+    @cached_property
+    def listed(self) -> ReadItems[WatchEvent]:
+        """Return the changes, and the items that cannot be read."""
+        return _read(self.events, Item.as_event)
 
 
 @attrs.frozen
@@ -116,12 +132,16 @@
 LEASE_DECODER = json_decoder(LeaseReply)
 
 
-def _readable(
+def _read(
     items: Sequence[msgspec.Raw], convert: Callable[[Item], _Converted]
-) -> Iterator[_Converted]:
-    """Yield the decoded items; log those that cannot be read."""
+) -> ReadItems[_Converted]:
+    """Decode items; log those that cannot be read."""
+    readable = []
+    unreadable = set()
     for raw in items:
         try:
-            yield convert(ITEM_DECODER.decode(raw))
+            readable.append(convert(ITEM_DECODER.decode(raw)))
         except MalformedMessageError as exc:
             log_message('store:item-unreadable', reason=exc.message)
+            unreadable.add(bytes(raw))
+    return ReadItems(tuple(readable), frozenset(unreadable))
--- a/tests/platform/test_odd_store_items.py
+++ b/tests/platform/test_odd_store_items.py
@@ -43,7 +43,7 @@
 
 
 class _Replies:
-    """A store that sends one body for each kind of call, then none."""
+    """A store that sends one body for each kind of call."""
 
     def __init__(self, **bodies):
         self.bodies = {f'kv-{name}': body for name, body in bodies.items()}
@@ -54,7 +54,7 @@
     async def serve(self, conn):
         while (head := await conn.read_request_head()) is not None:
             await conn.read_body(head)
-            body = self.bodies.pop(head.path.split('/')[1], None)
+            body = self.bodies.get(head.path.split('/')[1])
             if body is None:
                 await trio.sleep_forever()
             await conn.send_response(200, (), body)
