Refuse unusable numbers in messages of peers where they are decoded

A permit's rate or delay of NaN passed every comparison that is meant to bound it: trio.sleep(nan) raises ValueError, which ended the request that had asked, and an account that had once computed with NaN granted every request. A permit of kind infinity raised OverflowError. A poll of a feed with a wait of NaN or below zero raised ValueError in the task that serves the peer. NaN and negative delays, counts and revisions of load reports entered the choice of upstreams. That the sums are wrong then, and that a request ends, was read, not run; what was run is that the decoders took such messages for sound.

The ranges now stand at the fields' types, where the decoder checks them. A time that a request may wait can be infinite or past; the end of a limit stays a negative rate. What processes send lies within these ranges, and the encoding has not changed.

Before: 19 of the tests in test_numbers failed, one with OverflowError, the others since nothing was raised, and both cases of test_poll_with_an_unusable_wait_is_refused (ValueError, not be NaN; must be non-negative).

--- a/briarrill/coordination/feeds.py
+++ b/briarrill/coordination/feeds.py
@@ -21,6 +21,7 @@
     PlatformUnavailableError,
     UpstreamLostError,
 )
+from ..protocol.numbers import NonNegativeNumber
 from ..transport.http_channel import ChannelPool
 from ..transport.key_value import (
     ChangeSource,
@@ -55,7 +56,7 @@
 
     prefix: str
     after_revision: int
-    wait_s: float
+    wait_s: NonNegativeNumber
 
 
 @attrs.frozen
--- a/briarrill/protocol/limit_news.py
+++ b/briarrill/protocol/limit_news.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from .numbers import Count, FiniteNumber, NonNegativeNumber
+
 __all__ = ('LimitNews', 'NamedLimit')
 
 
@@ -16,8 +18,8 @@
     """
 
     incarnation: str
-    rate_per_s: float
-    age_s: float
+    rate_per_s: FiniteNumber
+    age_s: NonNegativeNumber
 
 
 @attrs.frozen
@@ -30,4 +32,4 @@
     """
 
     limits: tuple[NamedLimit, ...] = ()
-    granted: dict[str, int] = attrs.field(factory=dict)
+    granted: dict[str, Count] = attrs.field(factory=dict)
--- a/briarrill/protocol/load_probes.py
+++ b/briarrill/protocol/load_probes.py
@@ -9,6 +9,7 @@
 
 from ..decoding import msgpack_decoder
 from ..errors import MalformedMessageError
+from .numbers import Count
 
 __all__ = (
     'LoadProbe',
@@ -43,8 +44,8 @@
 
     number: int
     upstream_id: str
-    online: int
-    batch: int
+    online: Count
+    batch: Count
 
 
 _FIELDS_DECODER = msgpack_decoder(list[int | str])
--- a/briarrill/protocol/load_reports.py
+++ b/briarrill/protocol/load_reports.py
@@ -14,6 +14,7 @@
 from ..decoding import Decoder
 from ..errors import MalformedMessageError
 from .limit_news import LimitNews
+from .numbers import Count, NonNegativeNumber
 from .prompt_news import PromptNews
 
 __all__ = ('LoadReport', 'decode_report', 'encode_report', 'short_hash')
@@ -62,17 +63,17 @@
     failure_domain: str = ''
     runs_batch: bool = False
     is_leaving: bool = False
-    online: dict[str, int] = attrs.field(factory=dict)
-    batch: dict[str, int] = attrs.field(factory=dict)
+    online: dict[str, Count] = attrs.field(factory=dict)
+    batch: dict[str, Count] = attrs.field(factory=dict)
     items: tuple[int, ...] = ()
     claims: tuple[int, ...] = ()
     held: tuple[int, ...] = ()
     unheard: tuple[int, ...] = ()
     suspects: tuple[str, ...] = ()
-    delays: dict[str, float] = attrs.field(factory=dict)
+    delays: dict[str, NonNegativeNumber] = attrs.field(factory=dict)
     leaving: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
-    revisions: dict[str, int] = attrs.field(factory=dict)
+    revisions: dict[str, Count] = attrs.field(factory=dict)
     connected: tuple[str, ...] = ()
     prompt_news: PromptNews | None = None
     limit_news: LimitNews | None = None
--- a/briarrill/protocol/permits.py
+++ b/briarrill/protocol/permits.py
@@ -9,6 +9,7 @@
 
 from ..decoding import msgpack_decoder
 from ..errors import MalformedMessageError
+from .numbers import AnyNumber, NonNegativeNumber
 
 __all__ = (
     'PermitReply',
@@ -34,8 +35,8 @@
 
     number: int
     incarnation: str
-    rate_per_s: float
-    max_wait_s: float
+    rate_per_s: NonNegativeNumber
+    max_wait_s: AnyNumber
     is_batch: bool
 
 
@@ -50,12 +51,15 @@
 
     number: int
     is_granted: bool
-    delay_s: float
+    delay_s: NonNegativeNumber
 
 
 _PermitMessage = PermitRequest | PermitReply
 
 _CLASSES: tuple[type[_PermitMessage], ...] = (PermitRequest, PermitReply)
+_CLASSES_BY_NUMBER: dict[object, type[_PermitMessage]] = dict(
+    enumerate(_CLASSES)
+)
 _FIELDS_DECODER = msgpack_decoder(list[int | float | str | bool])
 
 
@@ -78,8 +82,8 @@
     """
     try:
         number, *fields = _FIELDS_DECODER.decode(raw[len(_MARK) :])
-        cls = _CLASSES[int(number)]
+        cls = _CLASSES_BY_NUMBER[number]
         names = [field.name for field in attrs.fields(cls)]
         return msgspec.convert(dict(zip(names, fields, strict=True)), cls)
-    except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+    except (msgspec.MsgspecError, ValueError, KeyError) as exc:
         raise MalformedMessageError(f'permit: {exc!r}') from exc
--- a/briarrill/protocol/stream_origins.py
+++ b/briarrill/protocol/stream_origins.py
@@ -83,6 +83,9 @@
     OriginQuestion,
     OriginReply,
 )
+_CLASSES_BY_NUMBER: dict[object, type[_OriginMessage]] = dict(
+    enumerate(_CLASSES)
+)
 _FIELDS_DECODER = msgpack_decoder(list[int | str | bool | None])
 
 
@@ -105,8 +108,8 @@
     """
     try:
         number, *fields = _FIELDS_DECODER.decode(raw[len(_MARK) :])
-        cls = _CLASSES[int(number or 0)]
+        cls = _CLASSES_BY_NUMBER[number]
         names = [field.name for field in attrs.fields(cls)]
         return msgspec.convert(dict(zip(names, fields, strict=True)), cls)
-    except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+    except (msgspec.MsgspecError, ValueError, KeyError) as exc:
         raise MalformedMessageError(f'stream origin: {exc!r}') from exc
--- a/tests/coordination/test_feeds.py
+++ b/tests/coordination/test_feeds.py
@@ -2,12 +2,19 @@
 
 import collections
 import contextlib
+import math
 
+import msgspec
 import pytest
 import trio
 
 from briarrill.coordination import feeds, mirror
-from briarrill.coordination.feeds import FEED_PATH, FeedServer, FeedSource
+from briarrill.coordination.feeds import (
+    FEED_PATH,
+    FeedRequest,
+    FeedServer,
+    FeedSource,
+)
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.coordination.mirror import Mirror
 from briarrill.coordination.state_transfer import StateTransfer
@@ -187,3 +194,10 @@
         with trio.fail_after(5):
             while not setup.member.is_behind:
                 await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize('wait_s', [math.nan, -1.0])
+async def test_poll_with_an_unusable_wait_is_refused(wait_s):
+    server = FeedServer({'k/': Mirror(None, 'k/', RecordingListener())})
+    poll = FeedRequest('k/', 0, wait_s)
+    assert await server.serve(msgspec.msgpack.encode(poll)) is None
