Keep a sidecar's models when the engine's list cannot be read

The list of models of an engine that was cut, no JSON, or of another form raised JSONDecodeError, KeyError, TypeError or RecursionError. The task that fetches it each second expects httpx.HTTPError only, so it ended the sidecar with all its requests; that the process ends follows from the code and was not run as a process.

The list is now decoded with its type, and one that cannot be read is httpx.RemoteProtocolError, after which the known models stay.

--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -67,7 +67,16 @@
     usage: _Usage | None = None
 
 
+@attrs.frozen
+class _Model:
+    """A model that the engine has loaded."""
+
+    id: str
+
+
 _DECODER = json_decoder(_Event)
+_OBJECT_DECODER = json_decoder(dict[str, msgspec.Raw])
+_MODELS_DECODER = json_decoder(tuple[_Model, ...])
 _ANY_DECODER = json_decoder(msgspec.Raw)
 
 
@@ -83,7 +92,7 @@
     async def fetch_models(self) -> tuple[str, ...]:
         """Return the models that the engine has loaded.
 
-        :raises httpx.HTTPError: the engine failed.
+        :raises httpx.HTTPError: the engine failed, or its list is malformed.
         """
         http_response = await request(
             self.client,
@@ -94,7 +103,14 @@
             max_bytes=MAX_MODELS_BYTES,
         )
         http_response.raise_for_status()
-        return tuple(model['id'] for model in http_response.json()['data'])
+        try:
+            fields = _OBJECT_DECODER.decode(http_response.content)
+            models = _MODELS_DECODER.decode(fields.get('data', b''))
+        except MalformedMessageError as exc:
+            raise httpx.RemoteProtocolError(
+                f'list of models: {exc.message}'
+            ) from exc
+        return tuple(model.id for model in models)
 
     @contextlib.asynccontextmanager
     async def send(
