Ignore token counts of engines that no completion can have

The count in an engine's usage replaced the count of its events whatever it was. One of 25 digits cannot be encoded in the message that ends the response (OverflowError: can't serialize ints < -2**63 or > 2**64 - 1), so that a response that had been relayed whole did not end as one. A negative or very large count is subtracted from the tokens of its contract. The effect on a caller and on the contract was read, not run; the count and the encoding were run.

The field's type now has the range 0 to a billion, and an event outside of it is skipped like any other that cannot be read.

Before: the cases "negative" and "digits" of test_tokens_are_counted_by_events_or_from_reported_usage failed; "range" (1e400) passed before.

--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import AsyncIterator, Iterator
+from typing import Annotated
 
 import attrs
 import httpx
@@ -43,12 +44,17 @@
 MAX_JSON_BYTES = 32_000_000
 MAX_EVENT_BYTES = 1_048_576
 
+# far above the context of any model
+_MAX_COMPLETION_TOKENS = 1_000_000_000
+
 
 @attrs.frozen
 class _Usage:
     """Token counts reported by the engine."""
 
-    completion_tokens: int = 0
+    completion_tokens: Annotated[
+        int, msgspec.Meta(ge=0, le=_MAX_COMPLETION_TOKENS)
+    ] = 0
 
 
 @attrs.frozen
--- a/tests/sidecar/upstreams/test_engine_tokens.py
+++ b/tests/sidecar/upstreams/test_engine_tokens.py
@@ -19,6 +19,10 @@
 )
 
 
+def _usage(number):
+    return b'data: {"usage":{"completion_tokens":%b}}\n\n' % number
+
+
 @pytest.mark.parametrize(
     ('content_type', 'body', 'tokens'),
     [
@@ -28,10 +32,13 @@
             ROLE_EVENT + TEXT_EVENT * 3 + USAGE_EVENT + END_EVENT,
             7,
         ),
+        (EVENT_STREAM, TEXT_EVENT * 3 + _usage(b'-1') + END_EVENT, 3),
+        (EVENT_STREAM, TEXT_EVENT * 3 + _usage(b'9' * 25) + END_EVENT, 3),
+        (EVENT_STREAM, TEXT_EVENT * 3 + _usage(b'1e400') + END_EVENT, 3),
         ('application/json', JSON_BODY, 2),
         ('application/json', b'[1, "not a completion"]', 0),
     ],
-    ids=['events', 'usage', 'whole', 'other'],
+    ids=['events', 'usage', 'negative', 'digits', 'range', 'whole', 'other'],
 )
 async def test_tokens_are_counted_by_events_or_from_reported_usage(
     content_type, body, tokens
