Ignore a configuration whose numbers cannot be computed with

A negative header_timeout_ms came into force and makes trio.fail_after raise ValueError on every connection of a caller. A version of 400 digits raised OverflowError after its routes were in force already, so that all later versions counted as older; the same without an error for 25 digits. Limits and times of 25 digits, and those below zero, were accepted too. The store accepts only valid configurations, so none of this is expected; what happens then with connections was read, not run.

The types now have ranges, 0 to 10**15, and a configuration outside of them is ignored as a whole like any unreadable one, and the one in force stays.

--- a/briarrill/platform/configuration.py
+++ b/briarrill/platform/configuration.py
@@ -4,8 +4,10 @@
 """
 
 from collections.abc import Callable
+from typing import Annotated
 
 import attrs
+import msgspec
 import trio
 from eliot import log_message
 
@@ -28,11 +30,17 @@
 
 _MS_PER_S = 1000
 
+# far above all numbers of a configuration; times of it can be computed with
+_MAX_NUMBER = 1_000_000_000_000_000
+
+_Number = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+
 
 @attrs.frozen
 class _Split:
     service: str
-    weight: float = 0
+    weight: _Number = 0
 
 
 @attrs.frozen
@@ -51,30 +59,30 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0
+    timeout_ms: _Number
+    target_latency_ms: _Number = 0
     priority: int = 0
     service: str = ''
     traffic_split: tuple[_Split, ...] = ()
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     resumable: bool = False
-    gap_aim_ms: float = 250
-    completion_target_ms: float = 0
-    keep_s: float = 0
-    max_queued_tokens: int = 0
+    gap_aim_ms: _Number = 250
+    completion_target_ms: _Number = 0
+    keep_s: _Number = 0
+    max_queued_tokens: _Count = 0
 
 
 @attrs.frozen
 class _Limits:
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4_194_304
+    header_timeout_ms: _Number = 3000
+    idle_timeout_ms: _Number = 15_000
 
 
 @attrs.frozen
 class _Configuration:
-    version: int
+    version: _Count
     routes: tuple[_Route, ...]
     limits: _Limits = _Limits()
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -60,6 +60,48 @@
     assert holder.version == 4
 
 
+def _odd_configuration(path, raw):
+    """Return a configuration of version 9 with a number as given.
+
+    :param path: field, or the part and its field.
+    """
+    cfg = json.loads(configuration(9, ('/a/', 'two')))
+    cfg['limits'] = {}
+    part, _, name = path.rpartition('.')
+    fields = {'': cfg, 'limits': cfg['limits'], 'route': cfg['routes'][0]}
+    fields[part][name] = 'odd'
+    return json.dumps(cfg).encode().replace(b'"odd"', raw)
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        'version',
+        'limits.max_header_bytes',
+        'limits.max_body_bytes',
+        'limits.header_timeout_ms',
+        'limits.idle_timeout_ms',
+        'route.timeout_ms',
+        'route.target_latency_ms',
+        'route.max_attempts',
+        'route.gap_aim_ms',
+        'route.completion_target_ms',
+        'route.keep_s',
+        'route.max_queued_tokens',
+    ],
+)
+@pytest.mark.parametrize('raw', [b'-1', b'9' * 25, b'9' * 400, b'1e400'])
+def test_configuration_with_an_unusable_number_is_ignored(path, raw):
+    holder, changes = _make_holder()
+    holder.apply(configuration(4, ('/a/', 'one')))
+    holder.apply(_odd_configuration(path, raw))
+    assert holder.version == 4
+    assert holder.routes.find('h', '/a/x').targets[0].service == 'one'
+    holder.apply(_odd_configuration(path, b'10'))
+    assert holder.version in {9, 10}
+    assert len(changes) == 2
+
+
 def test_route_lookup_returns_longest_prefix_of_host():
     holder, _ = _make_holder()
     holder.apply(configuration(1, ('/', 'r'), ('/a/', 's'), ('/a/b/', 'l')))
