Send no reports to registrations of processes without an address

The registration of a process is its address. Any UTF-8 text was taken for one and passed to sendto with each report, which resolves a name with the interpreter's one thread blocked; other bytes raised UnicodeDecodeError, so that the old address stayed (mirror:key-failed).

A body that is no IPv4 address is now logged as member:unreadable and removes the process, as its deletion would. The host in a peer's load report is still any text; a test of an earlier fault expects that it is stored.

--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -46,6 +46,7 @@
     OPERATOR_PREFIX,
     RoutingConfigurationHolder,
 )
+from .member_keys import MemberKeys
 from .settings import PlatformInstance
 from .store import PlatformStore
 from .upstreams import REGISTRATIONS_PREFIX, Registrations, decode_version
@@ -90,17 +91,6 @@
                 listener.apply_key(key, body)
 
 
-class _MemberKeys(MirrorListener):
-    """Adds and removes the registered processes at the load exchange."""
-
-    def __init__(self, load: LoadExchange) -> None:
-        self._load = load
-
-    def apply_key(self, key: str, body: bytes | None) -> None:
-        host = None if body is None else body.decode()
-        self._load.update_member(key.removeprefix(MEMBERS_PREFIX), host)
-
-
 @attrs.define
 class ProcessParts:
     """Parts that the entry and batch processes share.
@@ -291,7 +281,7 @@
     load.origins.failure_domain = cfg.failure_domain
     routing_configuration = RoutingConfigurationHolder(load.schedule_report)
     operator_keys.add(OPERATOR_PREFIX, routing_configuration)
-    own_keys.add(MEMBERS_PREFIX, _MemberKeys(load))
+    own_keys.add(MEMBERS_PREFIX, MemberKeys(load))
     ends = UpstreamEnds(upstreams, PromptQuarantine(), load.schedule_report)
     parts = ProcessParts(
         cfg=cfg,
