Find jobs without an owner beside one whose record is damaged

The search for jobs without an owner goes through the index of open jobs. A record that cannot be read raised InternalError there, which ended the whole search, each time: all jobs after it in the index stayed without an owner once theirs was lost. An index entry without a job whose body is no number raised ValueError, which ends the search's task and with it the process (the end of the process was read, not run).

One damaged record is now logged as job:unreadable and skipped, and its entry stays. An entry without a job whose time cannot be read counts as an old one and is removed; entries of new jobs always have a time.

--- a/briarrill/batch/job_finder.py
+++ b/briarrill/batch/job_finder.py
@@ -17,7 +17,8 @@
 import trio
 from eliot import log_message
 
-from ..errors import BriarrillError
+from ..decoding import find_whole_number
+from ..errors import BriarrillError, InternalError
 from ..protocol.messages import JobNotice
 from ..protocol.rpc import RpcCaller
 from ..state.job_records import decode_job_record
@@ -166,7 +167,14 @@
         all_owned = True
         for entry in index:
             key = f'{JOBS_PREFIX}{entry.key.removeprefix(OPEN_JOBS_PREFIX)}'
-            if await self._is_orphaned(key, entry, live_processes):
+            is_orphaned = False
+            try:
+                is_orphaned = await self._is_orphaned(
+                    key, entry, live_processes
+                )
+            except InternalError as exc:
+                log_message('job:unreadable', key=key, reason=exc.message)
+            if is_orphaned:
                 all_owned = False
                 await self._offer_to_candidate(key, live_processes)
         # the index is read in each search until all jobs have an owner
@@ -180,6 +188,8 @@
 
         Deletes the index entry of a finished job, and an old one of a job
         that does not exist.
+
+        :raises InternalError: the job's record is damaged.
         """
         if self._known_owners.get(key) in live_processes:
             return False
@@ -195,8 +205,11 @@
         return record.owner not in live_processes
 
     async def _delete_if_dangling(self, entry: KeyValue) -> None:
-        """Delete an index entry that is too old to be a new job."""
-        age_s = time.time() - float(entry.body or 0)
+        """Delete an index entry that is too old to be a new job.
+
+        One whose time cannot be read was not written for a job.
+        """
+        age_s = time.time() - (find_whole_number(entry.body) or 0)
         if age_s > DANGLING_ENTRY_MAX_AGE_S:
             log_message('job:dangling-index', key=entry.key)
             await self.store.service.delete(
