Leave a damaged record out of the list of a contract's jobs

One record that could not be read failed the whole list with status 500, so that its caller saw none of its jobs. It is now logged as job:unreadable and left out, while asking for this job itself still fails.

--- a/briarrill/state/job_directory.py
+++ b/briarrill/state/job_directory.py
@@ -25,6 +25,7 @@
     decode_file_record,
     decode_job_record,
     encode_record,
+    readable_job_records,
 )
 from .keys import FILES_PREFIX, JOBS_PREFIX, file_key, job_key, open_job_key
 from .membership import Membership
@@ -116,6 +117,8 @@
     ) -> list[JobRecord]:
         """Return jobs of a contract in the order of their identifiers.
 
+        Those whose records are damaged are left out.
+
         :param after: identifier after which the list starts, empty for all.
         :param limit: maximum number of jobs.
         """
@@ -124,7 +127,7 @@
             after=job_key(contract, after) if after else '',
             limit=limit,
         )
-        return [decode_job_record(entry.body) for entry in entries]
+        return list(readable_job_records(entries))
 
     async def cancel_job(self, contract: str, job_id: str) -> JobRecord:
         """Set a running job to CANCELLING and notify batch processes.
--- a/briarrill/state/job_records.py
+++ b/briarrill/state/job_records.py
@@ -8,13 +8,16 @@
 
 import enum
 import zlib
+from collections.abc import Iterable, Iterator
 from typing import TypeVar
 
 import attrs
 import msgspec
+from eliot import log_message
 
 from ..decoding import Decoder, decompress, json_decoder
 from ..errors import InternalError, MalformedMessageError
+from ..transport.key_value import KeyValue
 
 __all__ = (
     'FileRecord',
@@ -26,6 +29,7 @@
     'decode_file_record',
     'decode_job_record',
     'encode_record',
+    'readable_job_records',
 )
 
 _Record = TypeVar('_Record')
@@ -161,6 +165,15 @@
     return _decode(body, _JOB_DECODER)
 
 
+def readable_job_records(entries: Iterable[KeyValue]) -> Iterator[JobRecord]:
+    """Yield the jobs whose records can be read; log the others."""
+    for entry in entries:
+        try:
+            yield decode_job_record(entry.body)
+        except InternalError as exc:
+            log_message('job:unreadable', key=entry.key, reason=exc.message)
+
+
 def decode_file_record(body: bytes) -> FileRecord:
     """Decode a file's record.
 
