Refuse jobs with items that cannot be named or counted

An item's ID is sent as a header when it runs. The paths and headers of items were checked when a job is submitted, the IDs were not. Tokens beyond 64 bits raised OverflowError when the job was encoded for the store, after the check, and negative ones lowered the unfinished tokens of a route below its limit (read, not run).

Both are checked where the job is read now, and its caller gets 400. Items of this kind that an earlier release has stored are not treated.

--- a/briarrill/platform/job_messages.py
+++ b/briarrill/platform/job_messages.py
@@ -1,6 +1,7 @@
 """briarrill.platform.job_messages: JSON bodies of requests about jobs."""
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import attrs
 import msgspec
@@ -13,6 +14,12 @@
 
 __all__ = ('PlatformJobProtocol',)
 
+# far above the context of any model
+_MAX_TOKENS = 1_000_000_000
+
+# header that names an item when it runs
+_ITEM_ID = 'briarrill-attempt-id'
+
 
 @attrs.frozen
 class _WireItem:
@@ -22,7 +29,7 @@
     path: str
     headers: dict[str, str]
     body: str
-    tokens: int
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=_MAX_TOKENS)]
 
 
 @attrs.frozen
@@ -84,10 +91,10 @@
 def _stored(wire: _WireItem) -> StoredItem:
     """Return an item as it is stored.
 
-    :raises BadRequestError: its path or headers cannot be sent over HTTP.
+    :raises BadRequestError: its ID, path or headers cannot be sent over HTTP.
     """
     try:
-        check_request(wire.path, wire.headers)
+        check_request(wire.path, {**wire.headers, _ITEM_ID: wire.id})
     except ValueError as exc:
         raise BadRequestError(f'item {wire.id!r}: {exc}') from exc
     return StoredItem(
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -50,6 +50,24 @@
         PlatformJobProtocol().read_items(body)
 
 
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'id': '\u20ac'},
+        {'id': 'i\r\nx: y'},
+        {'id': 'i\0'},
+        {'tokens': -1},
+        {'tokens': 10**25},
+        {'tokens': 10**400},
+        {'tokens': '1'},
+    ],
+)
+def test_item_that_cannot_be_stored_or_named_is_rejected(fields):
+    body = json.dumps({'items': [{**ITEM, **fields}]}).encode()
+    with pytest.raises(BadRequestError):
+        PlatformJobProtocol().read_items(body)
+
+
 @pytest.mark.parametrize('text', ['b25', 'b25l!', '\u00fc'])
 def test_item_whose_body_is_no_base64_is_rejected_with_its_job(text):
     body = json.dumps({'items': [{**ITEM, 'body': text}]}).encode()
