Take no two joined response heads for one response

Callers saw: a 200 with an empty or a short body, framed as whole. The status and the first headers, the seal among them, were those of a response whose head was cut; the length and the body those of an error that the server wrote next on the same connection, or of a late response to another request.

Cause: a head may break off inside the reason of its status line or inside the value of a header. The next status line then is valid as the rest of that line, so the parser reads both heads as one, with the status of the first and the framing of the second. Nothing but the close was checked for a cut in a head.

A late response to r0 passed for that to r1, as the first of two identifiers counts.

A resumption or retry follows as after any other cut. Values that name a protocol only, as in Via, are read as before.

Ruled out: to reject repeated headers, as the second head need not repeat any.

What remains: a blank line written after a cut head ends it as if it were whole; without a length or chunks the response ends with the connection, which HTTP takes for complete, except for a stream without any event.

--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -16,7 +16,12 @@
 
 from ..decoding import find_whole_number
 from ..errors import PeerUnreachableError, UpstreamLostError
-from .http_messages import RequestHead, ResponseHead, find_header
+from .http_messages import (
+    RequestHead,
+    ResponseHead,
+    find_header,
+    holds_status_line,
+)
 from .task_errors import unwrap_single_error
 
 __all__ = ('ChannelPool', 'HttpChannel', 'connect')
@@ -184,7 +189,7 @@
             event = await self._next_event()
             if not isinstance(event, h11.Response):
                 continue
-            head = ResponseHead(event.status_code, tuple(event.headers))
+            head = _response_head(event)
             if is_expected is None or is_expected(head):
                 self._set_idle_timeout(head)
                 return head
@@ -327,6 +332,19 @@
             self._idle_timeout_s = timeout_s * IDLE_TIMEOUT_FRACTION
 
 
+def _response_head(event: h11.Response) -> ResponseHead:
+    """Return the head that was parsed.
+
+    :raises UpstreamLostError: it holds that of another response, too.
+    """
+    head = ResponseHead(event.status_code, tuple(event.headers))
+    if holds_status_line(event.reason, head.headers):
+        raise UpstreamLostError(
+            'a response head was cut and followed by another one'
+        )
+    return head
+
+
 @attrs.define
 class ChannelPool:
     """Pool of idle channels by server.
--- a/briarrill/transport/http_messages.py
+++ b/briarrill/transport/http_messages.py
@@ -1,6 +1,7 @@
 """briarrill.transport.http_messages: start lines and headers of HTTP/1.1."""
 
 import enum
+import re
 from collections.abc import Mapping
 
 import attrs
@@ -14,6 +15,7 @@
     'check_request',
     'end_to_end_headers',
     'find_header',
+    'holds_status_line',
 )
 
 #: Pairs of name and value in the order sent; names are in lower case.
@@ -38,6 +40,9 @@
 
 _CONTENT_LENGTH = b'content-length'
 
+# a status line up to its reason
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
+
 # character set of targets and headers
 _CHARSET = 'latin-1'
 
@@ -135,6 +140,16 @@
     return None
 
 
+def holds_status_line(reason: bytes, headers: Headers) -> bool:
+    """Tell whether a response head goes on with the head of another.
+
+    A server that breaks off inside a head may write a second response, whose
+    status line then looks like the rest of the line that was cut.
+    """
+    texts = (reason, *(text for _, text in headers))
+    return any(_STATUS_LINE.search(text) for text in texts)
+
+
 def end_to_end_headers(headers: Headers, dropped: frozenset[bytes]) -> Headers:
     """Return the end-to-end headers, which a proxy forwards.
 
--- a/tests/relay/test_cut_responses.py
+++ b/tests/relay/test_cut_responses.py
@@ -151,6 +151,50 @@
             assert cut.may_look_like_complete_stream, cut
 
 
+def _encode(status, request_id, body):
+    """Return a response as an upstream of the platform writes it."""
+    lines = (
+        b'HTTP/1.1 ' + status,
+        b'date: Sat, 05 Dec 2026 05:00:00 GMT',
+        b'briarrill-attempt-id: ' + request_id,
+        b'server: runner',
+        b'content-length: %d' % len(body),
+    )
+    return b'\r\n'.join((*lines, b'', body))
+
+
+RESPONSES_AFTER_CUTS = {
+    'empty': b'HTTP/1.1 500 Server Error\r\ncontent-length: 0\r\n\r\n',
+    'short': b'HTTP/1.0 400 Bad\r\ncontent-length: 5\r\n\r\nerror',
+    'without reason': b'HTTP/1.1 502\r\ncontent-length: 0\r\n\r\n',
+    'own': _encode(b'500 Error', b'r1', b'error'),
+    'late': _encode(b'200 OK', b'r0', b'late'),
+}
+
+
+@pytest.mark.parametrize('route', [STREAM, NON_IDEMPOTENT])
+@pytest.mark.parametrize('kind', RESPONSES_AFTER_CUTS)
+async def test_response_after_a_cut_head_does_not_complete_it(
+    network, route, kind
+):
+    """The status is that of the cut head, the body that of an error."""
+    head, _, _ = _encode(b'200 OK', b'r1', WHOLE_STREAM).partition(b'\r\n\r\n')
+    for length in range(1, len(head) + 1):
+        engine = RawEngine(head[:length] + RESPONSES_AFTER_CUTS[kind])
+        assert await _relay(network, route, engine) is None, length
+
+
+@pytest.mark.parametrize(
+    'line', [b'via: HTTP/1.1 proxy', b'upgrade: HTTP/2.0', b'x-note: 200 OK']
+)
+async def test_header_that_names_a_protocol_is_no_other_response(
+    network, line
+):
+    whole = _encode(b'200 HTTP/1.1 OK', b'r1', WHOLE_BODY)
+    raw = whole.replace(b'server: runner', line)
+    assert await _relay(network, NON_IDEMPOTENT, RawEngine(raw)) == WHOLE_BODY
+
+
 REJECTION_HEAD = b'HTTP/1.1 503 Busy\r\nbriarrill-not-executed: 1\r\n'
 
 
--- a/tests/sidecar/test_upstream_faults.py
+++ b/tests/sidecar/test_upstream_faults.py
@@ -76,6 +76,30 @@
     assert len(received) == calls
 
 
+@pytest.mark.parametrize('kind', [EngineUpstream, ServiceUpstream])
+async def test_response_after_a_cut_head_does_not_complete_it(network, kind):
+    """The status is that of the cut head, the body that of an error."""
+    head = b'HTTP/1.1 200 OK\r\nserver: engine\r\ncontent-type: text/plain'
+    error = b'HTTP/1.1 500 Error\r\ncontent-length: 5\r\n\r\nerror'
+    replies = [
+        head[:length] + error
+        for length in range(len(b'HTTP/1.1 200 '), len(head) + 1)
+    ]
+    unsent = iter(replies)
+
+    async def handle_connection(stream):
+        async with stream:
+            await stream.receive_some()
+            await stream.send_all(next(unsent))
+
+    async with _open_upstream(network, kind, handle_connection) as (_, link):
+        for number, reply in enumerate(replies):
+            req = make_request(f'r{number}')
+            chunks, finish = await read_all(link.submit(req, 0))
+            assert not chunks, reply
+            assert finish.code is ResultCode.UPSTREAM_FAILED, reply
+
+
 @pytest.mark.parametrize(
     ('status', 'code', 'ran'),
     [
