Delete no record of a version that came back while the process stood still

The record that a version has served outlives all processes. A process that stood still, or was cut off, for the last seconds of the 70 s after a version had left deleted the record as soon as it went on, also if upstreams of that version had registered again meanwhile (a release that was taken back). Until another process recorded it again, at the next check in 0.2 s and the time of a write, the version counted as one without a record: it began no streams beside another version, and after a loss of power at that moment its streams could have been joined to the other's.

Cause: the same as of the streams that went on at the only version an entry knew: how long a version has been absent was told by what the process had last received, and by monotonic time that passes while it stands still. The expected revision of the delete was read just before, so it guarded against nothing.

Evidence: test_record_of_a_version_that_came_back_unseen_is_not_deleted failed in its three cases (the record was gone). It was not played with whole processes.

Before it deletes, a process now reads the versions that it may lack, compares the records with the upstreams again, and deletes nothing if it cannot read them. That costs the process whose turn it is two reads for each version that left, and every 0.3 s at most while the read tells of a version that it has not received.

--- a/briarrill/coordination/version_recorder.py
+++ b/briarrill/coordination/version_recorder.py
@@ -106,13 +106,28 @@
             await self._change(self._create, served)
             for served in table.records.due_creates(self._rank)
         ]
-        if table.knows_recent_versions:
-            succeeded += [
-                await self._change(self._delete, served)
-                for served in table.records.due_deletes(self._rank)
-            ]
+        if table.knows_recent_versions and table.records.due_deletes(
+            self._rank
+        ):
+            succeeded += await self._delete_due()
         return all(succeeded)
 
+    async def _delete_due(self) -> list[bool]:
+        """Delete the records that are still due; tell which did not fail.
+
+        Upstreams of a version may be back unseen, if this process stood still.
+        """
+        table = self.upstreams
+        missed = await table.find_missed()
+        if missed is None:
+            return [False]
+        update_records(table)
+        return [
+            await self._change(self._delete, served)
+            for served in table.records.due_deletes(self._rank)
+            if served not in missed
+        ]
+
     def _rank(self, served: ServedVersion) -> int:
         """Return this process's position among those that may write."""
         key = upstream_version_key(served.service, served.version)
--- a/tests/coordination/test_version_recorder.py
+++ b/tests/coordination/test_version_recorder.py
@@ -174,6 +174,29 @@
         assert process.table.records.served_lately('llm') == {'v2'}
 
 
+@pytest.mark.parametrize('read', ['missed', 'received', 'nothing'])
+async def test_record_of_a_version_that_came_back_unseen_is_not_deleted(
+    read, clock
+):
+    """The process stood still while upstreams of a version came back."""
+    service = MemoryKeyValue()
+    process = Process('p0', service, names=())
+    process.register('llm', 'v1')
+    await process.recorder.write_due()
+    process.table.unregister('llm-v1')
+    clock[0] += RECORD_RETENTION_S
+
+    async def find_missed():
+        if read == 'received':
+            process.register('llm', 'v1')
+            return set()
+        return {ServedVersion('llm', 'v1')} if read == 'missed' else None
+
+    process.table.find_missed = find_missed
+    assert await process.recorder.write_due() is (read != 'nothing')
+    assert await _keys(service) == [upstream_version_key('llm', 'v1')]
+
+
 async def test_streams_wait_for_no_other_keys_than_the_records(clock):
     service = MemoryKeyValue()
     for process in _make_fleet(service):
