Play an entry that stands still and gets no replies when it goes on

Two of the four whole-process cases of a late entry were an entry that stands still and finds all replies at its sockets, and one that is cut off; an entry that stands still while its machine is cut off too finds none. No code changes.

--- a/tests/platform/test_late_entries.py
+++ b/tests/platform/test_late_entries.py
@@ -41,6 +41,8 @@
 # last number of the address at which the late entry reaches the store
 LATE_STORE = 9
 
+ALL_CALLS = ('kv-watch', 'kv-range', 'kv-key', 'kv-txn')
+
 # time after which the sound entry has new registrations and their record
 ARRIVAL_S = 0.5
 DEPARTURE_S = 0.1
@@ -83,8 +85,12 @@
         yield
 
     @contextlib.asynccontextmanager
-    async def stop(self):
-        """Have the entry stand still until its callers wait for it."""
+    async def stop(self, *calls):
+        """Have the entry stand still until its callers wait for it.
+
+        :param calls: of the store, whose replies are withheld from then on.
+        """
+        self.store.withheld = calls
         process = self.fleet.processes[LATE_ENTRY]
         os.kill(process.pid, signal.SIGSTOP)
         async with trio.open_nursery() as nursery:
@@ -155,10 +161,11 @@
     'interrupt',
     [
         lambda late: late.withhold('kv-watch'),
-        lambda late: late.withhold('kv-watch', 'kv-range', 'kv-key', 'kv-txn'),
+        lambda late: late.withhold(*ALL_CALLS),
         lambda late: late.stop(),
+        lambda late: late.stop(*ALL_CALLS),
     ],
-    ids=['silent-watch', 'cut-off', 'stopped'],
+    ids=['silent-watch', 'cut-off', 'stopped', 'stopped-and-cut-off'],
 )
 async def test_streams_of_a_new_version_are_not_joined_at_a_late_entry(
     network, tmp_path, interrupt
