Refuse reads that rest on an old read of the store

Callers would see: an entry answers that a job has no results, or that it does not exist, although another entry returned the results, or accepted the job, over a second before. Only with slow replies of the store.

Cause: one read of a job serves all that wait for it. A reader that came while one was on its way got its result at the end, of up to 1.5 s before, and a reader whose own time was over was answered without a further look at its age. The same for a job that is not in the table: what the joined read did not find was 404.

Fix: a read knows when it began. An answer of "none" rests on a read that began at most 0.7 s ago (the rest of the second is for the way of the answer), else it is 503 with Retry-After 0.7. Found results and found jobs need no age. This also holds if the position shows by itself that the table lacks results.

Costs: no further calls to the store. On a link over which a read takes over 0.7 s, an entry whose table is behind refuses reads with nothing new instead of answering "none". Readers whose time is not over read on as before.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -31,11 +31,21 @@
 from .mirror import MirrorListener
 from .shared_reads import SharedReads
 
-__all__ = ('JobTable', 'TrackedJob')
+__all__ = (
+    'MAX_ABSENCE_AGE_S',
+    'UNREAD_RETRY_AFTER_S',
+    'JobTable',
+    'TrackedJob',
+)
 
 # time for all reads of one job; callers wait that much longer than they allow
 READ_TIMEOUT_S = 1.5
 
+# greatest age of a read, from its beginning, on which a job or a result counts
+# as missing. What one process returned must be readable at all within 1 s; the
+# rest is for the way of the answer
+MAX_ABSENCE_AGE_S = 0.7
+
 # Retry-After when a job could not be read
 UNREAD_RETRY_AFTER_S = 0.7
 
@@ -213,12 +223,20 @@
         share a read.
 
         :return: the job, or none if it is not stored.
-        :raises PlatformUnavailableError: the service did not respond.
+        :raises PlatformUnavailableError: the service did not respond, or so
+            late that the job may have been stored since.
         """
-        await self._reads.run(
+        began_at = await self._reads.run(
             job_body_prefix(job_id), lambda: self._read_whole(job_id)
         )
-        return self.find(job_id)
+        tracked = self.find(job_id)
+        age_s = trio.current_time() - began_at
+        if tracked is None and age_s > MAX_ABSENCE_AGE_S:
+            raise PlatformUnavailableError(
+                f'job {job_id!r} was not stored {age_s:.1f} s ago',
+                retry_after_s=UNREAD_RETRY_AFTER_S,
+            )
+        return tracked
 
     async def read_results(self, tracked: TrackedJob) -> None:
         """Read the results that a known job lacks from the service.
--- a/briarrill/coordination/shared_reads.py
+++ b/briarrill/coordination/shared_reads.py
@@ -14,10 +14,12 @@
 class _OpenRead:
     """A read that has not ended.
 
+    :param began_at: time on trio's clock.
     :param is_done: it succeeded.
     :param error: why it failed, none if its reader was cancelled.
     """
 
+    began_at: float = attrs.field(factory=trio.current_time)
     ended: trio.Event = attrs.field(factory=trio.Event)
     is_done: bool = False
     error: PlatformUnavailableError | None = None
@@ -31,11 +33,13 @@
 
     async def run(
         self, subject: str, read: Callable[[], Awaitable[None]]
-    ) -> None:
+    ) -> float:
         """Run a read, or wait for the one of its subject that is running.
 
         If the reader of that one is cancelled, another one reads.
 
+        :return: time on trio's clock at which the read began; what was
+            written since may be missing.
         :raises PlatformUnavailableError: the read failed.
         """
         while (running := self._open.get(subject)) is not None:
@@ -46,12 +50,12 @@
                     retry_after_s=running.error.retry_after_s,
                 )
             if running.is_done:
-                return
-        await self._run_first(subject, read)
+                return running.began_at
+        return await self._run_first(subject, read)
 
     async def _run_first(
         self, subject: str, read: Callable[[], Awaitable[None]]
-    ) -> None:
+    ) -> float:
         """Run a read and tell the waiting ones how it ended."""
         running = _OpenRead()
         self._open[subject] = running
@@ -64,3 +68,4 @@
         finally:
             self._open.pop(subject)
             running.ended.set()
+        return running.began_at
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -12,7 +12,12 @@
 from eliot import log_message
 
 from ..coordination.hedged_writes import HedgedWrites
-from ..coordination.job_table import JobTable, TrackedJob
+from ..coordination.job_table import (
+    MAX_ABSENCE_AGE_S,
+    UNREAD_RETRY_AFTER_S,
+    JobTable,
+    TrackedJob,
+)
 from ..coordination.relay_protocol import Intent, IntentKind, JobProtocol
 from ..coordination.routes import Route
 from ..errors import (
@@ -229,6 +234,7 @@
         give_up_at = trio.current_time() + intent.wait_s
         tracked = await self._find_job(intent.job_id)
         await self._wait_for_results(tracked, intent.position, give_up_at)
+        self._check_absence(tracked, intent.position)
         page = _leading_results(tracked.results[intent.position :])
         response = self.protocol.results_body(
             len(tracked.items), intent.position, page
@@ -247,7 +253,7 @@
             # another entry has returned more results to this caller
             await self.jobs.read_results(tracked)
         while position >= len(tracked.results):
-            if self._may_lack_results(tracked):
+            if self._may_lack_results(tracked, position, RESULTS_VALIDITY_S):
                 await self.jobs.read_results(tracked)
             left_s = give_up_at - trio.current_time()
             if left_s <= 0 or not tracked.is_open:
@@ -256,12 +262,35 @@
                 with trio.move_on_after(min(left_s, RESULTS_VALIDITY_S)):
                     await tracked.changed.wait()
 
-    def _may_lack_results(self, tracked: TrackedJob) -> bool:
-        """Whether other entries may know more results of a job."""
-        if tracked.is_finished or not self.is_behind():
+    def _check_absence(self, tracked: TrackedJob, position: int) -> None:
+        """Check that there is a result at a position, or none was just now.
+
+        The last read may have been slow, or have begun for another reader.
+
+        :raises PlatformUnavailableError: whether there is one is not known.
+        """
+        if position < len(tracked.results):
+            return
+        if self._may_lack_results(tracked, position, MAX_ABSENCE_AGE_S):
+            raise PlatformUnavailableError(
+                f'job {tracked.job_id!r} may have further results',
+                retry_after_s=UNREAD_RETRY_AFTER_S,
+            )
+
+    def _may_lack_results(
+        self, tracked: TrackedJob, position: int, max_age_s: float
+    ) -> bool:
+        """Whether other entries may know more results of a job.
+
+        :param position: up to which the caller has results.
+        :param max_age_s: age of the last read at which they may.
+        """
+        if tracked.is_finished:
+            return False
+        is_passed = position > len(tracked.results)
+        if not is_passed and not self.is_behind():
             return False
-        age_s = trio.current_time() - tracked.read_at
-        return age_s >= RESULTS_VALIDITY_S
+        return trio.current_time() - tracked.read_at >= max_age_s
 
     async def _read_item(
         self, intent: Intent, body: bytes, conn: CallerConnection
