Take no report of a process whose host is no address

Cause: the sender of reports passes a host on to sendto and knew of OSError and UnicodeError; such hosts raise TypeError or ValueError, which ended its task and with it the process. A name that can be resolved blocked all tasks meanwhile. Class: what others write was not checked where it comes in.

The sender skips a host that cannot be sent to, whatever the error.

--- a/briarrill/coordination/load_exchange.py
+++ b/briarrill/coordination/load_exchange.py
@@ -21,6 +21,7 @@
 from ..protocol.load_reports import LoadReport, decode_report, encode_report
 from ..protocol.permits import decode_permit, is_permit
 from ..protocol.stream_origins import decode_origin, is_origin
+from ..transport.addresses import is_address
 from ..transport.task_errors import log_unexpected_errors
 from .expected_replies import ExpectedReplies
 from .limit_sharing import LimitSharing, heard_seed_share, heard_share
@@ -300,7 +301,7 @@
             if is_origin(raw):
                 self.origins.receive(decode_origin(raw), sender)
                 return
-            report = decode_report(raw)
+            report = _read_report(raw)
         except MalformedMessageError as exc:
             MALFORMED_MESSAGES.inc()
             log_message('peer:malformed', reason=exc.message)
@@ -332,3 +333,14 @@
     counter[name] -= 1
     if not counter[name]:
         counter.pop(name)
+
+
+def _read_report(raw: bytes) -> LoadReport:
+    """Decode a report of a process to which reports can be sent.
+
+    :raises MalformedMessageError: it is none.
+    """
+    report = decode_report(raw)
+    if not is_address(report.host):
+        raise MalformedMessageError(f'{report.host!r} is no IPv4 address')
+    return report
--- a/briarrill/coordination/report_sender.py
+++ b/briarrill/coordination/report_sender.py
@@ -81,8 +81,8 @@
     def send(self, sock: socket.socket, raw: bytes, host: str) -> None:
         """Send an encoded report to a host without waiting."""
         # a report that cannot be sent is superseded by the next one; a host
-        # that is no address may raise a UnicodeError
-        with contextlib.suppress(OSError, UnicodeError):
+        # that is no address may raise a ValueError or a TypeError
+        with contextlib.suppress(OSError, ValueError, TypeError):
             sock.sendto(raw, (host, self.port))
 
     def _send_report(
