Send the host of a request whatever its Connection header lists

What callers saw: a request with `Connection: host` failed, and a job with an item that has this header was accepted with 202; each of its runs failed with a traceback, so the job got no result for it.

Cause: headers that Connection lists apply to one connection only and are removed; a sender must not list Host, without which no request can be sent (LocalProtocolError: Missing mandatory Host), and this was not checked. Class: what callers write is believed.

Host and Content-Length stay now. Refusing the item would have been the other way; headers that name a hop are removed from items without a word as well.

Found by a reviewer.

--- a/briarrill/transport/http_messages.py
+++ b/briarrill/transport/http_messages.py
@@ -40,6 +40,9 @@
 
 _CONTENT_LENGTH = b'content-length'
 
+# headers that a sender must not list in Connection
+_REQUIRED = frozenset((b'host', _CONTENT_LENGTH))
+
 # a status line up to its reason
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
 
@@ -118,7 +121,7 @@
         (name.lower().encode(_CHARSET), text.encode(_CHARSET))
         for name, text in headers.items()
     )
-    sent = end_to_end_headers(encoded, frozenset((b'host', _CONTENT_LENGTH)))
+    sent = end_to_end_headers(encoded, _REQUIRED)
     try:
         h11.Request(
             method=b'POST',
@@ -153,12 +156,13 @@
 def end_to_end_headers(headers: Headers, dropped: frozenset[bytes]) -> Headers:
     """Return the end-to-end headers, which a proxy forwards.
 
-    Hop-by-hop headers and those listed in ``Connection`` are removed.
+    Hop-by-hop headers and those listed in ``Connection`` are removed, but for
+    those without which the message cannot be sent.
 
     :param dropped: lower-case names of further headers to remove, such as
         those that the proxy sets itself.
     """
     listed = find_header(headers, b'connection') or b''
     connection_headers = {name.strip().lower() for name in listed.split(b',')}
-    excluded = _HOP_BY_HOP | connection_headers | dropped
+    excluded = _HOP_BY_HOP | (connection_headers - _REQUIRED) | dropped
     return tuple(pair for pair in headers if pair[0] not in excluded)
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -3,6 +3,7 @@
 import json
 import math
 
+import h11
 import pytest
 
 from briarrill.coordination.relay_protocol import Call, IntentKind
@@ -153,6 +154,25 @@
     }
 
 
+@pytest.mark.parametrize('listed', ['host', 'Host, close', 'content-length'])
+def test_connection_header_removes_nothing_that_a_request_needs(listed):
+    stored = StoredItem('x1', '/p', {'Connection': listed}, b'body', 1)
+    head = PROTOCOL.item_head('h.example', stored)
+    call = Call(
+        request_id='x1',
+        route=BATCH_ROUTE,
+        service='llm',
+        head=head,
+        body=stored.body,
+        deadline_s=math.inf,
+    )
+    sent = PROTOCOL.upstream_request(call, UPSTREAM, math.inf)
+    h11.Request(
+        method=sent.method, target=sent.target, headers=list(sent.headers)
+    )
+    assert (b'content-length', b'4') in sent.headers
+
+
 def test_misdirected_status_or_header_reports_not_executed():
     assert PROTOCOL.reports_not_executed(ResponseHead(421, ()))
     rejection = ResponseHead(503, ((b'briarrill-not-executed', b'1'),))
