Take no two joined heads for an empty list of keys or instances

Seen: a cut head of a reply, followed by an error in JSON on the same connection, was read as a 200: no keys under a prefix of the key-value service, or a list of no instances.

Change: bounded_http checks the head of each reply; the sidecar's calls use the same check.

--- a/briarrill/sidecar/upstreams/base.py
+++ b/briarrill/sidecar/upstreams/base.py
@@ -14,7 +14,7 @@
     UpstreamFailedError,
 )
 from ...result_codes import Ran
-from ...transport.http_messages import holds_status_line
+from ...transport.bounded_http import check_head
 
 __all__ = (
     'Upstream',
@@ -104,18 +104,6 @@
     return 'content-length' in headers or 'transfer-encoding' in headers
 
 
-def _check_head(http_response: httpx.Response) -> None:
-    """Check that a response has one head.
-
-    :raises httpx.RemoteProtocolError: it has that of another response, too.
-    """
-    reason = http_response.extensions.get('reason_phrase', b'')
-    if holds_status_line(reason, tuple(http_response.headers.raw)):
-        raise httpx.RemoteProtocolError(
-            'a response head was cut and followed by another one'
-        )
-
-
 class Upstream(abc.ABC):
     """The model engine or service that a sidecar sends requests to.
 
@@ -178,7 +166,7 @@
         http_req.extensions['trace'] = observer.trace
         http_response = await self.client.send(http_req, stream=True)
         try:
-            _check_head(http_response)
+            check_head(http_response)
             yield UpstreamResponse(
                 http_status=http_response.status_code,
                 content_type=http_response.headers.get('content-type', ''),
--- a/briarrill/transport/bounded_http.py
+++ b/briarrill/transport/bounded_http.py
@@ -11,7 +11,9 @@
 import httpx
 import trio
 
-__all__ = ('iter_lines', 'open_stream', 'read_body', 'request')
+from .http_messages import holds_status_line
+
+__all__ = ('check_head', 'iter_lines', 'open_stream', 'read_body', 'request')
 
 # headers that no longer describe a body that was read
 _TRANSFER_HEADERS = ('content-encoding', 'content-length', 'transfer-encoding')
@@ -55,16 +57,31 @@
     """Send a request; yield the reply once its head was read.
 
     :param head_timeout_s: limit of the time until then, none by default.
-    :raises httpx.HTTPError: the call failed or the head took longer.
+    :raises httpx.HTTPError: the call failed, the head took longer, or it is
+        cut and followed by another one.
     """
     with _time_limit(head_timeout_s, http_req):
         reply = await client.send(http_req, stream=True)
     try:
+        check_head(reply)
         yield reply
     finally:
         await reply.aclose()
 
 
+def check_head(reply: httpx.Response) -> None:
+    """Check that a reply has one head.
+
+    :raises httpx.RemoteProtocolError: it has that of another reply, too.
+    """
+    reason = reply.extensions.get('reason_phrase', b'')
+    if holds_status_line(reason, tuple(reply.headers.raw)):
+        raise httpx.RemoteProtocolError(
+            'a response head was cut and followed by another one',
+            request=reply.request,
+        )
+
+
 async def read_body(reply: httpx.Response, max_bytes: int) -> bytes:
     """Read the whole body of a reply.
 
