Ask the store before an answer that a job has no further results

Callers would see: an entry that is cut off from the store and its peers, has just stood still, or whose watch is silent answers 200 without results, though another entry returned them over a second before; until it notices, up to 3 s after the cut.

Cause: a watch counts as working until its silence is noticed, and only reports of peers contradict it. What is followed has no age.

Evidence: tests/platform/test_results_at_late_entries.py, an entry that hears no peer.

Fix: before the answer "none" the entry asks the store what was written to results after its position (a watch call that does not wait), one for all jobs and readers, valid for 0.7 s from its beginning, on trio's clock, which goes on while the process stands still. Results that come are answered with. Without a reply within 0.7 s, or if the history is gone, the job is read by itself, and if that fails, or is older than 0.7 s, the answer is 503; then the common read pauses for 1 s. Answers with results, finished jobs, and jobs read within 0.7 s need nothing.

Costs: at most 1.43 reads a second and entry, whatever the number of jobs and callers, and only while readers get empty answers. 200 entries with such readers all the time: up to 286 a second, of 2000 that the store takes. Callers of an empty page wait one round trip to the store longer, at most 0.7 s and 1.5 s more without replies.

Remains: an entry that a position of the mirror itself leads astray (its follower told it a revision whose changes it lacked) asks only for what came after.

--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from ..coordination.latest_results import LatestResults
 from ..errors import SettingsError
 from ..relay.drain import drain_front_end
 from ..relay.forwarding import Forwarder
@@ -82,12 +83,14 @@
     )
     counts = parts.make_job_table()
     mirror = parts.mirrors[ROOT_PREFIX]
+    latest = LatestResults(parts.store, counts.jobs, lambda: mirror.position)
     job_handler = JobRequestHandler(
         parts.writes,
         counts.jobs,
         PlatformJobProtocol(),
         parts.cfg.max_value_bytes,
         is_behind=lambda: mirror.is_behind,
+        has_latest_results=latest.confirm,
         count_tokens=counts.count,
     )
     return FrontEnd(
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -77,6 +77,8 @@
 
     :param max_value_bytes: largest value that the service accepts.
     :param is_behind: whether the job table may lack what others know.
+    :param has_latest_results: finds out whether the job table has all results
+        but those of the last ``MAX_ABSENCE_AGE_S``.
     :param count_tokens: returns the unfinished tokens of a route, none if
         they are not known.
     """
@@ -86,6 +88,7 @@
     protocol: JobProtocol
     max_value_bytes: int
     is_behind: Callable[[], bool]
+    has_latest_results: Callable[[], Awaitable[bool]]
     count_tokens: Callable[[str], Awaitable[int | None]]
     _reserved_tokens: dict[str, int] = attrs.field(factory=dict, init=False)
 
@@ -234,7 +237,7 @@
         give_up_at = trio.current_time() + intent.wait_s
         tracked = await self._find_job(intent.job_id)
         await self._wait_for_results(tracked, intent.position, give_up_at)
-        self._check_absence(tracked, intent.position)
+        await self._check_absence(tracked, intent.position)
         page = _leading_results(tracked.results[intent.position :])
         response = self.protocol.results_body(
             len(tracked.items), intent.position, page
@@ -253,7 +256,9 @@
             # another entry has returned more results to this caller
             await self.jobs.read_results(tracked)
         while position >= len(tracked.results):
-            if self._may_lack_results(tracked, position, RESULTS_VALIDITY_S):
+            if self._may_lack_results(tracked, position) and not _was_read(
+                tracked, RESULTS_VALIDITY_S
+            ):
                 await self.jobs.read_results(tracked)
             left_s = give_up_at - trio.current_time()
             if left_s <= 0 or not tracked.is_open:
@@ -262,35 +267,38 @@
                 with trio.move_on_after(min(left_s, RESULTS_VALIDITY_S)):
                     await tracked.changed.wait()
 
-    def _check_absence(self, tracked: TrackedJob, position: int) -> None:
-        """Check that there is a result at a position, or none was just now.
+    async def _check_absence(self, tracked: TrackedJob, position: int) -> None:
+        """Find out whether there is no result at a position.
 
-        The last read may have been slow, or have begun for another reader.
+        What the table follows does not show it, and the last read may have
+        been slow, or have begun for another reader.
 
-        :raises PlatformUnavailableError: whether there is one is not known.
+        :raises PlatformUnavailableError: it is not known.
         """
+        if position < len(tracked.results) or tracked.is_finished:
+            return
+        if _was_read(tracked, MAX_ABSENCE_AGE_S):
+            return
+        if not self._may_lack_results(tracked, position):
+            if await self.has_latest_results():
+                return
+            await self.jobs.read_results(tracked)
         if position < len(tracked.results):
             return
-        if self._may_lack_results(tracked, position, MAX_ABSENCE_AGE_S):
+        if not _was_read(tracked, MAX_ABSENCE_AGE_S):
             raise PlatformUnavailableError(
                 f'job {tracked.job_id!r} may have further results',
                 retry_after_s=UNREAD_RETRY_AFTER_S,
             )
 
-    def _may_lack_results(
-        self, tracked: TrackedJob, position: int, max_age_s: float
-    ) -> bool:
-        """Whether other entries may know more results of a job.
+    def _may_lack_results(self, tracked: TrackedJob, position: int) -> bool:
+        """Whether others are known to have what the table lacks of a job.
 
         :param position: up to which the caller has results.
-        :param max_age_s: age of the last read at which they may.
         """
         if tracked.is_finished:
             return False
-        is_passed = position > len(tracked.results)
-        if not is_passed and not self.is_behind():
-            return False
-        return trio.current_time() - tracked.read_at >= max_age_s
+        return position > len(tracked.results) or self.is_behind()
 
     async def _read_item(
         self, intent: Intent, body: bytes, conn: CallerConnection
@@ -318,6 +326,11 @@
         await conn.send_response(_HTTP_OK, _JSON, b'{}')
 
 
+def _was_read(tracked: TrackedJob, within_s: float) -> bool:
+    """Whether a read of a job's results began within a time."""
+    return trio.current_time() - tracked.read_at < within_s
+
+
 def _leading_results(results: list[StoredResult]) -> list[StoredResult]:
     """Return the leading results within the byte limit, at least one."""
     output_bytes = 0
--- a/tests/platform/test_results_at_late_entries.py
+++ b/tests/platform/test_results_at_late_entries.py
@@ -4,6 +4,11 @@
 the request is refused.
 """
 
+import contextlib
+import os
+import signal
+
+import pytest
 import trio
 
 from briarrill.transport.http_callers import serve_callers
@@ -36,6 +41,9 @@
 SETTLE_S = 1.0
 
 
+# time within which requests arrive at an entry that stands still
+ARRIVAL_S = 0.3
+
 # time after which a cut-off process knows that it is
 LONGEST_DOUBT_S = 5
 
@@ -60,33 +68,43 @@
     await trio.sleep(SETTLE_S)
 
 
-async def test_entry_that_is_cut_off_lacks_no_results(network, tmp_path):
+@contextlib.asynccontextmanager
+async def _fleet_with_lone_entry(network, folder):
+    """Run a fleet with an entry that hears no peer, and jobs it knows."""
     store = StandinStore()
     store_routes(store)
     other_store = WithholdingStore(store)
     host = f'{network}.{OTHER_STORE}'
+    async with (
+        serve_callers(
+            (host, STORE_PORT), other_store.caller_limits, other_store.serve
+        ),
+        running_fleet(network, folder, store) as (fleet, _),
+    ):
+        fleet.processes[CUT_OFF_ENTRY] = await start_process(
+            network, folder, 'entry', CUT_OFF_ENTRY, host, PEER_PORT + 100
+        )
+        await wait_ready(f'{network}.{CUT_OFF_ENTRY}')
+        await _submit(fleet)
+        await _wait_until_known(fleet, CUT_OFF_ENTRY)
+        await trio.sleep(0.5)
+        yield fleet, other_store
+
+
+@pytest.mark.parametrize(
+    'withheld',
+    [('kv-watch', 'kv-range', 'kv-key', 'kv-txn'), ('kv-watch',)],
+    ids=['cut-off', 'silent-watch'],
+)
+async def test_entry_that_is_cut_off_lacks_no_results(
+    network, tmp_path, withheld
+):
     with trio.fail_after(60):
-        async with (
-            serve_callers(
-                (host, STORE_PORT),
-                other_store.caller_limits,
-                other_store.serve,
-            ),
-            running_fleet(network, tmp_path, store) as (fleet, _),
+        async with _fleet_with_lone_entry(network, tmp_path) as (
+            fleet,
+            other_store,
         ):
-            fleet.processes[CUT_OFF_ENTRY] = await start_process(
-                network,
-                tmp_path,
-                'entry',
-                CUT_OFF_ENTRY,
-                host,
-                PEER_PORT + 100,
-            )
-            await wait_ready(f'{network}.{CUT_OFF_ENTRY}')
-            await _submit(fleet)
-            await _wait_until_known(fleet, CUT_OFF_ENTRY)
-            await trio.sleep(0.5)
-            other_store.withheld = ('kv-watch', 'kv-range', 'kv-key', 'kv-txn')
+            other_store.withheld = withheld
             cut_at = trio.current_time()
             await _finish(fleet)
             lacking = []
@@ -98,3 +116,27 @@
                     lacking.append(round(age_s, 2))
                 await trio.sleep(0.05)
             assert not lacking
+
+
+async def test_entry_that_stood_still_lacks_no_results(network, tmp_path):
+    pages = []
+
+    async def read(fleet, job_id):
+        pages.append(await read_page(fleet, CUT_OFF_ENTRY, job_id))
+
+    with trio.fail_after(60):
+        async with _fleet_with_lone_entry(network, tmp_path) as (fleet, _):
+            pid = fleet.processes[CUT_OFF_ENTRY].pid
+            os.kill(pid, signal.SIGSTOP)
+            try:
+                await _finish(fleet)
+                async with trio.open_nursery() as nursery:
+                    for job_id in JOBS:
+                        nursery.start_soon(read, fleet, job_id)
+                    await trio.sleep(ARRIVAL_S)
+                    os.kill(pid, signal.SIGCONT)
+            finally:
+                os.kill(pid, signal.SIGCONT)
+    assert [len(results) for status, results in pages if status == 200] == (
+        [ITEMS] * len(JOBS)
+    )
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -9,7 +9,7 @@
 from trio.testing import wait_all_tasks_blocked
 
 from briarrill.coordination.hedged_writes import HedgedWrites
-from briarrill.coordination.job_table import JobTable
+from briarrill.coordination.job_table import MAX_ABSENCE_AGE_S, JobTable
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.coordination.relay_protocol import Intent, IntentKind
 from briarrill.coordination.routes import RouteKind
@@ -62,9 +62,11 @@
             PlatformJobProtocol(),
             1_000_000,
             is_behind=lambda: self.is_behind,
+            has_latest_results=self._has_latest_results,
             count_tokens=self._count_tokens,
         )
         self.is_behind = False
+        self.is_confirmed = True
         self.has_all_jobs = True
 
     async def __call__(self, kind, body=b'', **fields):
@@ -86,6 +88,9 @@
             IntentKind.SUBMIT_JOB, body, job_id=job_id, route=route
         )
 
+    async def _has_latest_results(self):
+        return self.is_confirmed
+
     async def _count_tokens(self, route):
         return (
             self.table.unfinished_tokens(route) if self.has_all_jobs else None
@@ -469,3 +474,20 @@
         nursery.start_soon(release)
         await entry(IntentKind.READ_RESULTS, position=1, wait_s=1.0)
     assert trio.current_time() - arrived_at == pytest.approx(1.0)
+
+
+async def test_unconfirmed_table_reads_what_it_lacks(
+    partly_unreadable, autojump_clock
+):
+    """The table follows the service as far as it knows."""
+    entry = EntryHandler(partly_unreadable)
+    entry.table.add(make_job())
+    entry.is_confirmed = False
+    assert results_in(await entry(IntentKind.READ_RESULTS)) == ['j1-0']
+    partly_unreadable.failing.add(RESULTS)
+    assert results_in(await entry(IntentKind.READ_RESULTS)) == ['j1-0']
+    assert not results_in(await entry(IntentKind.READ_RESULTS, position=1))
+    await trio.sleep(MAX_ABSENCE_AGE_S)
+    with pytest.raises(PlatformUnavailableError) as caught:
+        await entry(IntentKind.READ_RESULTS, position=1)
+    assert caught.value.retry_after_s
