Bound what a peer's count of grants can hold up

Cause: the difference of two counts of a peer was taken off the places at once, of whatever size. What is owed is at most 10 s of the limit now, more than any request waits for its moment.

What remains: later sound counts of that peer are lower and are not taken into account until it restarts.

--- a/briarrill/coordination/grants.py
+++ b/briarrill/coordination/grants.py
@@ -34,6 +34,10 @@
 # places that batch items leave free for online requests
 RESERVED_PLACES = 0.5
 
+# most places that may be owed, in seconds of the limit; more than any request
+# waits for its moment, so that a peer's wrong count holds nobody up for longer
+MAX_DEBT_S = 10.0
+
 # time for which batch items wait after an online request had to wait
 ONLINE_DEMAND_S = 1.0
 
@@ -110,7 +114,8 @@
         own_rate_per_s = max(rate_per_s, MIN_RATE_PER_S) * share
         burst = 1 + BURST_S * own_rate_per_s
         earned = (now - account.updated_at) * own_rate_per_s
-        account.places = min(burst, account.places + earned)
+        owed = max(account.places, -MAX_DEBT_S * own_rate_per_s)
+        account.places = min(burst, owed + earned)
         account.updated_at = now
         if is_batch and now - account.online_waited_at < ONLINE_DEMAND_S:
             return Grant(is_granted=False, delay_s=ONLINE_DEMAND_S)
--- a/tests/coordination/test_grants.py
+++ b/tests/coordination/test_grants.py
@@ -103,6 +103,17 @@
     assert not book.ask('i', 1.0, max_wait_s=0).is_granted
 
 
+def test_impossible_count_of_a_peer_holds_requests_up_for_a_short_time(clock):
+    book = GrantBook()
+    book.record_peer('p', 1, {'i': 3})
+    book.record_peer('p', 1, {'i': 2**62})
+    refused = book.ask('i', 2.0, max_wait_s=0)
+    assert not refused.is_granted
+    assert refused.delay_s <= grants.MAX_DEBT_S + 0.5
+    clock.now += grants.MAX_DEBT_S + 0.5
+    assert book.ask('i', 2.0, max_wait_s=0).is_granted
+
+
 def test_late_report_of_a_peer_is_not_counted_twice(clock):
     book = GrantBook()
     for count in (1, 2, 1, 2):
