Take no record of a version under the key of another

What operators saw: a record whose body names another version than its key was never deleted, and cost a read of the store each 0.2 s once it was due.

Cause: the record was deleted under the key that its body gives, which does not exist. A record whose body does not fit its key is unreadable now, logged and skipped like any other.

test_record_under_the_key_of_another_version_names_none failed before and passes. Found by a reviewer.

--- a/briarrill/coordination/latest_versions.py
+++ b/briarrill/coordination/latest_versions.py
@@ -15,7 +15,7 @@
 
 from ..decoding import json_decoder
 from ..errors import MalformedMessageError, PlatformUnavailableError
-from ..state.keys import UPSTREAM_VERSIONS_PREFIX
+from ..state.keys import UPSTREAM_VERSIONS_PREFIX, upstream_version_key
 from ..transport.key_value import KeySnapshot, KeyValueService, WatchProgress
 from .version_records import ServedVersion, VersionRecords
 
@@ -36,12 +36,19 @@
 
 
 def decode_record(key: str, body: bytes) -> ServedVersion | None:
-    """Decode the record of a version; log an unreadable one."""
+    """Decode the record of a version; log an unreadable one.
+
+    One under the key of another version could never be deleted.
+    """
     try:
-        return _RECORD_DECODER.decode(body)
+        served = _RECORD_DECODER.decode(body)
     except MalformedMessageError as exc:
         log_message('version:unreadable', key=key, reason=exc.message)
         return None
+    if key != upstream_version_key(served.service, served.version):
+        log_message('version:unreadable', key=key, reason='of another version')
+        return None
+    return served
 
 
 @attrs.define
--- a/tests/coordination/test_version_recorder.py
+++ b/tests/coordination/test_version_recorder.py
@@ -258,6 +258,15 @@
     assert not process.recorded
 
 
+def test_record_under_the_key_of_another_version_names_none():
+    process = Process('p0', MemoryKeyValue())
+    body = msgspec.json.encode(ServedVersion('llm', 'v1'))
+    process.recorder.apply_key(upstream_version_key('llm', 'v2'), body)
+    assert not process.recorded
+    process.recorder.apply_key(upstream_version_key('llm', 'v1'), body)
+    assert process.recorded == {ServedVersion('llm', 'v1')}
+
+
 async def test_odd_names_are_recorded_and_read_back(clock):
     service = MemoryKeyValue()
     process = Process('p0', service, names=())
