End an attempt for silence only if another upstream can follow

Cause: the wait for the next bytes was bounded unless the route's limit of attempts was reached. Whether another upstream could take the request did not count. The call's deadline and the route's timeout bound the wait now where no other is eligible.

test_silence_of_the_only_upstream_does_not_end_an_attempt failed in its four cases before and passes; 140 tests of forwarding, places and cut responses pass. test_silent_upstream_times_out_and_another_responds holds as before.

--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -104,7 +104,8 @@
 class Attempt:
     """One attempt of a call.
 
-    :param is_last: whether no retry is allowed if this attempt runs.
+    :param is_last: whether no other attempt can follow if this one runs, so
+        that silence is no reason to end it.
     :param origin: what begins a stream if this attempt brings its first event.
     :param may_be_refused: whether its response may tell the caller that the
         request did not run, which is not so after an attempt that may have.
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -294,11 +294,10 @@
                 channel.close()
                 raise
             progress.attempts += 1
-            is_last = progress.possible_runs + 1 >= call.route.max_attempts
             attempt = Attempt(
                 call,
                 response,
-                is_last,
+                self._is_last(call, upstream, response, progress),
                 origin,
                 may_be_refused=not progress.unrefused_runs,
             )
@@ -312,6 +311,24 @@
                 raise
             self._channels.release(upstream, channel)
 
+    def _is_last(
+        self,
+        call: Call,
+        upstream: RegisteredUpstream,
+        response: Response,
+        progress: CallProgress,
+    ) -> bool:
+        """Tell whether no attempt elsewhere may follow one at an upstream."""
+        if progress.possible_runs + 1 >= call.route.max_attempts:
+            return True
+        tried = {*progress.failed_upstreams, upstream.upstream_id}
+        with contextlib.suppress(NoUpstreamError):
+            return all(
+                other.upstream_id in tried
+                for other in self._streams.eligible(call, response)
+            )
+        return True
+
     def _check_before_send(
         self, call: Call, upstream: RegisteredUpstream
     ) -> None:
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -9,6 +9,7 @@
 
 from briarrill.errors import UpstreamLostError
 from briarrill.relay import placer
+from briarrill.relay.attempts import RESPONSE_TIMEOUT_OBJECTIVES
 from briarrill.transport import http_channel
 from briarrill.transport.http_channel import connect
 from standins.platform_engine import (
@@ -27,6 +28,8 @@
     run_front_end,
 )
 
+SHORT_OBJECTIVE_S = 0.02
+
 ALL_EVENTS = b''.join(encode_event(number) for number in range(1, 6))
 
 
@@ -153,6 +156,29 @@
     assert b'briarrill-response-seal' in headers
 
 
+@pytest.mark.parametrize('route', [IDEMPOTENT, RESUMABLE_STREAM])
+@pytest.mark.parametrize('sent', [0, 20])
+async def test_silence_of_the_only_upstream_does_not_end_an_attempt(
+    route, sent
+):
+    raw = (
+        b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
+        b'briarrill-attempt-id: r1\r\ncontent-length: 17\r\n\r\n'
+        b'id: 1\ndata: one\n\n'
+    )
+
+    async def respond_late(req, conn):
+        await conn._send(raw[:sent])
+        # several times as long as a wait for one of several upstreams
+        await trio.sleep(10 * RESPONSE_TIMEOUT_OBJECTIVES * SHORT_OBJECTIVE_S)
+        await conn._send(raw[sent:])
+
+    route = attrs.evolve(route, latency_objective_s=SHORT_OBJECTIVE_S)
+    async with run_front_end([route], StandinEngine(respond_late)) as setup:
+        status, _, body = await setup.send_request(route.prefix)
+    assert (status, body) == (200, b'id: 1\ndata: one\n\n')
+
+
 async def test_silent_upstream_times_out_and_another_responds():
     route = attrs.evolve(IDEMPOTENT, latency_objective_s=0.05)
     first, second = (
