Read all keys when their changes do not fit into one reply

The reply to a watch holds all changes since a revision. One of over 8,000,000 bytes is refused, which counted as a failed call, after which the same changes were asked for again: as long as the store kept its history, the process followed the keys no more.

Such a reply now counts like a compacted history: all keys are read, in pages that do have a limit, and the watch goes on from there.

--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -36,6 +36,7 @@
     'PeerUnreachableError',
     'PlatformUnavailableError',
     'RequestRateError',
+    'ResponseTooLargeError',
     'SegmentLostError',
     'SettingsError',
     'SlowReaderError',
@@ -274,6 +275,10 @@
     code = ResultCode.UPSTREAM_LOST
 
 
+class ResponseTooLargeError(UpstreamLostError):
+    """The body of a response is larger than its limit."""
+
+
 class DeadlineExceededError(ExecutionError):
     """The deadline passed while the request was in flight."""
 
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -13,6 +13,7 @@
 import attrs
 import msgspec
 import trio
+from eliot import log_message
 
 from ..coordination.reply_monitor import ReplyMonitor
 from ..decoding import Decoder
@@ -21,6 +22,7 @@
     MalformedMessageError,
     PeerUnreachableError,
     PlatformUnavailableError,
+    ResponseTooLargeError,
     UpstreamLostError,
     WriteUnknownError,
 )
@@ -335,7 +337,11 @@
     async def _read_changes(
         self, prefix: str, revision: int, wait_s: float
     ) -> WatchReply | None:
-        """Return the next changes, or nothing if the history is compacted."""
+        """Return the next changes.
+
+        :returns: nothing if all keys have to be read instead: the history is
+            compacted, or the changes do not fit into one reply.
+        """
         query = urlencode(
             {
                 'prefix': prefix,
@@ -343,13 +349,19 @@
                 'wait_ms': int(wait_s * _MS_PER_S),
             }
         )
-        raw = await self._call_or_unavailable(
-            'GET',
-            f'/kv-watch?{query}',
-            b'',
-            timeout_s=wait_s + CALL_TIMEOUT_S,
-            wait_s=wait_s,
-        )
+        try:
+            raw = await self._call(
+                'GET',
+                f'/kv-watch?{query}',
+                b'',
+                timeout_s=wait_s + CALL_TIMEOUT_S,
+                wait_s=wait_s,
+            )
+        except ResponseTooLargeError as exc:
+            log_message('store:too-many-changes', reason=exc.message)
+            return None
+        except (BriarrillError, trio.TooSlowError, _StatusError) as exc:
+            raise _unavailable(exc) from exc
         if raw.status == HTTPStatus.GONE:
             return None
         return _decode(raw, WATCH_DECODER)
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -15,7 +15,11 @@
 import trio
 
 from ..decoding import find_whole_number
-from ..errors import PeerUnreachableError, UpstreamLostError
+from ..errors import (
+    PeerUnreachableError,
+    ResponseTooLargeError,
+    UpstreamLostError,
+)
 from .http_messages import (
     RequestHead,
     ResponseHead,
@@ -213,15 +217,15 @@
     async def read_full_body(self, max_bytes: int) -> bytes:
         """Read the whole response body.
 
-        :raises UpstreamLostError: the response was truncated, or its body is
-            over ``max_bytes``.
+        :raises UpstreamLostError: the response was truncated.
+        :raises ResponseTooLargeError: its body is over ``max_bytes``.
         """
         parts = []
         size = 0
         while (part := await self.read_body()) is not None:
             size += len(part)
             if size > max_bytes:
-                raise UpstreamLostError(
+                raise ResponseTooLargeError(
                     f'response body is over {max_bytes} bytes'
                 )
             parts.append(part)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -80,6 +80,23 @@
         await changes.aclose()
 
 
+async def test_changes_over_the_size_of_a_reply_end_in_a_snapshot(monkeypatch):
+    """The same watch would exceed it again each time."""
+    monkeypatch.setattr(store_module, 'MAX_REPLY_BYTES', 2000)
+    async with store() as (client, standin):
+        standin.page_size = 2
+        changes = client.follow_prefix('p/', after_revision=standin.revision)
+        assert isinstance(await anext(changes), WatchProgress)
+        for number in range(30):
+            standin.put(f'p/{number:02}', b'x' * 40)
+        snapshot = await anext(changes)
+        assert isinstance(snapshot, KeySnapshot)
+        assert len(snapshot.entries) == 30
+        assert isinstance(await anext(changes), WatchProgress)
+        standin.put('p/30', b'x')
+        assert (await anext(changes)).key == 'p/30'
+
+
 async def test_follow_prefix_after_revision_yields_changes_without_snapshot():
     async with store() as (client, standin):
         standin.put('p/1', b'one')
