Refuse the position of a result that cannot be read

Callers would see: a job with one stored result that cannot be decoded answers 200 without results at its position for ever, though later ones are stored. The batch process that has further results of it conflicts, reads and conflicts again.

Cause: the table logged and skipped such a value, so its position looked free.

Fix: a job knows which positions hold unreadable results. A read that needs one reads the results again, at most each 0.5 s, and gets 503 with Retry-After while that fails; earlier positions are answered. The process with further results makes no write while the next position is blocked and reads the job again each 5 s; other jobs' results are written as ever. Once the value can be read, both go on.

Costs: a blocked job takes one read each 5 s of a process with results for it, and at most two a second of an entry at which callers wait for it.

Remains: the items of a blocked job behind the position count as unfinished tokens until the job is removed.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -77,6 +77,7 @@
     items: dict[str, StoredItem] = attrs.field(factory=dict)
     _record_parts: dict[str, bytes] = attrs.field(factory=dict)
     _early_results: dict[int, StoredResult] = attrs.field(factory=dict)
+    _unreadable_positions: set[int] = attrs.field(factory=set)
 
     @property
     def is_finished(self) -> bool:
@@ -92,6 +93,11 @@
             return False
         return not self.is_finished
 
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the next result is stored but cannot be read."""
+        return len(self.results) in self._unreadable_positions
+
     def add_job(self, job: StoredJob) -> None:
         """Add the job record unless it was added before."""
         if self.job is not None:
@@ -122,6 +128,7 @@
         """Add the result at a position; earlier positions may arrive later."""
         if position < len(self.results):
             return
+        self._unreadable_positions.discard(position)
         self._early_results[position] = received
         while len(self.results) in self._early_results:
             result = self._early_results.pop(len(self.results))
@@ -129,6 +136,10 @@
             self._mark_finished(result.item_id)
         self._notify()
 
+    def mark_unreadable(self, position: int) -> None:
+        """Record that the stored result at a position cannot be read."""
+        self._unreadable_positions.add(position)
+
     def mark_ended(self) -> None:
         """Record that the end of the job was requested."""
         self.is_ended = True
@@ -290,7 +301,7 @@
         if key_prefix == JOB_BODIES_PREFIX:
             tracked.add_part(number, body)
         elif key_prefix == JOB_RESULTS_PREFIX:
-            tracked.add_result(_position(number), decode_result(body))
+            _apply_result(tracked, _position(number), body)
         elif key_prefix == JOB_ENDS_PREFIX:
             tracked.mark_ended()
 
@@ -306,6 +317,19 @@
         self.changed = trio.Event()
 
 
+def _apply_result(tracked: TrackedJob, position: int, body: bytes) -> None:
+    """Add a stored result to its job.
+
+    :raises InternalError: it cannot be read; the job keeps its position.
+    """
+    try:
+        result = decode_result(body)
+    except InternalError:
+        tracked.mark_unreadable(position)
+        raise
+    tracked.add_result(position, result)
+
+
 def _position(number: str) -> int:
     """Return a result's position from its key.
 
--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -34,6 +34,10 @@
 # delay before a failed write is repeated
 COMMIT_RETRY_DELAY_S = 0.5
 
+# pause between two reads of a job whose next stored result cannot be read; its
+# results wait, since positions must follow each other
+BLOCKED_READ_INTERVAL_S = 5.0
+
 # limits of one write; the service accepts 32 changes in one transaction
 MAX_COMMIT_RESULTS = 30
 MAX_COMMIT_BYTES = 600_000
@@ -52,6 +56,7 @@
         factory=dict, init=False
     )
     _written_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _blocked_until: dict[str, float] = attrs.field(factory=dict, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
 
     @property
@@ -106,7 +111,8 @@
     async def run(self) -> None:
         """Write queued results until cancelled."""
         while True:
-            await self._wake.wait()
+            with trio.move_on_after(BLOCKED_READ_INTERVAL_S):
+                await self._wake.wait()
             await trio.sleep(COMMIT_DELAY_S)
             self._wake = trio.Event()
             for job_id in list(self._pending):
@@ -127,9 +133,12 @@
         """
         tracked = self.jobs.find(job_id)
         if tracked is None:
+            self._blocked_until.pop(job_id, None)
             for item_id in list(self._pending[job_id]):
                 self._remove(job_id, item_id)
             return
+        if await self._is_blocked(tracked):
+            return
         chosen = self._choose_results(tracked)
         if chosen:
             position = len(tracked.results)
@@ -143,6 +152,24 @@
         if self._remove_committed(tracked):
             self._wake.set()
 
+    async def _is_blocked(self, tracked: TrackedJob) -> bool:
+        """Whether a stored result that cannot be read is in the way.
+
+        Reads it again at intervals.
+        """
+        now = trio.current_time()
+        if not tracked.is_blocked:
+            self._blocked_until.pop(tracked.job_id, None)
+        elif now >= self._blocked_until.get(tracked.job_id, now):
+            self._blocked_until[tracked.job_id] = now + BLOCKED_READ_INTERVAL_S
+            log_message(
+                'commit:blocked',
+                job=tracked.job_id,
+                position=len(tracked.results),
+            )
+            await self.jobs.read_results(tracked)
+        return tracked.is_blocked
+
     def _choose_results(self, tracked: TrackedJob) -> list[StoredResult]:
         """Return the queued results that fit into one write."""
         self._remove_committed(tracked)
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -271,21 +271,22 @@
         """Find out whether there is no result at a position.
 
         What the table follows does not show it, and the last read may have
-        been slow, or have begun for another reader.
+        been slow, or have begun for another reader. A result that cannot be
+        read is one too.
 
         :raises PlatformUnavailableError: it is not known.
         """
         if position < len(tracked.results) or tracked.is_finished:
             return
-        if _was_read(tracked, MAX_ABSENCE_AGE_S):
-            return
-        if not self._may_lack_results(tracked, position):
-            if await self.has_latest_results():
-                return
-            await self.jobs.read_results(tracked)
+        is_known = _was_read(tracked, MAX_ABSENCE_AGE_S)
+        if not is_known and not self._may_lack_results(tracked, position):
+            is_known = await self.has_latest_results()
+            if not is_known:
+                await self.jobs.read_results(tracked)
+                is_known = _was_read(tracked, MAX_ABSENCE_AGE_S)
         if position < len(tracked.results):
             return
-        if not _was_read(tracked, MAX_ABSENCE_AGE_S):
+        if tracked.is_blocked or not is_known:
             raise PlatformUnavailableError(
                 f'job {tracked.job_id!r} may have further results',
                 retry_after_s=UNREAD_RETRY_AFTER_S,
@@ -298,7 +299,9 @@
         """
         if tracked.is_finished:
             return False
-        return position > len(tracked.results) or self.is_behind()
+        if tracked.is_blocked or position > len(tracked.results):
+            return True
+        return self.is_behind()
 
     async def _read_item(
         self, intent: Intent, body: bytes, conn: CallerConnection
--- a/tests/item_runs/test_result_commits.py
+++ b/tests/item_runs/test_result_commits.py
@@ -12,17 +12,24 @@
 from briarrill.errors import BriarrillError
 from briarrill.item_runs.item import ItemProgress
 from briarrill.item_runs.result_commits import Committer
-from briarrill.state.keys import job_results_prefix
+from briarrill.state.keys import job_results_prefix, numbered_key
 from briarrill.state.stored_jobs import (
     ItemState,
     decode_result,
     job_creation_changes,
+    result_creation_changes,
 )
+from briarrill.transport.key_value import KeyChange
 from standins.memory_key_value import MemoryKeyValue
 from tests.state.test_stored_jobs import make_job
 
 JOB_ITEMS = 6
 
+# time for which a result cannot be read, and the most calls of one process
+# meanwhile: one in five seconds, and those that find out
+UNREADABLE_S = 30
+MAX_BLOCKED_CALLS = 10
+
 
 def completed_progress(item, text=b'x'):
     """Return the completed progress of an item of the job."""
@@ -161,3 +168,40 @@
     assert released.record().is_whole
     assert committer.has_pending('j1', 'j1-1')
     assert not committer.has_pending('j1', 'j1-0')
+
+
+async def test_unreadable_result_does_not_hold_up_other_jobs(
+    job, autojump_clock
+):
+    service, table = job
+    key = numbered_key(job_results_prefix('j1'), 0)
+    await service.transact([KeyChange(key, b'\xc1')])
+    other = make_job('j2')
+    await service.transact(job_creation_changes(other, 1_000_000))
+    table.add(other)
+    committer = Committer(service, table)
+    committer.add(completed_progress(0), ItemState.COMPLETED)
+    calls_before = service.calls.total()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(committer.run)
+        for number, stored in enumerate(other.items):
+            await trio.sleep(UNREADABLE_S / len(other.items))
+            progress = ItemProgress('j2', stored)
+            progress.add_stream_bytes(b'id: 1\ndata: x\n\n')
+            progress.is_complete = True
+            committer.add(progress, ItemState.COMPLETED)
+            await trio.sleep(1)
+            assert len(table.find('j2').results) == number + 1
+        assert not table.find('j1').results
+        calls = service.calls.total() - calls_before
+        (repaired,) = result_creation_changes(
+            'j1', 0, [completed_progress(1).result(ItemState.COMPLETED)]
+        )
+        await service.transact([KeyChange(key, repaired.body)])
+        await trio.sleep(UNREADABLE_S)
+        nursery.cancel_scope.cancel()
+    finished = [result.item_id for result in table.find('j1').results]
+    assert finished == ['j1-1', 'j1-0']
+    assert committer.is_idle
+    # those for the other job, and few for the blocked one
+    assert calls <= len(other.items) + MAX_BLOCKED_CALLS
