Hear a process that restarts after its clock was set back

Callers would see: a process restarts with its wall clock set back; for 30 s its peers know none of its load and its state, and count it as reachable with the report of before, for instance as one that follows the store.

Cause: reports are ordered by the time at which their process began. An earlier one never replaced the stored report, until that expired after 30 s.

Evidence: tests/coordination/test_peer_reports.py, test_process_that_restarts_with_an_earlier_clock_is_heard, failed before: the report of the new incarnation was not taken 1 s after the last of the one before. The two cases of test_late_report_of_a_silent_process_is_not_taken passed before; they guard the new rule.

Fix: once the stored report is not live, 1 s old, a report of another incarnation that comes from the process itself is taken. Until then a late report of an earlier incarnation is ignored as before.

Remains: peers that hear the process only through others still wait 30 s.

Run: test_peer_reports, test_load_exchange, test_state_transfer, test_report_sender, test_feeds: all passed.

--- a/briarrill/coordination/peer_reports.py
+++ b/briarrill/coordination/peer_reports.py
@@ -248,12 +248,12 @@
         if previous is None:
             direct_at = now if is_direct else 0
             newest = PeerState(report, now, direct_at, direct_at)
-        elif _sequence_key(previous.report) >= _sequence_key(report):
-            return False
-        else:
+        elif _replaces(report, previous, is_direct=is_direct):
             newest = PeerState(
                 report, now, previous.direct_received_at, previous.direct_since
             )
+        else:
+            return False
         if previous is None or not previous.is_live:
             log_message('peer:heard', peer=report.process, host=report.host)
         orphan = self._orphans.get(report.process)
@@ -370,5 +370,20 @@
             total.pop(name)
 
 
+def _replaces(
+    report: LoadReport, previous: PeerState, *, is_direct: bool
+) -> bool:
+    """Tell whether a report is newer than the stored one of its process.
+
+    A process that restarts after its clock was set back has an earlier
+    incarnation than before. Once the one before is silent, a report that comes
+    from the process itself is newer.
+    """
+    if _sequence_key(report) > _sequence_key(previous.report):
+        return True
+    is_other = report.incarnation != previous.report.incarnation
+    return is_other and is_direct and not previous.is_live
+
+
 def _sequence_key(report: LoadReport) -> tuple[int, int]:
     return report.incarnation, report.sequence
--- a/tests/coordination/test_peer_reports.py
+++ b/tests/coordination/test_peer_reports.py
@@ -244,3 +244,35 @@
     readings = itertools.count(99.9999 + peer_reports.PEER_TIMEOUT_S, 0.0009)
     monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: next(readings))
     assert 'host-d' in peers.relay_hosts(sender)
+
+
+def test_process_that_restarts_with_an_earlier_clock_is_heard(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: now)
+    before = attrs.evolve(_report('b', sequence=500), incarnation=9)
+    peers = _peer_reports('a', attrs.evolve(before, online={'x': 2}))
+    first, second = (
+        attrs.evolve(_report('b', sequence=sequence), incarnation=3)
+        for sequence in (1, 2)
+    )
+    # one that is late
+    assert not peers.store(first, is_direct=True)
+    now += peer_reports.PEER_TIMEOUT_S
+    assert peers.store(first, is_direct=True)
+    assert peers.store(second, is_direct=True)
+    assert peers.reachable == [second]
+    assert not peers.load.online
+    assert not peers.store(first, is_direct=True)
+
+
+@pytest.mark.parametrize(('incarnation', 'is_direct'), [(9, True), (3, False)])
+def test_late_report_of_a_silent_process_is_not_taken(
+    monkeypatch, incarnation, is_direct
+):
+    now = 100.0
+    monkeypatch.setattr(peer_reports.time, 'monotonic', lambda: now)
+    newest = attrs.evolve(_report('b', sequence=500), incarnation=9)
+    peers = _peer_reports('a', newest)
+    now += peer_reports.PEER_TIMEOUT_S
+    late = attrs.evolve(_report('b', sequence=499), incarnation=incarnation)
+    assert not peers.store(late, is_direct=is_direct)
