Refuse requests about a job whose record cannot be read

Callers would see: a job that was accepted and whose stored record cannot be decoded gets 404, as if it had never been.

Cause: the read of a job skipped the damaged part and then found no job.

Evidence: test_job_whose_record_cannot_be_read_is_refused in tests/relay/test_unreadable_results.py failed before with NotFoundError.

Fix: if the store has keys of the job's record but no job comes of them, the read of it failed: 503 with Retry-After. Each request reads the job again, as it did before the 404.

Run: test_unreadable_results, test_joined_reads, test_job_calls, test_job_table, test_reads_after_a_start, platform/test_results_after_restart, test_odd_keys, test_odd_store_items: all passed.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -262,25 +262,29 @@
         )
 
     async def _read_whole(self, job_id: str) -> None:
-        """Read all keys of a job, then apply them at once."""
+        """Read all keys of a job, then apply them at once.
+
+        :raises PlatformUnavailableError: the service did not respond, or the
+            record of the job cannot be read.
+        """
         began_at = trio.current_time()
         with _limit_read(job_id):
-            entries = [
-                entry
-                for prefix in (
-                    job_body_prefix(job_id),
-                    job_results_prefix(job_id),
-                )
-                for entry in await self._service.read_prefix(prefix)
-            ]
+            parts = await self._service.read_prefix(job_body_prefix(job_id))
+            results = await self._service.read_prefix(
+                job_results_prefix(job_id)
+            )
             end_marker = await self._service.read(job_end_key(job_id))
-        if end_marker is not None:
-            entries.append(end_marker)
-        for entry in entries:
+        end_markers = [] if end_marker is None else [end_marker]
+        for entry in (*parts, *results, *end_markers):
             self.apply_key(entry.key, entry.body)
         tracked = self.find(job_id)
         if tracked is not None:
             tracked.read_at = began_at
+        elif parts:
+            raise PlatformUnavailableError(
+                f'job {job_id!r} is stored but cannot be read',
+                retry_after_s=UNREAD_RETRY_AFTER_S,
+            )
 
     async def _read_further_results(self, tracked: TrackedJob) -> None:
         """Read the results after the known ones."""
--- a/tests/relay/test_unreadable_results.py
+++ b/tests/relay/test_unreadable_results.py
@@ -6,7 +6,11 @@
 
 from briarrill.coordination.relay_protocol import IntentKind
 from briarrill.errors import PlatformUnavailableError
-from briarrill.state.keys import job_results_prefix, numbered_key
+from briarrill.state.keys import (
+    job_body_prefix,
+    job_results_prefix,
+    numbered_key,
+)
 from briarrill.state.stored_jobs import (
     ItemState,
     StoredResult,
@@ -78,3 +82,21 @@
     status, body = await entry(IntentKind.READ_RESULTS, position=1, wait_s=1.0)
     assert status == 200
     assert len(json.loads(body)['results']) == 2
+
+
+async def test_job_whose_record_cannot_be_read_is_refused(service):
+    """It is stored, so it is not unknown."""
+    (record,) = await service.read_prefix(job_body_prefix('j1'))
+    await service.transact([KeyChange(record.key, b'\xc1')])
+    entry = EntryHandler(service)
+    for kind in (
+        IntentKind.READ_RESULTS,
+        IntentKind.READ_ITEM,
+        IntentKind.END_JOB,
+    ):
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await entry(kind, item_id='j1-0')
+        assert caught.value.retry_after_s
+    assert len(await _read(entry, 0, 'j2')) == 3
+    await service.transact([KeyChange(record.key, record.body)])
+    assert await _read(entry, 0) == ['j1-0']
