Pause no reads of latest results because a reader left

Callers would see: none of it directly; after a reader that was reading the latest results left, an entry read each job by itself for 1 s.

Cause: any end of the read but success counted as a failure of the store.

Evidence: test_read_of_a_reader_that_leaves_pauses_no_others in tests/coordination/test_latest_results.py failed before.

Fix: only a read that the store rejected, or did not answer in time, pauses the reads.

Run: test_latest_results, test_job_calls: all passed.

--- a/briarrill/coordination/latest_results.py
+++ b/briarrill/coordination/latest_results.py
@@ -48,31 +48,31 @@
         """
         now = trio.current_time()
         if not self._is_confirmed() and now >= self._paused_until:
-            with contextlib.suppress(PlatformUnavailableError):
-                await self._reads.run(JOB_RESULTS_PREFIX, self._read_in_time)
+            await self._reads.run(JOB_RESULTS_PREFIX, self._read_all)
         return self._is_confirmed()
 
     def _is_confirmed(self) -> bool:
         return trio.current_time() - self._confirmed_at < MAX_ABSENCE_AGE_S
 
-    async def _read_in_time(self) -> None:
-        """Read the results; pause the reads if they are not told in time.
-
-        :raises PlatformUnavailableError: the service rejected the read.
-        """
+    async def _read_all(self) -> None:
+        """Read the results; pause the reads if they are not told in time."""
         began_at = trio.current_time()
         revision = max(self._revision, self.position())
-        is_read = False
-        try:
-            with trio.move_on_after(MAX_ABSENCE_AGE_S):
-                # without a revision it would be a read of all results
-                is_read = revision > 0 and await self._read(revision)
-        finally:
-            if is_read:
-                self._confirmed_at = began_at
-            else:
-                self._paused_until = trio.current_time() + FAILURE_PAUSE_S
-                log_message('results:unread', revision=revision)
+        # without a revision it would be a read of all results
+        if revision and await self._is_read_in_time(revision):
+            self._confirmed_at = began_at
+        else:
+            self._paused_until = trio.current_time() + FAILURE_PAUSE_S
+            log_message('results:unread', revision=revision)
+
+    async def _is_read_in_time(self, revision: int) -> bool:
+        """Read the results after a revision; tell whether all came in time."""
+        with (
+            contextlib.suppress(PlatformUnavailableError),
+            trio.move_on_after(MAX_ABSENCE_AGE_S),
+        ):
+            return await self._read(revision)
+        return False
 
     async def _read(self, revision: int) -> bool:
         """Add the results after a revision to the table.
--- a/tests/coordination/test_latest_results.py
+++ b/tests/coordination/test_latest_results.py
@@ -150,3 +150,12 @@
     await trio.sleep(FAILURE_PAUSE_S)
     assert await entry.latest.confirm()
     assert len(entry.job.results) == 1
+
+
+async def test_read_of_a_reader_that_leaves_pauses_no_others(autojump_clock):
+    entry = Entry()
+    entry.service.delay_s = MAX_ABSENCE_AGE_S / 2
+    with trio.move_on_after(MAX_ABSENCE_AGE_S / 4):
+        await entry.latest.confirm()
+    assert await entry.latest.confirm()
+    assert len(entry.service.reads) == 2
