Read registrations with a decoder of their own in the replay of releases

decode_record takes a version under its own key only, so in the replay, which also read registrations with it, no registration was readable: the eight cases failed since no stream went on (0 of 120 each). The checks are as before.

--- a/tests/coordination/test_late_processes.py
+++ b/tests/coordination/test_late_processes.py
@@ -122,6 +122,10 @@
             raise PlatformUnavailableError('no reply') from exc
 
 
+def decode_registration(key, body):
+    return msgspec.json.decode(body, type=ServedVersion)
+
+
 @attrs.define
 class Registrations(MirrorListener):
     table: UpstreamTable
@@ -130,7 +134,7 @@
         if body is None:
             self.table.unregister(key)
             return
-        served = decode_record(key, body)
+        served = decode_registration(key, body)
         self.table.register(
             RegisteredUpstream(
                 upstream_id=key,
@@ -172,7 +176,7 @@
             records,
             UPSTREAMS_PREFIX,
             lambda: self.registered.position,
-            decode_record,
+            decode_registration,
         )
         self.table = UpstreamTable(
             lambda: self.registered.is_stable(RETURN_GRACE_S),
