Give one verdict on unrecorded versions whatever the machine's uptime is

test_versions_begin_streams_at_last_if_none_can_be_recorded registers an upstream by the real monotonic clock and then goes on with one that ends at 1,100 s. The clock now begins at the real one; the checks are the same.

--- a/tests/coordination/test_recent_versions.py
+++ b/tests/coordination/test_recent_versions.py
@@ -1,5 +1,7 @@
 """Versions that served lately, from each of the sources that tell of them."""
 
+import time
+
 import attrs
 
 from briarrill.coordination.recent_versions import (
@@ -84,7 +86,8 @@
 
 def test_versions_begin_streams_at_last_if_none_can_be_recorded(monkeypatch):
     table = make_table()
-    now = [500.0]
+    # the table has read the real clock
+    now = [time.monotonic()]
     monkeypatch.setattr(table.records, '_clock', lambda: now[0])
     table.records.hold_s = 1.5
     second = attrs.evolve(UPSTREAM, upstream_id='i-2', version='v2')
