Ignore signals until a stopped process has ended

What operators saw: a process that had ended its drain, and got a further SIGTERM in the moment before its end, ended with -15 instead of 0.

Cause: the receiver of signals is closed before the process ends, and restores the actions of before, by default the end of the process. It restores "ignored" now.

test_signals_do_not_end_a_process_until_it_has_ended, with a SIGTERM and a SIGHUP every 2 ms, failed before for both processes ([-15, -15]) and passes in three of three runs.

--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -362,9 +362,13 @@
     SIGHUP announces a changed settings file. It is only logged, because what
     is read from the file, the addresses of the instance and of the store,
     does not change during the life of a process. Signals during the drain
-    are ignored; without a receiver they would end the process.
+    are ignored; without a receiver they would end the process, so they stay
+    ignored when the receiver is closed.
     """
     watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    for one in watched:
+        # what the receiver restores at its end
+        signal.signal(one, signal.SIG_IGN)
     with trio.open_signal_receiver(*watched) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -152,6 +152,15 @@
     assert len(keys) == 1
 
 
+async def test_signals_do_not_end_a_process_until_it_has_ended(fleet):
+    for process in fleet.processes.values():
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            await trio.sleep(0.002)
+    assert [one.returncode for one in fleet.processes.values()] == [0, 0]
+
+
 async def test_entry_ends_though_a_connection_stays_idle(fleet, tmp_path):
     """The connection is opened when others have been closed as idle."""
     opened = trio.Event()
