--- a/briarrill/platform/upstreams.py
+++ b/briarrill/platform/upstreams.py
@@ -28,7 +28,7 @@
 # longest name that fits into a key of the store
 _MAX_NAME_LENGTH = 200
 
-# last millisecond of the year 9999, the end of all calendars in use
+# last millisecond of the year 9999
 _MAX_BORN_MS = 253_402_300_799_999
 
 # several times what one server runs at the same time
