Write results of a job within the limits of one transaction

Cause: callers saw a job without a single result for ever. The store takes 32 entries in a conditional write, comparisons and changes together. A result takes two and the committer wrote up to 30 of them, so from 17 results of a job at one process the store answered 400. The client took that for an outage and repeated the same write; results behind it waited as well. The log had the same line for both.

Change: each key-value service knows the limits of one transaction and checks them before the call; the committer writes as many results as fit, one write after the other. A reply that cannot change (400, 403, 413) raises WriteRefusedError, code 508, which is logged and counted by itself. A result that is refused alone is set aside. A job that cannot be stored gets 413 at once, and a refused write is neither repeated nor sent through a peer. The stand-ins refuse what is over the limits.

--- a/briarrill/coordination/hedged_writes.py
+++ b/briarrill/coordination/hedged_writes.py
@@ -19,6 +19,7 @@
     BriarrillError,
     MalformedMessageError,
     PlatformUnavailableError,
+    WriteRefusedError,
     WriteUnknownError,
 )
 from ..state.keys import JOB_BODIES_PREFIX, JOB_ENDS_PREFIX, ROOT_PREFIX
@@ -50,11 +51,13 @@
     :param is_known: the service replied.
     :param revision: revision of the write, none if a key existed already.
     :param may_be_made: the write may have taken effect, or still may.
+    :param is_refused: the service takes no such write.
     """
 
     is_known: bool = False
     revision: int | None = None
     may_be_made: bool = False
+    is_refused: bool = False
 
 
 _OUTCOME_DECODER = msgpack_decoder(_Outcome)
@@ -76,6 +79,8 @@
         """Apply all changes, or none if a key that they create exists.
 
         :return: the revision, or none if a key existed already.
+        :raises WriteRefusedError: nothing was written, and the same changes
+            will be refused again.
         :raises PlatformUnavailableError: nothing was written.
         :raises WriteUnknownError: the changes may have taken effect, or
             still may.
@@ -128,6 +133,8 @@
         """Write to the service; report errors as an unconfirmed outcome."""
         try:
             revision = await self.service.transact(changes)
+        except WriteRefusedError:
+            return _Outcome(is_known=True, is_refused=True)
         except WriteUnknownError:
             return _Outcome(may_be_made=True)
         except PlatformUnavailableError:
@@ -177,6 +184,8 @@
 def _resolve_outcomes(outcomes: Sequence[_Outcome]) -> int | None:
     """Return the revision of the confirmed write, or raise an error."""
     for outcome in outcomes:
+        if outcome.is_refused:
+            raise WriteRefusedError('the key-value service refuses the write')
         if outcome.is_known:
             return outcome.revision
     if any(outcome.may_be_made for outcome in outcomes):
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -51,6 +51,7 @@
     'UpstreamLostError',
     'UpstreamRefusedError',
     'VersionConflictError',
+    'WriteRefusedError',
     'WriteUnknownError',
 )
 
@@ -326,6 +327,12 @@
     ran = Ran.NO
 
 
+class WriteRefusedError(PlatformUnavailableError):
+    """The key-value service refuses a write, however often it is repeated."""
+
+    code = ResultCode.WRITE_REFUSED
+
+
 class WriteUnknownError(FleetError):
     """The reply to a write was lost; whether it took effect is unknown."""
 
--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -4,16 +4,22 @@
 the positions after the known results. If another process has written these
 positions, its results are read and the write is repeated after them. An item
 that has a result by then gets no second one.
+
+A result that the service refuses for good is set aside, so that it does not
+hold up the others. Its item does not run again and has no result until its
+job expires.
 """
 
+import itertools
 import time
+from collections.abc import Sequence
 
 import attrs
 import trio
 from eliot import log_message
 
 from ..coordination.job_table import JobTable, TrackedJob
-from ..errors import BriarrillError
+from ..errors import BriarrillError, WriteRefusedError
 from ..metrics import BATCH_COMMITS
 from ..state.stored_jobs import (
     ItemState,
@@ -38,8 +44,7 @@
 # results wait, since positions must follow each other
 BLOCKED_READ_INTERVAL_S = 5.0
 
-# limits of one write; the service accepts 32 changes in one transaction
-MAX_COMMIT_RESULTS = 30
+# output bytes in one write, unless a single result has more
 MAX_COMMIT_BYTES = 600_000
 
 
@@ -55,6 +60,7 @@
     _uncommitted: dict[tuple[str, str], ItemProgress] = attrs.field(
         factory=dict, init=False
     )
+    _refused: set[tuple[str, str]] = attrs.field(factory=set, init=False)
     _written_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _blocked_until: dict[str, float] = attrs.field(factory=dict, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
@@ -71,7 +77,10 @@
 
     @property
     def unpropagated_items(self) -> list[str]:
-        """Return the items whose results peers may not have read yet."""
+        """Return the items whose results peers may not have read yet.
+
+        Peers never read those that the service refuses.
+        """
         now = time.monotonic()
         for item_id, written_at in list(self._written_at.items()):
             if now - written_at > RESULT_PROPAGATION_S:
@@ -82,6 +91,7 @@
                 for by_item in self._pending.values()
                 for item_id in by_item
             ),
+            *(item_id for _, item_id in self._refused),
             *self._written_at,
         ]
 
@@ -94,6 +104,7 @@
         result = progress.result(state)
         queued = self._pending.setdefault(progress.job_id, {})
         queued[result.item_id] = result
+        self._refused.discard(progress.key)
         self._uncommitted[progress.key] = progress
         self._wake.set()
 
@@ -115,6 +126,7 @@
                 await self._wake.wait()
             await trio.sleep(COMMIT_DELAY_S)
             self._wake = trio.Event()
+            self._forget_finished_refused()
             for job_id in list(self._pending):
                 try:
                     await self._commit_job(job_id)
@@ -127,7 +139,7 @@
                     await trio.sleep(COMMIT_RETRY_DELAY_S)
 
     async def _commit_job(self, job_id: str) -> None:
-        """Write a job's queued results, up to the limits of one write.
+        """Write a job's queued results.
 
         On a conflict nothing is written and the known results are updated.
         """
@@ -139,19 +151,63 @@
             return
         if await self._is_blocked(tracked):
             return
-        chosen = self._choose_results(tracked)
-        if chosen:
-            position = len(tracked.results)
-            changes = result_creation_changes(job_id, position, chosen)
-            if await self.service.transact(changes) is None:
-                BATCH_COMMITS.labels('conflict').inc()
-                await self.jobs.read_results(tracked)
-            else:
-                BATCH_COMMITS.labels('made').inc()
-                self._record_commit(tracked, position, chosen)
+        while chosen := self._choose_results(tracked):
+            if not await self._write(tracked, chosen):
+                break
         if self._remove_committed(tracked):
             self._wake.set()
 
+    async def _write(
+        self, tracked: TrackedJob, chosen: Sequence[StoredResult]
+    ) -> bool:
+        """Write results after the known ones; return whether that is done.
+
+        A write that the service refuses is repeated with its first half, so
+        that at last the result that it does not take is set aside.
+        """
+        position = len(tracked.results)
+        changes = result_creation_changes(tracked.job_id, position, chosen)
+        try:
+            revision = await self.service.transact(changes)
+        except WriteRefusedError as exc:
+            BATCH_COMMITS.labels('refused').inc()
+            if len(chosen) > 1:
+                return await self._write(tracked, chosen[: len(chosen) // 2])
+            self._set_aside(tracked.job_id, chosen[0], exc)
+            return True
+        if revision is None:
+            BATCH_COMMITS.labels('conflict').inc()
+            await self.jobs.read_results(tracked)
+            return False
+        BATCH_COMMITS.labels('made').inc()
+        self._record_commit(tracked, position, chosen)
+        return True
+
+    def _set_aside(
+        self, job_id: str, result: StoredResult, exc: WriteRefusedError
+    ) -> None:
+        """Remove a result that the service refuses from the queue."""
+        log_message(
+            'commit:refused',
+            job=job_id,
+            request_id=result.item_id,
+            output_bytes=len(result.output),
+            reason=exc.message,
+        )
+        self._remove(job_id, result.item_id)
+        self._refused.add((job_id, result.item_id))
+
+    def _forget_finished_refused(self) -> None:
+        """Forget refused results of items that are no longer open."""
+        for job_id, item_id in list(self._refused):
+            tracked = self.jobs.find(job_id)
+            if (
+                tracked is None
+                or not tracked.is_open
+                or item_id in tracked.finished_item_ids
+            ):
+                self._refused.discard((job_id, item_id))
+
     async def _is_blocked(self, tracked: TrackedJob) -> bool:
         """Whether a stored result that cannot be read is in the way.
 
@@ -173,20 +229,26 @@
     def _choose_results(self, tracked: TrackedJob) -> list[StoredResult]:
         """Return the queued results that fit into one write."""
         self._remove_committed(tracked)
+        limits = self.service.limits
+        queued = self._pending.get(tracked.job_id, {}).values()
         chosen: list[StoredResult] = []
         output_bytes = 0
-        for result in self._pending.get(tracked.job_id, {}).values():
+        for result in itertools.islice(queued, limits.max_entries):
             output_bytes += len(result.output)
-            if chosen and (
-                output_bytes > MAX_COMMIT_BYTES
-                or len(chosen) >= MAX_COMMIT_RESULTS
-            ):
+            if chosen and output_bytes > MAX_COMMIT_BYTES:
                 break
             chosen.append(result)
-        return chosen
+        changes = result_creation_changes(
+            tracked.job_id, len(tracked.results), chosen
+        )
+        # one that does not fit alone is refused and set aside
+        return chosen[: max(1, limits.count_leading(changes))]
 
     def _record_commit(
-        self, tracked: TrackedJob, position: int, chosen: list[StoredResult]
+        self,
+        tracked: TrackedJob,
+        position: int,
+        chosen: Sequence[StoredResult],
     ) -> None:
         """Add written results to the job table and log them."""
         for number, result in enumerate(chosen, position):
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -14,6 +14,7 @@
     'EJECTED',
     'ENDED_BY_CLOSE',
     'KEY_VALUE_CALLS',
+    'KEY_VALUE_WRITES_REFUSED',
     'LOG_LINES_DROPPED',
     'MALFORMED_MESSAGES',
     'PREEMPTED',
@@ -101,6 +102,10 @@
     'Calls to the key-value service, by kind.',
     ('call',),
 )
+KEY_VALUE_WRITES_REFUSED = Counter(
+    'briarrill_key_value_writes_refused',
+    'Writes that the key-value service refuses whenever they are repeated.',
+)
 CONFIG_VERSION = Gauge(
     'briarrill_config_version', 'Configuration version in force.'
 )
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -215,7 +215,7 @@
 
 def _make_parts(cfg: PlatformInstance, *, runs_batch: bool) -> ProcessParts:
     """Create mirrors, tables and the load exchange, and connect them."""
-    store = PlatformStore(cfg.store)
+    store = PlatformStore(cfg.store, cfg.max_value_bytes)
     own_keys = KeyRouter()
     operator_keys = KeyRouter()
     mirrors: dict[str, Mirror] = {}
--- a/briarrill/platform/retirement.py
+++ b/briarrill/platform/retirement.py
@@ -13,7 +13,11 @@
 
 from ..coordination.mirror import MirrorListener
 from ..decoding import json_decoder
-from ..errors import BriarrillError, MalformedMessageError
+from ..errors import (
+    BriarrillError,
+    MalformedMessageError,
+    WriteRefusedError,
+)
 from ..item_runs.scheduler import Scheduler
 from ..transport.key_value import KeyChange, KeyValueService
 
@@ -91,12 +95,18 @@
             await trio.sleep(IDLE_POLL_INTERVAL_S)
 
     async def _report(self, state: str) -> None:
-        """Write the state to the status key, retrying until it is written."""
+        """Write the state to the status key, retrying until it is written.
+
+        A write that the service refuses for good is given up.
+        """
         body = msgspec.json.encode({'state': state})
         change = KeyChange(f'{_STATUS_PREFIX}{self._name}', body)
         while True:
             try:
                 await self._service.transact([change])
+            except WriteRefusedError as exc:
+                log_message('retirement:not-reported', reason=exc.message)
+                return
             except BriarrillError as exc:
                 log_message('retirement:not-reported', reason=exc.message)
                 await trio.sleep(REPORT_RETRY_DELAY_S)
--- a/briarrill/platform/store.py
+++ b/briarrill/platform/store.py
@@ -1,13 +1,12 @@
 """briarrill.platform.store: client of the platform's key-value store."""
 
-import base64
 import itertools
 import math
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import attrs
@@ -20,11 +19,9 @@
 from ..errors import (
     BriarrillError,
     MalformedMessageError,
-    PeerUnreachableError,
     PlatformUnavailableError,
     ResponseTooLargeError,
     UpstreamLostError,
-    WriteUnknownError,
 )
 from ..metrics import KEY_VALUE_CALLS
 from ..transport.http_channel import ChannelPool
@@ -35,7 +32,9 @@
     KeySnapshot,
     KeyValue,
     KeyValueService,
+    TransactionLimits,
     WatchProgress,
+    record_refused_write,
 )
 from .store_replies import (
     ITEM_DECODER,
@@ -46,6 +45,14 @@
     RangeReply,
     WatchReply,
 )
+from .store_writes import (
+    OUTAGE_RETRY_AFTER_S,
+    RefusedWriteError,
+    StatusError,
+    transaction_fields,
+    unavailable,
+    write_with_retry,
+)
 
 __all__ = ('PlatformStore',)
 
@@ -84,9 +91,11 @@
 # than the contact time
 MIN_REPLACEMENT_INTERVAL_S = 1.6
 
-# a write whose reply was lost is retried; its condition prevents a second
-# effect, also when the first attempt is applied after the retry
-WRITE_ATTEMPTS = 2
+# of a conditional write: rows of "expected", "writes" and "remove" together
+MAX_TRANSACTION_ENTRIES = 32
+
+# of a value, unless the settings name another limit
+DEFAULT_MAX_VALUE_BYTES = 1_048_576
 
 # a page holds at most 1 MB of values; base64 and field names add half of it
 MAX_REPLY_BYTES = 8_000_000
@@ -95,8 +104,6 @@
 # may have been sent on a connection that was just closed
 UNREACHABLE_FAILED_CALLS = 2
 
-OUTAGE_RETRY_AFTER_S = 1.0
-
 _MS_PER_S = 1000
 
 _Reply = TypeVar('_Reply')
@@ -111,23 +118,23 @@
     body: bytes
 
 
-class _StatusError(Exception):
-    """The store rejected a call without executing it."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(f'status {status}')
-        self.status = status
-
-
 class PlatformStore(KeyValueService):
     """Client of the platform's metadata store over HTTP.
 
     :param address: IP address and port of the store.
+    :param max_value_bytes: largest value that the store accepts.
     :ivar replies: times of the replies.
     """
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES,
+    ) -> None:
         """Create a client; the first call connects."""
+        self.limits = TransactionLimits(
+            MAX_TRANSACTION_ENTRIES, max_value_bytes
+        )
         self._address = address
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._pool = ChannelPool(CONNECT_TIMEOUT_S)
@@ -149,7 +156,7 @@
         try:
             return item.as_key_value()
         except MalformedMessageError as exc:
-            raise _unavailable(exc) from exc
+            raise unavailable(exc) from exc
 
     async def read_prefix(
         self, prefix: str, *, after: str = '', limit: int = 0
@@ -164,28 +171,23 @@
         A write whose reply was lost is retried once.
 
         :returns: the revision of the write, or nothing after a conflict.
+        :raises WriteRefusedError: nothing was written, and the same changes
+            will be refused again.
         :raises PlatformUnavailableError: nothing was written.
         :raises WriteUnknownError: the write may have been applied, or may
             still be.
         """
-        body = msgspec.json.encode(_txn_fields(changes))
-        lost_reply: Exception | None = None
-        for _ in range(WRITE_ATTEMPTS):
-            try:
-                revision = await self._call_transaction(body)
-            except (UpstreamLostError, trio.TooSlowError) as exc:
-                lost_reply = exc
-            except (
-                PeerUnreachableError,
-                PlatformUnavailableError,
-                _StatusError,
-            ) as exc:
-                _raise_if_not_written(exc, lost_reply)
-            else:
-                return revision or await _resolve_conflict(
-                    self, changes[0], lost_reply
-                )
-        raise _write_unknown(changes[0], lost_reply)
+        self.limits.check(changes)
+        body = msgspec.json.encode(transaction_fields(changes))
+        try:
+            return await write_with_retry(
+                self,
+                changes,
+                partial(self._call_transaction, body),
+            )
+        except RefusedWriteError as exc:
+            # an earlier attempt was the same and is refused as well
+            raise record_refused_write(changes, str(exc)) from exc
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Create a lease and return its identifier."""
@@ -280,7 +282,7 @@
                 PROBE_TIMEOUT_S,
                 kept_channel=PROBE_CHANNEL,
             )
-        except _StatusError:
+        except StatusError:
             return False
         except (BriarrillError, trio.TooSlowError):
             return True
@@ -360,8 +362,8 @@
         except ResponseTooLargeError as exc:
             log_message('store:too-many-changes', reason=exc.message)
             return None
-        except (BriarrillError, trio.TooSlowError, _StatusError) as exc:
-            raise _unavailable(exc) from exc
+        except (BriarrillError, trio.TooSlowError, StatusError) as exc:
+            raise unavailable(exc) from exc
         if raw.status == HTTPStatus.GONE:
             return None
         return _decode(raw, WATCH_DECODER)
@@ -370,11 +372,14 @@
         """Make a conditional write; return its revision.
 
         :returns: nothing if a condition did not hold.
+        :raises RefusedWriteError: the store takes no such write.
         :raises PlatformUnavailableError: the store rejected the write.
         :raises UpstreamLostError: the reply was lost or cannot be read, or
             it is a server error that does not say that nothing was done.
         """
         raw = await self._call('POST', '/kv-txn', body)
+        if raw.status in _REFUSED_WRITE_STATUSES:
+            raise RefusedWriteError(f'status {raw.status}')
         if raw.status == HTTPStatus.PRECONDITION_FAILED:
             return None
         if raw.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -416,8 +421,8 @@
             return await self._call(
                 method, target, body, timeout_s, wait_s=wait_s
             )
-        except (BriarrillError, trio.TooSlowError, _StatusError) as exc:
-            raise _unavailable(exc) from exc
+        except (BriarrillError, trio.TooSlowError, StatusError) as exc:
+            raise unavailable(exc) from exc
 
     async def _call(
         self,
@@ -433,7 +438,7 @@
 
         :param wait_s: time that the store may take in any case.
         :param kept_channel: name of a channel that only such calls use.
-        :raises _StatusError: the store rejected the call unexecuted.
+        :raises StatusError: the store rejected the call unexecuted.
         :raises UpstreamLostError: the connection broke; outcome unknown.
         :raises TooSlowError: the timeout passed; outcome unknown.
         """
@@ -454,7 +459,7 @@
             raise
         if raw.status in _REJECTED_STATUSES:
             self._failed_calls += 1
-            raise _StatusError(raw.status)
+            raise StatusError(raw.status)
         self._failed_calls = 0
         return raw
 
@@ -479,35 +484,20 @@
 
 # statuses of rejected calls, which the store has not executed
 _REJECTED_STATUSES = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
+
+# statuses of writes that are malformed, too large or not allowed; they depend
+# on nothing but the write
+_REFUSED_WRITE_STATUSES = frozenset(
     (
+        HTTPStatus.BAD_REQUEST,
         HTTPStatus.FORBIDDEN,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     )
 )
 
 
-def _txn_fields(changes: Sequence[KeyChange]) -> dict[str, Any]:
-    """Return the JSON fields of a conditional write."""
-    return {
-        'expected': [
-            {'key': change.key, 'revision': change.mod_revision}
-            for change in changes
-            if change.mod_revision is not None
-        ],
-        'writes': [
-            {
-                'key': change.key,
-                'value': base64.b64encode(change.body).decode(),
-                'lease': change.lease_id,
-            }
-            for change in changes
-            if change.body is not None
-        ],
-        'remove': [change.key for change in changes if change.body is None],
-    }
-
-
 def _decode(raw: _RawReply, decoder: Decoder[_Reply]) -> _Reply:
     """Decode the body of a response with status 200.
 
@@ -518,24 +508,7 @@
     try:
         return decoder.decode(raw.body)
     except MalformedMessageError as exc:
-        raise _unavailable(exc) from exc
-
-
-async def _resolve_conflict(
-    service: KeyValueService, change: KeyChange, lost_reply: Exception | None
-) -> int | None:
-    """Find out whether a conflict is with our own earlier attempt.
-
-    :returns: the revision of our own write, or nothing if another writer
-        changed the key.
-    :raises WriteUnknownError: the store did not respond.
-    """
-    if lost_reply is None:
-        return None
-    try:
-        return await service.resolve_lost_reply(change)
-    except PlatformUnavailableError as exc:
-        raise _write_unknown(change, lost_reply) from exc
+        raise unavailable(exc) from exc
 
 
 async def _read_confirmed(read: Callable[[], Awaitable[_Listed]]) -> _Listed:
@@ -566,7 +539,7 @@
     try:
         return tuple(reply.all_entries())
     except MalformedMessageError as exc:
-        raise _unavailable(exc) from exc
+        raise unavailable(exc) from exc
 
 
 def _last_key(entries: Sequence[KeyValue]) -> str:
@@ -582,34 +555,7 @@
     return entries[-1].key
 
 
-def _raise_if_not_written(
-    exc: Exception, lost_reply: Exception | None
-) -> None:
-    """Raise if no earlier attempt at a failed write may have been applied.
-
-    :raises PlatformUnavailableError: nothing was written.
-    """
-    if lost_reply is None:
-        raise _unavailable(exc) from exc
-
-
-def _write_unknown(
-    change: KeyChange, lost_reply: Exception | None
-) -> WriteUnknownError:
-    return WriteUnknownError(
-        f'reply to the write of {change.key} was lost: {lost_reply!r}',
-        retry_after_s=OUTAGE_RETRY_AFTER_S,
-    )
-
-
 def _unexpected_status(raw: _RawReply) -> PlatformUnavailableError:
     return PlatformUnavailableError(
         f'the store responded with status {raw.status}'
     )
-
-
-def _unavailable(exc: Exception) -> PlatformUnavailableError:
-    return PlatformUnavailableError(
-        f'call to the store failed: {exc!r}',
-        retry_after_s=OUTAGE_RETRY_AFTER_S,
-    )
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -27,6 +27,8 @@
     NotReadyError,
     OutcomeUnknownError,
     PlatformUnavailableError,
+    TooLargeError,
+    WriteRefusedError,
     WriteUnknownError,
 )
 from ..state.keys import job_end_key
@@ -122,6 +124,7 @@
 
         :raises BadRequestError: the body is no job, or its number of items
             is out of range.
+        :raises TooLargeError: the key-value service cannot hold the job.
         :raises BatchItemsLimitError: the route's token limit is reached.
         :raises NotReadyError: it is not known whether the limit is reached.
         """
@@ -138,6 +141,7 @@
             submitted_at=time.time(),
             items=submitted_items,
         )
+        changes = self._creation_changes(job)
         tokens = sum(submitted.tokens for submitted in submitted_items)
         try:
             await self._check_token_limit(intent.route, tokens)
@@ -149,13 +153,28 @@
         reserved = self._reserved_tokens.get(job.route, 0)
         self._reserved_tokens[job.route] = reserved + tokens
         try:
-            await self._store_job(job)
+            await self._store_job(job, changes)
         finally:
             self._reserved_tokens[job.route] -= tokens
 
-    async def _store_job(self, job: StoredJob) -> None:
-        """Write a new job and add it to the table, unless it exists."""
+    def _creation_changes(self, job: StoredJob) -> list[KeyChange]:
+        """Return the changes that create a job in one transaction.
+
+        :raises TooLargeError: they do not fit into one.
+        """
         changes = job_creation_changes(job, self.max_value_bytes)
+        try:
+            self.writes.service.limits.check(changes)
+        except WriteRefusedError as exc:
+            raise TooLargeError(
+                f'job {job.job_id!r} cannot be stored: {exc.message}'
+            ) from exc
+        return changes
+
+    async def _store_job(
+        self, job: StoredJob, changes: list[KeyChange]
+    ) -> None:
+        """Write a new job and add it to the table, unless it exists."""
         began_at = time.monotonic()
         revision = await self._write_changes(changes)
         log_message(
@@ -212,6 +231,8 @@
         """Write changes; after a rejection, retry once."""
         try:
             return await self.writes.write(changes)
+        except WriteRefusedError:
+            raise
         except PlatformUnavailableError:
             await trio.sleep(WRITE_RETRY_DELAY_S)
             return await self.writes.write(changes)
--- a/briarrill/result_codes.py
+++ b/briarrill/result_codes.py
@@ -66,6 +66,7 @@
     SEGMENT_LOST = 505
     LEASE_LOST = 506
     PEER_BUSY = 507
+    WRITE_REFUSED = 508
 
     # settings, configuration and messages between processes
     INVALID_SETTINGS = 600
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -21,7 +21,9 @@
     KeySnapshot,
     KeyValue,
     KeyValueService,
+    TransactionLimits,
     WatchEvent,
+    record_refused_write,
 )
 
 __all__ = ('EtcdService', 'prefix_end')
@@ -46,6 +48,14 @@
 # client errors that are raised before the request is sent
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
+# limits of a server with its default settings; it counts comparisons and
+# changes apart, and the sum of both is within either
+MAX_TRANSACTION_ENTRIES = 128
+MAX_VALUE_BYTES = 1_000_000
+
+# statuses of writes that are malformed, too large or not allowed
+REFUSED_WRITE_STATUSES = frozenset((400, 403, 413))
+
 # Retry-After sent to callers when the service is unavailable
 OUTAGE_RETRY_AFTER_S = 5.0
 
@@ -97,6 +107,8 @@
     :param client: HTTP client whose base URL is the gateway.
     """
 
+    limits = TransactionLimits(MAX_TRANSACTION_ENTRIES, MAX_VALUE_BYTES)
+
     def __init__(self, client: httpx.AsyncClient) -> None:
         """Store the client; the caller closes it."""
         self._client = client
@@ -124,6 +136,7 @@
 
         A write whose reply was lost is tried ``WRITE_ATTEMPTS`` times in all.
         """
+        self.limits.check(changes)
         txn = _encode_transaction(changes)
         lost_exc: Exception | None = None
         for _ in range(WRITE_ATTEMPTS):
@@ -131,6 +144,7 @@
                 reply = await self._post_raw('/v3/kv/txn', txn)
                 revision = int(reply['header']['revision'])
             except _CALL_ERRORS as exc:
+                _raise_if_refused(changes, exc)
                 lost_exc = _first_lost_reply_error(exc, lost_exc)
                 continue
             if reply.get('succeeded'):
@@ -320,6 +334,18 @@
     return exc
 
 
+def _raise_if_refused(changes: Sequence[KeyChange], exc: Exception) -> None:
+    """Raise if the service takes no such write.
+
+    :raises WriteRefusedError: it does not, however often it is repeated.
+    """
+    if (
+        isinstance(exc, httpx.HTTPStatusError)
+        and exc.response.status_code in REFUSED_WRITE_STATUSES
+    ):
+        raise record_refused_write(changes, repr(exc)) from exc
+
+
 def _had_no_effect(exc: Exception) -> bool:
     """Return whether a failed call certainly had no effect."""
     if isinstance(exc, httpx.HTTPStatusError):
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -4,6 +4,10 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Sequence
 
 import attrs
+from eliot import log_message
+
+from ..errors import WriteRefusedError
+from ..metrics import KEY_VALUE_WRITES_REFUSED
 
 __all__ = (
     'ChangeSource',
@@ -12,11 +16,18 @@
     'KeySnapshot',
     'KeyValue',
     'KeyValueService',
+    'TransactionLimits',
     'WatchEvent',
     'WatchProgress',
+    'record_refused_write',
 )
 
 
+# limits of one transaction that every service keeps to
+COMMON_MAX_TRANSACTION_ENTRIES = 32
+COMMON_MAX_VALUE_BYTES = 1_000_000
+
+
 @attrs.frozen
 class KeyValue:
     """A key with its value and the revision of its last change.
@@ -44,6 +55,59 @@
     mod_revision: int | None = None
     lease_id: int = 0
 
+    @property
+    def entries(self) -> int:
+        """Return the number of entries of a transaction that it takes.
+
+        The change is one, and the comparison of its revision another one.
+        """
+        return 1 if self.mod_revision is None else 2
+
+
+@attrs.frozen
+class TransactionLimits:
+    """Limits of a key-value service on one transaction.
+
+    :param max_entries: changes and comparisons, counted together.
+    :param max_value_bytes: size of each value.
+    """
+
+    max_entries: int
+    max_value_bytes: int
+
+    def count_leading(self, changes: Sequence[KeyChange]) -> int:
+        """Return how many of the first changes fit into one transaction."""
+        entries = 0
+        for count, change in enumerate(changes):
+            entries += change.entries
+            if entries > self.max_entries or not self._fits(change):
+                return count
+        return len(changes)
+
+    def check(self, changes: Sequence[KeyChange]) -> None:
+        """Check that the changes fit into one transaction.
+
+        :raises WriteRefusedError: they do not.
+        """
+        entries = sum(change.entries for change in changes)
+        if entries > self.max_entries:
+            raise record_refused_write(
+                changes,
+                f'{entries} entries in one transaction;'
+                f' allowed: {self.max_entries}',
+            )
+        for change in changes:
+            if not self._fits(change):
+                raise record_refused_write(
+                    changes,
+                    f'{len(change.body or b"")} bytes in {change.key!r};'
+                    f' allowed: {self.max_value_bytes}',
+                )
+
+    def _fits(self, change: KeyChange) -> bool:
+        """Whether the value of a change is within its limit."""
+        return len(change.body or b'') <= self.max_value_bytes
+
 
 @attrs.frozen
 class WatchEvent:
@@ -109,8 +173,14 @@
 
     Each call counts against the service's rate limits; an open watch counts
     as one call.
+
+    :ivar limits: of one transaction; by default what every service takes.
     """
 
+    limits = TransactionLimits(
+        COMMON_MAX_TRANSACTION_ENTRIES, COMMON_MAX_VALUE_BYTES
+    )
+
     @abc.abstractmethod
     async def read(self, key: str) -> KeyValue | None:
         """Return the key with its value, or None if it does not exist.
@@ -138,6 +208,8 @@
 
         :return: the new revision, or None if a key's revision was not
             the expected one.
+        :raises WriteRefusedError: nothing was written, and the same changes
+            will be refused again.
         :raises PlatformUnavailableError: nothing was or will be written.
         :raises WriteUnknownError: the reply was lost and could not be
             resolved; the changes may have been applied, or may still be.
@@ -212,3 +284,17 @@
             elif isinstance(change, KeySnapshot):
                 for entry in change.entries:
                     yield WatchEvent(entry.key, entry.body, entry.mod_revision)
+
+
+def record_refused_write(
+    changes: Sequence[KeyChange], reason: str
+) -> WriteRefusedError:
+    """Log and count a write that cannot succeed; return its error."""
+    KEY_VALUE_WRITES_REFUSED.inc()
+    log_message(
+        'key-value:write-refused',
+        key=changes[0].key,
+        changes=len(changes),
+        reason=reason,
+    )
+    return WriteRefusedError(f'write of {changes[0].key!r}: {reason}')
--- a/standins/memory_key_value.py
+++ b/standins/memory_key_value.py
@@ -96,9 +96,11 @@
 
         Apply none and return None when the revision of a key differs.
 
+        :raises WriteRefusedError: the changes are over the limits.
         :raises WriteUnknownError: an injected fault.
         """
         await self._start_call('txn')
+        self.limits.check(changes)
         if self.delay_writes:
             self.delay_writes -= 1
             self._delayed_writes.append(changes)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -24,6 +24,10 @@
 #: Tells by its name and fields whether a call is rejected.
 RejectsCall = Callable[[str, dict[str, str]], bool]
 
+# entries of one transaction, and bytes of one value
+MAX_TRANSACTION_ENTRIES = 32
+MAX_VALUE_BYTES = 1_048_576
+
 CALLER_LIMITS = CallerLimits(max_body_bytes=16_000_000)
 
 
@@ -199,6 +203,8 @@
         return reply
 
     def _apply_txn(self, txn: dict[str, Any]) -> JsonResponse:
+        if _is_too_large(txn):
+            return HTTPStatus.BAD_REQUEST, {}
         for row in txn['expected']:
             existing = self.entries.get(row['key'])
             if row['revision'] != (existing.revision if existing else 0):
@@ -244,5 +250,14 @@
         self._changed = trio.Event()
 
 
+def _is_too_large(txn: dict[str, Any]) -> bool:
+    """Whether a transaction or one of its values is over its limit."""
+    values = [base64.b64decode(write['value']) for write in txn['writes']]
+    return (
+        sum(map(len, txn.values())) > MAX_TRANSACTION_ENTRIES
+        or max(map(len, values), default=0) > MAX_VALUE_BYTES
+    )
+
+
 def _rejects_none(call: str, fields: dict[str, str]) -> bool:
     return False
--- a/tests/coordination/test_removal_replays.py
+++ b/tests/coordination/test_removal_replays.py
@@ -21,7 +21,7 @@
     UpstreamTable,
 )
 from briarrill.errors import UpstreamLostError
-from briarrill.platform.store import _StatusError
+from briarrill.platform.store_writes import StatusError
 from briarrill.platform.upstreams import REGISTRATIONS_PREFIX, Registrations
 from tests.coordination.test_mirror_replays import Client, Service
 
@@ -59,7 +59,7 @@
     async def _call(self, method, target, body, timeout_s=1.5, **options):
         if self.is_rejected:
             await trio.sleep(self.rng.uniform(0, self.delay_s))
-            raise _StatusError(503)
+            raise StatusError(503)
         with trio.move_on_after(self.rng.uniform(0.3, 1.1)) as scope:
             return await super()._call(
                 method, target, body, timeout_s, **options
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -20,6 +20,8 @@
     NotReadyError,
     OutcomeUnknownError,
     PlatformUnavailableError,
+    TooLargeError,
+    WriteRefusedError,
 )
 from briarrill.platform.job_messages import PlatformJobProtocol
 from briarrill.relay import job_calls
@@ -31,7 +33,7 @@
     job_creation_changes,
     result_creation_changes,
 )
-from briarrill.transport.key_value import KeyChange
+from briarrill.transport.key_value import KeyChange, TransactionLimits
 from standins.memory_key_value import MemoryKeyValue
 from tests.relay.front_end_setup import route
 from tests.state.test_stored_jobs import make_job
@@ -172,6 +174,26 @@
         await entry(IntentKind.READ_RESULTS)
 
 
+async def test_job_that_cannot_be_stored_is_too_large(service):
+    """The service would refuse it for ever, and the caller come back."""
+    service.limits = TransactionLimits(1, 1_000_000)
+    with pytest.raises(TooLargeError):
+        await EntryHandler(service).submit()
+    assert service.calls['txn'] == 0
+
+
+async def test_refused_write_of_a_job_is_not_repeated(service):
+    class Service(MemoryKeyValue):
+        async def transact(self, changes):
+            self.calls['txn'] += 1
+            raise WriteRefusedError('refused')
+
+    refusing = Service()
+    with pytest.raises(WriteRefusedError):
+        await EntryHandler(refusing).submit()
+    assert refusing.calls['txn'] == 1
+
+
 async def test_unknown_job_raises_not_found(service):
     entry = EntryHandler(service)
     for kind in (
--- a/tests/transport/test_etcd.py
+++ b/tests/transport/test_etcd.py
@@ -7,7 +7,11 @@
 import pytest
 import trio
 
-from briarrill.errors import PlatformUnavailableError, WriteUnknownError
+from briarrill.errors import (
+    PlatformUnavailableError,
+    WriteRefusedError,
+    WriteUnknownError,
+)
 from briarrill.result_codes import Ran
 from briarrill.transport.etcd import EtcdService
 from briarrill.transport.key_value import KeyChange
@@ -19,13 +23,19 @@
 )
 
 
+INVALID = json.dumps(
+    {'code': 3, 'message': 'etcdserver: too many operations in txn request'}
+)
+
+
 class FakeGateway(httpx.AsyncBaseTransport):
     """Gateway on an in-memory store that injects a fault into each call.
 
     Steps of the script, ``ok`` when it is used up: ``ok`` applies the call
     and replies; ``lose`` applies it and loses the reply; ``drop`` loses the
     request; ``refuse`` replies that there is no leader; ``time out`` applies
-    it and replies that it timed out; ``no connection`` refuses to connect.
+    it and replies that it timed out; ``no connection`` refuses to connect;
+    ``invalid`` replies that the request is not allowed.
     """
 
     def __init__(self, *script):
@@ -40,6 +50,8 @@
             return httpx.Response(503, text=DOWN_BODY)
         if step == 'drop':
             raise httpx.ReadTimeout('dropped')
+        if step == 'invalid':
+            return httpx.Response(400, text=INVALID)
         body = json.loads(request.content)
         if request.url.path == '/v3/kv/txn':
             reply = self.store.txn(body)
@@ -133,3 +145,11 @@
             await service.read('key')
         with pytest.raises(WriteUnknownError):
             await service.compare_and_swap('key', b'1', mod_revision=0)
+
+
+@pytest.mark.parametrize('earlier', [(), ('lose',)])
+async def test_write_that_is_not_allowed_is_refused_for_good(earlier):
+    async with _open(*earlier, 'invalid') as (client, gateway):
+        with pytest.raises(WriteRefusedError):
+            await client.transact([KeyChange('k', b'x', 0)])
+        assert not gateway.script
