Compare all keys of a write whose reply was lost

Cause: callers saw an item at two positions and another one never. A write of several results whose reply was lost was repeated; on the conflict that followed, its first key was read back, and an equal value there counted as the whole write. A result has no unique value: a peer to which the item had been handed over writes the same bytes at the same position. The process then took the next result for written, and all its later positions were one too many.

Change: resolve_lost_reply takes all changes and compares each key. If all are equal the outcome is that of the write, whoever made it, so what the process believes is right; otherwise it is a conflict, after which the results are read. Both services use it.

--- a/briarrill/platform/store_writes.py
+++ b/briarrill/platform/store_writes.py
@@ -71,26 +71,28 @@
             _raise_if_not_written(exc, lost_reply)
         else:
             return revision or await _resolve_conflict(
-                service, changes[0], lost_reply
+                service, changes, lost_reply
             )
     raise _write_unknown(changes[0], lost_reply)
 
 
 async def _resolve_conflict(
-    service: KeyValueService, change: KeyChange, lost_reply: Exception | None
+    service: KeyValueService,
+    changes: Sequence[KeyChange],
+    lost_reply: Exception | None,
 ) -> int | None:
     """Find out whether a conflict is with our own earlier attempt.
 
     :returns: the revision of our own write, or nothing if another writer
-        changed the key.
+        changed a key.
     :raises WriteUnknownError: the store did not respond.
     """
     if lost_reply is None:
         return None
     try:
-        return await service.resolve_lost_reply(change)
+        return await service.resolve_lost_reply(changes)
     except PlatformUnavailableError as exc:
-        raise _write_unknown(change, lost_reply) from exc
+        raise _write_unknown(changes[0], lost_reply) from exc
 
 
 def unavailable(exc: Exception) -> PlatformUnavailableError:
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -149,7 +149,7 @@
                 continue
             if reply.get('succeeded'):
                 return revision
-            return await self._resolve_conflict(changes[0], lost_exc)
+            return await self._resolve_conflict(changes, lost_exc)
         raise _unknown_write_error(changes[0], lost_exc)
 
     async def grant_lease(self, ttl_s: int) -> int:
@@ -230,19 +230,19 @@
         ]
 
     async def _resolve_conflict(
-        self, change: KeyChange, lost_exc: Exception | None
+        self, changes: Sequence[KeyChange], lost_exc: Exception | None
     ) -> int | None:
         """Return the revision of an own write whose reply was lost.
 
-        :return: None if another writer changed the key first.
-        :raises WriteUnknownError: the key could not be read back.
+        :return: None if another writer changed a key first.
+        :raises WriteUnknownError: the keys could not be read back.
         """
         if lost_exc is None:
             return None
         try:
-            return await self.resolve_lost_reply(change)
+            return await self.resolve_lost_reply(changes)
         except PlatformUnavailableError as exc:
-            raise _unknown_write_error(change, lost_exc) from exc
+            raise _unknown_write_error(changes[0], lost_exc) from exc
 
     async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         """Call the gateway; return its decoded reply.
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -203,8 +203,7 @@
     async def transact(self, changes: Sequence[KeyChange]) -> int | None:
         """Apply all changes, or none if a revision does not match.
 
-        The first change must write a unique value, so that reading its key
-        back resolves a lost reply. A transaction of one change need not.
+        A lost reply is resolved by :meth:`resolve_lost_reply`.
 
         :return: the new revision, or None if a key's revision was not
             the expected one.
@@ -246,18 +245,29 @@
         change = KeyChange(key, None, mod_revision)
         return await self.transact([change]) is not None
 
-    async def resolve_lost_reply(self, change: KeyChange) -> int | None:
-        """Read a key back to find out whether a write took effect.
+    async def resolve_lost_reply(
+        self, changes: Sequence[KeyChange]
+    ) -> int | None:
+        """Read all keys back to find out whether a write took effect.
+
+        One key does not tell: another process may have written the same value
+        there, and something else under the other keys. If all are the same,
+        the outcome is that of this write, whoever made it.
 
-        :param change: the write whose reply was lost.
-        :return: the revision of that write, 0 for a delete, or None if the
-            key has another writer's value.
+        :param changes: the write whose reply was lost.
+        :return: the newest revision of the keys, 0 if all are deleted, or
+            None if a key has another writer's value.
         :raises PlatformUnavailableError: the service did not respond.
         """
-        entry = await self.read(change.key)
-        if entry is None:
-            return 0 if change.body is None else None
-        return entry.mod_revision if entry.body == change.body else None
+        revision = 0
+        for change in changes:
+            entry = await self.read(change.key)
+            body = None if entry is None else entry.body
+            if body != change.body:
+                return None
+            if entry is not None:
+                revision = max(revision, entry.mod_revision)
+        return revision
 
     @abc.abstractmethod
     async def grant_lease(self, ttl_s: int) -> int:
