Write registrations and states of retirements conditionally

Cause: found on the paths beside lost replies. Both were written without a condition, and a call without a reply may take effect seconds later. A delayed registration replaced a newer one and tied the key to a lease that nobody renews, while the process renewed the other one and stayed unregistered. A delayed "running" replaced "completed".

Change: KeyValueService.overwrite reads the key and writes on condition of its revision; both use it. It costs one read for each registration made and each state reported.

--- a/briarrill/coordination/registration.py
+++ b/briarrill/coordination/registration.py
@@ -13,7 +13,7 @@
 from eliot import log_message
 
 from ..errors import BriarrillError
-from ..transport.key_value import KeyChange, KeyValueService
+from ..transport.key_value import KeyValueService
 
 __all__ = ('hold_registration',)
 
@@ -51,9 +51,8 @@
     if lease_id and await service.keep_lease_alive(lease_id):
         return lease_id
     new_lease_id = await service.grant_lease(REGISTRATION_TTL_S)
-    await service.transact(
-        [KeyChange(key, host.encode(), lease_id=new_lease_id)]
-    )
+    # a lost write must not attach the key to its old lease later
+    await service.overwrite(key, host.encode(), lease_id=new_lease_id)
     log_message('registration:made', key=key, host=host)
     return new_lease_id
 
--- a/briarrill/platform/retirement.py
+++ b/briarrill/platform/retirement.py
@@ -19,7 +19,7 @@
     WriteRefusedError,
 )
 from ..item_runs.scheduler import Scheduler
-from ..transport.key_value import KeyChange, KeyValueService
+from ..transport.key_value import KeyValueService
 
 __all__ = ('Retirement',)
 
@@ -100,10 +100,10 @@
         A write that the service refuses for good is given up.
         """
         body = msgspec.json.encode({'state': state})
-        change = KeyChange(f'{_STATUS_PREFIX}{self._name}', body)
+        key = f'{_STATUS_PREFIX}{self._name}'
         while True:
             try:
-                await self._service.transact([change])
+                await self._service.overwrite(key, body)
             except WriteRefusedError as exc:
                 log_message('retirement:not-reported', reason=exc.message)
                 return
--- a/briarrill/transport/key_value.py
+++ b/briarrill/transport/key_value.py
@@ -6,7 +6,7 @@
 import attrs
 from eliot import log_message
 
-from ..errors import WriteRefusedError
+from ..errors import VersionConflictError, WriteRefusedError
 from ..metrics import KEY_VALUE_WRITES_REFUSED
 
 __all__ = (
@@ -203,7 +203,9 @@
     async def transact(self, changes: Sequence[KeyChange]) -> int | None:
         """Apply all changes, or none if a revision does not match.
 
-        A lost reply is resolved by :meth:`resolve_lost_reply`.
+        A lost reply is resolved by :meth:`resolve_lost_reply`. A change
+        without an expected revision may take effect long after its call, over
+        newer values; :meth:`overwrite` does not.
 
         :return: the new revision, or None if a key's revision was not
             the expected one.
@@ -245,6 +247,32 @@
         change = KeyChange(key, None, mod_revision)
         return await self.transact([change]) is not None
 
+    async def overwrite(
+        self, key: str, body: bytes, *, lease_id: int = 0
+    ) -> int:
+        """Write a key whatever its value is now.
+
+        The write is conditional, so that one whose reply was lost cannot
+        take effect after a later one.
+
+        :param lease_id: lease whose end deletes the key, default none.
+        :return: the new revision.
+        :raises VersionConflictError: another writer changed the key meanwhile.
+        :raises PlatformUnavailableError: nothing was written.
+        :raises WriteUnknownError: the reply was lost and could not be
+            resolved.
+        """
+        present = await self.read(key)
+        revision = await self.compare_and_swap(
+            key,
+            body,
+            mod_revision=present.mod_revision if present else 0,
+            lease_id=lease_id,
+        )
+        if revision is None:
+            raise VersionConflictError(f'{key!r} was changed meanwhile')
+        return revision
+
     async def resolve_lost_reply(
         self, changes: Sequence[KeyChange]
     ) -> int | None:
--- a/tests/platform/test_retirement.py
+++ b/tests/platform/test_retirement.py
@@ -7,6 +7,8 @@
 import trio
 
 from briarrill.item_runs.result_commits import COMMIT_DELAY_S
+from briarrill.platform.retirement import Retirement
+from standins.memory_key_value import MemoryKeyValue
 from standins.platform_engine import stream_events
 from standins.platform_store import StandinStore
 from tests.platform.platform_fleet import start_process
@@ -70,3 +72,28 @@
         await fleet.read_results('j1', ITEMS)
         assert fleet.processes['batch'].poll() is None
         assert _state(store) is None
+
+
+class _IdleScheduler:
+    """A scheduler without items."""
+
+    def __init__(self):
+        self.is_draining = False
+        self.local_items = self
+        self.is_idle = True
+
+    def preempt_all(self):
+        """There is nothing to preempt."""
+
+
+async def test_delayed_report_does_not_replace_a_later_one(autojump_clock):
+    """The operator would wait for an instance that is empty."""
+    service = MemoryKeyValue()
+    service.delay_writes = 1
+    retirement = Retirement(service, f'batch-{RETIRED}', _IdleScheduler())
+    retirement.apply_key(f'op/retire/batch-{RETIRED}', b'{"duration_s":1}')
+    with trio.fail_after(20):
+        await retirement.run()
+    service.apply_delayed_writes()
+    entry = await service.read(STATUS_KEY)
+    assert json.loads(entry.body)['state'] == 'completed'
