Decide nothing about jobs that are newer than the routes

Cause: callers saw all items of a sound job as errored within a second. Jobs and configuration are followed by separate watches. A batch process to which the store was silent got the job from a peer and had the version before the one that added its route; "no route" counted as "its route has ended", and the errored results stayed queued when the version arrived.

Change: a stored job names the version under which it was accepted. A process with older routes neither runs nor gives up its items. Items are given up only while the configuration is not known to be behind, and those that are not written yet are taken back if newer routes allow their job. The check moved to a module of its own.

--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -42,6 +42,7 @@
     :param last_event_id: event after which the stream resumes.
     :param resumed_id: identifier of the attempt that began this stream, empty
         for none.
+    :param config_version: version of the routes by which it was read.
     """
 
     kind: IntentKind
@@ -54,6 +55,7 @@
     wait_s: float = 0
     last_event_id: int | None = None
     resumed_id: str = ''
+    config_version: int = 0
 
 
 @attrs.frozen
--- a/briarrill/item_runs/item_order.py
+++ b/briarrill/item_runs/item_order.py
@@ -7,7 +7,13 @@
 import contextlib
 import math
 import time
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 
 import attrs
 
@@ -21,7 +27,7 @@
 from ..state.stored_jobs import StoredJob
 from .item import ItemProgress, RunningItem
 
-__all__ = ('ItemOrder', 'StartableItem')
+__all__ = ('ItemOrder', 'StartableItem', 'is_newer')
 
 # delay before a process starts items of a job that is assigned to another one
 TAKEOVER_DELAY_S = 0.4
@@ -85,18 +91,17 @@
         ran_s_by_job = self._ran_s_by_job()
         work_by_service: dict[str, list[JobWork]] = {}
         places: dict[str, float] = {}
-        for tracked in self.jobs.tracked_jobs:
-            if tracked.job is None or not tracked.is_open:
-                continue
-            route = self.route_of(tracked.job, routes)
-            if route is not None:
-                service = route.targets[0].service
-                places[service] = places_of(route)
-                work_by_service.setdefault(service, []).append(
-                    self._work_of(
-                        tracked, route, ran_s_by_job.get(tracked.job_id, 0)
-                    )
+        open_jobs = [
+            tracked for tracked in self.jobs.tracked_jobs if tracked.is_open
+        ]
+        for tracked, route in self._with_routes(open_jobs, routes):
+            service = route.targets[0].service
+            places[service] = places_of(route)
+            work_by_service.setdefault(service, []).append(
+                self._work_of(
+                    tracked, route, ran_s_by_job.get(tracked.job_id, 0)
                 )
+            )
         self._timely_jobs = set[str]().union(
             *(
                 choose_timely_jobs(work, places[service])
@@ -117,10 +122,9 @@
             it may not start.
         """
         startable: list[StartableItem] = []
-        for tracked in self._startable_jobs(processes):
-            route = self.route_of(tracked.job, routes) if tracked.job else None
-            if route is None:
-                continue
+        for tracked, route in self._with_routes(
+            self._startable_jobs(processes), routes
+        ):
             for item_id in tracked.items:
                 progress = progress_of(tracked, item_id)
                 if progress is not None:
@@ -138,14 +142,20 @@
         is_batch = route is not None and route.kind is RouteKind.BATCH
         return route if is_batch else None
 
-    def is_expired(self, tracked: TrackedJob, routes: RouteTable) -> bool:
-        """Whether a job is older than its route allows or has no route."""
+    def why_over(self, tracked: TrackedJob, routes: RouteTable) -> str:
+        """Return why a job's items are given up, empty if they are not.
+
+        They are if the job has no route any more, or is older than its route
+        allows. Routes older than the job do not tell.
+        """
         job = tracked.job
-        route = None if job is None else self.route_of(job, routes)
-        if job is None or route is None:
-            return True
+        if job is None or is_newer(tracked, routes):
+            return ''
+        route = self.route_of(job, routes)
+        if route is None:
+            return 'no route'
         age_s = time.time() - job.submitted_at
-        return age_s > route.item_ttl_s + MAX_CLOCK_SKEW_S
+        return 'expired' if age_s > route.item_ttl_s + MAX_CLOCK_SKEW_S else ''
 
     def urgency_of_running(self, running: RunningItem) -> Urgency:
         """Return the sort key of a running item."""
@@ -165,6 +175,17 @@
             is_job_timely=tracked.job_id in self._timely_jobs,
         )
 
+    def _with_routes(
+        self, jobs: Iterable[TrackedJob], routes: RouteTable
+    ) -> Iterator[tuple[TrackedJob, Route]]:
+        """Yield the jobs that these routes can tell about, with theirs."""
+        for tracked in jobs:
+            if tracked.job is None or is_newer(tracked, routes):
+                continue
+            route = self.route_of(tracked.job, routes)
+            if route is not None:
+                yield tracked, route
+
     def _urgency_of_candidate(self, candidate: StartableItem) -> Urgency:
         return self.urgency(
             candidate.progress, candidate.tracked, candidate.route
@@ -218,6 +239,17 @@
         )
 
 
+def is_newer(tracked: TrackedJob, routes: RouteTable) -> bool:
+    """Whether a job was accepted under newer routes than these.
+
+    Its own route may be missing or another one here, so that nothing can be
+    decided about the job.
+    """
+    return tracked.job is not None and (
+        tracked.job.config_version > routes.version
+    )
+
+
 def _due_in_s(tracked: TrackedJob, route: Route) -> float:
     """Return the time within which the runs of a job's items must end."""
     submitted_at = tracked.job.submitted_at if tracked.job else 0
--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -61,6 +61,7 @@
         factory=dict, init=False
     )
     _refused: set[tuple[str, str]] = attrs.field(factory=set, init=False)
+    _withdrawable: set[tuple[str, str]] = attrs.field(factory=set, init=False)
     _written_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _blocked_until: dict[str, float] = attrs.field(factory=dict, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
@@ -99,12 +100,24 @@
         """Whether an item's result waits to be written."""
         return item_id in self._pending.get(job_id, ())
 
-    def add(self, progress: ItemProgress, state: ItemState) -> None:
-        """Queue the result of a finished item."""
+    def add(
+        self,
+        progress: ItemProgress,
+        state: ItemState,
+        *,
+        is_withdrawable: bool = False,
+    ) -> None:
+        """Queue the result of a finished item.
+
+        :param is_withdrawable: whether :meth:`withdraw` removes it.
+        """
         result = progress.result(state)
         queued = self._pending.setdefault(progress.job_id, {})
         queued[result.item_id] = result
         self._refused.discard(progress.key)
+        self._withdrawable.discard(progress.key)
+        if is_withdrawable:
+            self._withdrawable.add(progress.key)
         self._uncommitted[progress.key] = progress
         self._wake.set()
 
@@ -119,6 +132,14 @@
             self._remove(progress.job_id, progress.stored.item_id)
         return released
 
+    def withdraw(self, job_id: str) -> list[ItemProgress]:
+        """Remove and return a job's withdrawable items not written yet."""
+        keys = [key for key in self._withdrawable if key[0] == job_id]
+        withdrawn = [self._uncommitted[key] for key in keys]
+        for _, item_id in keys:
+            self._remove(job_id, item_id)
+        return withdrawn
+
     async def run(self) -> None:
         """Write queued results until cancelled."""
         while True:
@@ -275,5 +296,6 @@
         queued = self._pending.get(job_id, {})
         queued.pop(item_id, None)
         self._uncommitted.pop((job_id, item_id), None)
+        self._withdrawable.discard((job_id, item_id))
         if not queued:
             self._pending.pop(job_id, None)
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -1,6 +1,5 @@
 """briarrill.item_runs.scheduler: starts and preempts batch items."""
 
-import math
 import time
 from collections.abc import Callable
 
@@ -19,6 +18,7 @@
 from .item import ItemProgress, RunEnd, RunningItem
 from .item_order import ItemOrder, StartableItem
 from .item_runner import ItemRunner
+from .job_expiry import JobExpiry
 from .local_items import LocalItems
 from .result_commits import Committer
 from .slots import FreeSlots
@@ -32,9 +32,6 @@
 # one, and a pass over hundreds of waiting items takes a millisecond or more
 MIN_PASS_INTERVAL_S = 0.02
 
-# time between two checks for expired jobs
-EXPIRY_CHECK_INTERVAL_S = 1.0
-
 # delay before the next run of an item after a rejection or a failure
 REJECTED_RETRY_DELAY_S = 0.1
 FAILED_RETRY_DELAY_S = 0.3
@@ -44,6 +41,10 @@
 UNEXPECTED_RETRY_DELAY_S = 1.0
 
 
+def _is_always_allowed() -> bool:
+    return True
+
+
 class Scheduler:
     """Runs the items of stored jobs in slots free of online requests.
 
@@ -77,7 +78,9 @@
         self._suspended = handover.suspended
         self._running = self.local_items.running
         self._wake = trio.Event()
-        self._expiry_checked_at = -math.inf
+        self._expiry = JobExpiry(
+            jobs, self._item_order, committer, self.local_items
+        )
 
     def wake(self) -> None:
         """Request a scheduling pass."""
@@ -93,8 +96,16 @@
         for running in list(self._running.values()):
             running.preempt()
 
-    async def run(self, routes: Callable[[], RouteTable | None]) -> None:
-        """Make scheduling passes until cancelled."""
+    async def run(
+        self,
+        routes: Callable[[], RouteTable | None],
+        may_expire_jobs: Callable[[], bool] = _is_always_allowed,
+    ) -> None:
+        """Make scheduling passes until cancelled.
+
+        :param may_expire_jobs: whether the routes are the newest, as far as
+            this process can tell.
+        """
         async with trio.open_nursery() as nursery:
             while True:
                 with trio.move_on_after(MAX_PASS_INTERVAL_S):
@@ -102,10 +113,15 @@
                 self._wake = trio.Event()
                 table = routes()
                 if table is not None:
-                    self._make_pass(table, nursery)
+                    self._make_pass(table, nursery, may_expire_jobs())
                 await trio.sleep(MIN_PASS_INTERVAL_S)
 
-    def _make_pass(self, routes: RouteTable, nursery: trio.Nursery) -> None:
+    def _make_pass(
+        self,
+        routes: RouteTable,
+        nursery: trio.Nursery,
+        may_expire_jobs: bool,
+    ) -> None:
         """Make one pass: stop, preempt, expire and start items."""
         self._cancel_finished()
         self._preempt_duplicates()
@@ -114,12 +130,8 @@
             return
         self._update_estimates(routes)
         self._preempt_for_online()
-        if (
-            time.monotonic() - self._expiry_checked_at
-            >= EXPIRY_CHECK_INTERVAL_S
-        ):
-            self._expiry_checked_at = time.monotonic()
-            self._expire_jobs(routes)
+        if may_expire_jobs:
+            self._expiry.check_if_due(routes)
         if not self.is_draining and self._slots.may_start_items():
             self._start_items(routes, nursery)
 
@@ -189,23 +201,6 @@
                 running.preempt()
                 PREEMPTED.inc()
 
-    def _expire_jobs(self, routes: RouteTable) -> None:
-        """Mark the open items of expired jobs as failed."""
-        for tracked in self._jobs.tracked_jobs:
-            if tracked.is_open and self._item_order.is_expired(
-                tracked, routes
-            ):
-                self._expire_items(tracked)
-
-    def _expire_items(self, tracked: TrackedJob) -> None:
-        """Queue an errored result for each open item of a job."""
-        for item_id, stored in tracked.items.items():
-            if item_id in tracked.finished_item_ids:
-                continue
-            if not self._committer.has_pending(tracked.job_id, item_id):
-                progress = ItemProgress(tracked.job_id, stored)
-                self._queue_result(progress, ItemState.ERRORED, 'over')
-
     def _start_items(self, routes: RouteTable, nursery: trio.Nursery) -> None:
         """Start waiting items in order of urgency while slots are free."""
         routes_with_slots = set(
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -11,6 +11,7 @@
 from ..item_runs.slots import FreeSlots
 from ..state.checkpoint_file import CheckpointFile
 from ..state.keys import ROOT_PREFIX
+from .configuration import OPERATOR_PREFIX
 from .process_parts import (
     ProcessParts,
     open_parts,
@@ -60,7 +61,9 @@
             nursery.start_soon(watch_signals, parts.readiness)
             nursery.start_soon(committer.run)
             nursery.start_soon(
-                scheduler.run, lambda: parts.routing_configuration.routes
+                scheduler.run,
+                lambda: parts.routing_configuration.routes,
+                lambda: not parts.mirrors[OPERATOR_PREFIX].is_behind,
             )
             nursery.start_soon(retirement.run)
             if cfg.data_dir is not None:
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -129,6 +129,7 @@
             job_id=job_id,
             last_event_id=_last_event_id(head),
             resumed_id=_resumed_id(head),
+            config_version=routes.version,
         )
 
     def caller(self, head: RequestHead) -> str:
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -140,6 +140,7 @@
             host=intent.route.host,
             submitted_at=time.time(),
             items=submitted_items,
+            config_version=intent.config_version,
         )
         changes = self._creation_changes(job)
         tokens = sum(submitted.tokens for submitted in submitted_items)
--- a/briarrill/state/stored_jobs.py
+++ b/briarrill/state/stored_jobs.py
@@ -65,6 +65,8 @@
 
     :param route: name of the route that received it.
     :param submitted_at: Unix time by the clock of the receiving instance.
+    :param config_version: version of the configuration under which it was
+        accepted, 0 if it is not known.
     """
 
     job_id: str
@@ -72,6 +74,7 @@
     host: str
     submitted_at: float
     items: tuple[StoredItem, ...]
+    config_version: int = 0
 
 
 @attrs.frozen
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -102,6 +102,7 @@
             job,
             route=BATCH_ROUTE.name,
             host=BATCH_ROUTE.host,
+            config_version=fields.pop('config_version', 0),
             items=tuple(
                 attrs.evolve(stored, headers=headers) for stored in job.items
             ),
@@ -296,6 +297,21 @@
         assert setup.committer.is_idle
 
 
+async def test_job_waits_for_the_routes_that_it_was_accepted_under(
+    run_scheduler,
+):
+    """Older ones do not have its route, and its items were given up."""
+    async with run_scheduler(stream_events(3)) as (setup, engine):
+        setup.routes = RouteTable(7, ())
+        tracked = await setup.submit(2, config_version=8)
+        await trio.sleep(2)
+        assert not tracked.results
+        setup.routes = RouteTable(8, (BATCH_ROUTE,))
+        await _wait_until(lambda: tracked.is_finished)
+        states = {one.state for one in tracked.results}
+    assert states == {ItemState.COMPLETED}
+
+
 async def test_expired_item_is_committed_as_errored(run_scheduler):
     async with run_scheduler(reject_unexecuted()) as (setup, _):
         at = (
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -62,6 +62,13 @@
     assert PROTOCOL.prompt_parts(_head('POST', '/streaming/a')) == ()
 
 
+@pytest.mark.parametrize('target', ['/streaming/a', '/batch/j1'])
+def test_intent_names_the_version_of_the_routes(target):
+    routes = RouteTable(8, ROUTES.routes)
+    intent = PROTOCOL.read_intent(_head('POST', target), routes)
+    assert intent.config_version == 8
+
+
 @pytest.mark.parametrize(
     ('method', 'target', 'kind'),
     [
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -81,13 +81,19 @@
         """Let a mirror tell whether the table is behind."""
         self._handler.is_behind = lambda: mirror.is_behind
 
-    async def submit(self, job_id='j1', tokens=10, route=BATCH_ROUTE):
+    async def submit(
+        self, job_id='j1', tokens=10, route=BATCH_ROUTE, config_version=0
+    ):
         body = (
             b'{"items":[{"id":"e","path":"/p","headers":{},"body":"",'
             b'"tokens":%d}]}' % tokens
         )
         return await self(
-            IntentKind.SUBMIT_JOB, body, job_id=job_id, route=route
+            IntentKind.SUBMIT_JOB,
+            body,
+            job_id=job_id,
+            route=route,
+            config_version=config_version,
         )
 
     async def _has_latest_results(self):
@@ -112,6 +118,14 @@
     assert service.revision == 1
 
 
+async def test_stored_job_names_the_configuration_that_accepted_it(service):
+    entry = EntryHandler(service)
+    await entry.submit(config_version=8)
+    reader = JobTable(service)
+    await reader.read('j1')
+    assert reader.find('j1').job.config_version == 8
+
+
 async def test_job_above_route_token_limit_is_rejected_everywhere(service):
     first_entry, second_entry = EntryHandler(service), EntryHandler(service)
     await first_entry.submit(tokens=900)
