Recognize requests about jobs whatever their route has become

Cause: callers got 404 for a job whose results they had read, once the configuration had no batch route at its host. Paths of jobs were recognized only beside a batch route; else they were matched with the online routes. A submission that came again was refused, or sent to the service that had taken the prefix.

Change: a request about a job is recognized by the job, if it is known, and looked up in the store if no online route takes the request. Intents of such requests have no route. A lookup costs the entry one dictionary access a request; no call to the store is added for requests that match a route.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -182,6 +182,15 @@
         tracked = self._jobs.get(job_id)
         return tracked if tracked is not None and tracked.job else None
 
+    def is_job_of_host(self, job_id: str, host: str) -> bool:
+        """Whether a job that was submitted to a host is in the table."""
+        tracked = self.find(job_id)
+        return (
+            tracked is not None
+            and tracked.job is not None
+            and tracked.job.host == host
+        )
+
     def unfinished_tokens(
         self, route: str, *, stored_within_s: float = math.inf
     ) -> int:
--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -6,17 +6,28 @@
 
 import abc
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
-from ..errors import BriarrillError
+from ..errors import BriarrillError, NotFoundError
 from ..state.stored_jobs import StoredItem, StoredResult
 from ..transport.http_messages import Headers, RequestHead, ResponseHead
 from .routes import Route, RouteTable
 from .upstream_table import RegisteredUpstream
 
-__all__ = ('Call', 'Intent', 'IntentKind', 'JobProtocol', 'RelayProtocol')
+__all__ = (
+    'Call',
+    'Intent',
+    'IntentKind',
+    'IsJob',
+    'JobProtocol',
+    'RelayProtocol',
+)
+
+
+#: Tells by its identifier and host whether a job is known to be stored.
+IsJob = Callable[[str, str], bool]
 
 
 class IntentKind(enum.Enum):
@@ -34,6 +45,8 @@
     """The parsed head of a caller's request.
 
     :param request_id: the caller's identifier of this attempt.
+    :param route: route in force, none for a request about a stored job, which
+        outlives its route.
     :param time_left_s: time until the caller gives up, infinite if unknown.
     :param job_id: the requested job, empty for forwarded requests.
     :param item_id: the requested item, empty for none.
@@ -47,7 +60,7 @@
 
     kind: IntentKind
     request_id: str
-    route: Route
+    route: Route | None
     time_left_s: float
     job_id: str = ''
     item_id: str = ''
@@ -57,6 +70,17 @@
     resumed_id: str = ''
     config_version: int = 0
 
+    def require_route(self) -> Route:
+        """Return the route.
+
+        :raises NotFoundError: there is none.
+        """
+        if self.route is None:
+            raise NotFoundError(
+                f'no route in force for request {self.request_id!r}'
+            )
+        return self.route
+
 
 @attrs.frozen
 class Call:
@@ -96,9 +120,14 @@
         """
 
     @abc.abstractmethod
-    def read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
+    def read_intent(
+        self, head: RequestHead, routes: RouteTable, is_job: IsJob
+    ) -> Intent:
         """Parse the head of a caller's request.
 
+        A request about a stored job is recognized whatever has become of the
+        job's route.
+
         :raises NotFoundError: no route matches.
         :raises BadRequestError: a header is missing or malformed.
         """
--- a/briarrill/coordination/routes.py
+++ b/briarrill/coordination/routes.py
@@ -100,10 +100,18 @@
 
         :raises NotFoundError: no route matches.
         """
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        raise NotFoundError(f'no route for {host}{path}')
+        route = self.match(host, path)
+        if route is None:
+            raise NotFoundError(f'no route for {host}{path}')
+        return route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the host's route with the longest prefix that matches."""
+        return _first(
+            route
+            for route in self._by_host.get(host, ())
+            if path.startswith(route.prefix)
+        )
 
     def routes_of_host(self, host: str, kind: RouteKind) -> list[Route]:
         """Return the host's routes of a kind."""
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -98,6 +98,7 @@
         routes=lambda: parts.routing_configuration.routes,
         forwarder=forwarder,
         serve_job_request=job_handler.serve,
+        is_job=counts.jobs.is_job_of_host,
         readiness=parts.readiness,
         rng=rng,
     )
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -10,9 +10,10 @@
     Call,
     Intent,
     IntentKind,
+    IsJob,
     RelayProtocol,
 )
-from ..coordination.routes import Route, RouteKind, RouteTable
+from ..coordination.routes import RouteKind, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream
 from ..decoding import find_whole_number, json_decoder
 from ..errors import (
@@ -95,31 +96,27 @@
         attempt_id = find_header(head.headers, _ATTEMPT_ID)
         return '' if attempt_id is None else attempt_id.decode(_CHARSET)
 
-    def read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
+    def read_intent(
+        self, head: RequestHead, routes: RouteTable, is_job: IsJob
+    ) -> Intent:
         """Return the operation and parameters of a request.
 
         :raises NotFoundError: no route or operation matches.
         :raises BadRequestError: a header or parameter is missing or invalid.
         """
-        host = _required_header(head, b'host')
-        path = head.path
-        for prefix, read in (
-            (_JOBS_PATH, _read_job_request),
-            (_ITEMS_PATH, _read_item_request),
-        ):
-            batch_routes = routes.routes_of_host(host, RouteKind.BATCH)
-            if path.startswith(prefix) and batch_routes:
-                return read(head, batch_routes[0], path.removeprefix(prefix))
-        route = routes.find(host, path)
+        host = _required_header(head, _HOST)
+        job_request = _read_job_request(head, host, routes, is_job)
+        if job_request is not None:
+            return job_request
+        route = routes.find(host, head.path)
         request_id = _required_header(head, _ATTEMPT_ID)
+        kind, job_id = IntentKind.FORWARD, ''
         if route.kind is RouteKind.BATCH:
             if head.method != b'POST':
                 raise NotFoundError(
-                    f'method {head.method!r} is not allowed for {path}'
+                    f'method {head.method!r} is not allowed for {head.path}'
                 )
             kind, job_id = IntentKind.SUBMIT_JOB, request_id
-        else:
-            kind, job_id = IntentKind.FORWARD, ''
         return Intent(
             kind=kind,
             request_id=request_id,
@@ -274,16 +271,51 @@
     return int(start) if start.isdigit() and int(start) else None
 
 
-def _read_job_request(head: RequestHead, route: Route, rest: str) -> Intent:
+def _read_job_request(
+    head: RequestHead, host: str, routes: RouteTable, is_job: IsJob
+) -> Intent | None:
+    """Read a request about a job that may be stored, else return nothing.
+
+    What is stored outlives its route, so it is recognized by the job. A job
+    that this process does not know may be stored too, if the host has jobs
+    or no online route takes the request, which needs an identifier.
+
+    :raises NotFoundError: the method is not allowed.
+    :raises BadRequestError: a parameter is invalid.
+    """
+    route = routes.match(host, head.path)
+    request_id = find_header(head.headers, _ATTEMPT_ID)
+    for prefix, read in (
+        (_JOBS_PATH, _read_results_request),
+        (_ITEMS_PATH, _read_item_request),
+    ):
+        if not head.path.startswith(prefix):
+            continue
+        job_id = unquote(head.path.removeprefix(prefix))
+        if (
+            route is None
+            or request_id is None
+            or is_job(job_id, host)
+            or routes.routes_of_host(host, RouteKind.BATCH)
+        ):
+            return read(head, job_id)
+    if head.method != b'POST' or request_id is None:
+        return None
+    job_id = request_id.decode(_CHARSET)
+    if not is_job(job_id, host):
+        return None
+    return _make_job_intent(IntentKind.SUBMIT_JOB, head, job_id)
+
+
+def _read_results_request(head: RequestHead, job_id: str) -> Intent:
     """Read a request to end a job or to read its results.
 
     :raises NotFoundError: the method is another one.
     :raises BadRequestError: the position is no whole number.
     """
-    job_id = unquote(rest)
     query = _query(head)
     if head.method == b'DELETE':
-        return _make_job_intent(IntentKind.END_JOB, head, route, job_id)
+        return _make_job_intent(IntentKind.END_JOB, head, job_id)
     if head.method != b'GET':
         raise NotFoundError(f'method {head.method!r} is not allowed for jobs')
     after = query.get('after', '0')
@@ -293,11 +325,11 @@
             f'query parameter "after" must be a whole number, not {after!r}'
         )
     return _make_job_intent(
-        IntentKind.READ_RESULTS, head, route, job_id, position=position
+        IntentKind.READ_RESULTS, head, job_id, position=position
     )
 
 
-def _read_item_request(head: RequestHead, route: Route, rest: str) -> Intent:
+def _read_item_request(head: RequestHead, job_id: str) -> Intent:
     """Read a request for the body of an item.
 
     :raises NotFoundError: the method is not GET.
@@ -307,8 +339,7 @@
     return _make_job_intent(
         IntentKind.READ_ITEM,
         head,
-        route,
-        unquote(rest),
+        job_id,
         item_id=_query(head).get('id', ''),
     )
 
@@ -316,7 +347,6 @@
 def _make_job_intent(
     kind: IntentKind,
     head: RequestHead,
-    route: Route,
     job_id: str,
     *,
     item_id: str = '',
@@ -327,7 +357,7 @@
     return Intent(
         kind=kind,
         request_id=attempt_id.decode(_CHARSET),
-        route=route,
+        route=None,
         time_left_s=_numeric_header(head, _DEADLINE_MS, math.inf) / _MS_PER_S,
         job_id=job_id,
         item_id=item_id,
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -14,6 +14,7 @@
     Call,
     Intent,
     IntentKind,
+    IsJob,
     RelayProtocol,
 )
 from ..coordination.routes import RouteTable
@@ -42,6 +43,7 @@
     :param routes: returns the routes in force, nothing before the first
         configuration.
     :param serve_job_request: serves the requests about batch jobs.
+    :param is_job: tells which jobs are known to be stored.
     :param active_requests: requests that are being served.
     """
 
@@ -49,6 +51,7 @@
     routes: Callable[[], RouteTable | None]
     forwarder: Forwarder
     serve_job_request: ServeJobRequest
+    is_job: IsJob
     readiness: Readiness
     rng: random.Random
     active_requests: int = 0
@@ -140,7 +143,7 @@
                 'the entry has no configuration yet',
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
-        intent = self.protocol.read_intent(head, routes)
+        intent = self.protocol.read_intent(head, routes, self.is_job)
         return intent, await conn.read_body(head)
 
     async def _dispatch(
@@ -182,11 +185,12 @@
         arrived_at: float,
     ) -> Call:
         """Return the call to forward, with service and deadline chosen."""
-        remaining_s = min(intent.time_left_s, intent.route.timeout_s)
+        route = intent.require_route()
+        remaining_s = min(intent.time_left_s, route.timeout_s)
         return Call(
             request_id=intent.request_id,
-            route=intent.route,
-            service=intent.route.choose_service(self.rng),
+            route=route,
+            service=route.choose_service(self.rng),
             head=head,
             body=body,
             deadline_s=arrived_at + (remaining_s or math.inf),
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -134,10 +134,11 @@
                 f'job has {len(submitted_items)} items,'
                 f' not 1 to {MAX_JOB_ITEMS}'
             )
+        route = intent.require_route()
         job = StoredJob(
             job_id=intent.job_id,
-            route=intent.route.name,
-            host=intent.route.host,
+            route=route.name,
+            host=route.host,
             submitted_at=time.time(),
             items=submitted_items,
             config_version=intent.config_version,
@@ -145,7 +146,7 @@
         changes = self._creation_changes(job)
         tokens = sum(submitted.tokens for submitted in submitted_items)
         try:
-            await self._check_token_limit(intent.route, tokens)
+            await self._check_token_limit(route, tokens)
         except (BatchItemsLimitError, NotReadyError):
             # another entry may have stored the job
             if await self.jobs.read(job.job_id) is None:
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -53,12 +53,16 @@
 
 @attrs.define
 class Fleet:
-    """A running entry and batch process with stand-in store and engine."""
+    """A running entry and batch process with stand-in store and engine.
+
+    :param entry: last number of the address of the entry that is called.
+    """
 
     network: str
     store: StandinStore
     engine: StandinEngine
     processes: dict
+    entry: int = 2
 
     async def send_request(self, method, target, body=b'', **headers):
         """Send a request to the entry; return status and body."""
@@ -75,7 +79,7 @@
             ),
         )
         return await send_request_to(
-            (f'{self.network}.2', FRONT_PORT), head, body
+            (f'{self.network}.{self.entry}', FRONT_PORT), head, body
         )
 
     async def read_results(self, job_id, count):
--- a/tests/platform/test_relay_protocol.py
+++ b/tests/platform/test_relay_protocol.py
@@ -3,6 +3,7 @@
 import json
 import math
 
+import attrs
 import h11
 import pytest
 
@@ -41,6 +42,18 @@
     )
 
 
+def _read(head, routes=ROUTES, jobs=()):
+    """Read a request where some jobs are known to be stored.
+
+    :param jobs: their identifiers, all of the host that has the routes.
+    """
+    return PROTOCOL.read_intent(
+        head,
+        routes,
+        lambda job_id, host: job_id in jobs and host == BATCH_ROUTE.host,
+    )
+
+
 @pytest.mark.parametrize(
     ('listed', 'expected'),
     [
@@ -65,7 +78,7 @@
 @pytest.mark.parametrize('target', ['/streaming/a', '/batch/j1'])
 def test_intent_names_the_version_of_the_routes(target):
     routes = RouteTable(8, ROUTES.routes)
-    intent = PROTOCOL.read_intent(_head('POST', target), routes)
+    intent = _read(_head('POST', target), routes)
     assert intent.config_version == 8
 
 
@@ -80,18 +93,85 @@
     ],
 )
 def test_method_and_path_determine_intent_kind(method, target, kind):
-    intent = PROTOCOL.read_intent(_head(method, target), ROUTES)
+    intent = _read(_head(method, target))
     assert intent.kind is kind
     if kind is not IntentKind.FORWARD and '/j1' in target:
         assert intent.job_id in {'j1', 'r1'}
 
 
+# what has become of the only batch route of a host, and of its prefix
+CATCH_ALL = attrs.evolve(STREAM_ROUTE, name='all', prefix='/')
+REPLACED = attrs.evolve(STREAM_ROUTE, name='new', prefix=BATCH_ROUTE.prefix)
+MOVED = attrs.evolve(BATCH_ROUTE, host='other.example')
+CHANGED_ROUTES = {
+    'removed': RouteTable(2, (STREAM_ROUTE,)),
+    'last of its host': RouteTable(2, (MOVED,)),
+    'no routes': RouteTable(2, ()),
+    'replaced': RouteTable(2, (REPLACED,)),
+    'taken by a prefix of all': RouteTable(2, (CATCH_ALL,)),
+}
+JOB_REQUESTS = {
+    IntentKind.READ_RESULTS: ('GET', '/lots/j1?after=2'),
+    IntentKind.END_JOB: ('DELETE', '/lots/j1'),
+    IntentKind.READ_ITEM: ('GET', '/items/j1?id=e5'),
+}
+
+
+@pytest.mark.parametrize('kind', JOB_REQUESTS)
+@pytest.mark.parametrize('change', CHANGED_ROUTES)
+@pytest.mark.parametrize('has_id', [True, False])
+@pytest.mark.parametrize('jobs', [('j1',), ()])
+def test_request_about_a_job_outlives_its_route(kind, change, has_id, jobs):
+    """Unless the job is not known and an online route takes the request."""
+    head = _head(*JOB_REQUESTS[kind])
+    if not has_id:
+        head = attrs.evolve(head, headers=head.headers[:1])
+    intent = _read(head, CHANGED_ROUTES[change], jobs)
+    if change.startswith('taken') and has_id and not jobs:
+        assert intent.kind is IntentKind.FORWARD
+    else:
+        assert (intent.kind, intent.job_id) == (kind, 'j1')
+        assert intent.route is None
+
+
+@pytest.mark.parametrize('change', CHANGED_ROUTES)
+def test_job_that_comes_again_outlives_its_route(change):
+    """Its caller lost the response, and asks until it gets one."""
+    head = _head('POST', '/batch/x', briarrill_attempt_id='j1')
+    intent = _read(head, CHANGED_ROUTES[change], ('j1',))
+    assert (intent.kind, intent.job_id) == (IntentKind.SUBMIT_JOB, 'j1')
+    with pytest.raises(NotFoundError):
+        intent.require_route()
+
+
+@pytest.mark.parametrize('change', CHANGED_ROUTES)
+def test_request_with_another_id_is_taken_for_no_job(change):
+    head = _head('POST', '/batch/x', briarrill_attempt_id='j2')
+    routes = CHANGED_ROUTES[change]
+    if routes.match(BATCH_ROUTE.host, head.path) is None:
+        with pytest.raises(NotFoundError):
+            _read(head, routes, ('j1',))
+    else:
+        intent = _read(head, routes, ('j1',))
+        assert intent.kind is IntentKind.FORWARD
+
+
+def test_job_of_another_host_is_no_job_here():
+    head = _head('POST', '/streaming/x', briarrill_attempt_id='j1')
+    here = attrs.evolve(STREAM_ROUTE, host='other.example')
+    headers = ((b'host', b'other.example'), *head.headers[1:])
+    intent = _read(
+        attrs.evolve(head, headers=headers), RouteTable(1, (here,)), ('j1',)
+    )
+    assert intent.kind is IntentKind.FORWARD
+
+
 def test_read_request_parses_position_wait_and_item():
     head = _head('GET', '/lots/j1?after=12', briarrill_wait_ms='5000')
-    intent = PROTOCOL.read_intent(head, ROUTES)
+    intent = _read(head)
     assert (intent.position, intent.wait_s) == (12, 1)
     head = _head('GET', '/items/j1?id=e%2F5')
-    assert PROTOCOL.read_intent(head, ROUTES).item_id == 'e/5'
+    assert _read(head).item_id == 'e/5'
 
 
 @pytest.mark.parametrize(
@@ -120,7 +200,7 @@
 )
 def test_invalid_request_raises_error(method, target, headers, error):
     with pytest.raises(error):
-        PROTOCOL.read_intent(_head(method, target, **headers), ROUTES)
+        _read(_head(method, target, **headers))
 
 
 def test_upstream_request_sets_and_filters_headers():
@@ -245,7 +325,7 @@
         head.target,
         tuple((name.replace(b'_', b'-'), text) for name, text in head.headers),
     )
-    intent = PROTOCOL.read_intent(head, ROUTES)
+    intent = _read(head)
     assert (intent.resumed_id, intent.last_event_id) == ('r0', 4)
-    fresh = PROTOCOL.read_intent(_head('POST', '/streaming/a'), ROUTES)
+    fresh = _read(_head('POST', '/streaming/a'))
     assert fresh.resumed_id == ''
--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -120,6 +120,7 @@
         routes=lambda: table,
         forwarder=forwarder,
         serve_job_request=_no_jobs,
+        is_job=lambda job_id, host: False,
         readiness=Readiness(),
         rng=random.Random(1),
     )
