Refuse requests without a route with 503 while routes may be old

Cause: found on the paths beside the jobs that were given up under old routes. An entry that is known to be behind the configuration or the jobs of its peers answered 404 for a route that the others have. A caller does not repeat a request after 404.

It stays 404 otherwise.

Result: test_unknown_route_is_no_refusal_for_good_while_routes_may_be_old failed before (404) and passes.

--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -99,6 +99,9 @@
         forwarder=forwarder,
         serve_job_request=job_handler.serve,
         is_job=counts.jobs.is_job_of_host,
+        is_behind=lambda: (
+            mirror.is_behind or parts.mirrors[OPERATOR_PREFIX].is_behind
+        ),
         readiness=parts.readiness,
         rng=rng,
     )
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -18,7 +18,12 @@
     RelayProtocol,
 )
 from ..coordination.routes import RouteTable
-from ..errors import BriarrillError, DrainingError, NotReadyError
+from ..errors import (
+    BriarrillError,
+    DrainingError,
+    NotFoundError,
+    NotReadyError,
+)
 from ..metrics import CANCELLED, REFUSED
 from ..protocol.request_keys import request_key
 from ..readiness import Readiness
@@ -30,7 +35,8 @@
 
 __all__ = ('FrontEnd', 'ServeJobRequest')
 
-# Retry-After of an instance that has no configuration yet or is draining
+# Retry-After of an instance that is draining, has no configuration yet, or may
+# lack what it was asked for
 NOT_READY_RETRY_AFTER_S = 0.3
 
 ServeJobRequest = Callable[[Intent, bytes, CallerConnection], Awaitable[None]]
@@ -44,6 +50,8 @@
         configuration.
     :param serve_job_request: serves the requests about batch jobs.
     :param is_job: tells which jobs are known to be stored.
+    :param is_behind: whether this process may lack routes or jobs that others
+        know.
     :param active_requests: requests that are being served.
     """
 
@@ -52,6 +60,7 @@
     forwarder: Forwarder
     serve_job_request: ServeJobRequest
     is_job: IsJob
+    is_behind: Callable[[], bool]
     readiness: Readiness
     rng: random.Random
     active_requests: int = 0
@@ -143,9 +152,26 @@
                 'the entry has no configuration yet',
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
-        intent = self.protocol.read_intent(head, routes, self.is_job)
+        intent = self._read_intent(head, routes)
         return intent, await conn.read_body(head)
 
+    def _read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
+        """Determine what the caller requests.
+
+        :raises NotReadyError: others may know the route.
+        :raises NotFoundError: there is no route.
+        :raises BadRequestError: a header is missing or malformed.
+        """
+        try:
+            return self.protocol.read_intent(head, routes, self.is_job)
+        except NotFoundError as exc:
+            if not self.is_behind():
+                raise
+            raise NotReadyError(
+                f'{exc.message} in version {routes.version}, which may be old',
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            ) from exc
+
     async def _dispatch(
         self,
         conn: CallerConnection,
--- a/tests/relay/front_end_setup.py
+++ b/tests/relay/front_end_setup.py
@@ -121,6 +121,7 @@
         forwarder=forwarder,
         serve_job_request=_no_jobs,
         is_job=lambda job_id, host: False,
+        is_behind=bool,
         readiness=Readiness(),
         rng=random.Random(1),
     )
--- a/tests/relay/test_front_end.py
+++ b/tests/relay/test_front_end.py
@@ -1,5 +1,7 @@
 """Tests of the front end: routing, rejections, disconnects and draining."""
 
+from functools import partial
+
 import attrs
 import trio
 from eliot import add_destinations, remove_destination
@@ -26,6 +28,22 @@
     assert engine.requests == []
 
 
+async def test_unknown_route_is_no_refusal_for_good_while_routes_may_be_old():
+    """A caller that is told "not found" does not come again."""
+    engine = StandinEngine(respond_with(b'ok'))
+    async with run_front_end([NON_IDEMPOTENT], engine) as setup:
+        setup.front.is_behind = partial(bool, 1)
+        status, headers, _ = await setup.send_request('/elsewhere/')
+        assert status == 503
+        assert float(headers[b'retry-after']) > 0
+        status, _, _ = await setup.send_request(NON_IDEMPOTENT.prefix)
+        assert status == 200
+        setup.front.is_behind = bool
+        status, _, _ = await setup.send_request('/elsewhere/')
+    assert status == 404
+    assert len(engine.requests) == 1
+
+
 async def test_rejection_of_unknown_route_logs_the_request_id():
     lines = []
     add_destinations(lines.append)
