End each request of a planned stop with a complete answer

Cause: callers of a stopping entry lost requests whose bodies came slowly, among them some that may not be repeated. Whether the entry takes requests was checked at the head alone, so a body that was whole late in the grace time was passed on, and all that still ran was cancelled 0.5 s before the kill without an answer. Requests that waited for an upstream or the store ended alike.

Change: a request may begin until it could no longer end in time, given its own time limit; then a body that is still arriving gets 503. What runs at the end gets a complete error: 503 if no upstream has it, else 502, and no refusal of an earlier attempt. A body that is not whole by the deadline of its request is refused with 503 also without a stop.

--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -16,6 +16,7 @@
     BriarrillError,
     DeadlineExceededError,
     DeadlineUnreachableError,
+    DrainingError,
     OutcomeUnknownError,
     OverloadedError,
     QuarantinedError,
@@ -93,6 +94,18 @@
             return exc
         return OutcomeUnknownError(exc.message, ran=self.ran)
 
+    def mark_cancelled_run(self) -> None:
+        """Record that an attempt was cancelled after it was sent."""
+        if self.ran is Ran.NO:
+            self.ran = Ran.UNKNOWN
+
+    def cut_off_error(self) -> BriarrillError:
+        """Return the caller's error for a request that a stop ends."""
+        message = 'the entry stops before the response is complete'
+        if self.ran is Ran.NO:
+            return DrainingError(message, retry_after_s=MIN_RETRY_AFTER_S)
+        return OutcomeUnknownError(message, ran=self.ran)
+
     def quarantine_error(self, exc: QuarantinedError) -> BriarrillError:
         """Return the caller's error for a request that is held back."""
         if self.ran is Ran.NO:
--- a/briarrill/relay/drain.py
+++ b/briarrill/relay/drain.py
@@ -13,9 +13,12 @@
 # failed checks; the rest is a margin for requests already on their way
 BALANCER_NOTICE_S = 2.6
 
-# requests still running this long before the kill are cut off
+# requests still running this long before the kill are ended
 CUT_OFF_MARGIN_S = 0.5
 
+# the process ends this long before the kill, with its last errors sent
+END_MARGIN_S = 0.2
+
 DRAIN_POLL_INTERVAL_S = 0.02
 
 # time for the last bytes of a response to reach the network
@@ -28,13 +31,14 @@
     """Serve until the balancer has removed this instance, then finish.
 
     Requests in progress may end; new ones are rejected until the last one
-    has ended. Then no more connections are accepted, and those that are open
-    end after the request that is arriving on them.
+    has ended, and so are those that are still arriving when they could not
+    end in time. Then no more connections are accepted, and those that are
+    open end after the request that is arriving on them.
 
     :param grace_s: time until the process is killed.
     """
-    front.announce_close()
-    with trio.move_on_after(grace_s - CUT_OFF_MARGIN_S):
+    front.begin_stop(BALANCER_NOTICE_S, grace_s - CUT_OFF_MARGIN_S)
+    with trio.move_on_after(grace_s - END_MARGIN_S):
         await trio.sleep(BALANCER_NOTICE_S)
         front.readiness.reject_work()
         front.close_idle()
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -113,24 +113,32 @@
         self._placer = Placer(upstreams, load, rng)
         self._streams = StreamPlaces(protocol, upstreams, load.origins)
 
-    async def forward(self, call: Call, response: Response) -> None:
+    async def forward(
+        self, call: Call, response: Response, cut_off: trio.CancelScope
+    ) -> None:
         """Forward a call and relay the upstream's response to the caller.
 
+        :param cut_off: scope that limits it beside the call's deadline.
         :raises BriarrillError: no further attempt is allowed; a part of
             the response may have been sent.
         """
         progress = CallProgress()
         began_at = time.monotonic()
         self._budgets.record_request(call.route.name)
-        response.origin = await self._streams.origin_of(call)
-        call = self._streams.call_at(call, response.origin)
         try:
-            await self._attempt_until_done(call, response, progress)
+            with cut_off:
+                response.origin = await self._streams.origin_of(call)
+                call = self._streams.call_at(call, response.origin)
+                await self._attempt_until_done(call, response, progress)
         except trio.Cancelled:
             log_caller_left(call, response, progress, began_at)
             raise
         except QuarantinedError as exc:
             raise progress.quarantine_error(exc) from exc
+        if cut_off.cancelled_caught:
+            if progress.ran is not Ran.NO:
+                response.drop_stored_refusal()
+            raise progress.cut_off_error()
         log_if_response_late(call, response, progress, began_at)
 
     async def _attempt_until_done(
@@ -306,6 +314,10 @@
                     upstream, call.prompt_parts, call.request_key
                 ) as run:
                     await self._exchange(attempt, upstream, channel, run)
+            except trio.Cancelled:
+                progress.mark_cancelled_run()
+                channel.close()
+                raise
             except BaseException:
                 channel.close()
                 raise
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -20,9 +20,11 @@
 from ..coordination.routes import RouteTable
 from ..errors import (
     BriarrillError,
+    DeadlineUnreachableError,
     DrainingError,
     NotFoundError,
     NotReadyError,
+    OutcomeUnknownError,
 )
 from ..metrics import CANCELLED, REFUSED
 from ..protocol.request_keys import request_key
@@ -32,6 +34,7 @@
 from ..transport.task_errors import unwrap_single_error
 from .forwarding import Forwarder
 from .response import Response
+from .stop_limits import StopLimits
 
 __all__ = ('FrontEnd', 'ServeJobRequest')
 
@@ -39,6 +42,10 @@
 # lack what it was asked for
 NOT_READY_RETRY_AFTER_S = 0.3
 
+# longest time of a request about a job: a write, directly and through a peer,
+# or a read with the longest wait
+MAX_JOB_REQUEST_S = 4.0
+
 ServeJobRequest = Callable[[Intent, bytes, CallerConnection], Awaitable[None]]
 
 
@@ -53,6 +60,7 @@
     :param is_behind: whether this process may lack routes or jobs that others
         know.
     :param active_requests: requests that are being served.
+    :ivar stop_limits: until when requests may begin and run.
     """
 
     protocol: RelayProtocol
@@ -64,6 +72,7 @@
     readiness: Readiness
     rng: random.Random
     active_requests: int = 0
+    stop_limits: StopLimits = attrs.field(factory=StopLimits, init=False)
     _connections: set[CallerConnection] = attrs.field(factory=set, init=False)
 
     @property
@@ -71,11 +80,16 @@
         """Whether any caller's connection is open."""
         return bool(self._connections)
 
-    def announce_close(self) -> None:
-        """Announce the close in all responses that begin after this.
+    def begin_stop(self, rejects_after_s: float, ends_after_s: float) -> None:
+        """Limit the times of requests, and announce the close.
 
         Responses to requests that arrive in a drain announce it anyway.
+
+        :param rejects_after_s: time after which no request is accepted.
+        :param ends_after_s: time after which those that run are ended.
         """
+        now = trio.current_time()
+        self.stop_limits.begin(now + rejects_after_s, now + ends_after_s)
         for conn in self._connections:
             conn.closes_after_response = True
 
@@ -153,7 +167,27 @@
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
         intent = self._read_intent(head, routes)
-        return intent, await conn.read_body(head)
+        with self._arriving(intent) as scope, scope:
+            return intent, await conn.read_body(head)
+        if self.readiness.is_draining:
+            raise DrainingError(
+                'the entry is draining, and the request could not end in time',
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            )
+        raise DeadlineUnreachableError(
+            'the request was not complete before its deadline'
+        )
+
+    def _arriving(
+        self, intent: Intent
+    ) -> contextlib.AbstractContextManager[trio.CancelScope]:
+        """Limit the time until a request whose head was read may begin."""
+        if intent.kind is not IntentKind.FORWARD:
+            return self.stop_limits.arriving(MAX_JOB_REQUEST_S)
+        timeout_s = intent.require_route().timeout_s or math.inf
+        return self.stop_limits.arriving(
+            min(intent.time_left_s, timeout_s), trio.current_time()
+        )
 
     def _read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
         """Determine what the caller requests.
@@ -186,12 +220,12 @@
         """
         response = Response(conn, self.protocol, intent.last_event_id)
         try:
-            if intent.kind is IntentKind.FORWARD:
-                call = self._make_call(head, intent, body, arrived_at)
-                await self.forwarder.forward(call, response)
-            else:
-                with _log_if_caller_left(intent):
-                    await self.serve_job_request(intent, body, conn)
+            with self.stop_limits.running() as scope:
+                if intent.kind is IntentKind.FORWARD:
+                    call = self._make_call(head, intent, body, arrived_at)
+                    await self.forwarder.forward(call, response, scope)
+                else:
+                    await self._serve_job_request(intent, body, conn, scope)
         except BriarrillError as exc:
             if response.has_begun:
                 # the status is sent, so closing early is the only signal
@@ -203,6 +237,28 @@
             elif not await response.send_stored_failure():
                 await self._send_error(conn, intent.request_id, exc)
 
+    async def _serve_job_request(
+        self,
+        intent: Intent,
+        body: bytes,
+        conn: CallerConnection,
+        cut_off: trio.CancelScope,
+    ) -> None:
+        """Serve a request about a job until it is cut off.
+
+        :raises OutcomeUnknownError: a write was cut off.
+        :raises DrainingError: a read was cut off.
+        """
+        with cut_off, _log_if_caller_left(intent, cut_off):
+            await self.serve_job_request(intent, body, conn)
+        if not cut_off.cancelled_caught:
+            return
+        if intent.kind in {IntentKind.SUBMIT_JOB, IntentKind.END_JOB}:
+            raise OutcomeUnknownError('the entry stops during the write')
+        raise DrainingError(
+            'the entry stops', retry_after_s=NOT_READY_RETRY_AFTER_S
+        )
+
     def _make_call(
         self,
         head: RequestHead,
@@ -249,12 +305,19 @@
 
 
 @contextlib.contextmanager
-def _log_if_caller_left(intent: Intent) -> Iterator[None]:
-    """Log a job request whose caller disconnected before the response."""
+def _log_if_caller_left(
+    intent: Intent, cut_off: trio.CancelScope
+) -> Iterator[None]:
+    """Log a job request whose caller disconnected before the response.
+
+    :param cut_off: the scope whose end is another reason.
+    """
     began_at = time.monotonic()
     try:
         yield
     except trio.Cancelled:
+        if cut_off.cancel_called:
+            raise
         log_message(
             'job:caller-left',
             job=intent.job_id,
