Refuse online requests whose bodies are whole too late in a stop

Whether an entry accepts requests was checked at the head. The time limit of a request begins with its whole body, and the stop waits one time limit after it began to reject: a body that was whole later could outlast it, and its request was cut off.

Change: the check is repeated once the body is whole; the answer is 503, DRAINING, not run.

--- a/briarrill/entry/online_routes.py
+++ b/briarrill/entry/online_routes.py
@@ -27,7 +27,7 @@
 from ..protocol.request_keys import request_key
 from ..tracing import open_action
 from ..transport.http_connection import request_exit_stack
-from .context import Caller, EntryContext, read_body
+from .context import Caller, EntryContext
 from .dispatch import StartedResponse
 from .links import OnlineRequest
 
@@ -67,7 +67,7 @@
     @app.post('/v1/completions')
     async def completions() -> Response:
         caller = ctx.caller()
-        body = await read_body()
+        body = await ctx.read_body_to_run()
         head = parse_completion(body)
         if head.model not in caller.contract.models:
             raise ForbiddenError(
@@ -85,7 +85,7 @@
         caller = ctx.caller()
         if name not in caller.contract.services:
             raise ForbiddenError(f'service {name!r} is not in the contract')
-        body = await read_body()
+        body = await ctx.read_body_to_run()
         return await _relay_request(ctx, caller, name, _service_path(), body)
 
 
--- a/briarrill/entry/request_checks.py
+++ b/briarrill/entry/request_checks.py
@@ -5,14 +5,13 @@
 from quart_trio import QuartTrio
 
 from ..errors import (
-    DrainingError,
     HeadersTooLargeError,
     NotReadyError,
     OverloadedError,
 )
 from ..readiness import Readiness
 from ..transport.http_connection import request_exit_stack
-from .context import EntryContext
+from .context import EntryContext, check_accepts
 
 __all__ = ('add_request_checks',)
 
@@ -75,10 +74,7 @@
         :raises DrainingError: it has stopped accepting them.
         :raises NotReadyError: it has no configuration yet.
         """
-        if self.readiness.rejects_work:
-            raise DrainingError(
-                'the entry is stopping', retry_after_s=REJECTED_RETRY_AFTER_S
-            )
+        check_accepts(self.readiness)
         if not self.readiness.has_started:
             raise NotReadyError(
                 'the entry has no configuration yet',
