Send no body where HTTP allows none

Cause: a HEAD request whose answer was an error of the entry got none: the response was written with a body, which the parser refuses, and the connection closed. The same held for status 204 and 304, and the length of an upstream's response to HEAD was replaced by 0.

Change: send_response leaves the body out for HEAD, 204 and 304, and a response to HEAD keeps the length that it names.

--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -56,6 +56,13 @@
 
 _HTTP_WITHOUT_CHUNKS = b'1.0'
 
+_CONTENT_LENGTH = b'content-length'
+
+_HTTP_NO_CONTENT = 204
+
+# statuses of final responses that have no body
+_BODILESS_STATUSES = frozenset((_HTTP_NO_CONTENT, 304))
+
 # a socket with this option resets its connection when it is closed
 _RESET_WHEN_CLOSED = struct.pack('ii', 1, 0)
 
@@ -95,6 +102,7 @@
         self.closes_after_response = False
         self.has_sent_head = False
         self._has_frame = False
+        self._is_head = False
         self._sock = sock
         self._limits = limits
         self._parser = self._new_parser()
@@ -146,6 +154,7 @@
             ) from exc
         if not isinstance(event, h11.Request):
             return None
+        self._is_head = event.method == b'HEAD'
         return RequestHead(event.method, event.target, tuple(event.headers))
 
     async def read_body(self, head: RequestHead) -> bytes:
@@ -156,7 +165,7 @@
         :raises CallerGoneError: the connection ended within the body.
         """
         limit = self._limits().max_body_bytes
-        length = find_header(head.headers, b'content-length')
+        length = find_header(head.headers, _CONTENT_LENGTH)
         if length is not None and int(length) > limit:
             raise TooLargeError(
                 f'request body of {int(length)} bytes is over {limit} bytes'
@@ -183,11 +192,16 @@
     async def send_response(
         self, status: int, headers: Headers, body: bytes
     ) -> None:
-        """Send a complete response with its ``Content-Length``."""
-        length = (b'content-length', str(len(body)).encode())
-        other_headers = tuple(pair for pair in headers if pair[0] != length[0])
-        raw = self._encode_head(status, (*other_headers, length))
-        raw += self._parser.send(h11.Data(data=body)) or b''
+        """Send a complete response with its ``Content-Length``.
+
+        The body is left out where HTTP allows none.
+        """
+        may_have_body = not self._is_head and status not in _BODILESS_STATUSES
+        raw = self._encode_head(
+            status, _with_length(status, headers, body, is_head=self._is_head)
+        )
+        if may_have_body:
+            raw += self._parser.send(h11.Data(data=body)) or b''
         raw += self._parser.send(h11.EndOfMessage()) or b''
         await self._send(raw)
 
@@ -293,7 +307,7 @@
         self.has_sent_head = True
         self._has_frame = (
             self._parser.their_http_version != _HTTP_WITHOUT_CHUNKS
-            or find_header(headers, b'content-length') is not None
+            or find_header(headers, _CONTENT_LENGTH) is not None
         )
         fields = list(headers)
         if self.closes_after_response:
@@ -314,6 +328,22 @@
             raise CallerGoneError from exc
 
 
+def _with_length(
+    status: int, headers: Headers, body: bytes, *, is_head: bool
+) -> Headers:
+    """Return the headers of a complete response with its length.
+
+    A response to HEAD keeps a length that it has: that of the body which GET
+    would get.
+    """
+    if is_head and find_header(headers, _CONTENT_LENGTH):
+        return headers
+    others = tuple(pair for pair in headers if pair[0] != _CONTENT_LENGTH)
+    if status == _HTTP_NO_CONTENT:
+        return others
+    return (*others, (_CONTENT_LENGTH, str(len(body)).encode()))
+
+
 @attrs.define
 class _Listener:
     """Accepts connections and serves each in a task of its own."""
