Match a request's route once, and read its time limit in one place

Each request was matched with the routes of its host twice, which costs an entry with hundreds of routes; and a deadline of 0 stood for no limit when the call was made, but for an immediate end while its body arrived.

--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -283,7 +283,6 @@
     :raises NotFoundError: the method is not allowed.
     :raises BadRequestError: a parameter is invalid.
     """
-    route = routes.match(host, head.path)
     request_id = find_header(head.headers, _ATTEMPT_ID)
     for prefix, read in (
         (_JOBS_PATH, _read_results_request),
@@ -293,10 +292,10 @@
             continue
         job_id = unquote(head.path.removeprefix(prefix))
         if (
-            route is None
-            or request_id is None
+            request_id is None
             or is_job(job_id, host)
             or routes.routes_of_host(host, RouteKind.BATCH)
+            or routes.match(host, head.path) is None
         ):
             return read(head, job_id)
     if head.method != b'POST' or request_id is None:
--- a/briarrill/relay/front_end.py
+++ b/briarrill/relay/front_end.py
@@ -184,9 +184,8 @@
         """Limit the time until a request whose head was read may begin."""
         if intent.kind is not IntentKind.FORWARD:
             return self.stop_limits.arriving(MAX_JOB_REQUEST_S)
-        timeout_s = intent.require_route().timeout_s or math.inf
         return self.stop_limits.arriving(
-            min(intent.time_left_s, timeout_s), trio.current_time()
+            _time_limit_s(intent), trio.current_time()
         )
 
     def _read_intent(self, head: RequestHead, routes: RouteTable) -> Intent:
@@ -268,14 +267,13 @@
     ) -> Call:
         """Return the call to forward, with service and deadline chosen."""
         route = intent.require_route()
-        remaining_s = min(intent.time_left_s, route.timeout_s)
         return Call(
             request_id=intent.request_id,
             route=route,
             service=route.choose_service(self.rng),
             head=head,
             body=body,
-            deadline_s=arrived_at + (remaining_s or math.inf),
+            deadline_s=arrived_at + _time_limit_s(intent),
             last_event_id=intent.last_event_id,
             resumed_id=intent.resumed_id,
             prompt_parts=self.protocol.prompt_parts(head),
@@ -304,6 +302,12 @@
         )
 
 
+def _time_limit_s(intent: Intent) -> float:
+    """Return the time limit of a forwarded request; 0 stands for none."""
+    route = intent.require_route()
+    return min(intent.time_left_s, route.timeout_s) or math.inf
+
+
 @contextlib.contextmanager
 def _log_if_caller_left(
     intent: Intent, cut_off: trio.CancelScope
