Count a response as a success only when it is whole

Callers saw 502 for requests that may not be repeated, for as long as one upstream of a service sent sound heads and broken bodies, and a second attempt for the others.

Cause: the ejector set an upstream's failures in a row to 0 with the first chunk, which the relay records with the head. So a row was never longer than one, and the slot that a broken response frees within milliseconds made the upstream the one with the lowest load. The class is a first sign of life that counts as a success.

The row ends with a whole response now. An upstream that is left out for lost responses is marked as suspected, so that peers rank it behind and need not lose three requests each. A response that goes on until its deadline is neither failure nor success, as under overload it may only be late.

With one broken response in fifty the upstream keeps all of its requests (40 of 40 with the repetition elsewhere).

The test of a row of failures asserted that a first chunk ends it, which was the fault; it asserts the same of a whole response now, and a further test asserts that first chunks do not end it.

--- a/briarrill/coordination/ejection.py
+++ b/briarrill/coordination/ejection.py
@@ -136,25 +136,35 @@
             reverse=True,
         )[:min_count]
 
-    def record_failure(self, name: str) -> None:
+    def record_failure(self, name: str) -> bool:
         """Count a failed request; eject the upstream after too many in a row.
 
         A single failure ejects an upstream that has not fully returned.
+
+        :return: whether the upstream is ejected from now on.
         """
         health = self._track(name)
         health.failures += 1
         is_returning = health.share(self._clock()) < 1
         if health.failures >= FAILURES_TO_EJECT or is_returning:
-            self._eject(name, health, 'failures')
+            return self._eject(name, health, 'failures')
+        return False
 
-    def record_first_chunk(self, name: str, first_chunk_s: float) -> None:
-        """Record the time to first chunk; eject the upstream if it is slow."""
+    def record_success(self, name: str) -> None:
+        """Record that the whole response to a request was received."""
         health = self._track(name)
         health.failures = 0
-        health.add_sample(first_chunk_s)
         if health.ejections and health.share(self._clock()) >= 1:
             health.ejections = 0
             log_message('upstream:returned', upstream=name)
+
+    def record_first_chunk(self, name: str, first_chunk_s: float) -> None:
+        """Record the time to first chunk; eject the upstream if it is slow.
+
+        It is no success yet: what follows a sound head may be broken.
+        """
+        health = self._track(name)
+        health.add_sample(first_chunk_s)
         if self._is_slow(name, health):
             self._eject(name, health, 'slow')
 
@@ -180,11 +190,14 @@
             other_means_s
         )
 
-    def _eject(self, name: str, health: _Health, reason: str) -> None:
-        """Eject an upstream and reset its counts, unless ejected already."""
+    def _eject(self, name: str, health: _Health, reason: str) -> bool:
+        """Eject an upstream and reset its counts, unless ejected already.
+
+        :return: whether it was not ejected already.
+        """
         now = self._clock()
         if health.ejected_until > now:
-            return
+            return False
         duration_s = FIRST_EJECTION_S * 2**health.ejections
         health.ejected_until = now + min(duration_s, MAX_EJECTION_S)
         health.ejections += 1
@@ -192,6 +205,7 @@
         health.samples = 0
         EJECTED.labels(reason).inc()
         log_message('upstream:ejected', upstream=name, reason=reason)
+        return True
 
     def _share(self, name: str, now: float) -> float:
         health = self._health.get(name)
--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -63,6 +63,8 @@
     :param candidate: the last chosen upstream, with its load at that time.
     :param refused_permits: refusals by owners of limits since the last
         attempt.
+    :param had_begun: whether the caller had received a part of the response
+        before the last attempt.
     """
 
     failed_upstreams: set[str] = attrs.field(factory=set)
@@ -72,6 +74,7 @@
     ran: Ran = Ran.NO
     candidate: UpstreamCandidate | None = None
     refused_permits: int = 0
+    had_begun: bool = False
 
     @property
     def is_exhausted(self) -> bool:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -14,7 +14,6 @@
 from eliot import log_message
 
 from ..coordination.call_channels import CallChannels
-from ..coordination.ejection import Ejector
 from ..coordination.event_wait import EventWait
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.placement import (
@@ -31,7 +30,6 @@
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import (
     BriarrillError,
-    CapacityError,
     DeadlineExceededError,
     NoUpstreamError,
     OverloadedError,
@@ -57,11 +55,12 @@
     log_if_response_late,
     time_limit,
 )
-from .permits import MAX_REFUSALS, acquire_permit, has_no_limit, weigh_start
+from .permits import MAX_REFUSALS, acquire_permit, weigh_start
 from .placer import Placer
 from .response import Response
 from .stream_places import StreamPlaces
 from .streams import read_stream_part, send_new_events
+from .upstream_health import UpstreamHealth
 
 __all__ = ('Forwarder',)
 
@@ -105,9 +104,8 @@
         self._load = load
         self._ends = ends
         self._failure_domain = failure_domain
-        self._rng = rng
         self._channels = CallChannels(protocol, CONNECT_TIMEOUT_S)
-        self._ejectors: dict[str, Ejector] = {}
+        self._health = UpstreamHealth(upstreams, load, rng)
         self._service_times: dict[str, ServiceTimes] = {}
         self._budgets = RetryBudgets()
         self._placer = Placer(upstreams, load, rng)
@@ -249,7 +247,7 @@
                 f'no other upstream of {call.service} accepts requests',
                 retry_after_s=MIN_RETRY_AFTER_S,
             )
-        candidates = self._ejector_of(call.service).eligible(
+        candidates = self._health.ejector_of(call.service).eligible(
             [self._make_candidate(one) for one in untried.values()]
         )
         usable = [
@@ -302,6 +300,7 @@
                 channel.close()
                 raise
             progress.attempts += 1
+            progress.had_begun = response.has_begun
             attempt = Attempt(
                 call,
                 response,
@@ -417,7 +416,7 @@
                     self._upstreams.mark_leaving(upstream.incarnation)
                 _check_refusal(self._protocol, attempt, response_head)
                 record_first_bytes()
-            self._ejector_of(call.service).record_first_chunk(
+            self._health.ejector_of(call.service).record_first_chunk(
                 upstream.upstream_id, time.monotonic() - began_at
             )
             if call.route.kind is RouteKind.STREAMING:
@@ -431,6 +430,9 @@
                 response_head.status, is_marked=response_head.is_end_marked
             )
         self._service_times_of(call.service).add(time.monotonic() - began_at)
+        self._health.ejector_of(call.service).record_success(
+            upstream.upstream_id
+        )
 
     async def _read_head(
         self,
@@ -571,8 +573,11 @@
         if may_have_run:
             progress.ran = exc.ran
         progress.failed_upstreams.add(upstream.upstream_id)
-        if not isinstance(exc, CapacityError):
-            self._ejector_of(call.service).record_failure(upstream.upstream_id)
+        self._health.record_failure(
+            upstream,
+            exc,
+            went_on=response.has_begun and not progress.had_begun,
+        )
         log_message(
             'request:attempt-failed',
             request_id=call.request_id,
@@ -621,18 +626,6 @@
             return False
         return self._budgets.try_spend_retry(call.route.name)
 
-    def _ejector_of(self, service: str) -> Ejector:
-        """Return the ejector of a service, created on first use."""
-        return self._ejectors.setdefault(
-            service,
-            Ejector(
-                self._rng,
-                is_comparable=lambda upstream_id: has_no_limit(
-                    self._upstreams, self._load.limits.limits, upstream_id
-                ),
-            ),
-        )
-
     def _service_times_of(self, service: str) -> ServiceTimes:
         """Return the service times of a service, created on first use."""
         return self._service_times.setdefault(service, ServiceTimes())
--- a/tests/coordination/test_ejection.py
+++ b/tests/coordination/test_ejection.py
@@ -60,13 +60,44 @@
 
 def test_upstream_with_consecutive_failures_is_ejected(ejector):
     _fail(ejector, 'u0', FAILURES_TO_EJECT - 1)
-    ejector.record_first_chunk('u0', 0.1)
+    ejector.record_success('u0')
     _fail(ejector, 'u0', FAILURES_TO_EJECT - 1)
     assert _eligible_share(ejector, 'u0') == 1
     _fail(ejector, 'u0', 1)
     assert _eligible_share(ejector, 'u0') == 0
 
 
+def test_first_chunks_do_not_end_a_row_of_failures(ejector):
+    """Guards against upstreams whose responses break after a sound head."""
+    for _ in range(FAILURES_TO_EJECT):
+        ejector.record_first_chunk('u0', 0.1)
+        ejector.record_failure('u0')
+    assert _eligible_share(ejector, 'u0') == 0
+
+
+def test_one_broken_response_in_fifty_does_not_eject(ejector):
+    for number in range(500):
+        ejector.record_first_chunk('u0', 0.1)
+        if number % 50:
+            ejector.record_success('u0')
+        else:
+            ejector.record_failure('u0')
+        assert _eligible_share(ejector, 'u0', 1) == 1
+
+
+def test_failure_tells_whether_it_ejects(ejector):
+    told = [ejector.record_failure('u0') for _ in range(FAILURES_TO_EJECT + 1)]
+    assert told == [False] * (FAILURES_TO_EJECT - 1) + [True, False]
+
+
+def test_returned_upstream_needs_several_failures_again(ejector, clock):
+    _fail(ejector, 'u0')
+    clock.now += FIRST_EJECTION_S + RAMP_UP_S
+    ejector.record_success('u0')
+    _fail(ejector, 'u0', FAILURES_TO_EJECT - 1)
+    assert _eligible_share(ejector, 'u0') == 1
+
+
 def test_upstream_slower_than_its_pool_is_ejected(ejector):
     for _ in range(MIN_SAMPLES + 1):
         for candidate in POOL:
--- a/tests/relay/test_request_limits.py
+++ b/tests/relay/test_request_limits.py
@@ -145,7 +145,7 @@
     """They queue what the others do not take."""
     engine = StandinEngine(reject_unexecuted())
     async with run_front_end([NON_IDEMPOTENT], engine, engine) as setup:
-        ejector = setup.front.forwarder._ejector_of('llm')
+        ejector = setup.front.forwarder._health.ejector_of('llm')
         setup.load.limits.limits.record_response('i-1', 2.5)
         for _ in range(20):
             ejector.record_first_chunk('i-1', 0.05)
--- /dev/null
+++ b/tests/relay/test_upstream_health.py
@@ -0,0 +1,135 @@
+"""Upstreams that fail early and so look idle."""
+
+import itertools
+import random
+
+import pytest
+
+from briarrill.coordination.ejection import FAILURES_TO_EJECT
+from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.upstream_table import (
+    RegisteredUpstream,
+    UpstreamTable,
+)
+from briarrill.errors import DeadlineExceededError, OverloadedError
+from briarrill.relay.upstream_health import UpstreamHealth
+from standins.platform_engine import (
+    StandinEngine,
+    respond_with,
+    stream_events,
+)
+from tests.raw_engine import RawEngine
+from tests.relay.front_end_setup import (
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    RESUMABLE_STREAM,
+    STREAM,
+    run_front_end,
+)
+
+HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
+EVENTS = b'content-type: text/event-stream\r\n\r\n'
+
+CUT_EVENT = 'cut event'
+
+#: Responses with a sound head whose body breaks at once.
+BROKEN_RESPONSES = {
+    'chunk size': HEAD + EVENTS + b'zz\r\n',
+    'cut body': HEAD + EVENTS,
+    'trailers': HEAD + EVENTS + b'0\r\nno trailer\r\n\r\n',
+    CUT_EVENT: HEAD + EVENTS + b'6\r\nid: 1\n\r\n0\r\n\r\n',
+}
+
+REQUESTS = 40
+
+UPSTREAM = RegisteredUpstream('i-0', 'llm', ('127.0.0.1', 1), 'a', 20)
+
+
+def _name(param):
+    return getattr(param, 'name', param)
+
+
+async def _ask_often(setup, route):
+    """Send requests one after another; return their statuses."""
+    statuses = []
+    for number in range(REQUESTS):
+        async with setup.open_response(
+            route.prefix, attempt_id=f'r{number}'
+        ) as (head, _):
+            statuses.append(head.status)
+    return statuses
+
+
+@pytest.mark.parametrize(
+    ('route', 'kind'),
+    [
+        *itertools.product((STREAM, RESUMABLE_STREAM), BROKEN_RESPONSES),
+        # a cut event is a whole body on the other routes
+        *itertools.product(
+            (IDEMPOTENT, NON_IDEMPOTENT),
+            sorted(BROKEN_RESPONSES.keys() - {CUT_EVENT}),
+        ),
+    ],
+    ids=_name,
+)
+async def test_upstream_whose_responses_break_early_draws_no_load(route, kind):
+    """Guards against an upstream that looks idle since each call fails."""
+    broken = RawEngine(BROKEN_RESPONSES[kind])
+    respond = stream_events(2) if 'stream' in route.name else respond_with(b'')
+    sound = [StandinEngine(respond) for _ in range(3)]
+    async with run_front_end([route], broken, *sound) as setup:
+        await _ask_often(setup, route)
+        is_suspect = setup.load.is_suspect('i-0')
+    assert len(broken.requests) == FAILURES_TO_EJECT
+    assert is_suspect
+
+
+async def test_upstream_that_answers_with_errors_draws_no_load():
+    failing = StandinEngine(respond_with(b'', 500))
+    sound = StandinEngine(respond_with(b''))
+    async with run_front_end([NON_IDEMPOTENT], failing, sound) as setup:
+        statuses = await _ask_often(setup, NON_IDEMPOTENT)
+        is_suspect = setup.load.is_suspect('i-0')
+    assert statuses.count(500) == FAILURES_TO_EJECT
+    # its errors may be those of one caller's requests
+    assert not is_suspect
+
+
+async def test_upstream_with_one_broken_response_in_fifty_keeps_its_share():
+    async def break_off(req, conn):
+        await conn.send_head(200, ())
+        raise ConnectionResetError
+
+    respond = respond_with(b'')
+    spoiling = StandinEngine(break_off, respond)
+    sound = StandinEngine(respond)
+    async with run_front_end([IDEMPOTENT], spoiling, sound) as setup:
+        statuses = await _ask_often(setup, IDEMPOTENT)
+    assert statuses == [200] * REQUESTS
+    # the first one's repetition went to the other
+    assert len(spoiling.requests) == REQUESTS
+
+
+@pytest.fixture
+def health():
+    upstreams = UpstreamTable(lambda: True)
+    load = LoadExchange('me', '127.0.0.1', 0, (), lambda report: report)
+    return UpstreamHealth(upstreams, load, random.Random(1))
+
+
+@pytest.mark.parametrize('went_on', [True, False])
+def test_response_that_goes_on_until_its_deadline_is_no_failure(
+    health, went_on
+):
+    """Guards against ejecting sound upstreams under overload."""
+    for _ in range(FAILURES_TO_EJECT):
+        health.record_failure(
+            UPSTREAM, DeadlineExceededError('passed'), went_on=went_on
+        )
+    assert bool(health.ejector_of('llm')._health) is not went_on
+
+
+def test_rejections_are_no_failures(health):
+    for _ in range(FAILURES_TO_EJECT):
+        health.record_failure(UPSTREAM, OverloadedError('full'), went_on=False)
+    assert not health.ejector_of('llm')._health
