Let runs of the tests on one machine use addresses of their own

Two runs of the tests on one machine used the same loopback networks and one port, so that tests failed with 'Address already in use' unless an environment variable told the runs apart; tests on free ports could lose one to an outgoing connection between its choice and its use.

A worker claims the second number of its networks now by listening on an address there for as long as it runs, and takes the next number if another one does. Free ports are chosen below those that the kernel gives to outgoing connections.

Seen: one run of tests/relay, tests/coordination and tests/entry failed once with this error in bind, while other tests ran on the machine. No check is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,8 @@
 """Fixtures, hypothesis profile and the known failures as xfail."""
 
-import itertools
-import os
 import pathlib
+import socket
+from collections.abc import Iterator
 
 import hypothesis
 import pytest
@@ -10,19 +10,22 @@
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_FAILURES_FILE = ROOT / 'KNOWN-RED.txt'
 
-# second number of the first worker's loopback addresses, 127.<number>.0.0/16
-FIRST_NETWORK_NUMBER = int(os.environ.get('BRIARRILL_TEST_NETWORK', '100'))
+# second numbers of the loopback addresses of the tests, 127.<number>.0.0/16
+NETWORK_NUMBERS = range(100, 250)
+
+# a worker claims a second number by listening here for as long as it runs
+CLAIM_ADDRESS = '127.{}.255.254'
+CLAIM_PORT = 8079
 
 hypothesis.settings.register_profile(
     'repeatable', derandomize=True, deadline=None, database=None
 )
 hypothesis.settings.load_profile('repeatable')
 
-# workers with networks of their own, and networks in one second number
-MAX_WORKERS = 32
-NETWORKS_PER_NUMBER = 256
+# networks in one second number; the last one is for the claim
+NETWORKS_PER_NUMBER = 255
 
-_network_numbers = itertools.count()
+_claims: list[socket.socket] = []
 
 
 def _known_failures() -> dict[str, str]:
@@ -40,10 +43,35 @@
             test.add_marker(pytest.mark.xfail(reason=reasons[test.nodeid]))
 
 
+def _claim_network_number() -> int:
+    """Return a second number that no other worker on this machine uses.
+
+    Other runs of the tests on the same machine would answer otherwise.
+    """
+    for number in NETWORK_NUMBERS:
+        claim = socket.socket()
+        try:
+            claim.bind((CLAIM_ADDRESS.format(number), CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        claim.listen()
+        _claims.append(claim)
+        return number
+    raise RuntimeError('all loopback networks are in use')
+
+
+def _networks() -> Iterator[str]:
+    while len(_claims) < len(NETWORK_NUMBERS):
+        number = _claim_network_number()
+        for third in range(NETWORKS_PER_NUMBER):
+            yield f'127.{number}.{third}'
+
+
+_own_networks = _networks()
+
+
 @pytest.fixture
 def network() -> str:
     """Return a loopback /24 prefix, such as ``127.100.0``, of its own."""
-    worker = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
-    second = FIRST_NETWORK_NUMBER + int(worker.removeprefix('gw'))
-    carry, third = divmod(next(_network_numbers), NETWORKS_PER_NUMBER)
-    return f'127.{second + carry * MAX_WORKERS}.{third}'
+    return next(_own_networks)
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -1,16 +1,25 @@
 """Serves a stand-in on a free loopback port."""
 
 import contextlib
+import random
 import socket
 
 from briarrill.transport.http_callers import serve_callers
 
+# below the ports that the kernel gives to outgoing connections, which could
+# take one before it is bound
+PORTS = range(10_000, 32_000)
+
+_rng = random.SystemRandom()
+
 
 def free_port():
     """Return a loopback TCP port that is free at the time of the call."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    while True:
+        port = _rng.choice(PORTS)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(('127.0.0.1', port))
+            return port
 
 
 @contextlib.asynccontextmanager
