Commit results of other jobs when one disappears meanwhile

What callers could meet: a batch process that ends by itself, with the items that it holds.

Cause: a pass over the jobs with queued results is made over a copy of their names, and each write waits. While one waits, a process that has lost the store releases its finished items, so that the next job has no queued results; if its record was removed from the table as well, looking up its queue raised KeyError, which no handler expects. The class is a copy of names that outlives what they name.

Found by reading the code for states that hold items. The new test releases the results and removes the second job while the first one's write has failed: it ended with KeyError before and passes now, and the results that come later are written.

--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -167,7 +167,7 @@
         tracked = self.jobs.find(job_id)
         if tracked is None:
             self._blocked_until.pop(job_id, None)
-            for item_id in list(self._pending[job_id]):
+            for item_id in list(self._pending.get(job_id, ())):
                 self._remove(job_id, item_id)
             return
         if await self._is_blocked(tracked):
--- a/tests/item_runs/test_result_commits.py
+++ b/tests/item_runs/test_result_commits.py
@@ -11,8 +11,16 @@
 from briarrill.coordination.job_table import JobTable
 from briarrill.errors import BriarrillError
 from briarrill.item_runs.item import ItemProgress
-from briarrill.item_runs.result_commits import Committer
-from briarrill.state.keys import job_results_prefix, numbered_key
+from briarrill.item_runs.result_commits import (
+    COMMIT_DELAY_S,
+    COMMIT_RETRY_DELAY_S,
+    Committer,
+)
+from briarrill.state.keys import (
+    JOB_BODIES_PREFIX,
+    job_results_prefix,
+    numbered_key,
+)
 from briarrill.state.stored_jobs import (
     ItemState,
     decode_result,
@@ -156,6 +164,37 @@
     assert table.find('j1').results[0].output == 'x'
 
 
+async def test_job_that_goes_while_another_is_written_ends_no_commits(
+    job, autojump_clock
+):
+    """Guards against a batch process that ends by an unexpected error."""
+    service, table = job
+    other = make_job('j2')
+    await service.transact(job_creation_changes(other, 1_000_000))
+    table.add(other)
+    committer = Committer(service, table)
+    finished = ItemProgress('j2', other.items[0])
+    finished.add_stream_bytes(b'id: 1\ndata: x\n\n')
+    finished.is_complete = True
+    service.is_down = True
+    committer.add(completed_progress(0), ItemState.COMPLETED)
+    committer.add(finished, ItemState.COMPLETED)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(committer.run)
+        await trio.sleep(COMMIT_DELAY_S + COMMIT_RETRY_DELAY_S / 2)
+        # the first job's write has failed, and the second one's is due
+        assert len(committer.release_completed()) == 2
+        table.apply_key(f'{JOB_BODIES_PREFIX}j2/0', None)
+        assert table.find('j2') is None
+        service.is_down = False
+        committer.add(completed_progress(1), ItemState.COMPLETED)
+        with trio.fail_after(5):
+            while not committer.is_idle:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    assert [one.item_id for one in table.find('j1').results] == ['j1-1']
+
+
 async def test_release_completed_keeps_errored_results_queued(job):
     service, table = job
     committer = Committer(service, table)
