Leave the upstreams of a retiring instance to the other processes

What callers could meet: items that wait, for as long as an instance is being retired, though upstreams have free slots.

Cause: each batch process starts items only at its share of the upstreams, and shares go to the processes that report that they do not leave. A retiring process starts no items, but its reports said that it leaves only after a stop signal. With three storage instances a third of all upstreams got no items until the instance was removed; with two retired, two thirds.

A process that starts no more items says so in its reports now, with an urgent one, whatever the reason.

Found by reading the code for states that hold items. The new test asks a peer's view of who starts items: before ['me', 'other'] after the drain began, now ['other']. The stand-in scheduler of the retirement tests has the new call in place of the flag that the code set itself.

--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+import attrs
 import trio
 from eliot import log_message
 
@@ -91,6 +92,19 @@
         if not self._slots.own_items.keys().isdisjoint(report.online):
             self.wake()
 
+    def begin_drain(self) -> None:
+        """Start no more items, and leave the upstreams to other processes."""
+        self.is_draining = True
+        self._load.schedule_urgent_report()
+
+    def complete_report(self, report: LoadReport) -> LoadReport:
+        """Add this process's items, and whether it starts more of them."""
+        return self.local_items.complete_report(
+            attrs.evolve(
+                report, is_leaving=report.is_leaving or self.is_draining
+            )
+        )
+
     def preempt_all(self) -> None:
         """Preempt all running items, so that other processes run them."""
         for running in list(self._running.values()):
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -83,15 +83,15 @@
 def _connect_reports(parts: ProcessParts, scheduler: Scheduler) -> None:
     """Add this process's items to its reports; wake on peers' reports."""
     complete_report = parts.complete_report
-    parts.load.complete_report = lambda report: (
-        scheduler.local_items.complete_report(complete_report(report))
+    parts.load.complete_report = lambda report: scheduler.complete_report(
+        complete_report(report)
     )
     parts.load.on_report.append(scheduler.wake_on_report)
 
 
 async def _drain(scheduler: Scheduler, grace_s: float) -> None:
     """Let running items end, then preempt the rest and write results."""
-    scheduler.is_draining = True
+    scheduler.begin_drain()
     with trio.move_on_after(grace_s - PREEMPT_MARGIN_S):
         while not scheduler.local_items.is_idle:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/briarrill/platform/retirement.py
+++ b/briarrill/platform/retirement.py
@@ -81,7 +81,7 @@
         """
         await self._requested.wait()
         log_message('retirement:asked', duration_s=self._duration_s)
-        self._scheduler.is_draining = True
+        self._scheduler.begin_drain()
         await self._report('running')
         with trio.move_on_after(self._duration_s * GRACEFUL_SHARE):
             await self._wait_idle()
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -148,6 +148,27 @@
         await trio.sleep(0.01)
 
 
+async def test_draining_process_leaves_its_upstreams_to_others(run_scheduler):
+    """Guards against items that wait beside the free slots of its share."""
+    async with run_scheduler(stream_events(1)) as (setup, _):
+        setup.load.complete_report = lambda report: (
+            setup.scheduler.complete_report(
+                attrs.evolve(report, runs_batch=True, connected=(ROOT_PREFIX,))
+            )
+        )
+        peer_load = LoadExchange(
+            'other', '127.0.0.2', 0, (), lambda report: report
+        )
+        peer = FreeSlots(
+            'other', setup.slots.upstreams, peer_load, lambda: True
+        )
+        peer_load.receive_report(setup.load.make_report())
+        assert sorted(peer.processes()) == ['me', 'other']
+        setup.scheduler.begin_drain()
+        peer_load.receive_report(setup.load.make_report())
+        assert peer.processes() == ['other']
+
+
 async def test_frequent_wakes_are_limited_by_pass_interval(
     monkeypatch, autojump_clock
 ):
--- a/tests/platform/test_retirement.py
+++ b/tests/platform/test_retirement.py
@@ -78,10 +78,12 @@
     """A scheduler without items."""
 
     def __init__(self):
-        self.is_draining = False
         self.local_items = self
         self.is_idle = True
 
+    def begin_drain(self):
+        """There is nothing to stop."""
+
     def preempt_all(self):
         """There is nothing to preempt."""
 
