Let an item run where its last run ended if others are full

An item whose run was rejected, cut or failed avoids that upstream if its process owns another one, even if the other one has no free slot. It waited then for as long as the other stayed full, and with it all items behind it in the order, of all jobs of its route: a search without a result counts as "no slot for the route" for the rest of the pass. So a process started nothing at an upstream with all slots free while its other one was full.

The item waits for another upstream for 1 s, then it takes the avoided one, and it holds up no others meanwhile.

The counting wrapper in test_pass_looks_for_slots_only_until_all_are_taken passes the new keyword on; what it asserts is unchanged.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -79,6 +79,8 @@
         clock.
     :param ran_s: time for which the item has occupied slots.
     :param avoided_upstream: upstream that last rejected, cut or failed a run.
+    :param avoided_until: time until which the item waits for a slot of
+        another one, by the monotonic clock.
     :param is_complete: whether the output is complete.
     :param origin: what wrote the output.
     :ivar tracker: position of the current run's stream.
@@ -90,6 +92,7 @@
     next_run_at: float = 0
     ran_s: float = 0
     avoided_upstream: str = ''
+    avoided_until: float = 0
     is_complete: bool = False
     last_event_id: int | None = None
     origin: StreamOrigin = StreamOrigin(None)
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -40,6 +40,10 @@
 # the expiry of its job ends the retries
 UNEXPECTED_RETRY_DELAY_S = 1.0
 
+# time for which an item waits for a slot of an upstream other than the one
+# that rejected, cut or failed its last run
+AVOIDANCE_S = 1.0
+
 
 def _is_always_allowed() -> bool:
     return True
@@ -225,7 +229,7 @@
     def _try_start_item(
         self, candidate: StartableItem, nursery: trio.Nursery
     ) -> bool:
-        """Start an item; return whether an upstream had a free slot."""
+        """Start an item; return whether others may have a free slot."""
         progress = candidate.progress
         route = candidate.route
         if progress.has_output and not self._slots.may_go_on(
@@ -236,10 +240,12 @@
             route,
             progress.avoided_upstream,
             progress.origin if progress.has_output else None,
+            waits_for_others=time.monotonic() < progress.avoided_until,
         )
         if upstream is None:
-            # other items may run at upstreams of other versions
-            return progress.has_output
+            # other items may run at upstreams of other versions, or at the
+            # avoided one
+            return progress.has_output or bool(progress.avoided_upstream)
         running = RunningItem(progress, candidate.route, upstream.upstream_id)
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
@@ -347,8 +353,10 @@
             return
         delay_s = _RETRY_DELAYS_S.get(end)
         if delay_s is not None:
-            progress.next_run_at = time.monotonic() + delay_s
+            now = time.monotonic()
+            progress.next_run_at = now + delay_s
             progress.avoided_upstream = upstream_id
+            progress.avoided_until = now + AVOIDANCE_S
         self._suspended[progress.key] = progress
 
     def _queue_result(
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -115,15 +115,24 @@
         route: Route,
         avoided_upstream: str,
         origin: StreamOrigin | None = None,
+        *,
+        waits_for_others: bool = False,
     ) -> RegisteredUpstream | None:
         """Return the upstream with the most free slots, if any are free.
 
-        :param avoided_upstream: chosen only if there is no other.
+        :param avoided_upstream: chosen only if no other has a free slot.
         :param origin: output with which the upstream must go on, if any.
+        :param waits_for_others: choose the avoided one only if there is no
+            other, whether it has free slots or not.
         """
         free = self._free_slots(route, origin)
-        if len(free) > 1:
-            free.pop(avoided_upstream, None)
+        others = {
+            name: count
+            for name, count in free.items()
+            if name != avoided_upstream
+        }
+        if any(others.values()) or (others and waits_for_others):
+            free = others
         name = max(free, key=lambda upstream_id: free[upstream_id], default='')
         if not name or not free[name]:
             return None
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -479,9 +479,9 @@
     searches = []
     choose_upstream = FreeSlots.choose_upstream
 
-    def count_search(slots, route, *args):
+    def count_search(slots, route, *args, **options):
         searches.append(route)
-        return choose_upstream(slots, route, *args)
+        return choose_upstream(slots, route, *args, **options)
 
     monkeypatch.setattr(FreeSlots, 'choose_upstream', count_search)
     async with run_scheduler(stream_events(1000, pause_s=0.02)) as (
@@ -629,3 +629,19 @@
     assert before <= UPSTREAM_SLOTS
     # what the limit allows in the time, and what it lets follow at once
     assert len(engine.requests) - before <= 2.5 + 3
+
+
+async def test_item_that_avoids_an_upstream_runs_there_while_others_are_full(
+    run_scheduler,
+):
+    """It neither waits for ever nor holds up the items behind it."""
+    cut = stream_events(5, cut_after=2)
+    async with run_scheduler(cut, stream_events(5)) as (setup, engine):
+        other = attrs.evolve(setup.upstream, upstream_id='i-2')
+        setup.slots.upstreams.register(other)
+        setup.load.in_flight.online['i-2'] = UPSTREAM_SLOTS
+        first = await setup.submit(1)
+        await _wait_until(lambda: engine.requests)
+        behind = await setup.submit(3, job_id='j2')
+        with trio.fail_after(5):
+            await _wait_until(lambda: not (first.is_open or behind.is_open))
