Begin an item anew if no upstream of its version goes on with it

Output of one software version may not go on at another one, so an item with output waited for an upstream of its version, as long as its process owned one that accepts requests: also one that was full of online requests, at its request limit, suspected, or that refused the item each time. Upstreams of the other version had room meanwhile. Nothing ended this wait.

After 2 s without a new event and without an upstream that goes on with it, the output is given up if an upstream of another version has a free slot. A new event ends the wait, and an item that is only preempted does not begin one until it looks for a slot.

Evidence: test_output_is_given_up_while_its_version_stays_full and test_output_is_given_up_while_its_version_refuses_it failed before (no result within 5 s).

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -1,6 +1,7 @@
 """briarrill.item_runs.item: state and output of an item across its runs."""
 
 import enum
+import time
 
 import attrs
 import trio
@@ -81,6 +82,8 @@
     :param avoided_upstream: upstream that last rejected, cut or failed a run.
     :param avoided_until: time until which the item waits for a slot of
         another one, by the monotonic clock.
+    :param waits_since: time since which the output has found no upstream
+        that goes on with it, none if it did not look for one.
     :param is_complete: whether the output is complete.
     :param origin: what wrote the output.
     :ivar tracker: position of the current run's stream.
@@ -93,6 +96,7 @@
     ran_s: float = 0
     avoided_upstream: str = ''
     avoided_until: float = 0
+    waits_since: float | None = None
     is_complete: bool = False
     last_event_id: int | None = None
     origin: StreamOrigin = StreamOrigin(None)
@@ -133,6 +137,7 @@
         self.ran_s = record.ran_s
         self.is_complete = record.is_whole
         self.origin = StreamOrigin(record.version, record.service)
+        self.waits_since = None
 
     @property
     def has_output(self) -> bool:
@@ -143,6 +148,23 @@
         """Discard the output, so that the next run begins at the start."""
         self._discard_output()
         self.origin = StreamOrigin(None)
+        self.waits_since = None
+
+    def await_next_run(
+        self, upstream_id: str, delay_s: float, avoidance_s: float
+    ) -> None:
+        """Have the next run begin later, at another upstream if possible.
+
+        :param upstream_id: upstream of the run that has ended.
+        :param delay_s: time until the next run.
+        :param avoidance_s: time for which it waits for another upstream.
+        """
+        now = time.monotonic()
+        self.next_run_at = now + delay_s
+        self.avoided_upstream = upstream_id
+        self.avoided_until = now + avoidance_s
+        if self.waits_since is None:
+            self.waits_since = now
 
     def begin_run(self, origin: StreamOrigin) -> None:
         """Discard the incomplete event at the end of the last run.
@@ -198,6 +220,7 @@
                     f' and {event.event_id}'
                 )
         self.last_event_id = event.event_id
+        self.waits_since = None
         self._lines.append(event.data)
         self._output_bytes += len(event.data) + BYTES_PER_LINE
         if self._output_bytes > MAX_OUTPUT_BYTES:
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -44,6 +44,10 @@
 # that rejected, cut or failed its last run
 AVOIDANCE_S = 1.0
 
+# time after which output that no upstream of its version goes on with is
+# given up, if one of another version has a free slot
+VERSION_WAIT_S = 2.0
+
 
 def _is_always_allowed() -> bool:
     return True
@@ -236,12 +240,7 @@
             route, progress.origin
         ):
             progress.restart()
-        upstream = self._slots.choose_upstream(
-            route,
-            progress.avoided_upstream,
-            progress.origin if progress.has_output else None,
-            waits_for_others=time.monotonic() < progress.avoided_until,
-        )
+        upstream = self._choose_upstream(progress, route)
         if upstream is None:
             # other items may run at upstreams of other versions, or at the
             # avoided one
@@ -254,6 +253,32 @@
         self._load.schedule_urgent_report()
         return True
 
+    def _choose_upstream(
+        self, progress: ItemProgress, route: Route
+    ) -> RegisteredUpstream | None:
+        """Return an upstream with a free slot for an item, if there is one.
+
+        Output that no upstream goes on with is given up after a time.
+        """
+        now = time.monotonic()
+        since = progress.waits_since
+        keeps_output = progress.has_output and (
+            since is None or now - since < VERSION_WAIT_S
+        )
+        upstream = self._slots.choose_upstream(
+            route,
+            progress.avoided_upstream,
+            progress.origin if keeps_output else None,
+            waits_for_others=now < progress.avoided_until,
+        )
+        if upstream is None:
+            progress.waits_since = now if since is None else since
+        elif progress.has_output and not self._upstreams.may_go_on(
+            upstream, progress.origin
+        ):
+            progress.restart()
+        return upstream
+
     def _startable_progress(
         self,
     ) -> Callable[[TrackedJob, str], ItemProgress | None]:
@@ -353,10 +378,7 @@
             return
         delay_s = _RETRY_DELAYS_S.get(end)
         if delay_s is not None:
-            now = time.monotonic()
-            progress.next_run_at = now + delay_s
-            progress.avoided_upstream = upstream_id
-            progress.avoided_until = now + AVOIDANCE_S
+            progress.await_next_run(upstream_id, delay_s, AVOIDANCE_S)
         self._suspended[progress.key] = progress
 
     def _queue_result(
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -645,3 +645,49 @@
         behind = await setup.submit(3, job_id='j2')
         with trio.fail_after(5):
             await _wait_until(lambda: not (first.is_open or behind.is_open))
+
+
+def _suspend_with_output(setup):
+    """Suspend an item at the version of the first upstream."""
+    progress = ItemProgress('j1', make_job(count=1).items[0])
+    progress.begin_run(
+        StreamOrigin(setup.upstream.version, setup.upstream.service)
+    )
+    progress.add_stream_bytes(encode_event(1))
+    setup.scheduler._suspended[progress.key] = progress
+
+
+async def test_output_is_given_up_while_its_version_stays_full(run_scheduler):
+    """Upstreams of another version have room, so the item begins anew."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        setup.slots.upstreams.register(
+            attrs.evolve(setup.upstream, upstream_id='i-2', version='v2')
+        )
+        setup.load.in_flight.online['i-1'] = UPSTREAM_SLOTS
+        _suspend_with_output(setup)
+        tracked = await setup.submit(1)
+        await trio.sleep(0.5)
+        assert not engine.requests
+        with trio.fail_after(5):
+            await _wait_until(lambda: not tracked.is_open)
+        assert engine.requests[0].header(b'last-event-id') is None
+
+
+async def test_output_is_given_up_while_its_version_refuses_it(run_scheduler):
+    async with run_scheduler(reject_unexecuted()) as (setup, engine):
+        other = StandinEngine(stream_events(5))
+        async with serve_standin(other) as address:
+            setup.slots.upstreams.register(
+                attrs.evolve(
+                    setup.upstream,
+                    upstream_id='i-2',
+                    address=address,
+                    version='v2',
+                )
+            )
+            _suspend_with_output(setup)
+            tracked = await setup.submit(1)
+            with trio.fail_after(5):
+                await _wait_until(lambda: not tracked.is_open)
+        assert engine.requests
+        assert other.requests[0].header(b'last-event-id') is None
