Leave given-up items of an isolated process to its peers

A process that cannot commit while its peers can gives its running and its whole items to them, but keeps the errored results in its queue and goes on listing their items as its own. So no peer ran or listed an item that an upstream had called impossible, or whose attempts were used up there, for as long as this process alone was without the key-value service.

It still keeps these results and commits them if it comes back first, but lists only the items whose results it has written. A peer that runs one gets the same answer; each item has one result, whoever commits first.

--- a/briarrill/item_runs/local_items.py
+++ b/briarrill/item_runs/local_items.py
@@ -24,10 +24,13 @@
 
     :param committer: writes the results of finished items.
     :param suspended: items between two runs.
+    :ivar is_isolated: whether peers can commit results and this process
+        cannot. It leaves the items that it has given up to them then.
     """
 
     committer: Committer
     suspended: dict[_Key, ItemProgress]
+    is_isolated: bool = attrs.field(default=False, init=False)
     running: dict[_Key, RunningItem] = attrs.field(factory=dict, init=False)
 
     @property
@@ -39,7 +42,12 @@
     def active_hashes(self) -> tuple[int, ...]:
         """Return the hashes of running items and of those just finished."""
         running = [item_id for _, item_id in self.running]
-        return _hashes_of([*running, *self.committer.unpropagated_items])
+        finished = (
+            self.committer.written_items
+            if self.is_isolated
+            else self.committer.unpropagated_items
+        )
+        return _hashes_of([*running, *finished])
 
     @property
     def suspended_hashes(self) -> tuple[int, ...]:
--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -82,10 +82,6 @@
 
         Peers never read those that the service refuses.
         """
-        now = time.monotonic()
-        for item_id, written_at in list(self._written_at.items()):
-            if now - written_at > RESULT_PROPAGATION_S:
-                self._written_at.pop(item_id)
         return [
             *(
                 item_id
@@ -93,9 +89,18 @@
                 for item_id in by_item
             ),
             *(item_id for _, item_id in self._refused),
-            *self._written_at,
+            *self.written_items,
         ]
 
+    @property
+    def written_items(self) -> list[str]:
+        """Return the items whose results were written a moment ago."""
+        now = time.monotonic()
+        for item_id, written_at in list(self._written_at.items()):
+            if now - written_at > RESULT_PROPAGATION_S:
+                self._written_at.pop(item_id)
+        return list(self._written_at)
+
     def has_pending(self, job_id: str, item_id: str) -> bool:
         """Whether an item's result waits to be written."""
         return item_id in self._pending.get(job_id, ())
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -133,7 +133,8 @@
         """Make one pass: stop, preempt, expire and start items."""
         self._cancel_finished()
         self._preempt_duplicates()
-        if self._slots.is_isolated:
+        self.local_items.is_isolated = self._slots.is_isolated
+        if self.local_items.is_isolated:
             self._release_all()
             return
         self._update_estimates(routes)
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -691,3 +691,36 @@
                 await _wait_until(lambda: not tracked.is_open)
         assert engine.requests
         assert other.requests[0].header(b'last-event-id') is None
+
+
+def _report_other(**fields):
+    """Return the report of a batch process that can commit results."""
+    return LoadReport(
+        'other',
+        '127.0.0.2',
+        1,
+        fields.pop('sequence', 1),
+        runs_batch=True,
+        connected=(ROOT_PREFIX,),
+        **fields,
+    )
+
+
+async def test_isolated_process_leaves_its_uncommitted_items_to_peers(
+    run_scheduler,
+):
+    """It cannot list those that it has given up, and another one can."""
+    async with run_scheduler(respond_with(b'', 422)) as (setup, engine):
+        tracked = await setup.submit(1)
+        setup.service.is_down = True
+        local_items = setup.scheduler.local_items
+        await _wait_until(lambda: not setup.committer.is_idle)
+        assert local_items.active_hashes
+        setup.is_connected = False
+        setup.load.receive_report(_report_other())
+        await _wait_until(lambda: not local_items.active_hashes)
+        setup.service.is_down = False
+        setup.is_connected = True
+        await _wait_until(lambda: not tracked.is_open)
+    assert len(engine.requests) == 1
+    assert tracked.results[0].state is ItemState.ERRORED
