Begin an item anew whose progress a peer does not hand over

A process that starts an item which a live peer holds between two runs fetches its progress from there, and does not run it if that fails. The peer's reports may arrive through a third process while its link is cut, or its port may not answer. So each attempt failed, and the item waited until the holder itself had room at an upstream that it owns: nothing else ended it.

After 1 s of attempts that fail, the item is claimed as one that nobody holds and begins anew. The holder sees it in the load reports and does not start it; if both run it, the preferred process keeps it, and it has one result.

--- a/briarrill/item_runs/handover.py
+++ b/briarrill/item_runs/handover.py
@@ -37,11 +37,26 @@
 # a live peer replies within one round trip
 FETCH_TIMEOUT_S = 0.3
 
+# time after which an item begins anew whose progress is at a peer that does
+# not hand it over; its reports may come through others while its link is cut
+UNFETCHED_TIMEOUT_S = 1.0
+
+# pause between two attempts after which failures before it do not count
+UNFETCHED_EXPIRY_S = 2.0
+
 _RECORD_DECODER = msgpack_decoder(ProgressRecord)
 
 _Key = tuple[str, str]
 
 
+@attrs.define
+class _FailedFetches:
+    """Times of the first and the last failed attempt to fetch an item."""
+
+    first_at: float
+    last_at: float
+
+
 @attrs.define
 class Handover:
     """Hands items over to peers and fetches items from them.
@@ -56,6 +71,9 @@
     port: int
     suspended: dict[_Key, ItemProgress]
     _handed_over_at: dict[_Key, float] = attrs.field(factory=dict, init=False)
+    _unfetched: dict[_Key, _FailedFetches] = attrs.field(
+        factory=dict, init=False
+    )
 
     def was_handed_over(self, key: _Key) -> bool:
         """Whether a peer fetched an item within the timeout."""
@@ -108,19 +126,42 @@
         """Fetch or claim an item; return whether it may run here.
 
         An item with progress was suspended at this process and needs neither.
-        An item that is suspended at a peer is fetched; any other is claimed.
+        An item that is suspended at a peer is fetched; any other is claimed,
+        and so is one that the peer does not hand over for some time.
         """
         if progress.has_progress:
             return True
         host = self._host_of_suspended(progress.stored.item_id)
-        if host is None:
+        if host is None or self._is_unfetchable(progress.key):
             return await self._claim(progress)
         was_fetched = False
         # the peer removes the progress as it sends it, so cancelling loses it
         with trio.CancelScope(shield=True):
             was_fetched = await self._fetch(progress, host)
+        self._record_fetch(progress.key, was_fetched=was_fetched)
         return was_fetched
 
+    def _is_unfetchable(self, key: _Key) -> bool:
+        """Whether attempts to fetch an item have failed for some time."""
+        now = time.monotonic()
+        for known, failed in list(self._unfetched.items()):
+            if now - failed.last_at > UNFETCHED_EXPIRY_S:
+                self._unfetched.pop(known)
+        known_failures = self._unfetched.get(key)
+        return (
+            known_failures is not None
+            and now - known_failures.first_at > UNFETCHED_TIMEOUT_S
+        )
+
+    def _record_fetch(self, key: _Key, *, was_fetched: bool) -> None:
+        """Remember that an item could not be fetched, or was."""
+        now = time.monotonic()
+        if was_fetched:
+            self._unfetched.pop(key, None)
+        else:
+            failed = self._unfetched.setdefault(key, _FailedFetches(now, now))
+            failed.last_at = now
+
     async def _claim(self, progress: ItemProgress) -> bool:
         """Claim an item; return whether no preferred process claims it.
 
--- a/tests/item_runs/test_handover.py
+++ b/tests/item_runs/test_handover.py
@@ -1,5 +1,7 @@
 """Tests of handover of items between processes, and of their claims."""
 
+import types
+
 import attrs
 import pytest
 import trio
@@ -136,6 +138,33 @@
     assert fetched.last_event_id is None
 
 
+@pytest.fixture
+def clock(monkeypatch):
+    """Set the time of the module under test."""
+    fake = types.SimpleNamespace(now=100.0)
+    fake.monotonic = lambda: fake.now
+    monkeypatch.setattr(handover_module, 'time', fake)
+    return fake
+
+
+async def test_item_of_a_peer_that_cannot_be_reached_begins_anew(clock):
+    """Its reports arrive, forwarded by another process."""
+    giver, _ = _assigned_and_other_peer()
+    item_hash = short_hash(JOB.items[0].item_id)
+    report = _make_report(giver, held=(item_hash,))
+    target = _make_handover(free_port(), report)
+    for _ in range(3):
+        assert not await target.acquire(_make_progress())
+        clock.now += 0.4
+    fetched = _make_progress()
+    assert await target.acquire(fetched)
+    assert not fetched.has_progress
+    # a later failure is a new one
+    clock.now += 10
+    assert not await target.acquire(_make_progress())
+    assert len(target._unfetched) == 1
+
+
 def test_expired_handovers_are_removed(monkeypatch):
     now = 100.0
     monkeypatch.setattr(handover_module.time, 'monotonic', lambda: now)
