Send an item to a suspected upstream if no other has room

Items started only at owned upstreams that neither this process nor, unless it has just had bytes from there, any peer suspects. A suspicion lasts 4 s after its last evidence, and only bytes of an open stream end it sooner; an upstream without a stream sends none. If all upstreams of a service were silent for a moment, nothing began for 4 s. If a peer goes on suspecting them, because its own link to them is cut or its callers have stopped reading, nothing began for as long. And where the only owned upstreams cannot be reached by their owner, but by others, nothing began there at all.

Once no upstream that is not suspected has had a free slot for 1 s, each suspected one takes one item, also from a process that does not own it but has no evidence of its own. Its bytes end the suspicion.

Evidence: test_item_runs_though_a_peer_goes_on_suspecting_all_upstreams failed before (no result within 6 s); tests/item_runs/test_slots.py holds what else must and must not get an item.

--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -2,7 +2,7 @@
 
 import collections
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -28,6 +28,11 @@
 # power together restart within about this time of each other
 SILENT_PEER_WAIT_S = 0.5
 
+# time without a free slot at an upstream that nobody suspects after which a
+# suspected one gets an item, a few intervals between load reports: a suspicion
+# lasts 4 s after its last evidence, and only bytes end it sooner
+SUSPECT_TRIAL_DELAY_S = 1.0
+
 
 @attrs.define
 class FreeSlots:
@@ -48,6 +53,7 @@
     )
     _connected_at: float | None = attrs.field(default=None, init=False)
     _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
+    _had_room_at: dict[str, float] = attrs.field(factory=dict, init=False)
 
     @property
     def is_isolated(self) -> bool:
@@ -166,22 +172,83 @@
     def _free_slots(
         self, route: Route, origin: StreamOrigin | None = None
     ) -> dict[str, int]:
-        """Return free slots of the owned upstreams of a route, by ID.
+        """Return free slots of the upstreams of a route, by ID.
 
-        Suspect upstreams and those at their request limit are excluded.
+        They are the owned ones without those that are suspected or at their
+        request limit, and suspected ones if no other has had a free slot for
+        some time.
 
         :param origin: output with which they must go on, if any.
         """
+        owned = self._owned_upstreams(route)
+        takes_items = {
+            one.upstream_id: self._free_slots_at(one)
+            for one in owned
+            if self._takes_items(one)
+        }
+        if any(takes_items.values()):
+            self._had_room_at[route.name] = time.monotonic()
+        elif self._has_lacked_room(route):
+            takes_items |= self._trial_slots(route, owned)
         return {
-            upstream.upstream_id: self._free_slots_at(upstream)
-            for upstream in self._owned_upstreams(route)
+            name: count
+            for name, count in takes_items.items()
+            if origin is None or self._may_go_on_at(name, origin)
+        }
+
+    def _may_go_on_at(self, upstream_id: str, origin: StreamOrigin) -> bool:
+        upstream = self.upstreams.find(upstream_id)
+        return upstream is not None and self.upstreams.may_go_on(
+            upstream, origin
+        )
+
+    def _has_lacked_room(self, route: Route) -> bool:
+        """Whether no upstream that is not suspected had room for some time.
+
+        Those of the peers count as well, since they start items there.
+        """
+        now = time.monotonic()
+        if any(
+            self._free_slots_at(upstream)
+            for upstream in self._accepting_upstreams(route)
             if self._takes_items(upstream)
-            and (origin is None or self.upstreams.may_go_on(upstream, origin))
+        ):
+            self._had_room_at[route.name] = now
+        had_room_at = self._had_room_at.setdefault(route.name, now)
+        return now - had_room_at > SUSPECT_TRIAL_DELAY_S
+
+    def _trial_slots(
+        self, route: Route, owned: Collection[RegisteredUpstream]
+    ) -> dict[str, int]:
+        """Return a slot of each suspected upstream that may get an item.
+
+        One that this process does not suspect itself may be unreachable for
+        its owner alone, so the owner does not matter.
+        """
+        own_suspects = self.load.silence.suspects
+        return {
+            upstream.upstream_id: min(1, self._free_slots_at(upstream))
+            for upstream in self._accepting_upstreams(route)
+            if self.load.is_suspect(upstream.upstream_id)
+            and not self._is_blocked(upstream)
+            and not self.own_items[upstream.upstream_id]
+            and (upstream in owned or upstream.upstream_id not in own_suspects)
         }
 
+    def _accepting_upstreams(self, route: Route) -> list[RegisteredUpstream]:
+        return [
+            upstream
+            for target in route.targets
+            for upstream in self.upstreams.accepting_upstreams(target.service)
+        ]
+
     def _takes_items(self, upstream: RegisteredUpstream) -> bool:
-        blocked_s = self.load.limits.limits.blocked_s(upstream.incarnation)
-        return not blocked_s and not self.load.is_suspect(upstream.upstream_id)
+        return not self._is_blocked(upstream) and not self.load.is_suspect(
+            upstream.upstream_id
+        )
+
+    def _is_blocked(self, upstream: RegisteredUpstream) -> bool:
+        return bool(self.load.limits.limits.blocked_s(upstream.incarnation))
 
     def _free_slots_at(self, upstream: RegisteredUpstream) -> int:
         """Return how many more items may start at an upstream."""
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -724,3 +724,26 @@
         await _wait_until(lambda: not tracked.is_open)
     assert len(engine.requests) == 1
     assert tracked.results[0].state is ItemState.ERRORED
+
+
+async def test_item_runs_though_a_peer_goes_on_suspecting_all_upstreams(
+    run_scheduler,
+):
+    """Its link to them may be cut, or its callers may have stopped reading."""
+    async with (
+        run_scheduler(stream_events(5)) as (setup, _),
+        trio.open_nursery() as nursery,
+    ):
+
+        async def report():
+            for sequence in range(1, 100):
+                setup.load.receive_report(
+                    _report_other(sequence=sequence, suspects=('i-1',))
+                )
+                await trio.sleep(0.2)
+
+        nursery.start_soon(report)
+        tracked = await setup.submit(1)
+        with trio.fail_after(6):
+            await _wait_until(lambda: not tracked.is_open)
+        nursery.cancel_scope.cancel()
--- a/tests/item_runs/test_slots.py
+++ b/tests/item_runs/test_slots.py
@@ -1,5 +1,7 @@
 """Tests of the search for upstreams with free slots."""
 
+import types
+
 import pytest
 
 from briarrill.coordination.load_exchange import LoadExchange
@@ -8,7 +10,10 @@
     RegisteredUpstream,
     UpstreamTable,
 )
-from briarrill.item_runs.slots import FreeSlots
+from briarrill.item_runs import slots as slots_module
+from briarrill.item_runs.slots import SUSPECT_TRIAL_DELAY_S, FreeSlots
+from briarrill.protocol.load_reports import LoadReport
+from briarrill.state.keys import ROOT_PREFIX
 from tests.relay.front_end_setup import route
 
 BATCH_ROUTE = route(RouteKind.BATCH)
@@ -57,3 +62,88 @@
     _fill(slots, 'i-0')
     _fill(slots, 'i-1')
     assert slots.choose_upstream(BATCH_ROUTE, 'i-0') is None
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Set the time of the module under test."""
+    fake = types.SimpleNamespace(now=100.0)
+    fake.monotonic = lambda: fake.now
+    monkeypatch.setattr(slots_module, 'time', fake)
+    return fake
+
+
+def _suspect_all(slots):
+    for name in ('i-0', 'i-1'):
+        slots.load.silence.mark_suspect(name)
+
+
+def test_suspected_upstreams_get_one_item_each_if_nothing_else_has_room(
+    slots, clock
+):
+    """A suspicion may outlast its cause, and only bytes end it."""
+    _suspect_all(slots)
+    assert not slots.has_free_slot(BATCH_ROUTE)
+    clock.now += SUSPECT_TRIAL_DELAY_S + 0.1
+    assert slots.has_free_slot(BATCH_ROUTE)
+    chosen = set()
+    while upstream := slots.choose_upstream(BATCH_ROUTE, ''):
+        slots.own_items[upstream.upstream_id] += 1
+        chosen.add(upstream.upstream_id)
+    assert chosen == {'i-0', 'i-1'}
+    assert max(slots.own_items.values()) == 1
+
+
+def test_suspected_upstreams_get_nothing_while_another_has_room(slots, clock):
+    """Also if the other one is owned by a peer."""
+    slots.load.silence.mark_suspect('i-1')
+    slots.load.receive_report(
+        LoadReport(
+            'a-peer',
+            '127.0.0.2',
+            1,
+            1,
+            runs_batch=True,
+            connected=(ROOT_PREFIX,),
+        )
+    )
+    assert not slots.has_free_slot(BATCH_ROUTE)
+    clock.now += SUSPECT_TRIAL_DELAY_S + 0.1
+    assert not slots.has_free_slot(BATCH_ROUTE)
+    _fill(slots, 'i-0')
+    assert not slots.has_free_slot(BATCH_ROUTE)
+    clock.now += SUSPECT_TRIAL_DELAY_S + 0.1
+    assert slots.choose_upstream(BATCH_ROUTE, '').upstream_id == 'i-1'
+
+
+def test_upstream_that_only_its_owner_suspects_gets_an_item_from_another(
+    slots, clock
+):
+    """The owner's link to it may be cut."""
+    slots.load.silence.mark_suspect('i-1')
+    slots.load.receive_report(
+        LoadReport(
+            'a-peer',
+            '127.0.0.2',
+            1,
+            1,
+            runs_batch=True,
+            connected=(ROOT_PREFIX,),
+            suspects=('i-0',),
+        )
+    )
+    slots.own_items['i-1'] = 1
+    assert not slots.has_free_slot(BATCH_ROUTE)
+    clock.now += SUSPECT_TRIAL_DELAY_S + 0.1
+    assert slots.choose_upstream(BATCH_ROUTE, '').upstream_id == 'i-0'
+
+
+def test_suspected_upstream_at_its_limit_gets_no_item(
+    slots, clock, monkeypatch
+):
+    _suspect_all(slots)
+    blocked = types.SimpleNamespace(blocked_s=lambda incarnation: 1.0)
+    monkeypatch.setattr(slots.load.limits, 'limits', blocked)
+    assert not slots.has_free_slot(BATCH_ROUTE)
+    clock.now += SUSPECT_TRIAL_DELAY_S + 0.1
+    assert not slots.has_free_slot(BATCH_ROUTE)
