--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -41,6 +41,14 @@
 # the expiry of its job ends the retries
 UNEXPECTED_RETRY_DELAY_S = 1.0
 
+# time for which an item waits for a slot of an upstream other than the one
+# that rejected, cut or failed its last run
+AVOIDANCE_S = 1.0
+
+# time after which output that no upstream of its version goes on with is
+# given up, if one of another version has a free slot
+VERSION_WAIT_S = 2.0
+
 
 def _is_always_allowed() -> bool:
     return True
@@ -139,7 +147,8 @@
         """Make one pass: stop, preempt, expire and start items."""
         self._cancel_finished()
         self._preempt_duplicates()
-        if self._slots.is_isolated:
+        self.local_items.is_isolated = self._slots.is_isolated
+        if self.local_items.is_isolated:
             self._release_all()
             return
         self._update_estimates(routes)
@@ -239,21 +248,18 @@
     def _try_start_item(
         self, candidate: StartableItem, nursery: trio.Nursery
     ) -> bool:
-        """Start an item; return whether an upstream had a free slot."""
+        """Start an item; return whether others may have a free slot."""
         progress = candidate.progress
         route = candidate.route
         if progress.has_output and not self._slots.may_go_on(
             route, progress.origin
         ):
             progress.restart()
-        upstream = self._slots.choose_upstream(
-            route,
-            progress.avoided_upstream,
-            progress.origin if progress.has_output else None,
-        )
+        upstream = self._choose_upstream(progress, route)
         if upstream is None:
-            # other items may run at upstreams of other versions
-            return progress.has_output
+            # other items may run at upstreams of other versions, or at the
+            # avoided one
+            return progress.has_output or bool(progress.avoided_upstream)
         running = RunningItem(progress, candidate.route, upstream.upstream_id)
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
@@ -262,6 +268,32 @@
         self._load.schedule_urgent_report()
         return True
 
+    def _choose_upstream(
+        self, progress: ItemProgress, route: Route
+    ) -> RegisteredUpstream | None:
+        """Return an upstream with a free slot for an item, if there is one.
+
+        Output that no upstream goes on with is given up after a time.
+        """
+        now = time.monotonic()
+        since = progress.waits_since
+        keeps_output = progress.has_output and (
+            since is None or now - since < VERSION_WAIT_S
+        )
+        upstream = self._slots.choose_upstream(
+            route,
+            progress.avoided_upstream,
+            progress.origin if keeps_output else None,
+            waits_for_others=now < progress.avoided_until,
+        )
+        if upstream is None:
+            progress.waits_since = now if since is None else since
+        elif progress.has_output and not self._upstreams.may_go_on(
+            upstream, progress.origin
+        ):
+            progress.restart()
+        return upstream
+
     def _startable_progress(
         self,
     ) -> Callable[[TrackedJob, str], ItemProgress | None]:
@@ -361,8 +393,7 @@
             return
         delay_s = _RETRY_DELAYS_S.get(end)
         if delay_s is not None:
-            progress.next_run_at = time.monotonic() + delay_s
-            progress.avoided_upstream = upstream_id
+            progress.await_next_run(upstream_id, delay_s, AVOIDANCE_S)
         self._suspended[progress.key] = progress
 
     def _queue_result(
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -500,9 +500,9 @@
     searches = []
     choose_upstream = FreeSlots.choose_upstream
 
-    def count_search(slots, route, *args):
+    def count_search(slots, route, *args, **options):
         searches.append(route)
-        return choose_upstream(slots, route, *args)
+        return choose_upstream(slots, route, *args, **options)
 
     monkeypatch.setattr(FreeSlots, 'choose_upstream', count_search)
     async with run_scheduler(stream_events(1000, pause_s=0.02)) as (
@@ -650,3 +650,121 @@
     assert before <= UPSTREAM_SLOTS
     # what the limit allows in the time, and what it lets follow at once
     assert len(engine.requests) - before <= 2.5 + 3
+
+
+async def test_item_that_avoids_an_upstream_runs_there_while_others_are_full(
+    run_scheduler,
+):
+    """It neither waits for ever nor holds up the items behind it."""
+    cut = stream_events(5, cut_after=2)
+    async with run_scheduler(cut, stream_events(5)) as (setup, engine):
+        other = attrs.evolve(setup.upstream, upstream_id='i-2')
+        setup.slots.upstreams.register(other)
+        setup.load.in_flight.online['i-2'] = UPSTREAM_SLOTS
+        first = await setup.submit(1)
+        await _wait_until(lambda: engine.requests)
+        behind = await setup.submit(3, job_id='j2')
+        with trio.fail_after(5):
+            await _wait_until(lambda: not (first.is_open or behind.is_open))
+
+
+def _suspend_with_output(setup):
+    """Suspend an item at the version of the first upstream."""
+    progress = ItemProgress('j1', make_job(count=1).items[0])
+    progress.begin_run(
+        StreamOrigin(setup.upstream.version, setup.upstream.service)
+    )
+    progress.add_stream_bytes(encode_event(1))
+    setup.scheduler._suspended[progress.key] = progress
+
+
+async def test_output_is_given_up_while_its_version_stays_full(run_scheduler):
+    """Upstreams of another version have room, so the item begins anew."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        setup.slots.upstreams.register(
+            attrs.evolve(setup.upstream, upstream_id='i-2', version='v2')
+        )
+        setup.load.in_flight.online['i-1'] = UPSTREAM_SLOTS
+        _suspend_with_output(setup)
+        tracked = await setup.submit(1)
+        await trio.sleep(0.5)
+        assert not engine.requests
+        with trio.fail_after(5):
+            await _wait_until(lambda: not tracked.is_open)
+        assert engine.requests[0].header(b'last-event-id') is None
+
+
+async def test_output_is_given_up_while_its_version_refuses_it(run_scheduler):
+    async with run_scheduler(reject_unexecuted()) as (setup, engine):
+        other = StandinEngine(stream_events(5))
+        async with serve_standin(other) as address:
+            setup.slots.upstreams.register(
+                attrs.evolve(
+                    setup.upstream,
+                    upstream_id='i-2',
+                    address=address,
+                    version='v2',
+                )
+            )
+            _suspend_with_output(setup)
+            tracked = await setup.submit(1)
+            with trio.fail_after(5):
+                await _wait_until(lambda: not tracked.is_open)
+        assert engine.requests
+        assert other.requests[0].header(b'last-event-id') is None
+
+
+def _report_other(**fields):
+    """Return the report of a batch process that can commit results."""
+    return LoadReport(
+        'other',
+        '127.0.0.2',
+        1,
+        fields.pop('sequence', 1),
+        runs_batch=True,
+        connected=(ROOT_PREFIX,),
+        **fields,
+    )
+
+
+async def test_isolated_process_leaves_its_uncommitted_items_to_peers(
+    run_scheduler,
+):
+    """It cannot list those that it has given up, and another one can."""
+    async with run_scheduler(respond_with(b'', 422)) as (setup, engine):
+        tracked = await setup.submit(1)
+        setup.service.is_down = True
+        local_items = setup.scheduler.local_items
+        await _wait_until(lambda: not setup.committer.is_idle)
+        assert local_items.active_hashes
+        setup.is_connected = False
+        setup.load.receive_report(_report_other())
+        await _wait_until(lambda: not local_items.active_hashes)
+        setup.service.is_down = False
+        setup.is_connected = True
+        await _wait_until(lambda: not tracked.is_open)
+    assert len(engine.requests) == 1
+    assert tracked.results[0].state is ItemState.ERRORED
+
+
+async def test_item_runs_though_a_peer_goes_on_suspecting_all_upstreams(
+    run_scheduler,
+):
+    """Its link to them may be cut, or its callers may have stopped reading."""
+    async with (
+        run_scheduler(stream_events(5)) as (setup, _),
+        trio.open_nursery() as nursery,
+    ):
+
+        async def report():
+            for sequence in range(1, 100):
+                setup.load.receive_report(
+                    _report_other(sequence=sequence, suspects=('i-1',))
+                )
+                await trio.sleep(0.2)
+
+        nursery.start_soon(report)
+        tracked = await setup.submit(1)
+        with trio.fail_after(6):
+            await _wait_until(lambda: not tracked.is_open)
+        nursery.cancel_scope.cancel()
