Search for free slots once a pass, whatever items avoid

An item that avoids an upstream for a moment does not end the search of a pass for the items behind it. It went on doing so after that moment: each item that any upstream had ever rejected cost a search of all owned upstreams in each pass while they were full, 200 of 200 in the test, passes coming 20 ms apart.

Only an item that still waits for another upstream lets the search go on. The test of searches has a second case, items with a rejected run behind them, which failed before (200 searches, at most 5 allowed).

Whether a process starts items stands with its other items' state now, where its reports are completed; the scheduler had too many methods.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -139,6 +139,11 @@
         self.origin = StreamOrigin(record.version, record.service)
         self.waits_since = None
 
+    @property
+    def is_avoiding(self) -> bool:
+        """Whether the item waits for a slot of another upstream."""
+        return time.monotonic() < self.avoided_until
+
     @property
     def has_output(self) -> bool:
         """Whether a run has received events."""
--- a/briarrill/item_runs/local_items.py
+++ b/briarrill/item_runs/local_items.py
@@ -26,11 +26,13 @@
     :param suspended: items between two runs.
     :ivar is_isolated: whether peers can commit results and this process
         cannot. It leaves the items that it has given up to them then.
+    :ivar is_draining: whether no more items are started.
     """
 
     committer: Committer
     suspended: dict[_Key, ItemProgress]
     is_isolated: bool = attrs.field(default=False, init=False)
+    is_draining: bool = attrs.field(default=False, init=False)
     running: dict[_Key, RunningItem] = attrs.field(factory=dict, init=False)
 
     @property
@@ -88,9 +90,10 @@
         return total_s
 
     def complete_report(self, report: LoadReport) -> LoadReport:
-        """Add the hashes of this process's items to a load report."""
+        """Add this process's items to a load report, and whether it drains."""
         return attrs.evolve(
             report,
+            is_leaving=report.is_leaving or self.is_draining,
             items=self.active_hashes,
             claims=self.claim_hashes,
             held=self.suspended_hashes,
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import Callable
 
-import attrs
 import trio
 from eliot import log_message
 
@@ -59,7 +58,6 @@
 
     :param slots: finds free slots at the upstreams.
     :param handover: exchanges items with the other batch processes.
-    :ivar is_draining: whether no more items are started.
     """
 
     def __init__(
@@ -71,7 +69,6 @@
         committer: Committer,
     ) -> None:
         """Start without items."""
-        self.is_draining = False
         self._process = slots.process
         self._jobs = jobs
         self._slots = slots
@@ -102,17 +99,9 @@
 
     def begin_drain(self) -> None:
         """Start no more items, and leave the upstreams to other processes."""
-        self.is_draining = True
+        self.local_items.is_draining = True
         self._load.schedule_urgent_report()
 
-    def complete_report(self, report: LoadReport) -> LoadReport:
-        """Add this process's items, and whether it starts more of them."""
-        return self.local_items.complete_report(
-            attrs.evolve(
-                report, is_leaving=report.is_leaving or self.is_draining
-            )
-        )
-
     def preempt_all(self) -> None:
         """Preempt all running items, so that other processes run them."""
         for running in list(self._running.values()):
@@ -155,7 +144,7 @@
         self._preempt_for_online()
         if may_expire_jobs:
             self._expiry.check_if_due(routes)
-        if not self.is_draining and self._slots.may_start_items():
+        if not self.local_items.is_draining and self._slots.may_start_items():
             self._start_items(routes, nursery)
 
     def _release_all(self) -> None:
@@ -258,8 +247,8 @@
         upstream = self._choose_upstream(progress, route)
         if upstream is None:
             # other items may run at upstreams of other versions, or at the
-            # avoided one
-            return progress.has_output or bool(progress.avoided_upstream)
+            # one that this item avoids for now
+            return progress.has_output or progress.is_avoiding
         running = RunningItem(progress, candidate.route, upstream.upstream_id)
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
@@ -284,7 +273,7 @@
             route,
             progress.avoided_upstream,
             progress.origin if keeps_output else None,
-            waits_for_others=now < progress.avoided_until,
+            waits_for_others=progress.is_avoiding,
         )
         if upstream is None:
             progress.waits_since = now if since is None else since
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -83,8 +83,8 @@
 def _connect_reports(parts: ProcessParts, scheduler: Scheduler) -> None:
     """Add this process's items to its reports; wake on peers' reports."""
     complete_report = parts.complete_report
-    parts.load.complete_report = lambda report: scheduler.complete_report(
-        complete_report(report)
+    parts.load.complete_report = lambda report: (
+        scheduler.local_items.complete_report(complete_report(report))
     )
     parts.load.on_report.append(scheduler.wake_on_report)
 
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -152,7 +152,7 @@
     """Guards against items that wait beside the free slots of its share."""
     async with run_scheduler(stream_events(1)) as (setup, _):
         setup.load.complete_report = lambda report: (
-            setup.scheduler.complete_report(
+            setup.scheduler.local_items.complete_report(
                 attrs.evolve(report, runs_batch=True, connected=(ROOT_PREFIX,))
             )
         )
@@ -493,8 +493,9 @@
         await _wait_until(lambda: len(engine.requests) > 1)
 
 
+@pytest.mark.parametrize('avoided', ['', 'i-2'])
 async def test_pass_looks_for_slots_only_until_all_are_taken(
-    run_scheduler, monkeypatch
+    run_scheduler, monkeypatch, avoided
 ):
     """Hundreds of items wait for the few slots of the own upstreams."""
     searches = []
@@ -509,6 +510,9 @@
         setup,
         engine,
     ):
+        for item in make_job(count=200).items:
+            progress = ItemProgress('j1', item, avoided_upstream=avoided)
+            setup.scheduler._suspended[progress.key] = progress
         await setup.submit(200)
         await _wait_until(lambda: len(engine.requests) >= UPSTREAM_SLOTS - 1)
         setup.scheduler.wake()
