Count responses that break at the own interface against their upstream

So an upstream behind a sidecar whose responses break after their first chunk was never left out.

A response that breaks later is a failure now, and only a whole one ends the row.

--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -48,12 +48,14 @@
         the response has no chunks.
     :param deadline_s: deadline of the request, by the monotonic clock.
     :param on_whole: called at the end of a complete response.
+    :param on_broken: called if the upstream ends it early.
     """
 
     call: OnlineCall
     first_chunk: bytes | None
     deadline_s: float
     on_whole: Callable[[], None]
+    on_broken: Callable[[], object]
 
     @property
     def finish(self) -> Finish:
@@ -85,7 +87,11 @@
         if self.first_chunk is not None:
             chunk, self.first_chunk = self.first_chunk, None
             return chunk
-        next_chunk = await _next_chunk_before(self.call, self.deadline_s)
+        try:
+            next_chunk = await _next_chunk_before(self.call, self.deadline_s)
+        except (UpstreamLostError, UpstreamFailedError):
+            self.on_broken()
+            raise
         if next_chunk is None:
             self.on_whole()
         return next_chunk
@@ -157,13 +163,18 @@
         except BaseException:
             call.cancel()
             raise
+        ejector = self._get_ejector(req.target)
+
+        def record_whole() -> None:
+            ejector.record_success(link.name)
+            self._quarantine.record_answer(req.prompt_parts, req.request_key)
+
         response = StartedResponse(
             call,
             first_chunk,
             req.deadline_s,
-            lambda: self._quarantine.record_answer(
-                req.prompt_parts, req.request_key
-            ),
+            record_whole,
+            lambda: ejector.record_failure(link.name),
         )
         if first_chunk is None:
             response.on_whole()
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -1,11 +1,13 @@
 """Retries and errors of the dispatcher when upstreams fail."""
 
 import contextlib
+import itertools
 import time
 
 import pytest
 import trio
 
+from briarrill.coordination.ejection import FAILURES_TO_EJECT
 from briarrill.coordination.retries import RetryBudgets
 from briarrill.errors import (
     BadRequestError,
@@ -441,3 +443,34 @@
             count > earlier
             for count, earlier in zip(after, before, strict=True)
         )
+
+
+async def test_upstream_whose_responses_break_after_a_chunk_is_left_out(
+    open_entry, sidecars, make_request
+):
+    """Guards against an upstream that looks idle since each call fails."""
+    broken, sound = sidecars[:2]
+    async with open_entry([broken, sound]) as entry:
+        dispatcher = entry.dispatcher
+        async with trio.open_nursery() as nursery:
+            for sidecar in (broken, sound):
+                nursery.start_soon(_break_or_finish, sidecar, broken)
+            outcomes = []
+            for _ in range(20):
+                outcome = await _start_request(
+                    nursery, dispatcher, make_request()
+                )
+                await _wait_ended(outcome)
+                outcomes.append(outcome)
+            nursery.cancel_scope.cancel()
+    assert len(broken.submits) <= FAILURES_TO_EJECT
+    assert sum('error' in one for one in outcomes) <= FAILURES_TO_EJECT
+
+
+async def _break_or_finish(sidecar, broken):
+    """Answer each request with a chunk, then end it, or fail it."""
+    code = ResultCode.UPSTREAM_FAILED if sidecar is broken else ResultCode.OK
+    for number in itertools.count(1):
+        submit = await sidecar.wait_submit(number)
+        sidecar.send_chunk(submit, 0)
+        sidecar.send_finish(submit, chunks=1, code=code, ran=Ran.YES)
