Send items to upstreams that end runs early only if others are full

The same class as in the relay: an upstream that breaks off each item within milliseconds has the most free slots, so each item went there first, was cut and began again elsewhere. No item was lost, but each cost a run.

Three runs in a row that are cut or fail rank an upstream behind now, as for online requests, until it returns; preempted and rejected runs do not count. It is only ranked: where no other owned upstream has a free slot, an item goes there all the same, so that none waits beside free slots.

The new test chooses an upstream for 20 items, one after another, of which one upstream cuts, fails or answers each with an unexpected status: 20 chose it before, 3 do now.

--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -359,6 +359,7 @@
         end: RunEnd,
     ) -> None:
         """Commit the item's result, or schedule its next run."""
+        self._slots.record_end(upstream_id, end)
         log_message(
             'item:run-ended',
             job=progress.job_id,
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -1,6 +1,7 @@
 """briarrill.item_runs.slots: finds free slots of upstreams for batch items."""
 
 import collections
+import random
 import time
 from collections.abc import Callable, Collection
 
@@ -11,11 +12,13 @@
     count_startable_items,
     own_upstreams,
 )
+from ..coordination.ejection import Ejector
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.routes import Route
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
+from .item import RunEnd
 
 __all__ = ('FreeSlots',)
 
@@ -33,6 +36,18 @@
 # lasts 4 s after its last evidence, and only bytes end it sooner
 SUSPECT_TRIAL_DELAY_S = 1.0
 
+# ends of runs that speak against the upstream, and those with an answer
+_FAILED_ENDS = frozenset((RunEnd.CUT, RunEnd.FAILED, RunEnd.UNEXPECTED))
+_ANSWERED_ENDS = frozenset((RunEnd.COMPLETED, RunEnd.IMPOSSIBLE))
+
+
+@attrs.frozen
+class _Candidate:
+    """An upstream with a free slot."""
+
+    name: str
+    load: float = 0
+
 
 @attrs.define
 class FreeSlots:
@@ -54,6 +69,9 @@
     _connected_at: float | None = attrs.field(default=None, init=False)
     _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
     _had_room_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _ejector: Ejector = attrs.field(
+        factory=lambda: Ejector(random.Random()), init=False
+    )
 
     @property
     def is_isolated(self) -> bool:
@@ -139,11 +157,19 @@
         }
         if any(others.values()) or (others and waits_for_others):
             free = others
+        free = self._without_failing(free)
         name = max(free, key=lambda upstream_id: free[upstream_id], default='')
         if not name or not free[name]:
             return None
         return self.upstreams.find(name)
 
+    def record_end(self, upstream_id: str, end: RunEnd) -> None:
+        """Record how a run ended, for the choice of upstreams."""
+        if end in _FAILED_ENDS:
+            self._ejector.record_failure(upstream_id)
+        elif end in _ANSWERED_ENDS:
+            self._ejector.record_success(upstream_id)
+
     def may_go_on(self, route: Route, origin: StreamOrigin) -> bool:
         """Tell whether output of an origin may go on at an owned upstream.
 
@@ -196,6 +222,19 @@
             if origin is None or self._may_go_on_at(name, origin)
         }
 
+    def _without_failing(self, free: dict[str, int]) -> dict[str, int]:
+        """Return the upstreams that are not ejected, if they have free slots.
+
+        Their slots are free again early, since they end each run at once.
+        """
+        eligible = {
+            one.name
+            for one in self._ejector.eligible(
+                [_Candidate(name) for name, count in free.items() if count]
+            )
+        }
+        return {name: free[name] for name in free if name in eligible} or free
+
     def _may_go_on_at(self, upstream_id: str, origin: StreamOrigin) -> bool:
         upstream = self.upstreams.find(upstream_id)
         return upstream is not None and self.upstreams.may_go_on(
--- a/tests/item_runs/test_slots.py
+++ b/tests/item_runs/test_slots.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarrill.coordination.ejection import FAILURES_TO_EJECT
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.coordination.routes import RouteKind
 from briarrill.coordination.upstream_table import (
@@ -11,6 +12,7 @@
     UpstreamTable,
 )
 from briarrill.item_runs import slots as slots_module
+from briarrill.item_runs.item import RunEnd
 from briarrill.item_runs.slots import SUSPECT_TRIAL_DELAY_S, FreeSlots
 from briarrill.protocol.load_reports import LoadReport
 from briarrill.state.keys import ROOT_PREFIX
@@ -34,8 +36,12 @@
     return FreeSlots('me', upstreams, load, lambda: True)
 
 
+def _load(slots, name, online):
+    slots.load.in_flight.online[name] = online
+
+
 def _fill(slots, name):
-    slots.load.in_flight.online[name] = SLOTS
+    _load(slots, name, SLOTS)
 
 
 def test_avoided_upstream_is_passed_over(slots):
@@ -147,3 +153,35 @@
     assert not slots.has_free_slot(BATCH_ROUTE)
     clock.now += SUSPECT_TRIAL_DELAY_S + 0.1
     assert not slots.has_free_slot(BATCH_ROUTE)
+
+
+@pytest.mark.parametrize('end', [RunEnd.CUT, RunEnd.FAILED, RunEnd.UNEXPECTED])
+def test_upstream_that_ends_runs_early_draws_no_items(slots, end):
+    """Guards against an upstream that looks idle since each run fails."""
+    _load(slots, 'i-1', 1)
+    chosen = []
+    for _ in range(20):
+        upstream = slots.choose_upstream(BATCH_ROUTE, '')
+        chosen.append(upstream.upstream_id)
+        slots.record_end(
+            upstream.upstream_id,
+            end if upstream.upstream_id == 'i-0' else RunEnd.COMPLETED,
+        )
+    assert chosen.count('i-0') == FAILURES_TO_EJECT
+
+
+def test_failing_upstream_is_chosen_if_no_other_has_a_free_slot(slots):
+    """Guards against items that wait beside its free slots."""
+    for _ in range(FAILURES_TO_EJECT):
+        slots.record_end('i-0', RunEnd.CUT)
+    assert slots.choose_upstream(BATCH_ROUTE, '').upstream_id == 'i-1'
+    _fill(slots, 'i-1')
+    assert slots.choose_upstream(BATCH_ROUTE, '').upstream_id == 'i-0'
+
+
+def test_preempted_and_rejected_runs_speak_against_no_upstream(slots):
+    _load(slots, 'i-1', 1)
+    for _ in range(FAILURES_TO_EJECT):
+        slots.record_end('i-0', RunEnd.PREEMPTED)
+        slots.record_end('i-0', RunEnd.REFUSED)
+    assert slots.choose_upstream(BATCH_ROUTE, '').upstream_id == 'i-0'
