Count whole and broken responses of the own interface too

What callers could meet on the own interface: an upstream whose responses break after their first chunk gets request after request, as each failure frees its place. And since, a sound upstream is left out for three failures in all, not in a row, and for longer each time.

The class is a first sign of life that counts as a success.

A whole response is recorded at its end now, and one that its upstream breaks off or fails counts as a failure.

--- a/briarrill/entry/dispatch.py
+++ b/briarrill/entry/dispatch.py
@@ -48,12 +48,14 @@
         the response has no chunks.
     :param deadline_s: deadline of the request, by the monotonic clock.
     :param on_whole: called at the end of a complete response.
+    :param on_lost: called if the upstream ends it early.
     """
 
     call: OnlineCall
     first_chunk: bytes | None
     deadline_s: float
     on_whole: Callable[[], None]
+    on_lost: Callable[[], None]
 
     @property
     def finish(self) -> Finish:
@@ -85,7 +87,11 @@
         if self.first_chunk is not None:
             chunk, self.first_chunk = self.first_chunk, None
             return chunk
-        next_chunk = await _next_chunk_before(self.call, self.deadline_s)
+        try:
+            next_chunk = await _next_chunk_before(self.call, self.deadline_s)
+        except (UpstreamLostError, UpstreamFailedError):
+            self.on_lost()
+            raise
         if next_chunk is None:
             self.on_whole()
         return next_chunk
@@ -161,9 +167,8 @@
             call,
             first_chunk,
             req.deadline_s,
-            lambda: self._quarantine.record_answer(
-                req.prompt_parts, req.request_key
-            ),
+            on_whole=lambda: self._record_whole(req, link.name),
+            on_lost=lambda: self._record_loss(req, link.name),
         )
         if first_chunk is None:
             response.on_whole()
@@ -189,6 +194,15 @@
             raise
         ejector.record_first_chunk(upstream, time.monotonic() - started_at)
 
+    def _record_whole(self, req: OnlineRequest, upstream: str) -> None:
+        """Record that an upstream has answered a request as a whole."""
+        self._get_ejector(req.target).record_success(upstream)
+        self._quarantine.record_answer(req.prompt_parts, req.request_key)
+
+    def _record_loss(self, req: OnlineRequest, upstream: str) -> None:
+        """Record that a response ended early after its first chunk."""
+        self._get_ejector(req.target).record_failure(upstream)
+
     def _get_ejector(self, target: str) -> Ejector:
         """Return the target's ejector, created on first use."""
         return self._ejectors.setdefault(target, Ejector(self._rng))
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from briarrill.coordination.ejection import FAILURES_TO_EJECT
 from briarrill.coordination.retries import RetryBudgets
 from briarrill.errors import (
     BadRequestError,
@@ -324,15 +325,81 @@
     assert len(broken.submits) == 3
 
 
+async def test_failures_with_whole_responses_between_do_not_eject(
+    open_entry, sidecars, make_request
+):
+    """Guards against ejecting an upstream for a few failures in all."""
+    upstream, other = sidecars[:2]
+    async with (
+        open_entry([upstream, other]) as entry,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(_finish_all, upstream, {}, _FAILURE)
+        nursery.start_soon(_finish_all, other, {})
+        for number in range(60):
+            response = await entry.dispatcher.dispatch(
+                make_request(f'{number}')
+            )
+            response.close()
+        ejector = entry.dispatcher._get_ejector(make_request().target)
+        health = ejector._health[upstream.name]
+        nursery.cancel_scope.cancel()
+    assert len(upstream.submits) > 2 * FAILURES_TO_EJECT
+    assert not health.ejections
+
+
+async def test_upstream_whose_responses_break_after_a_chunk_is_ejected(
+    open_entry, sidecars, make_request
+):
+    """Guards against an upstream that looks idle since each call fails."""
+    broken, healthy = sidecars[:2]
+    opened = open_entry([broken, healthy])
+    lost = 0
+    async with opened as entry, trio.open_nursery() as nursery:
+        nursery.start_soon(_break_all, broken)
+        nursery.start_soon(_finish_all, healthy, {})
+        for number in range(60):
+            response = await entry.dispatcher.dispatch(
+                make_request(f'{number}')
+            )
+            try:
+                await _read_all(response)
+            except UpstreamFailedError:
+                lost += 1
+            response.close()
+        nursery.cancel_scope.cancel()
+    assert lost == len(broken.submits) == FAILURES_TO_EJECT
+
+
 _FAILURE = {'code': ResultCode.UPSTREAM_FAILED, 'ran': Ran.NO}
 
 
-async def _finish_all(sidecar, fields):
-    """Finish each submit at a sidecar with these fields."""
+async def _read_all(response):
+    chunk = b''
+    while chunk is not None:
+        chunk = await response.next_chunk()
+
+
+async def _break_all(sidecar):
+    """Fail each submit at a sidecar after its first chunk."""
+    count = 0
+    while True:
+        count += 1
+        submit = await sidecar.wait_submit(count)
+        sidecar.send_chunk(submit, 0)
+        sidecar.send_finish(
+            submit, chunks=1, code=ResultCode.UPSTREAM_FAILED, ran=Ran.YES
+        )
+
+
+async def _finish_all(sidecar, *fields):
+    """Finish the submits at a sidecar with these fields in turn."""
     count = 0
     while True:
         count += 1
-        sidecar.send_finish(await sidecar.wait_submit(count), **fields)
+        sidecar.send_finish(
+            await sidecar.wait_submit(count), **fields[count % len(fields)]
+        )
 
 
 async def test_bad_request_is_not_retried(open_entry, sidecars, make_request):
