Search once for the same slots between two starts of items

What callers could meet: a batch process that stands still for a second at a time, and reports late, while hundreds of items with output, or rejected a moment ago, wait for slots of hundreds of upstreams.

Cause: an item with output, or one that avoids an upstream for now, does not end the search of a pass for the items behind it, and each of them searched all upstreams anew. Nothing changes between two of these searches but by a start, as no other task runs in a pass.

A pass keeps the own upstreams and their free slots by route and origin of output, and drops the latter with each start.

--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -1,8 +1,9 @@
 """briarrill.item_runs.slots: finds free slots of upstreams for batch items."""
 
 import collections
+import contextlib
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 
 import attrs
 
@@ -34,6 +35,20 @@
 SUSPECT_TRIAL_DELAY_S = 1.0
 
 
+@attrs.define
+class _Found:
+    """What searches of one scheduling pass have found.
+
+    :param owned: the own upstreams for a route, by its name.
+    :param free: free slots for a route and the origin of output.
+    """
+
+    owned: dict[str, list[RegisteredUpstream]] = attrs.field(factory=dict)
+    free: dict[tuple[str, StreamOrigin | None], dict[str, int]] = attrs.field(
+        factory=dict
+    )
+
+
 @attrs.define
 class FreeSlots:
     """Finds free slots at the upstreams that this process owns.
@@ -54,6 +69,7 @@
     _connected_at: float | None = attrs.field(default=None, init=False)
     _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
     _had_room_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _found: _Found | None = attrs.field(default=None, init=False)
 
     @property
     def is_isolated(self) -> bool:
@@ -112,6 +128,25 @@
             if target.service in self._places
         )
 
+    @contextlib.contextmanager
+    def searching(self) -> Iterator[None]:
+        """Search only once for the same between two starts of items.
+
+        Hundreds of waiting items may look for slots of as many upstreams, and
+        nothing but starts changes anything as long as no other task runs.
+        """
+        self._found = _Found()
+        try:
+            yield
+        finally:
+            self._found = None
+
+    def count_start(self, upstream_id: str) -> None:
+        """Count an item that is about to start."""
+        self.own_items[upstream_id] += 1
+        if self._found is not None:
+            self._found.free.clear()
+
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
         return any(self._free_slots(route).values())
@@ -157,6 +192,12 @@
 
     def _owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
         """Return the upstreams that this process owns for a route's items."""
+        found = _Found() if self._found is None else self._found
+        if route.name not in found.owned:
+            found.owned[route.name] = self._find_owned(route)
+        return found.owned[route.name]
+
+    def _find_owned(self, route: Route) -> list[RegisteredUpstream]:
         processes = tuple(self.processes())
         owned: list[RegisteredUpstream] = []
         for target in route.targets:
@@ -174,11 +215,22 @@
     ) -> dict[str, int]:
         """Return free slots of the upstreams of a route, by ID.
 
+        :param origin: output with which they must go on, if any.
+        """
+        found = _Found() if self._found is None else self._found
+        search = (route.name, origin)
+        if search not in found.free:
+            found.free[search] = self._find_free_slots(route, origin)
+        return found.free[search]
+
+    def _find_free_slots(
+        self, route: Route, origin: StreamOrigin | None
+    ) -> dict[str, int]:
+        """Search for free slots.
+
         They are the owned ones without those that are suspected or at their
         request limit, and suspected ones if no other has had a free slot for
         some time.
-
-        :param origin: output with which they must go on, if any.
         """
         owned = self._owned_upstreams(route)
         takes_items = {
@@ -193,15 +245,13 @@
         return {
             name: count
             for name, count in takes_items.items()
-            if origin is None or self._may_go_on_at(name, origin)
+            if origin is None
+            or (
+                (upstream := self.upstreams.find(name))
+                and self.upstreams.may_go_on(upstream, origin)
+            )
         }
 
-    def _may_go_on_at(self, upstream_id: str, origin: StreamOrigin) -> bool:
-        upstream = self.upstreams.find(upstream_id)
-        return upstream is not None and self.upstreams.may_go_on(
-            upstream, origin
-        )
-
     def _has_lacked_room(self, route: Route) -> bool:
         """Whether no upstream that is not suspected had room for some time.
 
