--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -1,9 +1,10 @@
 """briarrill.item_runs.slots: finds free slots of upstreams for batch items."""
 
 import collections
+import contextlib
 import random
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 
 import attrs
 
@@ -12,13 +13,12 @@
     count_startable_items,
     own_upstreams,
 )
-from ..coordination.ejection import Ejector
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.routes import Route
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
-from .item import RunEnd
+from .run_health import RunHealth
 
 __all__ = ('FreeSlots',)
 
@@ -36,17 +36,19 @@
 # lasts 4 s after its last evidence, and only bytes end it sooner
 SUSPECT_TRIAL_DELAY_S = 1.0
 
-# ends of runs that speak against the upstream, and those with an answer
-_FAILED_ENDS = frozenset((RunEnd.CUT, RunEnd.FAILED, RunEnd.UNEXPECTED))
-_ANSWERED_ENDS = frozenset((RunEnd.COMPLETED, RunEnd.IMPOSSIBLE))
 
+@attrs.define
+class _Found:
+    """What searches of one scheduling pass have found.
 
-@attrs.frozen
-class _Candidate:
-    """An upstream with a free slot."""
+    :param owned: the own upstreams for a route, by its name.
+    :param free: free slots for a route and the origin of output.
+    """
 
-    name: str
-    load: float = 0
+    owned: dict[str, list[RegisteredUpstream]] = attrs.field(factory=dict)
+    free: dict[tuple[str, StreamOrigin | None], dict[str, int]] = attrs.field(
+        factory=dict
+    )
 
 
 @attrs.define
@@ -66,12 +68,13 @@
     own_items: collections.Counter[str] = attrs.field(
         factory=collections.Counter, init=False
     )
+    health: RunHealth = attrs.field(
+        factory=lambda: RunHealth(random.Random()), init=False
+    )
     _connected_at: float | None = attrs.field(default=None, init=False)
     _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
     _had_room_at: dict[str, float] = attrs.field(factory=dict, init=False)
-    _ejector: Ejector = attrs.field(
-        factory=lambda: Ejector(random.Random()), init=False
-    )
+    _found: _Found | None = attrs.field(default=None, init=False)
 
     @property
     def is_isolated(self) -> bool:
@@ -130,6 +133,25 @@
             if target.service in self._places
         )
 
+    @contextlib.contextmanager
+    def searching(self) -> Iterator[None]:
+        """Search only once for the same between two starts of items.
+
+        Hundreds of waiting items may look for slots of as many upstreams, and
+        nothing but starts changes anything as long as no other task runs.
+        """
+        self._found = _Found()
+        try:
+            yield
+        finally:
+            self._found = None
+
+    def count_start(self, upstream_id: str) -> None:
+        """Count an item that is about to start."""
+        self.own_items[upstream_id] += 1
+        if self._found is not None:
+            self._found.free.clear()
+
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
         return any(self._free_slots(route).values())
@@ -157,19 +179,12 @@
         }
         if any(others.values()) or (others and waits_for_others):
             free = others
-        free = self._without_failing(free)
+        free = self.health.without_failing(free)
         name = max(free, key=lambda upstream_id: free[upstream_id], default='')
         if not name or not free[name]:
             return None
         return self.upstreams.find(name)
 
-    def record_end(self, upstream_id: str, end: RunEnd) -> None:
-        """Record how a run ended, for the choice of upstreams."""
-        if end in _FAILED_ENDS:
-            self._ejector.record_failure(upstream_id)
-        elif end in _ANSWERED_ENDS:
-            self._ejector.record_success(upstream_id)
-
     def may_go_on(self, route: Route, origin: StreamOrigin) -> bool:
         """Tell whether output of an origin may go on at an owned upstream.
 
@@ -183,6 +198,12 @@
 
     def _owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
         """Return the upstreams that this process owns for a route's items."""
+        found = _Found() if self._found is None else self._found
+        if route.name not in found.owned:
+            found.owned[route.name] = self._find_owned(route)
+        return found.owned[route.name]
+
+    def _find_owned(self, route: Route) -> list[RegisteredUpstream]:
         processes = tuple(self.processes())
         owned: list[RegisteredUpstream] = []
         for target in route.targets:
@@ -200,11 +221,22 @@
     ) -> dict[str, int]:
         """Return free slots of the upstreams of a route, by ID.
 
+        :param origin: output with which they must go on, if any.
+        """
+        found = _Found() if self._found is None else self._found
+        search = (route.name, origin)
+        if search not in found.free:
+            found.free[search] = self._find_free_slots(route, origin)
+        return found.free[search]
+
+    def _find_free_slots(
+        self, route: Route, origin: StreamOrigin | None
+    ) -> dict[str, int]:
+        """Search for free slots.
+
         They are the owned ones without those that are suspected or at their
         request limit, and suspected ones if no other has had a free slot for
         some time.
-
-        :param origin: output with which they must go on, if any.
         """
         owned = self._owned_upstreams(route)
         takes_items = {
@@ -219,27 +251,12 @@
         return {
             name: count
             for name, count in takes_items.items()
-            if origin is None or self._may_go_on_at(name, origin)
-        }
-
-    def _without_failing(self, free: dict[str, int]) -> dict[str, int]:
-        """Return the upstreams that are not ejected, if they have free slots.
-
-        Their slots are free again early, since they end each run at once.
-        """
-        eligible = {
-            one.name
-            for one in self._ejector.eligible(
-                [_Candidate(name) for name, count in free.items() if count]
+            if origin is None
+            or (
+                (upstream := self.upstreams.find(name))
+                and self.upstreams.may_go_on(upstream, origin)
             )
         }
-        return {name: free[name] for name in free if name in eligible} or free
-
-    def _may_go_on_at(self, upstream_id: str, origin: StreamOrigin) -> bool:
-        upstream = self.upstreams.find(upstream_id)
-        return upstream is not None and self.upstreams.may_go_on(
-            upstream, origin
-        )
 
     def _has_lacked_room(self, route: Route) -> bool:
         """Whether no upstream that is not suspected had room for some time.
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -1,7 +1,6 @@
 """Retries and errors of the dispatcher when upstreams fail."""
 
 import contextlib
-import itertools
 import time
 
 import pytest
@@ -326,15 +325,81 @@
     assert len(broken.submits) == 3
 
 
+async def test_failures_with_whole_responses_between_do_not_eject(
+    open_entry, sidecars, make_request
+):
+    """Guards against ejecting an upstream for a few failures in all."""
+    upstream, other = sidecars[:2]
+    async with (
+        open_entry([upstream, other]) as entry,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(_finish_all, upstream, {}, _FAILURE)
+        nursery.start_soon(_finish_all, other, {})
+        for number in range(60):
+            response = await entry.dispatcher.dispatch(
+                make_request(f'{number}')
+            )
+            response.close()
+        ejector = entry.dispatcher._get_ejector(make_request().target)
+        health = ejector._health[upstream.name]
+        nursery.cancel_scope.cancel()
+    assert len(upstream.submits) > 2 * FAILURES_TO_EJECT
+    assert not health.ejections
+
+
+async def test_upstream_whose_responses_break_after_a_chunk_is_ejected(
+    open_entry, sidecars, make_request
+):
+    """Guards against an upstream that looks idle since each call fails."""
+    broken, healthy = sidecars[:2]
+    opened = open_entry([broken, healthy])
+    lost = 0
+    async with opened as entry, trio.open_nursery() as nursery:
+        nursery.start_soon(_break_all, broken)
+        nursery.start_soon(_finish_all, healthy, {})
+        for number in range(60):
+            response = await entry.dispatcher.dispatch(
+                make_request(f'{number}')
+            )
+            try:
+                await _read_all(response)
+            except UpstreamFailedError:
+                lost += 1
+            response.close()
+        nursery.cancel_scope.cancel()
+    assert lost == len(broken.submits) == FAILURES_TO_EJECT
+
+
 _FAILURE = {'code': ResultCode.UPSTREAM_FAILED, 'ran': Ran.NO}
 
 
-async def _finish_all(sidecar, fields):
-    """Finish each submit at a sidecar with these fields."""
+async def _read_all(response):
+    chunk = b''
+    while chunk is not None:
+        chunk = await response.next_chunk()
+
+
+async def _break_all(sidecar):
+    """Fail each submit at a sidecar after its first chunk."""
+    count = 0
+    while True:
+        count += 1
+        submit = await sidecar.wait_submit(count)
+        sidecar.send_chunk(submit, 0)
+        sidecar.send_finish(
+            submit, chunks=1, code=ResultCode.UPSTREAM_FAILED, ran=Ran.YES
+        )
+
+
+async def _finish_all(sidecar, *fields):
+    """Finish the submits at a sidecar with these fields in turn."""
     count = 0
     while True:
         count += 1
-        sidecar.send_finish(await sidecar.wait_submit(count), **fields)
+        sidecar.send_finish(
+            await sidecar.wait_submit(count), **fields[count % len(fields)]
+        )
 
 
 async def test_bad_request_is_not_retried(open_entry, sidecars, make_request):
@@ -443,34 +508,3 @@
             count > earlier
             for count, earlier in zip(after, before, strict=True)
         )
-
-
-async def test_upstream_whose_responses_break_after_a_chunk_is_left_out(
-    open_entry, sidecars, make_request
-):
-    """Guards against an upstream that looks idle since each call fails."""
-    broken, sound = sidecars[:2]
-    async with open_entry([broken, sound]) as entry:
-        dispatcher = entry.dispatcher
-        async with trio.open_nursery() as nursery:
-            for sidecar in (broken, sound):
-                nursery.start_soon(_break_or_finish, sidecar, broken)
-            outcomes = []
-            for _ in range(20):
-                outcome = await _start_request(
-                    nursery, dispatcher, make_request()
-                )
-                await _wait_ended(outcome)
-                outcomes.append(outcome)
-            nursery.cancel_scope.cancel()
-    assert len(broken.submits) <= FAILURES_TO_EJECT
-    assert sum('error' in one for one in outcomes) <= FAILURES_TO_EJECT
-
-
-async def _break_or_finish(sidecar, broken):
-    """Answer each request with a chunk, then end it, or fail it."""
-    code = ResultCode.UPSTREAM_FAILED if sidecar is broken else ResultCode.OK
-    for number in itertools.count(1):
-        submit = await sidecar.wait_submit(number)
-        sidecar.send_chunk(submit, 0)
-        sidecar.send_finish(submit, chunks=1, code=code, ran=Ran.YES)
