Leave no sound upstream out for requests that fail anywhere

What callers could meet since: if a part of all requests fails with 500 at whichever upstream runs it, sound upstreams are left out, and half of the pool does all the work.

Cause: an error response counted as a failure of its upstream, three in a row eject, and one alone ejects an upstream that has not fully returned, for twice the time. Before the head of an error response ended the row. A refusal of a further attempt (503 without the header that it did not run) counted too.

Whole error responses have a row of their own now, of eight, and one alone ejects no returning upstream. Refusals are neither failure nor success.

--- a/briarrill/coordination/ejection.py
+++ b/briarrill/coordination/ejection.py
@@ -21,6 +21,11 @@
 # consecutive failures after which an upstream is ejected
 FAILURES_TO_EJECT = 3
 
+# consecutive error responses after which an upstream is ejected; more than of
+# failures, since they may be those of one caller's requests: if a fifth of all
+# requests is bad, one row in 400,000 is as long at a sound upstream
+ERRORS_TO_EJECT = 8
+
 # an upstream is slow if its mean time to first chunk is more than this many
 # times the median of the other upstreams
 SLOW_RATIO = 4.0
@@ -58,6 +63,7 @@
     """Failures, latency and ejections of one upstream.
 
     :param failures: consecutive failed requests.
+    :param errors: consecutive responses with an error.
     :param samples: first chunks since the last ejection.
     :param first_chunk_s: moving average of the time to first chunk.
     :param ejected_until: clock at the end of the last ejection.
@@ -65,6 +71,7 @@
     """
 
     failures: int = 0
+    errors: int = 0
     samples: int = 0
     first_chunk_s: float = 0.0
     ejected_until: float = 0.0
@@ -150,10 +157,22 @@
             return self._eject(name, health, 'failures')
         return False
 
+    def record_error(self, name: str) -> None:
+        """Count a whole response that is an error of the upstream.
+
+        Any request may cause one, so one alone ejects no upstream that has
+        not fully returned.
+        """
+        health = self._track(name)
+        health.errors += 1
+        if health.errors >= ERRORS_TO_EJECT:
+            self._eject(name, health, 'errors')
+
     def record_success(self, name: str) -> None:
         """Record that the whole response to a request was received."""
         health = self._track(name)
         health.failures = 0
+        health.errors = 0
         if health.ejections and health.share(self._clock()) >= 1:
             health.ejections = 0
             log_message('upstream:returned', upstream=name)
@@ -202,6 +221,7 @@
         health.ejected_until = now + min(duration_s, MAX_EJECTION_S)
         health.ejections += 1
         health.failures = 0
+        health.errors = 0
         health.samples = 0
         EJECTED.labels(reason).inc()
         log_message('upstream:ejected', upstream=name, reason=reason)
--- a/briarrill/relay/upstream_health.py
+++ b/briarrill/relay/upstream_health.py
@@ -9,7 +9,9 @@
     BriarrillError,
     CapacityError,
     DeadlineExceededError,
+    UpstreamFailedError,
     UpstreamLostError,
+    UpstreamRefusedError,
 )
 from .permits import has_no_limit
 
@@ -57,7 +59,12 @@
 
         :param went_on: whether the response went on until it failed.
         """
-        if isinstance(exc, CapacityError):
+        if isinstance(exc, CapacityError | UpstreamRefusedError):
+            return
+        if isinstance(exc, UpstreamFailedError):
+            self.ejector_of(upstream.service).record_error(
+                upstream.upstream_id
+            )
             return
         if isinstance(exc, DeadlineExceededError) and went_on:
             # it may only be long, or late under overload
--- a/tests/coordination/test_ejection.py
+++ b/tests/coordination/test_ejection.py
@@ -6,6 +6,7 @@
 import pytest
 
 from briarrill.coordination.ejection import (
+    ERRORS_TO_EJECT,
     FAILURES_TO_EJECT,
     FIRST_EJECTION_S,
     MAX_EJECTION_S,
@@ -85,6 +86,31 @@
         assert _eligible_share(ejector, 'u0', 1) == 1
 
 
+def test_upstream_with_consecutive_errors_is_ejected(ejector):
+    for _ in range(ERRORS_TO_EJECT - 1):
+        ejector.record_error('u0')
+    assert _eligible_share(ejector, 'u0') == 1
+    ejector.record_error('u0')
+    assert _eligible_share(ejector, 'u0') == 0
+
+
+@pytest.mark.parametrize('was_ejected', [False, True])
+def test_requests_that_fail_anywhere_eject_no_upstream(
+    ejector, clock, was_ejected
+):
+    """Guards against leaving sound upstreams out for one caller's requests."""
+    if was_ejected:
+        _fail(ejector, 'u0')
+        clock.now += FIRST_EJECTION_S
+    for number in range(1, 500):
+        clock.now += 0.05
+        if number % 5:
+            ejector.record_success('u0')
+        else:
+            ejector.record_error('u0')
+    assert _eligible_share(ejector, 'u0') == 1
+
+
 def test_failure_tells_whether_it_ejects(ejector):
     told = [ejector.record_failure('u0') for _ in range(FAILURES_TO_EJECT + 1)]
     assert told == [False] * (FAILURES_TO_EJECT - 1) + [True, False]
