Search once for the same slots between two starts of items

What callers could meet: a batch process that stands still for a second at a time, and reports late, while hundreds of items with output, or rejected a moment ago, wait for slots of hundreds of upstreams.

Cause: an item with output, or one that avoids an upstream for now, does not end the search of a pass for the items behind it, and each of them searched all upstreams anew. Nothing changes between two of these searches but by a start, as no other task runs in a pass.

A pass keeps the own upstreams and their free slots by route and origin of output, and drops the latter with each start.

--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -145,7 +145,8 @@
         if may_expire_jobs:
             self._expiry.check_if_due(routes)
         if not self.local_items.is_draining and self._slots.may_start_items():
-            self._start_items(routes, nursery)
+            with self._slots.searching():
+                self._start_items(routes, nursery)
 
     def _release_all(self) -> None:
         """Suspend all items, so that connected peers fetch them."""
@@ -252,7 +253,7 @@
         running = RunningItem(progress, candidate.route, upstream.upstream_id)
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
-        self._slots.own_items[upstream.upstream_id] += 1
+        self._slots.count_start(upstream.upstream_id)
         nursery.start_soon(self._run_item, running, candidate, upstream)
         self._load.schedule_urgent_report()
         return True
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -1,9 +1,10 @@
 """briarrill.item_runs.slots: finds free slots of upstreams for batch items."""
 
 import collections
+import contextlib
 import random
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 
 import attrs
 
@@ -49,6 +50,20 @@
     load: float = 0
 
 
+@attrs.define
+class _Found:
+    """What searches of one scheduling pass have found.
+
+    :param owned: the own upstreams for a route, by its name.
+    :param free: free slots for a route and the origin of output.
+    """
+
+    owned: dict[str, list[RegisteredUpstream]] = attrs.field(factory=dict)
+    free: dict[tuple[str, StreamOrigin | None], dict[str, int]] = attrs.field(
+        factory=dict
+    )
+
+
 @attrs.define
 class FreeSlots:
     """Finds free slots at the upstreams that this process owns.
@@ -72,6 +87,7 @@
     _ejector: Ejector = attrs.field(
         factory=lambda: Ejector(random.Random()), init=False
     )
+    _found: _Found | None = attrs.field(default=None, init=False)
 
     @property
     def is_isolated(self) -> bool:
@@ -130,6 +146,25 @@
             if target.service in self._places
         )
 
+    @contextlib.contextmanager
+    def searching(self) -> Iterator[None]:
+        """Search only once for the same between two starts of items.
+
+        Hundreds of waiting items may look for slots of as many upstreams, and
+        nothing but starts changes anything as long as no other task runs.
+        """
+        self._found = _Found()
+        try:
+            yield
+        finally:
+            self._found = None
+
+    def count_start(self, upstream_id: str) -> None:
+        """Count an item that is about to start."""
+        self.own_items[upstream_id] += 1
+        if self._found is not None:
+            self._found.free.clear()
+
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
         return any(self._free_slots(route).values())
@@ -157,7 +192,7 @@
         }
         if any(others.values()) or (others and waits_for_others):
             free = others
-        free = self._without_failing(free)
+        free = _without_failing(self._ejector, free)
         name = max(free, key=lambda upstream_id: free[upstream_id], default='')
         if not name or not free[name]:
             return None
@@ -183,6 +218,12 @@
 
     def _owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
         """Return the upstreams that this process owns for a route's items."""
+        found = _Found() if self._found is None else self._found
+        if route.name not in found.owned:
+            found.owned[route.name] = self._find_owned(route)
+        return found.owned[route.name]
+
+    def _find_owned(self, route: Route) -> list[RegisteredUpstream]:
         processes = tuple(self.processes())
         owned: list[RegisteredUpstream] = []
         for target in route.targets:
@@ -200,11 +241,22 @@
     ) -> dict[str, int]:
         """Return free slots of the upstreams of a route, by ID.
 
+        :param origin: output with which they must go on, if any.
+        """
+        found = _Found() if self._found is None else self._found
+        search = (route.name, origin)
+        if search not in found.free:
+            found.free[search] = self._find_free_slots(route, origin)
+        return found.free[search]
+
+    def _find_free_slots(
+        self, route: Route, origin: StreamOrigin | None
+    ) -> dict[str, int]:
+        """Search for free slots.
+
         They are the owned ones without those that are suspected or at their
         request limit, and suspected ones if no other has had a free slot for
         some time.
-
-        :param origin: output with which they must go on, if any.
         """
         owned = self._owned_upstreams(route)
         takes_items = {
@@ -219,27 +271,12 @@
         return {
             name: count
             for name, count in takes_items.items()
-            if origin is None or self._may_go_on_at(name, origin)
-        }
-
-    def _without_failing(self, free: dict[str, int]) -> dict[str, int]:
-        """Return the upstreams that are not ejected, if they have free slots.
-
-        Their slots are free again early, since they end each run at once.
-        """
-        eligible = {
-            one.name
-            for one in self._ejector.eligible(
-                [_Candidate(name) for name, count in free.items() if count]
+            if origin is None
+            or (
+                (upstream := self.upstreams.find(name))
+                and self.upstreams.may_go_on(upstream, origin)
             )
         }
-        return {name: free[name] for name in free if name in eligible} or free
-
-    def _may_go_on_at(self, upstream_id: str, origin: StreamOrigin) -> bool:
-        upstream = self.upstreams.find(upstream_id)
-        return upstream is not None and self.upstreams.may_go_on(
-            upstream, origin
-        )
 
     def _has_lacked_room(self, route: Route) -> bool:
         """Whether no upstream that is not suspected had room for some time.
@@ -249,7 +286,7 @@
         now = time.monotonic()
         if any(
             self._free_slots_at(upstream)
-            for upstream in self._accepting_upstreams(route)
+            for upstream in _accepting_upstreams(self.upstreams, route)
             if self._takes_items(upstream)
         ):
             self._had_room_at[route.name] = now
@@ -267,20 +304,13 @@
         own_suspects = self.load.silence.suspects
         return {
             upstream.upstream_id: min(1, self._free_slots_at(upstream))
-            for upstream in self._accepting_upstreams(route)
+            for upstream in _accepting_upstreams(self.upstreams, route)
             if self.load.is_suspect(upstream.upstream_id)
             and not self._is_blocked(upstream)
             and not self.own_items[upstream.upstream_id]
             and (upstream in owned or upstream.upstream_id not in own_suspects)
         }
 
-    def _accepting_upstreams(self, route: Route) -> list[RegisteredUpstream]:
-        return [
-            upstream
-            for target in route.targets
-            for upstream in self.upstreams.accepting_upstreams(target.service)
-        ]
-
     def _takes_items(self, upstream: RegisteredUpstream) -> bool:
         return not self._is_blocked(upstream) and not self.load.is_suspect(
             upstream.upstream_id
@@ -298,3 +328,28 @@
             self.load.online(name),
             self.own_items[name] + peer_items,
         )
+
+
+def _accepting_upstreams(
+    upstreams: UpstreamTable, route: Route
+) -> list[RegisteredUpstream]:
+    """Return the upstreams for a route's items, whoever owns them."""
+    return [
+        upstream
+        for target in route.targets
+        for upstream in upstreams.accepting_upstreams(target.service)
+    ]
+
+
+def _without_failing(ejector: Ejector, free: dict[str, int]) -> dict[str, int]:
+    """Return the upstreams that are not ejected, if they have free slots.
+
+    Their slots are free again early, since they end each run at once.
+    """
+    eligible = {
+        one.name
+        for one in ejector.eligible(
+            [_Candidate(name) for name, count in free.items() if count]
+        )
+    }
+    return {name: free[name] for name in free if name in eligible} or free
--- a/tests/item_runs/test_slots.py
+++ b/tests/item_runs/test_slots.py
@@ -185,3 +185,30 @@
         slots.record_end('i-0', RunEnd.PREEMPTED)
         slots.record_end('i-0', RunEnd.REFUSED)
     assert slots.choose_upstream(BATCH_ROUTE, '').upstream_id == 'i-0'
+
+
+def test_waiting_items_share_a_search_until_one_starts(slots, monkeypatch):
+    """Hundreds of items may avoid an upstream or have output."""
+    searches = []
+    free_slots_at = FreeSlots._free_slots_at
+
+    def count_search(slots, upstream):
+        searches.append(upstream)
+        return free_slots_at(slots, upstream)
+
+    monkeypatch.setattr(FreeSlots, '_free_slots_at', count_search)
+    _fill(slots, 'i-1')
+    with slots.searching():
+        for _ in range(100):
+            assert not slots.choose_upstream(
+                BATCH_ROUTE, 'i-0', waits_for_others=True
+            )
+        assert len(searches) == 2
+        for _ in range(SLOTS - 1):
+            chosen = slots.choose_upstream(BATCH_ROUTE, 'i-1')
+            assert chosen.upstream_id == 'i-0'
+            slots.count_start('i-0')
+        assert not slots.choose_upstream(BATCH_ROUTE, 'i-1')
+    # a later pass sees what others have changed meanwhile
+    slots.load.in_flight.online.clear()
+    assert slots.choose_upstream(BATCH_ROUTE, 'i-0').upstream_id == 'i-1'
