Go on with output at its version if that has room after a wait

What callers could meet since: beside upstreams of another version, an item that waited 2 s for a slot while everything was full lost its output at the next slot anywhere, and its run was paid for twice.

Cause: after 2 s without an upstream of its version, the search asked for the upstream with the most free slots, of any version, and gave the output up if that was another one, though its own had room as well by then.

An upstream of the output's version comes first also then. Only one that has been refused, cut or failed within the last second does not, so that output which its version refuses each time is still given up.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -168,8 +168,19 @@
         self.next_run_at = now + delay_s
         self.avoided_upstream = upstream_id
         self.avoided_until = now + avoidance_s
+        self.begin_wait()
+
+    def begin_wait(self) -> None:
+        """Record that nothing goes on with the output, if that is new."""
         if self.waits_since is None:
-            self.waits_since = now
+            self.waits_since = time.monotonic()
+
+    def has_waited(self, wait_s: float) -> bool:
+        """Whether nothing has gone on with the output for some time."""
+        return (
+            self.waits_since is not None
+            and time.monotonic() - self.waits_since >= wait_s
+        )
 
     def begin_run(self, origin: StreamOrigin) -> None:
         """Discard the incomplete event at the end of the last run.
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -1,5 +1,6 @@
 """briarrill.item_runs.scheduler: starts and preempts batch items."""
 
+import functools
 import time
 from collections.abc import Callable
 
@@ -263,21 +264,23 @@
     ) -> RegisteredUpstream | None:
         """Return an upstream with a free slot for an item, if there is one.
 
-        Output that no upstream goes on with is given up after a time.
+        Output that no upstream goes on with is given up after a time. One of
+        its version that has room by then comes first, unless it is refused.
         """
-        now = time.monotonic()
-        since = progress.waits_since
-        keeps_output = progress.has_output and (
-            since is None or now - since < VERSION_WAIT_S
-        )
-        upstream = self._slots.choose_upstream(
+        may_restart = progress.has_waited(VERSION_WAIT_S)
+        search = functools.partial(
+            self._slots.choose_upstream,
             route,
             progress.avoided_upstream,
-            progress.origin if keeps_output else None,
             waits_for_others=progress.is_avoiding,
         )
+        upstream = None
+        if progress.has_output and not (may_restart and progress.is_avoiding):
+            upstream = search(progress.origin)
+        if upstream is None and (may_restart or not progress.has_output):
+            upstream = search()
         if upstream is None:
-            progress.waits_since = now if since is None else since
+            progress.begin_wait()
         elif progress.has_output and not self._upstreams.may_go_on(
             upstream, progress.origin
         ):
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -680,6 +680,28 @@
     )
     progress.add_stream_bytes(encode_event(1))
     setup.scheduler._suspended[progress.key] = progress
+    return progress
+
+
+async def test_output_is_kept_if_its_version_has_room_after_a_wait(
+    run_scheduler,
+):
+    """While everything is full, no other version is a reason to begin anew."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        setup.slots.upstreams.register(
+            attrs.evolve(
+                setup.upstream,
+                upstream_id='i-2',
+                version='v2',
+                slots=2 * UPSTREAM_SLOTS,
+            )
+        )
+        progress = _suspend_with_output(setup)
+        progress.waits_since = float('-inf')
+        tracked = await setup.submit(1)
+        with trio.fail_after(5):
+            await _wait_until(lambda: not tracked.is_open)
+        assert engine.requests[0].header(b'last-event-id') == b'1'
 
 
 async def test_output_is_given_up_while_its_version_stays_full(run_scheduler):
