Take no late response after a sound head for a failure

What callers could meet since, under overload: sound upstreams of a route without streams are left out after three responses in a row that were late, so that half of the pool does all the work.

Cause: a response counted as one that goes on if its caller had got a part of it in this attempt. Callers get nothing of a buffered response before it is whole, nor anything new from an attempt after a part of an earlier one.

A sound head of the attempt tells now. One that falls silent after its head holds its slot until the deadline, so it draws no load.

--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -3,7 +3,7 @@
 import contextlib
 import math
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 import trio
@@ -63,8 +63,7 @@
     :param candidate: the last chosen upstream, with its load at that time.
     :param refused_permits: refusals by owners of limits since the last
         attempt.
-    :param had_begun: whether the caller had received a part of the response
-        before the last attempt.
+    :param has_head: whether the last attempt has brought a sound head.
     """
 
     failed_upstreams: set[str] = attrs.field(factory=set)
@@ -74,7 +73,7 @@
     ran: Ran = Ran.NO
     candidate: UpstreamCandidate | None = None
     refused_permits: int = 0
-    had_begun: bool = False
+    has_head: bool = False
 
     @property
     def is_exhausted(self) -> bool:
@@ -97,6 +96,10 @@
             return exc
         return OutcomeUnknownError(exc.message, ran=self.ran)
 
+    def record_head(self) -> None:
+        """Record that the attempt has brought a sound head."""
+        self.has_head = True
+
     def mark_cancelled_run(self) -> None:
         """Record that an attempt was cancelled after it was sent."""
         if self.ran is Ran.NO:
@@ -125,13 +128,15 @@
     :param origin: what begins a stream if this attempt brings its first event.
     :param may_be_refused: whether its response may tell the caller that the
         request did not run, which is not so after an attempt that may have.
+    :param on_head: called when a sound head has arrived.
     """
 
     call: Call
     response: Response
     is_last: bool
     origin: StreamOrigin
-    may_be_refused: bool = True
+    may_be_refused: bool
+    on_head: Callable[[], None]
 
     @property
     def response_timeout_s(self) -> float:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -300,13 +300,14 @@
                 channel.close()
                 raise
             progress.attempts += 1
-            progress.had_begun = response.has_begun
+            progress.has_head = False
             attempt = Attempt(
                 call,
                 response,
                 self._is_last(call, upstream, response, progress),
                 origin,
                 may_be_refused=not progress.unrefused_runs,
+                on_head=progress.record_head,
             )
             try:
                 with self._ends.track(
@@ -447,10 +448,12 @@
         call = attempt.call
         try:
             with time_limit(attempt.response_timeout_s, call):
-                return await self._channels.read_head(call, upstream, channel)
+                head = await self._channels.read_head(call, upstream, channel)
         except UpstreamLostError:
             self._load.silence.mark_suspect(upstream.upstream_id)
             raise
+        attempt.on_head()
+        return head
 
     async def _relay_buffered(
         self,
@@ -573,11 +576,7 @@
         if may_have_run:
             progress.ran = exc.ran
         progress.failed_upstreams.add(upstream.upstream_id)
-        self._health.record_failure(
-            upstream,
-            exc,
-            went_on=response.has_begun and not progress.had_begun,
-        )
+        self._health.record_failure(upstream, exc, has_head=progress.has_head)
         log_message(
             'request:attempt-failed',
             request_id=call.request_id,
--- a/briarrill/relay/upstream_health.py
+++ b/briarrill/relay/upstream_health.py
@@ -50,14 +50,14 @@
         upstream: RegisteredUpstream,
         exc: BriarrillError,
         *,
-        went_on: bool,
+        has_head: bool,
     ) -> None:
         """Count a failed attempt against its upstream.
 
         One that loses several responses in a row is suspected, so that peers
         need not find out for themselves.
 
-        :param went_on: whether the response went on until it failed.
+        :param has_head: whether a sound head of the response has arrived.
         """
         if isinstance(exc, CapacityError | UpstreamRefusedError):
             return
@@ -66,7 +66,7 @@
                 upstream.upstream_id
             )
             return
-        if isinstance(exc, DeadlineExceededError) and went_on:
+        if isinstance(exc, DeadlineExceededError) and has_head:
             # it may only be long, or late under overload
             return
         is_ejected = self.ejector_of(upstream.service).record_failure(
--- a/tests/relay/test_upstream_health.py
+++ b/tests/relay/test_upstream_health.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+import trio
 
 from briarrill.coordination.ejection import (
     ERRORS_TO_EJECT,
@@ -49,6 +50,8 @@
 
 REQUESTS = 40
 
+HTTP_GATEWAY_TIMEOUT = 504
+
 UPSTREAM = RegisteredUpstream('i-0', 'llm', ('127.0.0.1', 1), 'a', 20)
 
 
@@ -124,22 +127,42 @@
     return UpstreamHealth(upstreams, load, random.Random(1))
 
 
-@pytest.mark.parametrize('went_on', [True, False])
+@pytest.mark.parametrize('has_head', [True, False])
 def test_response_that_goes_on_until_its_deadline_is_no_failure(
-    health, went_on
+    health, has_head
 ):
     """Guards against ejecting sound upstreams under overload."""
     for _ in range(FAILURES_TO_EJECT):
         health.record_failure(
-            UPSTREAM, DeadlineExceededError('passed'), went_on=went_on
+            UPSTREAM, DeadlineExceededError('passed'), has_head=has_head
         )
-    assert bool(health.ejector_of('llm')._health) is not went_on
+    assert bool(health.ejector_of('llm')._health) is not has_head
+
+
+@pytest.mark.parametrize('route', [IDEMPOTENT, NON_IDEMPOTENT], ids=_name)
+async def test_bodies_that_are_late_at_all_upstreams_eject_none(route):
+    """Such a response is kept back until it is whole."""
+
+    async def send_head(req, conn):
+        await conn.send_head(200, ((b'content-length', b'5'),))
+        await trio.sleep_forever()
+
+    engines = [StandinEngine(send_head) for _ in range(2)]
+    async with run_front_end([route], *engines) as setup:
+        for number in range(4 * FAILURES_TO_EJECT):
+            async with setup.open_response(
+                route.prefix, attempt_id=f'r{number}', deadline_ms='100'
+            ) as (head, _):
+                assert head.status == HTTP_GATEWAY_TIMEOUT
+        ejector = setup.front.forwarder._health.ejector_of('llm')
+    assert ejector._health
+    assert not any(one.ejections for one in ejector._health.values())
 
 
 @pytest.mark.parametrize('error', [OverloadedError, UpstreamRefusedError])
 def test_rejections_are_no_failures(health, error):
     for _ in range(ERRORS_TO_EJECT):
-        health.record_failure(UPSTREAM, error('full'), went_on=False)
+        health.record_failure(UPSTREAM, error('full'), has_head=False)
     assert not health.ejector_of('llm')._health
 
 
