--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -266,7 +266,7 @@
         now = time.monotonic()
         if any(
             self._free_slots_at(upstream)
-            for upstream in self._accepting_upstreams(route)
+            for upstream in _accepting_upstreams(self.upstreams, route)
             if self._takes_items(upstream)
         ):
             self._had_room_at[route.name] = now
@@ -284,20 +284,13 @@
         own_suspects = self.load.silence.suspects
         return {
             upstream.upstream_id: min(1, self._free_slots_at(upstream))
-            for upstream in self._accepting_upstreams(route)
+            for upstream in _accepting_upstreams(self.upstreams, route)
             if self.load.is_suspect(upstream.upstream_id)
             and not self._is_blocked(upstream)
             and not self.own_items[upstream.upstream_id]
             and (upstream in owned or upstream.upstream_id not in own_suspects)
         }
 
-    def _accepting_upstreams(self, route: Route) -> list[RegisteredUpstream]:
-        return [
-            upstream
-            for target in route.targets
-            for upstream in self.upstreams.accepting_upstreams(target.service)
-        ]
-
     def _takes_items(self, upstream: RegisteredUpstream) -> bool:
         return not self._is_blocked(upstream) and not self.load.is_suspect(
             upstream.upstream_id
@@ -315,3 +308,14 @@
             self.load.online(name),
             self.own_items[name] + peer_items,
         )
+
+
+def _accepting_upstreams(
+    upstreams: UpstreamTable, route: Route
+) -> list[RegisteredUpstream]:
+    """Return the upstreams for a route's items, whoever owns them."""
+    return [
+        upstream
+        for target in route.targets
+        for upstream in upstreams.accepting_upstreams(target.service)
+    ]
