Leave an item to its peers between refused runs

A process whose upstreams refuse an item, or cannot be reached from it, tried again each 0.1 s. Peers see the item as free for a part of that time only, and the process that ranks first for the job keeps it against their claims. On virtual time the order was stable: the process took the item back 0.01 s before its peers each time, for ever, while these reached an upstream with room.

The delay doubles with each refused run, to 0.8 s at most; a new event resets it. Failed claims do not count.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -76,6 +76,7 @@
     """An item and the output of its runs so far.
 
     :param failures: runs to which the upstream responded with an error.
+    :param refusals: runs that upstreams refused since the last new event.
     :param next_run_at: earliest time of the next run, by the monotonic
         clock.
     :param ran_s: time for which the item has occupied slots.
@@ -92,6 +93,7 @@
     job_id: str
     stored: StoredItem
     failures: int = 0
+    refusals: int = 0
     next_run_at: float = 0
     ran_s: float = 0
     avoided_upstream: str = ''
@@ -221,6 +223,7 @@
                 )
         self.last_event_id = event.event_id
         self.waits_since = None
+        self.refusals = 0
         self._lines.append(event.data)
         self._output_bytes += len(event.data) + BYTES_PER_LINE
         if self._output_bytes > MAX_OUTPUT_BYTES:
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -36,6 +36,10 @@
 REJECTED_RETRY_DELAY_S = 0.1
 FAILED_RETRY_DELAY_S = 0.3
 
+# the delay after a rejection doubles this many times at most: a process whose
+# upstreams reject an item leaves it to its peers in between
+MAX_DELAY_DOUBLINGS = 3
+
 # the same after a status that is no failed attempt of the item, so that only
 # the expiry of its job ends the retries
 UNEXPECTED_RETRY_DELAY_S = 1.0
@@ -342,6 +346,8 @@
             self._slots.own_items[upstream.upstream_id] -= 1
         if running.scope.cancelled_caught:
             end = RunEnd.PREEMPTED
+        if end is RunEnd.REFUSED and not running.is_claimed:
+            progress.refusals += 1
         progress.ran_s += time.monotonic() - began_at
         self._handle_run_end(
             progress, running.route, upstream.upstream_id, end
@@ -377,7 +383,7 @@
                 self._queue_result(progress, ItemState.ERRORED, 'attempts')
         if self._committer.has_pending(*progress.key):
             return
-        delay_s = _RETRY_DELAYS_S.get(end)
+        delay_s = _retry_delay_s(end, progress.refusals)
         if delay_s is not None:
             progress.await_next_run(upstream_id, delay_s, AVOIDANCE_S)
         self._suspended[progress.key] = progress
@@ -405,3 +411,14 @@
     RunEnd.FAILED: FAILED_RETRY_DELAY_S,
     RunEnd.UNEXPECTED: UNEXPECTED_RETRY_DELAY_S,
 }
+
+
+def _retry_delay_s(end: RunEnd, refusals: int) -> float | None:
+    """Return the delay of an item's next run, none if it may run at once.
+
+    :param refusals: runs that were refused one after the other.
+    """
+    delay_s = _RETRY_DELAYS_S.get(end)
+    if delay_s is None or end is not RunEnd.REFUSED or not refusals:
+        return delay_s
+    return float(delay_s * 2 ** min(refusals - 1, MAX_DELAY_DOUBLINGS))
