Answer no absence from a copy of a job that was replaced

A request for results keeps the job that it found at its start. If the job leaves the table during its wait, since a list of keys lacked it, and is read anew, results enter the new copy only; also those of the request's own read. The request then told "none" at its position from the old copy, with a read that counted as recent, though other entries return the results.

It gets 503 now if the table no longer has the job that it looks at.

Whether this was at work in the users' record is not known; it takes a wrong or older list of keys during the wait of one request.

Evidence: test_job_that_is_read_anew_meanwhile_is_not_told_from_the_old_copy failed before (an empty page).

--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -309,7 +309,8 @@
                 is_known = _was_read(tracked, MAX_ABSENCE_AGE_S)
         if position < len(tracked.results):
             return
-        if tracked.is_blocked or not is_known:
+        is_replaced = self.jobs.find(tracked.job_id) is not tracked
+        if tracked.is_blocked or is_replaced or not is_known:
             raise PlatformUnavailableError(
                 f'job {tracked.job_id!r} may have further results',
                 retry_after_s=UNREAD_RETRY_AFTER_S,
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -1,5 +1,6 @@
 """Tests of job requests while the key-value service fails or loses replies."""
 
+import contextlib
 import json
 import math
 
@@ -527,3 +528,31 @@
     with pytest.raises(PlatformUnavailableError) as caught:
         await entry(IntentKind.READ_RESULTS, position=1)
     assert caught.value.retry_after_s
+
+
+async def test_job_that_is_read_anew_meanwhile_is_not_told_from_the_old_copy(
+    service, autojump_clock
+):
+    """A list of keys that lacked the job has removed it from the table."""
+    entry = EntryHandler(service)
+    job = make_job('j1', 2)
+    changes = job_creation_changes(job, 1_000_000)
+    await service.transact(changes)
+    entry.table.add(job)
+    pages = []
+
+    async def read_page():
+        with contextlib.suppress(PlatformUnavailableError):
+            response = await entry(
+                IntentKind.READ_RESULTS, position=0, wait_s=0.6
+            )
+            pages.append(results_in(response))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read_page)
+        await trio.sleep(0.2)
+        entry.table.apply_key(changes[0].key, None)
+        result = StoredResult('j1-0', ItemState.COMPLETED, 'x')
+        await service.transact(result_creation_changes('j1', 0, [result]))
+        await entry.table.read('j1')
+    assert [] not in pages
