Take no silent upstream for one that has crashed

After a response broke or a connection attempt failed, the check of the upstream tried one connection for 0.25 s. A process that stands still accepts connections only as long as its queue has room; then the kernel drops the attempts, and so does a host that is not heard. Its time-out was recorded as a crash, with the prompts in flight as evidence, which counts for 600 s and is refuted only by a response on a connection that was open before. When several sound upstreams were silent at once, sound prompts that they shared could be quarantined, and items with them held back.

Cause: `connect` told a refused connection and one that timed out by the same error, and the check took both for an end.

Fix: a time-out raises `PeerSilentError`. The check makes new attempts for 2.0 s (the kernel repeats a dropped one only after a second) and then takes the upstream for ended as before. A refused connection and a successor at its address are an end at once, as before. 2.0 s: a sound silence lasts about a second, and all processes are to know of a crash within 3 s.

Tests of crashes, quarantines, forwarding and sidecars: 463 passed, 1 xpassed.

--- a/briarrill/coordination/upstream_ends.py
+++ b/briarrill/coordination/upstream_ends.py
@@ -16,6 +16,7 @@
 
 from ..errors import (
     DeadlineExceededError,
+    PeerSilentError,
     PeerUnreachableError,
     UpstreamLostError,
 )
@@ -23,7 +24,7 @@
 from ..protocol.load_reports import short_hash
 from ..protocol.prompt_news import PromptNews, UpstreamCrash
 from ..protocol.request_keys import is_request_key
-from ..transport.http_channel import connect
+from ..transport.http_channel import HttpChannel, connect
 from .prompt_crashes import PromptQuarantine
 from .upstream_table import RegisteredUpstream, UpstreamTable
 
@@ -36,6 +37,11 @@
 # a live upstream accepts a connection within one or two round trips
 CHECK_TIMEOUT_S = 0.25
 
+# time for which an upstream may neither accept nor refuse connections before
+# it counts as ended: a sound one may be silent for about a second, and all
+# processes are to know of a crash within three
+MAX_SILENCE_S = 2.0
+
 # interval of the decisions on prompt parts and of the checks of registrations;
 # longer while no crash is known
 POLL_INTERVAL_S = 0.1
@@ -344,9 +350,10 @@
         unmarked = set(runs.unmarked)
         await trio.sleep(CHECK_DELAY_S)
         try:
-            channel = await connect(runs.upstream.address, CHECK_TIMEOUT_S)
+            channel = await _connect_patiently(runs.upstream.address)
         except PeerUnreachableError as exc:
-            if not self._upstreams.is_leaving(runs.upstream.incarnation):
+            is_planned = self._upstreams.is_leaving(runs.upstream.incarnation)
+            if not (runs.has_ended or is_planned):
                 self._record_crash(runs, exc.message)
             return
         finally:
@@ -418,6 +425,24 @@
         QUARANTINED_PARTS.set(self.quarantine.quarantined_count)
 
 
+async def _connect_patiently(address: tuple[str, int]) -> HttpChannel:
+    """Connect to an upstream that may be silent for a while.
+
+    An attempt that the kernel dropped is repeated too late, so new ones are
+    made.
+
+    :raises PeerUnreachableError: it refuses connections, or has accepted
+        none for ``MAX_SILENCE_S``.
+    """
+    give_up_at = time.monotonic() + MAX_SILENCE_S
+    while True:
+        try:
+            return await connect(address, CHECK_TIMEOUT_S)
+        except PeerSilentError:
+            if time.monotonic() >= give_up_at:
+                raise
+
+
 def observe_prompt_news() -> UpstreamEnds:
     """Return an observer without upstreams, which gets all news from peers."""
     return UpstreamEnds(
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -33,6 +33,7 @@
     'OutcomeUnknownError',
     'OverloadedError',
     'PeerBusyError',
+    'PeerSilentError',
     'PeerUnreachableError',
     'PlatformUnavailableError',
     'RequestRateError',
@@ -367,6 +368,10 @@
     code = ResultCode.PEER_BUSY
 
 
+class PeerSilentError(PeerUnreachableError):
+    """A connection was neither accepted nor refused in time."""
+
+
 class SegmentLostError(FleetError):
     """A segment is damaged, or none of its replicas could be read."""
 
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -16,6 +16,7 @@
 
 from ..decoding import find_whole_number
 from ..errors import (
+    PeerSilentError,
     PeerUnreachableError,
     ResponseTooLargeError,
     UpstreamLostError,
@@ -79,15 +80,18 @@
 async def connect(address: tuple[str, int], timeout_s: float) -> 'HttpChannel':
     """Connect to a server.
 
-    :raises PeerUnreachableError: the connection failed or timed out; no
-        request was sent.
+    :raises PeerSilentError: the connection timed out; no request was sent.
+    :raises PeerUnreachableError: it failed; no request was sent.
     """
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         with trio.fail_after(timeout_s):
             await sock.connect(address)
         _set_socket_options(sock)
-    except (OSError, trio.TooSlowError) as exc:
+    except trio.TooSlowError as exc:
+        sock.close()
+        raise PeerSilentError(f'{address}: {exc!r}') from exc
+    except OSError as exc:
         sock.close()
         raise PeerUnreachableError(f'{address}: {exc!r}') from exc
     except BaseException:
--- a/tests/coordination/test_upstream_ends.py
+++ b/tests/coordination/test_upstream_ends.py
@@ -1,6 +1,7 @@
 """Tests of telling the end of an upstream from that of one response."""
 
 import contextlib
+import socket
 
 import attrs
 import pytest
@@ -26,6 +27,9 @@
 
 PARTS = ('first', 'shared')
 
+# a sound upstream may send and accept nothing for about this time
+SOUND_SILENCE_S = 1.0
+
 REQUEST = request_key('caller', b'GET', b'/x', b'')
 OTHER_REQUEST = request_key('caller', b'GET', b'/y', b'')
 
@@ -100,6 +104,65 @@
         assert not observed.crashes
 
 
+@contextlib.contextmanager
+def _full_queue():
+    """Yield a listening socket that accepts no connection, and its address.
+
+    The kernel drops attempts while the queue of connections is full, as for a
+    process that stands still.
+    """
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        for _ in range(4):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        yield listener, listener.getsockname()
+
+
+async def test_upstream_that_accepts_again_after_a_silence_accuses_nobody(
+    observe,
+):
+    """Its prompts would be held back for the time of a quarantine."""
+    with _full_queue() as (listener, address):
+        observed = observe(address)
+        observed.fail()
+        await trio.sleep(SOUND_SILENCE_S)
+        listener.listen(16)
+        await observed.settle()
+        assert not observed.crashes
+        observed.fail()
+        await observed.settle()
+        assert not observed.crashes
+
+
+async def test_upstream_that_goes_on_accepting_nothing_has_ended(observe):
+    with _full_queue() as (_, address):
+        observed = observe(address)
+        observed.fail()
+        await observed.settle()
+        (crash,) = observed.crashes
+        assert crash.first_parts == (short_hash('first'),)
+
+
+async def test_successor_found_during_a_check_is_recorded_once(observe):
+    with _full_queue() as (_, address):
+        observed = observe(address)
+        observed.fail()
+        await trio.sleep(upstream_ends.CHECK_DELAY_S)
+        observed.table.register(
+            attrs.evolve(observed.upstream, incarnation='i-1/2')
+        )
+        with trio.fail_after(5):
+            while not observed.crashes:
+                await trio.sleep(0.02)
+        changes = list(observed.changes)
+        await trio.sleep(upstream_ends.MAX_SILENCE_S)
+        assert observed.changes == changes
+
+
 async def test_rejection_is_no_sign_of_a_crash(observe):
     observed = observe(('127.0.0.1', free_port()))
     observed.fail(OverloadedError)
