End the suspicion of a silent upstream with its next reply

Cause: only bytes of an open stream ended a suspicion. An upstream whose calls had all been moved away had none, and got no new call while others had room. Responses in one piece never ended one. The head of a stream did, whatever the reason of the suspicion.

Fix: a suspicion of silence (no bytes of a stream, no connection, no head) ends with any head of a response. While no stream is open at the upstream, it is asked for its report on a new connection every 0.5 s; an accepted connection alone is no reply. One that falls silent again after such a reply, before it sent bytes of a stream or a whole response, is suspected for as long as before: it may answer reports and no requests. A suspicion set by mark_suspect (lost responses) ends only with bytes of a stream or with a whole response, no longer with the head of a stream.

Reports and new connections have a price on the platform.

Upstreams that are mute, or another process, stay suspected. Not run: whole processes, sites.

--- a/briarrill/coordination/silence.py
+++ b/briarrill/coordination/silence.py
@@ -5,7 +5,8 @@
 stream that has started carries several events a second, so a pause in all
 streams of an upstream, or a refused connection, marks it as suspected, and
 the next load report passes that to all processes. Suspicion only ranks an
-upstream behind the others; its next bytes clear it.
+upstream behind the others; its next bytes clear it. One whose calls were all
+moved away sends none, so it is asked for its state, and a reply clears it.
 """
 
 import collections
@@ -13,6 +14,8 @@
 import time
 from collections.abc import Callable, Iterator
 
+import attrs
+
 __all__ = ('SilenceDetector',)
 
 # time without bytes on any started stream of an upstream after which it is
@@ -24,6 +27,28 @@
 # of a lost upstream expires sooner
 SUSPICION_EXPIRY_S = 4.0
 
+# pause between two probes of a suspected upstream, within which one that goes
+# on after a silence gets requests again; each probe has a price
+PROBE_PAUSE_S = 0.5
+
+# time for which the replies of an upstream that fell silent again after one
+# end no suspicion: it may answer probes and no requests
+DOUBT_S = 12.0
+
+
+@attrs.define
+class _Suspicion:
+    """Why and since when an upstream is suspected.
+
+    :param since: time of the last evidence.
+    :param ends_with_reply: whether any reply ends it.
+    :param next_probe_at: time of the next probe, if a reply ends it.
+    """
+
+    since: float
+    ends_with_reply: bool
+    next_probe_at: float
+
 
 class SilenceDetector:
     """Tracks when upstreams last sent bytes to this process.
@@ -36,7 +61,8 @@
         self._clock = clock
         self._open_streams: collections.Counter[str] = collections.Counter()
         self._last_bytes_at: dict[str, float] = {}
-        self._suspected_since: dict[str, float] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._doubted_at: dict[str, float] = {}
 
     @property
     def suspects(self) -> tuple[str, ...]:
@@ -47,17 +73,18 @@
         now = self._clock()
         for name in self._open_streams:
             if now - self._last_bytes_at[name] > MAX_STREAM_SILENCE_S:
-                self._suspected_since[name] = now
-        for name, since in list(self._suspected_since.items()):
-            if now - since > SUSPICION_EXPIRY_S:
-                self._suspected_since.pop(name)
-        return tuple(self._suspected_since)
+                self.mark_silent(name)
+        for name, suspicion in list(self._suspicions.items()):
+            if now - suspicion.since > SUSPICION_EXPIRY_S:
+                self._suspicions.pop(name)
+        return tuple(self._suspicions)
 
     @contextlib.contextmanager
     def track_stream(self, upstream_id: str) -> Iterator[None]:
         """Expect bytes from an upstream while a started stream is open."""
         self._remove_old_times()
-        self.record_bytes(upstream_id)
+        # its head is no bytes of a stream, so it ends no suspicion here
+        self._last_bytes_at[upstream_id] = self._clock()
         self._open_streams[upstream_id] += 1
         try:
             yield
@@ -67,22 +94,84 @@
                 self._open_streams.pop(upstream_id)
 
     def record_bytes(self, upstream_id: str) -> None:
-        """Record bytes from an upstream and clear its suspicion."""
+        """Record bytes of a stream or a whole response; end a suspicion."""
         self._last_bytes_at[upstream_id] = self._clock()
-        self._suspected_since.pop(upstream_id, None)
+        self._suspicions.pop(upstream_id, None)
+        self._doubted_at.pop(upstream_id, None)
+
+    def record_reply(self, upstream_id: str) -> bool:
+        """Record the head of a response, or a reply to a probe.
+
+        It ends a suspicion of silence, unless a stream is silent still or the
+        upstream fell silent after an earlier reply.
+
+        :return: whether a suspicion has ended.
+        """
+        suspicion = self._suspicions.get(upstream_id)
+        if suspicion is None or upstream_id in self._open_streams:
+            return False
+        if not suspicion.ends_with_reply:
+            return False
+        self._suspicions.pop(upstream_id)
+        self._doubted_at[upstream_id] = self._clock()
+        return True
 
     def mark_suspect(self, upstream_id: str) -> None:
-        """Mark an upstream as suspected after a failed connect or response."""
-        self._suspected_since[upstream_id] = self._clock()
+        """Mark an upstream as suspected after it lost several responses.
+
+        Only bytes of a stream or a whole response end that.
+        """
+        self._suspect(upstream_id, ends_with_reply=False)
+
+    def mark_silent(self, upstream_id: str) -> None:
+        """Mark an upstream as suspected after no connection or no response."""
+        doubted_at = self._doubted_at.get(upstream_id)
+        is_doubted = (
+            doubted_at is not None and self._clock() - doubted_at < DOUBT_S
+        )
+        if is_doubted:
+            self._doubted_at[upstream_id] = self._clock()
+        self._suspect(upstream_id, ends_with_reply=not is_doubted)
+
+    def due_probes(self, max_count: int) -> list[str]:
+        """Return upstreams to ask for a reply now; count them as asked.
+
+        They have no open stream, whose bytes would tell.
+        """
+        now = self._clock()
+        due = [
+            name
+            for name in self.suspects
+            if name not in self._open_streams
+            and self._suspicions[name].ends_with_reply
+            and self._suspicions[name].next_probe_at <= now
+        ]
+        asked = due[:max_count]
+        for name in asked:
+            self._suspicions[name].next_probe_at = now + PROBE_PAUSE_S
+        return asked
 
     def has_recent_bytes(self, upstream_id: str) -> bool:
         """Tell whether bytes came too recently to trust a peer's suspicion."""
         last_at = self._last_bytes_at.get(upstream_id, 0)
         return self._clock() - last_at < MAX_STREAM_SILENCE_S
 
+    def _suspect(self, upstream_id: str, *, ends_with_reply: bool) -> None:
+        """Add evidence; a reply ends a suspicion only if all of it allows."""
+        now = self._clock()
+        suspicion = self._suspicions.setdefault(
+            upstream_id, _Suspicion(now, ends_with_reply, now + PROBE_PAUSE_S)
+        )
+        suspicion.since = now
+        suspicion.ends_with_reply &= ends_with_reply
+
     def _remove_old_times(self) -> None:
-        """Remove times of last bytes that are old and have no open stream."""
-        oldest = self._clock() - SUSPICION_EXPIRY_S
+        """Remove times that are old and belong to no open stream."""
+        now = self._clock()
         for name, last_at in list(self._last_bytes_at.items()):
-            if last_at < oldest and name not in self._open_streams:
+            is_old = last_at < now - SUSPICION_EXPIRY_S
+            if is_old and name not in self._open_streams:
                 self._last_bytes_at.pop(name)
+        for name, doubted_at in list(self._doubted_at.items()):
+            if doubted_at < now - DOUBT_S:
+                self._doubted_at.pop(name)
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -131,7 +131,7 @@
             )
         except PeerUnreachableError as exc:
             self._channels.close_idle(upstream)
-            self.silence.mark_suspect(upstream.upstream_id)
+            self.silence.mark_silent(upstream.upstream_id)
             self.ends.record_unreachable(upstream)
             _log_run_failure(progress, call, upstream, exc)
             return None
@@ -195,6 +195,7 @@
                     response_head = await self._channels.read_head(
                         call, upstream, channel
                     )
+                self.silence.record_reply(upstream.upstream_id)
                 self.ends.record_response(upstream, channel.opened_at)
                 self.limits.record_response(
                     self.protocol, upstream.incarnation, response_head
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -3,6 +3,7 @@
 import trio
 from eliot import log_message
 
+from ..coordination.suspect_probes import SuspectProber
 from ..item_runs.checkpoints import Checkpoints
 from ..item_runs.handover import HANDOVER_PATH, Handover
 from ..item_runs.item_runner import ItemRunner
@@ -55,11 +56,18 @@
         )
         scheduler = Scheduler(jobs, slots, handover, runner, committer)
         _connect_reports(parts, scheduler)
+        prober = SuspectProber(
+            runner.protocol,
+            parts.upstreams,
+            parts.load.silence,
+            parts.load.schedule_report,
+        )
         retirement = Retirement(parts.store, cfg.name, scheduler)
         parts.operator_keys.add('', retirement)
         async with run_background_tasks(parts), trio.open_nursery() as nursery:
             nursery.start_soon(watch_signals, parts.readiness)
             nursery.start_soon(committer.run)
+            nursery.start_soon(prober.run)
             nursery.start_soon(
                 scheduler.run,
                 lambda: parts.routing_configuration.routes,
--- a/briarrill/platform/entry.py
+++ b/briarrill/platform/entry.py
@@ -5,6 +5,7 @@
 import trio
 
 from ..coordination.latest_results import LatestResults
+from ..coordination.suspect_probes import SuspectProber
 from ..errors import SettingsError
 from ..relay.drain import drain_front_end
 from ..relay.forwarding import Forwarder
@@ -51,6 +52,7 @@
         ):
             nursery.start_soon(watch_signals, parts.readiness)
             nursery.start_soon(_start_when_synced, parts)
+            nursery.start_soon(_make_prober(parts).run)
             await parts.readiness.drain_begun.wait()
             await drain_front_end(front, cfg.grace_s, stop_accepting)
             nursery.cancel_scope.cancel()
@@ -69,6 +71,16 @@
     parts.readiness.has_started = True
 
 
+def _make_prober(parts: ProcessParts) -> SuspectProber:
+    """Create what asks suspected upstreams to reply."""
+    return SuspectProber(
+        PlatformRelayProtocol(),
+        parts.upstreams,
+        parts.load.silence,
+        parts.load.schedule_report,
+    )
+
+
 def _make_front(parts: ProcessParts) -> FrontEnd:
     """Create the front end, the forwarder and the job request handler."""
     rng = random.Random()
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -377,7 +377,7 @@
             return await self._channels.acquire(upstream, request_id)
         except PeerUnreachableError:
             self._channels.close_idle(upstream)
-            self._load.silence.mark_suspect(upstream.upstream_id)
+            self._load.silence.mark_silent(upstream.upstream_id)
             self._ends.record_unreachable(upstream)
             raise
 
@@ -430,6 +430,7 @@
             run.record_end(
                 response_head.status, is_marked=response_head.is_end_marked
             )
+        self._load.silence.record_bytes(upstream.upstream_id)
         self._service_times_of(call.service).add(time.monotonic() - began_at)
         self._health.ejector_of(call.service).record_success(
             upstream.upstream_id
@@ -441,7 +442,7 @@
         upstream: RegisteredUpstream,
         channel: HttpChannel,
     ) -> ResponseHead:
-        """Read the response head; mark an upstream that sends none suspect.
+        """Read the response head; suspect an upstream that sends none.
 
         :raises UpstreamLostError: no head came within the timeout.
         """
@@ -450,9 +451,10 @@
             with time_limit(attempt.response_timeout_s, call):
                 head = await self._channels.read_head(call, upstream, channel)
         except UpstreamLostError:
-            self._load.silence.mark_suspect(upstream.upstream_id)
+            self._load.silence.mark_silent(upstream.upstream_id)
             raise
         attempt.on_head()
+        self._load.silence.record_reply(upstream.upstream_id)
         return head
 
     async def _relay_buffered(
--- a/tests/coordination/test_silence.py
+++ b/tests/coordination/test_silence.py
@@ -8,7 +8,9 @@
     choose_candidate,
 )
 from briarrill.coordination.silence import (
+    DOUBT_S,
     MAX_STREAM_SILENCE_S,
+    PROBE_PAUSE_S,
     SUSPICION_EXPIRY_S,
     SilenceDetector,
 )
@@ -80,3 +82,87 @@
     rng = random.Random(1)
     assert choose_candidate([suspect, busy], rng, 0.1, 0.3) is busy
     assert choose_candidate([suspect], rng, 0.1, 0.3) is suspect
+
+
+def _silent_detector(clock):
+    """Return a detector that suspects ``i-1``, whose calls were moved."""
+    detector = SilenceDetector(clock)
+    with detector.track_stream('i-1'):
+        clock.now += 2 * MAX_STREAM_SILENCE_S
+        assert detector.suspects == ('i-1',)
+    return detector
+
+
+def test_reply_ends_the_suspicion_of_a_silent_upstream():
+    detector = _silent_detector(Clock())
+    assert detector.record_reply('i-1')
+    assert detector.suspects == ()
+    assert not detector.record_reply('i-1')
+
+
+def test_reply_ends_no_suspicion_while_a_stream_is_silent():
+    clock = Clock()
+    detector = SilenceDetector(clock)
+    with detector.track_stream('i-1'):
+        clock.now += 2 * MAX_STREAM_SILENCE_S
+        assert detector.suspects == ('i-1',)
+        assert not detector.record_reply('i-1')
+        assert detector.suspects == ('i-1',)
+        assert detector.due_probes(8) == []
+
+
+def test_reply_does_not_end_the_suspicion_of_lost_responses():
+    """Such an upstream sends sound heads, and breaks what follows."""
+    detector = SilenceDetector(Clock())
+    detector.mark_silent('i-1')
+    detector.mark_suspect('i-1')
+    detector.mark_silent('i-1')
+    assert not detector.record_reply('i-1')
+    assert detector.due_probes(8) == []
+    with detector.track_stream('i-1'):
+        assert detector.suspects == ('i-1',)
+        detector.record_bytes('i-1')
+        assert detector.suspects == ()
+
+
+def test_reply_of_an_upstream_that_falls_silent_again_ends_nothing():
+    """One that answers probes and no requests is tried once, not always."""
+    clock = Clock()
+    detector = SilenceDetector(clock)
+    detector.mark_silent('i-1')
+    assert detector.record_reply('i-1')
+    for _ in range(10):
+        detector.mark_silent('i-1')
+        assert not detector.record_reply('i-1')
+        clock.now += SUSPICION_EXPIRY_S + 0.1
+        assert detector.suspects == ()
+    detector.mark_silent('i-1')
+    detector.record_bytes('i-1')
+    detector.mark_silent('i-1')
+    assert detector.record_reply('i-1')
+    clock.now += DOUBT_S + 0.1
+    detector.mark_silent('i-1')
+    assert detector.record_reply('i-1')
+
+
+def test_silent_upstream_is_probed_at_a_bounded_rate_until_it_expires():
+    clock = Clock()
+    detector = SilenceDetector(clock)
+    detector.mark_silent('i-1')
+    assert detector.due_probes(8) == []
+    probes = 0
+    for _ in range(100):
+        clock.now += PROBE_PAUSE_S / 5
+        probes += len(detector.due_probes(8))
+    assert 6 <= probes <= SUSPICION_EXPIRY_S / PROBE_PAUSE_S
+
+
+def test_probes_of_many_silent_upstreams_are_limited():
+    clock = Clock()
+    detector = SilenceDetector(clock)
+    for number in range(300):
+        detector.mark_silent(f'i-{number}')
+    clock.now += PROBE_PAUSE_S
+    assert len(detector.due_probes(8)) == 8
+    assert len(set(detector.due_probes(8)) - {'i-0'}) == 8
+    assert detector.due_probes(0) == []
