Keep long requests while their upstream reads nothing for a second

What callers saw: a request that does not fit into the windows of the connection was cut off when its upstream read nothing for 1.4 s. One that may not be repeated got 502 and had perhaps run; any other was run again elsewhere. Shorter requests waited.

Cause: TCP_USER_TIMEOUT of connections to upstreams was 1000 ms. It covers not only bytes that the peer's kernel does not acknowledge, but also a window that stays full, as that of a live process which does not read.

Fix: 2000 ms. A power loss is found by keep-alive after 2 s as before, if nothing was sent; unacknowledged bytes end a connection after 2 s, not 1 s. That is later for requests that may not be repeated, or are the last attempt; all others have time limits of their own.

Evidence: test_long_request_is_kept_while_its_server_reads_nothing (4 MB, 1.5 s) failed before with a connection timed out and passes now.

--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -38,9 +38,10 @@
 # sent whole before the response is read
 MAX_INLINE_REQUEST_BYTES = 4096
 
-# the kernel drops a connection whose sent bytes stay unacknowledged this
-# long; a live peer acknowledges within a round trip
-TCP_USER_TIMEOUT_MS = 1000
+# the kernel drops a connection whose sent bytes stay unacknowledged, or find
+# the window of the peer full, for this long; a sound one may read nothing for
+# about a second
+TCP_USER_TIMEOUT_MS = 2000
 
 # TCP keep-alive: idle time before the first probe, interval of probes, and
 # unacknowledged probes after which the connection is dropped
--- a/tests/transport/test_http_channel.py
+++ b/tests/transport/test_http_channel.py
@@ -195,3 +195,31 @@
 async def test_connect_without_listener_raises_peer_unreachable():
     with pytest.raises(PeerUnreachableError):
         await connect(('127.0.0.1', 1), 1)
+
+
+# a sound server may read nothing for about a second; half as long again
+SILENCE_S = 1.5
+
+
+async def test_long_request_is_kept_while_its_server_reads_nothing():
+    """Its window is full, so the kernel takes the bytes for unacknowledged."""
+    body = b'x' * 4_000_000
+    length = (b'content-length', str(len(body)).encode())
+    head = RequestHead(b'POST', b'/', ((b'host', b'h'), length))
+
+    async def read_late(stream):
+        await trio.sleep(SILENCE_S)
+        left = len(body)
+        while left > 0:
+            left -= len(await stream.receive_some())
+        await stream.send_all(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(trio.serve_listeners, read_late, [listener])
+        channel = await connect(listener.socket.getsockname(), 1)
+        with trio.fail_after(10):
+            async with channel.exchange(head, body):
+                assert (await channel.read_head()).status == 200
+        channel.close()
+        nursery.cancel_scope.cancel()
