Count attempts that fail in one silence of an upstream as one

What callers saw: nothing lost. An upstream that was silent for about a second got nothing for 5 s and less than its share for 10 s more, once three retryable requests had waited there at the same time, whatever ended its suspicion.

Cause: each attempt that gets no bytes in time is a failure of its upstream, and three in a row eject it. Those that one silence delayed fail together.

Fix: a wait that runs out raises UpstreamSilentError, and a connection that is not accepted raises PeerSilentError. For 2 s after the first of them the others at the same upstream count as that one. Refused and reset connections and broken responses count each, as before. An upstream that stays mute is suspected for 4 s after each such attempt, and ejected after the third, some 8 s later than before; until then it costs a late attempt every 4 s to each process that has no word of it from a peer.

Evidence: test_requests_that_one_silence_delayed_do_not_eject_its_upstream failed without the new condition (the next request went to the other upstream) and passes now.

--- a/briarrill/coordination/silence.py
+++ b/briarrill/coordination/silence.py
@@ -16,7 +16,14 @@
 
 import attrs
 
-__all__ = ('SilenceDetector',)
+from ..errors import (
+    BriarrillError,
+    CapacityError,
+    PeerSilentError,
+    UpstreamSilentError,
+)
+
+__all__ = ('SilenceDetector', 'SilenceRows')
 
 # time without bytes on any started stream of an upstream after which it is
 # suspected: ten times the usual pause between events, and the longest pause
@@ -35,6 +42,10 @@
 # end no suspicion: it may answer probes and no requests
 DOUBT_S = 12.0
 
+# time after the first attempt that failed in a silence in which others count
+# as failed in the same one; a sound silence lasts about a second
+MAX_SILENCE_S = 2.0
+
 
 @attrs.define
 class _Suspicion:
@@ -175,3 +186,30 @@
         for name, doubted_at in list(self._doubted_at.items()):
             if doubted_at < now - DOUBT_S:
                 self._doubted_at.pop(name)
+
+
+class SilenceRows:
+    """Counts the attempts that fail in one silence of an upstream as one.
+
+    :param clock: monotonic clock.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """Start without silences."""
+        self._clock = clock
+        self._began_at: dict[str, float] = {}
+
+    def is_failure(self, upstream_id: str, exc: BriarrillError) -> bool:
+        """Tell whether a failed attempt counts against its upstream.
+
+        Of those that one silence made fail, only the first does.
+        """
+        if not isinstance(exc, PeerSilentError | UpstreamSilentError):
+            return not isinstance(exc, CapacityError)
+        now = self._clock()
+        for name, began_at in list(self._began_at.items()):
+            if now - began_at > MAX_SILENCE_S:
+                self._began_at.pop(name)
+        is_first = upstream_id not in self._began_at
+        self._began_at.setdefault(upstream_id, now)
+        return is_first
--- a/briarrill/errors.py
+++ b/briarrill/errors.py
@@ -51,6 +51,7 @@
     'UpstreamLeftError',
     'UpstreamLostError',
     'UpstreamRefusedError',
+    'UpstreamSilentError',
     'VersionConflictError',
     'WriteRefusedError',
     'WriteUnknownError',
@@ -277,6 +278,10 @@
     code = ResultCode.UPSTREAM_LOST
 
 
+class UpstreamSilentError(UpstreamLostError):
+    """No bytes came within the time after which a request is moved."""
+
+
 class ResponseTooLargeError(UpstreamLostError):
     """The body of a response is larger than its limit."""
 
--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -21,7 +21,7 @@
     OverloadedError,
     QuarantinedError,
     UpstreamFailedError,
-    UpstreamLostError,
+    UpstreamSilentError,
 )
 from ..protocol.stream_origins import StreamOrigin
 from ..result_codes import Ran
@@ -195,7 +195,7 @@
     """Limit a wait for an upstream by a timeout and the call's deadline.
 
     :raises DeadlineExceededError: the deadline passed first.
-    :raises UpstreamLostError: the timeout passed first.
+    :raises UpstreamSilentError: the timeout passed first.
     """
     time_left_s = call.deadline_s - time.monotonic()
     with trio.move_on_after(max(0, min(timeout_s, time_left_s))) as scope:
@@ -204,7 +204,7 @@
         return
     if time_left_s <= timeout_s:
         raise DeadlineExceededError('deadline passed during an attempt')
-    raise UpstreamLostError(
+    raise UpstreamSilentError(
         f'no bytes from the upstream for {timeout_s:.3f} s'
     )
 
--- a/briarrill/relay/upstream_health.py
+++ b/briarrill/relay/upstream_health.py
@@ -4,6 +4,7 @@
 
 from ..coordination.ejection import Ejector
 from ..coordination.load_exchange import LoadExchange
+from ..coordination.silence import SilenceRows
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import (
     BriarrillError,
@@ -32,6 +33,7 @@
         self._load = load
         self._rng = rng
         self._ejectors: dict[str, Ejector] = {}
+        self._silences = SilenceRows()
 
     def ejector_of(self, service: str) -> Ejector:
         """Return the ejector of a service, created on first use."""
@@ -69,6 +71,8 @@
         if isinstance(exc, DeadlineExceededError) and has_head:
             # it may only be long, or late under overload
             return
+        if not self._silences.is_failure(upstream.upstream_id, exc):
+            return
         is_ejected = self.ejector_of(upstream.service).record_failure(
             upstream.upstream_id
         )
--- a/tests/coordination/test_silence.py
+++ b/tests/coordination/test_silence.py
@@ -9,10 +9,19 @@
 )
 from briarrill.coordination.silence import (
     DOUBT_S,
+    MAX_SILENCE_S,
     MAX_STREAM_SILENCE_S,
     PROBE_PAUSE_S,
     SUSPICION_EXPIRY_S,
     SilenceDetector,
+    SilenceRows,
+)
+from briarrill.errors import (
+    OverloadedError,
+    PeerSilentError,
+    PeerUnreachableError,
+    UpstreamLostError,
+    UpstreamSilentError,
 )
 from briarrill.protocol.load_reports import LoadReport
 
@@ -166,3 +175,23 @@
     assert len(detector.due_probes(8)) == 8
     assert len(set(detector.due_probes(8)) - {'i-0'}) == 8
     assert detector.due_probes(0) == []
+
+
+def test_attempts_that_fail_in_one_silence_count_as_one():
+    clock = Clock()
+    rows = SilenceRows(clock)
+    silent = UpstreamSilentError('')
+    assert rows.is_failure('i-1', silent)
+    assert not rows.is_failure('i-1', silent)
+    assert not rows.is_failure('i-1', PeerSilentError(''))
+    assert rows.is_failure('i-2', silent)
+    clock.now += MAX_SILENCE_S + 0.1
+    assert rows.is_failure('i-1', silent)
+
+
+def test_each_attempt_that_is_broken_off_counts():
+    rows = SilenceRows(Clock())
+    for _ in range(3):
+        assert rows.is_failure('i-1', UpstreamLostError(''))
+        assert rows.is_failure('i-1', PeerUnreachableError(''))
+        assert not rows.is_failure('i-1', OverloadedError(''))
--- a/tests/relay/test_silent_upstreams.py
+++ b/tests/relay/test_silent_upstreams.py
@@ -1,10 +1,13 @@
 """Tests of upstreams that fall silent for a while and go on."""
 
+import functools
+
 import attrs
 import pytest
 import trio
 from trio.testing import wait_all_tasks_blocked
 
+from briarrill.coordination.ejection import FAILURES_TO_EJECT
 from briarrill.coordination.silence import PROBE_PAUSE_S
 from briarrill.coordination.suspect_probes import SuspectProber
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
@@ -122,3 +125,25 @@
         assert (status, body) == (200, b'silent')
         assert len(silent.requests) == 1
         assert not other.requests
+
+
+async def test_requests_that_one_silence_delayed_do_not_eject_its_upstream():
+    """They were sent at once, and are no row of failures."""
+    silent = SilentEngine(respond_with(b'silent'))
+    other = StandinEngine(respond_with(b'other'))
+    async with run_front_end([IDEMPOTENT], silent, other) as setup:
+        setup.load.in_flight.online['i-1'] = 2 * FAILURES_TO_EJECT
+        async with trio.open_nursery() as nursery:
+            for number in range(FAILURES_TO_EJECT + 1):
+                nursery.start_soon(
+                    functools.partial(
+                        setup.send_request,
+                        '/idempotent/x',
+                        attempt_id=f'r{number}',
+                    )
+                )
+        assert len(other.requests) == FAILURES_TO_EJECT + 1
+        silent.goes_on.set()
+        assert setup.load.silence.record_reply('i-0')
+        sent = await setup.send_request('/idempotent/x', attempt_id='last')
+        assert sent[2] == b'silent'
