Do not run an item again for a silence of a second

What callers saw: an item whose upstream was silent for 1.0 s was cut off and sent again after its last event, at the same upstream if no other had room: a second run for nothing.

Cause: an item was given up after four of its route's largest event gaps, 1.0 s by default, which suits callers that wait for the next event.

Fix: no sooner than after 2.0 s, as for other silences. An item at an upstream that stays mute after its first event goes on elsewhere up to 1 s later; a closed connection is noticed at once as before.

Evidence: test_silence_of_a_second_does_not_run_an_item_again (1.5 s) failed before with 2 requests and passes now. Six files of tests of item runs: 111 passed. Not measured: what the later move costs when upstreams turn mute.

--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -32,8 +32,10 @@
 CONNECT_TIMEOUT_S = 0.25
 
 # a run is cut and resumed at another upstream after this many of its route's
-# largest event gaps without an event, or this time without a first event
+# largest event gaps without an event, but no sooner than after a silence of a
+# sound upstream, or after this time without a first event
 EVENT_TIMEOUT_GAPS = 4.0
+MIN_EVENT_TIMEOUT_S = 2.0
 FIRST_EVENT_TIMEOUT_S = 3.0
 
 # largest body of an error that is read so that the connection is reusable
@@ -214,9 +216,7 @@
                     self.silence.record_bytes(upstream.upstream_id)
                     run.record_bytes()
                     if progress.add_stream_bytes(part):
-                        event_wait.restart(
-                            EVENT_TIMEOUT_GAPS * call.route.max_event_gap_s
-                        )
+                        event_wait.restart(_event_timeout_s(call.route))
             check_stream_end(
                 call.request_id,
                 upstream.upstream_id,
@@ -250,6 +250,11 @@
         return RunEnd.UNEXPECTED
 
 
+def _event_timeout_s(route: Route) -> float:
+    """Return the longest wait for the next event of an item."""
+    return max(MIN_EVENT_TIMEOUT_S, EVENT_TIMEOUT_GAPS * route.max_event_gap_s)
+
+
 @contextlib.contextmanager
 def _wait_limit(limit_s: float) -> Iterator[None]:
     """Limit a wait for an upstream's bytes.
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -430,11 +430,8 @@
             run.record_end(
                 response_head.status, is_marked=response_head.is_end_marked
             )
-        self._load.silence.record_bytes(upstream.upstream_id)
         self._service_times_of(call.service).add(time.monotonic() - began_at)
-        self._health.ejector_of(call.service).record_success(
-            upstream.upstream_id
-        )
+        self._health.record_success(upstream)
 
     async def _read_head(
         self,
--- a/briarrill/relay/upstream_health.py
+++ b/briarrill/relay/upstream_health.py
@@ -47,6 +47,11 @@
             ),
         )
 
+    def record_success(self, upstream: RegisteredUpstream) -> None:
+        """Record that the whole response to a request was received."""
+        self._load.silence.record_bytes(upstream.upstream_id)
+        self.ejector_of(upstream.service).record_success(upstream.upstream_id)
+
     def record_failure(
         self,
         upstream: RegisteredUpstream,
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -266,6 +266,20 @@
     assert 0 < max_running <= 2
 
 
+async def test_silence_of_a_second_does_not_run_an_item_again(run_scheduler):
+    async def pause(req, conn):
+        await conn.send_head(200, ())
+        await conn.send_body(encode_event(1))
+        await trio.sleep(1.5)
+        await conn.send_body(encode_event(2))
+        await conn.send_end()
+
+    async with run_scheduler(pause) as (setup, engine):
+        tracked = await setup.submit(1)
+        await _wait_until(lambda: not tracked.is_open)
+        assert len(engine.requests) == 1
+
+
 async def test_ended_job_cancels_running_items(run_scheduler):
     async with run_scheduler(stream_events(10_000, pause_s=0.02)) as (
         setup,
