Let other tasks run while received chunks are parsed

What callers saw: an upstream that answered in chunks of one byte held up every request of its process by 0.31 s at a time, and its own streamed response went on for 0.48 s after a deadline of 0.6 s on an idle machine.

Cause: the channel awaited something only if it had to receive. A read of 64 KiB holds about 10,900 chunks of a byte, and the parser takes about 28 us for each. Without a checkpoint neither another task runs nor a time limit ends, so that after the deadline the rest of the read was still relayed, a send for each chunk.

Evidence: three new tests failed before: 5002 parser events between two turns (bound 64); a read under a limit that has passed returned a part; a relayed stream went on sending until the test's bound of 5 s, if each send takes 1.2 s.

Change: each read of an event ends if its time limit has passed, and each 32nd lets other tasks run.

--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -61,6 +61,10 @@
 # requests of one channel; bounds the identifiers that it remembers
 MAX_REQUESTS = 1000
 
+# parsed events after which other tasks get their turn; a read holds thousands
+# of chunks of one byte, each of which takes as long as a large one
+MAX_EVENTS_PER_TURN = 32
+
 # idle channels per server
 MAX_IDLE_CHANNELS = 32
 
@@ -122,6 +126,7 @@
         self._has_send_failed = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = time.monotonic()
+        self._events_in_turn = 0
 
     @property
     def is_kept(self) -> bool:
@@ -285,6 +290,7 @@
         :raises UpstreamLostError: the connection failed or ended, or the
             bytes are not valid.
         """
+        await self._let_others_run()
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 self._parser.receive_data(await self._receive())
@@ -298,6 +304,19 @@
             raise UpstreamLostError('connection closed before the response')
         return cast(h11.Event, event)
 
+    async def _let_others_run(self) -> None:
+        """Let other tasks run now and then, and time limits end a read.
+
+        Neither happens by itself while events come from bytes that were
+        received.
+        """
+        self._events_in_turn += 1
+        if self._events_in_turn < MAX_EVENTS_PER_TURN:
+            await trio.lowlevel.checkpoint_if_cancelled()
+            return
+        self._events_in_turn = 0
+        await trio.lowlevel.checkpoint()
+
     async def _receive(self) -> bytes:
         """Return the next bytes, empty if the server closed the connection.
 
--- a/tests/relay/test_endless_responses.py
+++ b/tests/relay/test_endless_responses.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from briarrill.relay.response import Response
 from standins.platform_engine import (
     StandinEngine,
     encode_event,
@@ -33,6 +34,8 @@
 DEADLINE_MS = '600'
 MAX_WAIT_S = 5
 
+MS_PER_S = 1000
+
 LAST_CHUNK = b'\r\n0\r\n\r\n'
 
 GAP_S = 0.05
@@ -120,6 +123,26 @@
     assert len(first.requests) == 1
 
 
+async def test_nothing_is_relayed_after_the_deadline(network, monkeypatch):
+    """Bytes that were received before it do not prolong the response."""
+    send = Response.send
+    sent = []
+
+    async def send_slowly(response, part):
+        sent.append(part)
+        await trio.sleep(2 * int(DEADLINE_MS) / MS_PER_S)
+        await send(response, part)
+
+    monkeypatch.setattr(Response, 'send', send_slowly)
+    engine = EndlessEngine('chunks')
+    async with run_front_end([STREAM], engine, network=network) as setup:
+        with trio.fail_after(MAX_WAIT_S):
+            received = await _ask(setup, STREAM)
+    assert received.startswith(b'HTTP/1.1 200')
+    assert not received.endswith(LAST_CHUNK)
+    assert len(sent) == 1
+
+
 async def test_slow_but_sound_stream_is_not_cut(network):
     """Each event comes after less than the largest gap that is allowed."""
     route = attrs.evolve(RESUMABLE_STREAM, max_event_gap_s=0.4)
--- a/tests/transport/test_http_channel.py
+++ b/tests/transport/test_http_channel.py
@@ -3,11 +3,16 @@
 import contextlib
 import socket
 
+import h11
 import pytest
 import trio
 
 from briarrill.errors import PeerUnreachableError, UpstreamLostError
-from briarrill.transport.http_channel import ChannelPool, connect
+from briarrill.transport.http_channel import (
+    MAX_EVENTS_PER_TURN,
+    ChannelPool,
+    connect,
+)
 from briarrill.transport.http_messages import RequestHead, find_header
 from tests.raw_engine import RESET_WHEN_CLOSED
 
@@ -195,3 +200,54 @@
 async def test_connect_without_listener_raises_peer_unreachable():
     with pytest.raises(PeerUnreachableError):
         await connect(('127.0.0.1', 1), 1)
+
+
+# one byte a chunk, so that few bytes take the parser many steps
+TINY_CHUNKS = b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n'
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+
+
+class _StepCounter(trio.abc.Instrument):
+    """Counts the parser's events in each step of a task."""
+
+    def __init__(self):
+        self.events = 0
+        self.most_events = 0
+
+    def before_task_step(self, task):
+        self.events = 0
+
+    def count(self, parser):
+        self.events += 1
+        self.most_events = max(self.most_events, self.events)
+        return _next_event(parser)
+
+
+_next_event = h11.Connection.next_event
+
+
+async def test_tiny_chunks_leave_other_tasks_their_turn(monkeypatch):
+    counter = _StepCounter()
+    monkeypatch.setattr(
+        h11.Connection, 'next_event', lambda parser: counter.count(parser)
+    )
+    async with raw_server(CHUNKED_HEAD + TINY_CHUNKS) as (address, _):
+        channel = await connect(address, 1)
+        trio.lowlevel.add_instrument(counter)
+        _, body = await _request(channel)
+        trio.lowlevel.remove_instrument(counter)
+        channel.close()
+    assert body == b'x' * 5000
+    assert counter.most_events <= 2 * MAX_EVENTS_PER_TURN
+
+
+async def test_no_buffered_part_is_read_after_the_time_limit():
+    async with raw_server(CHUNKED_HEAD + TINY_CHUNKS) as (address, _):
+        channel = await connect(address, 1)
+        async with channel.exchange(HEAD, b''):
+            await channel.read_head()
+            assert await channel.read_body() == b'x'
+            with trio.move_on_after(0) as scope:
+                await channel.read_body()
+        channel.close()
+    assert scope.cancelled_caught
