Cut a stream of comments without end

What callers saw: a stream of nothing but comments was relayed until its deadline, which may be minutes, at the cost of up to a whole processor of the entry (0.60 s of processor time in 0.60 s for a resumable stream of comments of three bytes). A stream whose upstream went on with comments after a few events did not go on elsewhere where comments came in the limit of a gap.

Cause: comments keep a stream alive, and nothing counted them.

Evidence: two relay tests failed before: with a deadline of 60 s neither response had ended after the test's bound of 5 s.

Change: the tracker of a stream counts the bytes since the last line that is neither a comment nor empty, and gives the stream up at over 256 KiB: a comment of 8 bytes a second takes 9 hours to that. Any other line, or a long line of content, sets the count back, so that no content is cut, whatever its type; a slow caller does not matter, since no time counts.

--- a/briarrill/protocol/event_stream.py
+++ b/briarrill/protocol/event_stream.py
@@ -22,6 +22,12 @@
 # far above the size of an event, which has a few tokens
 MAX_EVENT_BYTES = 1_048_576
 
+# comments in a row that keep a stream of hours alive take less
+MAX_COMMENT_BYTES = 262_144
+
+# begin of a line that is neither a comment nor empty
+_CONTENT_LINE = re.compile(rb'[\r\n][^:\r\n]')
+
 # ends of an event: its last line and an empty line; the second one also ends
 # events with CR LF
 _EVENT_ENDS = (b'\n\n', b'\n\r\n', b'\r\r')
@@ -77,6 +83,9 @@
     def __init__(self) -> None:
         """Start before the first event."""
         self._last_bytes = b''
+        self._comment_bytes = 0
+        # end of the line before, and first byte of this one if it has any
+        self._line_start = b'\n'
 
     @property
     def position(self) -> StreamPosition:
@@ -88,7 +97,11 @@
         return StreamPosition.INSIDE_EVENT
 
     def add_bytes(self, part: bytes) -> None:
-        """Add the next bytes of the stream."""
+        """Add the next bytes of the stream.
+
+        :raises UpstreamLostError: over MAX_COMMENT_BYTES hold comments only.
+        """
+        self._count_comments(part)
         last_bytes = self._last_bytes + part[-_LONGEST_EVENT_END:]
         self._last_bytes = last_bytes[-_LONGEST_EVENT_END:]
 
@@ -100,6 +113,19 @@
         if self.position is StreamPosition.INSIDE_EVENT:
             raise UpstreamLostError('the stream ended inside an event')
 
+    def _count_comments(self, part: bytes) -> None:
+        lines = self._line_start + part
+        start = max(lines.rfind(b'\n'), lines.rfind(b'\r'))
+        self._line_start = lines[start : start + 2]
+        if _CONTENT_LINE.search(lines):
+            self._comment_bytes = 0
+            return
+        self._comment_bytes += len(part)
+        if self._comment_bytes > MAX_COMMENT_BYTES:
+            raise UpstreamLostError(
+                f'{self._comment_bytes} bytes of comments without an event'
+            )
+
 
 class EventSplitter:
     """Splits a byte stream into complete events.
--- a/tests/protocol/test_event_stream.py
+++ b/tests/protocol/test_event_stream.py
@@ -7,6 +7,7 @@
 from briarrill.errors import UpstreamLostError
 from briarrill.protocol import event_stream
 from briarrill.protocol.event_stream import (
+    MAX_COMMENT_BYTES,
     EventSplitter,
     EventTracker,
     StreamPosition,
@@ -87,3 +88,43 @@
     raw = b'id: 7\nid: %b\ndata: x\n\n' % text
     (event,) = EventSplitter().add_bytes(raw)
     assert (event.event_id, event.data, event.raw) == (7, b'x', raw)
+
+
+def _add_in_parts(raw, size):
+    tracker = EventTracker()
+    for start in range(0, len(raw), size):
+        tracker.add_bytes(raw[start : start + size])
+
+
+@pytest.mark.parametrize('comment', [b':\n\n', b': keep\r\n\r\n', b':x\r\r'])
+@pytest.mark.parametrize('size', [7, 65_536])
+def test_comments_without_end_are_no_stream(comment, size):
+    count = MAX_COMMENT_BYTES // len(comment)
+    _add_in_parts(comment * count, size)
+    with pytest.raises(UpstreamLostError):
+        _add_in_parts(comment * (count + size), size)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'id: 1\ndata: x\n\n',
+        b'data\r\n\r\n',
+        b'text that is no event\n',
+        b': comment\rdata: x\r\r',
+    ],
+)
+@pytest.mark.parametrize('size', [1, 5, 4096])
+def test_comments_between_content_may_be_many(content, size):
+    comments = b': keep\n\n' * (MAX_COMMENT_BYTES // 10)
+    _add_in_parts((comments + content) * 3, size)
+
+
+@pytest.mark.parametrize('size', [1, 4096])
+def test_long_line_of_content_is_no_comment(size):
+    _add_in_parts(b'data: ' + b':' * (2 * MAX_COMMENT_BYTES), size)
+
+
+def test_long_comment_is_one():
+    with pytest.raises(UpstreamLostError):
+        _add_in_parts(b': ' + b'data:' * MAX_COMMENT_BYTES, 4096)
--- a/tests/relay/test_endless_responses.py
+++ b/tests/relay/test_endless_responses.py
@@ -29,6 +29,9 @@
     run_front_end,
 )
 
+# a stream whose time limit is beyond the test
+LONG_STREAM = attrs.evolve(STREAM, timeout_s=60)
+
 ROUTES = (STREAM, RESUMABLE_STREAM, IDEMPOTENT, NON_IDEMPOTENT)
 
 # the caller's deadline, and when its connection must be over
@@ -49,7 +52,7 @@
 RELAYED = {'JSON', 'comments', 'events'}
 
 
-async def _ask(setup, route):
+async def _ask(setup, route, deadline_ms=DEADLINE_MS):
     """Send a request; return all bytes until the connection ends.
 
     They are not parsed, which takes long for millions of small chunks.
@@ -59,7 +62,7 @@
         f'POST {route.prefix} HTTP/1.1',
         'host: h.example',
         'briarrill-attempt-id: r1',
-        f'briarrill-deadline-ms: {DEADLINE_MS}',
+        f'briarrill-deadline-ms: {deadline_ms}',
         'connection: close',
         'content-length: 0',
     )
@@ -128,6 +131,43 @@
     assert len(first.requests) == 1
 
 
+async def _ask_for_comments(setup, route):
+    """Send a request whose deadline is beyond the test; return its bytes."""
+    with trio.fail_after(MAX_WAIT_S):
+        return await _ask(setup, route, deadline_ms='60000')
+
+
+async def test_comments_without_end_are_cut_before_the_deadline(network):
+    engine = EndlessEngine('comments')
+    async with run_front_end([LONG_STREAM], engine, network=network) as setup:
+        received = await _ask_for_comments(setup, LONG_STREAM)
+    assert received.startswith(b'HTTP/1.1 200')
+    assert not received.endswith(LAST_CHUNK)
+    assert engine.is_cut
+
+
+async def test_stream_of_comments_goes_on_elsewhere(network):
+    route = attrs.evolve(
+        LONG_STREAM, resumable=True, max_attempts=2, max_event_gap_s=60
+    )
+
+    async def comment_after_an_event(req, conn):
+        await conn.send_head(200, ())
+        await conn.send_body(encode_event(1))
+        while True:
+            await conn.send_body(b': keep\n\n' * 8192)
+
+    endless = StandinEngine(comment_after_an_event)
+    second = StandinEngine(stream_events(3))
+    async with run_front_end(
+        [route], endless, second, network=network
+    ) as setup:
+        received = await _ask_for_comments(setup, route)
+    assert received.endswith(LAST_CHUNK)
+    for number in (1, 2, 3):
+        assert received.count(encode_event(number)) == 1
+
+
 class _StepCounter(trio.abc.Instrument):
     """Counts the events that are parsed in each step of a task."""
 
