Try a request elsewhere if an error is too long to be kept

What callers saw: an error body without end on an idempotent route was relayed until the deadline, though another upstream had room.

Change: an error of 500 or more that exceeds what is kept ends its attempt, if another one may follow. Without one it is relayed as before, of any length.

--- a/briarrill/relay/attempts.py
+++ b/briarrill/relay/attempts.py
@@ -130,13 +130,19 @@
     origin: StreamOrigin
     may_be_refused: bool = True
 
+    @property
+    def may_be_left(self) -> bool:
+        """Whether the request may be sent again while this one runs."""
+        route = self.call.route
+        return not self.is_last and (route.is_idempotent or route.resumable)
+
     @property
     def response_timeout_s(self) -> float:
         """Return the longest wait for the next bytes, maybe infinite."""
-        route = self.call.route
-        if self.is_last or not (route.is_idempotent or route.resumable):
+        if not self.may_be_left:
             return math.inf
-        return RESPONSE_TIMEOUT_OBJECTIVES * route.latency_objective_s
+        objective_s = self.call.route.latency_objective_s
+        return RESPONSE_TIMEOUT_OBJECTIVES * objective_s
 
     @property
     def event_timeout_s(self) -> float:
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -460,7 +460,7 @@
         """Relay a response that is no stream, buffered up to a limit.
 
         :raises UpstreamFailedError: the status is 500 or higher; the
-            response is stored for the caller.
+            response is stored for the caller, unless it is over the limit.
         """
         response = attempt.response
         buffered = bytearray()
@@ -472,6 +472,7 @@
             if response_head.status < HTTP_SERVER_ERROR:
                 part_wait.restart(attempt.response_timeout_s)
             if response.has_begun or len(buffered) > max_buffered_bytes:
+                _check_long_error(attempt, response_head)
                 await response.send_head_once(response_head)
                 await response.send(bytes(buffered))
                 buffered.clear()
@@ -668,6 +669,18 @@
         )
 
 
+def _check_long_error(attempt: Attempt, response_head: ResponseHead) -> None:
+    """Check that a response that is not buffered any longer may be relayed.
+
+    :raises UpstreamFailedError: it is an error, which may have no end, and
+        another attempt may follow.
+    """
+    if response_head.status >= HTTP_SERVER_ERROR and attempt.may_be_left:
+        raise UpstreamFailedError(
+            f'answered {response_head.status} at too great a length'
+        )
+
+
 async def _end_buffered(
     response: Response, response_head: ResponseHead, rest: bytes
 ) -> None:
--- a/tests/relay/test_endless_responses.py
+++ b/tests/relay/test_endless_responses.py
@@ -11,6 +11,7 @@
 from standins.platform_engine import (
     StandinEngine,
     encode_event,
+    respond_with,
     stream_events,
 )
 from tests.endless_engine import (
@@ -168,6 +169,29 @@
         assert received.count(encode_event(number)) == 1
 
 
+async def test_error_without_end_is_tried_elsewhere(network):
+    route = attrs.evolve(IDEMPOTENT, timeout_s=60, latency_objective_s=60)
+    endless = EndlessEngine('error body')
+    second = StandinEngine(respond_with(b'whole'))
+    async with run_front_end(
+        [route], endless, second, network=network
+    ) as setup:
+        with trio.fail_after(MAX_WAIT_S):
+            received = await _ask(setup, route, deadline_ms='60000')
+    assert received.startswith(b'HTTP/1.1 200')
+    assert received.endswith(b'whole')
+    assert endless.is_cut
+
+
+@pytest.mark.parametrize('route', [IDEMPOTENT, NON_IDEMPOTENT])
+async def test_long_error_is_relayed_if_no_attempt_may_follow(network, route):
+    body = b'x' * 1_000_000
+    first = StandinEngine(respond_with(body, 500))
+    async with run_front_end([route], first, network=network) as setup:
+        status, _, received = await setup.send_request(route.prefix)
+    assert (status, received) == (500, body)
+
+
 class _StepCounter(trio.abc.Instrument):
     """Counts the events that are parsed in each step of a task."""
 
