Unpack compressed replies in parts, and let other tasks run

What was found: a reply of a service that is compressed was unpacked a whole read at a time, before its size was compared with its limit: 49 KB of it made 50 MB. And a reply in chunks of a byte was read without a turn of other tasks, 137 ms of processor time at a time for a call of the key-value service.

Evidence: two tests failed before: the memory of a reply of 50 MB that is over a limit of 100 KB, in one part, and the turns of another task during 5000 parts of a byte.

--- a/briarrill/transport/bounded_http.py
+++ b/briarrill/transport/bounded_http.py
@@ -5,15 +5,29 @@
 """
 
 import contextlib
+import itertools
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import httpx
 import trio
 
+from ..errors import MalformedMessageError
 from .http_messages import holds_status_line
+from .unpacking import Unpacker
 
-__all__ = ('check_head', 'iter_lines', 'open_stream', 'read_body', 'request')
+__all__ = (
+    'check_head',
+    'iter_body',
+    'iter_lines',
+    'open_stream',
+    'read_body',
+    'request',
+)
+
+# parts of a body after which other tasks get their turn; the client waits for
+# nothing while parts come from bytes that it has received
+PARTS_PER_TURN = 32
 
 # headers that no longer describe a body that was read
 _TRANSFER_HEADERS = ('content-encoding', 'content-length', 'transfer-encoding')
@@ -82,13 +96,31 @@
         )
 
 
+async def iter_body(reply: httpx.Response) -> AsyncIterator[bytes]:
+    """Yield the body of a reply as it arrives, unpacked, in small parts.
+
+    :raises httpx.HTTPError: it was cut, or is not compressed as its head
+        says.
+    """
+    unpacker = Unpacker(reply.headers.get('content-encoding', ''))
+    turn = itertools.cycle(range(PARTS_PER_TURN))
+    try:
+        async for packed in reply.aiter_raw():
+            for part in unpacker.unpack(packed):
+                yield part
+                if not next(turn):
+                    await trio.lowlevel.checkpoint()
+    except MalformedMessageError as exc:
+        raise httpx.DecodingError(exc.message, request=reply.request) from exc
+
+
 async def read_body(reply: httpx.Response, max_bytes: int) -> bytes:
     """Read the whole body of a reply.
 
     :raises httpx.HTTPError: it was cut, or is over ``max_bytes``.
     """
     body = bytearray()
-    async for part in reply.aiter_bytes():
+    async for part in iter_body(reply):
         body += part
         if len(body) > max_bytes:
             raise httpx.RemoteProtocolError(
@@ -106,7 +138,7 @@
         ``max_bytes``.
     """
     pending = bytearray()
-    async for part in reply.aiter_bytes():
+    async for part in iter_body(reply):
         *ends, rest = part.split(b'\n')
         for end in ends:
             yield bytes(pending + end)
--- a/tests/transport/test_endless_replies.py
+++ b/tests/transport/test_endless_replies.py
@@ -1,5 +1,8 @@
 """Services and peers that send bytes without end."""
 
+import gzip
+import tracemalloc
+
 import httpx
 import pytest
 import trio
@@ -178,5 +181,42 @@
         yield part
 
 
+@pytest.mark.parametrize('size', [1, 65_536])
+async def test_packed_body_without_end_takes_no_memory(size):
+    """It is over its limit long before it is unpacked whole."""
+    packed = gzip.compress(bytes(50_000_000))
+    parts = [packed[at : at + size] for at in range(0, len(packed), size)]
+    headers = {'content-encoding': 'gzip'}
+    reply = httpx.Response(
+        200,
+        headers=headers,
+        content=_yield_all(parts),
+        request=httpx.Request('GET', 'http://h/'),
+    )
+    tracemalloc.start()
+    with pytest.raises(httpx.HTTPError):
+        await bounded_http.read_body(reply, MAX_BYTES)
+    _, most = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert most < 10 * MAX_BYTES
+
+
+async def test_tiny_parts_of_a_body_leave_other_tasks_their_turn():
+    parts = [b'x'] * 5000
+    reply = httpx.Response(200, content=_yield_all(parts))
+    turns = []
+
+    async def count_turns():
+        while True:
+            turns.append(1)
+            await trio.lowlevel.checkpoint()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count_turns)
+        assert await bounded_http.read_body(reply, 5000) == b'x' * 5000
+        nursery.cancel_scope.cancel()
+    assert len(turns) >= len(parts) // bounded_http.PARTS_PER_TURN - 2
+
+
 def test_every_kind_of_response_has_an_endless_part():
     assert all(unit for _, unit in ENDLESS_RESPONSES.values())
