Split an engine's events without searching them again and again

What was found: an event of an engine in chunks of a byte cost the sidecar a time that grew with the square of its length, without a turn of other tasks: 12.0 s of processor time for 200 KB, and an event may have 1 MiB. Any deadline of any request was outlived meanwhile.

Cause: each part was appended to an immutable string, which was then searched and copied whole.

Evidence: test_tiny_parts_leave_other_tasks_their_turn failed before for engines and services (1 turn of another task during 5000 parts).

Change: only what is new is searched, in a buffer that grows in place; parts come by the reader of bounded replies, which gives turns and unpacks in parts.

--- a/briarrill/sidecar/upstreams/engine.py
+++ b/briarrill/sidecar/upstreams/engine.py
@@ -11,7 +11,7 @@
 from ...decoding import json_decoder
 from ...errors import BadRequestError, MalformedMessageError
 from ...protocol.callers_api import parse_completion
-from ...transport.bounded_http import read_body, request
+from ...transport.bounded_http import iter_body, read_body, request
 from .base import (
     ONE_REQUEST,
     Upstream,
@@ -26,6 +26,8 @@
 
 STREAM_END_EVENT = b'data: [DONE]'
 
+_STREAM_END = STREAM_END_EVENT + EVENT_SEPARATOR
+
 EVENT_STREAM = 'text/event-stream'
 
 JSON_TYPE = 'application/json'
@@ -149,14 +151,18 @@
             _check_unframed_json(http_response, body)
             yield body
             return
-        pending = b''
+        pending = bytearray()
         has_ended = False
-        async for part in http_response.aiter_bytes():
+        async for part in iter_body(http_response):
+            # the rest was searched when it arrived
+            searched = max(0, len(pending) - len(EVENT_SEPARATOR) + 1)
             pending += part
-            complete, separator, pending = pending.rpartition(EVENT_SEPARATOR)
-            if separator:
-                has_ended = complete.endswith(STREAM_END_EVENT)
-                yield complete + separator
+            end = pending.rfind(EVENT_SEPARATOR, searched)
+            if end >= 0:
+                end += len(EVENT_SEPARATOR)
+                complete, pending = bytes(pending[:end]), pending[end:]
+                has_ended = complete.endswith(_STREAM_END)
+                yield complete
             if len(pending) > MAX_EVENT_BYTES:
                 raise httpx.RemoteProtocolError(
                     f'event of over {MAX_EVENT_BYTES} bytes without an end'
--- a/briarrill/sidecar/upstreams/service.py
+++ b/briarrill/sidecar/upstreams/service.py
@@ -4,6 +4,7 @@
 
 import httpx
 
+from ...transport.bounded_http import iter_body
 from .base import Upstream
 
 __all__ = ('ServiceUpstream',)
@@ -22,4 +23,4 @@
         self, http_response: httpx.Response
     ) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive."""
-        return http_response.aiter_bytes()
+        return iter_body(http_response)
--- a/briarrill/transport/bounded_http.py
+++ b/briarrill/transport/bounded_http.py
@@ -102,6 +102,10 @@
     :raises httpx.HTTPError: it was cut, or is not compressed as its head
         says.
     """
+    if reply.is_stream_consumed:
+        # it was read and unpacked as a whole
+        yield reply.content
+        return
     unpacker = Unpacker(reply.headers.get('content-encoding', ''))
     turn = itertools.cycle(range(PARTS_PER_TURN))
     try:
--- a/tests/sidecar/upstreams/test_endless_responses.py
+++ b/tests/sidecar/upstreams/test_endless_responses.py
@@ -12,6 +12,8 @@
 from briarrill.sidecar import resumable_completion, stall_limits
 from briarrill.sidecar.upstreams import EngineUpstream, UpstreamRequest
 from briarrill.sidecar.upstreams import engine as engine_module
+from briarrill.sidecar.upstreams.service import ServiceUpstream
+from briarrill.transport.bounded_http import PARTS_PER_TURN
 from tests.endless_engine import (
     MAX_SENT_BYTES,
     EndlessEngine,
@@ -86,3 +88,34 @@
             async with upstream.send(req) as response:
                 async for chunk in response.chunks:
                     assert len(chunk) < 2 * MAX_BYTES
+
+
+async def _yield_tiny_parts(count):
+    yield b'data: '
+    for _ in range(count):
+        yield b'x'
+    yield b'\n\ndata: [DONE]\n\n'
+
+
+@pytest.mark.parametrize('upstream_type', [EngineUpstream, ServiceUpstream])
+async def test_tiny_parts_leave_other_tasks_their_turn(upstream_type):
+    count = 5000
+    reply = httpx.Response(
+        200,
+        headers={'content-type': 'text/event-stream'},
+        content=_yield_tiny_parts(count),
+    )
+    turns = []
+
+    async def count_turns():
+        while True:
+            turns.append(1)
+            await trio.lowlevel.checkpoint()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count_turns)
+        chunks = upstream_type(None).iter_chunks(reply)
+        body = b''.join([chunk async for chunk in chunks])
+        nursery.cancel_scope.cancel()
+    assert body == b'data: ' + b'x' * count + b'\n\ndata: [DONE]\n\n'
+    assert len(turns) >= count // PARTS_PER_TURN - 2
