Let other tasks run while a caller's chunks are parsed

What was found: a caller's body in chunks of a byte held up the process as such a response did: 5002 events of the parser in one step of a task, and a body may have 4 MiB.

Evidence: test_tiny_chunks_of_a_body_leave_other_tasks_their_turn failed before: 5002 events (bound 64).

Change: the turns of a channel are a module of their own, which connections of callers use too.

--- a/briarrill/transport/http_callers.py
+++ b/briarrill/transport/http_callers.py
@@ -23,6 +23,7 @@
 )
 from .http_messages import Headers, RequestHead, find_header
 from .task_errors import log_unexpected_errors
+from .turns import Turns
 
 __all__ = (
     'CallerLimits',
@@ -107,6 +108,7 @@
         self._limits = limits
         self._parser = self._new_parser()
         self._idle_scope = trio.CancelScope()
+        self._turns = Turns()
 
     @property
     def is_reusable(self) -> bool:
@@ -289,6 +291,7 @@
         :raises HeadersTooLargeError: the headers are over their limit.
         :raises CallerGoneError: the connection failed.
         """
+        await self._turns.before_event()
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 self._parser.receive_data(
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -27,6 +27,7 @@
     holds_status_line,
 )
 from .task_errors import unwrap_single_error
+from .turns import Turns
 
 __all__ = ('ChannelPool', 'HttpChannel', 'connect')
 
@@ -61,10 +62,6 @@
 # requests of one channel; bounds the identifiers that it remembers
 MAX_REQUESTS = 1000
 
-# parsed events after which other tasks get their turn; a read holds thousands
-# of chunks of one byte, each of which takes as long as a large one
-MAX_EVENTS_PER_TURN = 32
-
 # bytes of a body after which other tasks get their turn: they may hold one
 # event for each three bytes
 MAX_PIECE_BYTES = 8192
@@ -130,7 +127,7 @@
         self._has_send_failed = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = time.monotonic()
-        self._events_in_turn = 0
+        self._turns = Turns()
         self._unread_bytes = b''
 
     @property
@@ -311,7 +308,7 @@
         :raises UpstreamLostError: the connection failed or ended, or the
             bytes are not valid.
         """
-        await self._let_others_run()
+        await self._turns.before_event()
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 self._parser.receive_data(await self._receive())
@@ -325,19 +322,6 @@
             raise UpstreamLostError('connection closed before the response')
         return cast(h11.Event, event)
 
-    async def _let_others_run(self) -> None:
-        """Let other tasks run now and then, and time limits end a read.
-
-        Neither happens by itself while events come from bytes that were
-        received.
-        """
-        self._events_in_turn += 1
-        if self._events_in_turn < MAX_EVENTS_PER_TURN:
-            await trio.lowlevel.checkpoint_if_cancelled()
-            return
-        self._events_in_turn = 0
-        await trio.lowlevel.checkpoint()
-
     async def _receive(self) -> bytes:
         """Return the next bytes, empty if the server closed the connection.
 
--- a/tests/transport/test_http_callers.py
+++ b/tests/transport/test_http_callers.py
@@ -7,6 +7,8 @@
 
 from briarrill.errors import BriarrillError
 from briarrill.transport.http_callers import CallerLimits, serve_callers
+from briarrill.transport.turns import MAX_EVENTS_PER_TURN
+from tests.parser_steps import count_parser_steps
 from tests.serving import free_port
 
 CALLER_LIMITS = CallerLimits(
@@ -171,3 +173,21 @@
                 )
                 assert (await stream.receive_some()).startswith(expected)
                 await stream.aclose()
+
+
+async def test_tiny_chunks_of_a_body_leave_other_tasks_their_turn(
+    monkeypatch,
+):
+    echo = Echo()
+    address = ('127.0.0.1', free_port())
+    head = b'POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
+    raw = head + b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n'
+    async with serve_callers(address, CallerLimits, echo.serve):
+        stream = await trio.open_tcp_stream(*address)
+        with count_parser_steps(monkeypatch) as steps, trio.fail_after(5):
+            await stream.send_all(raw)
+            reply = b''
+            while not reply.endswith(b'x' * 5000):
+                reply += await stream.receive_some()
+        await stream.aclose()
+    assert steps.most_events <= 2 * MAX_EVENTS_PER_TURN
