--- a/tests/coordination/test_incarnation_check.py
+++ b/tests/coordination/test_incarnation_check.py
@@ -9,6 +9,12 @@
 from briarrill.platform.relay_protocol import PlatformRelayProtocol
 from briarrill.transport.http_channel import connect
 from standins.platform_engine import StandinEngine, respond_with
+from tests.endless_engine import (
+    MAX_SENT_BYTES,
+    EndlessEngine,
+    dribbling_engine,
+    every_endless_response,
+)
 from tests.repeating_engine import encode_message, id_line
 from tests.serving import free_port, serve_standin
 
@@ -93,3 +99,19 @@
         )
         assert not found
         channel.close()
+
+
+@every_endless_response
+@pytest.mark.parametrize('make_engine', [EndlessEngine, dribbling_engine])
+async def test_reply_without_end_is_given_up(network, kind, make_engine):
+    engine = make_engine(kind)
+    async with serve_standin(engine, (f'{network}.1', 8080)) as address:
+        channel = await connect(address, 1)
+        with trio.fail_after(5):
+            with pytest.raises(PeerUnreachableError):
+                await is_registered_process(
+                    PROTOCOL, channel, _upstream(address)
+                )
+            while not engine.is_cut:
+                await trio.sleep(0.01)
+    assert engine.sent_bytes < MAX_SENT_BYTES
--- a/tests/transport/test_endless_replies.py
+++ b/tests/transport/test_endless_replies.py
@@ -87,6 +87,17 @@
         assert isinstance(error, PlatformUnavailableError)
 
 
+@every_endless_response
+@every_engine
+async def test_endless_reply_to_a_watch_ends(network, kind, make_engine):
+    async def call(address):
+        await _drain(PlatformStore(address).follow_prefix('k'))
+
+    engine = make_engine(kind)
+    error = await _call_until_error(network, engine, call)
+    assert isinstance(error, PlatformUnavailableError)
+
+
 @every_endless_response
 @every_engine
 async def test_endless_reply_to_a_write_ends(network, kind, make_engine):
