Let a stream of which comments were sent go on elsewhere

What callers saw: a resumable stream whose upstream sent a comment first, as many do at once, and then broke off was cut, though no event had been sent. It also kept the cut of a stream of comments from going on elsewhere.

Cause: a stream without a last event could be repeated only if nothing of its response had been sent, not even its head.

Evidence: test_stream_cut_after_comments_goes_on_elsewhere failed before in both cases.

Change: what counts is whether content was sent: a part of another body, or an event with data or a number. An event with data and no number still keeps the stream from being repeated, which has a test.

--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -642,7 +642,7 @@
 def _is_retryable(call: Call, response: Response) -> bool:
     """Whether the call may run again, or its stream be resumed."""
     if call.route.resumable:
-        return not response.has_begun or response.last_event_id is not None
+        return not response.has_content or response.last_event_id is not None
     return call.route.is_idempotent and not response.has_begun
 
 
--- a/briarrill/relay/response.py
+++ b/briarrill/relay/response.py
@@ -20,6 +20,8 @@
 
     :param last_event_id: last event that the caller received, if any.
     :ivar origin: what began the stream, none before its first event.
+    :ivar has_content: whether the caller may have received more than a head
+        and events that keep the stream alive.
     :ivar first_bytes_at: time of the first bytes sent, by the monotonic
         clock, if any were sent.
     """
@@ -33,6 +35,7 @@
         """Prepare a response of which nothing is sent."""
         self.last_event_id = last_event_id
         self.origin: StreamOrigin | None = None
+        self.has_content = False
         self._conn = conn
         self._protocol = protocol
         self.first_bytes_at: float | None = None
@@ -63,11 +66,14 @@
 
     async def send(self, part: bytes) -> None:
         """Send a part of the body."""
+        self.has_content = True
         await self._conn.send_body(part)
 
     async def send_events(self, events: Sequence[ServerSentEvent]) -> None:
         """Send complete events and update ``last_event_id``."""
-        await self.send(b''.join(event.raw for event in events))
+        if any(event.has_content for event in events):
+            self.has_content = True
+        await self._conn.send_body(b''.join(event.raw for event in events))
         for event in events:
             if event.event_id is not None:
                 self.last_event_id = event.event_id
--- a/tests/relay/test_cut_responses.py
+++ b/tests/relay/test_cut_responses.py
@@ -209,3 +209,43 @@
     engine = RawEngine(REJECTION_HEAD + framing + b'\r\n', reset)
     second = StandinEngine(respond_with(WHOLE_BODY))
     assert await _relay(network, NON_IDEMPOTENT, engine, second) == WHOLE_BODY
+
+
+@pytest.mark.parametrize(
+    'sent', [b': keep\n\n', b':\n\n: keep\n\nevent: x\n\n']
+)
+async def test_stream_cut_after_comments_goes_on_elsewhere(network, sent):
+    """The caller has received nothing that another run would repeat."""
+
+    async def comment_and_break_off(_req, conn):
+        await conn.send_head(200, ())
+        await conn.send_body(sent)
+        raise ConnectionResetError
+
+    first = StandinEngine(comment_and_break_off)
+    second = StandinEngine(stream_events(3))
+    async with run_front_end(
+        [RESUMABLE_STREAM], first, second, network=network
+    ) as setup:
+        status, _, body = await setup.send_request(RESUMABLE_STREAM.prefix)
+    assert status == 200
+    assert body == sent + b''.join(map(encode_event, (1, 2, 3)))
+    assert second.requests[0].header(b'last-event-id') is None
+
+
+async def test_stream_cut_after_content_without_a_number_is_not_repeated(
+    network,
+):
+    async def send_and_break_off(_req, conn):
+        await conn.send_head(200, ())
+        await conn.send_body(b': keep\n\ndata: x\n\n')
+        raise ConnectionResetError
+
+    first = StandinEngine(send_and_break_off)
+    second = StandinEngine(stream_events(3))
+    async with run_front_end(
+        [RESUMABLE_STREAM], first, second, network=network
+    ) as setup:
+        with pytest.raises(UpstreamLostError):
+            await setup.send_request(RESUMABLE_STREAM.prefix)
+    assert not second.requests
