--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -28,6 +28,7 @@
     holds_status_line,
 )
 from .task_errors import unwrap_single_error
+from .turns import Turns
 
 __all__ = ('ChannelPool', 'HttpChannel', 'connect')
 
@@ -63,6 +64,10 @@
 # requests of one channel; bounds the identifiers that it remembers
 MAX_REQUESTS = 1000
 
+# bytes of a body after which other tasks get their turn: they may hold one
+# event for each three bytes
+MAX_PIECE_BYTES = 8192
+
 # idle channels per server
 MAX_IDLE_CHANNELS = 32
 
@@ -127,6 +132,8 @@
         self._has_send_failed = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = time.monotonic()
+        self._turns = Turns()
+        self._unread_bytes = b''
 
     @property
     def is_kept(self) -> bool:
@@ -219,6 +226,22 @@
             if isinstance(event, h11.EndOfMessage):
                 return None
 
+    async def read_piece(self) -> bytes | None:
+        """Return the next few bytes of the body, or None at its end.
+
+        Other tasks get their turn between two of them, however long each
+        takes its reader. It is not mixed with other ways to read the body.
+
+        :raises UpstreamLostError: the response was truncated.
+        """
+        if self._unread_bytes:
+            await trio.lowlevel.checkpoint()
+        else:
+            self._unread_bytes = await self.read_body() or b''
+        piece = self._unread_bytes[:MAX_PIECE_BYTES]
+        self._unread_bytes = self._unread_bytes[MAX_PIECE_BYTES:]
+        return piece or None
+
     async def read_full_body(self, max_bytes: int) -> bytes:
         """Read the whole response body.
 
@@ -290,6 +313,7 @@
         :raises UpstreamLostError: the connection failed or ended, or the
             bytes are not valid.
         """
+        await self._turns.before_event()
         try:
             while (event := self._parser.next_event()) is h11.NEED_DATA:
                 self._parser.receive_data(await self._receive())
--- a/tests/transport/test_http_channel.py
+++ b/tests/transport/test_http_channel.py
@@ -7,8 +7,14 @@
 import trio
 
 from briarrill.errors import PeerUnreachableError, UpstreamLostError
-from briarrill.transport.http_channel import ChannelPool, connect
+from briarrill.transport.http_channel import (
+    MAX_PIECE_BYTES,
+    ChannelPool,
+    connect,
+)
 from briarrill.transport.http_messages import RequestHead, find_header
+from briarrill.transport.turns import MAX_EVENTS_PER_TURN
+from tests.parser_steps import count_parser_steps
 from tests.raw_engine import RESET_WHEN_CLOSED
 
 HEAD = RequestHead(b'GET', b'/a%2Fb?q=%20', ((b'host', b'h'),))
@@ -223,3 +229,58 @@
                 assert (await channel.read_head()).status == 200
         channel.close()
         nursery.cancel_scope.cancel()
+
+
+# one byte a chunk, so that few bytes take the parser many steps
+TINY_CHUNKS = b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n'
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+
+
+async def test_tiny_chunks_leave_other_tasks_their_turn(monkeypatch):
+    async with raw_server(CHUNKED_HEAD + TINY_CHUNKS) as (address, _):
+        channel = await connect(address, 1)
+        with count_parser_steps(monkeypatch) as steps:
+            _, body = await _request(channel)
+        channel.close()
+    assert body == b'x' * 5000
+    assert steps.most_events <= 2 * MAX_EVENTS_PER_TURN
+
+
+async def test_no_buffered_part_is_read_after_the_time_limit():
+    async with raw_server(CHUNKED_HEAD + TINY_CHUNKS) as (address, _):
+        channel = await connect(address, 1)
+        async with channel.exchange(HEAD, b''):
+            await channel.read_head()
+            assert await channel.read_body() == b'x'
+            with trio.move_on_after(0) as scope:
+                await channel.read_body()
+        channel.close()
+    assert scope.cancelled_caught
+
+
+async def test_pieces_of_a_body_leave_other_tasks_their_turn():
+    body = bytes(range(256)) * (MAX_PIECE_BYTES // 16)
+    reply = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b'
+    raw = reply % (len(body), body)
+    pieces = []
+    turns = []
+
+    async def count_turns():
+        while True:
+            turns.append(len(pieces))
+            await trio.lowlevel.checkpoint()
+
+    async with raw_server(raw) as (address, _), trio.open_nursery() as nursery:
+        channel = await connect(address, 1)
+        async with channel.exchange(HEAD, b''):
+            await channel.read_head()
+            nursery.start_soon(count_turns)
+            while (piece := await channel.read_piece()) is not None:
+                pieces.append(piece)
+        assert channel.is_reusable
+        channel.close()
+        nursery.cancel_scope.cancel()
+    assert b''.join(pieces) == body
+    assert max(map(len, pieces)) <= MAX_PIECE_BYTES
+    # each turn has the two tasks in any order
+    assert len(turns) >= len(pieces) - 2
