--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -326,15 +326,40 @@
     assert len(broken.submits) == 3
 
 
+async def test_failures_with_whole_responses_between_do_not_eject(
+    open_entry, sidecars, make_request
+):
+    """Guards against ejecting an upstream for a few failures in all."""
+    upstream, other = sidecars[:2]
+    async with (
+        open_entry([upstream, other]) as entry,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(_finish_all, upstream, {}, _FAILURE)
+        nursery.start_soon(_finish_all, other, {})
+        for number in range(60):
+            response = await entry.dispatcher.dispatch(
+                make_request(f'{number}')
+            )
+            response.close()
+        ejector = entry.dispatcher._get_ejector(make_request().target)
+        health = ejector._health[upstream.name]
+        nursery.cancel_scope.cancel()
+    assert len(upstream.submits) > 2 * FAILURES_TO_EJECT
+    assert not health.ejections
+
+
 _FAILURE = {'code': ResultCode.UPSTREAM_FAILED, 'ran': Ran.NO}
 
 
-async def _finish_all(sidecar, fields):
-    """Finish each submit at a sidecar with these fields."""
+async def _finish_all(sidecar, *fields):
+    """Finish the submits at a sidecar with these fields in turn."""
     count = 0
     while True:
         count += 1
-        sidecar.send_finish(await sidecar.wait_submit(count), **fields)
+        sidecar.send_finish(
+            await sidecar.wait_submit(count), **fields[count % len(fields)]
+        )
 
 
 async def test_bad_request_is_not_retried(open_entry, sidecars, make_request):
