Try sound items though a part of their prompt is quarantined

What callers saw: items of accepted jobs that stayed without a result though upstreams had room, until their jobs expired.

Cause: a first part of a prompt is quarantined once five upstreams ended with it in flight, unless an answer to it is known of the last minute. Upstreams that crash for a reason of their own, before the first items of a job are answered, make that come true of sound parts. No item with the part ran from then on, so that no answer came that would have ended the quarantine, for 600 s.

An item is still owed, so one process, chosen by the part, tries one item with it at a time, 1 s after the quarantine began; at most two trials may be lost in one quarantine, as three requests may reach upstreams after the part was found. An answer that has gone on for 1 s clears its parts: it was no evidence against them already, and a whole one takes longer than such a trial may.

The test of upstreams whose responses break read only the head of each response and left, which cancels the attempt before it breaks since received bytes are handled in pieces; it reads each response to its end now.

--- a/briarrill/coordination/part_crashes.py
+++ b/briarrill/coordination/part_crashes.py
@@ -102,6 +102,10 @@
             )
         return None
 
+    def awaits_decision(self, prompt_parts: Collection[str]) -> bool:
+        """Tell whether a part is held back until it is decided on."""
+        return not self._blame.held.isdisjoint(map(short_hash, prompt_parts))
+
     def is_suspect(self, prompt_parts: Collection[str]) -> bool:
         """Tell whether several upstreams have ended under one of the parts."""
         return bool(self._suspects_among(prompt_parts))
--- a/briarrill/coordination/prompt_crashes.py
+++ b/briarrill/coordination/prompt_crashes.py
@@ -31,6 +31,7 @@
 from .suspect_runs import SuspectRuns
 
 __all__ = (
+    'MAX_QUARANTINED',
     'QUARANTINE_S',
     'PromptQuarantine',
     'QuarantinedPart',
@@ -144,6 +145,19 @@
         )
         return max((0, *(span.until - now for span in spans if span)))
 
+    def quarantined_since(
+        self, prompt_parts: Iterable[str]
+    ) -> dict[int, float]:
+        """Return since when parts of a prompt are quarantined, by hash."""
+        if not self._quarantined:
+            return {}
+        hashes = map(short_hash, prompt_parts)
+        return {
+            part: self._quarantined[part].since
+            for part in hashes
+            if part in self._quarantined
+        }
+
     def has_crashed(self, incarnation: str) -> bool:
         """Tell whether an upstream is known to have ended."""
         crash = self._crashes.get(short_hash(incarnation))
--- a/briarrill/coordination/upstream_ends.py
+++ b/briarrill/coordination/upstream_ends.py
@@ -7,6 +7,7 @@
 
 import collections
 import contextlib
+import functools
 import time
 from collections.abc import Callable, Collection, Iterator
 
@@ -290,7 +291,7 @@
                 counted.enter_context(
                     self.quarantine.runs.counted(upstream, cause)
                 )
-            run.call_when_cleared(counted.close)
+            run.call_when_cleared(functools.partial(self._clear, run, counted))
             if self.quarantine.parts.is_suspect(
                 run.prompt_parts
             ) or self.quarantine.requests.is_suspect(run.request_key):
@@ -302,6 +303,11 @@
                 if runs is not None and run in runs.unchecked_runs:
                     runs.unchecked.push(counted.pop_all())
 
+    def _clear(self, run: PromptRun, counted: contextlib.ExitStack) -> None:
+        """Record that no part of a prompt ends upstreams as they begin."""
+        counted.close()
+        self.quarantine.record_answer(run.prompt_parts)
+
     @contextlib.contextmanager
     def _observe(
         self, upstream: RegisteredUpstream, run: PromptRun
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -13,6 +13,7 @@
 from ..coordination.incarnation_check import is_registered_process
 from ..coordination.limit_sharing import LimitSharing
 from ..coordination.prompt_crashes import may_run_at
+from ..coordination.quarantine_trials import QuarantineTrials
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end, is_event_stream
 from ..coordination.routes import Route
@@ -56,6 +57,7 @@
     :param upstreams: records which upstreams announce their departure.
     :param ends: observes the items to find prompts that end upstreams.
     :param limits: keeps the request limits of upstreams.
+    :param trials: chooses items that run though a part is quarantined.
     """
 
     protocol: RelayProtocol
@@ -64,6 +66,12 @@
     upstreams: UpstreamTable
     ends: UpstreamEnds
     limits: LimitSharing
+    trials: QuarantineTrials = attrs.field(
+        default=attrs.Factory(
+            lambda runner: QuarantineTrials(runner.ends.quarantine),
+            takes_self=True,
+        )
+    )
     _channels: CallChannels = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -77,7 +85,9 @@
             return False
         head = self.protocol.item_head('', stored)
         parts = self.protocol.prompt_parts(head)
-        return quarantine.parts.hold(parts) is not None
+        if quarantine.parts.hold(parts) is None:
+            return False
+        return not self.trials.may_run(parts, stored.item_id)
 
     async def run(
         self,
@@ -98,7 +108,10 @@
         channel, origin = connected
         progress.begin_run(origin)
         try:
-            with self.ends.track(upstream, call.prompt_parts) as run:
+            with (
+                self.trials.running(call.prompt_parts, call.request_id),
+                self.ends.track(upstream, call.prompt_parts) as run,
+            ):
                 end = await self._exchange(
                     progress, call, upstream, channel, run
                 )
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -3,6 +3,7 @@
 import trio
 from eliot import log_message
 
+from ..coordination.quarantine_trials import QuarantineTrials
 from ..coordination.suspect_probes import SuspectProber
 from ..item_runs.checkpoints import Checkpoints
 from ..item_runs.handover import HANDOVER_PATH, Handover
@@ -12,6 +13,7 @@
 from ..item_runs.slots import FreeSlots
 from ..state.checkpoint_file import CheckpointFile
 from ..state.keys import ROOT_PREFIX
+from ..state.rendezvous import rank_nodes
 from .configuration import OPERATOR_PREFIX
 from .process_parts import (
     ProcessParts,
@@ -53,6 +55,12 @@
             parts.upstreams,
             parts.ends,
             parts.load.limits,
+            QuarantineTrials(
+                parts.ends.quarantine,
+                lambda part: (
+                    rank_nodes(str(part), slots.processes())[0] == cfg.name
+                ),
+            ),
         )
         scheduler = Scheduler(jobs, slots, handover, runner, committer)
         _connect_reports(parts, scheduler)
--- /dev/null
+++ b/tests/coordination/test_quarantine_trials.py
@@ -0,0 +1,115 @@
+"""Tests of items that are tried though their prompts are quarantined."""
+
+import contextlib
+import types
+
+import pytest
+
+from briarrill.coordination.prompt_crashes import PromptQuarantine
+from briarrill.coordination.quarantine_trials import (
+    MAX_LOST_TRIALS,
+    TRIAL_DELAY_S,
+    TRIAL_PAUSE_S,
+    QuarantineTrials,
+)
+from briarrill.errors import UpstreamLostError
+from briarrill.protocol.load_reports import short_hash
+from briarrill.protocol.prompt_news import PromptNews, UpstreamCrash
+
+PARTS = ('first', 'own')
+
+# requests with a part that ends upstreams that may reach any after it is found
+MAX_REQUESTS_AFTER = 3
+
+
+@pytest.fixture
+def clock():
+    fake = types.SimpleNamespace(now=100.0)
+    return fake
+
+
+@pytest.fixture
+def quarantine(clock):
+    return PromptQuarantine(lambda: clock.now)
+
+
+@pytest.fixture
+def trials(quarantine, clock):
+    return QuarantineTrials(quarantine, clock=lambda: clock.now)
+
+
+def _quarantine_first(quarantine):
+    quarantine.apply_news(PromptNews(quarantined={short_hash('first'): 600}))
+
+
+def _lose(trials, item_id):
+    with (
+        contextlib.suppress(UpstreamLostError),
+        trials.running(PARTS, item_id),
+    ):
+        raise UpstreamLostError('ended')
+
+
+def test_one_item_at_a_time_is_tried(quarantine, trials, clock):
+    _quarantine_first(quarantine)
+    assert not trials.may_run(PARTS, 'one')
+    clock.now += TRIAL_DELAY_S
+    assert trials.may_run(PARTS, 'one')
+    with trials.running(PARTS, 'one'):
+        assert trials.may_run(PARTS, 'one')
+        assert not trials.may_run(PARTS, 'two')
+    assert trials.may_run(PARTS, 'two')
+
+
+def test_few_trials_may_be_lost(quarantine, trials, clock):
+    """Guards against more requests than may reach upstreams after all."""
+    _quarantine_first(quarantine)
+    clock.now += TRIAL_DELAY_S
+    lost = 0
+    for number in range(100):
+        if trials.may_run(PARTS, f'item-{number}'):
+            _lose(trials, f'item-{number}')
+            assert not trials.may_run(PARTS, 'other')
+            lost += 1
+        clock.now += TRIAL_PAUSE_S
+    assert lost == MAX_LOST_TRIALS
+    assert lost <= MAX_REQUESTS_AFTER
+
+
+def test_new_quarantine_has_trials_of_its_own(quarantine, trials, clock):
+    _quarantine_first(quarantine)
+    clock.now += TRIAL_DELAY_S
+    for _ in range(MAX_LOST_TRIALS):
+        _lose(trials, 'one')
+    quarantine.record_answer(PARTS)
+    clock.now += 100
+    _quarantine_first(quarantine)
+    assert not trials.may_run(PARTS, 'one')
+    clock.now += TRIAL_DELAY_S
+    assert trials.may_run(PARTS, 'one')
+
+
+def test_only_one_process_tries_a_part(quarantine, clock):
+    _quarantine_first(quarantine)
+    clock.now += TRIAL_DELAY_S
+    asked = []
+    trials = QuarantineTrials(quarantine, asked.append, lambda: clock.now)
+    assert not trials.may_run(PARTS, 'one')
+    assert asked == [short_hash('first')]
+
+
+def test_prompt_that_awaits_a_decision_is_not_tried(quarantine, trials, clock):
+    _quarantine_first(quarantine)
+    clock.now += TRIAL_DELAY_S
+    for number in range(4):
+        quarantine.record_crash(
+            UpstreamCrash(number, other_parts=(short_hash('suspect'),))
+        )
+    assert not trials.may_run(('first', 'suspect', 'own'), 'one')
+    assert trials.may_run(PARTS, 'one')
+
+
+def test_prompt_without_a_quarantined_part_is_no_trial(trials):
+    assert not trials.may_run(PARTS, 'one')
+    with trials.running(PARTS, 'one'):
+        assert not trials._trials
--- a/tests/coordination/test_upstream_ends.py
+++ b/tests/coordination/test_upstream_ends.py
@@ -438,3 +438,18 @@
         now[0] += upstream_ends.MAX_ANSWERED_S
         run.record_bytes()
         assert quarantine.parts.hold(PARTS) is None
+
+
+async def test_answer_that_goes_on_clears_its_parts(observe, monkeypatch):
+    """Whole answers may take longer than upstreams run between two crashes."""
+    now = [0.0]
+    monkeypatch.setattr(upstream_ends.time, 'monotonic', lambda: now[0])
+    observed = observe(('127.0.0.1', free_port()))
+    quarantine = observed.ends.quarantine
+    with observed.ends.track(observed.upstream, PARTS, REQUEST) as run:
+        run.record_bytes()
+        assert not quarantine.is_cleared(PARTS)
+        now[0] += upstream_ends.MAX_ANSWERED_S
+        run.record_bytes()
+        assert quarantine.is_cleared(PARTS)
+        assert not quarantine.is_cleared((), REQUEST)
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -580,6 +580,18 @@
     assert tracked.results[0].state is ItemState.COMPLETED
 
 
+async def test_sound_items_that_upstreams_ended_under_are_run(run_scheduler):
+    """Guards against items that lie, since no answer was known in time."""
+    respond = stream_events(150, pause_s=0.01)
+    async with run_scheduler(respond) as (setup, engine):
+        _quarantine(setup, 'first')
+        tracked = await setup.submit(6, prompt='first:5,own:1')
+        with trio.fail_after(10):
+            await _wait_until(lambda: not tracked.is_open)
+    assert {one.state for one in tracked.results} == {ItemState.COMPLETED}
+    assert len(engine.requests) == 6
+
+
 async def test_item_with_a_quarantined_prompt_expires_with_its_job(
     run_scheduler,
 ):
--- a/tests/relay/test_upstream_health.py
+++ b/tests/relay/test_upstream_health.py
@@ -1,5 +1,6 @@
 """Upstreams that fail early and so look idle."""
 
+import contextlib
 import itertools
 import random
 
@@ -18,6 +19,7 @@
 from briarrill.errors import (
     DeadlineExceededError,
     OverloadedError,
+    UpstreamLostError,
     UpstreamRefusedError,
 )
 from briarrill.relay.upstream_health import UpstreamHealth
@@ -50,6 +52,8 @@
 
 REQUESTS = 40
 
+MAX_BODY_BYTES = 1000
+
 HTTP_GATEWAY_TIMEOUT = 504
 
 UPSTREAM = RegisteredUpstream('i-0', 'llm', ('127.0.0.1', 1), 'a', 20)
@@ -65,8 +69,11 @@
     for number in range(REQUESTS):
         async with setup.open_response(
             route.prefix, attempt_id=f'r{number}'
-        ) as (head, _):
+        ) as (head, channel):
             statuses.append(head.status)
+            # a caller that leaves earlier would cancel the attempt
+            with contextlib.suppress(UpstreamLostError):
+                await channel.read_full_body(MAX_BODY_BYTES)
     return statuses
 
 
