Limit the time of one message of a watch

What was found: a line of the watch of the key-value service had a limit of size, 64 MB, and none of time. Bytes without a line end in chunks of one byte cost some 28 us each, so that they take a processor for half an hour.

A message may take 30 s now, more than the largest one takes over a slow link.

--- a/briarrill/transport/bounded_http.py
+++ b/briarrill/transport/bounded_http.py
@@ -6,6 +6,8 @@
 
 import contextlib
 import itertools
+import math
+import time
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
@@ -134,29 +136,51 @@
 
 
 async def iter_lines(
-    reply: httpx.Response, max_bytes: int
+    reply: httpx.Response, max_bytes: int, line_timeout_s: float = math.inf
 ) -> AsyncIterator[bytes]:
     """Yield the lines of a reply as they arrive, without their ends.
 
+    :param line_timeout_s: time from the first bytes of a line after which no
+        more of it is read.
     :raises httpx.HTTPError: the reply was cut, or a line is over
-        ``max_bytes``.
+        ``max_bytes`` or its time.
     """
     pending = bytearray()
+    began_at = time.monotonic()
     async for part in iter_body(reply):
         *ends, rest = part.split(b'\n')
         for end in ends:
             yield bytes(pending + end)
             pending.clear()
+        if not pending:
+            began_at = time.monotonic()
         pending += rest
         if len(pending) > max_bytes:
             raise httpx.RemoteProtocolError(
                 f'line of a reply is over {max_bytes} bytes',
                 request=reply.request,
             )
+        _check_line_time(pending, began_at, line_timeout_s, reply)
     if pending:
         yield bytes(pending)
 
 
+def _check_line_time(
+    pending: bytearray,
+    began_at: float,
+    timeout_s: float,
+    reply: httpx.Response,
+) -> None:
+    """Check that the line in hand has not taken too long.
+
+    :raises httpx.ReadTimeout: it has.
+    """
+    if pending and time.monotonic() - began_at > timeout_s:
+        raise httpx.ReadTimeout(
+            f'no whole line within {timeout_s} s', request=reply.request
+        )
+
+
 @contextlib.contextmanager
 def _time_limit(
     timeout_s: float | None, http_req: httpx.Request
--- a/briarrill/transport/etcd.py
+++ b/briarrill/transport/etcd.py
@@ -33,6 +33,9 @@
 # all keys under a prefix, or a watch message
 MAX_REPLY_BYTES = 64_000_000
 
+# time for one message of a watch: the largest one takes 26 s at 20 Mbit/s
+WATCH_LINE_TIMEOUT_S = 30.0
+
 # a write whose reply was lost is repeated: its revision comparison lets only
 # one attempt take effect, also if the first one arrives late
 WRITE_ATTEMPTS = 3
@@ -203,7 +206,9 @@
             self._client, http_req, CALL_TIMEOUT_S
         ) as reply:
             reply.raise_for_status()
-            async for line in iter_lines(reply, MAX_REPLY_BYTES):
+            async for line in iter_lines(
+                reply, MAX_REPLY_BYTES, WATCH_LINE_TIMEOUT_S
+            ):
                 yield line
 
     async def _read_range(self, body: dict[str, Any]) -> list[KeyValue]:
--- a/tests/transport/test_endless_replies.py
+++ b/tests/transport/test_endless_replies.py
@@ -2,6 +2,7 @@
 
 import gzip
 import tracemalloc
+import types
 
 import httpx
 import pytest
@@ -43,6 +44,7 @@
     for module in (etcd, instance_list, store_module):
         monkeypatch.setattr(module, 'CALL_TIMEOUT_S', LIMIT_S)
         monkeypatch.setattr(module, 'MAX_REPLY_BYTES', MAX_BYTES)
+    monkeypatch.setattr(etcd, 'WATCH_LINE_TIMEOUT_S', LIMIT_S)
     monkeypatch.setattr(state_transfer, 'MAX_STATE_BYTES', MAX_BYTES)
 
 
@@ -178,6 +180,31 @@
     assert isinstance(error, PlatformUnavailableError)
 
 
+async def test_line_that_takes_too_long_ends(monkeypatch):
+    """Its bytes may be so few that they reach no limit of size."""
+    now = [0.0]
+    clock = types.SimpleNamespace(monotonic=lambda: now[0])
+    monkeypatch.setattr(bounded_http, 'time', clock)
+
+    async def dribble():
+        yield b'one\n'
+        now[0] += 100
+        yield b'tw'
+        yield b'o\nth'
+        for _ in range(100):
+            now[0] += 1
+            yield b'r'
+
+    reply = httpx.Response(200, content=dribble())
+    reply.request = httpx.Request('GET', 'http://127.0.0.1/')
+    lines = []
+    with pytest.raises(httpx.ReadTimeout):
+        async for line in bounded_http.iter_lines(reply, 1000, 5):
+            lines.append(line)
+    assert lines == [b'one', b'two']
+    assert now[0] == 106
+
+
 async def test_lines_are_split_at_any_byte():
     raw = b'one\ntwo\n\nlast'
     for size in range(1, len(raw) + 1):
