Tell why items are not started beside idle upstreams

Cause: a batch process logged the ends of runs and nothing for an item that it does not start. Change: the functions that decide about starts name a reason (WaitReason), and a run that is refused names its refusal. Once a second all open items that run nowhere are counted by reason: gauge briarrill_waiting_items, served at the port for peers. If no item of a job has started, ended or had an event for 5 s while less than half of the slots of its upstreams is in use, one bounded line items:waiting follows, at most every 5 s, and items:waiting-ended at the end. The search of the scheduler for an upstream moved to item_waits unchanged. Long checks are made less often, so that they take 5 % of the time at most.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -15,6 +15,7 @@
 )
 from ..protocol.stream_origins import StreamOrigin
 from ..state.stored_jobs import ItemState, StoredItem, StoredResult
+from .wait_reasons import Refusal
 
 __all__ = ('ItemProgress', 'ProgressRecord', 'RunEnd', 'RunningItem')
 
@@ -77,6 +78,7 @@
 
     :param failures: runs to which the upstream responded with an error.
     :param refusals: runs that upstreams refused since the last new event.
+    :param refusal: why the last run was refused, none if it was not.
     :param next_run_at: earliest time of the next run, by the monotonic
         clock.
     :param ran_s: time for which the item has occupied slots.
@@ -94,6 +96,7 @@
     stored: StoredItem
     failures: int = 0
     refusals: int = 0
+    refusal: Refusal | None = None
     next_run_at: float = 0
     ran_s: float = 0
     avoided_upstream: str = ''
@@ -172,6 +175,13 @@
         self.avoided_until = now + avoidance_s
         self.begin_wait()
 
+    def keep_refusal(self, end: RunEnd) -> str | None:
+        """Return why a run was refused; forget it if the run was not."""
+        if end is not RunEnd.REFUSED or self.refusal is None:
+            self.refusal = None
+            return None
+        return self.refusal.value
+
     def begin_wait(self) -> None:
         """Record that nothing goes on with the output, if that is new."""
         if self.waits_since is None:
--- a/briarrill/item_runs/item_order.py
+++ b/briarrill/item_runs/item_order.py
@@ -26,6 +26,7 @@
 from ..state.rendezvous import rank_nodes
 from ..state.stored_jobs import StoredJob
 from .item import ItemProgress, RunningItem
+from .wait_reasons import WaitReason
 
 __all__ = ('ItemOrder', 'StartableItem', 'is_newer')
 
@@ -142,6 +143,21 @@
         is_batch = route is not None and route.kind is RouteKind.BATCH
         return route if is_batch else None
 
+    def why_job_waits(
+        self, tracked: TrackedJob, routes: RouteTable
+    ) -> WaitReason | None:
+        """Return why no item of an open job may start here, none if it may.
+
+        A job that was not looked at, as no slot was free, may start.
+        """
+        route = self._route_or_reason(tracked, routes)
+        if isinstance(route, WaitReason):
+            return route
+        is_known = tracked.job_id in self._assigned_processes
+        if is_known and not self._may_start_job(tracked.job_id):
+            return WaitReason.OTHER_PROCESS
+        return None
+
     def why_over(self, tracked: TrackedJob, routes: RouteTable) -> str:
         """Return why a job's items are given up, empty if they are not.
 
@@ -180,12 +196,18 @@
     ) -> Iterator[tuple[TrackedJob, Route]]:
         """Yield the jobs that these routes can tell about, with theirs."""
         for tracked in jobs:
-            if tracked.job is None or is_newer(tracked, routes):
-                continue
-            route = self.route_of(tracked.job, routes)
-            if route is not None:
+            route = self._route_or_reason(tracked, routes)
+            if isinstance(route, Route):
                 yield tracked, route
 
+    def _route_or_reason(
+        self, tracked: TrackedJob, routes: RouteTable
+    ) -> Route | WaitReason:
+        """Return the route of a job, or why these routes name none."""
+        if tracked.job is None or is_newer(tracked, routes):
+            return WaitReason.AWAITS_ROUTES
+        return self.route_of(tracked.job, routes) or WaitReason.NO_ROUTE
+
     def _urgency_of_candidate(self, candidate: StartableItem) -> Urgency:
         return self.urgency(
             candidate.progress, candidate.tracked, candidate.route
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -22,11 +22,13 @@
 from ..coordination.upstream_ends import PromptRun, UpstreamEnds
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..errors import BriarrillError, PeerUnreachableError, UpstreamLostError
+from ..protocol.load_reports import short_hash
 from ..protocol.stream_origins import StreamOrigin
 from ..state.stored_jobs import StoredItem
 from ..transport.http_channel import HttpChannel
 from ..transport.http_messages import ResponseHead
 from .item import ItemProgress, RunEnd
+from .wait_reasons import Refusal, WaitReason
 
 __all__ = ('ItemRunner',)
 
@@ -89,6 +91,25 @@
             return False
         return not self.trials.may_run(parts, stored.item_id)
 
+    def why_held(self, stored: StoredItem) -> WaitReason:
+        """Return why a prompt is held back."""
+        parts = self.protocol.prompt_parts(self.protocol.item_head('', stored))
+        quarantine = self.ends.quarantine
+        if quarantine.quarantined_since(parts):
+            return WaitReason.PART_QUARANTINED
+        if quarantine.parts.awaits_decision(parts):
+            return WaitReason.PART_AWAITS_DECISION
+        return WaitReason.PART_IN_FLIGHT
+
+    def accused_parts(self, stored: StoredItem) -> list[int]:
+        """Return the hashes of the quarantined or suspected parts."""
+        parts = self.protocol.prompt_parts(self.protocol.item_head('', stored))
+        quarantine = self.ends.quarantine
+        known = quarantine.parts.suspects | set(
+            quarantine.quarantined_since(parts)
+        )
+        return sorted(known.intersection(map(short_hash, parts)))
+
     async def run(
         self,
         progress: ItemProgress,
@@ -100,6 +121,7 @@
         if progress.is_complete:
             return RunEnd.COMPLETED
         if self.is_quarantined(progress.stored):
+            progress.refusal = Refusal.PART
             return RunEnd.REFUSED
         call = self._make_call(progress, route, host, upstream)
         connected = await self._connect(progress, call, upstream)
@@ -138,6 +160,7 @@
             upstream.incarnation, max_wait_s=0, is_batch=True
         )
         if not grant.is_granted:
+            progress.refusal = Refusal.PERMIT
             return None
         try:
             channel = await self._channels.acquire(upstream, call.request_id)
@@ -149,19 +172,33 @@
             self.silence.mark_silent(upstream.upstream_id)
             self.ends.record_unreachable(upstream)
             _log_run_failure(progress, call, upstream, exc)
+            progress.refusal = Refusal.CONNECTION
             return None
         if not is_registered:
             self.upstreams.mark_replaced(upstream.incarnation)
-        may_run = not progress.has_output or self.upstreams.may_go_on(
-            upstream, progress.origin
-        )
-        may_run = may_run and self._may_prompt_run(progress, call, upstream)
-        if may_run and self.upstreams.still_accepts(upstream):
+        progress.refusal = self._why_refused(progress, call, upstream)
+        if progress.refusal is None:
             version = upstream.version if is_registered else None
             return channel, StreamOrigin(version, upstream.service)
         channel.close()
         return None
 
+    def _why_refused(
+        self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
+    ) -> Refusal | None:
+        """Return why an item cannot be sent to a connected upstream now."""
+        if not self.upstreams.still_accepts(upstream):
+            return Refusal.REPLACED
+        if progress.has_output and not self.upstreams.may_go_on(
+            upstream, progress.origin
+        ):
+            versions = self.upstreams.versions
+            is_replaced = versions.is_replaced(upstream.incarnation)
+            return Refusal.REPLACED if is_replaced else Refusal.VERSION
+        if self._may_prompt_run(progress, call, upstream):
+            return None
+        return Refusal.PART
+
     def _may_prompt_run(
         self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
     ) -> bool:
@@ -220,7 +257,7 @@
                 if response_head.status == _HTTP_OK:
                     record_first_bytes()
             if response_head.status != _HTTP_OK:
-                return await self._read_error(response_head, channel)
+                return await self._read_error(response_head, channel, progress)
             if not is_event_stream(response_head):
                 raise UpstreamLostError('answered 200 without events')
             with self.silence.track_stream(upstream.upstream_id):
@@ -242,7 +279,10 @@
         return RunEnd.COMPLETED
 
     async def _read_error(
-        self, response_head: ResponseHead, channel: HttpChannel
+        self,
+        response_head: ResponseHead,
+        channel: HttpChannel,
+        progress: ItemProgress,
     ) -> RunEnd:
         """Map an error response to the end of a run.
 
@@ -254,6 +294,7 @@
         ):
             await channel.read_full_body(MAX_ERROR_BODY_BYTES)
         if self.protocol.reports_not_executed(response_head):
+            progress.refusal = Refusal.UPSTREAM
             return RunEnd.REFUSED
         if response_head.status == _HTTP_UNPROCESSABLE:
             return RunEnd.IMPOSSIBLE
--- /dev/null
+++ b/briarrill/item_runs/item_waits.py
@@ -0,0 +1,254 @@
+"""briarrill.item_runs.item_waits: decides what keeps items from starting.
+
+The scheduler asks the same functions before it starts an item.
+"""
+
+import collections
+import functools
+import time
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from ..coordination.job_table import JobTable, TrackedJob
+from ..coordination.routes import Route, RouteTable
+from ..coordination.upstream_table import RegisteredUpstream
+from ..protocol.load_reports import short_hash
+from ..state.stored_jobs import StoredItem
+from .handover import Handover
+from .item import ItemProgress
+from .item_order import ItemOrder
+from .item_runner import ItemRunner
+from .local_items import LocalItems
+from .slots import FreeSlots
+from .wait_reasons import WaitReason
+
+__all__ = ('ItemWaits', 'JobWaits', 'why_delayed')
+
+# time after which output that no upstream of its version goes on with is
+# given up, if one of another version has a free slot
+VERSION_WAIT_S = 2.0
+
+_Key = tuple[str, str]
+_Search = tuple[object, ...]
+
+
+@attrs.frozen
+class JobWaits:
+    """The items of an open job that run nowhere.
+
+    :param route: in force for the job, none if it is not known.
+    :param reasons: why each item does not start at this process.
+    :param listed: hashes of the items that peers list as theirs.
+    """
+
+    tracked: TrackedJob
+    route: Route | None
+    reasons: dict[str, WaitReason]
+    listed: frozenset[int]
+
+
+@attrs.define
+class ItemWaits:
+    """Tells what keeps the items of a process from starting."""
+
+    jobs: JobTable
+    slots: FreeSlots
+    handover: Handover
+    runner: ItemRunner
+    local_items: LocalItems
+    order: ItemOrder
+
+    def why_none_start(self) -> WaitReason | None:
+        """Return why this process starts no item at all, if so."""
+        if self.local_items.is_isolated:
+            return WaitReason.ISOLATED
+        if self.local_items.is_draining:
+            return WaitReason.DRAINING
+        if not self.slots.may_start_items():
+            return WaitReason.AWAITS_REPORTS
+        return None
+
+    def is_held(self, key: _Key, stored: StoredItem) -> bool:
+        """Whether an item was handed over, or its prompt is held back."""
+        return self.handover.was_handed_over(
+            key
+        ) or self.runner.is_quarantined(stored)
+
+    def find_upstream(
+        self, progress: ItemProgress, route: Route
+    ) -> RegisteredUpstream | None:
+        """Return an upstream with a free slot for an item, if there is one.
+
+        Output that no upstream goes on with is given up after a time. One of
+        its version that has room by then comes first, unless it is refused.
+        """
+        may_restart = progress.has_waited(VERSION_WAIT_S)
+        search = functools.partial(
+            self.slots.choose_upstream,
+            route,
+            progress.avoided_upstream,
+            waits_for_others=progress.is_avoiding,
+        )
+        upstream = None
+        if progress.has_output and not (may_restart and progress.is_avoiding):
+            upstream = search(progress.origin)
+        if upstream is None and (may_restart or not progress.has_output):
+            upstream = search()
+        return upstream
+
+    def find(self, routes: RouteTable | None) -> list[JobWaits]:
+        """Return what the items of all open jobs wait for."""
+        none_start = (
+            WaitReason.NO_CONFIGURATION
+            if routes is None
+            else self.why_none_start()
+        )
+        known: dict[_Search, WaitReason] = {}
+        with self.slots.searching():
+            return [
+                self._find_in_job(tracked, routes, none_start, known)
+                for tracked in self.jobs.tracked_jobs
+                if tracked.is_open
+            ]
+
+    def _find_in_job(
+        self,
+        tracked: TrackedJob,
+        routes: RouteTable | None,
+        none_start: WaitReason | None,
+        known: dict[_Search, WaitReason],
+    ) -> JobWaits:
+        """Return what the items of a job wait for.
+
+        :param none_start: why no item of any job starts, if so.
+        :param known: results of searches that items share.
+        """
+        route = None
+        if routes is not None and tracked.job is not None:
+            route = self.order.route_of(tracked.job, routes)
+            none_start = none_start or self.order.why_job_waits(
+                tracked, routes
+            )
+        listed: set[int] = set()
+        reasons: dict[str, WaitReason] = {}
+        for key in self._keys_not_running(tracked):
+            reason = self.local_items.committer.why_unwritten(key, tracked)
+            if reason is None and self._is_listed_by_peer(key):
+                listed.add(short_hash(key[1]))
+                continue
+            reasons[key[1]] = (
+                reason
+                or none_start
+                or self._why_item_waits(key, tracked, route, known)
+            )
+        return JobWaits(tracked, route, reasons, frozenset(listed))
+
+    def _keys_not_running(self, tracked: TrackedJob) -> Iterator[_Key]:
+        """Yield the open items of a job that do not run here."""
+        for item_id in tracked.items:
+            key = (tracked.job_id, item_id)
+            if (
+                item_id not in tracked.finished_item_ids
+                and key not in self.local_items.running
+            ):
+                yield key
+
+    def _is_listed_by_peer(self, key: _Key) -> bool:
+        hashes = self.slots.load.peer_load.item_hashes
+        return short_hash(key[1]) in hashes
+
+    def _why_held(self, key: _Key, stored: StoredItem) -> WaitReason | None:
+        """Return why an item is held here, none if it is not."""
+        if not self.is_held(key, stored):
+            return None
+        if self.handover.was_handed_over(key):
+            return WaitReason.HANDED_OVER
+        return self.runner.why_held(stored)
+
+    def _why_item_waits(
+        self,
+        key: _Key,
+        tracked: TrackedJob,
+        route: Route | None,
+        known: dict[_Search, WaitReason],
+    ) -> WaitReason:
+        """Return why an item of a job that may start does not."""
+        if route is None:
+            return WaitReason.NO_ROUTE
+        stored = tracked.items[key[1]]
+        held = self._why_held(key, stored)
+        if held is not None:
+            return held
+        progress = self.handover.suspended.get(key)
+        search: _Search = (route.name, None, '', False)
+        if progress is not None:
+            delayed = why_delayed(progress, time.monotonic())
+            if delayed is not None:
+                return delayed
+            search = (
+                route.name,
+                progress.origin if progress.has_output else None,
+                progress.avoided_upstream if progress.is_avoiding else '',
+                progress.has_waited(VERSION_WAIT_S),
+            )
+        if not self.slots.has_free_slot(route):
+            search = (route.name,)
+        if search not in known:
+            progress = progress or ItemProgress(key[0], stored)
+            known[search] = self._why_no_upstream(progress, route)
+        return known[search]
+
+    def _why_no_upstream(
+        self, progress: ItemProgress, route: Route
+    ) -> WaitReason:
+        """Return why no upstream gets an item, as far as slots tell.
+
+        An upstream with a limit counts as at its limit, since an item needs a
+        permit besides a slot.
+        """
+        if not self.slots.has_free_slot(route):
+            return self._why_no_slot(route)
+        upstream = self.find_upstream(progress, route)
+        if upstream is not None:
+            is_limited = self.slots.limit_per_s(upstream) is not None
+            return WaitReason.AT_LIMIT if is_limited else WaitReason.STARTABLE
+        if progress.is_avoiding:
+            return WaitReason.AVOIDS_UPSTREAM
+        return WaitReason.AWAITS_VERSION
+
+    def _why_no_slot(self, route: Route) -> WaitReason:
+        """Return what most of the own upstreams of a route lack."""
+        owned = self.slots.owned_upstreams(route)
+        if owned:
+            reasons = collections.Counter(
+                self.slots.why_passed_over(upstream) or WaitReason.FULL
+                for upstream in owned
+            )
+            return max(reasons, key=lambda reason: reasons[reason])
+        services = {target.service for target in route.targets}
+        if not _are_any_of(
+            services, self.slots.upstreams.registered_upstreams
+        ):
+            return WaitReason.NO_UPSTREAM
+        if any(map(self.slots.upstreams.accepting_upstreams, services)):
+            return WaitReason.NONE_OWNED
+        return WaitReason.NONE_ACCEPTING
+
+
+def why_delayed(progress: ItemProgress, now: float) -> WaitReason | None:
+    """Return why the next run of an item is later, none if it is not.
+
+    :param now: time by the monotonic clock.
+    """
+    if progress.next_run_at <= now:
+        return None
+    if progress.refusal is not None:
+        return WaitReason.after_refusal(progress.refusal)
+    return WaitReason.DELAYED
+
+
+def _are_any_of(
+    services: set[str], upstreams: Iterable[RegisteredUpstream]
+) -> bool:
+    return any(upstream.service in services for upstream in upstreams)
--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -28,6 +28,7 @@
 )
 from ..transport.key_value import KeyValueService
 from .item import ItemProgress
+from .wait_reasons import WaitReason
 
 __all__ = ('Committer',)
 
@@ -105,6 +106,18 @@
         """Whether an item's result waits to be written."""
         return item_id in self._pending.get(job_id, ())
 
+    def why_unwritten(
+        self, key: tuple[str, str], tracked: TrackedJob
+    ) -> WaitReason | None:
+        """Return why a finished item has no result, none if it may run."""
+        if key in self._refused:
+            return WaitReason.RESULT_REFUSED
+        if not self.has_pending(*key):
+            return None
+        if tracked.is_blocked:
+            return WaitReason.RESULT_BLOCKED
+        return WaitReason.RESULT_UNWRITTEN
+
     def add(
         self,
         progress: ItemProgress,
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -1,6 +1,5 @@
 """briarrill.item_runs.scheduler: starts and preempts batch items."""
 
-import functools
 import time
 from collections.abc import Callable
 
@@ -19,10 +18,12 @@
 from .item import ItemProgress, RunEnd, RunningItem
 from .item_order import ItemOrder, StartableItem
 from .item_runner import ItemRunner
+from .item_waits import ItemWaits, why_delayed
 from .job_expiry import JobExpiry
 from .local_items import LocalItems
 from .result_commits import Committer
 from .slots import FreeSlots
+from .wait_reasons import Refusal
 
 __all__ = ('Scheduler',)
 
@@ -49,10 +50,6 @@
 # that rejected, cut or failed its last run
 AVOIDANCE_S = 1.0
 
-# time after which output that no upstream of its version goes on with is
-# given up, if one of another version has a free slot
-VERSION_WAIT_S = 2.0
-
 
 def _is_always_allowed() -> bool:
     return True
@@ -92,6 +89,9 @@
         self._expiry = JobExpiry(
             jobs, self._item_order, committer, self.local_items
         )
+        self.waits = ItemWaits(
+            jobs, slots, handover, runner, self.local_items, self._item_order
+        )
 
     def wake(self) -> None:
         """Request a scheduling pass."""
@@ -149,7 +149,7 @@
         self._preempt_for_online()
         if may_expire_jobs:
             self._expiry.check_if_due(routes)
-        if not self.local_items.is_draining and self._slots.may_start_items():
+        if self.waits.why_none_start() is None:
             with self._slots.searching():
                 self._start_items(routes, nursery)
 
@@ -235,7 +235,7 @@
                 return
             if (
                 candidate.route in routes_with_slots
-                and candidate.progress.next_run_at <= now
+                and why_delayed(candidate.progress, now) is None
                 and not self._try_start_item(candidate, nursery)
             ):
                 routes_with_slots.discard(candidate.route)
@@ -266,23 +266,8 @@
     def _choose_upstream(
         self, progress: ItemProgress, route: Route
     ) -> RegisteredUpstream | None:
-        """Return an upstream with a free slot for an item, if there is one.
-
-        Output that no upstream goes on with is given up after a time. One of
-        its version that has room by then comes first, unless it is refused.
-        """
-        may_restart = progress.has_waited(VERSION_WAIT_S)
-        search = functools.partial(
-            self._slots.choose_upstream,
-            route,
-            progress.avoided_upstream,
-            waits_for_others=progress.is_avoiding,
-        )
-        upstream = None
-        if progress.has_output and not (may_restart and progress.is_avoiding):
-            upstream = search(progress.origin)
-        if upstream is None and (may_restart or not progress.has_output):
-            upstream = search()
+        """Return an upstream for an item, after what its output needs."""
+        upstream = self.waits.find_upstream(progress, route)
         if upstream is None:
             progress.begin_wait()
         elif progress.has_output and not self._upstreams.may_go_on(
@@ -313,9 +298,7 @@
             ):
                 return None
             key = (tracked.job_id, item_id)
-            if self._handover.was_handed_over(key):
-                return None
-            if self._runner.is_quarantined(tracked.items[item_id]):
+            if self.waits.is_held(key, tracked.items[item_id]):
                 return None
             progress = self._suspended.get(key)
             return progress or ItemProgress(key[0], tracked.items[item_id])
@@ -342,6 +325,7 @@
                 running.scope,
             ):
                 end = RunEnd.REFUSED
+                progress.refusal = Refusal.LEASE
                 if await self._handover.acquire(progress):
                     running.is_claimed = False
                     end = RunEnd.UNEXPECTED
@@ -376,6 +360,7 @@
             request_id=progress.stored.item_id,
             upstream=upstream_id,
             end=end.name,
+            refusal=progress.keep_refusal(end),
             event=progress.last_event_id,
             ran_s=round(progress.ran_s, 3),
         )
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -19,6 +19,7 @@
 from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
 from .run_health import RunHealth
+from .wait_reasons import WaitReason
 
 __all__ = ('FreeSlots',)
 
@@ -190,13 +191,27 @@
 
         It may as well if this process owns none.
         """
-        owned = self._owned_upstreams(route)
+        owned = self.owned_upstreams(route)
         return origin.version is not None and (
             not owned
             or any(self.upstreams.may_go_on(one, origin) for one in owned)
         )
 
-    def _owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
+    def limit_per_s(self, upstream: RegisteredUpstream) -> float | None:
+        """Return the request limit of an upstream, none without one."""
+        return self.load.limits.limits.rate_per_s(upstream.incarnation)
+
+    def why_passed_over(
+        self, upstream: RegisteredUpstream
+    ) -> WaitReason | None:
+        """Return why an upstream gets no items, whether it has room or not."""
+        if self._is_blocked(upstream):
+            return WaitReason.AT_LIMIT
+        if self.load.is_suspect(upstream.upstream_id):
+            return WaitReason.SUSPECTED
+        return None
+
+    def owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
         """Return the upstreams that this process owns for a route's items."""
         found = _Found() if self._found is None else self._found
         if route.name not in found.owned:
@@ -238,11 +253,11 @@
         request limit, and suspected ones if no other has had a free slot for
         some time.
         """
-        owned = self._owned_upstreams(route)
+        owned = self.owned_upstreams(route)
         takes_items = {
             one.upstream_id: self._free_slots_at(one)
             for one in owned
-            if self._takes_items(one)
+            if self.why_passed_over(one) is None
         }
         if any(takes_items.values()):
             self._had_room_at[route.name] = time.monotonic()
@@ -267,7 +282,7 @@
         if any(
             self._free_slots_at(upstream)
             for upstream in _accepting_upstreams(self.upstreams, route)
-            if self._takes_items(upstream)
+            if self.why_passed_over(upstream) is None
         ):
             self._had_room_at[route.name] = now
         had_room_at = self._had_room_at.setdefault(route.name, now)
@@ -291,11 +306,6 @@
             and (upstream in owned or upstream.upstream_id not in own_suspects)
         }
 
-    def _takes_items(self, upstream: RegisteredUpstream) -> bool:
-        return not self._is_blocked(upstream) and not self.load.is_suspect(
-            upstream.upstream_id
-        )
-
     def _is_blocked(self, upstream: RegisteredUpstream) -> bool:
         return bool(self.load.limits.limits.blocked_s(upstream.incarnation))
 
--- a/briarrill/metrics.py
+++ b/briarrill/metrics.py
@@ -25,6 +25,7 @@
     'STALE_MESSAGES',
     'UNEXPECTED_ERRORS',
     'UPSTREAM_CRASHES',
+    'WAITING_ITEMS',
 )
 
 ALLOWANCE_CALLS = Counter(
@@ -93,6 +94,11 @@
     'Prompt parts that are not sent to upstreams, since several ended with'
     ' them.',
 )
+WAITING_ITEMS = Gauge(
+    'briarrill_waiting_items',
+    'Open items that run at no process, by why this one does not start them.',
+    ('reason',),
+)
 LOG_LINES_DROPPED = Counter(
     'briarrill_log_lines_dropped',
     'Log lines that were dropped.',
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -2,6 +2,7 @@
 
 import trio
 from eliot import log_message
+from prometheus_client import generate_latest
 
 from ..coordination.quarantine_trials import QuarantineTrials
 from ..coordination.suspect_probes import SuspectProber
@@ -11,6 +12,7 @@
 from ..item_runs.result_commits import Committer
 from ..item_runs.scheduler import Scheduler
 from ..item_runs.slots import FreeSlots
+from ..item_runs.wait_check import WaitCheck
 from ..state.checkpoint_file import CheckpointFile
 from ..state.keys import ROOT_PREFIX
 from ..state.rendezvous import rank_nodes
@@ -34,6 +36,9 @@
 
 DRAIN_POLL_INTERVAL_S = 0.02
 
+# metrics are among what peers read, since a batch process has no other port
+METRICS_PATH = '/metrics'
+
 
 async def run_batch(cfg: PlatformInstance) -> None:
     """Run items until a stop signal, then drain."""
@@ -42,6 +47,7 @@
         committer = Committer(parts.store, jobs)
         handover = Handover(cfg.name, parts.load, cfg.peer_port, {})
         parts.resources[HANDOVER_PATH] = handover.hand_over
+        parts.resources[METRICS_PATH] = _read_metrics
         slots = FreeSlots(
             process=cfg.name,
             upstreams=parts.upstreams,
@@ -72,16 +78,18 @@
         )
         retirement = Retirement(parts.store, cfg.name, scheduler)
         parts.operator_keys.add('', retirement)
+        check = WaitCheck(
+            scheduler.waits, lambda: parts.routing_configuration.routes
+        )
         async with run_background_tasks(parts), trio.open_nursery() as nursery:
             nursery.start_soon(watch_signals, parts.readiness)
-            nursery.start_soon(committer.run)
-            nursery.start_soon(prober.run)
+            for run in (committer.run, prober.run, check.run, retirement.run):
+                nursery.start_soon(run)
             nursery.start_soon(
                 scheduler.run,
-                lambda: parts.routing_configuration.routes,
+                check.routes,
                 lambda: not parts.mirrors[OPERATOR_PREFIX].is_behind,
             )
-            nursery.start_soon(retirement.run)
             if cfg.data_dir is not None:
                 checkpoints = Checkpoints(
                     CheckpointFile(cfg.data_dir),
@@ -96,6 +104,10 @@
             nursery.cancel_scope.cancel()
 
 
+def _read_metrics(_: str) -> bytes:
+    return generate_latest()
+
+
 def _connect_reports(parts: ProcessParts, scheduler: Scheduler) -> None:
     """Add this process's items to its reports; wake on peers' reports."""
     complete_report = parts.complete_report
