Move what starts the real processes into the stand-ins

The soak needs what the tests have: processes of the platform's programs on loopback addresses, and a network that no other run on the machine uses.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,16 +7,11 @@
 import hypothesis
 import pytest
 
+from standins.loopback import NETWORK_NUMBERS, claim_network_number
+
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_FAILURES_FILE = ROOT / 'KNOWN-RED.txt'
 
-# second numbers of the loopback addresses of the tests, 127.<number>.0.0/16
-NETWORK_NUMBERS = range(100, 250)
-
-# a worker claims a second number by listening here for as long as it runs
-CLAIM_ADDRESS = '127.{}.255.254'
-CLAIM_PORT = 8079
-
 hypothesis.settings.register_profile(
     'repeatable', derandomize=True, deadline=None, database=None
 )
@@ -43,27 +38,10 @@
             test.add_marker(pytest.mark.xfail(reason=reasons[test.nodeid]))
 
 
-def _claim_network_number() -> int:
-    """Return a second number that no other worker on this machine uses.
-
-    Other runs of the tests on the same machine would answer otherwise.
-    """
-    for number in NETWORK_NUMBERS:
-        claim = socket.socket()
-        try:
-            claim.bind((CLAIM_ADDRESS.format(number), CLAIM_PORT))
-        except OSError:
-            claim.close()
-            continue
-        claim.listen()
-        _claims.append(claim)
-        return number
-    raise RuntimeError('all loopback networks are in use')
-
-
 def _networks() -> Iterator[str]:
     while len(_claims) < len(NETWORK_NUMBERS):
-        number = _claim_network_number()
+        number, claim = claim_network_number()
+        _claims.append(claim)
         for third in range(NETWORKS_PER_NUMBER):
             yield f'127.{number}.{third}'
 
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -1,54 +1,42 @@
 """Entry and batch processes with a stand-in store on loopback addresses."""
 
 import base64
-import contextlib
 import json
-import os
-import sys
 
 import attrs
 import trio
 
-from briarrill.transport.http_channel import connect
 from briarrill.transport.http_messages import RequestHead
 from standins.platform_engine import StandinEngine
+from standins.platform_processes import (
+    BORN_MS,
+    FRONT_PORT,
+    PEER_PORT,
+    READY_PORT,
+    ROUTES,
+    STORE_PORT,
+    PlatformProcess,
+    register_upstream,
+    send_request_to,
+    store_routes,
+    wait_ready,
+)
 from standins.platform_store import StandinStore
 
-STORE_PORT = 8142
-FRONT_PORT = 8144
-READY_PORT = 8140
-PEER_PORT = 7660
-
-BORN_MS = 1_700_000_000_000
-
-ROUTES = {
-    'version': 3,
-    'routes': [
-        {
-            'name': 'online',
-            'host': 'h',
-            'prefix': '/online/',
-            'kind': 'streaming',
-            'timeout_ms': 5000,
-            'target_latency_ms': 300,
-            'service': 'llm',
-            'max_attempts': 1,
-        },
-        {
-            'name': 'jobs',
-            'host': 'h',
-            'prefix': '/jobs/',
-            'kind': 'batch',
-            'timeout_ms': 5000,
-            'target_latency_ms': 400,
-            'completion_target_ms': 18000,
-            'keep_s': 60,
-            'max_queued_tokens': 1000,
-            'max_attempts': 2,
-            'service': 'llm',
-        },
-    ],
-}
+__all__ = (
+    'BORN_MS',
+    'FRONT_PORT',
+    'Fleet',
+    'PEER_PORT',
+    'READY_PORT',
+    'ROUTES',
+    'STORE_PORT',
+    'register_upstream',
+    'send_request_to',
+    'start_process',
+    'store_routes',
+    'wait_ready',
+)
 
 
 @attrs.define
@@ -118,81 +106,10 @@
         return status
 
 
-async def send_request_to(address, head, body=b''):
-    channel = await connect(address, 1)
-    try:
-        async with channel.exchange(head, body):
-            response_head = await channel.read_head()
-            return response_head.status, await channel.read_full_body(
-                1_000_000
-            )
-    finally:
-        channel.close()
-
-
-def _settings_text(host, name, network, store_host, peer_port):
-    return f"""
-node_name = "{name}"
-ip = "{host}"
-zone = "a"
-internal_port_range = [{peer_port}, {peer_port + 9}]
-seed_nodes = ["{network}.2:9999"]
-[listen_addrs]
-front_http = "{host}:{FRONT_PORT}"
-ready = "{host}:{READY_PORT}"
-[contract_params]
-grace_s = 6
-[platform]
-address = "{store_host}:{STORE_PORT}"
-"""
-
-
 async def start_process(
     network, folder, program, number, store_host=None, peer_port=PEER_PORT
 ):
-    """Start a process.
-
-    :param store_host: default the first of the network.
-    :param peer_port: one that reaches only peers that have the same.
-    """
-    host = f'{network}.{number}'
-    name = f'{program}-{number}'
-    path = folder / f'{name}.toml'
-    text = _settings_text(
-        host, name, network, store_host or f'{network}.1', peer_port
-    )
-    path.write_text(text, encoding='utf-8')
-    with (folder / f'{name}.log').open('ab') as log_file:
-        return await trio.lowlevel.open_process(
-            [sys.executable, '-m', 'briarrill.platform', program],
-            env={**os.environ, 'BRIARRILL_CONFIG': str(path)},
-            stdout=log_file,
-        )
-
-
-def store_routes(store):
-    """Write the configuration with the routes of a stream and of jobs."""
-    store.put('op/config', json.dumps(ROUTES).encode())
-
-
-def register_upstream(store, upstream_id, host, start=0, version='v1'):
-    registration = {
-        'service': 'llm',
-        'address': f'{host}:8080',
-        'zone': 'a',
-        'version': version,
-        'slots': 4,
-        'state': 'ready',
-        'born': BORN_MS + start,
-    }
-    store.put(f'servers/{upstream_id}', json.dumps(registration).encode())
-
-
-async def wait_ready(host):
-    head = RequestHead(b'GET', b'/ready', ((b'host', b'h'),))
-    while True:
-        with contextlib.suppress(Exception):
-            status, _ = await send_request_to((host, READY_PORT), head)
-            if status == 200:
-                return
-        await trio.sleep(0.05)
+    """Start a process."""
+    return await PlatformProcess(
+        network, folder, program, number, store_host, peer_port
+    ).start()
