Add a soak of the real processes under drawn faults

Change: python -m soak plays rounds by a seed: entries and batch processes, a stand-in store and six stand-in upstreams; upstreams that end, limit, refuse or are silent, processes that are killed, stopped or paused, a store that fails, routes that change. Then all is calm, and no owed item may wait beside idle upstreams for 5 s; all results are checked. The calm that counts begins 3 s after the last fault; the platform's rule also leaves out items that failed at an upstream in the last 20 s, which count here. In tests the limit is 20 s, since other tests run beside. Evidence: the checks are tried with doctored records (an item that lies, one listed twice, a cut output and others).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo fleet test lint format lock
+.PHONY: demo fleet test soak lint format lock
 .PHONY: bench-overhead bench-token_cost bench-online bench-routing
 .PHONY: bench-allowances bench-batch bench-control bench-platform
 .PHONY: bench-batch_choice bench-placement
@@ -24,6 +24,11 @@
 test: $(READY)
 	$(BIN)/python -m pytest
 
+# plays real processes under drawn faults; SEED, MINUTES, SCENARIO may be set
+soak: $(READY)
+	$(BIN)/python -m soak --seed=$(or $(SEED),1) --minutes=$(or $(MINUTES),1) \
+	  $(if $(SCENARIO),--scenario=$(SCENARIO))
+
 bench-overhead bench-token_cost bench-online bench-routing bench-allowances bench-batch bench-control bench-batch_choice bench-placement: bench-%: $(READY)
 	$(BIN)/python -m bench.$*
 
@@ -36,7 +41,7 @@
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 briarrill standins tests bench
+	$(BIN)/flake8 briarrill standins tests bench soak
 	$(BIN)/mypy
 
 format: $(READY)
