Send items under a limit below one request a second

Cause: an item needs 1.5 places, since it leaves half a one to online requests. An account holds at most one place and half a second of the owner's share of the limit, so that below one request a second no item was granted. Without online requests no response came that would have told that the limit had ended: a state that only what it prevents can end.

Change: an item needs a full account if that holds less than 1.5 places.

Evidence: test_items_are_sent_under_a_low_limit (15 rates and shares) and test_items_run_once_a_low_limit_has_ended.

--- a/briarrill/coordination/grants.py
+++ b/briarrill/coordination/grants.py
@@ -31,7 +31,8 @@
 # limit allows in this time; judged over 4 s, half as much again is allowed
 BURST_S = 0.5
 
-# places that batch items leave free for online requests
+# places that batch items leave free for online requests, or fewer under a
+# limit that saves up fewer
 RESERVED_PLACES = 0.5
 
 # most places that may be owed, in seconds of the limit; more than any request
@@ -119,7 +120,7 @@
         account.updated_at = now
         if is_batch and now - account.online_waited_at < ONLINE_DEMAND_S:
             return Grant(is_granted=False, delay_s=ONLINE_DEMAND_S)
-        needed = 1 + RESERVED_PLACES if is_batch else 1
+        needed = min(1 + RESERVED_PLACES, burst) if is_batch else 1
         delay_s = max(0, (needed - account.places) / own_rate_per_s)
         if delay_s > 0 and not is_batch:
             account.online_waited_at = now
--- a/tests/coordination/test_grants.py
+++ b/tests/coordination/test_grants.py
@@ -85,6 +85,23 @@
     assert book.ask('i', 4.0, max_wait_s=0, is_batch=True).is_granted
 
 
+@pytest.mark.parametrize('share', [1.0, 0.5, 0.25])
+@pytest.mark.parametrize('rate_per_s', [0.0, 0.3, 0.5, 0.9, 1.5])
+def test_items_are_sent_under_a_low_limit(clock, rate_per_s, share):
+    """Guards against a limit whose end nothing can notice."""
+    book = GrantBook()
+    sent_at = []
+    for _ in range(600):
+        clock.now += 0.1
+        if book.ask(
+            'i', rate_per_s, max_wait_s=0, is_batch=True, share=share
+        ).is_granted:
+            sent_at.append(clock.now)
+    granted_per_s = max(rate_per_s, grants.MIN_RATE_PER_S) * share
+    assert len(sent_at) >= 0.9 * granted_per_s * 60 - 1
+    assert _most_in_window(sent_at) <= _allowed(rate_per_s)
+
+
 def test_changed_rate_applies_to_the_next_request(clock):
     book = GrantBook()
     book.ask('i', 1.0, max_wait_s=0)
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -669,6 +669,16 @@
         assert not engine.requests
 
 
+async def test_items_run_once_a_low_limit_has_ended(run_scheduler):
+    """Guards against items that wait for a response that no request gets."""
+    low = respond_with(b'', 503, ((b'server-limit', b'0.5'),))
+    behaviours = [low] * UPSTREAM_SLOTS + [stream_events(2)]
+    async with run_scheduler(*behaviours) as (setup, _):
+        tracked = await setup.submit(6)
+        await _wait_until(lambda: not tracked.is_open)
+    assert {one.state for one in tracked.results} == {ItemState.COMPLETED}
+
+
 async def test_items_do_not_pass_a_limit(run_scheduler):
     """Of many items that would fit, few start while online requests wait."""
     limit = ((b'server-limit', b'2.5'),)
