Run items at upstreams with a single slot

Callers would see items that nothing works on, beside idle upstreams, on a service whose upstreams have one slot each.

Cause: items leave one slot of each upstream free for online requests, also where it is the only one.

Change: the only slot of an upstream is used while no online request runs. An online request that arrives preempts the item, as with more slots.

--- a/briarrill/coordination/batch_shares.py
+++ b/briarrill/coordination/batch_shares.py
@@ -21,7 +21,7 @@
 
 # slots of an upstream that batch items leave free; more are not needed, as
 # the next load report preempts a running item within a tenth of the latency
-# target of a first event
+# target of a first event; an upstream with a single slot leaves none free
 RESERVED_SLOTS_PER_UPSTREAM = 1
 
 # answers of own_upstreams that are kept, some for each service
@@ -35,7 +35,8 @@
     :param online: online requests at the upstream.
     :param batch: batch items at the upstream.
     """
-    return max(0, slots - RESERVED_SLOTS_PER_UPSTREAM - online - batch)
+    usable = max(1, slots - RESERVED_SLOTS_PER_UPSTREAM)
+    return max(0, usable - online - batch)
 
 
 def count_items_to_preempt(
