--- a/tests/item_runs/item_moves.py
+++ b/tests/item_runs/item_moves.py
@@ -198,6 +198,7 @@
         self.host = f'127.0.0.{number + 2}'
         self.is_frozen = False
         self.is_leaving = False
+        self.has_routes = True
         self.started_at = trio.current_time()
         self.saved = {}
         self._thawed = trio.Event()
@@ -263,7 +264,8 @@
                 nursery.start_soon(self._restore, checkpoint)
 
     def _routes(self):
-        return None if self.is_frozen else self.world.routes
+        has_none = self.is_frozen or not self.has_routes
+        return None if has_none else self.world.routes
 
     def _complete(self, report):
         report = attrs.evolve(
@@ -372,6 +374,11 @@
         for process in self.processes.values():
             process.upstreams.register(self.upstreams[name].registered)
 
+    def forget_upstream(self, number, upstream_number):
+        """Have a process not know an upstream, as if its watch were behind."""
+        name = self.upstream(upstream_number).registered.upstream_id
+        self.process(number).upstreams.unregister(name)
+
     def restart(self, number, *, keeps_disk):
         name = self.name(number)
         old = self.processes[name]
@@ -428,7 +435,10 @@
         self.lost_replies.clear()
         for process in self.processes.values():
             process.thaw()
+            process.has_routes = True
             process.link.disturb('ok')
+            for upstream in self.upstreams.values():
+                process.upstreams.register(upstream.registered)
         for upstream in self.upstreams.values():
             upstream.state = 'ok'
             upstream.online = 0
@@ -476,9 +486,11 @@
         )
 
     def _reaches_room(self, process_name):
+        known = self.processes[process_name].upstreams
         return any(
             upstream.state == 'ok'
             and upstream.online + self.at_upstreams[name] < SLOTS // 2
+            and known.find(name) == upstream.registered
             and (process_name, name) not in self.cut
             for name, upstream in self.upstreams.items()
         )
--- a/tests/item_runs/test_item_moves.py
+++ b/tests/item_runs/test_item_moves.py
@@ -157,6 +157,27 @@
         world.replace_upstream(self.number, self.version)
 
 
+@attrs.frozen
+class ForgetUpstream:
+    """A process does not know an upstream that the others know."""
+
+    number: int
+    upstream: int
+
+    async def __call__(self, world):
+        world.forget_upstream(self.number, self.upstream)
+
+
+@attrs.frozen
+class LoseRoutes:
+    """A process has no routes, as one that started during an outage."""
+
+    number: int
+
+    async def __call__(self, world):
+        world.process(self.number).has_routes = False
+
+
 @attrs.frozen
 class MakeImpossible:
     job_id: str
@@ -253,3 +274,24 @@
 def test_item_leaves_a_process_that_cannot_reach_its_upstream():
     """It owns the only upstream, and others reach that."""
     run([(Submit('j1', 1), 0.3), (CutUpstream(0, 0), 0), (Wait(), 10.0)], 1)
+
+
+def test_item_runs_though_the_owner_does_not_know_the_only_upstream():
+    """Guards against an upstream that all processes leave to each other."""
+    run([(ForgetUpstream(0, 0), 0.3), (Submit('j1', 3), 10.0)], 1)
+
+
+def test_items_run_where_processes_know_different_upstreams():
+    """The upstreams that two know are full, the other one has no owner."""
+    run(
+        [
+            (ForgetUpstream(0, 0), 0),
+            (SetOnline(1, SLOTS), 0),
+            (SetOnline(2, SLOTS), 0.3),
+            (Submit('j1', 3), 10.0),
+        ]
+    )
+
+
+def test_item_runs_though_the_owner_of_the_only_upstream_has_no_routes():
+    run([(LoseRoutes(0), 0.3), (Submit('j1', 3), 10.0)], 1)
