Adopt upstreams that their owners leave unused

Callers would see items that nothing works on, beside an idle upstream, for as long as batch processes know different upstreams, or as the owner of the only upstream has no routes.

Cause: only the owner of an upstream starts items there, and each process works the owners out from what it knows itself. Nobody sees that an owner starts nothing.

Change: a process whose items wait adopts an upstream with room at which no process has run an item for 2 s, until another one runs items there or nothing waits. The decision is in unused_upstreams.py, without I/O.

--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -224,7 +224,8 @@
         routes_with_slots = set(
             filter(self._slots.has_free_slot, routes.batch_routes)
         )
-        if not routes_with_slots:
+        is_sample_due = self._slots.unused.begin_sample()
+        if not (routes_with_slots or is_sample_due):
             return
         startable = self._item_order.startable_items(
             routes, self._slots.processes(), self._startable_progress()
@@ -232,13 +233,20 @@
         now = time.monotonic()
         for candidate in startable:
             if not routes_with_slots:
-                return
+                break
             if (
                 candidate.route in routes_with_slots
                 and candidate.progress.next_run_at <= now
                 and not self._try_start_item(candidate, nursery)
             ):
                 routes_with_slots.discard(candidate.route)
+        if is_sample_due:
+            waiting = {
+                candidate.route
+                for candidate in startable
+                if candidate.progress.key not in self._running
+            }
+            self._slots.record_waiting(routes.batch_routes, waiting)
 
     def _try_start_item(
         self, candidate: StartableItem, nursery: trio.Nursery
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 import attrs
 
@@ -19,6 +19,7 @@
 from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
 from .run_health import RunHealth
+from .unused_upstreams import UnusedUpstreams, UpstreamUse
 
 __all__ = ('FreeSlots',)
 
@@ -59,6 +60,7 @@
     :param is_connected: whether this process reaches the key-value service.
     :ivar own_items: number of own items by upstream, including those about
         to start.
+    :ivar unused: upstreams of others that nobody uses.
     """
 
     process: str
@@ -71,6 +73,7 @@
     health: RunHealth = attrs.field(
         factory=lambda: RunHealth(random.Random()), init=False
     )
+    unused: UnusedUpstreams = attrs.field(factory=UnusedUpstreams, init=False)
     _connected_at: float | None = attrs.field(default=None, init=False)
     _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
     _had_room_at: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -152,6 +155,21 @@
         if self._found is not None:
             self._found.free.clear()
 
+    def record_waiting(
+        self, routes: Iterable[Route], waiting: Collection[Route]
+    ) -> None:
+        """Record of which routes items wait here.
+
+        While they do, upstreams that their owners leave unused are adopted.
+        """
+        for route in routes:
+            if route in waiting:
+                self.unused.record_wait(
+                    route.name, self._uses_of_others(route)
+                )
+            else:
+                self.unused.record_no_wait(route.name)
+
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
         return any(self._free_slots(route).values())
@@ -204,17 +222,30 @@
         return found.owned[route.name]
 
     def _find_owned(self, route: Route) -> list[RegisteredUpstream]:
-        processes = tuple(self.processes())
-        owned: list[RegisteredUpstream] = []
-        for target in route.targets:
-            accepting = self.upstreams.accepting_upstreams(target.service)
-            names = own_upstreams(
-                self.process,
-                processes,
-                tuple(upstream.upstream_id for upstream in accepting),
+        assigned = _assigned_upstreams(
+            self.process, tuple(self.processes()), self.upstreams, route
+        )
+        names = assigned.union(self.unused.adopted(route.name))
+        return [
+            upstream
+            for upstream in _accepting_upstreams(self.upstreams, route)
+            if upstream.upstream_id in names
+        ]
+
+    def _uses_of_others(self, route: Route) -> dict[str, UpstreamUse]:
+        """Return the use of upstreams that other processes own, by ID."""
+        assigned = _assigned_upstreams(
+            self.process, tuple(self.processes()), self.upstreams, route
+        )
+        return {
+            upstream.upstream_id: UpstreamUse(
+                has_room=self._free_slots_at(upstream) > 0,
+                peer_items=_peer_items(self.load, upstream),
             )
-            owned.extend(one for one in accepting if one.upstream_id in names)
-        return owned
+            for upstream in _accepting_upstreams(self.upstreams, route)
+            if upstream.upstream_id not in assigned
+            and self._takes_items(upstream)
+        }
 
     def _free_slots(
         self, route: Route, origin: StreamOrigin | None = None
@@ -302,14 +333,37 @@
     def _free_slots_at(self, upstream: RegisteredUpstream) -> int:
         """Return how many more items may start at an upstream."""
         name = upstream.upstream_id
-        peer_items = self.load.batch(name) - self.load.in_flight.batch[name]
         return count_startable_items(
             upstream.slots,
             self.load.online(name),
-            self.own_items[name] + peer_items,
+            self.own_items[name] + _peer_items(self.load, upstream),
         )
 
 
+def _assigned_upstreams(
+    process: str,
+    processes: tuple[str, ...],
+    upstreams: UpstreamTable,
+    route: Route,
+) -> set[str]:
+    """Return the upstreams of a route that are assigned to a process."""
+    names: set[str] = set()
+    for target in route.targets:
+        accepting = upstreams.accepting_upstreams(target.service)
+        names |= own_upstreams(
+            process,
+            processes,
+            tuple(upstream.upstream_id for upstream in accepting),
+        )
+    return names
+
+
+def _peer_items(load: LoadExchange, upstream: RegisteredUpstream) -> int:
+    """Return how many items other processes run at an upstream."""
+    name = upstream.upstream_id
+    return load.batch(name) - load.in_flight.batch[name]
+
+
 def _accepting_upstreams(
     upstreams: UpstreamTable, route: Route
 ) -> list[RegisteredUpstream]:
--- /dev/null
+++ b/briarrill/item_runs/unused_upstreams.py
@@ -0,0 +1,103 @@
+"""briarrill.item_runs.unused_upstreams: use upstreams that no owner uses.
+
+Batch processes share the upstreams by what each of them knows. Where their
+views differ, or where an owner cannot start items, an upstream stays unused
+though items wait. Any process may adopt such an upstream for as long as no
+other process runs items there.
+"""
+
+import time
+from collections.abc import Collection, Mapping
+
+import attrs
+
+__all__ = ('UnusedUpstreams', 'UpstreamUse')
+
+# time between two looks at the upstreams of others, which may be hundreds
+SAMPLE_INTERVAL_S = 0.25
+
+# time for which items wait and an upstream is unused before it is adopted; an
+# owner in touch starts a waiting item after 0.4 s at most, the delay before it
+# takes over jobs that are assigned to others
+ADOPTION_DELAY_S = 2.0
+
+
+@attrs.frozen
+class UpstreamUse:
+    """The use of an upstream that another process owns.
+
+    :param has_room: whether an item may start there.
+    :param peer_items: items that other processes run there.
+    """
+
+    has_room: bool
+    peer_items: int
+
+
+@attrs.define
+class _RouteUse:
+    """What is known of a route whose items wait.
+
+    :param waiting_since: monotonic time from which on items waited.
+    :param unused_since: the same for upstreams with room and without items.
+    :param adopted: upstreams that this process uses instead of their owners.
+    """
+
+    waiting_since: float
+    unused_since: dict[str, float] = attrs.field(factory=dict)
+    adopted: frozenset[str] = frozenset()
+
+
+@attrs.define
+class UnusedUpstreams:
+    """Adopts upstreams that nobody uses while items wait here.
+
+    Routes and upstreams are named by their identifiers.
+    """
+
+    _routes: dict[str, _RouteUse] = attrs.field(factory=dict, init=False)
+    _sampled_at: float | None = attrs.field(default=None, init=False)
+
+    def adopted(self, route: str) -> Collection[str]:
+        """Return the upstreams that this process has adopted for a route."""
+        known = self._routes.get(route)
+        return known.adopted if known else ()
+
+    def begin_sample(self) -> bool:
+        """Tell whether the use of all upstreams is to be recorded now."""
+        now = time.monotonic()
+        sampled_at = self._sampled_at
+        if sampled_at is not None and now - sampled_at < SAMPLE_INTERVAL_S:
+            return False
+        self._sampled_at = now
+        return True
+
+    def record_no_wait(self, route: str) -> None:
+        """Record that no item of a route waits here."""
+        self._routes.pop(route, None)
+
+    def record_wait(self, route: str, uses: Mapping[str, UpstreamUse]) -> None:
+        """Record that items of a route wait, and who uses its upstreams.
+
+        :param uses: use of the upstreams that others own, by identifier.
+        """
+        now = time.monotonic()
+        known = self._routes.setdefault(route, _RouteUse(now))
+        known.unused_since = {
+            name: known.unused_since.get(name, now)
+            for name, use in uses.items()
+            if use.has_room and not use.peer_items
+        }
+        kept = {
+            name
+            for name in known.adopted & uses.keys()
+            if not uses[name].peer_items
+        }
+        latest = now - ADOPTION_DELAY_S
+        if known.waiting_since <= latest:
+            kept.update(
+                name
+                for name, since in known.unused_since.items()
+                if since <= latest
+            )
+        known.adopted = frozenset(kept)
--- a/tests/item_runs/test_item_moves.py
+++ b/tests/item_runs/test_item_moves.py
@@ -209,6 +209,8 @@
     ),
     st.builds(SetOnline, numbers, st.integers(0, SLOTS + 1)),
     st.builds(ReplaceUpstream, numbers, st.sampled_from(['v1', 'v2'])),
+    st.builds(ForgetUpstream, numbers, numbers),
+    st.builds(LoseRoutes, numbers),
     st.builds(MakeImpossible, job_ids, st.integers(0, 2)),
 )
 LASTING = st.lists(
@@ -231,6 +233,8 @@
             ),
             st.builds(SetOnline, numbers, st.integers(0, SLOTS + 1)),
             st.builds(ReplaceUpstream, numbers, st.just('v2')),
+            st.builds(ForgetUpstream, numbers, numbers),
+            st.builds(LoseRoutes, numbers),
             st.builds(MakeImpossible, st.just('j1'), st.integers(0, 2)),
         ),
         st.sampled_from([0.0, 0.1, 0.3, 0.6]),
--- /dev/null
+++ b/tests/item_runs/test_unused_upstreams.py
@@ -0,0 +1,100 @@
+"""Tests of the adoption of upstreams that their owners leave unused."""
+
+import pytest
+
+from briarrill.item_runs import unused_upstreams
+from briarrill.item_runs.unused_upstreams import (
+    ADOPTION_DELAY_S,
+    SAMPLE_INTERVAL_S,
+    UnusedUpstreams,
+    UpstreamUse,
+)
+
+UNUSED = UpstreamUse(has_room=True, peer_items=0)
+USED = UpstreamUse(has_room=True, peer_items=1)
+FULL = UpstreamUse(has_room=False, peer_items=0)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    class Clock:
+        now = 100.0
+
+    monkeypatch.setattr(unused_upstreams.time, 'monotonic', lambda: Clock.now)
+    return Clock
+
+
+@pytest.fixture
+def unused(clock):
+    return UnusedUpstreams()
+
+
+def _adopt(unused, clock, **uses):
+    unused.record_wait('r', uses)
+    clock.now += ADOPTION_DELAY_S
+    unused.record_wait('r', uses)
+
+
+def test_upstream_that_nobody_uses_while_items_wait_is_adopted(unused, clock):
+    unused.record_wait('r', {'i': UNUSED})
+    clock.now += ADOPTION_DELAY_S / 2
+    unused.record_wait('r', {'i': UNUSED})
+    assert not unused.adopted('r')
+    clock.now += ADOPTION_DELAY_S / 2
+    unused.record_wait('r', {'i': UNUSED})
+    assert unused.adopted('r') == {'i'}
+    assert not unused.adopted('other')
+
+
+@pytest.mark.parametrize('use', [USED, FULL])
+def test_upstream_that_is_used_or_full_is_left_to_its_owner(
+    unused, clock, use
+):
+    _adopt(unused, clock, i=use)
+    assert not unused.adopted('r')
+
+
+def test_time_without_waiting_items_does_not_count(unused, clock):
+    unused.record_wait('r', {'i': UNUSED})
+    clock.now += ADOPTION_DELAY_S
+    unused.record_no_wait('r')
+    unused.record_wait('r', {'i': UNUSED})
+    assert not unused.adopted('r')
+
+
+def test_use_in_between_begins_the_time_anew(unused, clock):
+    unused.record_wait('r', {'i': UNUSED})
+    clock.now += ADOPTION_DELAY_S / 2
+    unused.record_wait('r', {'i': USED})
+    clock.now += ADOPTION_DELAY_S / 2
+    unused.record_wait('r', {'i': UNUSED})
+    assert not unused.adopted('r')
+
+
+def test_adopted_upstream_is_kept_while_own_items_fill_it(unused, clock):
+    _adopt(unused, clock, i=UNUSED)
+    unused.record_wait('r', {'i': FULL})
+    assert unused.adopted('r') == {'i'}
+
+
+@pytest.mark.parametrize('uses', [{'i': USED}, {}])
+def test_adopted_upstream_is_left_once_a_peer_uses_it_or_it_is_gone(
+    unused, clock, uses
+):
+    _adopt(unused, clock, i=UNUSED)
+    unused.record_wait('r', uses)
+    assert not unused.adopted('r')
+
+
+def test_adoption_ends_when_nothing_waits(unused, clock):
+    _adopt(unused, clock, i=UNUSED)
+    unused.record_no_wait('r')
+    assert not unused.adopted('r')
+    assert not unused._routes
+
+
+def test_upstreams_are_looked_at_at_intervals(unused, clock):
+    assert unused.begin_sample()
+    assert not unused.begin_sample()
+    clock.now += SAMPLE_INTERVAL_S
+    assert unused.begin_sample()
