--- a/briarrill/item_runs/item_waits.py
+++ b/briarrill/item_runs/item_waits.py
@@ -211,7 +211,8 @@
             return self._why_no_slot(route)
         upstream = self.find_upstream(progress, route)
         if upstream is not None:
-            is_limited = self.slots.limit_per_s(upstream) is not None
+            limits = self.slots.load.limits.limits
+            is_limited = limits.rate_per_s(upstream.incarnation) is not None
             return WaitReason.AT_LIMIT if is_limited else WaitReason.STARTABLE
         if progress.is_avoiding:
             return WaitReason.AVOIDS_UPSTREAM
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 import attrs
 
@@ -19,6 +19,7 @@
 from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
 from .run_health import RunHealth
+from .unused_upstreams import UnusedUpstreams, UpstreamUse
 from .wait_reasons import WaitReason
 
 __all__ = ('FreeSlots',)
@@ -60,6 +61,7 @@
     :param is_connected: whether this process reaches the key-value service.
     :ivar own_items: number of own items by upstream, including those about
         to start.
+    :ivar unused: upstreams of others that nobody uses.
     """
 
     process: str
@@ -72,6 +74,7 @@
     health: RunHealth = attrs.field(
         factory=lambda: RunHealth(random.Random()), init=False
     )
+    unused: UnusedUpstreams = attrs.field(factory=UnusedUpstreams, init=False)
     _connected_at: float | None = attrs.field(default=None, init=False)
     _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
     _had_room_at: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -153,6 +156,21 @@
         if self._found is not None:
             self._found.free.clear()
 
+    def record_waiting(
+        self, routes: Iterable[Route], waiting: Collection[Route]
+    ) -> None:
+        """Record of which routes items wait here.
+
+        While they do, upstreams that their owners leave unused are adopted.
+        """
+        for route in routes:
+            if route in waiting:
+                self.unused.record_wait(
+                    route.name, self._uses_of_others(route)
+                )
+            else:
+                self.unused.record_no_wait(route.name)
+
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
         return any(self._free_slots(route).values())
@@ -197,15 +215,11 @@
             or any(self.upstreams.may_go_on(one, origin) for one in owned)
         )
 
-    def limit_per_s(self, upstream: RegisteredUpstream) -> float | None:
-        """Return the request limit of an upstream, none without one."""
-        return self.load.limits.limits.rate_per_s(upstream.incarnation)
-
     def why_passed_over(
         self, upstream: RegisteredUpstream
     ) -> WaitReason | None:
         """Return why an upstream gets no items, whether it has room or not."""
-        if self._is_blocked(upstream):
+        if _is_blocked(self.load, upstream):
             return WaitReason.AT_LIMIT
         if self.load.is_suspect(upstream.upstream_id):
             return WaitReason.SUSPECTED
@@ -215,21 +229,31 @@
         """Return the upstreams that this process owns for a route's items."""
         found = _Found() if self._found is None else self._found
         if route.name not in found.owned:
-            found.owned[route.name] = self._find_owned(route)
+            assigned = _assigned_upstreams(
+                self.process, tuple(self.processes()), self.upstreams, route
+            )
+            names = assigned.union(self.unused.adopted(route.name))
+            found.owned[route.name] = [
+                upstream
+                for upstream in _accepting_upstreams(self.upstreams, route)
+                if upstream.upstream_id in names
+            ]
         return found.owned[route.name]
 
-    def _find_owned(self, route: Route) -> list[RegisteredUpstream]:
-        processes = tuple(self.processes())
-        owned: list[RegisteredUpstream] = []
-        for target in route.targets:
-            accepting = self.upstreams.accepting_upstreams(target.service)
-            names = own_upstreams(
-                self.process,
-                processes,
-                tuple(upstream.upstream_id for upstream in accepting),
+    def _uses_of_others(self, route: Route) -> dict[str, UpstreamUse]:
+        """Return the use of upstreams that other processes own, by ID."""
+        assigned = _assigned_upstreams(
+            self.process, tuple(self.processes()), self.upstreams, route
+        )
+        return {
+            upstream.upstream_id: UpstreamUse(
+                has_room=self._free_slots_at(upstream) > 0,
+                peer_items=_peer_items(self.load, upstream),
             )
-            owned.extend(one for one in accepting if one.upstream_id in names)
-        return owned
+            for upstream in _accepting_upstreams(self.upstreams, route)
+            if upstream.upstream_id not in assigned
+            and self.why_passed_over(upstream) is None
+        }
 
     def _free_slots(
         self, route: Route, origin: StreamOrigin | None = None
@@ -301,23 +325,48 @@
             upstream.upstream_id: min(1, self._free_slots_at(upstream))
             for upstream in _accepting_upstreams(self.upstreams, route)
             if self.load.is_suspect(upstream.upstream_id)
-            and not self._is_blocked(upstream)
+            and not _is_blocked(self.load, upstream)
             and not self.own_items[upstream.upstream_id]
             and (upstream in owned or upstream.upstream_id not in own_suspects)
         }
 
-    def _is_blocked(self, upstream: RegisteredUpstream) -> bool:
-        return bool(self.load.limits.limits.blocked_s(upstream.incarnation))
-
     def _free_slots_at(self, upstream: RegisteredUpstream) -> int:
         """Return how many more items may start at an upstream."""
         name = upstream.upstream_id
-        peer_items = self.load.batch(name) - self.load.in_flight.batch[name]
         return count_startable_items(
             upstream.slots,
             self.load.online(name),
-            self.own_items[name] + peer_items,
+            self.own_items[name] + _peer_items(self.load, upstream),
+        )
+
+
+def _assigned_upstreams(
+    process: str,
+    processes: tuple[str, ...],
+    upstreams: UpstreamTable,
+    route: Route,
+) -> set[str]:
+    """Return the upstreams of a route that are assigned to a process."""
+    names: set[str] = set()
+    for target in route.targets:
+        accepting = upstreams.accepting_upstreams(target.service)
+        names |= own_upstreams(
+            process,
+            processes,
+            tuple(upstream.upstream_id for upstream in accepting),
         )
+    return names
+
+
+def _is_blocked(load: LoadExchange, upstream: RegisteredUpstream) -> bool:
+    """Whether no item may be sent to an upstream because of its limit."""
+    return bool(load.limits.limits.blocked_s(upstream.incarnation))
+
+
+def _peer_items(load: LoadExchange, upstream: RegisteredUpstream) -> int:
+    """Return how many items other processes run at an upstream."""
+    name = upstream.upstream_id
+    return load.batch(name) - load.in_flight.batch[name]
 
 
 def _accepting_upstreams(
--- a/briarrill/item_runs/wait_check.py
+++ b/briarrill/item_runs/wait_check.py
@@ -249,8 +249,9 @@
         self, upstreams: Iterable[RegisteredUpstream]
     ) -> dict[str, float]:
         """Return the limits in force, per second, by upstream."""
+        limits = self.waits.slots.load.limits.limits
         rates = {
-            upstream.upstream_id: self.waits.slots.limit_per_s(upstream)
+            upstream.upstream_id: limits.rate_per_s(upstream.incarnation)
             for upstream in upstreams
         }
         return {name: rate for name, rate in rates.items() if rate is not None}
