Let items in flight at an upstream that ends accuse nothing

Callers saw items that never ran beside idle upstreams, and 503 for sound online requests with the same first part. A batch process counted an item in flight at an upstream that ended as evidence against each part of its prompt. Items take seconds, so that five ends of upstreams for another reason had a sound first part quarantined before any answer to it was known.

Items are never requests that end upstreams by themselves. Their runs are no evidence now: they are in no crash record, and count neither as suspected runs in flight nor hold up a request with the same part. An answer to an item clears its parts as before. The sidecar's items of the own interface go on counting: there they may be at fault.

Without the change, test_upstreams_that_end_under_items_accuse_no_prompt fails at the first end ("assert not True" for is_active), and the two tests of UpstreamEnds fail as `track` lacks the option. tests/item_runs and tests/coordination pass with it.

--- a/briarrill/coordination/upstream_ends.py
+++ b/briarrill/coordination/upstream_ends.py
@@ -71,6 +71,7 @@
 
     :param prompt_parts: identifiers of the prompt's shared parts, in order.
     :param request_key: key of the request, 0 for an item.
+    :param is_evidence: whether the end of its upstream counts against it.
     :param is_answered: whether the upstream answered the request as a whole.
     :param is_end_unmarked: whether only the close of the connection marks
         the end of the answer.
@@ -78,6 +79,7 @@
 
     prompt_parts: tuple[str, ...]
     request_key: int = 0
+    is_evidence: bool = True
     is_answered: bool = False
     is_end_unmarked: bool = False
     _first_bytes_at: float | None = None
@@ -92,12 +94,18 @@
     @property
     def is_suspect(self) -> bool:
         """Whether the prompt may have ended the upstream."""
-        if self._first_bytes_at is None:
-            return True
-        return self._last_bytes_at - self._first_bytes_at < MAX_ANSWERED_S
+        return self.is_evidence and not self._has_gone_on
+
+    @property
+    def causes(self) -> set[int]:
+        """Return what the end of the upstream would count against."""
+        if not self.is_evidence:
+            return set()
+        keys = {self.request_key} if self.request_key else set()
+        return keys.union(map(short_hash, self.prompt_parts))
 
     def call_when_cleared(self, on_cleared: Callable[[], None]) -> None:
-        """Call a function once the prompt is no longer suspect."""
+        """Call a function once the answer clears the prompt."""
         self._on_cleared = on_cleared
 
     def record_bytes(self) -> None:
@@ -105,7 +113,7 @@
         self._last_bytes_at = time.monotonic()
         if self._first_bytes_at is None:
             self._first_bytes_at = self._last_bytes_at
-        if self._on_cleared is not None and not self.is_suspect:
+        if self._on_cleared is not None and self._has_gone_on:
             self._on_cleared()
             self._on_cleared = None
 
@@ -117,6 +125,13 @@
         self.is_answered = HTTP_OK <= status < HTTP_MULTIPLE_CHOICES
         self.is_end_unmarked = self.is_answered and not is_marked
 
+    @property
+    def _has_gone_on(self) -> bool:
+        """Whether the answer has gone on for long enough to clear it."""
+        if self._first_bytes_at is None:
+            return False
+        return self._last_bytes_at - self._first_bytes_at >= MAX_ANSWERED_S
+
 
 @attrs.define(eq=False)
 class _UpstreamRuns:
@@ -220,12 +235,16 @@
         upstream: RegisteredUpstream,
         prompt_parts: tuple[str, ...],
         request_key: int = 0,
+        *,
+        is_evidence: bool = True,
     ) -> Iterator[PromptRun]:
         """Observe one request; an exception tells how its response ended.
 
         :param request_key: key of the request, 0 for an item.
+        :param is_evidence: whether the end of the upstream counts against it;
+            an answer clears its prompt in any case.
         """
-        run = PromptRun(prompt_parts, request_key)
+        run = PromptRun(prompt_parts, request_key, is_evidence)
         if not (prompt_parts or request_key):
             yield run
             return
@@ -282,19 +301,14 @@
         It counts until its upstream is checked, if it broke off, and no longer
         once its answer has gone on for so long that it is not suspected.
         """
-        causes = set(map(short_hash, run.prompt_parts))
-        if run.request_key:
-            causes.add(run.request_key)
         upstream = short_hash(incarnation)
         with contextlib.ExitStack() as counted:
-            for cause in causes:
+            for cause in run.causes:
                 counted.enter_context(
                     self.quarantine.runs.counted(upstream, cause)
                 )
             run.call_when_cleared(functools.partial(self._clear, run, counted))
-            if self.quarantine.parts.is_suspect(
-                run.prompt_parts
-            ) or self.quarantine.requests.is_suspect(run.request_key):
+            if self._is_suspected(run):
                 self._on_change()
             try:
                 yield
@@ -303,6 +317,13 @@
                 if runs is not None and run in runs.unchecked_runs:
                     runs.unchecked.push(counted.pop_all())
 
+    def _is_suspected(self, run: PromptRun) -> bool:
+        """Tell whether peers are to know where a request is in flight."""
+        return run.is_evidence and (
+            self.quarantine.parts.is_suspect(run.prompt_parts)
+            or self.quarantine.requests.is_suspect(run.request_key)
+        )
+
     def _clear(self, run: PromptRun, counted: contextlib.ExitStack) -> None:
         """Record that no part of a prompt ends upstreams as they begin."""
         counted.close()
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -110,7 +110,10 @@
         try:
             with (
                 self.trials.running(call.prompt_parts, call.request_id),
-                self.ends.track(upstream, call.prompt_parts) as run,
+                # items end no upstreams, whatever their prompts hold
+                self.ends.track(
+                    upstream, call.prompt_parts, is_evidence=False
+                ) as run,
             ):
                 end = await self._exchange(
                     progress, call, upstream, channel, run
--- a/tests/coordination/test_upstream_ends.py
+++ b/tests/coordination/test_upstream_ends.py
@@ -453,3 +453,36 @@
         run.record_bytes()
         assert quarantine.is_cleared(PARTS)
         assert not quarantine.is_cleared((), REQUEST)
+
+
+async def test_run_that_is_no_evidence_still_clears_its_parts(
+    observe, monkeypatch
+):
+    """An item holds up no request with the same part, and may clear it."""
+    now = [0.0]
+    monkeypatch.setattr(upstream_ends.time, 'monotonic', lambda: now[0])
+    observed = observe(('127.0.0.1', free_port()))
+    quarantine = observed.ends.quarantine
+    _suspect_shared_part(quarantine)
+    with observed.ends.track(
+        observed.upstream, PARTS, is_evidence=False
+    ) as run:
+        assert quarantine.parts.is_suspect(PARTS)
+        assert quarantine.parts.hold(PARTS) is None
+        assert not quarantine.runs.own_suspects
+        run.record_bytes()
+        now[0] += upstream_ends.MAX_ANSWERED_S
+        run.record_bytes()
+        assert quarantine.is_cleared(PARTS)
+
+
+async def test_run_that_is_no_evidence_is_in_no_crash(observe):
+    observed = observe(('127.0.0.1', free_port()))
+    with observed.ends.track(
+        observed.upstream, ('first', 'own'), is_evidence=False
+    ):
+        observed.fail(parts=('other',))
+        await observed.settle()
+    (crash,) = observed.crashes
+    assert crash.first_parts == (short_hash('other'),)
+    assert not crash.other_parts
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -592,6 +592,31 @@
     assert len(engine.requests) == 6
 
 
+async def test_upstreams_that_end_under_items_accuse_no_prompt(
+    run_scheduler,
+):
+    """Guards against items that wait because their own upstreams ended."""
+    async with (
+        run_scheduler(stream_events(10_000, pause_s=0.02)) as (setup, engine),
+        trio.open_nursery() as nursery,
+    ):
+        ends = setup.scheduler._runner.ends
+        nursery.start_soon(ends.run)
+        await setup.submit(1, prompt='first:5,second:5,own:1')
+        for start in range(1, 4):
+            while len(engine.requests) < start:
+                await trio.sleep(0.01)
+            # another process took the address, so that the last one ended
+            setup.slots.upstreams.register(
+                attrs.evolve(setup.upstream, incarnation=f'i-1/{start}')
+            )
+            while ends._runs:
+                await trio.sleep(0.01)
+            assert not setup.quarantine.is_active
+            setup.scheduler.preempt_all()
+        nursery.cancel_scope.cancel()
+
+
 async def test_item_with_a_quarantined_prompt_expires_with_its_job(
     run_scheduler,
 ):
