--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -592,6 +592,24 @@
     assert len(engine.requests) == 6
 
 
+async def test_items_with_a_quarantined_part_run_though_trials_are_lost(
+    run_scheduler, monkeypatch
+):
+    """Upstreams go on ending for another reason after the quarantine."""
+    monkeypatch.setattr(
+        'briarrill.coordination.quarantine_trials.TRIAL_PAUSE_S', 0.2
+    )
+    cuts = [stream_events(150, cut_after=1)] * 6
+    respond = stream_events(150, pause_s=0.01)
+    async with run_scheduler(*cuts, respond) as (setup, engine):
+        _quarantine(setup, 'first')
+        tracked = await setup.submit(3, prompt='first:5,own:1')
+        with trio.fail_after(15):
+            await _wait_until(lambda: not tracked.is_open)
+    assert {one.state for one in tracked.results} == {ItemState.COMPLETED}
+    assert len(engine.requests) == 3 + len(cuts)
+
+
 async def test_upstreams_that_end_under_items_accuse_no_prompt(
     run_scheduler,
 ):
