Let each process try quarantined parts in its turn

Callers saw items that never ran beside idle upstreams. One batch process alone, by rendezvous, tried a quarantined part. It may own no upstream of the item's route, as where a service has fewer upstreams than there are batch processes. An item with two quarantined parts was never tried if each part was that of another process.

The process of each rank joins 2 s after the one before it, whether that one tries or not. An answer ends all trials, so that it is one process for a sound part as a rule.

--- a/briarrill/coordination/quarantine_trials.py
+++ b/briarrill/coordination/quarantine_trials.py
@@ -27,9 +27,14 @@
 # ended for another reason are back by then
 TRIAL_PAUSE_S = 2.0
 
+# time after which the process that ranks next for a part tries it too: those
+# before it may have no upstream with room for any item with the part, and an
+# item with two parts needs one process that may try both
+NEXT_RANK_DELAY_S = 2.0
 
-def _is_any_part(part: int) -> bool:
-    return True
+
+def _rank_first(part: int) -> int:
+    return 0
 
 
 @attrs.define
@@ -50,20 +55,20 @@
     """Chooses items that are tried though their prompts are quarantined.
 
     :param quarantine: tells what is quarantined, and since when.
-    :param is_own_part: whether this process tries a part, so that only one of
-        all processes does; by default each part.
+    :param rank_for: returns how many processes come before this one for a
+        part, so that at first one of them tries it; by default none.
     :param clock: monotonic clock, that of the quarantine.
     """
 
     def __init__(
         self,
         quarantine: PromptQuarantine,
-        is_own_part: Callable[[int], bool] = _is_any_part,
+        rank_for: Callable[[int], int] = _rank_first,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Start without trials."""
         self._quarantine = quarantine
-        self._is_own_part = is_own_part
+        self._rank_for = rank_for
         self._clock = clock
         self._trials: dict[int, _PartTrials] = {}
 
@@ -105,7 +110,11 @@
     def _may_try(self, tried: _PartTrials, part: int, item_id: str) -> bool:
         if tried.item_id:
             return tried.item_id == item_id
-        return tried.next_at <= self._clock() and self._is_own_part(part)
+        now = self._clock()
+        if now < tried.next_at:
+            return False
+        waited_s = now - tried.since - TRIAL_DELAY_S
+        return waited_s >= self._rank_for(part) * NEXT_RANK_DELAY_S
 
     def _trials_of(self, part: int, since: float) -> _PartTrials:
         """Return the trials of a part in its current quarantine."""
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -18,6 +18,7 @@
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
+from ..state.rendezvous import rank_nodes
 from .run_health import RunHealth
 
 __all__ = ('FreeSlots',)
@@ -114,6 +115,11 @@
         connected = [name for name, is_able in can_commit.items() if is_able]
         return connected or list(can_commit)
 
+    def rank_for(self, part: int) -> int:
+        """Return how many other processes come first for a prompt part."""
+        names = {*self.processes(), self.process}
+        return rank_nodes(str(part), names).index(self.process)
+
     def record_load(self, service: str) -> None:
         """Record the current load of a service for the estimates."""
         now = time.monotonic()
--- a/briarrill/platform/batch.py
+++ b/briarrill/platform/batch.py
@@ -13,7 +13,6 @@
 from ..item_runs.slots import FreeSlots
 from ..state.checkpoint_file import CheckpointFile
 from ..state.keys import ROOT_PREFIX
-from ..state.rendezvous import rank_nodes
 from .configuration import OPERATOR_PREFIX
 from .process_parts import (
     ProcessParts,
@@ -55,12 +54,7 @@
             parts.upstreams,
             parts.ends,
             parts.load.limits,
-            QuarantineTrials(
-                parts.ends.quarantine,
-                lambda part: (
-                    rank_nodes(str(part), slots.processes())[0] == cfg.name
-                ),
-            ),
+            QuarantineTrials(parts.ends.quarantine, slots.rank_for),
         )
         scheduler = Scheduler(jobs, slots, handover, runner, committer)
         _connect_reports(parts, scheduler)
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -610,6 +610,35 @@
     assert len(engine.requests) == 3 + len(cuts)
 
 
+async def test_items_are_tried_though_the_first_process_for_them_has_no_room(
+    run_scheduler,
+):
+    """It owns no upstream of their route, and starts nothing."""
+    async with (
+        run_scheduler(stream_events(150, pause_s=0.01)) as (setup, _),
+        trio.open_nursery() as nursery,
+    ):
+
+        async def report():
+            for sequence in range(1, 100):
+                setup.load.receive_report(_report_other(sequence=sequence))
+                await trio.sleep(0.2)
+
+        nursery.start_soon(report)
+        await _wait_until(lambda: len(setup.slots.processes()) == 2)
+        part = next(
+            name
+            for name in map(str, range(100))
+            if setup.slots.rank_for(short_hash(name)) == 1
+        )
+        setup.scheduler._runner.trials._rank_for = setup.slots.rank_for
+        _quarantine(setup, part)
+        tracked = await setup.submit(3, prompt=f'{part}:5,own:1')
+        with trio.fail_after(10):
+            await _wait_until(lambda: not tracked.is_open)
+        nursery.cancel_scope.cancel()
+
+
 async def test_upstreams_that_end_under_items_accuse_no_prompt(
     run_scheduler,
 ):
