--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -592,6 +592,78 @@
     assert len(engine.requests) == 6
 
 
+async def test_items_with_a_quarantined_part_run_though_trials_are_lost(
+    run_scheduler, monkeypatch
+):
+    """Upstreams go on ending for another reason after the quarantine."""
+    monkeypatch.setattr(
+        'briarrill.coordination.quarantine_trials.TRIAL_PAUSE_S', 0.2
+    )
+    cuts = [stream_events(150, cut_after=1)] * 6
+    respond = stream_events(150, pause_s=0.01)
+    async with run_scheduler(*cuts, respond) as (setup, engine):
+        _quarantine(setup, 'first')
+        tracked = await setup.submit(3, prompt='first:5,own:1')
+        with trio.fail_after(15):
+            await _wait_until(lambda: not tracked.is_open)
+    assert {one.state for one in tracked.results} == {ItemState.COMPLETED}
+    assert len(engine.requests) == 3 + len(cuts)
+
+
+async def test_items_are_tried_though_the_first_process_for_them_has_no_room(
+    run_scheduler,
+):
+    """It owns no upstream of their route, and starts nothing."""
+    async with (
+        run_scheduler(stream_events(150, pause_s=0.01)) as (setup, _),
+        trio.open_nursery() as nursery,
+    ):
+
+        async def report():
+            for sequence in range(1, 100):
+                setup.load.receive_report(_report_other(sequence=sequence))
+                await trio.sleep(0.2)
+
+        nursery.start_soon(report)
+        await _wait_until(lambda: len(setup.slots.processes()) == 2)
+        part = next(
+            name
+            for name in map(str, range(100))
+            if setup.slots.rank_for(short_hash(name)) == 1
+        )
+        setup.scheduler._runner.trials._rank_for = setup.slots.rank_for
+        _quarantine(setup, part)
+        tracked = await setup.submit(3, prompt=f'{part}:5,own:1')
+        with trio.fail_after(10):
+            await _wait_until(lambda: not tracked.is_open)
+        nursery.cancel_scope.cancel()
+
+
+async def test_upstreams_that_end_under_items_accuse_no_prompt(
+    run_scheduler,
+):
+    """Guards against items that wait because their own upstreams ended."""
+    async with (
+        run_scheduler(stream_events(10_000, pause_s=0.02)) as (setup, engine),
+        trio.open_nursery() as nursery,
+    ):
+        ends = setup.scheduler._runner.ends
+        nursery.start_soon(ends.run)
+        await setup.submit(1, prompt='first:5,second:5,own:1')
+        for start in range(1, 4):
+            while len(engine.requests) < start:
+                await trio.sleep(0.01)
+            # another process took the address, so that the last one ended
+            setup.slots.upstreams.register(
+                attrs.evolve(setup.upstream, incarnation=f'i-1/{start}')
+            )
+            while ends._runs:
+                await trio.sleep(0.01)
+            assert not setup.quarantine.is_active
+            setup.scheduler.preempt_all()
+        nursery.cancel_scope.cancel()
+
+
 async def test_item_with_a_quarantined_prompt_expires_with_its_job(
     run_scheduler,
 ):
