List whole outputs in full, whatever upstreams their version has

What callers saw: an item was listed as completed with an empty text.

Cause: an output that an isolated process, a checkpoint or a peer had given back was asked for an upstream of its version though it was whole. If that version was unknown, gone or full for 2 s, the scheduler discarded the events, and `ItemProgress.restart` left the item marked as whole, so that the next run ended at once without a request and its empty output was committed.

A process in touch queues the result of such an output in its next pass, without a slot. Discarding an output also ends that it is whole.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -250,6 +250,7 @@
 
     def _discard_output(self) -> None:
         """Have the next run begin at the start."""
+        self.is_complete = False
         self.last_event_id = None
         self._lines.clear()
         self._output_bytes = 0
--- a/briarrill/item_runs/local_items.py
+++ b/briarrill/item_runs/local_items.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..protocol.load_reports import LoadReport, short_hash
+from ..state.stored_jobs import ItemState
 from .item import ItemProgress, RunningItem
 from .result_commits import Committer
 
@@ -82,6 +83,16 @@
             *self.committer.uncommitted_items,
         ]
 
+    def queue_whole_outputs(self) -> None:
+        """Queue the results of suspended items whose output is whole.
+
+        Nothing goes on with them, so they need no slot at their version.
+        """
+        for progress in list(self.suspended.values()):
+            if progress.is_complete:
+                self.suspended.pop(progress.key)
+                self.committer.add(progress, ItemState.COMPLETED)
+
     def ran_s_by_job(self) -> dict[str, float]:
         """Return the slot time of the open items at this process, by job."""
         total_s: dict[str, float] = collections.defaultdict(float)
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -145,6 +145,7 @@
         if self.local_items.is_isolated:
             self._release_all()
             return
+        self.local_items.queue_whole_outputs()
         self._update_estimates(routes)
         self._preempt_for_online()
         if may_expire_jobs:
--- a/tests/item_runs/test_item_versions.py
+++ b/tests/item_runs/test_item_versions.py
@@ -127,6 +127,18 @@
     assert again.requests[0].header(b'last-event-id') is None
 
 
+async def test_item_that_begins_anew_is_no_longer_whole(run):
+    """Nothing was sent, and its empty output was taken for the whole one."""
+    progress = ItemProgress('j1', ITEM)
+    assert await run(progress, _whole(), 'v1') is RunEnd.COMPLETED
+    progress.is_complete = True
+    progress.restart()
+    assert not progress.record().is_whole
+    again = _whole()
+    assert await run(progress, again, 'v2') is RunEnd.COMPLETED
+    assert again.requests
+
+
 async def test_item_does_not_go_on_where_another_process_took_an_id_over(run):
     progress = ItemProgress('j1', ITEM)
     await run(progress, _cutting(), 'v1')
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -766,6 +766,64 @@
         assert other.requests[0].header(b'last-event-id') is None
 
 
+def _suspend_whole_output(setup, version):
+    """Suspend a completed item whose result is not written."""
+    progress = _suspend_with_output(setup)
+    progress.origin = StreamOrigin(version, setup.upstream.service)
+    progress.is_complete = True
+    return progress
+
+
+@pytest.mark.parametrize('version', [None, 'left'])
+async def test_whole_output_is_listed_though_its_version_is_gone(
+    run_scheduler, version
+):
+    """It was listed as completed with an empty text."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        progress = _suspend_whole_output(setup, version)
+        output = progress.result(ItemState.COMPLETED).output
+        tracked = await setup.submit(1)
+        await _wait_until(lambda: not tracked.is_open)
+        assert tracked.results[0].state is ItemState.COMPLETED
+        assert tracked.results[0].output == output
+        assert not engine.requests
+
+
+async def test_whole_output_needs_no_upstream_with_room(run_scheduler):
+    """After a wait, another version had room and the text was discarded."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        setup.slots.upstreams.register(
+            attrs.evolve(setup.upstream, upstream_id='i-2', version='v2')
+        )
+        setup.load.in_flight.online['i-1'] = UPSTREAM_SLOTS
+        progress = _suspend_whole_output(setup, setup.upstream.version)
+        progress.waits_since = float('-inf')
+        output = progress.result(ItemState.COMPLETED).output
+        tracked = await setup.submit(1)
+        await _wait_until(lambda: not tracked.is_open)
+        assert tracked.results[0].output == output
+        assert not engine.requests
+
+
+async def test_output_that_an_isolated_process_took_back_is_listed_in_full(
+    run_scheduler,
+):
+    """The upstream that wrote it was started again meanwhile."""
+    async with run_scheduler(stream_events(5)) as (setup, engine):
+        tracked = await setup.submit(1)
+        setup.service.is_down = True
+        await _wait_until(lambda: not setup.committer.is_idle)
+        setup.is_connected = False
+        setup.load.receive_report(_report_other())
+        await _wait_until(lambda: setup.scheduler._suspended)
+        setup.slots.upstreams.mark_replaced(setup.upstream.incarnation)
+        setup.service.is_down = False
+        setup.is_connected = True
+        await _wait_until(lambda: not tracked.is_open)
+        assert len(engine.requests) == 1
+        assert len(tracked.results[0].output.split('\n')) == 5
+
+
 def _report_other(**fields):
     """Return the report of a batch process that can commit results."""
     return LoadReport(
