Play a restart with whole outputs of a version that has left

Three schedulers hold whole outputs that they cannot write, their only upstream starts again at another version, and all restart with their disks.

--- a/tests/item_runs/test_item_moves.py
+++ b/tests/item_runs/test_item_moves.py
@@ -253,3 +253,18 @@
 def test_item_leaves_a_process_that_cannot_reach_its_upstream():
     """It owns the only upstream, and others reach that."""
     run([(Submit('j1', 1), 0.3), (CutUpstream(0, 0), 0), (Wait(), 10.0)], 1)
+
+
+def test_outputs_that_were_whole_before_a_restart_are_listed_in_full():
+    """The only version has left when the results can be written."""
+    everyone = frozenset(range(PROCESSES))
+    run(
+        [
+            (Submit('j1', 3), 0.3),
+            (SetLink(everyone, 'silent'), 0.8),
+            (ReplaceUpstream(0, 'v2'), 0.1),
+            *((Restart(number, True), 0.0) for number in everyone),
+            (SetLink(everyone, 'ok'), 3.0),
+        ],
+        1,
+    )
