--- a/briarrill/item_runs/wait_check.py
+++ b/briarrill/item_runs/wait_check.py
@@ -249,7 +249,8 @@
         self, upstreams: Iterable[RegisteredUpstream]
     ) -> dict[str, float]:
         """Return the limits in force, per second, by upstream."""
-        limits = self.waits.slots.load.limits.limits
+        load = self.waits.slots.load
+        limits = load.limits.limits
         rates = {
             upstream.upstream_id: limits.rate_per_s(upstream.incarnation)
             for upstream in upstreams
--- a/tests/item_runs/test_item_moves.py
+++ b/tests/item_runs/test_item_moves.py
@@ -299,3 +299,18 @@
 
 def test_item_runs_though_the_owner_of_the_only_upstream_has_no_routes():
     run([(LoseRoutes(0), 0.3), (Submit('j1', 3), 10.0)], 1)
+
+
+def test_outputs_that_were_whole_before_a_restart_are_listed_in_full():
+    """The only version has left when the results can be written."""
+    everyone = frozenset(range(PROCESSES))
+    run(
+        [
+            (Submit('j1', 3), 0.3),
+            (SetLink(everyone, 'silent'), 0.8),
+            (ReplaceUpstream(0, 'v2'), 0.1),
+            *((Restart(number, True), 0.0) for number in everyone),
+            (SetLink(everyone, 'ok'), 3.0),
+        ],
+        1,
+    )
