Run items beside requests with suspected parts

Callers saw items that never ran beside upstreams with free slots. After two ends of upstreams with a part in flight, an item with it waited while any request with it was in flight, as told by any process within the last second, and ran at no upstream beside another suspected request. Only an answer or a decision ends the suspicion. While such requests came and none was answered, for instance as their deadlines were too short, no item could run which might have been.

Items are no evidence against parts, so that a run of one beside a suspected request makes nothing ambiguous. Online requests run apart as before (tests/coordination/test_part_crashes.py).

--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -12,7 +12,6 @@
 from ..coordination.event_wait import EventWait
 from ..coordination.incarnation_check import is_registered_process
 from ..coordination.limit_sharing import LimitSharing
-from ..coordination.prompt_crashes import may_run_at
 from ..coordination.quarantine_trials import QuarantineTrials
 from ..coordination.relay_protocol import Call, RelayProtocol
 from ..coordination.response_ends import check_stream_end, is_event_stream
@@ -81,13 +80,20 @@
         self._channels = CallChannels(self.protocol, CONNECT_TIMEOUT_S)
 
     def is_quarantined(self, stored: StoredItem) -> bool:
-        """Tell whether no upstream gets an item because of its prompt."""
+        """Tell whether no upstream gets an item because of its prompt.
+
+        Parts that are only suspected do not matter: items are no evidence
+        against them, and such requests may come for a long time.
+        """
         quarantine = self.ends.quarantine
         if not quarantine.parts.may_hold:
             return False
         head = self.protocol.item_head('', stored)
         parts = self.protocol.prompt_parts(head)
-        if quarantine.parts.hold(parts) is None:
+        if not (
+            quarantine.time_left_s(parts)
+            or quarantine.parts.awaits_decision(parts)
+        ):
             return False
         return not self.trials.may_run(parts, stored.item_id)
 
@@ -97,9 +103,7 @@
         quarantine = self.ends.quarantine
         if quarantine.quarantined_since(parts):
             return WaitReason.PART_QUARANTINED
-        if quarantine.parts.awaits_decision(parts):
-            return WaitReason.PART_AWAITS_DECISION
-        return WaitReason.PART_IN_FLIGHT
+        return WaitReason.PART_AWAITS_DECISION
 
     def accused_parts(self, stored: StoredItem) -> list[int]:
         """Return the hashes of the quarantined or suspected parts."""
@@ -157,7 +161,7 @@
 
         :return: with what a run there begins or goes on with; none if the
             upstream is unreachable, left, is at its limit, or may not go on
-            with the item, or if the prompt is suspected and in flight by now.
+            with the item, or if its prompt is held back by now.
         """
         grant = await self.limits.acquire(
             upstream.incarnation, max_wait_s=0, is_batch=True
@@ -179,7 +183,7 @@
             return None
         if not is_registered:
             self.upstreams.mark_replaced(upstream.incarnation)
-        progress.refusal = self._why_refused(progress, call, upstream)
+        progress.refusal = self._why_refused(progress, upstream)
         if progress.refusal is None:
             version = upstream.version if is_registered else None
             return channel, StreamOrigin(version, upstream.service)
@@ -187,7 +191,7 @@
         return None
 
     def _why_refused(
-        self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
+        self, progress: ItemProgress, upstream: RegisteredUpstream
     ) -> Refusal | None:
         """Return why an item cannot be sent to a connected upstream now."""
         if not self.upstreams.still_accepts(upstream):
@@ -198,17 +202,9 @@
             versions = self.upstreams.versions
             is_replaced = versions.is_replaced(upstream.incarnation)
             return Refusal.REPLACED if is_replaced else Refusal.VERSION
-        if self._may_prompt_run(progress, call, upstream):
-            return None
-        return Refusal.PART
-
-    def _may_prompt_run(
-        self, progress: ItemProgress, call: Call, upstream: RegisteredUpstream
-    ) -> bool:
-        """Tell whether a prompt that may be suspected can be sent now."""
-        return not self.is_quarantined(progress.stored) and may_run_at(
-            self.ends.quarantine, call.prompt_parts, 0, upstream.incarnation
-        )
+        if self.is_quarantined(progress.stored):
+            return Refusal.PART
+        return None
 
     def _make_call(
         self,
--- a/briarrill/item_runs/wait_check.py
+++ b/briarrill/item_runs/wait_check.py
@@ -49,7 +49,6 @@
     (
         WaitReason.PART_QUARANTINED,
         WaitReason.PART_AWAITS_DECISION,
-        WaitReason.PART_IN_FLIGHT,
         WaitReason.REFUSED_PART,
     )
 )
--- a/briarrill/item_runs/wait_reasons.py
+++ b/briarrill/item_runs/wait_reasons.py
@@ -47,7 +47,6 @@
     HANDED_OVER = 'handed-over'
     PART_QUARANTINED = 'part-quarantined'
     PART_AWAITS_DECISION = 'part-awaits-decision'
-    PART_IN_FLIGHT = 'part-in-flight'
     REFUSED_LEASE = 'refused-lease'
     REFUSED_PART = 'refused-part'
     REFUSED_PERMIT = 'refused-permit'
