Draw more faults in each round of the soak

Cause: many rounds had one fault. Change: two to six series of them overlap, and half of the rounds have items whose first event takes 1.6 s.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -29,7 +29,10 @@
 TROUBLE_S = (8.0, 20.0)
 
 # series of faults in one round, which overlap
-SERIES = (1, 4)
+SERIES = (2, 6)
+
+# seconds to the first events of items, by round
+FIRST_PAUSES_S = ((0.2, 0.6, 1.6), (1.6,))
 
 # seconds between two jobs
 JOB_PAUSES_S = (0.4, 1.1)
@@ -140,33 +143,36 @@
 def draw_plan(seed: int, number: int) -> Plan:
     """Draw the round of this number."""
     rng = random.Random(f'{seed}/{number}')
+    first_pauses_s = rng.choice(FIRST_PAUSES_S)
     trouble_s = rng.uniform(*TROUBLE_S)
     faults: list[Fault] = []
     for _ in range(rng.randint(*SERIES)):
         draw = rng.choice(DRAWERS)
         faults += draw(rng, rng.uniform(1, trouble_s / 2))
     return Plan(
-        jobs=_draw_jobs(rng, trouble_s),
+        jobs=_draw_jobs(rng, trouble_s, first_pauses_s),
         faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
         online_pause_s=rng.choice((0, 0.5, 2)),
     )
 
 
-def _draw_jobs(rng: random.Random, trouble_s: float) -> tuple[PlannedJob, ...]:
+def _draw_jobs(
+    rng: random.Random, trouble_s: float, first_pauses_s: tuple[float, ...]
+) -> tuple[PlannedJob, ...]:
     jobs: list[PlannedJob] = []
     at_s = 0.0
     while at_s < trouble_s:
         route = JOBS_ROUTES[rng.random() < PASSING_ROUTE_SHARE]
         items = tuple(
-            _draw_work(rng) for _ in range(rng.randint(1, ITEMS_IN_JOB))
+            _draw_work(rng, rng.choice(first_pauses_s))
+            for _ in range(rng.randint(1, ITEMS_IN_JOB))
         )
         jobs.append(PlannedJob(at_s, part_of(len(jobs)), items, route))
         at_s += rng.uniform(*JOB_PAUSES_S)
     return tuple(jobs)
 
 
-def _draw_work(rng: random.Random) -> Work:
-    first_s = rng.choice((0.2, 0.6, 1.6))
+def _draw_work(rng: random.Random, first_s: float) -> Work:
     events = rng.randint(3, 12)
     whole_s = rng.uniform(first_s + 0.5, 5)
     return Work(first_s, (whole_s - first_s) / events, events)
