--- a/briarrill/item_runs/wait_check.py
+++ b/briarrill/item_runs/wait_check.py
@@ -105,8 +105,7 @@
             and now - self._activities[waits.tracked.job_id].active_at
             >= MAX_QUIET_S
         ]
-        by_route = {waits.route: waits for waits in lying}
-        idle = {route for route in by_route if self._is_idle(route)}
+        idle = set(filter(self._is_idle, {waits.route for waits in lying}))
         self._log([waits for waits in lying if waits.route in idle], now)
 
     def _record_activities(self, jobs: Iterable[JobWaits], now: float) -> None:
