Leave half of the time between long scheduling passes

Cause: a pass is repeated 0.02 s after the last one, however long that took.

Change: the pause is at least as long as the pass.

Evidence: test_long_passes_leave_half_of_the_time_to_runs.

--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -31,7 +31,9 @@
 MAX_PASS_INTERVAL_S = 0.1
 
 # shortest time between two scheduling passes; each report of a peer requests
-# one, and a pass over hundreds of waiting items takes a millisecond or more
+# one, and a pass over hundreds of waiting items takes a millisecond or more;
+# after a longer pass it is as long as that one, so that half of the time is
+# left to the runs of items
 MIN_PASS_INTERVAL_S = 0.02
 
 # delay before the next run of an item after a rejection or a failure
@@ -128,9 +130,11 @@
                     await self._wake.wait()
                 self._wake = trio.Event()
                 table = routes()
+                began_at = trio.current_time()
                 if table is not None:
                     self._make_pass(table, nursery, may_expire_jobs())
-                await trio.sleep(MIN_PASS_INTERVAL_S)
+                took_s = trio.current_time() - began_at
+                await trio.sleep(max(MIN_PASS_INTERVAL_S, took_s))
 
     def _make_pass(
         self,
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -192,6 +192,28 @@
     assert 40 <= len(pass_times) <= 51
 
 
+async def test_long_passes_leave_half_of_the_time_to_runs(
+    monkeypatch, autojump_clock
+):
+    """Guards against passes over thousands of items that starve the runs."""
+    setup = SchedulerSetup(('127.0.0.1', 1), monkeypatch)
+    monkeypatch.setattr(
+        setup.scheduler, '_make_pass', lambda *_: autojump_clock.jump(0.25)
+    )
+    began_at = trio.current_time()
+    free_s = 0.0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(setup.scheduler.run, lambda: setup.routes)
+        while trio.current_time() - began_at < 10:
+            setup.scheduler.wake()
+            before = trio.current_time()
+            await trio.sleep(0.01)
+            if trio.current_time() - before < 0.25:
+                free_s += 0.01
+        nursery.cancel_scope.cancel()
+    assert free_s >= 0.45 * (trio.current_time() - began_at)
+
+
 async def test_submitted_items_complete_and_are_committed(run_scheduler):
     async with run_scheduler(stream_events(5)) as (setup, engine):
         tracked = await setup.submit(6)
