--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -196,9 +196,10 @@
     monkeypatch, autojump_clock
 ):
     """Guards against passes over thousands of items that starve the runs."""
+    pass_s = 0.25
     setup = SchedulerSetup(('127.0.0.1', 1), monkeypatch)
     monkeypatch.setattr(
-        setup.scheduler, '_make_pass', lambda *_: autojump_clock.jump(0.25)
+        setup.scheduler, '_make_pass', lambda *_: autojump_clock.jump(pass_s)
     )
     began_at = trio.current_time()
     free_s = 0.0
@@ -208,7 +209,7 @@
             setup.scheduler.wake()
             before = trio.current_time()
             await trio.sleep(0.01)
-            if trio.current_time() - before < 0.25:
+            if trio.current_time() - before < pass_s:
                 free_s += 0.01
         nursery.cancel_scope.cancel()
     assert free_s >= 0.45 * (trio.current_time() - began_at)
