Search waiting items for adoption only if an upstream is unused

Every 0.25 s a batch process searched and sorted all waiting items, also while each upstream was full or used by its owner, and then did nothing with the result. The process answers nobody during a pass.

A route of which no upstream of another process is unused or adopted is now recorded as one without a wait. The time until an adoption is the same: an upstream has to be unused for all of it.

--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -229,8 +229,8 @@
         routes_with_slots = set(
             filter(self._slots.has_free_slot, routes.batch_routes)
         )
-        is_sample_due = self._slots.unused.begin_sample()
-        if not (routes_with_slots or is_sample_due):
+        sample = self._slots.begin_sample(routes.batch_routes)
+        if not (routes_with_slots or sample.uses):
             return
         startable = self._item_order.startable_items(
             routes, self._slots.processes(), self._startable_progress()
@@ -245,13 +245,14 @@
                 and not self._try_start_item(candidate, nursery)
             ):
                 routes_with_slots.discard(candidate.route)
-        if is_sample_due:
-            waiting = {
-                candidate.route
-                for candidate in startable
-                if candidate.progress.key not in self._running
-            }
-            self._slots.record_waiting(routes.batch_routes, waiting)
+        if sample.uses:
+            sample.record(
+                {
+                    candidate.route.name
+                    for candidate in startable
+                    if candidate.progress.key not in self._running
+                }
+            )
 
     def _try_start_item(
         self, candidate: StartableItem, nursery: trio.Nursery
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -20,7 +20,7 @@
 from ..state.keys import ROOT_PREFIX
 from ..state.rendezvous import rank_nodes
 from .run_health import RunHealth
-from .unused_upstreams import UnusedUpstreams, UpstreamUse
+from .unused_upstreams import UnusedUpstreams, UpstreamUse, UseSample
 from .wait_reasons import WaitReason
 
 __all__ = ('FreeSlots',)
@@ -162,20 +162,18 @@
         if self._found is not None:
             self._found.free.clear()
 
-    def record_waiting(
-        self, routes: Iterable[Route], waiting: Collection[Route]
-    ) -> None:
-        """Record of which routes items wait here.
+    def begin_sample(self, routes: Iterable[Route]) -> UseSample:
+        """Return the use of the upstreams of others, if a look at it is due.
 
-        While they do, upstreams that their owners leave unused are adopted.
+        Without routes of which others may leave upstreams unused; a search
+        through thousands of waiting items would tell nothing of them.
         """
-        for route in routes:
-            if route in waiting:
-                self.unused.record_wait(
-                    route.name, self._uses_of_others(route)
-                )
-            else:
-                self.unused.record_no_wait(route.name)
+        uses: dict[str, dict[str, UpstreamUse]] = {}
+        if self.unused.is_sample_due():
+            uses = {
+                route.name: self._uses_of_others(route) for route in routes
+            }
+        return self.unused.begin_sample(uses)
 
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
--- a/briarrill/item_runs/unused_upstreams.py
+++ b/briarrill/item_runs/unused_upstreams.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-__all__ = ('UnusedUpstreams', 'UpstreamUse')
+__all__ = ('UnusedUpstreams', 'UpstreamUse', 'UseSample')
 
 # time between two looks at the upstreams of others, which may be hundreds
 SAMPLE_INTERVAL_S = 0.25
@@ -33,6 +33,11 @@
     has_room: bool
     peer_items: int
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether an item may start there and no other process runs one."""
+        return self.has_room and not self.peer_items
+
 
 @attrs.define
 class _RouteUse:
@@ -63,8 +68,8 @@
         known = self._routes.get(route)
         return known.adopted if known else ()
 
-    def begin_sample(self) -> bool:
-        """Tell whether the use of all upstreams is to be recorded now."""
+    def is_sample_due(self) -> bool:
+        """Tell whether the use of all upstreams is to be looked at."""
         now = time.monotonic()
         sampled_at = self._sampled_at
         if sampled_at is not None and now - sampled_at < SAMPLE_INTERVAL_S:
@@ -72,6 +77,24 @@
         self._sampled_at = now
         return True
 
+    def begin_sample(
+        self, uses: Mapping[str, Mapping[str, UpstreamUse]]
+    ) -> 'UseSample':
+        """Return the routes with upstreams that are unused or adopted.
+
+        :param uses: use of the upstreams that others own, by route; for a
+            route without an unused one, nothing is recorded as waiting.
+        """
+        sampled: dict[str, Mapping[str, UpstreamUse]] = {}
+        for route, by_upstream in uses.items():
+            if self.adopted(route) or any(
+                use.is_unused for use in by_upstream.values()
+            ):
+                sampled[route] = by_upstream
+            else:
+                self.record_no_wait(route)
+        return UseSample(self, sampled)
+
     def record_no_wait(self, route: str) -> None:
         """Record that no item of a route waits here."""
         self._routes.pop(route, None)
@@ -86,7 +109,7 @@
         known.unused_since = {
             name: known.unused_since.get(name, now)
             for name, use in uses.items()
-            if use.has_room and not use.peer_items
+            if use.is_unused
         }
         kept = {
             name
@@ -101,3 +124,22 @@
                 if since <= latest
             )
         known.adopted = frozenset(kept)
+
+
+@attrs.frozen
+class UseSample:
+    """A look at the upstreams of others, until it is known what waits.
+
+    :param uses: use of the upstreams of the routes that matter.
+    """
+
+    _unused: UnusedUpstreams
+    uses: Mapping[str, Mapping[str, UpstreamUse]]
+
+    def record(self, waiting: Collection[str]) -> None:
+        """Record of which routes items wait here."""
+        for route, uses in self.uses.items():
+            if route in waiting:
+                self._unused.record_wait(route, uses)
+            else:
+                self._unused.record_no_wait(route)
--- a/tests/item_runs/test_scheduler.py
+++ b/tests/item_runs/test_scheduler.py
@@ -215,6 +215,27 @@
     assert free_s >= 0.45 * (trio.current_time() - began_at)
 
 
+async def test_waiting_items_are_not_searched_while_all_slots_are_used(
+    monkeypatch,
+):
+    """Guards against a search through thousands of items for nothing."""
+    setup = SchedulerSetup(('127.0.0.1', 1), monkeypatch)
+    setup.slots._connected_at = float('-inf')
+    searches = []
+    monkeypatch.setattr(
+        'briarrill.item_runs.item_order.ItemOrder.startable_items',
+        lambda *arguments: searches.append(arguments) or [],
+    )
+    await setup.submit(3)
+    async with trio.open_nursery() as nursery:
+        setup.load.in_flight.online['i-1'] = UPSTREAM_SLOTS
+        setup.scheduler._make_pass(setup.routes, nursery, False)
+        assert not searches
+        setup.load.in_flight.online['i-1'] = 0
+        setup.scheduler._make_pass(setup.routes, nursery, False)
+        assert len(searches) == 1
+
+
 async def test_submitted_items_complete_and_are_committed(run_scheduler):
     async with run_scheduler(stream_events(5)) as (setup, engine):
         tracked = await setup.submit(6)
--- a/tests/item_runs/test_unused_upstreams.py
+++ b/tests/item_runs/test_unused_upstreams.py
@@ -94,7 +94,19 @@
 
 
 def test_upstreams_are_looked_at_at_intervals(unused, clock):
-    assert unused.begin_sample()
-    assert not unused.begin_sample()
+    assert unused.is_sample_due()
+    assert not unused.is_sample_due()
     clock.now += SAMPLE_INTERVAL_S
-    assert unused.begin_sample()
+    assert unused.is_sample_due()
+
+
+def test_only_routes_with_an_unused_or_adopted_upstream_matter(unused, clock):
+    unused.record_wait('s', {'i': UNUSED})
+    _adopt(unused, clock, i=UNUSED)
+    sample = unused.begin_sample(
+        {'r': {'i': FULL}, 's': {'i': USED}, 't': {'i': UNUSED}}
+    )
+    assert sample.uses.keys() == {'r', 't'}
+    assert 's' not in unused._routes
+    sample.record({'t'})
+    assert unused._routes.keys() == {'t'}
