--- a/briarrill/item_runs/wait_check.py
+++ b/briarrill/item_runs/wait_check.py
@@ -27,7 +27,7 @@
 MAX_TIME_SHARE = 0.05
 
 # time without a start, an end or an event of any item of a job after which
-# its items count as lying
+# its items count as stalled
 MAX_QUIET_S = 5.0
 
 # share of slots in use from which on items wait for slots
@@ -70,7 +70,7 @@
 
 @attrs.define
 class WaitCheck:
-    """Counts waiting items and logs those that lie.
+    """Counts waiting items and logs those that are stalled.
 
     :param routes: returns the routes in force.
     """
@@ -79,7 +79,7 @@
     routes: Callable[[], RouteTable | None]
     clock: Callable[[], float] = time.monotonic
     _activities: dict[str, _Activity] = attrs.field(factory=dict, init=False)
-    _lying_since: float | None = attrs.field(default=None, init=False)
+    _stalled_since: float | None = attrs.field(default=None, init=False)
     _logged_at: float = attrs.field(default=0, init=False)
     _shown: set[str] = attrs.field(factory=set, init=False)
 
@@ -93,20 +93,20 @@
             took_s = time.monotonic() - began_at
 
     def check(self) -> None:
-        """Count waiting items, and log a line if some lie and one is due."""
+        """Count waiting items, and log stalled ones if a line is due."""
         now = self.clock()
         jobs = self.waits.find(self.routes())
         _set_gauge(jobs, self._shown)
         self._record_activities(jobs, now)
-        lying = [
+        stalled = [
             waits
             for waits in jobs
             if waits.reasons
             and now - self._activities[waits.tracked.job_id].active_at
             >= MAX_QUIET_S
         ]
-        idle = set(filter(self._is_idle, {waits.route for waits in lying}))
-        self._log([waits for waits in lying if waits.route in idle], now)
+        idle = set(filter(self._is_idle, {waits.route for waits in stalled}))
+        self._log([waits for waits in stalled if waits.route in idle], now)
 
     def _record_activities(self, jobs: Iterable[JobWaits], now: float) -> None:
         """Record which jobs have had a run since the last check."""
@@ -182,45 +182,46 @@
             for upstream in upstreams
         )
 
-    def _log(self, lying: Collection[JobWaits], now: float) -> None:
-        """Log that items lie, or that none do any more."""
-        if not lying:
-            if self._lying_since is not None:
+    def _log(self, stalled: Collection[JobWaits], now: float) -> None:
+        """Log that items are stalled, or that none are any more."""
+        if not stalled:
+            if self._stalled_since is not None:
                 log_message(
                     'items:waiting-ended',
-                    lasted_s=round(now - self._lying_since, 1),
+                    lasted_s=round(now - self._stalled_since, 1),
                 )
-            self._lying_since = None
+            self._stalled_since = None
             return
-        is_new = self._lying_since is None
+        is_new = self._stalled_since is None
         if is_new:
-            self._lying_since = now
+            self._stalled_since = now
         if is_new or now - self._logged_at >= LINE_INTERVAL_S:
             self._logged_at = now
-            self._log_line(lying, now)
+            self._log_line(stalled, now)
 
-    def _log_line(self, lying: Collection[JobWaits], now: float) -> None:
+    def _log_line(self, stalled: Collection[JobWaits], now: float) -> None:
         since = min(
-            self._activities[waits.tracked.job_id].active_at for waits in lying
+            self._activities[waits.tracked.job_id].active_at
+            for waits in stalled
         )
         upstreams = {
             upstream.upstream_id: upstream
-            for waits in lying
+            for waits in stalled
             for upstream in self._upstreams(waits.route)
         }
         owned = {
             upstream.upstream_id
-            for waits in lying
+            for waits in stalled
             if waits.route is not None
             for upstream in self.waits.slots.owned_upstreams(waits.route)
         }
         limits = self._limits(upstreams.values())
         log_message(
             'items:waiting',
-            reasons=_count_reasons(lying),
-            jobs=len(lying),
+            reasons=_count_reasons(stalled),
+            jobs=len(stalled),
             oldest_s=round(now - since, 1),
-            at_peers=sum(len(waits.listed) for waits in lying),
+            at_peers=sum(len(waits.listed) for waits in stalled),
             running=len(self.waits.local_items.running),
             own=self._usage([upstreams[name] for name in owned]),
             others=self._usage(
@@ -228,8 +229,8 @@
             ),
             limited=len(limits),
             limits=dict(sorted(limits.items())[:MAX_LIMITS]),
-            parts=self._accused_parts(lying),
-            examples=_examples(lying),
+            parts=self._accused_parts(stalled),
+            examples=_examples(stalled),
         )
 
     def _usage(
@@ -255,11 +256,11 @@
         }
         return {name: rate for name, rate in rates.items() if rate is not None}
 
-    def _accused_parts(self, lying: Iterable[JobWaits]) -> list[int]:
+    def _accused_parts(self, stalled: Iterable[JobWaits]) -> list[int]:
         """Return the hashes of some parts that hold items."""
         held = [
             waits.tracked.items[item_id]
-            for waits in lying
+            for waits in stalled
             for item_id, reason in waits.reasons.items()
             if reason in _PART_REASONS
         ]
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -93,7 +93,7 @@
     findings: list[Finding] = attrs.field(factory=list)
 
     async def play(self) -> None:
-        """Play jobs and faults; return when all is listed or found lying."""
+        """Play jobs and faults; return when all is listed or found stalled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sample, nursery.cancel_scope)
             if self.plan.online_pause_s:
