Put the checks of preemption back into their test

The test of one slot was inserted in the middle of the one before it, so that three of its checks stood in the new test. All of them ran; none is changed.

--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -97,6 +97,9 @@
 def test_batch_items_fill_free_slots_and_the_excess_is_preempted():
     assert count_startable_items(8, 0, 0) == 7
     assert count_startable_items(8, 8, 0) == 0
+    assert count_items_to_preempt(8, 5, {'a': 3}, 'a') == 0
+    assert count_items_to_preempt(8, 6, {'a': 3}, 'a') == 1
+    assert count_items_to_preempt(8, 20, {'a': 3}, 'a') == 3
 
 
 def test_items_run_at_upstreams_with_one_slot():
@@ -104,9 +107,6 @@
     assert count_startable_items(1, 0, 0) == 1
     assert count_startable_items(1, 1, 0) == 0
     assert count_startable_items(1, 0, 1) == 0
-    assert count_items_to_preempt(8, 5, {'a': 3}, 'a') == 0
-    assert count_items_to_preempt(8, 6, {'a': 3}, 'a') == 1
-    assert count_items_to_preempt(8, 20, {'a': 3}, 'a') == 3
 
 
 def test_processes_sharing_an_upstream_preempt_only_the_excess():
