Forget what was adopted for routes that were removed

Cause: only routes in force were looked at, so that the adopted upstreams of a removed route stayed, and were used at once if a route of that name came back. Change: a look at the upstreams forgets the other routes. Evidence: test_route_that_is_removed_and_added_again_has_adopted_nothing fails without the change (1 failed, 11 passed) and passes with it.

--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -168,12 +168,11 @@
         Without routes of which others may leave upstreams unused; a search
         through thousands of waiting items would tell nothing of them.
         """
-        uses: dict[str, dict[str, UpstreamUse]] = {}
-        if self.unused.is_sample_due():
-            uses = {
-                route.name: self._uses_of_others(route) for route in routes
-            }
-        return self.unused.begin_sample(uses)
+        if not self.unused.is_sample_due():
+            return UseSample(self.unused, {})
+        return self.unused.begin_sample(
+            {route.name: self._uses_of_others(route) for route in routes}
+        )
 
     def has_free_slot(self, route: Route) -> bool:
         """Whether any upstream has a free slot for a route's items."""
--- a/briarrill/item_runs/unused_upstreams.py
+++ b/briarrill/item_runs/unused_upstreams.py
@@ -82,9 +82,12 @@
     ) -> 'UseSample':
         """Return the routes with upstreams that are unused or adopted.
 
-        :param uses: use of the upstreams that others own, by route; for a
-            route without an unused one, nothing is recorded as waiting.
+        :param uses: use of the upstreams that others own, by each route in
+            force; for a route without an unused one, nothing is recorded as
+            waiting.
         """
+        for removed in self._routes.keys() - uses.keys():
+            self.record_no_wait(removed)
         sampled: dict[str, Mapping[str, UpstreamUse]] = {}
         for route, by_upstream in uses.items():
             if self.adopted(route) or any(
--- a/tests/item_runs/test_unused_upstreams.py
+++ b/tests/item_runs/test_unused_upstreams.py
@@ -110,3 +110,11 @@
     assert 's' not in unused._routes
     sample.record({'t'})
     assert unused._routes.keys() == {'t'}
+
+
+def test_route_that_is_removed_and_added_again_has_adopted_nothing(
+    unused, clock
+):
+    _adopt(unused, clock, i=UNUSED)
+    assert not unused.begin_sample({}).uses
+    assert not unused.adopted('r')
