--- a/briarrill/coordination/quarantine_trials.py
+++ b/briarrill/coordination/quarantine_trials.py
@@ -23,8 +23,8 @@
 # crashes that led to it are known everywhere
 TRIAL_DELAY_S = 1.0
 
-# time from a trial that was lost until the next one; most upstreams that
-# ended for another reason are back by then
+# time from a trial that was lost until the next one, in which upstreams that
+# end take other requests along
 TRIAL_PAUSE_S = 2.0
 
 # time after which the process that ranks next for a part tries it too: those
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -136,7 +136,7 @@
         try:
             with (
                 self.trials.running(call.prompt_parts, call.request_id),
-                # items end no upstreams, whatever their prompts hold
+                # batch items are known not to end upstreams by themselves
                 self.ends.track(
                     upstream, call.prompt_parts, is_evidence=False
                 ) as run,
