--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -227,9 +227,7 @@
 
     def put(self, key: str, body: bytes, lease: int = 0) -> int:
         """Write a key without conditions."""
-        return self._apply(
-            [(key, base64.b64encode(body).decode(), lease)], []
-        )
+        return self._apply([(key, base64.b64encode(body).decode(), lease)], [])
 
     def remove(self, key: str) -> None:
         if key in self.items:
@@ -300,10 +298,10 @@
                 if revision <= after or not event['key'].startswith(prefix):
                     continue
                 size += len(event.get('value', ''))
-                if events and size > PAGE_BYTES:
-                    if events[-1]['revision'] != revision:
-                        at = events[-1]['revision']
-                        break
+                last = events[-1]['revision'] if events else revision
+                if size > PAGE_BYTES and last != revision:
+                    at = last
+                    break
                 events.append(event)
             if events:
                 return 200, {'events': events, 'at': at}
@@ -471,9 +469,7 @@
         finally:
             self.running -= 1
 
-    async def stream(
-        self, req: Request, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def stream(self, req: Request, writer: asyncio.StreamWriter) -> bool:
         """Stream the events that the caller lacks, in chunks."""
         attempt = req.headers.get('briarrill-attempt-id', '')
         first = int(req.headers.get('last-event-id', '0')) + 1
@@ -692,9 +688,7 @@
         self._servers.append(server)
         return server
 
-    def add_machine(
-        self, program: str, zone: str, memory_mb: int
-    ) -> Machine:
+    def add_machine(self, program: str, zone: str, memory_mb: int) -> Machine:
         machine = Machine(
             self, program, 2 + len(self.machines), zone, memory_mb
         )
@@ -773,9 +767,7 @@
         finally:
             self.channels.discard(writer)
 
-    async def answer(
-        self, req: Request, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def answer(self, req: Request, writer: asyncio.StreamWriter) -> bool:
         attempt = req.headers.get('briarrill-attempt-id', '')
         own = {'Briarrill-Attempt-Id': attempt, 'Keep-Alive': 'timeout=15'}
         if self.waiting >= PORTAL_QUEUE:
@@ -1013,16 +1005,16 @@
 
 def run_case(play: Callable[[], Awaitable[int]], limit_s: float = 115) -> None:
     """Run a case; exit with 2 if it could not run."""
+
     async def limited() -> int:
         async with asyncio.timeout(limit_s):
             return await play()
 
     try:
         code = asyncio.run(limited())
-    except Exception as exc:  # noqa: BLE001
+    except Exception as exc:
         sys.stderr.write(f'the case could not run: {exc!r}\n')
         code = NOT_RUN
     # without the complaints of channels that are open still
     sys.stderr.flush()
     os._exit(code)
-
