--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -571,6 +571,8 @@
 
     def start(self, store: str = '') -> None:
         """Start the process with the command of the deploy file."""
+        if self.fleet.is_over:
+            return
         is_entry = self.program == 'entry'
         listen = f'control_plane = "{self.ip}:{CONTROL_PORT}"'
         if is_entry:
@@ -667,6 +669,7 @@
         self.store = Store()
         self.engines: list[Engine] = []
         self.machines: list[Machine] = []
+        self.is_over = False
         self._servers: list[asyncio.Server] = []
 
     async def __aenter__(self) -> 'Fleet':
@@ -674,6 +677,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        self.is_over = True
         for machine in self.machines:
             machine.kill()
         for server in self._servers:
