Run items whose largest output exceeds the configured memory

Cause: the scheduler compared the tokens that an item may need at most with the memory that the configuration states, and queued an errored result. Both are estimates: a model may stop long before its limit, and what an upstream holds is known to the upstream. Evidence: item:given-up had the reason "memory" and 0 failures for each item of the case, and there was no item:run-ended.

Change: no item is given up for its size. One that may need more than the whole memory starts where half of the memory is free and counts for what is free there, so it neither excludes nor outlasts online requests. One that the upstream refuses, or that is cut without an event, is tried again after 0.1 to 12.8 s, doubling, so that it takes no slots from sound items. Its refusals have a reason of their own in the log and the gauge of waiting items, and its final line names tokens and refusals.

--- a/briarrill/coordination/capacity/knowledge.py
+++ b/briarrill/coordination/capacity/knowledge.py
@@ -143,12 +143,12 @@
     def counted_tokens(self, service: str, tokens: int) -> int:
         """Return the tokens of a request that are counted.
 
-        They are none if the memory of the service's upstreams is not known.
+        They are none if the memory of the service's upstreams is not known,
+        and the whole memory at most.
         """
-        if not self.capacity_of(service).tokens:
-            return 0
-        self._largest = max(tokens, self._largest)
-        return tokens
+        counted = min(tokens, self.capacity_of(service).tokens)
+        self._largest = max(counted, self._largest)
+        return counted
 
     def tokens_at(self, upstream_id: str) -> tuple[int, int]:
         """Return the tokens that online requests and batch items may hold."""
--- a/briarrill/coordination/capacity/memory.py
+++ b/briarrill/coordination/capacity/memory.py
@@ -29,13 +29,17 @@
     'check_fits_any',
     'count_items_to_yield',
     'is_ample',
-    'may_start_item',
+    'tokens_of_item',
 )
 
 # requests of the largest size seen for which memory has to suffice if reports
 # are to be relied on, by slot: as many again may queue
 AMPLE_REQUESTS_PER_SLOT = 2
 
+# share of the memory that has to be free for an item that may need all of it;
+# with less the upstream would soon preempt it and read its prompt again
+MIN_FREE_SHARE = 0.5
+
 
 @attrs.frozen
 class MemoryUse:
@@ -102,18 +106,26 @@
     ]
 
 
-def may_start_item(use: MemoryUse, slots: int, tokens: int) -> bool:
-    """Tell whether a batch item may start beside what an upstream holds.
+def tokens_of_item(use: MemoryUse, slots: int, tokens: int) -> int | None:
+    """Return the tokens that a batch item counts for at an upstream.
 
     It leaves the memory of one slot free for the first online request of a
     peak, unless it is alone there.
 
+    An item may name more tokens than the whole memory and need few of them,
+    as a model may stop long before its limit. Such an item counts for what is
+    free, so that it can run. The upstream refuses one that is too large.
+
     :param slots: requests that the upstream runs at the same time.
-    :param tokens: that the item may hold.
+    :param tokens: the most that the item may hold.
+    :return: None if it has to wait for memory.
     """
     is_idle = not (use.online or use.batch)
     reserve = 0 if is_idle else use.capacity // max(1, slots)
-    return use.free - tokens >= reserve
+    left = use.free - reserve
+    if 0 < use.capacity < tokens:
+        tokens = int(max(left, use.capacity * MIN_FREE_SHARE))
+    return tokens if tokens <= left else None
 
 
 def count_items_to_yield(excess: int, tokens: Sequence[int]) -> int:
--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -273,12 +273,18 @@
     :param is_claimed: whether the item is only claimed; a preferred process
         may still get it.
     :param tokens: that are counted as held at the upstream.
+    :param may_exceed_memory: whether the item may hold more than the whole
+        memory of the upstream, by its own limit.
+    :ivar is_fruitless: whether such a run has brought nothing: the upstream
+        refused it, or sent no event.
     """
 
     progress: ItemProgress
     route: Route
     upstream_id: str
     tokens: int = 0
+    may_exceed_memory: bool = False
+    is_fruitless: bool = attrs.field(default=False, init=False)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_preempted: bool = False
     is_claimed: bool = True
@@ -287,3 +293,20 @@
         """Cancel the run, so that its slot becomes free."""
         self.is_preempted = True
         self.scope.cancel()
+
+    def record_end(self, end: RunEnd, first_event_id: int | None) -> None:
+        """Count a run that was refused, or that brought nothing.
+
+        :param first_event_id: last event that the item had before the run.
+        """
+        progress = self.progress
+        if end is RunEnd.REFUSED:
+            progress.refusals += 1
+        if not self.may_exceed_memory:
+            return
+        if end is RunEnd.REFUSED and progress.refusal is Refusal.UPSTREAM:
+            progress.refusal = Refusal.MEMORY
+            self.is_fruitless = True
+        elif end is RunEnd.CUT and progress.last_event_id == first_event_id:
+            progress.refusals += 1
+            self.is_fruitless = True
--- a/briarrill/item_runs/item_memory.py
+++ b/briarrill/item_runs/item_memory.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..coordination.capacity.memory import MemoryUse, may_start_item
+from ..coordination.capacity.memory import MemoryUse, tokens_of_item
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.routes import Route
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
@@ -42,12 +42,28 @@
         return attrs.evolve(use, batch=batch)
 
     def may_start(self, upstream_id: str, tokens: int) -> bool:
-        """Tell whether an item fits into an upstream's memory."""
+        """Tell whether an item may start beside what an upstream holds."""
         upstream = self.upstreams.find(upstream_id)
-        if upstream is None:
-            return True
-        slots = self.load.knowledge.capacity_of(upstream.service).slots
-        return may_start_item(self.use_of(upstream), slots, tokens)
+        return upstream is None or (
+            self.tokens_to_count(upstream, tokens) is not None
+        )
+
+    def tokens_to_count(
+        self, upstream: RegisteredUpstream, tokens: int
+    ) -> int | None:
+        """Return the tokens that an item counts for if it starts.
+
+        :param tokens: the most that the item may hold.
+        :return: None if it has to wait for memory.
+        """
+        knowledge = self.load.knowledge
+        slots = knowledge.capacity_of(upstream.service).slots
+        return tokens_of_item(self.use_of(upstream), slots, tokens)
+
+    def may_exceed(self, upstream: RegisteredUpstream, tokens: int) -> bool:
+        """Tell whether an item may hold more than an upstream's memory."""
+        knowledge = self.load.knowledge
+        return 0 < knowledge.capacity_of(upstream.service).tokens < tokens
 
     def may_be_short(self, route: Route) -> bool:
         """Tell whether one item of a route may fit where another does not."""
@@ -57,14 +73,6 @@
             for target in route.targets
         )
 
-    def never_fits(self, route: Route, tokens: int) -> bool:
-        """Tell whether an item fits into no memory even when it is empty."""
-        knowledge = self.load.knowledge
-        return all(
-            0 < knowledge.capacity_of(target.service).tokens < tokens
-            for target in route.targets
-        )
-
     def speed_of(self, upstream_id: str) -> float:
         """Return an upstream's speed, 1 for one that is gone."""
         upstream = self.upstreams.find(upstream_id)
--- a/briarrill/item_runs/job_expiry.py
+++ b/briarrill/item_runs/job_expiry.py
@@ -79,6 +79,9 @@
                 request_id=item_id,
                 reason=reason,
                 failures=progress.failures,
+                refusals=progress.refusals,
+                refusal=progress.refusal and progress.refusal.value,
+                tokens=stored.tokens,
             )
             self.committer.add(
                 progress, ItemState.ERRORED, is_withdrawable=True
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -46,6 +46,10 @@
 # upstreams reject an item leaves it to its peers in between
 MAX_DELAY_DOUBLINGS = 3
 
+# the same for an item that may need more than the memory of an upstream: if
+# none has room for it, it costs them a request every few seconds
+MAX_MEMORY_DELAY_DOUBLINGS = 7
+
 # the same after a status that is no failed attempt of the item, so that only
 # the expiry of its job ends the retries
 UNEXPECTED_RETRY_DELAY_S = 1.0
@@ -266,9 +270,6 @@
         """Start an item; return whether others may have a free slot."""
         progress = candidate.progress
         route = candidate.route
-        if self._slots.memory.never_fits(route, progress.stored.tokens):
-            self._queue_result(progress, ItemState.ERRORED, 'memory')
-            return True
         if progress.has_output and not self._slots.may_go_on(
             route, progress.origin
         ):
@@ -282,12 +283,17 @@
                 or progress.is_avoiding
                 or self._slots.memory.may_be_short(route)
             )
+        memory = self._slots.memory
+        tokens = memory.tokens_to_count(upstream, progress.stored.tokens)
         running = RunningItem(
             progress,
             candidate.route,
             upstream.upstream_id,
             tokens=self._load.knowledge.counted_tokens(
-                upstream.service, progress.stored.tokens
+                upstream.service, tokens or 0
+            ),
+            may_exceed_memory=memory.may_exceed(
+                upstream, progress.stored.tokens
             ),
         )
         self._suspended.pop(progress.key, None)
@@ -351,6 +357,7 @@
         job = candidate.tracked.job
         host, customer = (job.host, job.customer) if job else ('', '')
         end = RunEnd.PREEMPTED
+        first_event_id = progress.last_event_id
         began_at = time.monotonic()
         try:
             with (
@@ -377,30 +384,24 @@
             _stop_counting(self._slots, running)
         if running.scope.cancelled_caught:
             end = RunEnd.PREEMPTED
-        if end is RunEnd.REFUSED and not running.is_claimed:
-            progress.refusals += 1
+        if not running.is_claimed:
+            running.record_end(end, first_event_id)
         progress.ran_s += time.monotonic() - began_at
-        self._handle_run_end(
-            progress, running.route, upstream.upstream_id, end
-        )
+        self._handle_run_end(running, end)
         self.wake()
 
-    def _handle_run_end(
-        self,
-        progress: ItemProgress,
-        route: Route,
-        upstream_id: str,
-        end: RunEnd,
-    ) -> None:
+    def _handle_run_end(self, running: RunningItem, end: RunEnd) -> None:
         """Commit the item's result, or schedule its next run."""
-        self._slots.health.record_end(upstream_id, end)
+        progress = running.progress
+        self._slots.health.record_end(running.upstream_id, end)
         log_message(
             'item:run-ended',
             job=progress.job_id,
             request_id=progress.stored.item_id,
-            upstream=upstream_id,
+            upstream=running.upstream_id,
             end=end.name,
             refusal=progress.keep_refusal(end),
+            tokens=progress.stored.tokens,
             event=progress.last_event_id,
             ran_s=round(progress.ran_s, 3),
         )
@@ -412,13 +413,13 @@
             self._queue_result(progress, ItemState.ERRORED, 'impossible')
         elif end is RunEnd.FAILED:
             progress.failures += 1
-            if progress.failures >= route.max_attempts:
+            if progress.failures >= running.route.max_attempts:
                 self._queue_result(progress, ItemState.ERRORED, 'attempts')
         if self._committer.has_pending(*progress.key):
             return
-        delay_s = _retry_delay_s(end, progress.refusals)
+        delay_s = _retry_delay_s(running, end)
         if delay_s is not None:
-            progress.await_next_run(upstream_id, delay_s, AVOIDANCE_S)
+            progress.await_next_run(running.upstream_id, delay_s, AVOIDANCE_S)
         self._suspended[progress.key] = progress
 
     def _queue_result(
@@ -452,11 +453,12 @@
 }
 
 
-def _retry_delay_s(end: RunEnd, refusals: int) -> float | None:
-    """Return the delay of an item's next run, none if it may run at once.
-
-    :param refusals: runs that were refused one after the other.
-    """
+def _retry_delay_s(running: RunningItem, end: RunEnd) -> float | None:
+    """Return the delay of an item's next run, none if it may run at once."""
+    refusals = running.progress.refusals
+    if refusals and running.is_fruitless:
+        doublings = min(refusals - 1, MAX_MEMORY_DELAY_DOUBLINGS)
+        return float(REJECTED_RETRY_DELAY_S * 2**doublings)
     delay_s = _RETRY_DELAYS_S.get(end)
     if delay_s is None or end is not RunEnd.REFUSED or not refusals:
         return delay_s
--- a/briarrill/item_runs/wait_reasons.py
+++ b/briarrill/item_runs/wait_reasons.py
@@ -15,7 +15,8 @@
     LEASE: a peer kept the item. PART: of its prompt. PERMIT: the request
     limit. CONNECTION: the upstream is unreachable. REPLACED: it left, or
     another process answers there. VERSION: it cannot go on with the output.
-    UPSTREAM: it answered that it did not execute the item.
+    UPSTREAM: it answered that it did not execute the item. MEMORY: the same
+    for an item that may need more than the upstream's whole memory.
     """
 
     LEASE = 'lease'
@@ -25,6 +26,7 @@
     REPLACED = 'replaced'
     VERSION = 'version'
     UPSTREAM = 'upstream'
+    MEMORY = 'memory'
 
 
 class WaitReason(enum.Enum):
@@ -54,6 +56,7 @@
     REFUSED_REPLACED = 'refused-replaced'
     REFUSED_VERSION = 'refused-version'
     REFUSED_UPSTREAM = 'refused-upstream'
+    REFUSED_MEMORY = 'refused-memory'
     DELAYED = 'delayed'
     NO_UPSTREAM = 'no-upstream'
     NONE_ACCEPTING = 'none-accepting'
