Start small items behind one that waits for memory

What was seen: an item that does not fit into the memory that online requests leave holds up all items of its route behind it, though slots and memory for them are free.

Cause: a scheduling pass ends for a route with the first item that finds no upstream, unless memory may be short. Whether it may was told by the largest request seen so far, and an item counts as seen only once it starts.

Change: the tokens of the item that found no upstream count too, for the pass and for the reason by which waiting items are counted. Items of different sizes share the result of a search only while memory is ample.

Measured: test_first_large_item_does_not_hold_up_small_ones fails before (none of five small items runs in 20 s) and passes after; tests/item_runs, tests/coordination/capacity and test_memory_placement.py pass.

--- a/briarrill/coordination/capacity/knowledge.py
+++ b/briarrill/coordination/capacity/knowledge.py
@@ -155,9 +155,13 @@
         load = self._load_of(upstream_id)
         return load.online_tokens, load.batch_tokens
 
-    def has_ample_memory(self, service: str) -> bool:
-        """Tell whether requests seen so far fill slots before memory."""
-        return is_ample(self.capacity_of(service), self._largest)
+    def has_ample_memory(self, service: str, tokens: int = 0) -> bool:
+        """Tell whether requests seen so far fill slots before memory.
+
+        :param tokens: of one more request that counts as seen.
+        """
+        largest = max(self._largest, tokens)
+        return is_ample(self.capacity_of(service), largest)
 
     def memory_use(self, upstream: RegisteredUpstream) -> MemoryUse:
         """Return the use of an upstream's memory by all processes."""
--- a/briarrill/item_runs/item_memory.py
+++ b/briarrill/item_runs/item_memory.py
@@ -65,11 +65,14 @@
         knowledge = self.load.knowledge
         return 0 < knowledge.capacity_of(upstream.service).tokens < tokens
 
-    def may_be_short(self, route: Route) -> bool:
-        """Tell whether one item of a route may fit where another does not."""
+    def may_be_short(self, route: Route, tokens: int) -> bool:
+        """Tell whether other items of a route may fit where one does not.
+
+        :param tokens: the most that this one may hold.
+        """
         knowledge = self.load.knowledge
         return not all(
-            knowledge.has_ample_memory(target.service)
+            knowledge.has_ample_memory(target.service, tokens)
             for target in route.targets
         )
 
--- a/briarrill/item_runs/item_waits.py
+++ b/briarrill/item_runs/item_waits.py
@@ -182,24 +182,29 @@
         if held is not None:
             return held
         progress = self.handover.suspended.get(key)
-        search: _Search = (route.name, None, '', False)
-        if progress is not None:
-            delayed = why_delayed(progress, time.monotonic())
-            if delayed is not None:
-                return delayed
-            search = (
-                route.name,
-                progress.origin if progress.has_output else None,
-                progress.avoided_upstream if progress.is_avoiding else '',
-                progress.has_waited(VERSION_WAIT_S),
-            )
-        if not self.slots.has_free_slot(route):
-            search = (route.name,)
+        progress = progress or ItemProgress(key[0], stored)
+        delayed = why_delayed(progress, time.monotonic())
+        if delayed is not None:
+            return delayed
+        search = self._search_for(progress, route)
         if search not in known:
-            progress = progress or ItemProgress(key[0], stored)
             known[search] = self._why_no_upstream(progress, route)
         return known[search]
 
+    def _search_for(self, progress: ItemProgress, route: Route) -> _Search:
+        """Return what the search for an upstream depends on."""
+        if not self.slots.has_free_slot(route):
+            return (route.name,)
+        tokens = progress.stored.tokens
+        may_be_short = self.slots.memory.may_be_short(route, tokens)
+        return (
+            route.name,
+            progress.origin if progress.has_output else None,
+            progress.avoided_upstream if progress.is_avoiding else '',
+            progress.has_waited(VERSION_WAIT_S),
+            tokens if may_be_short else 0,
+        )
+
     def _why_no_upstream(
         self, progress: ItemProgress, route: Route
     ) -> WaitReason:
@@ -217,7 +222,9 @@
             return WaitReason.AT_LIMIT if is_limited else WaitReason.STARTABLE
         if progress.is_avoiding:
             return WaitReason.AVOIDS_UPSTREAM
-        if self.slots.memory.may_be_short(route) and not progress.has_output:
+        if not progress.has_output and self.slots.memory.may_be_short(
+            route, progress.stored.tokens
+        ):
             return WaitReason.FULL
         return WaitReason.AWAITS_VERSION
 
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -270,6 +270,7 @@
         """Start an item; return whether others may have a free slot."""
         progress = candidate.progress
         route = candidate.route
+        memory = self._slots.memory
         if progress.has_output and not self._slots.may_go_on(
             route, progress.origin
         ):
@@ -281,9 +282,8 @@
             return (
                 progress.has_output
                 or progress.is_avoiding
-                or self._slots.memory.may_be_short(route)
+                or memory.may_be_short(route, progress.stored.tokens)
             )
-        memory = self._slots.memory
         tokens = memory.tokens_to_count(upstream, progress.stored.tokens)
         running = RunningItem(
             progress,
--- a/tests/item_runs/test_item_memory.py
+++ b/tests/item_runs/test_item_memory.py
@@ -27,7 +27,7 @@
 from tests.state.test_stored_jobs import make_job
 
 MEMORY = 10_000
-USUAL, TOO_LARGE = 100, MEMORY + 350
+USUAL, LARGE, TOO_LARGE = 100, MEMORY - 500, MEMORY + 350
 
 
 class LargeItems(SchedulerSetup):
@@ -179,3 +179,17 @@
     assert line['refusal'] == 'memory'
     assert line['refusals'] >= 3
     assert line['tokens'] == TOO_LARGE
+
+
+# guards against small items that wait beside free slots behind the first large
+# one that does not fit
+async def test_first_large_item_does_not_hold_up_small_ones(run_large_items):
+    async with run_large_items(stream_events(3)) as (setup, engine):
+        setup.receive_online(1, count=1, tokens=1100)
+        tracked = await setup.submit_sizes(LARGE, *[USUAL] * 5)
+        await _wait_until(lambda: len(tracked.results) == 5)
+        assert len(engine.requests) == 5
+        (waits,) = setup.scheduler.waits.find(setup.routes)
+        assert waits.reasons == {'j1-0': WaitReason.FULL}
+        setup.receive_online(2, count=0, tokens=0)
+        await _wait_until(lambda: not tracked.is_open)
