Send requests whose largest output exceeds the configured memory

Callers saw: an online request that may hold more tokens than the configured memory gets 413 at once, though no upstream was asked.

Cause: as for items, the most that a request may need was compared with the memory that the configuration states. A 413 says that it can never be served, and clients do not repeat it. PROTOCOL.md: "A request that is larger than a runner's memory is rejected as if the runner were full", by the upstream.

Change: the request is placed where half of the memory is free, or would be if batch items yield, and counts for what is free there. If the upstreams refuse it, the caller gets 503 with Retry-After, which is true.

--- a/briarrill/coordination/capacity/knowledge.py
+++ b/briarrill/coordination/capacity/knowledge.py
@@ -14,7 +14,7 @@
 from ...protocol.load_reports import LoadReport, short_hash
 from ..placement import UpstreamCandidate
 from ..upstream_table import RegisteredUpstream
-from .memory import MemoryUse, is_ample
+from .memory import MemoryUse, is_ample, needed_tokens
 from .shared_parts import PartPlaces
 from .speed import SpeedTable
 from .work import UpstreamCapacity, Work
@@ -150,6 +150,27 @@
         self._largest = max(counted, self._largest)
         return counted
 
+    def needed_tokens(self, service: str, tokens: int) -> int:
+        """Return the tokens that have to be free for a request.
+
+        They are none if the memory of the service's upstreams is not known.
+        """
+        counted = self.counted_tokens(service, tokens)
+        capacity = self.capacity_of(service).tokens
+        return min(counted, needed_tokens(capacity, tokens))
+
+    def tokens_to_count(
+        self, upstream: RegisteredUpstream, tokens: int
+    ) -> int:
+        """Return the tokens that a request counts for at an upstream.
+
+        One that may exceed the whole memory counts for what is free, or for
+        what it needs if batch items have to yield.
+        """
+        counted = self.counted_tokens(upstream.service, tokens)
+        free = min(counted, self.memory_use(upstream).free)
+        return max(int(free), self.needed_tokens(upstream.service, tokens))
+
     def tokens_at(self, upstream_id: str) -> tuple[int, int]:
         """Return the tokens that online requests and batch items may hold."""
         load = self._load_of(upstream_id)
--- a/briarrill/coordination/capacity/memory.py
+++ b/briarrill/coordination/capacity/memory.py
@@ -19,16 +19,15 @@
 
 import attrs
 
-from ...errors import TooLargeError
 from ..placement import UpstreamCandidate
-from .work import UpstreamCapacity, Work
+from .work import UpstreamCapacity
 
 __all__ = (
     'MemoryUse',
     'candidates_with_memory',
-    'check_fits_any',
     'count_items_to_yield',
     'is_ample',
+    'needed_tokens',
     'tokens_of_item',
 )
 
@@ -36,8 +35,8 @@
 # are to be relied on, by slot: as many again may queue
 AMPLE_REQUESTS_PER_SLOT = 2
 
-# share of the memory that has to be free for an item that may need all of it;
-# with less the upstream would soon preempt it and read its prompt again
+# share of the memory that has to be free for a request that may exceed all of
+# it; with less the upstream would soon preempt it and read its prompt again
 MIN_FREE_SHARE = 0.5
 
 
@@ -79,16 +78,19 @@
     return not capacity.tokens or most <= capacity.tokens
 
 
-def check_fits_any(work: Work, capacity: UpstreamCapacity) -> None:
-    """Check that a request fits into an upstream that holds no other.
+def needed_tokens(capacity: int, tokens: int) -> int:
+    """Return the tokens that have to be free for a request or an item.
 
-    :raises TooLargeError: it does not.
+    It may name more tokens than the whole memory and need few of them, as a
+    model may stop long before its limit. The upstream decides then, and
+    refuses one that is too large; it is sent where enough is free.
+
+    :param capacity: of an upstream's memory; 0 if unknown or without limit.
+    :param tokens: the most that the request may hold.
     """
-    if 0 < capacity.tokens < work.tokens_to_hold:
-        raise TooLargeError(
-            f'the request may hold {work.tokens_to_hold} tokens,'
-            f' an upstream {capacity.tokens}'
-        )
+    if 0 < capacity < tokens:
+        return int(capacity * MIN_FREE_SHARE)
+    return tokens
 
 
 def candidates_with_memory(
@@ -112,9 +114,7 @@
     It leaves the memory of one slot free for the first online request of a
     peak, unless it is alone there.
 
-    An item may name more tokens than the whole memory and need few of them,
-    as a model may stop long before its limit. Such an item counts for what is
-    free, so that it can run. The upstream refuses one that is too large.
+    An item that may exceed the whole memory counts for what is free.
 
     :param slots: requests that the upstream runs at the same time.
     :param tokens: the most that the item may hold.
@@ -123,9 +123,9 @@
     is_idle = not (use.online or use.batch)
     reserve = 0 if is_idle else use.capacity // max(1, slots)
     left = use.free - reserve
-    if 0 < use.capacity < tokens:
-        tokens = int(max(left, use.capacity * MIN_FREE_SHARE))
-    return tokens if tokens <= left else None
+    if needed_tokens(use.capacity, tokens) > left:
+        return None
+    return int(min(tokens, left))
 
 
 def count_items_to_yield(excess: int, tokens: Sequence[int]) -> int:
--- a/briarrill/relay/placer.py
+++ b/briarrill/relay/placer.py
@@ -73,9 +73,7 @@
 
         :param tokens_to_hold: the most that the request may hold.
         """
-        tokens = self.load.knowledge.counted_tokens(
-            upstream.service, tokens_to_hold
-        )
+        tokens = self.load.knowledge.tokens_to_count(upstream, tokens_to_hold)
         try:
             with self.load.in_flight.counted(
                 upstream.upstream_id, is_batch=False, tokens=tokens
--- a/briarrill/relay/upstream_choice.py
+++ b/briarrill/relay/upstream_choice.py
@@ -6,10 +6,7 @@
 import attrs
 import trio
 
-from ..coordination.capacity.memory import (
-    candidates_with_memory,
-    check_fits_any,
-)
+from ..coordination.capacity.memory import candidates_with_memory
 from ..coordination.load_exchange import LoadExchange
 from ..coordination.placement import (
     UpstreamCandidate,
@@ -179,12 +176,12 @@
         It waits for one for as long as it may be in time then.
 
         :raises NoUpstreamError: no upstream is untried.
-        :raises TooLargeError: the call fits into none even when empty.
         :raises OverloadedError: it fits into none for now.
         """
         knowledge = self.load.knowledge
-        check_fits_any(call.work, knowledge.capacity_of(call.service))
-        tokens = call.work.tokens_to_hold
+        tokens = knowledge.needed_tokens(
+            call.service, call.work.tokens_to_hold
+        )
         while True:
             candidates = self._untried_candidates(call, response, progress)
             fitting = candidates_with_memory(candidates, tokens)
