Take no response with a status outside of HTTP's for an answer

Callers saw, in a play with stand-ins: an answer with a sound head and length and status 600, 700 or 999 is passed on as it is. Statuses below 100 were lost already.

Cause: the parsers have no upper bound, and nothing after them had one. By RFC 9110, section 15, codes outside of 100 to 599 are invalid, and a client treats such a response as one with a server error.

The caller gets 502 or the answer of another upstream, and the upstream counts as failing.

--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -26,6 +26,7 @@
     ResponseHead,
     find_header,
     holds_status_line,
+    is_status,
 )
 from .sent_bytes import why_not_taken
 from .task_errors import unwrap_single_error
@@ -376,9 +377,12 @@
 def _response_head(event: h11.Response) -> ResponseHead:
     """Return the head that was parsed.
 
-    :raises UpstreamLostError: it holds that of another response, too.
+    :raises UpstreamLostError: it holds that of another response, too, or its
+        status is none.
     """
     head = ResponseHead(event.status_code, tuple(event.headers))
+    if not is_status(head.status):
+        raise UpstreamLostError(f'{head.status} is no status of HTTP')
     if holds_status_line(event.reason, head.headers):
         raise UpstreamLostError(
             'a response head was cut and followed by another one'
--- a/briarrill/transport/http_messages.py
+++ b/briarrill/transport/http_messages.py
@@ -16,6 +16,7 @@
     'end_to_end_headers',
     'find_header',
     'holds_status_line',
+    'is_status',
 )
 
 #: Pairs of name and value in the order sent; names are in lower case.
@@ -46,6 +47,10 @@
 # a status line up to its reason
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
 
+# first and last status of HTTP, RFC 9110 section 15
+_FIRST_STATUS = 100
+_LAST_STATUS = 599
+
 # character set of targets and headers
 _CHARSET = 'latin-1'
 
@@ -153,6 +158,11 @@
     return any(_STATUS_LINE.search(text) for text in texts)
 
 
+def is_status(status: int) -> bool:
+    """Tell whether a number is a status of HTTP."""
+    return _FIRST_STATUS <= status <= _LAST_STATUS
+
+
 def end_to_end_headers(headers: Headers, dropped: frozenset[bytes]) -> Headers:
     """Return the end-to-end headers, which a proxy forwards.
 
