--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -275,8 +275,8 @@
     :param tokens: that are counted as held at the upstream.
     :param may_exceed_memory: whether the item may hold more than the whole
         memory of the upstream, by its own limit.
-    :ivar is_fruitless: whether such a run has brought nothing: the upstream
-        refused it, or sent no event.
+    :ivar is_unserved: whether the upstream refused such a run, or sent no
+        event in it.
     """
 
     progress: ItemProgress
@@ -284,7 +284,7 @@
     upstream_id: str
     tokens: int = 0
     may_exceed_memory: bool = False
-    is_fruitless: bool = attrs.field(default=False, init=False)
+    is_unserved: bool = attrs.field(default=False, init=False)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_preempted: bool = False
     is_claimed: bool = True
@@ -295,7 +295,7 @@
         self.scope.cancel()
 
     def record_end(self, end: RunEnd, first_event_id: int | None) -> None:
-        """Count a run that was refused, or that brought nothing.
+        """Count a run that was refused, or that brought no event.
 
         :param first_event_id: last event that the item had before the run.
         """
@@ -306,7 +306,7 @@
             return
         if end is RunEnd.REFUSED and progress.refusal is Refusal.UPSTREAM:
             progress.refusal = Refusal.MEMORY
-            self.is_fruitless = True
+            self.is_unserved = True
         elif end is RunEnd.CUT and progress.last_event_id == first_event_id:
             progress.refusals += 1
-            self.is_fruitless = True
+            self.is_unserved = True
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -46,8 +46,8 @@
 # upstreams reject an item leaves it to its peers in between
 MAX_DELAY_DOUBLINGS = 3
 
-# the same for an item that may need more than the memory of an upstream: if
-# none has room for it, it costs them a request every few seconds
+# the same for an item that may exceed the memory of an upstream; one that is
+# too large for all of them is sent again until it expires
 MAX_MEMORY_DELAY_DOUBLINGS = 7
 
 # the same after a status that is no failed attempt of the item, so that only
@@ -456,7 +456,7 @@
 def _retry_delay_s(running: RunningItem, end: RunEnd) -> float | None:
     """Return the delay of an item's next run, none if it may run at once."""
     refusals = running.progress.refusals
-    if refusals and running.is_fruitless:
+    if refusals and running.is_unserved:
         doublings = min(refusals - 1, MAX_MEMORY_DELAY_DOUBLINGS)
         return float(REJECTED_RETRY_DELAY_S * 2**doublings)
     delay_s = _RETRY_DELAYS_S.get(end)
--- a/briarrill/transport/bounded_http.py
+++ b/briarrill/transport/bounded_http.py
@@ -15,7 +15,7 @@
 import trio
 
 from ..errors import MalformedMessageError
-from .http_messages import holds_status_line, is_status
+from .http_messages import holds_status_line, is_valid_status
 from .unpacking import Unpacker
 
 __all__ = (
@@ -86,14 +86,14 @@
 
 
 def check_head(reply: httpx.Response) -> None:
-    """Check that a reply has one head, with a status of HTTP.
+    """Check that a reply has one head, with a valid status.
 
     :raises httpx.RemoteProtocolError: it has that of another reply, too, or
-        its status is none.
+        its status is invalid.
     """
-    if not is_status(reply.status_code):
+    if not is_valid_status(reply.status_code):
         raise httpx.RemoteProtocolError(
-            f'{reply.status_code} is no status of HTTP', request=reply.request
+            f'{reply.status_code} is no valid status', request=reply.request
         )
     reason = reply.extensions.get('reason_phrase', b'')
     if holds_status_line(reason, tuple(reply.headers.raw)):
--- a/briarrill/transport/sent_bytes.py
+++ b/briarrill/transport/delivery.py
@@ -1,4 +1,4 @@
-"""briarrill.transport.sent_bytes: whether a peer has taken what was sent."""
+"""briarrill.transport.delivery: whether a peer received what was sent."""
 
 import contextlib
 import fcntl
@@ -8,17 +8,18 @@
 
 import trio
 
-__all__ = ('why_not_taken',)
+__all__ = ('why_undelivered',)
 
 _INT = struct.Struct('i')
 
 
-def why_not_taken(sock: trio.socket.SocketType) -> str:
-    """Return why a peer that closed has not taken all bytes, empty if it has.
+def why_undelivered(sock: trio.socket.SocketType) -> str:
+    """Return why a peer that closed lacks sent bytes, empty if it lacks none.
 
-    A peer acknowledges all that it has received when it closes. So bytes
-    without acknowledgement never reached it, though the kernel accepted them
-    for sending. A reset that follows a close is not reported to a reader.
+    The segment that closes a connection acknowledges all that was received.
+    So bytes without acknowledgement never reached the peer, though the kernel
+    accepted them for sending. A reset that follows a close is not reported to
+    a reader.
     """
     error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
--- a/briarrill/transport/http_channel.py
+++ b/briarrill/transport/http_channel.py
@@ -21,14 +21,14 @@
     ResponseTooLargeError,
     UpstreamLostError,
 )
+from .delivery import why_undelivered
 from .http_messages import (
     RequestHead,
     ResponseHead,
     find_header,
     holds_status_line,
-    is_status,
+    is_valid_status,
 )
-from .sent_bytes import why_not_taken
 from .task_errors import unwrap_single_error
 from .turns import Turns
 
@@ -331,21 +331,21 @@
         """Return the next bytes, empty if the server closed the connection.
 
         A response that ends with its connection is whole only if the server
-        has taken the request. The kernel reports a reset once; if the sender
+        received the request. The kernel reports a reset once; if the sender
         got it, the connection looks closed here.
 
         :raises OSError: the connection failed, or was closed before the
-            server had taken the request.
+            server received the request.
         """
         received = await self._sock.recv(MAX_RECEIVE_BYTES)
         if received:
             return received
-        # lets a sender that the kernel has served record that
+        # a sender whose bytes the kernel accepted may not have run since
         await trio.lowlevel.checkpoint()
-        why = why_not_taken(self._sock)
+        why = why_undelivered(self._sock)
         if why or not self._is_request_sent:
             raise ConnectionResetError(
-                f'closed before it took the request: {why or "unsent bytes"}'
+                f'closed before the request: {why or "unsent bytes"}'
             )
         return received
 
@@ -378,11 +378,11 @@
     """Return the head that was parsed.
 
     :raises UpstreamLostError: it holds that of another response, too, or its
-        status is none.
+        status is invalid.
     """
     head = ResponseHead(event.status_code, tuple(event.headers))
-    if not is_status(head.status):
-        raise UpstreamLostError(f'{head.status} is no status of HTTP')
+    if not is_valid_status(head.status):
+        raise UpstreamLostError(f'{head.status} is no valid status')
     if holds_status_line(event.reason, head.headers):
         raise UpstreamLostError(
             'a response head was cut and followed by another one'
--- a/briarrill/transport/http_messages.py
+++ b/briarrill/transport/http_messages.py
@@ -16,7 +16,7 @@
     'end_to_end_headers',
     'find_header',
     'holds_status_line',
-    'is_status',
+    'is_valid_status',
 )
 
 #: Pairs of name and value in the order sent; names are in lower case.
@@ -47,7 +47,7 @@
 # a status line up to its reason
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
 
-# first and last status of HTTP, RFC 9110 section 15
+# first and last valid status
 _FIRST_STATUS = 100
 _LAST_STATUS = 599
 
@@ -158,8 +158,8 @@
     return any(_STATUS_LINE.search(text) for text in texts)
 
 
-def is_status(status: int) -> bool:
-    """Tell whether a number is a status of HTTP."""
+def is_valid_status(status: int) -> bool:
+    """Tell whether a status is valid, RFC 9110 section 15."""
     return _FIRST_STATUS <= status <= _LAST_STATUS
 
 
