Keep lines of earlier tests out of the tests of large items

Cause: eliot hands the lines that it has kept to the first destination.

Change: the list is cleared once the destination is added.

--- a/tests/item_runs/test_item_memory.py
+++ b/tests/item_runs/test_item_memory.py
@@ -61,9 +61,7 @@
 
     def lines_of(self, kind):
         """Return the log lines of one kind."""
-        return [
-            line for line in self.lines if line.get('message_type') == kind
-        ]
+        return [line for line in self.lines if line['message_type'] == kind]
 
 
 @pytest.fixture
@@ -77,6 +75,8 @@
         ):
             setup = LargeItems(address, monkeypatch)
             add_destinations(setup.lines.append)
+            # the first destination gets the lines of earlier tests
+            setup.lines.clear()
             nursery.start_soon(setup.committer.run)
             nursery.start_soon(setup.scheduler.run, lambda: setup.routes)
             try:
