Review 74: run the scripts where a shell allows few descriptors

Cause: a shell that allows 1,024 descriptors would keep the scripts of 1,800 callers from running, and an entry from the 4,100 that its machine has.

Change: the shared parts raise their own soft limit, within the hard one, to what the machines of the sheets have. Networks are chosen apart from those of the tests.

--- a/review/parts_3.py
+++ b/review/parts_3.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import resource
 import socket
 import subprocess
 import sys
@@ -32,6 +33,9 @@
 PEER_PORT = 7660
 ENGINE_PORT = 8080
 
+# those of a machine with the most on the small sheets
+MAX_DESCRIPTORS = 8200
+
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
@@ -288,6 +292,17 @@
         return 0, {}, repr(exc).encode()
 
 
+def allow_descriptors(count):
+    """Let this process and those that it starts open so many descriptors.
+
+    A machine of the sheets allows them; a shell may allow fewer.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < count and (hard == resource.RLIM_INFINITY or hard > soft):
+        allowed = count if hard == resource.RLIM_INFINITY else min(count, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, hard))
+
+
 def run_script(folder, play, limit_s=110):
     """Play a script; exit with 1 if the rule was broken, 0 if it held.
 
@@ -296,6 +311,7 @@
     """
     record = Record(folder)
     code = EXIT_NOT_RUN
+    allow_descriptors(MAX_DESCRIPTORS)
     try:
         with tempfile.TemporaryDirectory() as name:
             held = trio.run(_play, play, pathlib.Path(name), record, limit_s)
@@ -328,9 +344,12 @@
 
 
 def _free_network():
-    """Return a network of loopback addresses whose ports are free."""
+    """Return a network of loopback addresses whose ports are free.
+
+    The tests use second numbers from 100 on.
+    """
     while True:
-        network = f'127.{random.randint(20, 250)}.{random.randint(1, 250)}'
+        network = f'127.{random.randint(20, 99)}.{random.randint(1, 250)}'
         with contextlib.suppress(OSError):
             for number, port in ((1, STORE_PORT), (2, FRONT_PORT)):
                 with socket.socket() as probe:
