Log the route and the configuration of each run of an item

A run at a service where its path is not sent could come from an old configuration, from runners that are taken for those of another service, or from a wrong choice of the route, and no line told these apart. item:run-ended now names the route and the version of the configuration.

--- a/briarrill/item_runs/item.py
+++ b/briarrill/item_runs/item.py
@@ -275,6 +275,7 @@
     :param tokens: that are counted as held at the upstream.
     :param may_exceed_memory: whether the item may hold more than the whole
         memory of the upstream, by its own limit.
+    :param config_version: version of the configuration that has the route.
     :ivar is_unserved: whether the upstream refused such a run, or sent no
         event in it.
     """
@@ -284,6 +285,7 @@
     upstream_id: str
     tokens: int = 0
     may_exceed_memory: bool = False
+    config_version: int = 0
     is_unserved: bool = attrs.field(default=False, init=False)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     is_preempted: bool = False
--- a/briarrill/item_runs/item_order.py
+++ b/briarrill/item_runs/item_order.py
@@ -50,11 +50,15 @@
 
 @attrs.frozen
 class StartableItem:
-    """An item that may be started, with its job and route."""
+    """An item that may be started, with its job and route.
+
+    :param config_version: version of the configuration that has the route.
+    """
 
     progress: ItemProgress
     tracked: TrackedJob
     route: Route
+    config_version: int = 0
 
 
 @attrs.define
@@ -129,7 +133,9 @@
             for item_id in tracked.items:
                 progress = progress_of(tracked, item_id)
                 if progress is not None:
-                    startable.append(StartableItem(progress, tracked, route))
+                    startable.append(
+                        StartableItem(progress, tracked, route, routes.version)
+                    )
         return sorted(startable, key=self._urgency_of_candidate)
 
     def route_of(self, job: StoredJob, routes: RouteTable) -> Route | None:
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -295,6 +295,7 @@
             may_exceed_memory=memory.may_exceed(
                 upstream, progress.stored.tokens
             ),
+            config_version=candidate.config_version,
         )
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
@@ -399,6 +400,8 @@
             job=progress.job_id,
             request_id=progress.stored.item_id,
             upstream=running.upstream_id,
+            route=running.route.name,
+            config_version=running.config_version,
             end=end.name,
             refusal=progress.keep_refusal(end),
             tokens=progress.stored.tokens,
