Run each item of a job by the route that its own path selects

What callers saw: after a configuration that splits a batch route, all items of a job ran at the service of one part, and what it answered was listed as completed; after others, sound items were listed as errored together with one whose route had ended.

Cause: a job was tied to its route by the route's name, which a later version may give to another prefix, host or service, and where no route had the name, by the path of its first item. Service, attempts, expiry, order and the reason for a wait followed from that one route for all items.

Change: an item belongs to the batch route that its job's host and its own path select in the newest configuration, else to the one that the prefix selects under which the job was accepted, which is stored with the job. Items are ordered, given up, taken back and told as waiting each by its own route. The routes of a job are found once for each configuration; where no longer prefix begins with the job's, that is one look-up a job.

--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -3,6 +3,7 @@
 import contextlib
 import math
 import time
+import weakref
 from collections.abc import Iterator
 
 import attrs
@@ -28,7 +29,9 @@
     decode_result,
 )
 from ..transport.key_value import KeyValueService
+from .item_routes import ItemRoutes, find_item_routes
 from .mirror import MirrorListener
+from .routes import RouteTable
 from .shared_reads import SharedReads
 
 __all__ = (
@@ -78,6 +81,8 @@
     _record_parts: dict[str, bytes] = attrs.field(factory=dict)
     _early_results: dict[int, StoredResult] = attrs.field(factory=dict)
     _unreadable_positions: set[int] = attrs.field(factory=set)
+    _routes: weakref.ref[RouteTable] | None = None
+    _item_routes: ItemRoutes = attrs.field(factory=ItemRoutes)
 
     @property
     def is_finished(self) -> bool:
@@ -107,6 +112,18 @@
             return False
         return customer in {None, self.job.customer}
 
+    def item_routes(self, routes: RouteTable) -> ItemRoutes:
+        """Return the routes of the items in a version of the configuration.
+
+        No item has one as long as the job record is incomplete.
+        """
+        if self.job is None:
+            return ItemRoutes()
+        if self._routes is None or self._routes() is not routes:
+            self._routes = weakref.ref(routes)
+            self._item_routes = find_item_routes(self.job, routes)
+        return self._item_routes
+
     def add_job(self, job: StoredJob) -> None:
         """Add the job record unless it was added before."""
         if self.job is not None:
--- a/briarrill/coordination/routes.py
+++ b/briarrill/coordination/routes.py
@@ -32,7 +32,7 @@
     weight: float = 1.0
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Route:
     """Rules for requests of one host and path prefix.
 
@@ -50,6 +50,7 @@
     :param max_unfinished_tokens: most tokens of unfinished items, of each
         customer if there are customers, 0 for no limit.
     :param allows_anonymous: whether requests need no API key.
+    :ivar services: that may receive the requests.
     """
 
     name: str
@@ -67,6 +68,26 @@
     item_ttl_s: float = 0
     max_unfinished_tokens: int = 0
     allows_anonymous: bool = False
+    services: frozenset[str] = attrs.field(
+        default=attrs.Factory(
+            lambda route: frozenset(
+                target.service for target in route.targets
+            ),
+            takes_self=True,
+        ),
+        init=False,
+        eq=False,
+        repr=False,
+    )
+
+    @property
+    def selector(self) -> str:
+        """Return what selects the route: its host and prefix.
+
+        It stands for the route across versions of the configuration, which
+        may exchange the names of routes.
+        """
+        return f'{self.host}{self.prefix}'
 
     @property
     def is_idempotent(self) -> bool:
@@ -126,6 +147,13 @@
             if path.startswith(route.prefix)
         )
 
+    def is_split(self, host: str, prefix: str) -> bool:
+        """Whether a host has routes with longer prefixes that begin so."""
+        return any(
+            route.prefix != prefix and route.prefix.startswith(prefix)
+            for route in self._by_host.get(host, ())
+        )
+
     def routes_of_host(self, host: str, kind: RouteKind) -> list[Route]:
         """Return the host's routes of a kind."""
         return [
--- a/briarrill/item_runs/item_order.py
+++ b/briarrill/item_runs/item_order.py
@@ -4,13 +4,12 @@
 at once, and those of other jobs only after a delay.
 """
 
-import contextlib
+import collections
 import math
 import time
 from collections.abc import (
     Callable,
     Collection,
-    Iterable,
     Iterator,
     Mapping,
 )
@@ -20,11 +19,9 @@
 from ..coordination.batch_choice import JobWork, choose_timely_jobs
 from ..coordination.batch_order import Rank, Urgency, urgency_key
 from ..coordination.job_table import JobTable, TrackedJob
-from ..coordination.routes import Route, RouteKind, RouteTable
+from ..coordination.routes import Route, RouteTable
 from ..coordination.service_times import ServiceTimes
-from ..errors import NotFoundError
 from ..state.rendezvous import rank_nodes
-from ..state.stored_jobs import StoredJob
 from .item import ItemProgress, RunningItem
 from .wait_reasons import WaitReason
 
@@ -47,6 +44,16 @@
 # lower bound of the estimate of the slot time that an item still needs
 MIN_REMAINING_SLOT_TIME_S = 0.2
 
+# the services of a route, whose items compete for the same slots
+_Services = frozenset[str]
+
+# IDs of a job and an item
+_Key = tuple[str, str]
+
+
+# returns the progress of an item, or nothing if it may not start
+_ProgressOf = Callable[[TrackedJob, str], ItemProgress | None]
+
 
 @attrs.frozen
 class StartableItem:
@@ -66,17 +73,20 @@
     """Orders items by urgency.
 
     :param process: name of this process.
-    :param ran_s_by_job: returns the slot time of open items so far.
+    :param ran_s_by_item: returns the slot time of open items so far, by the
+        IDs of job and item.
     """
 
     process: str
     jobs: JobTable
-    _ran_s_by_job: Callable[[], Mapping[str, float]]
+    _ran_s_by_item: Callable[[], Mapping[_Key, float]]
     _first_seen_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _assigned_processes: dict[str, str] = attrs.field(factory=dict, init=False)
     _processes: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _slot_times: ServiceTimes = attrs.field(factory=ServiceTimes, init=False)
-    _timely_jobs: set[str] = attrs.field(factory=set, init=False)
+    _timely_jobs: dict[_Services, Collection[str]] = attrs.field(
+        factory=dict, init=False
+    )
     _chosen_at: float = attrs.field(default=-math.inf, init=False)
 
     def record_slot_time(self, ran_s: float) -> None:
@@ -93,32 +103,19 @@
         if time.monotonic() - self._chosen_at < CHOICE_INTERVAL_S:
             return
         self._chosen_at = time.monotonic()
-        ran_s_by_job = self._ran_s_by_job()
-        work_by_service: dict[str, list[JobWork]] = {}
-        places: dict[str, float] = {}
-        open_jobs = [
-            tracked for tracked in self.jobs.tracked_jobs if tracked.is_open
-        ]
-        for tracked, route in self._with_routes(open_jobs, routes):
-            service = route.targets[0].service
-            places[service] = places_of(route)
-            work_by_service.setdefault(service, []).append(
-                self._work_of(
-                    tracked, route, ran_s_by_job.get(tracked.job_id, 0)
-                )
-            )
-        self._timely_jobs = set[str]().union(
-            *(
-                choose_timely_jobs(work, places[service])
-                for service, work in work_by_service.items()
-            )
-        )
+        places = {
+            route.services: places_of(route) for route in routes.batch_routes
+        }
+        self._timely_jobs = {
+            services: choose_timely_jobs(work, places[services])
+            for services, work in self._work_by_services(routes).items()
+        }
 
     def startable_items(
         self,
         routes: RouteTable,
         processes: Collection[str],
-        progress_of: Callable[[TrackedJob, str], ItemProgress | None],
+        progress_of: _ProgressOf,
     ) -> list[StartableItem]:
         """Return the items that may run now, the most urgent first.
 
@@ -126,58 +123,53 @@
         :param progress_of: returns the progress of an item, or nothing if
             it may not start.
         """
-        startable: list[StartableItem] = []
-        for tracked, route in self._with_routes(
-            self._startable_jobs(processes), routes
-        ):
-            for item_id in tracked.items:
-                progress = progress_of(tracked, item_id)
-                if progress is not None:
-                    startable.append(
-                        StartableItem(progress, tracked, route, routes.version)
-                    )
+        startable = [
+            item
+            for tracked in self._startable_jobs(processes)
+            if not is_newer(tracked, routes)
+            for item in _startable_in_job(tracked, routes, progress_of)
+        ]
         return sorted(startable, key=self._urgency_of_candidate)
 
-    def route_of(self, job: StoredJob, routes: RouteTable) -> Route | None:
-        """Return the batch route in force for a job, if there is one."""
-        route = routes.find_by_name(job.route)
-        if route is not None or not job.items:
-            return route
-        # the route may have been split or renamed since the submission
-        with contextlib.suppress(NotFoundError):
-            route = routes.find(job.host, job.items[0].path)
-        is_batch = route is not None and route.kind is RouteKind.BATCH
-        return route if is_batch else None
-
-    def why_job_waits(
-        self, tracked: TrackedJob, routes: RouteTable
+    def why_item_waits(
+        self, tracked: TrackedJob, route: Route | None, routes: RouteTable
     ) -> WaitReason | None:
-        """Return why no item of an open job may start here, none if it may.
+        """Return why an item of an open job may not start here, if so.
 
         A job that was not looked at, as no slot was free, may start.
+
+        :param route: of the item, none if it has ended.
         """
-        route = self._route_or_reason(tracked, routes)
-        if isinstance(route, WaitReason):
-            return route
+        if is_newer(tracked, routes):
+            return WaitReason.AWAITS_ROUTES
+        if route is None:
+            return WaitReason.NO_ROUTE
         is_known = tracked.job_id in self._assigned_processes
         if is_known and not self._may_start_job(tracked.job_id):
             return WaitReason.OTHER_PROCESS
         return None
 
-    def why_over(self, tracked: TrackedJob, routes: RouteTable) -> str:
-        """Return why a job's items are given up, empty if they are not.
+    def why_over(
+        self, tracked: TrackedJob, routes: RouteTable
+    ) -> dict[str, str]:
+        """Return the items of a job that are given up, each with the reason.
 
-        They are if the job has no route any more, or is older than its route
-        allows. Routes older than the job do not tell.
+        These are the ones that have no route any more, and those that are
+        older than their route allows. Routes older than the job do not tell.
         """
         job = tracked.job
         if job is None or is_newer(tracked, routes):
-            return ''
-        route = self.route_of(job, routes)
-        if route is None:
-            return 'no route'
+            return {}
         age_s = time.time() - job.submitted_at
-        return 'expired' if age_s > route.item_ttl_s + MAX_CLOCK_SKEW_S else ''
+        item_routes = tracked.item_routes(routes)
+        reasons = {
+            item_id: _why_over(item_routes.of(item_id), age_s)
+            for item_id in tracked.items
+            if item_id not in tracked.finished_item_ids
+        }
+        return {
+            item_id: reason for item_id, reason in reasons.items() if reason
+        }
 
     def urgency_of_running(self, running: RunningItem) -> Urgency:
         """Return the sort key of a running item."""
@@ -194,25 +186,38 @@
         return urgency_key(
             _due_in_s(tracked, route),
             max(MIN_REMAINING_SLOT_TIME_S, remaining_s),
-            is_job_timely=tracked.job_id in self._timely_jobs,
+            is_job_timely=(
+                tracked.job_id in self._timely_jobs.get(route.services, ())
+            ),
         )
 
-    def _with_routes(
-        self, jobs: Iterable[TrackedJob], routes: RouteTable
-    ) -> Iterator[tuple[TrackedJob, Route]]:
-        """Yield the jobs that these routes can tell about, with theirs."""
-        for tracked in jobs:
-            route = self._route_or_reason(tracked, routes)
-            if isinstance(route, Route):
-                yield tracked, route
-
-    def _route_or_reason(
-        self, tracked: TrackedJob, routes: RouteTable
-    ) -> Route | WaitReason:
-        """Return the route of a job, or why these routes name none."""
-        if tracked.job is None or is_newer(tracked, routes):
-            return WaitReason.AWAITS_ROUTES
-        return self.route_of(tracked.job, routes) or WaitReason.NO_ROUTE
+    def _work_by_services(
+        self, routes: RouteTable
+    ) -> dict[_Services, list[JobWork]]:
+        """Return the remaining work of open jobs by where it may run."""
+        ran_s = self._ran_s_by_route(routes)
+        by_services: dict[_Services, list[JobWork]] = {}
+        for tracked in self.jobs.tracked_jobs:
+            if not tracked.is_open or is_newer(tracked, routes):
+                continue
+            for route, count in _count_open_items(tracked, routes).items():
+                ran_so_far_s = ran_s.get((tracked.job_id, route), 0)
+                by_services.setdefault(route.services, []).append(
+                    self._work_of(tracked, route, count, ran_so_far_s)
+                )
+        return by_services
+
+    def _ran_s_by_route(
+        self, routes: RouteTable
+    ) -> dict[tuple[str, Route | None], float]:
+        """Return the slot time of open items so far, by job and route."""
+        total_s: dict[tuple[str, Route | None], float] = {}
+        for (job_id, item_id), ran_s in self._ran_s_by_item().items():
+            tracked = self.jobs.find(job_id)
+            if tracked is not None:
+                key = (job_id, tracked.item_routes(routes).of(item_id))
+                total_s[key] = total_s.get(key, 0) + ran_s
+        return total_s
 
     def _urgency_of_candidate(self, candidate: StartableItem) -> Urgency:
         return self.urgency(
@@ -220,10 +225,16 @@
         )
 
     def _work_of(
-        self, tracked: TrackedJob, route: Route, ran_s: float
+        self,
+        tracked: TrackedJob,
+        route: Route,
+        open_items: int,
+        ran_s: float,
     ) -> JobWork:
-        """Return the remaining work of a job."""
-        open_items = len(tracked.items) - len(tracked.finished_item_ids)
+        """Return the remaining work of a job's open items on a route.
+
+        :param ran_s: slot time of these items so far.
+        """
         slot_time_s = self._slot_times.mean_s
         remaining_s = open_items * slot_time_s - ran_s
         return JobWork(
@@ -278,6 +289,47 @@
     )
 
 
+def _startable_in_job(
+    tracked: TrackedJob, routes: RouteTable, progress_of: _ProgressOf
+) -> Iterator[StartableItem]:
+    """Yield the items of a job that have a route and may start."""
+    item_routes = tracked.item_routes(routes)
+    for item_id in tracked.items:
+        route = item_routes.of(item_id)
+        if route is None:
+            continue
+        progress = progress_of(tracked, item_id)
+        if progress is not None:
+            yield StartableItem(progress, tracked, route, routes.version)
+
+
+def _count_open_items(
+    tracked: TrackedJob, routes: RouteTable
+) -> Mapping[Route, int]:
+    """Return the number of a job's open items by their route."""
+    item_routes = tracked.item_routes(routes)
+    if item_routes.own_routes:
+        return collections.Counter(
+            route
+            for item_id in tracked.items.keys() - tracked.finished_item_ids
+            if (route := item_routes.of(item_id)) is not None
+        )
+    if item_routes.job_route is None:
+        return {}
+    open_items = len(tracked.items) - len(tracked.finished_item_ids)
+    return {item_routes.job_route: open_items}
+
+
+def _why_over(route: Route | None, age_s: float) -> str:
+    """Return why an item is given up, empty if it is not.
+
+    :param age_s: time since the submission of its job.
+    """
+    if route is None:
+        return 'no route'
+    return 'expired' if age_s > route.item_ttl_s + MAX_CLOCK_SKEW_S else ''
+
+
 def _due_in_s(tracked: TrackedJob, route: Route) -> float:
     """Return the time within which the runs of a job's items must end."""
     submitted_at = tracked.job.submitted_at if tracked.job else 0
--- a/briarrill/item_runs/item_waits.py
+++ b/briarrill/item_runs/item_waits.py
@@ -6,10 +6,11 @@
 import collections
 import functools
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 import attrs
 
+from ..coordination.item_routes import ItemRoutes
 from ..coordination.job_table import JobTable, TrackedJob
 from ..coordination.routes import Route, RouteTable
 from ..coordination.upstream_table import RegisteredUpstream
@@ -35,18 +36,26 @@
 
 @attrs.frozen
 class JobWaits:
-    """The items of an open job that run nowhere.
+    """The items of an open job on one route that run nowhere.
 
-    :param route: in force for the job, none if it is not known.
+    :param route: in force for the items, none if it is not known.
+    :param item_ids: the job's items on the route, whether they wait or not.
     :param reasons: why each item does not start at this process.
     :param listed: hashes of the items that peers list as theirs.
     """
 
     tracked: TrackedJob
     route: Route | None
+    item_ids: Collection[str]
     reasons: dict[str, WaitReason]
     listed: frozenset[int]
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return the job's ID and what selects the route."""
+        selector = '' if self.route is None else self.route.selector
+        return self.tracked.job_id, selector
+
 
 @attrs.define
 class ItemWaits:
@@ -108,32 +117,35 @@
         known: dict[_Search, WaitReason] = {}
         with self.slots.searching():
             return [
-                self._find_in_job(tracked, routes, none_start, known)
+                self._find_on_route(
+                    tracked, route, item_ids, routes, none_start, known
+                )
                 for tracked in self.jobs.tracked_jobs
                 if tracked.is_open
+                for route, item_ids in _items_by_route(tracked, routes).items()
             ]
 
-    def _find_in_job(
+    def _find_on_route(
         self,
         tracked: TrackedJob,
+        route: Route | None,
+        item_ids: Collection[str],
         routes: RouteTable | None,
         none_start: WaitReason | None,
         known: dict[_Search, WaitReason],
     ) -> JobWaits:
-        """Return what the items of a job wait for.
+        """Return what the items of a job on a route wait for.
 
         :param none_start: why no item of any job starts, if so.
         :param known: results of searches that items share.
         """
-        route = None
-        if routes is not None and tracked.job is not None:
-            route = self.order.route_of(tracked.job, routes)
-            none_start = none_start or self.order.why_job_waits(
-                tracked, routes
+        if routes is not None:
+            none_start = none_start or self.order.why_item_waits(
+                tracked, route, routes
             )
         listed: set[int] = set()
         reasons: dict[str, WaitReason] = {}
-        for key in self._keys_not_running(tracked):
+        for key in self._keys_not_running(tracked, item_ids):
             reason = self.local_items.committer.why_unwritten(key, tracked)
             if reason is None and self._is_listed_by_peer(key):
                 listed.add(short_hash(key[1]))
@@ -143,11 +155,13 @@
                 or none_start
                 or self._why_item_waits(key, tracked, route, known)
             )
-        return JobWaits(tracked, route, reasons, frozenset(listed))
+        return JobWaits(tracked, route, item_ids, reasons, frozenset(listed))
 
-    def _keys_not_running(self, tracked: TrackedJob) -> Iterator[_Key]:
-        """Yield the open items of a job that do not run here."""
-        for item_id in tracked.items:
+    def _keys_not_running(
+        self, tracked: TrackedJob, item_ids: Iterable[str]
+    ) -> Iterator[_Key]:
+        """Yield those of a job's items that are open and do not run here."""
+        for item_id in item_ids:
             key = (tracked.job_id, item_id)
             if (
                 item_id not in tracked.finished_item_ids
@@ -194,11 +208,11 @@
     def _search_for(self, progress: ItemProgress, route: Route) -> _Search:
         """Return what the search for an upstream depends on."""
         if not self.slots.has_free_slot(route):
-            return (route.name,)
+            return (route.targets,)
         tokens = progress.stored.tokens
         may_be_short = self.slots.memory.may_be_short(route, tokens)
         return (
-            route.name,
+            route.targets,
             progress.origin if progress.has_output else None,
             progress.avoided_upstream if progress.is_avoiding else '',
             progress.has_waited(VERSION_WAIT_S),
@@ -247,6 +261,21 @@
         return WaitReason.NONE_ACCEPTING
 
 
+def _items_by_route(
+    tracked: TrackedJob, routes: RouteTable | None
+) -> Mapping[Route | None, Collection[str]]:
+    """Return the IDs of a job's items by their route."""
+    item_routes = (
+        ItemRoutes() if routes is None else tracked.item_routes(routes)
+    )
+    if not item_routes.own_routes:
+        return {item_routes.job_route: tracked.items.keys()}
+    by_route: dict[Route | None, set[str]] = {}
+    for item_id in tracked.items:
+        by_route.setdefault(item_routes.of(item_id), set()).add(item_id)
+    return by_route
+
+
 def why_delayed(progress: ItemProgress, now: float) -> WaitReason | None:
     """Return why the next run of an item is later, none if it is not.
 
--- a/briarrill/item_runs/job_expiry.py
+++ b/briarrill/item_runs/job_expiry.py
@@ -1,12 +1,14 @@
-"""briarrill.item_runs.job_expiry: gives up the items of jobs that are over.
+"""briarrill.item_runs.job_expiry: gives up items that are over.
 
-A job is over once its route has ended or it is older than its route allows.
+An item is over once its route has ended or its job is older than the route
+allows. Other items of the job are not affected.
 A process may learn of newer routes after it has given items up, so their
 results are taken back then, unless they are written.
 """
 
 import math
 import time
+from collections.abc import Mapping
 
 import attrs
 from eliot import log_message
@@ -27,7 +29,7 @@
 
 @attrs.define
 class JobExpiry:
-    """Queues an errored result for each open item of a job that is over."""
+    """Queues an errored result for each open item that is over."""
 
     jobs: JobTable
     order: ItemOrder
@@ -54,22 +56,23 @@
             tracked for tracked in self.jobs.tracked_jobs if tracked.is_open
         ]
         for tracked in open_jobs:
-            reason = self.order.why_over(tracked, routes)
-            if reason:
-                self._give_up(tracked, reason)
-            else:
-                self._take_back(tracked)
+            reasons = self.order.why_over(tracked, routes)
+            self._give_up(tracked, reasons)
+            self._take_back(tracked, reasons)
         self._log_awaiting_jobs(open_jobs, routes)
 
-    def _give_up(self, tracked: TrackedJob, reason: str) -> None:
-        """Queue an errored result for each open item of a job."""
-        for item_id, stored in tracked.items.items():
-            if (
-                item_id in tracked.finished_item_ids
-                or self.committer.has_pending(tracked.job_id, item_id)
-            ):
+    def _give_up(
+        self, tracked: TrackedJob, reasons: Mapping[str, str]
+    ) -> None:
+        """Queue an errored result for some items of a job.
+
+        :param reasons: why each of them is given up, by ID.
+        """
+        for item_id, reason in reasons.items():
+            if self.committer.has_pending(tracked.job_id, item_id):
                 continue
             key = (tracked.job_id, item_id)
+            stored = tracked.items[item_id]
             progress = self.local_items.suspended.pop(
                 key, None
             ) or ItemProgress(tracked.job_id, stored)
@@ -87,9 +90,14 @@
                 progress, ItemState.ERRORED, is_withdrawable=True
             )
 
-    def _take_back(self, tracked: TrackedJob) -> None:
-        """Suspend the given-up items of a job whose results are unwritten."""
-        for progress in self.committer.withdraw(tracked.job_id):
+    def _take_back(
+        self, tracked: TrackedJob, reasons: Mapping[str, str]
+    ) -> None:
+        """Suspend the given-up items whose results are unwritten.
+
+        :param reasons: the items that are still given up.
+        """
+        for progress in self.committer.withdraw(tracked.job_id, reasons):
             log_message(
                 'item:taken-back',
                 job=progress.job_id,
--- a/briarrill/item_runs/local_items.py
+++ b/briarrill/item_runs/local_items.py
@@ -5,8 +5,6 @@
 if this process is lost.
 """
 
-import collections
-
 import attrs
 
 from ..protocol.load_reports import LoadReport, short_hash
@@ -93,12 +91,9 @@
                 self.suspended.pop(progress.key)
                 self.committer.add(progress, ItemState.COMPLETED)
 
-    def ran_s_by_job(self) -> dict[str, float]:
-        """Return the slot time of the open items at this process, by job."""
-        total_s: dict[str, float] = collections.defaultdict(float)
-        for progress in self.open_items:
-            total_s[progress.job_id] += progress.ran_s
-        return total_s
+    def ran_s_by_item(self) -> dict[_Key, float]:
+        """Return the slot time of each open item at this process."""
+        return {progress.key: progress.ran_s for progress in self.open_items}
 
     def complete_report(self, report: LoadReport) -> LoadReport:
         """Add this process's items to a load report, and whether it drains."""
--- a/briarrill/item_runs/result_commits.py
+++ b/briarrill/item_runs/result_commits.py
@@ -12,7 +12,7 @@
 
 import itertools
 import time
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 
 import attrs
 import trio
@@ -150,9 +150,18 @@
             self._remove(progress.job_id, progress.stored.item_id)
         return released
 
-    def withdraw(self, job_id: str) -> list[ItemProgress]:
-        """Remove and return a job's withdrawable items not written yet."""
-        keys = [key for key in self._withdrawable if key[0] == job_id]
+    def withdraw(
+        self, job_id: str, kept: Container[str] = ()
+    ) -> list[ItemProgress]:
+        """Remove and return a job's withdrawable items not written yet.
+
+        :param kept: IDs of the items that stay queued.
+        """
+        keys = [
+            key
+            for key in self._withdrawable
+            if key[0] == job_id and key[1] not in kept
+        ]
         withdrawn = [self._uncommitted[key] for key in keys]
         for _, item_id in keys:
             self._remove(job_id, item_id)
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -89,7 +89,7 @@
         self._committer = committer
         self.local_items = LocalItems(committer, handover.suspended)
         self._item_order = ItemOrder(
-            slots.process, jobs, self.local_items.ran_s_by_job
+            slots.process, jobs, self.local_items.ran_s_by_item
         )
         self._suspended = handover.suspended
         self._running = self.local_items.running
--- a/briarrill/item_runs/wait_check.py
+++ b/briarrill/item_runs/wait_check.py
@@ -7,7 +7,7 @@
 
 import collections
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 import trio
@@ -54,9 +54,16 @@
 )
 
 
+# events and failures of items by ID
+_Seen = dict[str, tuple[int, int]]
+
+# ID of a job, and what selects a route of its items
+_WaitsKey = tuple[str, str]
+
+
 @attrs.define
 class _Activity:
-    """What is known of the runs of a job's items.
+    """What is known of the runs of a job's items on a route.
 
     :param seen: changes with each end and each event of an item.
     :param listed: hashes of the items that peers listed at the last check.
@@ -78,7 +85,9 @@
     waits: ItemWaits
     routes: Callable[[], RouteTable | None]
     clock: Callable[[], float] = time.monotonic
-    _activities: dict[str, _Activity] = attrs.field(factory=dict, init=False)
+    _activities: dict[_WaitsKey, _Activity] = attrs.field(
+        factory=dict, init=False
+    )
     _stalled_since: float | None = attrs.field(default=None, init=False)
     _logged_at: float = attrs.field(default=0, init=False)
     _shown: set[str] = attrs.field(factory=set, init=False)
@@ -102,49 +111,47 @@
             waits
             for waits in jobs
             if waits.reasons
-            and now - self._activities[waits.tracked.job_id].active_at
-            >= MAX_QUIET_S
+            and now - self._activities[waits.key].active_at >= MAX_QUIET_S
         ]
         idle = set(filter(self._is_idle, {waits.route for waits in stalled}))
         self._log([waits for waits in stalled if waits.route in idle], now)
 
     def _record_activities(self, jobs: Iterable[JobWaits], now: float) -> None:
-        """Record which jobs have had a run since the last check."""
+        """Record which items have had a run since the last check."""
         seen = self._seen_by_job()
         working = self._hashes_at_working_peers()
-        running = {
-            key[0]
-            for key, item in self.waits.local_items.running.items()
-            if not (item.is_claimed or item.progress.refusals)
-        }
-        activities: dict[str, _Activity] = {}
+        running: dict[str, list[str]] = {}
+        for (job_id, item_id), item in self.waits.local_items.running.items():
+            if not (item.is_claimed or item.progress.refusals):
+                running.setdefault(job_id, []).append(item_id)
+        activities: dict[_WaitsKey, _Activity] = {}
         for waits in jobs:
-            job_id = waits.tracked.job_id
             newest = _Activity(
-                (len(waits.tracked.results), *seen.get(job_id, ())),
-                waits.listed & working,
-                now,
+                _sum_seen(waits, seen), waits.listed & working, now
             )
-            known = self._activities.get(job_id)
+            known = self._activities.get(waits.key)
             # a run that is refused is listed for less than a check
             if known is not None and not (
                 known.seen != newest.seen
                 or known.listed & newest.listed
-                or job_id in running
+                or any(
+                    item_id in waits.item_ids
+                    for item_id in running.get(waits.tracked.job_id, ())
+                )
             ):
                 newest.active_at = known.active_at
-            activities[job_id] = newest
+            activities[waits.key] = newest
         self._activities = activities
 
-    def _seen_by_job(self) -> dict[str, list[int]]:
-        """Return the sums of events and failures of the own items by job."""
-        seen: dict[str, list[int]] = collections.defaultdict(lambda: [0, 0])
+    def _seen_by_job(self) -> dict[str, _Seen]:
+        """Return events and failures of the own items by job."""
+        by_job: dict[str, _Seen] = {}
         for progress in self.waits.local_items.open_items:
             if progress.has_progress:
-                counts = seen[progress.job_id]
-                counts[0] += progress.last_event_id or 0
-                counts[1] += progress.failures
-        return seen
+                job_id, item_id = progress.key
+                counts = (progress.last_event_id or 0, progress.failures)
+                by_job.setdefault(job_id, {})[item_id] = counts
+        return by_job
 
     def _hashes_at_working_peers(self) -> set[int]:
         """Return the items that peers with items at upstreams list."""
@@ -200,10 +207,7 @@
             self._log_line(stalled, now)
 
     def _log_line(self, stalled: Collection[JobWaits], now: float) -> None:
-        since = min(
-            self._activities[waits.tracked.job_id].active_at
-            for waits in stalled
-        )
+        since = min(self._activities[waits.key].active_at for waits in stalled)
         upstreams = {
             upstream.upstream_id: upstream
             for waits in stalled
@@ -219,7 +223,7 @@
         log_message(
             'items:waiting',
             reasons=_count_reasons(stalled),
-            jobs=len(stalled),
+            jobs=len({waits.tracked.job_id for waits in stalled}),
             oldest_s=round(now - since, 1),
             at_peers=sum(len(waits.listed) for waits in stalled),
             running=len(self.waits.local_items.running),
@@ -270,6 +274,18 @@
         return sorted(parts)[:MAX_PARTS]
 
 
+def _sum_seen(waits: JobWaits, seen: Mapping[str, _Seen]) -> tuple[int, ...]:
+    """Return the numbers of results, events and failures of some items."""
+    finished = waits.tracked.finished_item_ids
+    of_job = seen.get(waits.tracked.job_id, {})
+    counts = [of_job[item_id] for item_id in of_job.keys() & waits.item_ids]
+    return (
+        len(finished.intersection(waits.item_ids)),
+        sum(events for events, _ in counts),
+        sum(failures for _, failures in counts),
+    )
+
+
 def _count_reasons(jobs: Iterable[JobWaits]) -> dict[str, int]:
     """Return the number of items by reason, the most frequent first."""
     counts = collections.Counter(
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -155,6 +155,7 @@
             items=submitted_items,
             config_version=intent.config_version,
             customer=intent.customer.name,
+            prefix=route.prefix,
         )
         changes = self._creation_changes(job)
         tokens = sum(submitted.tokens for submitted in submitted_items)
--- a/briarrill/state/stored_jobs.py
+++ b/briarrill/state/stored_jobs.py
@@ -68,6 +68,7 @@
     :param config_version: version of the configuration under which it was
         accepted, 0 if it is not known.
     :param customer: name of the customer whose job it is, empty for none.
+    :param prefix: of the route that received it, empty if it is not known.
     """
 
     job_id: str
@@ -77,6 +78,7 @@
     items: tuple[StoredItem, ...]
     config_version: int = 0
     customer: str = ''
+    prefix: str = ''
 
 
 @attrs.frozen
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -182,13 +182,14 @@
     host: str,
     start: int = 0,
     version: str = 'v1',
+    service: str = 'llm',
 ) -> None:
     """Register an upstream of four slots.
 
     :param start: number that tells its starts apart.
     """
     registration = {
-        'service': 'llm',
+        'service': service,
         'address': f'{host}:8080',
         'zone': 'a',
         'version': version,
--- a/tests/item_runs/test_job_expiry.py
+++ b/tests/item_runs/test_job_expiry.py
@@ -44,7 +44,9 @@
         self.table = JobTable(self.service)
         self.committer = Committer(self.service, self.table)
         self.local_items = LocalItems(self.committer, {})
-        self.order = ItemOrder('me', self.table, self.local_items.ran_s_by_job)
+        self.order = ItemOrder(
+            'me', self.table, self.local_items.ran_s_by_item
+        )
         self.expiry = JobExpiry(
             self.table, self.order, self.committer, self.local_items
         )
@@ -182,6 +184,42 @@
     assert len(setup.startable(RouteTable(9, (MOVED_ROUTE,)))) == ITEMS
 
 
+def split_in_two():
+    """Return an expiry setup whose last item has a path of its own."""
+    setup = ExpirySetup(prefix='/')
+    items = list(setup.job.items)
+    items[-1] = attrs.evolve(items[-1], path='/last/x')
+    setup.tracked.job = attrs.evolve(setup.job, items=tuple(items))
+    setup.tracked.items[items[-1].item_id] = items[-1]
+    return setup, items[-1].item_id
+
+
+FIRST_ROUTE = attrs.evolve(ROUTE, name='first', prefix='/p/')
+LAST_ROUTE = attrs.evolve(ROUTE, name='last', prefix='/last/')
+
+
+def test_item_ends_with_its_own_route_alone():
+    """Guards against sound items that are given up with one that is over."""
+    setup, last = split_in_two()
+    setup.expiry.check_if_due(RouteTable(9, (FIRST_ROUTE,)))
+    assert setup.given_up == 1
+    assert setup.committer.has_pending('j1', last)
+    assert len(setup.startable(RouteTable(9, (FIRST_ROUTE,)))) == ITEMS - 1
+    setup.expiry.check_if_due(RouteTable(10, (LAST_ROUTE,)))
+    assert setup.given_up == ITEMS - 1
+    assert not setup.committer.has_pending('j1', last)
+    setup.expiry.check_if_due(RouteTable(11, (FIRST_ROUTE, LAST_ROUTE)))
+    assert not setup.given_up
+
+
+def test_each_item_is_kept_for_the_time_that_its_own_route_allows():
+    setup, last = split_in_two()
+    short = attrs.evolve(LAST_ROUTE, item_ttl_s=-100)
+    setup.expiry.check_if_due(RouteTable(9, (FIRST_ROUTE, short)))
+    assert setup.given_up == 1
+    assert setup.committer.has_pending('j1', last)
+
+
 def test_job_is_checked_at_intervals_by_the_same_routes():
     setup = ExpirySetup()
     setup.expiry.check_if_due(WITH_ROUTE[9])
--- a/tests/item_runs/test_wait_check.py
+++ b/tests/item_runs/test_wait_check.py
@@ -11,6 +11,7 @@
 from eliot import add_destinations, remove_destination
 from prometheus_client import REGISTRY
 
+from briarrill.coordination.routes import RouteTable, Target
 from briarrill.item_runs import wait_check as wait_check_module
 from briarrill.item_runs.item import ItemProgress
 from briarrill.item_runs.wait_check import (
@@ -29,7 +30,11 @@
     respond_with,
     stream_events,
 )
-from tests.item_runs.test_scheduler import UPSTREAM_SLOTS, SchedulerSetup
+from tests.item_runs.test_scheduler import (
+    BATCH_ROUTE,
+    UPSTREAM_SLOTS,
+    SchedulerSetup,
+)
 from tests.serving import serve_standin
 
 # a line must stay far below the size of a log reader's buffer
@@ -267,6 +272,37 @@
     assert line['reasons'] == {'awaits-routes': 1}
 
 
+async def test_stalled_items_are_told_while_others_of_their_job_run(
+    run_scheduler,
+):
+    """Guards against items without upstreams that no line tells of."""
+    async with run_scheduler(stream_events(10_000, pause_s=0.02)) as (
+        setup,
+        _,
+    ):
+        other = attrs.evolve(BATCH_ROUTE, name='other', prefix='/other/')
+        other = attrs.evolve(other, targets=(Target('other'),))
+        setup.routes = RouteTable(2, (BATCH_ROUTE, other))
+        setup.slots.upstreams.register(
+            attrs.evolve(setup.upstream, upstream_id='i-2', service='other')
+        )
+        _quarantine(setup, 'bad')
+        _leave_trials_to_others(setup)
+        tracked = await setup.submit(2)
+        first, second = tracked.job.items
+        held = attrs.evolve(
+            first,
+            path='/other/x',
+            headers={'Briarrill-Prompt-Prefix': 'bad:5,own:1'},
+        )
+        tracked.job = attrs.evolve(tracked.job, items=(held, second))
+        tracked.items[held.item_id] = held
+        await setup.check_for(MAX_QUIET_S + 1)
+        (line,) = setup.lines
+        assert line['reasons'] == {'part-quarantined': 1}
+        assert line['examples'][0]['item'] == held.item_id
+
+
 async def test_check_runs_at_intervals(setup, monkeypatch, autojump_clock):
     checks = []
     monkeypatch.setattr(
--- a/tests/state/test_stored_jobs.py
+++ b/tests/state/test_stored_jobs.py
@@ -40,14 +40,23 @@
         assert decode_job_parts(bodies[:-1]) is None
 
 
-def test_job_stored_before_there_were_customers_has_none():
+@pytest.mark.parametrize('field', ['customer', 'prefix'])
+def test_job_of_an_earlier_release_lacks_what_it_did_not_store(field):
     (change,) = job_creation_changes(make_job(), 1_000_000)
     record = msgspec.msgpack.decode(change.body[2:])
-    record.pop('customer')
+    record.pop(field)
     old = change.body[:2] + msgspec.msgpack.encode(record)
     assert decode_job_parts([old]) == make_job()
 
 
+def test_job_of_a_later_release_is_read():
+    (change,) = job_creation_changes(make_job(), 1_000_000)
+    record = msgspec.msgpack.decode(change.body[2:])
+    record['unknown'] = 'x'
+    new = change.body[:2] + msgspec.msgpack.encode(record)
+    assert decode_job_parts([new]) == make_job()
+
+
 def test_damaged_job_or_result_raises_internal_error():
     (change,) = job_creation_changes(make_job(), 1_000_000)
     with pytest.raises(InternalError):
