Count unfinished tokens by the routes that items have now

What callers would see: after a split of a batch route, its waiting items count for no limit, and the new routes accept up to theirs once more; where two routes exchange names, each refuses jobs for items of the other one.

Cause: the tokens of a route were those of the jobs that a route of its name had accepted, also of jobs being stored and in the question to a peer.

Change: they are those of the items that have the route in the configuration by which the request was read. A submitted job has to fit the limits of all routes of its items. Peers are asked by version, host and prefix, and one with another version does not answer; the path of the question is a new one, as a peer of an earlier release would count by the name.

--- a/briarrill/coordination/item_routes.py
+++ b/briarrill/coordination/item_routes.py
@@ -15,7 +15,7 @@
 from ..state.stored_jobs import StoredJob
 from .routes import Route, RouteKind, RouteTable
 
-__all__ = ('ItemRoutes', 'find_item_routes')
+__all__ = ('ItemRoutes', 'count_tokens_by_route', 'find_item_routes')
 
 
 @attrs.frozen
@@ -54,6 +54,19 @@
     )
 
 
+def count_tokens_by_route(
+    job: StoredJob, routes: RouteTable
+) -> dict[Route, int]:
+    """Return the sum of the tokens of a job's items on each route."""
+    item_routes = find_item_routes(job, routes)
+    tokens: dict[Route, int] = {}
+    for stored in job.items:
+        route = item_routes.of(stored.item_id)
+        if route is not None:
+            tokens[route] = tokens.get(route, 0) + stored.tokens
+    return tokens
+
+
 def _find_job_route(job: StoredJob, routes: RouteTable) -> Route | None:
     """Return the batch route that a job's prefix selects."""
     if job.prefix:
--- a/briarrill/coordination/job_table.py
+++ b/briarrill/coordination/job_table.py
@@ -31,7 +31,7 @@
 from ..transport.key_value import KeyValueService
 from .item_routes import ItemRoutes, find_item_routes
 from .mirror import MirrorListener
-from .routes import RouteTable
+from .routes import Route, RouteTable
 from .shared_reads import SharedReads
 
 __all__ = (
@@ -103,14 +103,12 @@
         """Whether the next result is stored but cannot be read."""
         return len(self.results) in self._unreadable_positions
 
-    def is_of(self, route: str, customer: str | None) -> bool:
-        """Whether a route accepted the job, from a customer if one is named.
+    def is_of(self, customer: str | None) -> bool:
+        """Whether a customer submitted the job, if one is named.
 
         :param customer: empty for jobs without one, none for all jobs.
         """
-        if self.job is None or self.job.route != route:
-            return False
-        return customer in {None, self.job.customer}
+        return self.job is not None and customer in {None, self.job.customer}
 
     def item_routes(self, routes: RouteTable) -> ItemRoutes:
         """Return the routes of the items in a version of the configuration.
@@ -124,6 +122,22 @@
             self._item_routes = find_item_routes(self.job, routes)
         return self._item_routes
 
+    def unfinished_tokens_on(self, route: Route, routes: RouteTable) -> int:
+        """Return the tokens of the items on a route that have no result.
+
+        :param routes: version of the configuration that has the route.
+        """
+        item_routes = self.item_routes(routes)
+        if not item_routes.own_routes:
+            is_job_route = item_routes.job_route == route
+            return self.unfinished_tokens if is_job_route else 0
+        return sum(
+            stored.tokens
+            for item_id, stored in self.items.items()
+            if item_id not in self.finished_item_ids
+            and item_routes.of(item_id) == route
+        )
+
     def add_job(self, job: StoredJob) -> None:
         """Add the job record unless it was added before."""
         if self.job is not None:
@@ -219,13 +233,15 @@
 
     def unfinished_tokens(
         self,
-        route: str,
+        route: Route,
+        routes: RouteTable,
         customer: str | None = None,
         *,
         stored_within_s: float = math.inf,
     ) -> int:
         """Return the tokens of a route's items that have no result.
 
+        :param routes: version of the configuration that has the route.
         :param customer: count only jobs of a customer, empty for those
             without one; default all jobs.
         :param stored_within_s: count only jobs that this process has stored
@@ -233,10 +249,10 @@
         """
         min_stored_at = time.monotonic() - stored_within_s
         return sum(
-            tracked.unfinished_tokens
+            tracked.unfinished_tokens_on(route, routes)
             for tracked in self._jobs.values()
             if tracked.is_open
-            and tracked.is_of(route, customer)
+            and tracked.is_of(customer)
             and tracked.stored_at >= min_stored_at
         )
 
--- a/briarrill/coordination/relay_protocol.py
+++ b/briarrill/coordination/relay_protocol.py
@@ -42,6 +42,9 @@
     END_JOB = enum.auto()
 
 
+_NO_ROUTES = RouteTable(0, ())
+
+
 @attrs.frozen
 class Intent:
     """The parsed head of a caller's request.
@@ -57,7 +60,7 @@
     :param last_event_id: event after which the stream resumes.
     :param resumed_id: identifier of the attempt that began this stream, empty
         for none.
-    :param config_version: version of the routes by which it was read.
+    :param routes: routes by which it was read.
     :param customer: whose key the request has.
     :param asks_for_keys: whether there are customers, who have keys.
     """
@@ -72,10 +75,15 @@
     wait_s: float = 0
     last_event_id: int | None = None
     resumed_id: str = ''
-    config_version: int = 0
+    routes: RouteTable = _NO_ROUTES
     customer: Customer = ANONYMOUS
     asks_for_keys: bool = False
 
+    @property
+    def config_version(self) -> int:
+        """Return the version of the routes by which it was read."""
+        return self.routes.version
+
     def require_route(self) -> Route:
         """Return the route.
 
--- a/briarrill/coordination/routes.py
+++ b/briarrill/coordination/routes.py
@@ -169,6 +169,12 @@
             route for route in self.routes if route.kind is RouteKind.BATCH
         ]
 
+    def find_by_selector(self, selector: str) -> Route | None:
+        """Return the route with this host and prefix, if there is one."""
+        return _first(
+            route for route in self.routes if route.selector == selector
+        )
+
     def find_by_name(self, name: str) -> Route | None:
         """Return the route with a name, or none if it was removed."""
         return _first(route for route in self.routes if route.name == name)
--- a/briarrill/coordination/token_counts.py
+++ b/briarrill/coordination/token_counts.py
@@ -18,13 +18,14 @@
 from ..state.keys import ROOT_PREFIX
 from .job_table import JobTable
 from .load_exchange import LoadExchange
+from .routes import Route, RouteTable
 from .state_transfer import request_from_peer
 
 __all__ = ('MAX_COUNT_AGE_S', 'TOKEN_COUNTS_PATH', 'TokenCounts')
 
-TOKEN_COUNTS_PATH = '/unfinished-tokens/'
+TOKEN_COUNTS_PATH = '/route-tokens/'
 
-# between the names of a route and a customer, which are quoted
+# between version, route and customer, of which the last two are quoted
 _SEPARATOR = '/'
 
 # a live peer replies within one round trip; a job must be accepted within
@@ -50,6 +51,7 @@
     :param is_recent: whether the table has all jobs and results but those of
         the last ``MAX_COUNT_AGE_S``.
     :param port: port at which all processes serve their peers.
+    :param routes: returns the routes in force.
     """
 
     jobs: JobTable
@@ -57,40 +59,50 @@
     load: LoadExchange
     port: int
     rng: random.Random
+    routes: Callable[[], RouteTable | None]
 
     async def count(
-        self, route: str, customer: str | None = None
+        self, route: Route, routes: RouteTable, customer: str | None = None
     ) -> int | None:
         """Return the unfinished tokens of a route, none if nobody knows.
 
         A peer may lack the jobs that this process has just stored, so they
         are added to its count.
 
+        :param routes: version of the configuration that has the route.
         :param customer: count only jobs of a customer, empty for those
             without one; default all jobs.
         """
         if self.is_recent():
-            return self.jobs.unfinished_tokens(route, customer)
+            return self.jobs.unfinished_tokens(route, routes, customer)
+        path = _join_path(route, routes.version, customer)
         for host in self._hosts():
-            tokens = await self._ask(host, _join_path(route, customer))
+            tokens = await self._ask(host, path)
             if tokens is not None:
                 return tokens + self.jobs.unfinished_tokens(
-                    route, customer, stored_within_s=PEER_LAG_S
+                    route, routes, customer, stored_within_s=PEER_LAG_S
                 )
         return None
 
     def reply(self, path: str) -> bytes | None:
         """Return the count that a peer asks for, none if it is not known.
 
-        :param path: name of the route, and of the customer if there is one,
-            each quoted.
+        It is not if the peer has another version of the configuration, by
+        which items may have other routes.
+
+        :param path: version, what selects the route, and the name of the
+            customer if there is one; the last two are quoted.
         """
-        if not self.is_recent():
+        routes = self.routes()
+        if routes is None or not self.is_recent():
+            return None
+        version, *names = path.split(_SEPARATOR)
+        selector, *customers = map(unquote, names)
+        route = routes.find_by_selector(selector)
+        if route is None or version != str(routes.version):
             return None
-        route, separator, customer = path.partition(_SEPARATOR)
-        tokens = self.jobs.unfinished_tokens(
-            unquote(route), unquote(customer) if separator else None
-        )
+        customer = customers[0] if customers else None
+        tokens = self.jobs.unfinished_tokens(route, routes, customer)
         return str(tokens).encode()
 
     def _hosts(self) -> list[str]:
@@ -113,9 +125,11 @@
         return None
 
 
-def _join_path(route: str, customer: str | None) -> str:
+def _join_path(route: Route, version: int, customer: str | None) -> str:
     """Return the path at which a peer is asked for a count."""
-    names = [route] if customer is None else [route, customer]
+    names = (
+        [route.selector] if customer is None else [route.selector, customer]
+    )
     return TOKEN_COUNTS_PATH + _SEPARATOR.join(
-        quote(name, safe='') for name in names
+        (str(version), *(quote(name, safe='') for name in names))
     )
--- a/briarrill/platform/process_parts.py
+++ b/briarrill/platform/process_parts.py
@@ -144,6 +144,7 @@
             self.load,
             self.cfg.peer_port,
             random.Random(),
+            lambda: self.routing_configuration.routes,
         )
         self.resources[TOKEN_COUNTS_PATH] = counts.reply
         return counts
--- a/briarrill/platform/relay_protocol.py
+++ b/briarrill/platform/relay_protocol.py
@@ -137,7 +137,7 @@
             job_id=job_id,
             last_event_id=_last_event_id(head),
             resumed_id=_resumed_id(head),
-            config_version=routes.version,
+            routes=routes,
             customer=customer,
             asks_for_keys=asks_for_keys,
         )
--- a/briarrill/relay/job_calls.py
+++ b/briarrill/relay/job_calls.py
@@ -13,6 +13,7 @@
 from eliot import log_message
 
 from ..coordination.hedged_writes import HedgedWrites
+from ..coordination.item_routes import count_tokens_by_route
 from ..coordination.job_table import (
     MAX_ABSENCE_AGE_S,
     UNREAD_RETRY_AFTER_S,
@@ -20,7 +21,7 @@
     TrackedJob,
 )
 from ..coordination.relay_protocol import Intent, IntentKind, JobProtocol
-from ..coordination.routes import Route
+from ..coordination.routes import Route, RouteTable
 from ..errors import (
     BadRequestError,
     BatchItemsLimitError,
@@ -82,8 +83,8 @@
     :param is_behind: whether the job table may lack what others know.
     :param has_latest_results: finds out whether the job table has all results
         but those of the last ``MAX_ABSENCE_AGE_S``.
-    :param count_tokens: returns the unfinished tokens of a route, and of a
-        customer if one is named; none if they are not known.
+    :param count_tokens: returns the unfinished tokens of a route in these
+        routes, and of a customer if one is named; none if they are not known.
     """
 
     writes: HedgedWrites
@@ -92,9 +93,11 @@
     max_value_bytes: int
     is_behind: Callable[[], bool]
     has_latest_results: Callable[[], Awaitable[bool]]
-    count_tokens: Callable[[str, str | None], Awaitable[int | None]]
-    _reserved_tokens: dict[tuple[str, str | None], int] = attrs.field(
-        factory=dict, init=False
+    count_tokens: Callable[
+        [Route, RouteTable, str | None], Awaitable[int | None]
+    ]
+    _jobs_being_stored: list[TrackedJob] = attrs.field(
+        factory=list, init=False
     )
 
     async def serve(
@@ -158,11 +161,8 @@
             prefix=route.prefix,
         )
         changes = self._creation_changes(job)
-        tokens = sum(submitted.tokens for submitted in submitted_items)
         try:
-            await self._check_token_limit(
-                route, _limited_customer(intent), tokens
-            )
+            await self._check_token_limits(job, intent)
         except (BatchItemsLimitError, NotReadyError):
             # another entry may have stored the job
             tracked = await self.jobs.read(job.job_id)
@@ -170,7 +170,7 @@
                 raise
             _check_customer(tracked, intent)
             return
-        with self._reserve(route.name, _limited_customer(intent), tokens):
+        with self._reserve_tokens(job):
             is_new = await self._store_job(job, changes)
         if intent.asks_for_keys and not is_new:
             await self._check_stored(intent)
@@ -189,21 +189,25 @@
             _check_customer(tracked, intent)
 
     @contextlib.contextmanager
-    def _reserve(
-        self, route: str, customer: str | None, tokens: int
-    ) -> Iterator[None]:
+    def _reserve_tokens(self, job: StoredJob) -> Iterator[None]:
         """Count a job's tokens as unfinished while it is being stored."""
-        key = (route, customer)
-        self._reserved_tokens[key] = self._reserved(route, customer) + tokens
+        tracked = TrackedJob(job.job_id)
+        tracked.add_job(job)
+        self._jobs_being_stored.append(tracked)
         try:
             yield
         finally:
-            self._reserved_tokens[key] -= tokens
-            if not self._reserved_tokens[key]:
-                self._reserved_tokens.pop(key)
-
-    def _reserved(self, route: str, customer: str | None) -> int:
-        return self._reserved_tokens.get((route, customer), 0)
+            self._jobs_being_stored.remove(tracked)
+
+    def _reserved(
+        self, route: Route, routes: RouteTable, customer: str | None
+    ) -> int:
+        """Return the tokens of a route in the jobs that are being stored."""
+        return sum(
+            tracked.unfinished_tokens_on(route, routes)
+            for tracked in self._jobs_being_stored
+            if tracked.is_of(customer)
+        )
 
     def _creation_changes(self, job: StoredJob) -> list[KeyChange]:
         """Return the changes that create a job in one transaction.
@@ -239,26 +243,52 @@
             self.jobs.add(job)
         return revision is not None
 
-    async def _check_token_limit(
-        self, route: Route, customer: str | None, tokens: int
+    async def _check_token_limits(
+        self, job: StoredJob, intent: Intent
     ) -> None:
-        """Check a job's tokens against the route's limit.
+        """Check a job's tokens against the limits of its items' routes.
 
-        :param customer: whose tokens are limited, none for those of all.
-        :raises BatchItemsLimitError: the unfinished tokens would exceed the
-            limit; ``retry_after_s`` is set.
+        :raises BatchItemsLimitError: the unfinished tokens of a route would
+            exceed its limit; ``retry_after_s`` is set.
         :raises NotReadyError: the unfinished tokens are not known yet.
         """
-        limit = route.max_unfinished_tokens
-        if not limit:
-            return
-        unfinished_tokens = await self.count_tokens(route.name, customer)
+        tokens_by_route = count_tokens_by_route(job, intent.routes)
+        limited = [
+            route for route in tokens_by_route if route.max_unfinished_tokens
+        ]
+        # nothing may be reserved between the first check and the last one
+        counts = [await self._count_tokens(route, intent) for route in limited]
+        for route, unfinished_tokens in zip(limited, counts, strict=True):
+            self._check_token_limit(
+                route, intent, unfinished_tokens, tokens_by_route[route]
+            )
+
+    async def _count_tokens(self, route: Route, intent: Intent) -> int:
+        """Return the unfinished tokens that count for a route's limit.
+
+        :raises NotReadyError: they are not known yet.
+        """
+        unfinished_tokens = await self.count_tokens(
+            route, intent.routes, _limited_customer(intent)
+        )
         if unfinished_tokens is None:
             raise NotReadyError(
                 'the unfinished tokens are not known yet',
                 retry_after_s=OUTAGE_RETRY_AFTER_S,
             )
-        unfinished_tokens += self._reserved(route.name, customer)
+        return unfinished_tokens
+
+    def _check_token_limit(
+        self, route: Route, intent: Intent, unfinished_tokens: int, tokens: int
+    ) -> None:
+        """Check a job's tokens on a route against its limit.
+
+        :raises BatchItemsLimitError: they do not fit.
+        """
+        unfinished_tokens += self._reserved(
+            route, intent.routes, _limited_customer(intent)
+        )
+        limit = route.max_unfinished_tokens
         if unfinished_tokens + tokens > limit:
             raise BatchItemsLimitError(
                 f'route {route.name!r}: {unfinished_tokens} of {limit} tokens'
--- a/tests/coordination/allowances/lending_fleet.py
+++ b/tests/coordination/allowances/lending_fleet.py
@@ -12,6 +12,7 @@
 from briarrill.coordination.expected_replies import ExpectedReplies
 from briarrill.coordination.peer_reports import PEER_TIMEOUT_S
 from briarrill.coordination.relay_protocol import Intent, IntentKind
+from briarrill.coordination.routes import RouteTable
 from briarrill.errors import LimitError, OverloadedError
 from briarrill.protocol.allowances import (
     AllowanceRequest,
@@ -111,7 +112,7 @@
             None,
             1,
             customer=self.customer,
-            config_version=self.version,
+            routes=RouteTable(self.version, ()),
         )
         try:
             async with admitted(self.limits, intent):
--- a/tests/item_runs/result_orders.py
+++ b/tests/item_runs/result_orders.py
@@ -355,7 +355,7 @@
             tracked.job_id, tracked.items[item_id]
         )
 
-    async def _count_tokens(self, route_name, customer):
+    async def _count_tokens(self, route, routes, customer):
         return 0
 
 
--- a/tests/relay/test_customer_limits.py
+++ b/tests/relay/test_customer_limits.py
@@ -12,6 +12,7 @@
 from briarrill.coordination.allowances.tenure import Tenure
 from briarrill.coordination.customers.customer import ANONYMOUS, Customer
 from briarrill.coordination.relay_protocol import Intent, IntentKind
+from briarrill.coordination.routes import RouteTable
 from briarrill.errors import (
     OutcomeUnknownError,
     OverloadedError,
@@ -77,7 +78,7 @@
         None,
         1,
         customer=customer,
-        config_version=version,
+        routes=RouteTable(version, ()),
     )
 
 
--- a/tests/relay/test_job_calls.py
+++ b/tests/relay/test_job_calls.py
@@ -13,7 +13,7 @@
 from briarrill.coordination.job_table import MAX_ABSENCE_AGE_S, JobTable
 from briarrill.coordination.load_exchange import LoadExchange
 from briarrill.coordination.relay_protocol import Intent, IntentKind
-from briarrill.coordination.routes import RouteKind
+from briarrill.coordination.routes import RouteKind, RouteTable
 from briarrill.errors import (
     BadRequestError,
     BatchItemsLimitError,
@@ -40,6 +40,14 @@
 from tests.state.test_stored_jobs import make_job
 
 BATCH_ROUTE = route(RouteKind.BATCH, max_unfinished_tokens=1000)
+ROUTES = RouteTable(0, (BATCH_ROUTE,))
+
+
+def make_batch_job(job_id):
+    """Return a job that an earlier release stored for the batch route."""
+    return attrs.evolve(
+        make_job(job_id), route=BATCH_ROUTE.name, host=BATCH_ROUTE.host
+    )
 
 
 class RecordedResponses:
@@ -76,7 +84,7 @@
         self.has_all_jobs = True
 
     async def __call__(self, kind, body=b'', **fields):
-        intent = Intent(kind, 'r', BATCH_ROUTE, math.inf, 'j1')
+        intent = Intent(kind, 'r', BATCH_ROUTE, math.inf, 'j1', routes=ROUTES)
         intent = attrs.evolve(intent, **fields)
         await self._handler.serve(intent, body, self.conn)
         return self.conn.sent[-1]
@@ -97,16 +105,16 @@
             body,
             job_id=job_id,
             route=route,
-            config_version=config_version,
+            routes=RouteTable(config_version, (route,)),
         )
 
     async def _has_latest_results(self):
         return self.is_confirmed
 
-    async def _count_tokens(self, route, customer):
+    async def _count_tokens(self, route, routes, customer):
         if not self.has_all_jobs:
             return None
-        return self.table.unfinished_tokens(route, customer)
+        return self.table.unfinished_tokens(route, routes, customer)
 
 
 @pytest.fixture
@@ -169,11 +177,82 @@
 async def test_repeated_submission_succeeds_at_token_limit(service):
     first_entry, second_entry = EntryHandler(service), EntryHandler(service)
     await first_entry.submit(tokens=900)
-    second_entry.table.add(attrs.evolve(make_job('x'), route=BATCH_ROUTE.name))
+    second_entry.table.add(make_batch_job('x'))
     second_entry.table.find('x').unfinished_tokens = 950
     assert (await second_entry.submit(tokens=900))[0] == 202
 
 
+PARTS = tuple(
+    attrs.evolve(BATCH_ROUTE, name=part, prefix=f'/batch/{part}/')
+    for part in ('one', 'two')
+)
+BEFORE_SPLIT = RouteTable(
+    1, (attrs.evolve(BATCH_ROUTE, max_unfinished_tokens=2000),)
+)
+SPLIT = RouteTable(2, PARTS)
+NAMES_EXCHANGED = RouteTable(
+    3,
+    tuple(
+        attrs.evolve(part, name=other.name)
+        for part, other in zip(PARTS, reversed(PARTS), strict=True)
+    ),
+)
+
+
+async def submit_to(entry, job_id, target, routes, **tokens):
+    """Submit a job to a route with an item of so many tokens on each part."""
+    items = [
+        {'id': f'{job_id}-{part}', 'path': f'/batch/{part}/x', 'tokens': count}
+        | {'headers': {}, 'body': ''}
+        for part, count in tokens.items()
+    ]
+    return await entry(
+        IntentKind.SUBMIT_JOB,
+        json.dumps({'items': items}).encode(),
+        job_id=job_id,
+        route=target,
+        routes=routes,
+    )
+
+
+async def test_items_of_a_split_route_count_for_the_limits_of_its_parts(
+    service,
+):
+    """Guards against waiting items that no route's limit counts."""
+    entry = EntryHandler(service)
+    (whole,) = BEFORE_SPLIT.routes
+    one, two = SPLIT.routes
+    await submit_to(entry, 'j1', whole, BEFORE_SPLIT, one=200, two=900)
+    with pytest.raises(BatchItemsLimitError):
+        await submit_to(entry, 'j2', two, SPLIT, two=200)
+    assert (await submit_to(entry, 'j3', one, SPLIT, one=700))[0] == 202
+    with pytest.raises(BatchItemsLimitError):
+        await submit_to(entry, 'j4', one, SPLIT, one=200)
+
+
+async def test_job_has_to_fit_the_limits_of_all_routes_of_its_items(service):
+    entry = EntryHandler(service)
+    (whole,) = BEFORE_SPLIT.routes
+    routes = RouteTable(2, (whole, *PARTS))
+    with pytest.raises(BatchItemsLimitError):
+        await submit_to(entry, 'j1', whole, routes, one=10, two=1100)
+    accepted = await submit_to(entry, 'j2', whole, routes, one=900, two=900)
+    assert accepted[0] == 202
+
+
+async def test_route_does_not_pay_for_another_one_that_had_its_name(service):
+    """Guards against limits by the names of routes."""
+    entry = EntryHandler(service)
+    one, _ = SPLIT.routes
+    await submit_to(entry, 'j1', one, SPLIT, one=900)
+    one, two = NAMES_EXCHANGED.routes
+    assert two.name == SPLIT.routes[0].name
+    accepted = await submit_to(entry, 'j2', two, NAMES_EXCHANGED, two=900)
+    assert accepted[0] == 202
+    with pytest.raises(BatchItemsLimitError):
+        await submit_to(entry, 'j3', one, NAMES_EXCHANGED, one=200)
+
+
 async def test_lost_write_reply_returns_outcome_unknown(service):
     service.delay_writes = 5
     with pytest.raises(OutcomeUnknownError) as caught:
@@ -393,7 +472,7 @@
 ):
     """The submission reads the job because the route's limit is reached."""
     entry = EntryHandler(partly_unreadable)
-    entry.table.add(attrs.evolve(make_job('x'), route=BATCH_ROUTE.name))
+    entry.table.add(make_batch_job('x'))
     entry.table.find('x').unfinished_tokens = 1000
     partly_unreadable.failing.add(RESULTS)
     with pytest.raises(PlatformUnavailableError):
