Keep retries and estimates by what selects a route, not by its name

What callers would see: after a configuration that gives the name of a route to another one, the retries of the new one are spent already and its response times are compared with those of the former one; a route that is only renamed loses what is known of it.

Cause: retry budgets, response times, times without a free slot and adopted upstreams were kept by the name of a route, beyond one configuration.

Change: the first two are kept by host and prefix, the others by the services of the route, on which alone they depend. Routes of the same services share one look at the upstreams of others.

--- a/briarrill/coordination/capacity/knowledge.py
+++ b/briarrill/coordination/capacity/knowledge.py
@@ -213,7 +213,7 @@
         """Return candidates with what is known of them for a request.
 
         :param upstreams: by ID, at least those of the candidates.
-        :param route: the request's.
+        :param route: what selects the request's route.
         """
         service = next((one.service for one in upstreams.values()), '')
         has_memory = bool(self.capacity_of(service).tokens)
--- a/briarrill/coordination/routes.py
+++ b/briarrill/coordination/routes.py
@@ -10,7 +10,10 @@
 from .capacity.work import UpstreamCapacity
 from .customers.customer import CustomerDirectory
 
-__all__ = ('Route', 'RouteKind', 'RouteTable', 'Target')
+__all__ = ('Route', 'RouteKind', 'RouteTable', 'Services', 'Target')
+
+#: Names of the services that may receive the requests of a route.
+Services = frozenset[str]
 
 _MIN_WEIGHT_SUM = 1e-9
 
@@ -68,7 +71,7 @@
     item_ttl_s: float = 0
     max_unfinished_tokens: int = 0
     allows_anonymous: bool = False
-    services: frozenset[str] = attrs.field(
+    services: Services = attrs.field(
         default=attrs.Factory(
             lambda route: frozenset(
                 target.service for target in route.targets
--- a/briarrill/item_runs/item_order.py
+++ b/briarrill/item_runs/item_order.py
@@ -19,7 +19,7 @@
 from ..coordination.batch_choice import JobWork, choose_timely_jobs
 from ..coordination.batch_order import Rank, Urgency, urgency_key
 from ..coordination.job_table import JobTable, TrackedJob
-from ..coordination.routes import Route, RouteTable
+from ..coordination.routes import Route, RouteTable, Services
 from ..coordination.service_times import ServiceTimes
 from ..state.rendezvous import rank_nodes
 from .item import ItemProgress, RunningItem
@@ -44,9 +44,6 @@
 # lower bound of the estimate of the slot time that an item still needs
 MIN_REMAINING_SLOT_TIME_S = 0.2
 
-# the services of a route, whose items compete for the same slots
-_Services = frozenset[str]
-
 # IDs of a job and an item
 _Key = tuple[str, str]
 
@@ -84,7 +81,7 @@
     _assigned_processes: dict[str, str] = attrs.field(factory=dict, init=False)
     _processes: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _slot_times: ServiceTimes = attrs.field(factory=ServiceTimes, init=False)
-    _timely_jobs: dict[_Services, Collection[str]] = attrs.field(
+    _timely_jobs: dict[Services, Collection[str]] = attrs.field(
         factory=dict, init=False
     )
     _chosen_at: float = attrs.field(default=-math.inf, init=False)
@@ -193,10 +190,10 @@
 
     def _work_by_services(
         self, routes: RouteTable
-    ) -> dict[_Services, list[JobWork]]:
+    ) -> dict[Services, list[JobWork]]:
         """Return the remaining work of open jobs by where it may run."""
         ran_s = self._ran_s_by_route(routes)
-        by_services: dict[_Services, list[JobWork]] = {}
+        by_services: dict[Services, list[JobWork]] = {}
         for tracked in self.jobs.tracked_jobs:
             if not tracked.is_open or is_newer(tracked, routes):
                 continue
--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -280,7 +280,7 @@
                 raise UpstreamLostError('answered 200 without events')
             with (
                 self.knowledge.measure_events(
-                    upstream, call.route.name, call.work
+                    upstream, call.route.selector, call.work
                 ) as meter,
                 self.silence.track_stream(upstream.upstream_id),
             ):
--- a/briarrill/item_runs/item_waits.py
+++ b/briarrill/item_runs/item_waits.py
@@ -208,11 +208,11 @@
     def _search_for(self, progress: ItemProgress, route: Route) -> _Search:
         """Return what the search for an upstream depends on."""
         if not self.slots.has_free_slot(route):
-            return (route.targets,)
+            return (route.services,)
         tokens = progress.stored.tokens
         may_be_short = self.slots.memory.may_be_short(route, tokens)
         return (
-            route.targets,
+            route.services,
             progress.origin if progress.has_output else None,
             progress.avoided_upstream if progress.is_avoiding else '',
             progress.has_waited(VERSION_WAIT_S),
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -258,7 +258,7 @@
         if sample.uses:
             sample.record(
                 {
-                    candidate.route.name
+                    candidate.route.services
                     for candidate in startable
                     if candidate.progress.key not in self._running
                 }
--- a/briarrill/item_runs/slots.py
+++ b/briarrill/item_runs/slots.py
@@ -14,7 +14,7 @@
     own_upstreams,
 )
 from ..coordination.load_exchange import LoadExchange
-from ..coordination.routes import Route
+from ..coordination.routes import Route, Services
 from ..coordination.upstream_table import RegisteredUpstream, UpstreamTable
 from ..protocol.stream_origins import StreamOrigin
 from ..state.keys import ROOT_PREFIX
@@ -45,13 +45,13 @@
 class _Found:
     """What searches of one scheduling pass have found.
 
-    :param owned: the own upstreams for a route, by its name.
-    :param free: free slots for a route and the origin of output.
+    :param owned: the own upstreams of the services of a route.
+    :param free: free slots for these services and the origin of output.
     """
 
-    owned: dict[str, list[RegisteredUpstream]] = attrs.field(factory=dict)
-    free: dict[tuple[str, StreamOrigin | None], dict[str, int]] = attrs.field(
-        factory=dict
+    owned: dict[Services, list[RegisteredUpstream]] = attrs.field(factory=dict)
+    free: dict[tuple[Services, StreamOrigin | None], dict[str, int]] = (
+        attrs.field(factory=dict)
     )
 
 
@@ -87,7 +87,7 @@
     unused: UnusedUpstreams = attrs.field(factory=UnusedUpstreams, init=False)
     _connected_at: float | None = attrs.field(default=None, init=False)
     _places: dict[str, PlaceEstimate] = attrs.field(factory=dict, init=False)
-    _had_room_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _had_room_at: dict[Services, float] = attrs.field(factory=dict, init=False)
     _found: _Found | None = attrs.field(default=None, init=False)
 
     @property
@@ -179,8 +179,12 @@
         """
         if not self.unused.is_sample_due():
             return UseSample(self.unused, {})
+        by_services = {route.services: route for route in routes}
         return self.unused.begin_sample(
-            {route.name: self._uses_of_others(route) for route in routes}
+            {
+                services: self._uses_of_others(route)
+                for services, route in by_services.items()
+            }
         )
 
     def has_free_slot(self, route: Route) -> bool:
@@ -255,17 +259,17 @@
     def owned_upstreams(self, route: Route) -> list[RegisteredUpstream]:
         """Return the upstreams that this process owns for a route's items."""
         found = _Found() if self._found is None else self._found
-        if route.name not in found.owned:
+        if route.services not in found.owned:
             assigned = _assigned_upstreams(
                 self.process, tuple(self.processes()), self.upstreams, route
             )
-            names = assigned.union(self.unused.adopted(route.name))
-            found.owned[route.name] = [
+            names = assigned.union(self.unused.adopted(route.services))
+            found.owned[route.services] = [
                 upstream
                 for upstream in _accepting_upstreams(self.upstreams, route)
                 if upstream.upstream_id in names
             ]
-        return found.owned[route.name]
+        return found.owned[route.services]
 
     def _uses_of_others(self, route: Route) -> dict[str, UpstreamUse]:
         """Return the use of upstreams that other processes own, by ID."""
@@ -290,7 +294,7 @@
         :param origin: output with which they must go on, if any.
         """
         found = _Found() if self._found is None else self._found
-        search = (route.name, origin)
+        search = (route.services, origin)
         if search not in found.free:
             found.free[search] = self._find_free_slots(route, origin)
         return found.free[search]
@@ -311,7 +315,7 @@
             if self.why_passed_over(one) is None
         }
         if any(takes_items.values()):
-            self._had_room_at[route.name] = time.monotonic()
+            self._had_room_at[route.services] = time.monotonic()
         elif self._has_lacked_room(route):
             takes_items |= self._trial_slots(route, owned)
         return {
@@ -335,8 +339,8 @@
             for upstream in _accepting_upstreams(self.upstreams, route)
             if self.why_passed_over(upstream) is None
         ):
-            self._had_room_at[route.name] = now
-        had_room_at = self._had_room_at.setdefault(route.name, now)
+            self._had_room_at[route.services] = now
+        had_room_at = self._had_room_at.setdefault(route.services, now)
         return now - had_room_at > SUSPECT_TRIAL_DELAY_S
 
     def _trial_slots(
--- a/briarrill/item_runs/unused_upstreams.py
+++ b/briarrill/item_runs/unused_upstreams.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from ..coordination.routes import Services
+
 __all__ = ('UnusedUpstreams', 'UpstreamUse', 'UseSample')
 
 # time between two looks at the upstreams of others, which may be hundreds
@@ -40,8 +42,8 @@
 
 
 @attrs.define
-class _RouteUse:
-    """What is known of a route whose items wait.
+class _ServicesUse:
+    """What is known of services for which items wait.
 
     :param waiting_since: monotonic time from which on items waited.
     :param unused_since: the same for upstreams with room and without items.
@@ -57,15 +59,17 @@
 class UnusedUpstreams:
     """Adopts upstreams that nobody uses while items wait here.
 
-    Routes and upstreams are named by their identifiers.
+    What is known of the services of a route outlives its configuration.
     """
 
-    _routes: dict[str, _RouteUse] = attrs.field(factory=dict, init=False)
+    _known: dict[Services, _ServicesUse] = attrs.field(
+        factory=dict, init=False
+    )
     _sampled_at: float | None = attrs.field(default=None, init=False)
 
-    def adopted(self, route: str) -> Collection[str]:
-        """Return the upstreams that this process has adopted for a route."""
-        known = self._routes.get(route)
+    def adopted(self, services: Services) -> Collection[str]:
+        """Return the adopted upstreams of the services of a route."""
+        known = self._known.get(services)
         return known.adopted if known else ()
 
     def is_sample_due(self) -> bool:
@@ -78,37 +82,39 @@
         return True
 
     def begin_sample(
-        self, uses: Mapping[str, Mapping[str, UpstreamUse]]
+        self, uses: Mapping[Services, Mapping[str, UpstreamUse]]
     ) -> 'UseSample':
-        """Return the routes with upstreams that are unused or adopted.
+        """Return the services with upstreams that are unused or adopted.
 
-        :param uses: use of the upstreams that others own, by each route in
-            force; for a route without an unused one, nothing is recorded as
-            waiting.
+        :param uses: use of the upstreams that others own, by the services of
+            each route in force; for services without an unused one, nothing
+            is recorded as waiting.
         """
-        for removed in self._routes.keys() - uses.keys():
+        for removed in self._known.keys() - uses.keys():
             self.record_no_wait(removed)
-        sampled: dict[str, Mapping[str, UpstreamUse]] = {}
-        for route, by_upstream in uses.items():
-            if self.adopted(route) or any(
+        sampled: dict[Services, Mapping[str, UpstreamUse]] = {}
+        for services, by_upstream in uses.items():
+            if self.adopted(services) or any(
                 use.is_unused for use in by_upstream.values()
             ):
-                sampled[route] = by_upstream
+                sampled[services] = by_upstream
             else:
-                self.record_no_wait(route)
+                self.record_no_wait(services)
         return UseSample(self, sampled)
 
-    def record_no_wait(self, route: str) -> None:
-        """Record that no item of a route waits here."""
-        self._routes.pop(route, None)
+    def record_no_wait(self, services: Services) -> None:
+        """Record that no item waits here for some services."""
+        self._known.pop(services, None)
 
-    def record_wait(self, route: str, uses: Mapping[str, UpstreamUse]) -> None:
-        """Record that items of a route wait, and who uses its upstreams.
+    def record_wait(
+        self, services: Services, uses: Mapping[str, UpstreamUse]
+    ) -> None:
+        """Record that items wait for services, and who uses the upstreams.
 
         :param uses: use of the upstreams that others own, by identifier.
         """
         now = time.monotonic()
-        known = self._routes.setdefault(route, _RouteUse(now))
+        known = self._known.setdefault(services, _ServicesUse(now))
         known.unused_since = {
             name: known.unused_since.get(name, now)
             for name, use in uses.items()
@@ -133,16 +139,16 @@
 class UseSample:
     """A look at the upstreams of others, until it is known what waits.
 
-    :param uses: use of the upstreams of the routes that matter.
+    :param uses: use of the upstreams of the services that matter.
     """
 
     _unused: UnusedUpstreams
-    uses: Mapping[str, Mapping[str, UpstreamUse]]
+    uses: Mapping[Services, Mapping[str, UpstreamUse]]
 
-    def record(self, waiting: Collection[str]) -> None:
-        """Record of which routes items wait here."""
-        for route, uses in self.uses.items():
-            if route in waiting:
-                self._unused.record_wait(route, uses)
+    def record(self, waiting: Collection[Services]) -> None:
+        """Record for which services items wait here."""
+        for services, uses in self.uses.items():
+            if services in waiting:
+                self._unused.record_wait(services, uses)
             else:
-                self._unused.record_no_wait(route)
+                self._unused.record_no_wait(services)
--- a/briarrill/relay/exchange.py
+++ b/briarrill/relay/exchange.py
@@ -92,7 +92,7 @@
         head = self.protocol.upstream_request(call, upstream, time_left_s)
         async with channel.exchange(head, call.body):
             with self.load.knowledge.measure(
-                upstream, call.route.name, call.work
+                upstream, call.route.selector, call.work
             ) as meter:
                 response_head = await self._begin_response(
                     attempt, upstream, channel
--- a/briarrill/relay/forwarding.py
+++ b/briarrill/relay/forwarding.py
@@ -124,7 +124,7 @@
         """
         progress = CallProgress()
         began_at = time.monotonic()
-        self._budgets.record_request(call.route.name)
+        self._budgets.record_request(call.route.selector)
         try:
             with cut_off:
                 response.origin = await self._streams.origin_of(call)
@@ -308,7 +308,7 @@
             return False
         if progress.possible_runs and not _is_retryable(call, response):
             return False
-        return self._budgets.try_spend_retry(call.route.name)
+        return self._budgets.try_spend_retry(call.route.selector)
 
 
 def _is_retryable(call: Call, response: Response) -> bool:
--- a/briarrill/relay/upstream_choice.py
+++ b/briarrill/relay/upstream_choice.py
@@ -226,7 +226,7 @@
             self.load.knowledge.describe(
                 [self._make_candidate(one) for one in untried.values()],
                 untried,
-                call.route.name,
+                call.route.selector,
                 call.work,
             )
         )
--- a/tests/item_runs/test_slots.py
+++ b/tests/item_runs/test_slots.py
@@ -2,12 +2,13 @@
 
 import types
 
+import attrs
 import pytest
 
 from briarrill.coordination.capacity.speed import MIN_COMPARED
 from briarrill.coordination.capacity.work import UpstreamCapacity
 from briarrill.coordination.load_exchange import LoadExchange
-from briarrill.coordination.routes import RouteKind
+from briarrill.coordination.routes import RouteKind, Target
 from briarrill.coordination.upstream_table import (
     RegisteredUpstream,
     UpstreamTable,
@@ -100,6 +101,24 @@
     assert max(slots.own_items.values()) == 1
 
 
+def test_time_without_room_is_that_of_the_services_of_a_route(slots, clock):
+    """Guards against times that a route keeps though it was moved."""
+    upstream = slots.upstreams.find('i-0')
+    slots.upstreams.register(
+        attrs.evolve(
+            upstream, upstream_id='i-2', service='other', incarnation='i-2'
+        )
+    )
+    for name in ('i-0', 'i-1', 'i-2'):
+        slots.load.silence.mark_suspect(name)
+    assert not slots.has_free_slot(BATCH_ROUTE)
+    clock.now += SUSPECT_TRIAL_DELAY_S + 0.1
+    moved = attrs.evolve(BATCH_ROUTE, targets=(Target('other'),))
+    assert not slots.has_free_slot(moved)
+    renamed = attrs.evolve(BATCH_ROUTE, name='renamed')
+    assert slots.has_free_slot(renamed)
+
+
 def test_suspected_upstreams_get_nothing_while_another_has_room(slots, clock):
     """Also if the other one is owned by a peer."""
     slots.load.silence.mark_suspect('i-1')
--- a/tests/item_runs/test_unused_upstreams.py
+++ b/tests/item_runs/test_unused_upstreams.py
@@ -10,6 +10,8 @@
     UpstreamUse,
 )
 
+SERVICES, SECOND, THIRD, OTHERS = map(frozenset, 'rsto')
+
 UNUSED = UpstreamUse(has_room=True, peer_items=0)
 USED = UpstreamUse(has_room=True, peer_items=1)
 FULL = UpstreamUse(has_room=False, peer_items=0)
@@ -30,20 +32,20 @@
 
 
 def _adopt(unused, clock, **uses):
-    unused.record_wait('r', uses)
+    unused.record_wait(SERVICES, uses)
     clock.now += ADOPTION_DELAY_S
-    unused.record_wait('r', uses)
+    unused.record_wait(SERVICES, uses)
 
 
 def test_upstream_that_nobody_uses_while_items_wait_is_adopted(unused, clock):
-    unused.record_wait('r', {'i': UNUSED})
+    unused.record_wait(SERVICES, {'i': UNUSED})
     clock.now += ADOPTION_DELAY_S / 2
-    unused.record_wait('r', {'i': UNUSED})
-    assert not unused.adopted('r')
+    unused.record_wait(SERVICES, {'i': UNUSED})
+    assert not unused.adopted(SERVICES)
     clock.now += ADOPTION_DELAY_S / 2
-    unused.record_wait('r', {'i': UNUSED})
-    assert unused.adopted('r') == {'i'}
-    assert not unused.adopted('other')
+    unused.record_wait(SERVICES, {'i': UNUSED})
+    assert unused.adopted(SERVICES) == {'i'}
+    assert not unused.adopted(OTHERS)
 
 
 @pytest.mark.parametrize('use', [USED, FULL])
@@ -51,30 +53,30 @@
     unused, clock, use
 ):
     _adopt(unused, clock, i=use)
-    assert not unused.adopted('r')
+    assert not unused.adopted(SERVICES)
 
 
 def test_time_without_waiting_items_does_not_count(unused, clock):
-    unused.record_wait('r', {'i': UNUSED})
+    unused.record_wait(SERVICES, {'i': UNUSED})
     clock.now += ADOPTION_DELAY_S
-    unused.record_no_wait('r')
-    unused.record_wait('r', {'i': UNUSED})
-    assert not unused.adopted('r')
+    unused.record_no_wait(SERVICES)
+    unused.record_wait(SERVICES, {'i': UNUSED})
+    assert not unused.adopted(SERVICES)
 
 
 def test_use_in_between_begins_the_time_anew(unused, clock):
-    unused.record_wait('r', {'i': UNUSED})
+    unused.record_wait(SERVICES, {'i': UNUSED})
     clock.now += ADOPTION_DELAY_S / 2
-    unused.record_wait('r', {'i': USED})
+    unused.record_wait(SERVICES, {'i': USED})
     clock.now += ADOPTION_DELAY_S / 2
-    unused.record_wait('r', {'i': UNUSED})
-    assert not unused.adopted('r')
+    unused.record_wait(SERVICES, {'i': UNUSED})
+    assert not unused.adopted(SERVICES)
 
 
 def test_adopted_upstream_is_kept_while_own_items_fill_it(unused, clock):
     _adopt(unused, clock, i=UNUSED)
-    unused.record_wait('r', {'i': FULL})
-    assert unused.adopted('r') == {'i'}
+    unused.record_wait(SERVICES, {'i': FULL})
+    assert unused.adopted(SERVICES) == {'i'}
 
 
 @pytest.mark.parametrize('uses', [{'i': USED}, {}])
@@ -82,15 +84,15 @@
     unused, clock, uses
 ):
     _adopt(unused, clock, i=UNUSED)
-    unused.record_wait('r', uses)
-    assert not unused.adopted('r')
+    unused.record_wait(SERVICES, uses)
+    assert not unused.adopted(SERVICES)
 
 
 def test_adoption_ends_when_nothing_waits(unused, clock):
     _adopt(unused, clock, i=UNUSED)
-    unused.record_no_wait('r')
-    assert not unused.adopted('r')
-    assert not unused._routes
+    unused.record_no_wait(SERVICES)
+    assert not unused.adopted(SERVICES)
+    assert not unused._known
 
 
 def test_upstreams_are_looked_at_at_intervals(unused, clock):
@@ -101,15 +103,15 @@
 
 
 def test_only_routes_with_an_unused_or_adopted_upstream_matter(unused, clock):
-    unused.record_wait('s', {'i': UNUSED})
+    unused.record_wait(SECOND, {'i': UNUSED})
     _adopt(unused, clock, i=UNUSED)
     sample = unused.begin_sample(
-        {'r': {'i': FULL}, 's': {'i': USED}, 't': {'i': UNUSED}}
+        {SERVICES: {'i': FULL}, SECOND: {'i': USED}, THIRD: {'i': UNUSED}}
     )
-    assert sample.uses.keys() == {'r', 't'}
-    assert 's' not in unused._routes
-    sample.record({'t'})
-    assert unused._routes.keys() == {'t'}
+    assert sample.uses.keys() == {SERVICES, THIRD}
+    assert SECOND not in unused._known
+    sample.record({THIRD})
+    assert unused._known.keys() == {THIRD}
 
 
 def test_route_that_is_removed_and_added_again_has_adopted_nothing(
@@ -117,4 +119,4 @@
 ):
     _adopt(unused, clock, i=UNUSED)
     assert not unused.begin_sample({}).uses
-    assert not unused.adopted('r')
+    assert not unused.adopted(SERVICES)
