Send no item where its route does not lead any more

What callers would see: an item runs at a service that its route has left, by a process that has the new configuration.

Cause: item, route and upstream are chosen in a scheduling pass. Claim, transfer of progress and connection take up to half a second after that, or as long as the process is suspended, and the route was not looked at again.

Change: the last check before an item is sent, which looks at the upstream, also looks at the route in force. Such a run is refused, for the new reason "route", and the item is chosen anew.

--- a/briarrill/item_runs/item_runner.py
+++ b/briarrill/item_runs/item_runner.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import attrs
 import trio
@@ -53,6 +53,12 @@
 _HTTP_SERVER_ERROR = 500
 
 
+def _is_always_routed(
+    progress: ItemProgress, upstream: RegisteredUpstream
+) -> bool:
+    return True
+
+
 @attrs.define
 class ItemRunner:
     """Sends items to upstreams and adds their events to the progress.
@@ -65,6 +71,8 @@
     :param limits: keeps the request limits of upstreams.
     :param trials: chooses items that run though a part is quarantined.
     :param knowledge: learns from the runs, default one of its own.
+    :ivar is_routed: returns whether the routes in force lead an item to an
+        upstream, by default always.
     """
 
     protocol: RelayProtocol
@@ -82,6 +90,9 @@
     knowledge: UpstreamKnowledge = attrs.field(
         factory=lambda: UpstreamKnowledge(lambda _: UpstreamLoad())
     )
+    is_routed: Callable[[ItemProgress, RegisteredUpstream], bool] = (
+        attrs.field(default=_is_always_routed, init=False)
+    )
     _channels: CallChannels = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -214,6 +225,8 @@
         """Return why an item cannot be sent to a connected upstream now."""
         if not self.upstreams.still_accepts(upstream):
             return Refusal.REPLACED
+        if not self.is_routed(progress, upstream):
+            return Refusal.ROUTE
         if progress.has_output and not self.upstreams.may_go_on(
             upstream, progress.origin
         ):
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -24,6 +24,7 @@
 from .job_expiry import JobExpiry
 from .local_items import LocalItems
 from .result_commits import Committer
+from .routes_in_force import RoutesInForce
 from .slots import FreeSlots
 from .wait_reasons import Refusal
 
@@ -86,6 +87,8 @@
         self._handover = handover
         self._load = handover.load
         self._runner = runner
+        self._routes = RoutesInForce(jobs)
+        runner.is_routed = self._routes.lead_to
         self._committer = committer
         self.local_items = LocalItems(committer, handover.suspended)
         self._item_order = ItemOrder(
@@ -130,6 +133,7 @@
         :param may_expire_jobs: whether the routes are the newest, as far as
             this process can tell.
         """
+        self._routes.read = routes
         async with trio.open_nursery() as nursery:
             while True:
                 with trio.move_on_after(MAX_PASS_INTERVAL_S):
--- a/briarrill/item_runs/wait_reasons.py
+++ b/briarrill/item_runs/wait_reasons.py
@@ -16,7 +16,8 @@
     limit. CONNECTION: the upstream is unreachable. REPLACED: it left, or
     another process answers there. VERSION: it cannot go on with the output.
     UPSTREAM: it answered that it did not execute the item. MEMORY: the same
-    for an item that may need more than the upstream's whole memory.
+    for an item that may need more than the upstream's whole memory. ROUTE:
+    the item's route does not lead there any more.
     """
 
     LEASE = 'lease'
@@ -27,6 +28,7 @@
     VERSION = 'version'
     UPSTREAM = 'upstream'
     MEMORY = 'memory'
+    ROUTE = 'route'
 
 
 class WaitReason(enum.Enum):
@@ -57,6 +59,7 @@
     REFUSED_VERSION = 'refused-version'
     REFUSED_UPSTREAM = 'refused-upstream'
     REFUSED_MEMORY = 'refused-memory'
+    REFUSED_ROUTE = 'refused-route'
     DELAYED = 'delayed'
     NO_UPSTREAM = 'no-upstream'
     NONE_ACCEPTING = 'none-accepting'
