Judge a failed item by the attempts that its route allows now

What callers would see: an item is listed as errored after fewer failures than max_attempts of its route, if a configuration raised it while the item ran.

Cause: a run was judged at its end by the route under which it began.

Change: the route in force decides, if the item has one.

Both cases of test_attempts_are_those_of_the_route_in_force failed before and pass.

--- a/briarrill/item_runs/routes_in_force.py
+++ b/briarrill/item_runs/routes_in_force.py
@@ -26,6 +26,13 @@
     jobs: JobTable
     read: Callable[[], RouteTable | None] = lambda: None
 
+    def route_of(self, progress: ItemProgress, known: Route) -> Route:
+        """Return the route of an item.
+
+        :param known: returned if the item has none, or it is not known.
+        """
+        return self._find(progress) or known
+
     def lead_to(
         self, progress: ItemProgress, upstream: RegisteredUpstream
     ) -> bool:
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -420,7 +420,8 @@
             self._queue_result(progress, ItemState.ERRORED, 'impossible')
         elif end is RunEnd.FAILED:
             progress.failures += 1
-            if progress.failures >= running.route.max_attempts:
+            route = self._routes.route_of(progress, running.route)
+            if progress.failures >= route.max_attempts:
                 self._queue_result(progress, ItemState.ERRORED, 'attempts')
         if self._committer.has_pending(*progress.key):
             return
--- a/tests/item_runs/test_routes_during_runs.py
+++ b/tests/item_runs/test_routes_during_runs.py
@@ -13,6 +13,7 @@
 from briarrill.state.stored_jobs import ItemState
 from standins.platform_engine import (
     StandinEngine,
+    respond_with,
     stream_events,
 )
 from tests.item_runs.test_scheduler import BATCH_ROUTE, SchedulerSetup
@@ -96,3 +97,27 @@
         is_refused = progress.refusal is Refusal.ROUTE
         assert is_refused == (change != 'kept')
         assert bool(first.requests) != is_refused
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'runs', 'state'),
+    [(1, 3, 3, ItemState.COMPLETED), (3, 1, 1, ItemState.ERRORED)],
+)
+async def test_attempts_are_those_of_the_route_in_force(
+    run_scheduler, before, after, runs, state
+):
+    """Guards against items that are given up by an older configuration."""
+    fail = respond_with(b'', 500)
+
+    async def change_and_fail(req, conn):
+        changed = attrs.evolve(BATCH_ROUTE, max_attempts=after)
+        setup.routes = RouteTable(2, (changed,))
+        await fail(req, conn)
+
+    async with run_scheduler(
+        change_and_fail, change_and_fail, stream_events(2)
+    ) as (setup, first, _):
+        attempts = attrs.evolve(BATCH_ROUTE, max_attempts=before)
+        setup.routes = RouteTable(1, (attempts,))
+        assert await run_item(setup) is state
+        assert len(first.requests) == runs
