Split a route of jobs in the soak, and describe the routes of items

The soak had one service, and its routes kept their names. A part of the first route of jobs now becomes a route of another service at times, under the name of the first one; two more stand-in upstreams serve it, and a request there whose path was never sent there is a finding. Rounds that were drawn before are drawn as they were, with these faults added to some of them.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,7 +14,16 @@
 from briarrill.transport.http_messages import RequestHead
 from standins.platform_processes import FRONT_PORT, send_request_to
 
-from .plan import CUSTOMERS, PlannedJob, Work, api_key, customer_of, part_of
+from .plan import (
+    CUSTOMERS,
+    JOBS_ROUTES,
+    PART_PREFIX,
+    PlannedJob,
+    Work,
+    api_key,
+    customer_of,
+    part_of,
+)
 from .record import Item, Job, Page, Record
 
 __all__ = ('Callers',)
@@ -150,7 +159,7 @@
         fields = [
             {
                 'id': item.item_id,
-                'path': f'/{planned.route}/{index}',
+                'path': _path(planned.route, index),
                 'headers': {
                     'Briarrill-Model': 'm',
                     'Briarrill-Prompt-Prefix': (
@@ -247,6 +256,12 @@
     return json.dumps(attrs.asdict(work)).encode()
 
 
+def _path(route: str, index: int) -> str:
+    """Return the path of an item of a job."""
+    is_part = route == JOBS_ROUTES[0] and index % 2
+    return f'{PART_PREFIX if is_part else f"/{route}/"}{index}'
+
+
 def _headers(
     request_id: str, body: bytes = b''
 ) -> tuple[tuple[bytes, bytes], ...]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -86,6 +86,7 @@
         Finding('customer', text)
         for text in (*record.odd_customers, *record.odd_accesses)
     ]
+    findings += [Finding('route', text) for text in record.odd_routes]
     pages = {
         job_id: [page for page in record.pages if page.job_id == job_id]
         for job_id in record.jobs
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,10 +10,17 @@
 from standins.platform_processes import ROUTES
 from standins.platform_store import StandinStore
 
-from .plan import CUSTOMERS, JOBS_ROUTES, Fault, FaultKind, api_key
+from .plan import (
+    CUSTOMERS,
+    JOBS_ROUTES,
+    PART_PREFIX,
+    Fault,
+    FaultKind,
+    api_key,
+)
 from .processes import ManagedProcess
 from .record import Record
-from .runners import Runner
+from .runners import PART_SERVICE, Runner
 
 __all__ = ('Faults', 'KEEP_S', 'routes')
 
@@ -28,15 +35,18 @@
 REFUSALS = {FaultKind.FULL: 503, FaultKind.BUSY: 429}
 
 
-def routes(*, has_passing: bool) -> list[dict[str, Any]]:
+def routes(*, has_passing: bool, is_split: bool) -> list[dict[str, Any]]:
     """Return the routes of the configuration.
 
     :param has_passing: whether the second route of jobs is there.
+    :param is_split: whether a part of the first one is a route of its own.
     """
     online, jobs = ROUTES['routes']
     jobs = {**jobs, 'keep_s': KEEP_S, 'max_queued_tokens': 0}
     passing = {**jobs, 'name': JOBS_ROUTES[1], 'prefix': f'/{JOBS_ROUTES[1]}/'}
-    return [online, jobs, *([passing] if has_passing else [])]
+    part = {**jobs, 'prefix': PART_PREFIX, 'service': PART_SERVICE}
+    split = [{**jobs, 'name': 'rest'}, part] if is_split else [jobs]
+    return [online, *split, *([passing] if has_passing else [])]
 
 
 @attrs.define
@@ -60,6 +70,7 @@
     _active: int = 0
     _last_end_s: float = 0
     _routes_away: int = 0
+    _splits: int = 0
     _silences: int = 0
     _errors: int = 0
     _newest_key: int = 0
@@ -76,7 +87,10 @@
         self._version += 1
         config = {
             'version': self._version,
-            'routes': routes(has_passing=not self._routes_away),
+            'routes': routes(
+                has_passing=not self._routes_away,
+                is_split=bool(self._splits),
+            ),
         }
         if self.has_customers:
             config['tenants'] = [
@@ -114,6 +128,8 @@
                     )
         elif fault.kind is FaultKind.REVOKE:
             await self._revoke(fault.lasts_s)
+        elif fault.kind is FaultKind.SPLIT_ROUTE:
+            await self._split_route(fault.lasts_s)
         else:
             await self._disturb_store(fault)
         self.lines.append(f'{self.clock():.2f} ended: {fault}')
@@ -150,6 +166,13 @@
         self.key_turn += 1
         self.write_routes()
 
+    async def _split_route(self, lasts_s: float) -> None:
+        self._splits += 1
+        self.write_routes()
+        await trio.sleep(lasts_s)
+        self._splits -= 1
+        self.write_routes()
+
     async def _remove_route(self, away_s: float) -> None:
         ends = self.record.route_ends.setdefault(JOBS_ROUTES[1], [])
         ends.append(self.clock())
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,8 @@
     'JOBS_ROUTES',
     'Plan',
     'PlannedJob',
+    'PART_PREFIX',
+    'PART_RUNNERS',
     'RUNNERS',
     'Work',
     'api_key',
@@ -21,6 +23,10 @@
 )
 
 RUNNERS = 6
+
+#: Runners of the service to which a part of the first route is sent at times.
+PART_RUNNERS = 2
+
 ITEMS_IN_JOB = 4
 FIRST_PARTS = 5
 
@@ -28,6 +34,9 @@
 JOBS_ROUTES = ('jobs', 'passing')
 PASSING_ROUTE_SHARE = 0.15
 
+#: Prefix of every second item of the first route of jobs.
+PART_PREFIX = f'/{JOBS_ROUTES[0]}/part/'
+
 #: Names of the customers of rounds that have some.
 CUSTOMERS = ('north', 'south')
 
@@ -43,6 +52,9 @@
 # share of rounds that have customers
 CUSTOMERS_SHARE = 0.5
 
+# share of rounds in which the first route of jobs is split
+SPLITS_SHARE = 0.3
+
 # seconds between two jobs
 JOB_PAUSES_S = (0.4, 1.1)
 
@@ -54,7 +66,9 @@
     the one that they had. LIMIT: they name ``Server-Limit``. MUTE: they send
     nothing. FULL: they answer 503 and BUSY: 429, with ``Retry-After``.
     REMOVE_ROUTE: the second route of jobs is removed and added again. REVOKE:
-    each customer gets a new key, and its old one is taken away.
+    each customer gets a new key, and its old one is taken away. SPLIT_ROUTE:
+    a part of the first route of jobs becomes a route of another service, which
+    has the name of the first one, and is joined with it again.
     """
 
     CRASH = 'crash'
@@ -71,6 +85,7 @@
     COMPACT = 'compact'
     REMOVE_ROUTE = 'remove-route'
     REVOKE = 'revoke'
+    SPLIT_ROUTE = 'split-route'
 
 
 RUNNER_FAULTS = frozenset(
@@ -177,6 +192,8 @@
     has_customers = rng.random() < CUSTOMERS_SHARE
     if has_customers:
         faults += _draw_revocations(rng)
+    if rng.random() < SPLITS_SHARE:
+        faults += _draw_splits(rng)
     return Plan(
         jobs=jobs,
         faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
@@ -194,6 +211,16 @@
     ]
 
 
+def _draw_splits(rng: random.Random) -> list[Fault]:
+    """A part of a route gets a service of its own, once or repeatedly."""
+    at_s = rng.uniform(1, 4)
+    lasts_s = rng.uniform(1, 3)
+    return [
+        Fault(at_s + 2 * lasts_s * turn, FaultKind.SPLIT_ROUTE, (), lasts_s)
+        for turn in range(rng.randint(1, 3))
+    ]
+
+
 def _draw_jobs(
     rng: random.Random, trouble_s: float, first_pauses_s: tuple[float, ...]
 ) -> tuple[PlannedJob, ...]:
--- a/soak/record.py
+++ b/soak/record.py
@@ -81,6 +81,7 @@
     :param odd_customers: requests that came to a runner with a key or with
         another name than that of their customer.
     :param odd_accesses: what a caller was let do that it may not.
+    :param odd_routes: paths at a service to which no route ever led them.
     """
 
     jobs: dict[str, Job] = attrs.field(factory=dict)
@@ -92,6 +93,7 @@
     customers: dict[str, str] = attrs.field(factory=dict)
     odd_customers: list[str] = attrs.field(factory=list)
     odd_accesses: list[str] = attrs.field(factory=list)
+    odd_routes: list[str] = attrs.field(factory=list)
     listed: dict[str, set[str]] = attrs.field(factory=dict)
 
     def add_page(self, page: Page) -> None:
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -14,10 +14,10 @@
 from .callers import Callers
 from .checks import Finding, IdleItems, check_record
 from .faults import KEEP_S, Faults
-from .plan import RUNNERS, Plan
+from .plan import PART_RUNNERS, RUNNERS, Plan
 from .processes import run_processes
 from .record import Record, Sample
-from .runners import SLOTS, Runner
+from .runners import PART_SERVICE, SERVICE, SLOTS, Runner
 
 __all__ = ('Outcome', 'Place', 'play_round')
 
@@ -131,12 +131,11 @@
             for runner in self.runners
             for request_id in runner.at_work
         }
-        runs = sum(sum(runner.at_work.values()) for runner in self.runners)
         return Sample(
             at_s=now_s,
             is_calm=self.faults.is_calm,
             is_read=now_s - self.callers.last_read_s < READ_AGE_S,
-            busy=runs / (SLOTS * len(self.runners)),
+            busy=max(map(self._busy_share, (SERVICE, PART_SERVICE))),
             worked_on=frozenset(
                 job_id
                 for job_id, items in unlisted.items()
@@ -145,6 +144,15 @@
             unlisted=unlisted,
         )
 
+    def _busy_share(self, service: str) -> float:
+        """Return the share of the slots of a service that are taken."""
+        runs = [
+            sum(runner.at_work.values())
+            for runner in self.runners
+            if runner.service == service
+        ]
+        return sum(runs) / (SLOTS * len(runs))
+
 
 async def play_round(plan: Plan, place: Place) -> Outcome:
     """Play a round on addresses of its own; return what it has shown."""
@@ -157,8 +165,9 @@
             f'r{number}',
             f'{place.network}.{FIRST_RUNNER + number}',
             record,
+            SERVICE if number < RUNNERS else PART_SERVICE,
         )
-        for number in range(RUNNERS)
+        for number in range(RUNNERS + PART_RUNNERS)
     ]
     faults = Faults(
         store, runners, record, clock, has_customers=plan.has_customers
--- a/soak/runners.py
+++ b/soak/runners.py
@@ -19,13 +19,18 @@
 from standins.platform_processes import BORN_MS, register_upstream
 from standins.platform_store import StandinStore
 
+from .plan import PART_PREFIX
 from .record import Record, event_text
 
-__all__ = ('Runner', 'SLOTS')
+__all__ = ('PART_SERVICE', 'Runner', 'SERVICE', 'SLOTS')
 
 #: Requests that a runner runs at a time; as many wait there.
 SLOTS = 4
 
+#: Service of all routes, and of the part of a route that is split.
+SERVICE = 'llm'
+PART_SERVICE = 'part'
+
 RUNNER_PORT = 8080
 
 NOT_EXECUTED = (b'briarrill-not-executed', b'1')
@@ -44,6 +49,7 @@
     name: str
     host: str
     record: Record
+    service: str = SERVICE
     limit: float = 0
     refusal: tuple[int, float] | None = None
     at_work: Counter[str] = attrs.field(factory=Counter)
@@ -71,7 +77,13 @@
             async with serve_callers(
                 (self.host, RUNNER_PORT), engine.caller_limits, engine.serve
             ):
-                register_upstream(self.store, upstream_id, self.host, start)
+                register_upstream(
+                    self.store,
+                    upstream_id,
+                    self.host,
+                    start,
+                    service=self.service,
+                )
                 await self._down.wait()
             await self._next_start.wait()
             self.store.remove(f'{REGISTRATIONS_PREFIX}{upstream_id}')
@@ -116,6 +128,9 @@
             return
         request_id = (req.header(b'briarrill-attempt-id') or b'').decode()
         self.record.check_customer(request_id, req.customers, req.credentials)
+        path = req.head.path
+        if self.service != SERVICE and not path.startswith(PART_PREFIX):
+            self.record.odd_routes.append(f'{path} at {self.service}')
         with self._worked_on(request_id):
             async with self._slots:
                 await self._stream(request_id, req, conn)
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -84,6 +84,15 @@
         online_pause_s=0.4,
         has_customers=True,
     ),
+    'route-splits': Plan(
+        jobs=_jobs(12, 0.6),
+        faults=tuple(
+            Fault(2 + 4 * turn, FaultKind.SPLIT_ROUTE, lasts_s=2)
+            for turn in range(3)
+        )
+        + (Fault(5, FaultKind.KILL, (3,), 0.5),),
+        online_pause_s=0.4,
+    ),
     'low-limit-of-all': Plan(
         jobs=_jobs(8.5, 0.55),
         faults=(Fault(0, FaultKind.LIMIT, _ALL_RUNNERS, 8, 0.5),),
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -45,6 +45,12 @@
     assert _check((0, SOUND[:2])) == [('missing', ('c',))]
 
 
+def test_request_at_a_service_where_no_route_leads_is_found():
+    record = Record(odd_routes=['/jobs/0 at part'])
+    (finding,) = check_record(record, KEEP_S)
+    assert finding.check == 'route'
+
+
 def test_item_at_two_positions_is_found():
     assert _check((0, (*SOUND, SOUND[1]))) == [('twice', ('b',))]
 
--- a/tests/soak/test_rounds.py
+++ b/tests/soak/test_rounds.py
@@ -54,6 +54,13 @@
     await _play(plan, network, tmp_path)
 
 
+async def test_items_run_where_they_are_sent_while_a_route_is_split(
+    network, tmp_path
+):
+    """The part has the former name of the route, and is joined again."""
+    await _play(SCENARIOS['route-splits'], network, tmp_path)
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_drawn_rounds_repeat(seed):
     assert draw_plan(seed, 0) == draw_plan(seed, 0)
