--- a/briarrill/item_runs/item_order.py
+++ b/briarrill/item_runs/item_order.py
@@ -54,15 +54,11 @@
 
 @attrs.frozen
 class StartableItem:
-    """An item that may be started, with its job and route.
-
-    :param config_version: version of the configuration that has the route.
-    """
+    """An item that may be started, with its job and route."""
 
     progress: ItemProgress
     tracked: TrackedJob
     route: Route
-    config_version: int = 0
 
 
 @attrs.define
@@ -297,7 +293,7 @@
             continue
         progress = progress_of(tracked, item_id)
         if progress is not None:
-            yield StartableItem(progress, tracked, route, routes.version)
+            yield StartableItem(progress, tracked, route)
 
 
 def _count_open_items(
--- a/briarrill/item_runs/scheduler.py
+++ b/briarrill/item_runs/scheduler.py
@@ -256,7 +256,9 @@
             if (
                 candidate.route in routes_with_slots
                 and why_delayed(candidate.progress, now) is None
-                and not self._try_start_item(candidate, nursery)
+                and not self._try_start_item(
+                    candidate, routes.version, nursery
+                )
             ):
                 routes_with_slots.discard(candidate.route)
         if sample.uses:
@@ -269,9 +271,12 @@
             )
 
     def _try_start_item(
-        self, candidate: StartableItem, nursery: trio.Nursery
+        self, candidate: StartableItem, version: int, nursery: trio.Nursery
     ) -> bool:
-        """Start an item; return whether others may have a free slot."""
+        """Start an item; return whether others may have a free slot.
+
+        :param version: of the configuration that has its route.
+        """
         progress = candidate.progress
         route = candidate.route
         memory = self._slots.memory
@@ -299,7 +304,7 @@
             may_exceed_memory=memory.may_exceed(
                 upstream, progress.stored.tokens
             ),
-            config_version=candidate.config_version,
+            config_version=version,
         )
         self._suspended.pop(progress.key, None)
         self._running[progress.key] = running
