--- a/tests/coordination/test_token_counts.py
+++ b/tests/coordination/test_token_counts.py
@@ -8,6 +8,7 @@
 
 from briarrill.coordination.job_table import JobTable
 from briarrill.coordination.load_exchange import LoadExchange
+from briarrill.coordination.routes import RouteKind, RouteTable
 from briarrill.coordination.state_transfer import StateTransfer
 from briarrill.coordination.token_counts import (
     TOKEN_COUNTS_PATH,
@@ -17,10 +18,15 @@
 from briarrill.state.keys import ROOT_PREFIX
 from briarrill.transport.http_callers import serve_callers
 from standins.memory_key_value import MemoryKeyValue
+from tests.relay.front_end_setup import route
 from tests.serving import free_port
 from tests.state.test_stored_jobs import make_job
 
-ROUTE = 'lots & more/é'
+ROUTE = attrs.evolve(
+    route(RouteKind.BATCH), host='lots & more:80', prefix='/%2F é/?/'
+)
+OTHER_ROUTE = attrs.evolve(ROUTE, prefix='/other/')
+ROUTES = RouteTable(7, (ROUTE, OTHER_ROUTE))
 JOB_TOKENS = 300
 
 
@@ -33,7 +39,13 @@
     reports: int = 0
 
     def add_job(self, job_id, customer=''):
-        job = attrs.evolve(make_job(job_id), route=ROUTE, customer=customer)
+        job = attrs.evolve(
+            make_job(job_id),
+            route=ROUTE.name,
+            host=ROUTE.host,
+            customer=customer,
+            prefix=ROUTE.prefix,
+        )
         self.counts.jobs.add(job)
 
     def hear(self, host, connected=(ROOT_PREFIX,)):
@@ -52,6 +64,7 @@
             load,
             port,
             random.Random(1),
+            lambda: ROUTES,
         )
     )
     return process
@@ -84,8 +97,8 @@
     own.add_job('j1')
     for job_id in ('j1', 'j2'):
         peer.add_job(job_id)
-    assert await own.counts.count(ROUTE) == JOB_TOKENS
-    assert await own.counts.count('other') == 0
+    assert await own.counts.count(ROUTE, ROUTES) == JOB_TOKENS
+    assert await own.counts.count(OTHER_ROUTE, ROUTES) == 0
 
 
 async def test_a_process_without_the_jobs_asks_a_peer_and_adds_its_own(pair):
@@ -93,9 +106,9 @@
     own.has_all_jobs = False
     for job_id in ('j1', 'j2'):
         peer.add_job(job_id)
-    assert await own.counts.count(ROUTE) == 2 * JOB_TOKENS
+    assert await own.counts.count(ROUTE, ROUTES) == 2 * JOB_TOKENS
     own.add_job('j3')
-    assert await own.counts.count(ROUTE) == 3 * JOB_TOKENS
+    assert await own.counts.count(ROUTE, ROUTES) == 3 * JOB_TOKENS
 
 
 @pytest.mark.parametrize('has_all_jobs', [True, False])
@@ -106,7 +119,7 @@
     for number, customer in enumerate(('a/ü', 'a/ü', 'b', '')):
         counting.add_job(f'j{number}', customer)
     counted = [
-        await own.counts.count(ROUTE, customer)
+        await own.counts.count(ROUTE, ROUTES, customer)
         for customer in ('a/ü', 'b', '', 'c', None)
     ]
     assert counted == [count * JOB_TOKENS for count in (2, 1, 1, 0, 4)]
@@ -116,7 +129,7 @@
     own, peer = pair
     for process in (own, peer):
         process.has_all_jobs = False
-    assert await own.counts.count(ROUTE) is None
+    assert await own.counts.count(ROUTE, ROUTES) is None
 
 
 async def test_a_peer_that_does_not_follow_the_service_is_not_asked(
@@ -125,11 +138,11 @@
     own, _ = pair
     own.has_all_jobs = False
     own.hear(f'{network}.2', connected=())
-    assert await own.counts.count(ROUTE) is None
+    assert await own.counts.count(ROUTE, ROUTES) is None
 
 
 async def test_a_peer_that_ended_counts_as_one_that_does_not_know(network):
     own = make_process('own', f'{network}.1', free_port())
     own.has_all_jobs = False
     own.hear(f'{network}.3')
-    assert await own.counts.count(ROUTE) is None
+    assert await own.counts.count(ROUTE, ROUTES) is None
